Lay the workspace, the borders and the starting design

Cause: an empty repository; every part needs the same ids, error kinds, borders and stand-in interfaces. Change: packages with shared dependencies and lints, the closed list of error kinds with its table, the traits towards platform, backend servers, control and clock, the configuration record, the stand-ins' interfaces. Ruled out: one large package (the core must not see sockets).

--- /dev/null
+++ b/crates/mustardshed-config/src/lib.rs
@@ -0,0 +1,3 @@
+//! Operators' text and daemon settings: parsing, checking, comparing.
+
+pub mod text;
--- /dev/null
+++ b/crates/mustardshed-core/benches/route.rs
@@ -0,0 +1,3 @@
+//! Decision time per request against the number of backend servers.
+
+fn main() {}
--- /dev/null
+++ b/crates/mustardshed-core/src/error.rs
@@ -0,0 +1,216 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use std::{fmt, time};
+
+use displaydoc::Display;
+
+/// Kind of an error that a caller or an operator can meet.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+pub enum ErrorKind {
+    /// the key is missing or belongs to no client account
+    Unauthenticated,
+    /// the client account may not use this
+    Forbidden,
+    /// the request is malformed
+    InvalidRequest,
+    /// the request or its headers are larger than allowed
+    TooLarge,
+    /// the prompt and the requested output exceed what the model takes
+    PromptTooLong,
+    /// no such model
+    UnknownModel,
+    /// no such service
+    UnknownService,
+    /// no such request
+    UnknownRequest,
+    /// no such path
+    NotFound,
+    /// the method is not allowed on this path
+    MethodNotAllowed,
+    /// the idempotency key was used before with another body
+    KeyReused,
+    /// a request with this idempotency key is still running
+    KeyInProgress,
+    /// the client account is over its limits
+    AccountLimit,
+    /// the request cannot be served within its deadline
+    Overloaded,
+    /// a service that this one depends on cannot serve in time
+    DependencyOverloaded,
+    /// no backend server may be given new work
+    NoBackendServer,
+    /// this entry cannot confirm its configuration
+    ConfigurationStale,
+    /// the platform cannot be reached, and the request needs it
+    PlatformUnavailable,
+    /// this entry is leaving
+    Leaving,
+    /// the deadline passed
+    DeadlineExceeded,
+    /// the backend server failed while it worked on the request
+    BackendServerFailed,
+    /// the fate of the request cannot be told
+    FateUnknown,
+    /// the configuration changed since it was read
+    ConfigurationConflict,
+    /// the configuration text is not valid
+    ConfigurationInvalid,
+    /// a fault in this process
+    Internal,
+}
+
+/// What a caller is told for an [`ErrorKind`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code in the answer's body.
+    pub code: &'static str,
+    /// Type in the OpenAI error form.
+    pub class: &'static str,
+    /// Delay after which coming back helps, if it does.
+    pub retry_after: Option<time::Duration>,
+}
+
+const SOON: Option<time::Duration> = Some(time::Duration::from_secs(1));
+const LATER: Option<time::Duration> = Some(time::Duration::from_secs(5));
+
+const INVALID: &str = "invalid_request_error";
+const AUTHENTICATION: &str = "authentication_error";
+const PERMISSION: &str = "permission_error";
+const RATE_LIMIT: &str = "rate_limit_error";
+const SERVER: &str = "server_error";
+
+impl ErrorKind {
+    /// Every kind, in the order of the documentation.
+    pub const ALL: [Self; 25] = [
+        Self::Unauthenticated,
+        Self::Forbidden,
+        Self::InvalidRequest,
+        Self::TooLarge,
+        Self::PromptTooLong,
+        Self::UnknownModel,
+        Self::UnknownService,
+        Self::UnknownRequest,
+        Self::NotFound,
+        Self::MethodNotAllowed,
+        Self::KeyReused,
+        Self::KeyInProgress,
+        Self::AccountLimit,
+        Self::Overloaded,
+        Self::DependencyOverloaded,
+        Self::NoBackendServer,
+        Self::ConfigurationStale,
+        Self::PlatformUnavailable,
+        Self::Leaving,
+        Self::DeadlineExceeded,
+        Self::BackendServerFailed,
+        Self::FateUnknown,
+        Self::ConfigurationConflict,
+        Self::ConfigurationInvalid,
+        Self::Internal,
+    ];
+
+    /// Returns the answer for this kind.
+    pub const fn answer(self) -> Answer {
+        match self {
+            Self::Unauthenticated => answer(401, "invalid_api_key", AUTHENTICATION, None),
+            Self::Forbidden => answer(403, "forbidden", PERMISSION, None),
+            Self::InvalidRequest => answer(400, "invalid_request", INVALID, None),
+            Self::TooLarge => answer(413, "too_large", INVALID, None),
+            Self::PromptTooLong => answer(400, "context_length_exceeded", INVALID, None),
+            Self::UnknownModel => answer(404, "model_not_found", INVALID, None),
+            Self::UnknownService => answer(404, "service_not_found", INVALID, None),
+            Self::UnknownRequest => answer(404, "request_not_found", INVALID, None),
+            Self::NotFound => answer(404, "not_found", INVALID, None),
+            Self::MethodNotAllowed => answer(405, "method_not_allowed", INVALID, None),
+            Self::KeyReused => answer(422, "idempotency_key_reused", INVALID, None),
+            Self::KeyInProgress => answer(409, "idempotency_key_in_progress", INVALID, SOON),
+            Self::AccountLimit => answer(429, "account_limit", RATE_LIMIT, SOON),
+            Self::Overloaded => answer(429, "overloaded", RATE_LIMIT, SOON),
+            Self::DependencyOverloaded => answer(503, "dependency_overloaded", SERVER, SOON),
+            Self::NoBackendServer => answer(503, "no_backend_server", SERVER, LATER),
+            Self::ConfigurationStale => answer(503, "configuration_stale", SERVER, SOON),
+            Self::PlatformUnavailable => answer(503, "platform_unavailable", SERVER, LATER),
+            Self::Leaving => answer(503, "entry_leaving", SERVER, SOON),
+            Self::DeadlineExceeded => answer(504, "deadline_exceeded", SERVER, SOON),
+            Self::BackendServerFailed => answer(502, "backend_server_failed", SERVER, SOON),
+            Self::FateUnknown => answer(502, "fate_unknown", SERVER, None),
+            Self::ConfigurationConflict => answer(409, "configuration_conflict", INVALID, None),
+            Self::ConfigurationInvalid => answer(422, "configuration_invalid", INVALID, None),
+            Self::Internal => answer(500, "internal", SERVER, SOON),
+        }
+    }
+}
+
+const fn answer(
+    status: u16,
+    code: &'static str,
+    class: &'static str,
+    retry_after: Option<time::Duration>,
+) -> Answer {
+    Answer {
+        status,
+        code,
+        class,
+        retry_after,
+    }
+}
+
+/// An [`ErrorKind`] with its circumstances, whether the work ran, and when to come back.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    /// Kind, from the closed list.
+    pub kind: ErrorKind,
+    /// Sentence for a person; it never holds a key or a prompt.
+    pub message: String,
+    /// What is known of the request's fate.
+    pub outcome: crate::outcome::Outcome,
+    /// Delay after which coming back helps; overrides the kind's own.
+    pub retry_after: Option<time::Duration>,
+}
+
+impl Error {
+    /// Makes an error for work that no backend server was given.
+    pub fn not_run(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Self::with_outcome(kind, crate::outcome::Outcome::NotRun, message)
+    }
+
+    /// Makes an error for work that ran, or may have run, in part.
+    pub fn failed(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Self::with_outcome(kind, crate::outcome::Outcome::Failed, message)
+    }
+
+    /// Makes an error for work of which it cannot be told whether it ran.
+    pub fn unknown(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Self::with_outcome(kind, crate::outcome::Outcome::Unknown, message)
+    }
+
+    /// Sets the delay after which coming back helps.
+    #[must_use]
+    pub const fn retry_after(mut self, delay: time::Duration) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
+
+    fn with_outcome(
+        kind: ErrorKind,
+        outcome: crate::outcome::Outcome,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            outcome,
+            retry_after: kind.answer().retry_after,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind, self.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/mustardshed-core/src/process.rs
@@ -0,0 +1,3 @@
+//! What lives as long as an entry process.
+
+pub mod snapshot;
--- /dev/null
+++ b/crates/mustardshed-core/src/request.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one request.
+
+pub mod fate;
--- /dev/null
+++ b/crates/mustardshed-core/src/version.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one generation of the configuration.
+
+pub mod record;
--- /dev/null
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Laid out in ARCHITECTURE.
--- /dev/null
+++ b/crates/mustardshed-wire/src/lib.rs
@@ -0,0 +1,3 @@
+//! Wire types and codecs, apart from the core's own types.
+
+pub mod configuration;
--- /dev/null
+++ b/crates/mustardshed/src/lib.rs
@@ -0,0 +1,12 @@
+//! Facade over the packages of mustardshed.
+//!
+//! ```
+//! use mustardshed::core::error;
+//!
+//! assert_eq!(error::ErrorKind::Overloaded.answer().status, 429);
+//! ```
+
+pub use mustardshed_config as config;
+pub use mustardshed_core as core;
+pub use mustardshed_platform as platform;
+pub use mustardshed_wire as wire;
--- /dev/null
+++ b/crates/mustardshedd/src/main.rs
@@ -0,0 +1,3 @@
+//! Laid out in ARCHITECTURE.
+
+fn main() {}
