--- /dev/null
+++ b/crates/mustardshedd/src/process.rs
@@ -0,0 +1,8 @@
+//! What lives as long as the daemon process: clock, control thread, links to peers, pollers.
+
+pub mod clock;
+pub mod control;
+pub mod inbound;
+pub mod links;
+pub mod pending;
+pub mod pollers;
--- /dev/null
+++ b/crates/mustardshedd/src/process/control.rs
@@ -0,0 +1,215 @@
+//! The control thread and the handle by which traffic threads reach it.
+
+use std::{fmt, io, sync, thread};
+
+use arc_swap::ArcSwap;
+use mustardshed::core::{
+    border::{backend_server, clock, control, platform},
+    error, ids,
+    process::{action, event, node, snapshot},
+    request::fate,
+    version::record,
+};
+use tokio::{runtime, sync::mpsc, sync::oneshot, time};
+
+use crate::process::{links, pending, pollers};
+
+mod handle;
+
+pub use handle::Handle;
+
+/// Events from links and pollers that may wait for the control thread.
+const EVENT_QUEUE_LEN: usize = 4096;
+
+/// What a traffic thread sends to the control thread.
+///
+/// The queue is not bounded by itself; every command belongs to a request in flight, whose
+/// number the listener bounds.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Acquire(
+        control::CreditRequest,
+        oneshot::Sender<Result<control::Credit, error::Error>>,
+    ),
+    Release(control::Credit, control::Feedback),
+    Record(fate::Fate),
+    WantFate(ids::RequestId, oneshot::Sender<action::FateAnswer>),
+    Intent(
+        record::Record,
+        oneshot::Sender<Result<ids::Generation, error::Error>>,
+    ),
+    Commit(
+        record::Record,
+        oneshot::Sender<Result<ids::Generation, error::Error>>,
+    ),
+    Leave,
+}
+
+/// What the control thread is built from.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// Who this entry is.
+    pub identity: node::Identity,
+    /// Seed of its random choices.
+    pub seed: u64,
+    /// Clock.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Platform.
+    pub platform: sync::Arc<dyn platform::Platform>,
+    /// Backend servers.
+    pub servers: sync::Arc<dyn backend_server::BackendServer>,
+    /// Secret that peers share.
+    pub peer_key: sync::Arc<[u8]>,
+    /// Writes log entries of the decision core.
+    pub log: fn(&action::Entry),
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// Returns an error if the thread or its runtime cannot be made, or the peers' address cannot be
+/// listened on.
+pub fn spawn(parts: Parts, peer_listener: std::net::TcpListener) -> io::Result<Handle> {
+    let rt = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (commands_tx, commands_rx) = mpsc::unbounded_channel();
+    let (events_tx, events_rx) = mpsc::channel(EVENT_QUEUE_LEN);
+    let now = parts.clock.now();
+    let node = node::Node::new(parts.identity.clone(), parts.seed, now);
+    let published = sync::Arc::new(ArcSwap::from(node.snapshot(now)));
+    let handle = Handle::new(&parts, sync::Arc::clone(&published), commands_tx);
+    let links = links::Links::new(&parts);
+    let thread = Thread {
+        parts,
+        node,
+        pending: pending::Pending::default(),
+        links,
+        events_tx,
+        published,
+    };
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || rt.block_on(thread.run(peer_listener, commands_rx, events_rx)))?;
+    Ok(handle)
+}
+
+/// State of the control thread.
+struct Thread {
+    parts: Parts,
+    node: node::Node,
+    pending: pending::Pending,
+    links: links::Links,
+    events_tx: mpsc::Sender<event::Event>,
+    published: sync::Arc<ArcSwap<snapshot::Snapshot>>,
+}
+
+impl fmt::Debug for Thread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Thread")
+            .field("identity", &self.parts.identity)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Thread {
+    async fn run(
+        mut self,
+        peer_listener: std::net::TcpListener,
+        mut commands_rx: mpsc::UnboundedReceiver<Command>,
+        mut events_rx: mpsc::Receiver<event::Event>,
+    ) {
+        crate::process::inbound::spawn(&self.parts, peer_listener, self.events_tx.clone());
+        pollers::spawn(&self.parts, &self.events_tx);
+        let mut ticks = time::interval(node::TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                command = commands_rx.recv() => match command {
+                    Some(command) => self.event_of(command),
+                    None => return,
+                },
+                Some(event) = events_rx.recv() => event,
+                _ = ticks.tick() => event::Event::Tick,
+            };
+            self.handle(event);
+            self.publish();
+        }
+    }
+
+    fn event_of(&mut self, command: Command) -> event::Event {
+        match command {
+            Command::Acquire(req, tx) => event::Event::Acquire {
+                ticket: self.pending.credit(tx),
+                req,
+            },
+            Command::Release(credit, feedback) => event::Event::Release { credit, feedback },
+            Command::Record(fate) => event::Event::Fate(fate),
+            Command::WantFate(request, tx) => event::Event::WantFate {
+                ticket: self.pending.fate(tx),
+                request,
+            },
+            Command::Intent(record, tx) => event::Event::Intent {
+                ticket: self.pending.acknowledgement(tx),
+                record,
+            },
+            Command::Commit(record, tx) => event::Event::Commit {
+                ticket: self.pending.acknowledgement(tx),
+                record,
+            },
+            Command::Leave => event::Event::Leave,
+        }
+    }
+
+    fn handle(&mut self, event: event::Event) {
+        let now = self.parts.clock.now();
+        for action in self.node.handle(event, now) {
+            self.carry_out(action);
+        }
+    }
+
+    fn publish(&self) {
+        let now = self.parts.clock.now();
+        self.published.store(self.node.snapshot(now));
+    }
+
+    fn carry_out(&mut self, action: action::Action) {
+        match action {
+            action::Action::Send { vm, message } => self.links.send(&vm, message),
+            action::Action::Connect { vm, peer_address } => self.links.connect(vm, peer_address),
+            action::Action::Disconnect { vm } => self.links.disconnect(&vm),
+            action::Action::ReadLoad { server, address } => {
+                pollers::read_load(&self.parts, &self.events_tx, server, address);
+            }
+            action::Action::Cancel { address, request } => {
+                pollers::cancel(&self.parts, address, request);
+            }
+            action::Action::ReleaseReservation { address, request } => {
+                pollers::release_reservation(&self.parts, address, request);
+            }
+            action::Action::Acquired { ticket, result } => self.acquired(ticket, result),
+            action::Action::Acknowledge { ticket, result } => {
+                self.pending.acknowledged(ticket, result);
+            }
+            action::Action::FateIs { ticket, result } => self.pending.fate_is(ticket, result),
+            action::Action::Log(entry) => (self.parts.log)(&entry),
+        }
+    }
+
+    /// Hands a credit to its caller, or back to the node if the caller is gone.
+    fn acquired(&mut self, ticket: u64, result: Result<control::Credit, error::Error>) {
+        let Some(credit) = self.pending.acquired(ticket, result) else {
+            return;
+        };
+        let feedback = control::Feedback {
+            request: credit.request.clone(),
+            server: credit.server.clone(),
+            prefill_tokens: 0,
+            first_token: None,
+            epoch: None,
+            failure: None,
+        };
+        self.handle(event::Event::Release { credit, feedback });
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/process/links.rs
@@ -0,0 +1,143 @@
+//! Outgoing links to peers: one WebSocket connection each, over which this entry only sends.
+
+use std::{collections, fmt, sync, time};
+
+use futures_util::SinkExt;
+use mustardshed::{
+    core::{ids, process::message, process::node},
+    wire::peer,
+};
+use tokio::{net, sync::mpsc, task};
+use tokio_tungstenite::tungstenite;
+
+use crate::process::{control, handshake};
+
+/// Messages that wait for one link; beyond that they are lost, as on a cut link.
+const LINK_QUEUE_LEN: usize = 1024;
+/// Longest wait for a connection and its handshake.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Wait before a broken link is tried again.
+const RECONNECT_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Longest wait for a message to be taken by the link.
+const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Outgoing links by VM.
+pub struct Links {
+    identity: node::Identity,
+    key: sync::Arc<[u8]>,
+    links: collections::HashMap<ids::VmId, Link>,
+}
+
+struct Link {
+    peer_address: String,
+    tx: mpsc::Sender<message::Message>,
+    task: task::JoinHandle<()>,
+}
+
+impl fmt::Debug for Links {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Links")
+            .field("vms", &self.links.keys())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Links {
+    /// Makes the set of links of an entry, empty at first.
+    pub fn new(parts: &control::Parts) -> Self {
+        Self {
+            identity: parts.identity.clone(),
+            key: sync::Arc::clone(&parts.peer_key),
+            links: collections::HashMap::new(),
+        }
+    }
+
+    /// Keeps a link to a VM; must be called on a runtime.
+    pub fn connect(&mut self, vm: ids::VmId, peer_address: String) {
+        if self
+            .links
+            .get(&vm)
+            .is_some_and(|link| link.peer_address == peer_address)
+        {
+            return;
+        }
+        self.disconnect(&vm);
+        let (tx, rx) = mpsc::channel(LINK_QUEUE_LEN);
+        let task = task::spawn(keep(
+            self.identity.clone(),
+            sync::Arc::clone(&self.key),
+            vm.clone(),
+            peer_address.clone(),
+            rx,
+        ));
+        let link = Link {
+            peer_address,
+            tx,
+            task,
+        };
+        self.links.insert(vm, link);
+    }
+
+    /// Drops the link to a VM.
+    pub fn disconnect(&mut self, vm: &ids::VmId) {
+        if let Some(link) = self.links.remove(vm) {
+            link.task.abort();
+        }
+    }
+
+    /// Sends a message; it is lost if there is no link or its queue is full.
+    pub fn send(&self, vm: &ids::VmId, message: message::Message) {
+        if let Some(link) = self.links.get(vm) {
+            // A lost message is what the protocol between entries is built to bear.
+            let _ = link.tx.try_send(message);
+        }
+    }
+}
+
+async fn keep(
+    identity: node::Identity,
+    key: sync::Arc<[u8]>,
+    vm: ids::VmId,
+    peer_address: String,
+    mut rx: mpsc::Receiver<message::Message>,
+) {
+    loop {
+        let connecting = handshake::connect(&identity, &key, &vm, &peer_address);
+        if let Ok(Ok(mut socket)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            if forward(&mut socket, &mut rx).await == Ended::QueueClosed {
+                return;
+            }
+        }
+        discard(&mut rx);
+        tokio::time::sleep(RECONNECT_INTERVAL).await;
+    }
+}
+
+/// Why forwarding ended.
+#[derive(Debug, Eq, PartialEq)]
+enum Ended {
+    LinkBroken,
+    QueueClosed,
+}
+
+async fn forward(
+    socket: &mut handshake::Socket<net::TcpStream>,
+    rx: &mut mpsc::Receiver<message::Message>,
+) -> Ended {
+    while let Some(message) = rx.recv().await {
+        let Ok(buf) = peer::encode(&message) else {
+            continue;
+        };
+        let sending = socket.send(tungstenite::Message::binary(buf));
+        match tokio::time::timeout(SEND_TIMEOUT, sending).await {
+            Ok(Ok(())) => {}
+            _ => return Ended::LinkBroken,
+        }
+    }
+    Ended::QueueClosed
+}
+
+/// Throws away what was queued for a broken link; old heartbeats must not arrive late in a burst.
+fn discard(rx: &mut mpsc::Receiver<message::Message>) {
+    while rx.try_recv().is_ok() {}
+}
--- /dev/null
+++ b/crates/mustardshedd/src/process/pending.rs
@@ -0,0 +1,75 @@
+//! Callers that wait for an answer of the control thread.
+
+use std::collections;
+
+use mustardshed::core::{border::control, error, ids, process::action};
+use tokio::sync::oneshot;
+
+/// A caller that waits.
+#[derive(Debug)]
+enum Waiter {
+    Credit(oneshot::Sender<Result<control::Credit, error::Error>>),
+    Fate(oneshot::Sender<action::FateAnswer>),
+    Acknowledgement(oneshot::Sender<Result<ids::Generation, error::Error>>),
+}
+
+/// Waiting callers by ticket.
+#[derive(Debug, Default)]
+pub struct Pending {
+    next_ticket: u64,
+    waiters: collections::HashMap<u64, Waiter>,
+}
+
+impl Pending {
+    /// Adds a caller that waits for a credit and returns its ticket.
+    pub fn credit(&mut self, tx: oneshot::Sender<Result<control::Credit, error::Error>>) -> u64 {
+        self.add(Waiter::Credit(tx))
+    }
+
+    /// Adds a caller that waits for a fate and returns its ticket.
+    pub fn fate(&mut self, tx: oneshot::Sender<action::FateAnswer>) -> u64 {
+        self.add(Waiter::Fate(tx))
+    }
+
+    /// Adds a caller that waits for an acknowledgement and returns its ticket.
+    pub fn acknowledgement(
+        &mut self,
+        tx: oneshot::Sender<Result<ids::Generation, error::Error>>,
+    ) -> u64 {
+        self.add(Waiter::Acknowledgement(tx))
+    }
+
+    /// Hands a credit over; returns it if nobody waits for it any more.
+    pub fn acquired(
+        &mut self,
+        ticket: u64,
+        result: Result<control::Credit, error::Error>,
+    ) -> Option<control::Credit> {
+        match self.waiters.remove(&ticket) {
+            Some(Waiter::Credit(tx)) => tx.send(result).err().and_then(Result::ok),
+            _ => result.ok(),
+        }
+    }
+
+    /// Hands a fate over.
+    pub fn fate_is(&mut self, ticket: u64, answer: action::FateAnswer) {
+        if let Some(Waiter::Fate(tx)) = self.waiters.remove(&ticket) {
+            // A caller that left needs no answer.
+            let _ = tx.send(answer);
+        }
+    }
+
+    /// Hands an acknowledgement over.
+    pub fn acknowledged(&mut self, ticket: u64, result: Result<ids::Generation, error::Error>) {
+        if let Some(Waiter::Acknowledgement(tx)) = self.waiters.remove(&ticket) {
+            // A caller that left needs no answer.
+            let _ = tx.send(result);
+        }
+    }
+
+    fn add(&mut self, waiter: Waiter) -> u64 {
+        self.next_ticket += 1;
+        self.waiters.insert(self.next_ticket, waiter);
+        self.next_ticket
+    }
+}
