--- a/crates/mustardshed-wire/src/lib.rs
+++ b/crates/mustardshed-wire/src/lib.rs
@@ -1,3 +1,4 @@
 //! Wire types and codecs, apart from the core's own types.
 
 pub mod configuration;
+pub mod peer;
--- /dev/null
+++ b/crates/mustardshed-wire/src/peer/credit.rs
@@ -0,0 +1,211 @@
+//! Credits, feedback and errors on the wire.
+
+use std::time;
+
+use mustardshed_core::{
+    border::{backend_server, control},
+    error as core_error, outcome,
+    process::message,
+};
+
+use super::{error, field};
+
+/// A question for a credit on the wire; the time to wait crosses beside it as a duration.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct CreditRequest {
+    request: String,
+    account: String,
+    server: String,
+    tokens: u64,
+    prefill_tokens: u64,
+    priority: u32,
+    gang: bool,
+}
+
+/// How work went, on the wire.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct Feedback {
+    request: String,
+    server: String,
+    prefill_tokens: u64,
+    first_token_nanos: Option<u64>,
+    epoch: Option<u64>,
+    failure: Option<Failure>,
+}
+
+/// A backend server's failure on the wire.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Failure {
+    /// It refused before it ran anything.
+    Refused(String),
+    /// No connection was made.
+    Unreachable(String),
+    /// The connection broke.
+    Broken(String),
+}
+
+/// A held credit on the wire.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct HeldCredit {
+    request: String,
+    tokens: u64,
+}
+
+/// An error on the wire, its kind and outcome by their stable names.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct Refusal {
+    code: String,
+    message: String,
+    outcome: String,
+    retry_after_nanos: Option<u64>,
+}
+
+impl From<control::CreditRequest> for CreditRequest {
+    fn from(req: control::CreditRequest) -> Self {
+        Self {
+            request: req.request,
+            account: req.account,
+            server: req.server,
+            tokens: req.tokens,
+            prefill_tokens: req.prefill_tokens,
+            priority: req.priority,
+            gang: req.gang,
+        }
+    }
+}
+
+impl TryFrom<CreditRequest> for control::CreditRequest {
+    type Error = error::Error;
+
+    fn try_from(req: CreditRequest) -> Result<Self, Self::Error> {
+        Ok(Self {
+            request: field::name("request", req.request)?,
+            account: field::name("account", req.account)?,
+            server: field::name("server", req.server)?,
+            tokens: req.tokens,
+            prefill_tokens: req.prefill_tokens,
+            priority: req.priority,
+            wait_until: time::Duration::ZERO,
+            gang: req.gang,
+        })
+    }
+}
+
+impl From<control::Feedback> for Feedback {
+    fn from(feedback: control::Feedback) -> Self {
+        Self {
+            request: feedback.request,
+            server: feedback.server,
+            prefill_tokens: feedback.prefill_tokens,
+            first_token_nanos: feedback.first_token.map(field::to_nanos),
+            epoch: feedback.epoch,
+            failure: feedback.failure.map(Failure::from),
+        }
+    }
+}
+
+impl TryFrom<Feedback> for control::Feedback {
+    type Error = error::Error;
+
+    fn try_from(feedback: Feedback) -> Result<Self, Self::Error> {
+        Ok(Self {
+            request: field::name("request", feedback.request)?,
+            server: field::name("server", feedback.server)?,
+            prefill_tokens: feedback.prefill_tokens,
+            first_token: feedback.first_token_nanos.map(time::Duration::from_nanos),
+            epoch: feedback.epoch,
+            failure: feedback.failure.map(TryInto::try_into).transpose()?,
+        })
+    }
+}
+
+impl From<backend_server::BackendServerError> for Failure {
+    fn from(failure: backend_server::BackendServerError) -> Self {
+        use backend_server::BackendServerError;
+
+        match failure {
+            BackendServerError::Refused(text) => Self::Refused(field::shorten(text)),
+            BackendServerError::Unreachable(text) => Self::Unreachable(field::shorten(text)),
+            BackendServerError::Broken(text) => Self::Broken(field::shorten(text)),
+        }
+    }
+}
+
+impl TryFrom<Failure> for backend_server::BackendServerError {
+    type Error = error::Error;
+
+    fn try_from(failure: Failure) -> Result<Self, Self::Error> {
+        Ok(match failure {
+            Failure::Refused(text) => Self::Refused(field::text("failure", text)?),
+            Failure::Unreachable(text) => Self::Unreachable(field::text("failure", text)?),
+            Failure::Broken(text) => Self::Broken(field::text("failure", text)?),
+        })
+    }
+}
+
+impl From<message::HeldCredit> for HeldCredit {
+    fn from(credit: message::HeldCredit) -> Self {
+        Self {
+            request: credit.request,
+            tokens: credit.tokens,
+        }
+    }
+}
+
+impl TryFrom<HeldCredit> for message::HeldCredit {
+    type Error = error::Error;
+
+    fn try_from(credit: HeldCredit) -> Result<Self, Self::Error> {
+        Ok(Self {
+            request: field::name("request", credit.request)?,
+            tokens: credit.tokens,
+        })
+    }
+}
+
+impl From<core_error::Error> for Refusal {
+    fn from(error: core_error::Error) -> Self {
+        Self {
+            code: error.kind.answer().code.to_owned(),
+            message: field::shorten(error.message),
+            outcome: error.outcome.as_str().to_owned(),
+            retry_after_nanos: error.retry_after.map(field::to_nanos),
+        }
+    }
+}
+
+impl TryFrom<Refusal> for core_error::Error {
+    type Error = error::Error;
+
+    fn try_from(refusal: Refusal) -> Result<Self, Self::Error> {
+        Ok(Self {
+            kind: kind(&refusal.code)?,
+            message: field::text("message", refusal.message)?,
+            outcome: outcome(&refusal.outcome)?,
+            retry_after: refusal.retry_after_nanos.map(time::Duration::from_nanos),
+        })
+    }
+}
+
+/// Finds an error kind by its stable code.
+pub(super) fn kind(code: &str) -> Result<core_error::ErrorKind, error::Error> {
+    core_error::ErrorKind::ALL
+        .into_iter()
+        .find(|kind| kind.answer().code == code)
+        .ok_or(error::Error::UnknownValue("code"))
+}
+
+/// Finds an outcome by its stable name.
+pub(super) fn outcome(name: &str) -> Result<outcome::Outcome, error::Error> {
+    const ALL: [outcome::Outcome; 5] = [
+        outcome::Outcome::NotRun,
+        outcome::Outcome::Failed,
+        outcome::Outcome::Unknown,
+        outcome::Outcome::Running,
+        outcome::Outcome::Completed,
+    ];
+    ALL.into_iter()
+        .find(|outcome| outcome.as_str() == name)
+        .ok_or(error::Error::UnknownValue("outcome"))
+}
--- /dev/null
+++ b/crates/mustardshed-wire/src/peer/fate.rs
@@ -0,0 +1,78 @@
+//! The fate of a request on the wire.
+
+use bytes::Bytes;
+use mustardshed_core::request::fate;
+
+use super::{credit, error, field};
+
+const MAX_SERVERS: usize = 64;
+
+/// A fate on the wire.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct Fate {
+    request: String,
+    account: String,
+    outcome: String,
+    error: Option<String>,
+    servers: Vec<String>,
+    answer: Option<KeptAnswer>,
+}
+
+/// A kept answer on the wire.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct KeptAnswer {
+    status: u16,
+    content_type: Option<String>,
+    body: Bytes,
+}
+
+impl From<fate::Fate> for Fate {
+    fn from(fate: fate::Fate) -> Self {
+        Self {
+            request: fate.request,
+            account: fate.account,
+            outcome: fate.outcome.as_str().to_owned(),
+            error: fate.error.map(|kind| kind.answer().code.to_owned()),
+            servers: fate.servers.into_iter().take(MAX_SERVERS).collect(),
+            answer: fate.answer.map(KeptAnswer::from),
+        }
+    }
+}
+
+impl TryFrom<Fate> for fate::Fate {
+    type Error = error::Error;
+
+    fn try_from(fate: Fate) -> Result<Self, Self::Error> {
+        if fate.servers.len() > MAX_SERVERS {
+            return Err(error::Error::OutOfBounds("servers"));
+        }
+        Ok(Self {
+            request: field::name("request", fate.request)?,
+            account: field::name("account", fate.account)?,
+            outcome: credit::outcome(&fate.outcome)?,
+            error: fate.error.as_deref().map(credit::kind).transpose()?,
+            servers: fate.servers,
+            answer: fate.answer.map(fate::KeptAnswer::from),
+        })
+    }
+}
+
+impl From<fate::KeptAnswer> for KeptAnswer {
+    fn from(answer: fate::KeptAnswer) -> Self {
+        Self {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+        }
+    }
+}
+
+impl From<KeptAnswer> for fate::KeptAnswer {
+    fn from(answer: KeptAnswer) -> Self {
+        Self {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-wire/src/peer/field.rs
@@ -0,0 +1,60 @@
+//! Conversions and bounds shared by the wire types.
+
+use std::time;
+
+use super::error;
+
+/// Longest name or identifier, in bytes.
+pub(super) const MAX_NAME_BYTES: usize = 256;
+/// Longest free text, in bytes.
+pub(super) const MAX_TEXT_BYTES: usize = 4096;
+
+/// Returns a duration in nanoseconds; longer ones than can be told become the longest.
+pub(super) fn to_nanos(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// Checks the length of a name.
+pub(super) fn name(field: &'static str, value: String) -> Result<String, error::Error> {
+    bounded_text(field, value, MAX_NAME_BYTES)
+}
+
+/// Checks the length of a free text.
+pub(super) fn text(field: &'static str, value: String) -> Result<String, error::Error> {
+    bounded_text(field, value, MAX_TEXT_BYTES)
+}
+
+fn bounded_text(
+    field: &'static str,
+    value: String,
+    max_bytes: usize,
+) -> Result<String, error::Error> {
+    if value.len() > max_bytes {
+        return Err(error::Error::OutOfBounds(field));
+    }
+    Ok(value)
+}
+
+/// Converts a list whose length is bounded.
+pub(super) fn list<T, U>(
+    field: &'static str,
+    values: Vec<T>,
+    max_len: usize,
+) -> Result<Vec<U>, error::Error>
+where
+    U: TryFrom<T, Error = error::Error>,
+{
+    if values.len() > max_len {
+        return Err(error::Error::OutOfBounds(field));
+    }
+    values.into_iter().map(U::try_from).collect()
+}
+
+/// Shortens a text to what the receiver accepts.
+pub(super) fn shorten(mut value: String) -> String {
+    if value.len() > MAX_TEXT_BYTES {
+        let end = value.floor_char_boundary(MAX_TEXT_BYTES);
+        value.truncate(end);
+    }
+    value
+}
--- /dev/null
+++ b/crates/mustardshed-wire/src/peer/load.rs
@@ -0,0 +1,89 @@
+//! A backend server's load report on the wire, without its held requests.
+
+use std::{collections, time};
+
+use mustardshed_core::border::backend_server;
+
+use super::{error, field};
+
+const MAX_MODELS: usize = 256;
+
+/// Warmth on the wire.
+#[derive(Clone, Copy, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Warmth {
+    /// It bears its cold limit.
+    Cold,
+    /// It bears its full load.
+    Warm,
+}
+
+/// A load report on the wire.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct LoadReport {
+    epoch: u64,
+    warmth: Warmth,
+    leaving: bool,
+    age_nanos: u64,
+    memory_tokens: u64,
+    used_tokens: u64,
+    queued_prefill_tokens: u64,
+    running: u32,
+    models: collections::BTreeMap<String, String>,
+}
+
+impl From<backend_server::Warmth> for Warmth {
+    fn from(warmth: backend_server::Warmth) -> Self {
+        match warmth {
+            backend_server::Warmth::Cold => Self::Cold,
+            backend_server::Warmth::Warm => Self::Warm,
+        }
+    }
+}
+
+impl From<Warmth> for backend_server::Warmth {
+    fn from(warmth: Warmth) -> Self {
+        match warmth {
+            Warmth::Cold => Self::Cold,
+            Warmth::Warm => Self::Warm,
+        }
+    }
+}
+
+impl From<backend_server::LoadReport> for LoadReport {
+    fn from(report: backend_server::LoadReport) -> Self {
+        Self {
+            epoch: report.epoch,
+            warmth: report.warmth.into(),
+            leaving: report.leaving,
+            age_nanos: field::to_nanos(report.age),
+            memory_tokens: report.memory_tokens,
+            used_tokens: report.used_tokens,
+            queued_prefill_tokens: report.queued_prefill_tokens,
+            running: report.running,
+            models: report.models,
+        }
+    }
+}
+
+impl TryFrom<LoadReport> for backend_server::LoadReport {
+    type Error = error::Error;
+
+    fn try_from(report: LoadReport) -> Result<Self, Self::Error> {
+        if report.models.len() > MAX_MODELS {
+            return Err(error::Error::OutOfBounds("models"));
+        }
+        Ok(Self {
+            epoch: report.epoch,
+            warmth: report.warmth.into(),
+            leaving: report.leaving,
+            age: time::Duration::from_nanos(report.age_nanos),
+            memory_tokens: report.memory_tokens,
+            used_tokens: report.used_tokens,
+            queued_prefill_tokens: report.queued_prefill_tokens,
+            running: report.running,
+            models: report.models,
+            held: Vec::new(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-wire/src/peer/wire_message.rs
@@ -0,0 +1,161 @@
+//! The messages between entry processes on the wire.
+
+use std::time;
+
+use mustardshed_core::process::message;
+
+use super::{credit, error, fate, field, heartbeat};
+use crate::configuration;
+
+const MAX_HELD_CREDITS: usize = 16_384;
+
+/// A message on the wire; each variant stands for the one of the same name in the core.
+#[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+#[expect(missing_docs, reason = "the core documents the variants and fields")]
+pub enum Message {
+    Heartbeat(heartbeat::Heartbeat),
+    HeartbeatAck(heartbeat::HeartbeatAck),
+    WantConfiguration {
+        newer_than: u64,
+    },
+    Configuration(configuration::Record),
+    Intent(configuration::Record),
+    Acquire {
+        ticket: u64,
+        req: credit::CreditRequest,
+        patience_nanos: u64,
+    },
+    Acquired {
+        ticket: u64,
+        result: Result<u64, credit::Refusal>,
+    },
+    Release {
+        request: String,
+        server: String,
+        feedback: credit::Feedback,
+    },
+    HeldCredits {
+        server: String,
+        credits: Vec<credit::HeldCredit>,
+    },
+    ColdSign {
+        server: String,
+        epoch: u64,
+    },
+    WantFate {
+        ticket: u64,
+        request: String,
+    },
+    FateIs {
+        ticket: u64,
+        fate: Option<fate::Fate>,
+    },
+}
+
+impl From<message::Message> for Message {
+    fn from(message: message::Message) -> Self {
+        use message::Message as Core;
+
+        match message {
+            Core::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
+            Core::HeartbeatAck(ack) => Self::HeartbeatAck(ack.into()),
+            Core::WantConfiguration { newer_than } => Self::WantConfiguration { newer_than },
+            Core::Configuration(record) => Self::Configuration(record.into()),
+            Core::Intent(record) => Self::Intent(record.into()),
+            Core::Acquire {
+                ticket,
+                req,
+                patience,
+            } => Self::Acquire {
+                ticket,
+                req: req.into(),
+                patience_nanos: field::to_nanos(patience),
+            },
+            Core::Acquired { ticket, result } => Self::Acquired {
+                ticket,
+                result: result.map_err(credit::Refusal::from),
+            },
+            Core::Release {
+                request,
+                server,
+                feedback,
+            } => Self::Release {
+                request,
+                server,
+                feedback: feedback.into(),
+            },
+            Core::HeldCredits { server, credits } => Self::HeldCredits {
+                server,
+                credits: credits.into_iter().map(Into::into).collect(),
+            },
+            Core::ColdSign { server, epoch } => Self::ColdSign { server, epoch },
+            Core::WantFate { ticket, request } => Self::WantFate { ticket, request },
+            Core::FateIs { ticket, fate } => Self::FateIs {
+                ticket,
+                fate: fate.map(fate::Fate::from),
+            },
+        }
+    }
+}
+
+impl TryFrom<Message> for message::Message {
+    type Error = error::Error;
+
+    fn try_from(message: Message) -> Result<Self, Self::Error> {
+        Ok(match message {
+            Message::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.try_into()?),
+            Message::HeartbeatAck(ack) => Self::HeartbeatAck(ack.try_into()?),
+            Message::WantConfiguration { newer_than } => Self::WantConfiguration { newer_than },
+            Message::Configuration(record) => Self::Configuration(heartbeat::record(record)?),
+            Message::Intent(record) => Self::Intent(heartbeat::record(record)?),
+            Message::Acquire {
+                ticket,
+                req,
+                patience_nanos,
+            } => Self::Acquire {
+                ticket,
+                req: req.try_into()?,
+                patience: time::Duration::from_nanos(patience_nanos),
+            },
+            Message::Acquired { ticket, result } => Self::Acquired {
+                ticket,
+                result: acquired(result)?,
+            },
+            Message::Release {
+                request,
+                server,
+                feedback,
+            } => Self::Release {
+                request: field::name("request", request)?,
+                server: field::name("server", server)?,
+                feedback: feedback.try_into()?,
+            },
+            Message::HeldCredits { server, credits } => Self::HeldCredits {
+                server: field::name("server", server)?,
+                credits: field::list("credits", credits, MAX_HELD_CREDITS)?,
+            },
+            Message::ColdSign { server, epoch } => Self::ColdSign {
+                server: field::name("server", server)?,
+                epoch,
+            },
+            Message::WantFate { ticket, request } => Self::WantFate {
+                ticket,
+                request: field::name("request", request)?,
+            },
+            Message::FateIs { ticket, fate } => Self::FateIs {
+                ticket,
+                fate: fate.map(TryInto::try_into).transpose()?,
+            },
+        })
+    }
+}
+
+fn acquired(
+    result: Result<u64, credit::Refusal>,
+) -> Result<Result<u64, mustardshed_core::error::Error>, error::Error> {
+    match result {
+        Ok(epoch) => Ok(Ok(epoch)),
+        Err(refusal) => Ok(Err(refusal.try_into()?)),
+    }
+}
