--- a/crates/mustardshed-core/src/request.rs
+++ b/crates/mustardshed-core/src/request.rs
@@ -1,3 +1,9 @@
 //! What lives as long as one request.
 
+pub mod admission;
+pub mod assembly;
 pub mod fate;
+pub mod gang;
+pub mod lane;
+pub mod retry;
+pub mod route;
--- /dev/null
+++ b/crates/mustardshed-core/src/request/assembly.rs
@@ -0,0 +1,76 @@
+//! Assembly of an output from frames that may be late, doubled or of another request.
+
+use crate::{border::backend_server, ids};
+
+/// What becomes of one frame.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// The frame is the next one; its text goes to the caller.
+    Deliver,
+    /// The frame is the next one and the last one.
+    Finish,
+    /// The frame was delivered before or belongs to another request.
+    Drop,
+    /// Frames are missing before this one; the stream must be resumed at the next offset.
+    Gap,
+}
+
+/// Assembly of the output of one request: each token once, in order.
+///
+/// ```
+/// use mustardshed_core::{border::backend_server, request::assembly};
+///
+/// let mut assembly = assembly::Assembly::new("vm.1.1".to_owned());
+/// let frame = backend_server::TokenFrame {
+///     id: "vm.1.1".to_owned(),
+///     offset: 0,
+///     text: "a ".to_owned(),
+///     finish: None,
+///     epoch: 1,
+/// };
+/// assert_eq!(assembly.accept(&frame), assembly::Step::Deliver);
+/// assert_eq!(assembly.accept(&frame), assembly::Step::Drop);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Assembly {
+    id: ids::RequestId,
+    next: ids::Tokens,
+    finished: bool,
+}
+
+impl Assembly {
+    /// Makes the assembly of a request of which nothing was delivered.
+    pub const fn new(id: ids::RequestId) -> Self {
+        Self {
+            id,
+            next: 0,
+            finished: false,
+        }
+    }
+
+    /// Returns the offset of the next token to deliver, which is the number of those delivered.
+    pub const fn next_offset(&self) -> ids::Tokens {
+        self.next
+    }
+
+    /// Returns whether the last token was delivered.
+    pub const fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    /// Decides what becomes of a frame.
+    pub fn accept(&mut self, frame: &backend_server::TokenFrame) -> Step {
+        if self.finished || frame.id != self.id || frame.offset < self.next {
+            return Step::Drop;
+        }
+        if frame.offset > self.next {
+            return Step::Gap;
+        }
+        self.next += 1;
+        if frame.finish.is_none() {
+            return Step::Deliver;
+        }
+        self.finished = true;
+        Step::Finish
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/request/gang.rs
@@ -0,0 +1,119 @@
+//! Plan of the engines for a prompt that exceeds one engine's memory.
+
+use std::collections;
+
+use crate::{
+    ids,
+    process::snapshot,
+    request::route::{estimate, exclusion, work},
+};
+
+/// Engines of one gang at most.
+pub const MAX_ENGINES: u64 = 8;
+
+/// One engine of a gang.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Engine {
+    /// Server.
+    pub server: ids::BackendServerId,
+    /// Its `IP:PORT`.
+    pub address: String,
+}
+
+/// Engines of one kind in one data centre that share a prompt in equal parts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Plan {
+    /// Data centre of all engines.
+    pub data_centre: ids::DataCentreId,
+    /// Engines in the order of their names, in which credits and reservations are taken.
+    pub engines: Vec<Engine>,
+    /// KV memory that each engine holds, in tokens.
+    pub tokens_each: ids::Tokens,
+    /// Greatest estimate of the gang's engines for their parts.
+    pub estimate: estimate::Estimate,
+}
+
+/// Returns whether the work exceeds the memory of one engine of its kind.
+pub fn is_needed(work: &work::Work<'_>) -> bool {
+    match work.target {
+        work::Target::Model { kind, .. } => work.memory_tokens > kind.memory_tokens,
+        work::Target::Plain { .. } => false,
+    }
+}
+
+/// Plans the gang with the least estimate; nothing if no data centre has enough engines.
+///
+/// The number of engines is the least that holds the work. All entries order engines by name, so
+/// that two gangs never wait for each other in a circle.
+pub fn plan(
+    snapshot: &snapshot::Snapshot,
+    work: &work::Work<'_>,
+    now: ids::Timestamp,
+) -> Option<Plan> {
+    let work::Target::Model { kind, .. } = work.target else {
+        return None;
+    };
+    let count = work.memory_tokens.div_ceil(kind.memory_tokens.max(1));
+    if count > MAX_ENGINES {
+        return None;
+    }
+    let part = part_of(work, count);
+    let mut by_data_centre: collections::BTreeMap<&str, Vec<&snapshot::ServerView>> =
+        collections::BTreeMap::new();
+    for server in snapshot.servers.values().filter(|s| work.wants_kind(s)) {
+        if exclusion::check(snapshot, &part, server).is_none() {
+            by_data_centre
+                .entry(&server.data_centre)
+                .or_default()
+                .push(server);
+        }
+    }
+    by_data_centre
+        .into_iter()
+        .filter_map(|(data_centre, servers)| {
+            plan_in(snapshot, &part, data_centre, servers, count as usize, now)
+        })
+        .min_by_key(|plan| plan.estimate.total())
+}
+
+fn part_of<'a>(work: &work::Work<'a>, count: u64) -> work::Work<'a> {
+    let mut part = work.clone();
+    part.prompt_tokens = work.prompt_tokens.div_ceil(count);
+    part.memory_tokens = work.memory_tokens.div_ceil(count);
+    part.cached_prefix = None;
+    part
+}
+
+fn plan_in(
+    snapshot: &snapshot::Snapshot,
+    part: &work::Work<'_>,
+    data_centre: &str,
+    servers: Vec<&snapshot::ServerView>,
+    count: usize,
+    now: ids::Timestamp,
+) -> Option<Plan> {
+    if servers.len() < count {
+        return None;
+    }
+    let mut estimated: Vec<_> = servers
+        .into_iter()
+        .map(|server| (estimate::estimate(snapshot, part, server, now), server))
+        .collect();
+    estimated.sort_by_key(|(estimate, server)| (estimate.total(), &server.id));
+    estimated.truncate(count);
+    let worst = estimated.last().map(|(estimate, _)| *estimate)?;
+    let mut engines: Vec<_> = estimated
+        .into_iter()
+        .map(|(_, server)| Engine {
+            server: server.id.clone(),
+            address: server.address.clone(),
+        })
+        .collect();
+    engines.sort_by(|a, b| a.server.cmp(&b.server));
+    Some(Plan {
+        data_centre: data_centre.to_owned(),
+        engines,
+        tokens_each: part.memory_tokens,
+        estimate: worst,
+    })
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/request/retry.rs
@@ -0,0 +1,58 @@
+//! One budget for each service from which retries and hedges are paid.
+
+use std::sync::atomic;
+
+/// Units of one retry; a first send deposits as many units as the service's percentage.
+const UNITS_PER_RETRY: i64 = 100;
+/// Retries that a full budget holds.
+const MAX_RETRIES: i64 = 20;
+/// Retries in a new budget, so that a service with few calls can retry at all.
+const FIRST_RETRIES: i64 = 3;
+
+/// Budget of retries and hedges of one service.
+///
+/// Each first send deposits a part of a retry; each retry or hedge withdraws one. A budget that is
+/// empty lets failures through, so that a fault cannot multiply the load.
+///
+/// ```
+/// use mustardshed_core::request::retry;
+///
+/// let budget = retry::Budget::new();
+/// assert!(budget.withdraw());
+/// ```
+#[derive(Debug)]
+pub struct Budget {
+    units: atomic::AtomicI64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Budget {
+    /// Makes a budget that allows a few retries.
+    pub const fn new() -> Self {
+        Self {
+            units: atomic::AtomicI64::new(FIRST_RETRIES * UNITS_PER_RETRY),
+        }
+    }
+
+    /// Deposits for one first send; `percent` is the service's retries for each 100 first sends.
+    pub fn deposit(&self, percent: u32) {
+        let most = MAX_RETRIES * UNITS_PER_RETRY;
+        self.update(|units| Some((units + i64::from(percent)).min(most)));
+    }
+
+    /// Withdraws one retry or hedge; returns whether there was one.
+    pub fn withdraw(&self) -> bool {
+        self.update(|units| (units >= UNITS_PER_RETRY).then_some(units - UNITS_PER_RETRY))
+    }
+
+    fn update(&self, change: impl FnMut(i64) -> Option<i64>) -> bool {
+        self.units
+            .try_update(atomic::Ordering::Relaxed, atomic::Ordering::Relaxed, change)
+            .is_ok()
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/request/route/estimate.rs
@@ -0,0 +1,152 @@
+//! Estimate of the time to first token on one backend server.
+
+use std::{fmt, time};
+
+use crate::{border::backend_server, ids, process::snapshot, request::route::work};
+
+/// Factor by which a cold engine prefills more slowly.
+const COLD_SLOWDOWN: f64 = 4.0;
+/// Wait for one running request to end, where a server has no free place.
+const PLACE_WAIT: time::Duration = time::Duration::from_millis(400);
+/// Wait for a server's whole memory to become free.
+const MEMORY_WAIT: time::Duration = time::Duration::from_secs(4);
+/// Cost of a server whose memory is all in use, so that equal ones are used evenly.
+const EVEN_USE: time::Duration = time::Duration::from_millis(20);
+/// Part of a report's age by which it is held to be out of date.
+const AGE_DIVISOR: u32 = 20;
+/// Age of a report beyond which it costs no more.
+const MAX_AGE: time::Duration = time::Duration::from_secs(10);
+/// Longest estimate of one part.
+const MAX_PART: time::Duration = time::Duration::from_secs(86_400);
+
+/// Estimated time to first token, part by part.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Estimate {
+    /// Prefill of prompts that run before this one.
+    pub queue: time::Duration,
+    /// Prefill of the prompt's own uncached tokens.
+    pub prefill: time::Duration,
+    /// Wait for a free place or free memory.
+    pub capacity: time::Duration,
+    /// Both ways between this entry and the server.
+    pub distance: time::Duration,
+    /// Allowance for what the report does not show yet.
+    pub age: time::Duration,
+}
+
+impl Estimate {
+    /// Returns the sum of the parts.
+    pub fn total(&self) -> time::Duration {
+        self.queue + self.prefill + self.capacity + self.distance + self.age
+    }
+}
+
+impl fmt::Display for Estimate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "queue {} ms, prefill {} ms, capacity {} ms, distance {} us, report age {} ms",
+            self.queue.as_millis(),
+            self.prefill.as_millis(),
+            self.capacity.as_millis(),
+            self.distance.as_micros(),
+            self.age.as_millis(),
+        )
+    }
+}
+
+/// Estimates the time to first token of `work` on `server`.
+pub fn estimate(
+    snapshot: &snapshot::Snapshot,
+    work: &work::Work<'_>,
+    server: &snapshot::ServerView,
+    now: ids::Timestamp,
+) -> Estimate {
+    let speed = prefill_speed(work, server);
+    Estimate {
+        queue: prefill_time(tokens_ahead(work, server), speed),
+        prefill: prefill_time(work.uncached_tokens(server), speed),
+        capacity: place_wait(work, server) + memory_wait(work, server),
+        distance: 2 * distance(snapshot, server),
+        age: report_age(server, now) / AGE_DIVISOR,
+    }
+}
+
+/// Returns the tokens that are prefilled before this work's own.
+///
+/// Engines take prompts by priority and then by arrival, so that no more than the running
+/// requests, each of the longest prompt of this lane, can be ahead.
+fn tokens_ahead(work: &work::Work<'_>, server: &snapshot::ServerView) -> ids::Tokens {
+    let most = work
+        .lane()
+        .most_tokens()
+        .saturating_mul(u64::from(server.running));
+    server.queued_prefill_tokens.min(most)
+}
+
+fn prefill_speed(work: &work::Work<'_>, server: &snapshot::ServerView) -> f64 {
+    let work::Target::Model { kind, .. } = work.target else {
+        return f64::INFINITY;
+    };
+    let assumed = f64::from(kind.prefill_tokens_per_second.max(1));
+    let learned = server.prefill_tokens_per_second;
+    let speed = if learned > 0.0 { learned } else { assumed };
+    match server.warmth {
+        backend_server::Warmth::Cold => speed.min(assumed) / COLD_SLOWDOWN,
+        backend_server::Warmth::Warm => speed,
+    }
+}
+
+fn prefill_time(tokens: ids::Tokens, tokens_per_second: f64) -> time::Duration {
+    let seconds = tokens as f64 / tokens_per_second;
+    time::Duration::try_from_secs_f64(seconds)
+        .unwrap_or(MAX_PART)
+        .min(MAX_PART)
+}
+
+/// Returns how many requests a server bears at once.
+pub fn running_limit(work: &work::Work<'_>, server: &snapshot::ServerView) -> u32 {
+    let (warm, cold) = match work.target {
+        work::Target::Model { kind, .. } => (kind.max_running, kind.cold_limit),
+        work::Target::Plain {
+            max_running,
+            cold_limit,
+            ..
+        } => (max_running, cold_limit),
+    };
+    match server.warmth {
+        backend_server::Warmth::Cold => cold.min(warm),
+        backend_server::Warmth::Warm => warm,
+    }
+}
+
+fn place_wait(work: &work::Work<'_>, server: &snapshot::ServerView) -> time::Duration {
+    let limit = running_limit(work, server);
+    if server.running < limit {
+        return EVEN_USE.mul_f64(f64::from(server.running) / f64::from(limit));
+    }
+    PLACE_WAIT.saturating_mul(server.running - limit + 1)
+}
+
+fn memory_wait(work: &work::Work<'_>, server: &snapshot::ServerView) -> time::Duration {
+    if server.memory_tokens == 0 {
+        return time::Duration::ZERO;
+    }
+    let wanted = server.used_tokens.saturating_add(work.memory_tokens);
+    let missing = wanted.saturating_sub(server.memory_tokens);
+    let part = missing as f64 / server.memory_tokens as f64;
+    let used = server.used_tokens as f64 / server.memory_tokens as f64;
+    MEMORY_WAIT.mul_f64(part.min(1.0)) + EVEN_USE.mul_f64(used.min(1.0))
+}
+
+fn distance(snapshot: &snapshot::Snapshot, server: &snapshot::ServerView) -> time::Duration {
+    snapshot
+        .distances
+        .get(&server.data_centre)
+        .copied()
+        .unwrap_or_default()
+}
+
+fn report_age(server: &snapshot::ServerView, now: ids::Timestamp) -> time::Duration {
+    now.saturating_sub(server.reported_at).min(MAX_AGE)
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/request/route/exclusion.rs
@@ -0,0 +1,62 @@
+//! Reasons for which a backend server may not be given work.
+
+use displaydoc::Display;
+
+use crate::{process::snapshot, request::route::work};
+
+/// Why a backend server may not be given work.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Exclusion {
+    /// its data centre is out of service
+    DataCentreOut,
+    /// it is leaving
+    Leaving,
+    /// it does not answer
+    Unreachable,
+    /// it was tried already
+    Tried,
+    /// it has not loaded the model
+    ModelNotLoaded,
+    /// it has loaded another version of the model
+    OtherVersion,
+    /// its memory is smaller than the work
+    TooSmall,
+    /// no entry hands out its credits
+    NoSteward,
+}
+
+/// Returns why a server of the right kind may not be given the work, if it may not.
+pub fn check(
+    snapshot: &snapshot::Snapshot,
+    work: &work::Work<'_>,
+    server: &snapshot::ServerView,
+) -> Option<Exclusion> {
+    if snapshot.data_centres_out.contains(&server.data_centre) {
+        return Some(Exclusion::DataCentreOut);
+    }
+    if server.leaving {
+        return Some(Exclusion::Leaving);
+    }
+    if !server.reachable {
+        return Some(Exclusion::Unreachable);
+    }
+    if work.tried.contains(&server.id) {
+        return Some(Exclusion::Tried);
+    }
+    if server.steward.is_none() {
+        return Some(Exclusion::NoSteward);
+    }
+    check_model(work, server)
+}
+
+fn check_model(work: &work::Work<'_>, server: &snapshot::ServerView) -> Option<Exclusion> {
+    let work::Target::Model { model, .. } = work.target else {
+        return None;
+    };
+    match server.models.get(&model.name) {
+        None => return Some(Exclusion::ModelNotLoaded),
+        Some(version) if *version != model.version => return Some(Exclusion::OtherVersion),
+        Some(_) => {}
+    }
+    (work.memory_tokens > server.memory_tokens).then_some(Exclusion::TooSmall)
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/request/route/work.rs
@@ -0,0 +1,111 @@
+//! What is to be placed.
+
+use mustardshed_config::text;
+
+use crate::{ids, process::snapshot, request::lane};
+
+/// What kind of backend server the work needs.
+#[derive(Clone, Copy, Debug)]
+pub enum Target<'a> {
+    /// An engine that has a model loaded.
+    Model {
+        /// Model.
+        model: &'a text::Model,
+        /// Kind of the engines that run it.
+        kind: &'a text::EngineKind,
+    },
+    /// A plain service.
+    Plain {
+        /// Name of the service.
+        service: &'a str,
+        /// Calls that one server works on at once, at most.
+        max_running: u32,
+        /// Calls that a cold server bears at once.
+        cold_limit: u32,
+    },
+}
+
+/// A prompt prefix that a server is believed to hold in its cache.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CachedPrefix {
+    /// Server that holds it.
+    pub server: ids::BackendServerId,
+    /// Length in tokens.
+    pub tokens: ids::Tokens,
+}
+
+/// Work that is to be placed on one backend server.
+#[derive(Clone, Debug)]
+pub struct Work<'a> {
+    /// What kind of server it needs.
+    pub target: Target<'a>,
+    /// Prompt length in tokens.
+    pub prompt_tokens: ids::Tokens,
+    /// KV memory that it holds at most, in tokens.
+    pub memory_tokens: ids::Tokens,
+    /// Prefix that one server is believed to hold.
+    pub cached_prefix: Option<CachedPrefix>,
+    /// Servers that were tried already.
+    pub tried: &'a [ids::BackendServerId],
+    /// Seed of the random draw.
+    pub seed: u64,
+}
+
+impl<'a> Work<'a> {
+    /// Makes work that needs no memory and has no history.
+    pub const fn new(target: Target<'a>, seed: u64) -> Self {
+        Self {
+            target,
+            prompt_tokens: 0,
+            memory_tokens: 0,
+            cached_prefix: None,
+            tried: &[],
+            seed,
+        }
+    }
+
+    /// Sets the prompt length and the output length at most, in tokens.
+    #[must_use]
+    pub const fn tokens(mut self, prompt: ids::Tokens, output: ids::Tokens) -> Self {
+        self.prompt_tokens = prompt;
+        self.memory_tokens = prompt.saturating_add(output);
+        self
+    }
+
+    /// Sets the servers that were tried already.
+    #[must_use]
+    pub const fn tried(mut self, tried: &'a [ids::BackendServerId]) -> Self {
+        self.tried = tried;
+        self
+    }
+
+    /// Sets the prefix that one server is believed to hold.
+    #[must_use]
+    pub fn cached_prefix(mut self, prefix: Option<CachedPrefix>) -> Self {
+        self.cached_prefix = prefix;
+        self
+    }
+
+    /// Returns the lane of the work.
+    pub fn lane(&self) -> lane::Lane {
+        lane::Lane::of(self.prompt_tokens)
+    }
+
+    /// Returns whether a server is of the kind that the work needs.
+    pub fn wants_kind(&self, server: &snapshot::ServerView) -> bool {
+        match self.target {
+            Target::Model { kind, .. } => server.kind == kind.name,
+            Target::Plain { service, .. } => server.kind == service,
+        }
+    }
+
+    /// Returns the prompt tokens that a server must prefill.
+    pub fn uncached_tokens(&self, server: &snapshot::ServerView) -> ids::Tokens {
+        match &self.cached_prefix {
+            Some(prefix) if prefix.server == server.id => {
+                self.prompt_tokens.saturating_sub(prefix.tokens)
+            }
+            _ => self.prompt_tokens,
+        }
+    }
+}
