--- a/crates/mustardshedd/src/process.rs
+++ b/crates/mustardshedd/src/process.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod control;
+pub mod handshake;
 pub mod inbound;
 pub mod links;
 pub mod pending;
