Parse, check and compare the operators' text and the daemon's settings

Cause: the daemon and mustardshedctl need texts that are checked whole before anything is written, with every problem named by line, key, value and reason at once. Change: a small reader walks toml's spanned document and goes on after each problem; the tables are then checked against each other (references, duplicates, cycles, limits). Settings use the same reader. Two texts compare into a typed list of changes. Ruled out: serde structures, since serde stops at the first mistake; two passes over serde, since lines would be lost.

--- /dev/null
+++ b/crates/mustardshed-config/src/problem/reason.rs
@@ -0,0 +1,100 @@
+//! The closed list of reasons for which a document is refused.
+
+use displaydoc::Display;
+
+/// Why a value, or its absence, is a mistake.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum Reason {
+    /// not TOML: {0}
+    Syntax(String),
+    /// longer than {limit} bytes
+    TooLong {
+        /// Length allowed, in bytes.
+        limit: usize,
+    },
+    /// this key is missing
+    Missing,
+    /// no such key here; known keys are {known}
+    UnknownKey {
+        /// Keys of this table.
+        known: String,
+    },
+    /// must be {expected}
+    WrongType {
+        /// Type with its article.
+        expected: &'static str,
+    },
+    /// must be from {least} to {greatest}
+    OutOfRange {
+        /// Least value allowed.
+        least: u64,
+        /// Greatest value allowed.
+        greatest: u64,
+    },
+    /// must not be greater than {key}, which is {limit}
+    Above {
+        /// Key that limits this one.
+        key: &'static str,
+        /// Value of that key.
+        limit: u64,
+    },
+    /// must not be less than {key}, which is {limit}
+    Below {
+        /// Key that limits this one.
+        key: &'static str,
+        /// Value of that key.
+        limit: u64,
+    },
+    /// must be one of {choices}
+    NotAChoice {
+        /// Values allowed.
+        choices: &'static str,
+    },
+    /// must be 1 to {limit} of the characters {characters}
+    InvalidName {
+        /// Length allowed, in bytes.
+        limit: usize,
+        /// Characters allowed.
+        characters: &'static str,
+    },
+    /// is used already on line {line}
+    Duplicate {
+        /// Line of the first use.
+        line: usize,
+    },
+    /// there is no {what} of this name in this text
+    UnknownReference {
+        /// What the name stands for.
+        what: &'static str,
+    },
+    /// services depend on each other: {cycle}
+    Cycle {
+        /// Names of the services, from the first back to the first.
+        cycle: String,
+    },
+    /// give either `model` or `plain`, and only one of them
+    OneBacking,
+    /// has the name of an engine kind, and VMs name their kind only
+    KindTaken,
+    /// needs {needed} engines of kind {kind} at once, at most {greatest} can share a prompt
+    NotServable {
+        /// Engines that a prompt of this length needs.
+        needed: u64,
+        /// Engine kind.
+        kind: String,
+        /// Engines that can work on one prompt.
+        greatest: u64,
+    },
+    /// must be the SHA-256 digest of a key as 64 hexadecimal digits
+    InvalidDigest,
+    /// must be a method and a path, such as `POST /charge`
+    InvalidCall,
+    /// must be an IP number and a port, such as `10.0.0.7:8080`
+    InvalidAddress,
+    /// must be `http://IP:PORT`
+    InvalidUrl,
+    /// must name an address and a port that others can connect to
+    Unreachable,
+}
+
+impl std::error::Error for Reason {}
--- /dev/null
+++ b/crates/mustardshed-config/src/reader/read.rs
@@ -0,0 +1,159 @@
+//! Readers of single values, each with its checks.
+
+use std::{net, path, time};
+
+use crate::{problem, reader::field};
+
+/// Longest name, in bytes.
+const NAME_BYTES: usize = 64;
+/// Longest file name, in bytes.
+const PATH_BYTES: usize = 4096;
+
+/// Reads a name that may stand in request ids, object names and URL paths.
+pub(crate) fn name(field: &field::Field<'_, '_>) -> Option<String> {
+    limited(field, "A-Z a-z 0-9 _ -", |c| {
+        c.is_ascii_alphanumeric() || matches!(c, '_' | '-')
+    })
+}
+
+/// Reads the name or version of a model or an adapter.
+pub(crate) fn model_name(field: &field::Field<'_, '_>) -> Option<String> {
+    limited(field, "A-Z a-z 0-9 _ - . / : @", |c| {
+        c.is_ascii_alphanumeric() || matches!(c, '_' | '-' | '.' | '/' | ':' | '@')
+    })
+}
+
+/// Returns a reader of integers within bounds.
+pub(crate) fn u64_within(
+    least: u64,
+    greatest: u64,
+) -> impl Fn(&field::Field<'_, '_>) -> Option<u64> {
+    move |field| field.integer(least, greatest)
+}
+
+/// Returns a reader of integers within bounds.
+pub(crate) fn u32_within(
+    least: u32,
+    greatest: u32,
+) -> impl Fn(&field::Field<'_, '_>) -> Option<u32> {
+    move |field| {
+        let value = field.integer(u64::from(least), u64::from(greatest))?;
+        u32::try_from(value).ok()
+    }
+}
+
+/// Returns a reader of counts and sizes within bounds.
+pub(crate) fn usize_within(
+    least: u32,
+    greatest: u32,
+) -> impl Fn(&field::Field<'_, '_>) -> Option<usize> {
+    move |field| {
+        let value = field.integer(u64::from(least), u64::from(greatest))?;
+        usize::try_from(value).ok()
+    }
+}
+
+/// Returns a reader of durations in milliseconds within bounds.
+pub(crate) fn millis_within(
+    least: u64,
+    greatest: u64,
+) -> impl Fn(&field::Field<'_, '_>) -> Option<time::Duration> {
+    move |field| {
+        field
+            .integer(least, greatest)
+            .map(time::Duration::from_millis)
+    }
+}
+
+/// Returns a reader of arrays; problems of all elements are reported.
+pub(crate) fn list<'r, 'a: 'r, T>(
+    read: impl Fn(&field::Field<'r, 'a>) -> Option<T>,
+) -> impl FnOnce(&field::Field<'r, 'a>) -> Option<Vec<T>> {
+    move |field| {
+        let read_all: Vec<Option<T>> = field.elements()?.iter().map(read).collect();
+        read_all.into_iter().collect()
+    }
+}
+
+/// Reads the SHA-256 digest of a key.
+pub(crate) fn digest(field: &field::Field<'_, '_>) -> Option<[u8; 32]> {
+    let mut digest = [0; 32];
+    let decoded = hex::decode_to_slice(field.string()?, &mut digest);
+    checked(
+        field,
+        decoded.ok().map(|()| digest),
+        problem::Reason::InvalidDigest,
+    )
+}
+
+/// Reads a method and the start of a path.
+pub(crate) fn call(field: &field::Field<'_, '_>) -> Option<String> {
+    let value = field.string()?;
+    let valid = value.split_once(' ').is_some_and(|(method, path)| {
+        !method.is_empty()
+            && method.bytes().all(|b| b.is_ascii_uppercase())
+            && path.starts_with('/')
+            && path.bytes().all(|b| b.is_ascii_graphic())
+    });
+    checked(
+        field,
+        valid.then(|| value.to_owned()),
+        problem::Reason::InvalidCall,
+    )
+}
+
+/// Reads an IP number with a port.
+pub(crate) fn address(field: &field::Field<'_, '_>) -> Option<net::SocketAddr> {
+    let address = field.string()?.parse();
+    checked(field, address.ok(), problem::Reason::InvalidAddress)
+}
+
+/// Reads the base URL of a server that is named by its IP number; a slash at the end is dropped.
+pub(crate) fn http_url(field: &field::Field<'_, '_>) -> Option<String> {
+    let url = field.string()?.trim_end_matches('/');
+    let address = url
+        .strip_prefix("http://")
+        .and_then(|rest| rest.parse().ok());
+    let address: Option<net::SocketAddr> = address;
+    checked(
+        field,
+        address.map(|_| url.to_owned()),
+        problem::Reason::InvalidUrl,
+    )
+}
+
+/// Reads the name of a file.
+pub(crate) fn file(field: &field::Field<'_, '_>) -> Option<path::PathBuf> {
+    let value = field.string()?;
+    let valid = !value.is_empty() && value.len() <= PATH_BYTES && !value.contains('\0');
+    let reason = problem::Reason::WrongType {
+        expected: "the name of a file",
+    };
+    checked(field, valid.then(|| path::PathBuf::from(value)), reason)
+}
+
+/// Returns `value`, and reports `reason` if there is none.
+pub(crate) fn checked<T>(
+    field: &field::Field<'_, '_>,
+    value: Option<T>,
+    reason: problem::Reason,
+) -> Option<T> {
+    if value.is_none() {
+        field.add(reason);
+    }
+    value
+}
+
+fn limited(
+    field: &field::Field<'_, '_>,
+    characters: &'static str,
+    allowed: impl Fn(char) -> bool,
+) -> Option<String> {
+    let value = field.string()?;
+    let valid = (1..=NAME_BYTES).contains(&value.len()) && value.chars().all(allowed);
+    let reason = problem::Reason::InvalidName {
+        limit: NAME_BYTES,
+        characters,
+    };
+    checked(field, valid.then(|| value.to_owned()), reason)
+}
--- /dev/null
+++ b/crates/mustardshed-config/src/settings.rs
@@ -0,0 +1,108 @@
+//! The settings of one entry daemon.
+
+mod limits;
+mod log_level;
+
+use std::{net, path};
+
+pub use limits::Limits;
+pub use log_level::LogLevel;
+
+use crate::{
+    problem,
+    reader::{self, read, section},
+};
+
+/// Longest settings, in bytes.
+pub const MAX_SETTINGS_BYTES: usize = 64 * 1024;
+
+/// The settings of one entry daemon, checked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: String,
+    /// Data centre in which the VM stands.
+    pub data_centre: String,
+    /// Address to listen on for callers and operators.
+    pub listen: net::SocketAddr,
+    /// Address to listen on for peers.
+    pub peer_listen: net::SocketAddr,
+    /// Address that callers are told to connect to.
+    pub advertise: net::SocketAddr,
+    /// Address that peers are told to connect to.
+    pub advertise_peer: net::SocketAddr,
+    /// Base URL of the platform's object API, without a slash at its end.
+    pub platform: String,
+    /// File that holds the key shared by all entries.
+    pub peer_key_file: path::PathBuf,
+    /// File that holds the operators' key.
+    pub operator_key_file: path::PathBuf,
+    /// Least severity that is logged.
+    pub log_level: LogLevel,
+    /// Address that statsd metrics are sent to, if any.
+    pub metrics: Option<net::SocketAddr>,
+    /// Limits of this process.
+    pub limits: Limits,
+}
+
+/// Parses and checks the settings, whose form is TOML.
+///
+/// # Errors
+///
+/// Returns every problem found, in the order of lines. Settings that are not TOML, or longer than
+/// [`MAX_SETTINGS_BYTES`], are not examined further.
+pub fn parse(source: &str) -> Result<Settings, Vec<problem::Problem>> {
+    reader::document(source, MAX_SETTINGS_BYTES, |_, root| {
+        let settings = Settings::read(root);
+        root.report_unknown();
+        settings
+    })
+}
+
+impl Settings {
+    fn read(root: &section::Section<'_, '_>) -> Option<Self> {
+        let vm = root.required("vm", read::name);
+        let data_centre = root.required("data_centre", read::name);
+        let listen = root.required("listen", read::address);
+        let peer_listen = root.required("peer_listen", read::address);
+        let advertise = advertised(root, "advertise", "listen", listen);
+        let advertise_peer = advertised(root, "advertise_peer", "peer_listen", peer_listen);
+        let platform = root.required("platform", read::http_url);
+        let peer_key_file = root.required("peer_key_file", read::file);
+        let operator_key_file = root.required("operator_key_file", read::file);
+        let log_level = root.optional("log_level", LogLevel::Info, LogLevel::read);
+        let metrics = root.optional("metrics", None, |field| read::address(field).map(Some));
+        let limits = root.optional("limits", Limits::default(), Limits::read);
+        Some(Self {
+            vm: vm?,
+            data_centre: data_centre?,
+            listen: listen?,
+            peer_listen: peer_listen?,
+            advertise: advertise?,
+            advertise_peer: advertise_peer?,
+            platform: platform?,
+            peer_key_file: peer_key_file?,
+            operator_key_file: operator_key_file?,
+            log_level: log_level?,
+            metrics: metrics?,
+            limits: limits?,
+        })
+    }
+}
+
+/// Reads an address that others connect to; it is the one listened on unless it is written.
+fn advertised(
+    root: &section::Section<'_, '_>,
+    key: &'static str,
+    listen_key: &'static str,
+    listen: Option<net::SocketAddr>,
+) -> Option<net::SocketAddr> {
+    let written = root.optional(key, None, |field| read::address(field).map(Some))?;
+    let address = written.or(listen)?;
+    if address.ip().is_unspecified() || address.port() == 0 {
+        let key = if written.is_some() { key } else { listen_key };
+        root.add(key, problem::Reason::Unreachable);
+        return None;
+    }
+    Some(address)
+}
--- /dev/null
+++ b/crates/mustardshed-config/src/text/checks.rs
@@ -0,0 +1,63 @@
+//! Checks of the text's tables against each other.
+
+mod cycles;
+mod duplicates;
+mod references;
+
+use std::collections;
+
+use super::{EngineKind, MAX_GANG_SERVERS, Model, tables};
+use crate::{
+    problem,
+    reader::{item, report},
+};
+
+/// Reports every problem between tables.
+pub(super) fn check(report: &report::Report<'_>, tables: &tables::Tables) {
+    duplicates::check(report, tables);
+    references::check(report, tables);
+    cycles::check(report, &tables.services);
+    check_contexts(report, tables);
+}
+
+/// Returns the names of all tables, valid or not, so that one mistake does not show as many.
+fn names<T>(items: &[item::Item<T>]) -> collections::BTreeSet<&str> {
+    items
+        .iter()
+        .filter_map(|item| item.name.as_deref())
+        .collect()
+}
+
+fn check_contexts(report: &report::Report<'_>, tables: &tables::Tables) {
+    let kinds = tables
+        .engine_kinds
+        .iter()
+        .filter_map(|item| item.value.as_ref());
+    let kinds: collections::BTreeMap<&str, &EngineKind> =
+        kinds.map(|kind| (kind.name.as_str(), kind)).collect();
+    for item in &tables.models {
+        let Some(model) = &item.value else { continue };
+        let Some(kind) = kinds.get(model.engine_kind.as_str()) else {
+            continue;
+        };
+        check_context(report, item, model, kind);
+    }
+}
+
+fn check_context(
+    report: &report::Report<'_>,
+    item: &item::Item<Model>,
+    model: &Model,
+    kind: &EngineKind,
+) {
+    let needed = model.context_tokens.div_ceil(kind.memory_tokens);
+    if needed <= MAX_GANG_SERVERS {
+        return;
+    }
+    let reason = problem::Reason::NotServable {
+        needed,
+        kind: kind.name.clone(),
+        greatest: MAX_GANG_SERVERS,
+    };
+    report.add(&item.path_of("context_tokens"), reason);
+}
--- /dev/null
+++ b/crates/mustardshed-config/src/text/checks/cycles.rs
@@ -0,0 +1,106 @@
+//! Services that depend on each other in a circle.
+
+use std::collections;
+
+use crate::{
+    problem,
+    reader::{item, report},
+    text::Service,
+};
+
+/// Services that are not yet shown to be free of cycles, by name.
+type Remaining<'t> = collections::BTreeMap<&'t str, &'t item::Item<Service>>;
+
+/// Reports every cycle once, at the dependency that closes it.
+pub(super) fn check(report: &report::Report<'_>, services: &[item::Item<Service>]) {
+    let mut remaining: Remaining<'_> = services
+        .iter()
+        .filter_map(|item| Some((item.value.as_ref()?.name.as_str(), item)))
+        .collect();
+    loop {
+        remove_free(&mut remaining);
+        let Some(start) = remaining.keys().next().copied() else {
+            return;
+        };
+        let cycle = find_cycle(&remaining, start);
+        report_cycle(report, &remaining, &cycle);
+        for name in cycle {
+            remaining.remove(name);
+        }
+    }
+}
+
+/// Removes services none of whose dependencies remain, until there is no such service.
+fn remove_free(remaining: &mut Remaining<'_>) {
+    let mut dependents: collections::BTreeMap<&str, Vec<&str>> = collections::BTreeMap::new();
+    let mut open = collections::BTreeMap::new();
+    for (name, item) in remaining.iter() {
+        let count = dependencies(remaining, item).count();
+        open.insert(*name, count);
+        for dependency in dependencies(remaining, item) {
+            dependents.entry(dependency).or_default().push(name);
+        }
+    }
+    let mut free: Vec<&str> = open
+        .iter()
+        .filter(|(_, count)| **count == 0)
+        .map(|(name, _)| *name)
+        .collect();
+    while let Some(name) = free.pop() {
+        remaining.remove(name);
+        for dependent in dependents.remove(name).unwrap_or_default() {
+            let Some(count) = open.get_mut(dependent) else {
+                continue;
+            };
+            *count -= 1;
+            if *count == 0 {
+                free.push(dependent);
+            }
+        }
+    }
+}
+
+/// Follows dependencies from `start` until a service comes up again; every service has one to follow.
+fn find_cycle<'t>(remaining: &Remaining<'t>, start: &'t str) -> Vec<&'t str> {
+    let mut path = vec![start];
+    let mut places = collections::BTreeMap::from([(start, 0)]);
+    let mut at = start;
+    while let Some(next) = remaining
+        .get(at)
+        .and_then(|item| dependencies(remaining, item).next())
+    {
+        if let Some(place) = places.get(next) {
+            return path.split_off(*place);
+        }
+        places.insert(next, path.len());
+        path.push(next);
+        at = next;
+    }
+    path
+}
+
+fn dependencies<'t>(
+    remaining: &Remaining<'t>,
+    item: &'t item::Item<Service>,
+) -> impl Iterator<Item = &'t str> {
+    let depends_on = item.value.iter().flat_map(|service| &service.depends_on);
+    depends_on.filter_map(|name| {
+        remaining
+            .get_key_value(name.as_str())
+            .map(|(name, _)| *name)
+    })
+}
+
+fn report_cycle(report: &report::Report<'_>, remaining: &Remaining<'_>, cycle: &[&str]) {
+    let (Some(first), Some(last)) = (cycle.first(), cycle.last()) else {
+        return;
+    };
+    let Some(item) = remaining.get(last) else {
+        return;
+    };
+    let cycle = format!("{} -> {first}", cycle.join(" -> "));
+    report.add(
+        &item.path_of("depends_on"),
+        problem::Reason::Cycle { cycle },
+    );
+}
--- /dev/null
+++ b/crates/mustardshed-config/src/text/checks/duplicates.rs
@@ -0,0 +1,50 @@
+//! Names and keys that are used twice.
+
+use std::collections;
+
+use crate::{
+    problem,
+    reader::{item, report},
+    text::{ClientAccount, tables},
+};
+
+/// Reports every name that two tables of one kind share, and every key that stands twice.
+pub(super) fn check(report: &report::Report<'_>, tables: &tables::Tables) {
+    check_names(report, &tables.data_centres);
+    check_names(report, &tables.engine_kinds);
+    check_names(report, &tables.models);
+    check_names(report, &tables.services);
+    check_names(report, &tables.client_accounts);
+    check_keys(report, &tables.client_accounts);
+}
+
+fn check_names<T>(report: &report::Report<'_>, items: &[item::Item<T>]) {
+    let mut first_uses = collections::BTreeMap::new();
+    for item in items {
+        let Some(name) = &item.name else { continue };
+        let path = item.path_of("name");
+        let line = report.line(&path);
+        if let Some(first) = first_uses.get(name) {
+            report.add(&path, problem::Reason::Duplicate { line: *first });
+        } else {
+            first_uses.insert(name, line);
+        }
+    }
+}
+
+fn check_keys(report: &report::Report<'_>, items: &[item::Item<ClientAccount>]) {
+    let mut first_uses = collections::BTreeMap::new();
+    for item in items {
+        let Some(account) = &item.value else { continue };
+        for (i, digest) in account.key_digests.iter().enumerate() {
+            let path = item.path_of(&format!("key_sha256[{i}]"));
+            let line = report.line(&path);
+            if let Some(first) = first_uses.get(digest) {
+                let shown = format!("\"{}...\"", hex::encode(&digest[..4]));
+                report.add_value(&path, shown, problem::Reason::Duplicate { line: *first });
+            } else {
+                first_uses.insert(digest, line);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-config/src/text/data_centre.rs
@@ -0,0 +1,24 @@
+//! Data centres.
+
+use crate::reader::{read, section};
+
+/// A data centre.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DataCentre {
+    /// Name.
+    pub name: String,
+    /// Region in which it stands.
+    pub region: String,
+}
+
+impl DataCentre {
+    /// Reads one table `[[data_centre]]`.
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+        let name = section.required("name", read::name);
+        let region = section.required("region", read::name);
+        Some(Self {
+            name: name?,
+            region: region?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-config/src/text/engine_kind.rs
@@ -0,0 +1,58 @@
+//! Kinds of model engines.
+
+use super::Fencing;
+use crate::reader::{read, section};
+
+/// Greatest KV memory of one engine, in tokens.
+const MEMORY_TOKENS: u64 = 1_000_000_000;
+/// Greatest number of requests at once on one server.
+pub(super) const MAX_RUNNING: u32 = 100_000;
+/// Greatest number of requests until an engine is warm.
+const WARM_AFTER: u32 = 1_000_000;
+/// Greatest prefill speed, in tokens a second.
+const PREFILL_TOKENS_PER_SECOND: u32 = 1_000_000_000;
+
+/// A kind of model engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineKind {
+    /// Name.
+    pub name: String,
+    /// KV memory of one engine, in tokens.
+    pub memory_tokens: u64,
+    /// Requests that one engine works on at once, at most.
+    pub max_running: u32,
+    /// Requests that a cold engine bears at once.
+    pub cold_limit: u32,
+    /// Requests that a cold engine must finish before it counts as warm.
+    pub warm_after: u32,
+    /// Prefill speed assumed until one was seen, in tokens a second.
+    pub prefill_tokens_per_second: u32,
+    /// Whether fencing numbers are checked.
+    pub fencing: Fencing,
+}
+
+impl EngineKind {
+    /// Reads one table `[[engine_kind]]`.
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+        let name = section.required("name", read::name);
+        let memory_tokens = section.required("memory_tokens", read::u64_within(1, MEMORY_TOKENS));
+        let max_running = section.required("max_running", read::u32_within(1, MAX_RUNNING));
+        let cold_limit = section.required("cold_limit", read::u32_within(1, MAX_RUNNING));
+        let warm_after = section.required("warm_after", read::u32_within(0, WARM_AFTER));
+        let prefill_tokens_per_second = section.required(
+            "prefill_tokens_per_second",
+            read::u32_within(1, PREFILL_TOKENS_PER_SECOND),
+        );
+        let fencing = section.required("fencing", Fencing::read);
+        section.limit("cold_limit", cold_limit, "max_running", max_running);
+        Some(Self {
+            name: name?,
+            memory_tokens: memory_tokens?,
+            max_running: max_running?,
+            cold_limit: cold_limit?,
+            warm_after: warm_after?,
+            prefill_tokens_per_second: prefill_tokens_per_second?,
+            fencing: fencing?,
+        })
+    }
+}
