--- a/crates/mustardshed-core/src/process.rs
+++ b/crates/mustardshed-core/src/process.rs
@@ -1,7 +1,24 @@
 //! What lives as long as an entry process.
 
 pub mod action;
+pub mod credits;
+pub mod distances;
 pub mod event;
+pub mod fates;
+pub mod gossip;
+pub mod holder;
+pub mod limits;
+pub mod links;
+pub mod members;
 pub mod message;
 pub mod node;
+pub mod queue;
+pub mod quorum;
+pub mod ramp;
+pub mod reaper;
+pub mod servers;
 pub mod snapshot;
+pub mod steward;
+pub mod stewards;
+pub mod topology;
+pub mod world;
--- a/crates/mustardshed-core/src/process/action.rs
+++ b/crates/mustardshed-core/src/process/action.rs
@@ -91,6 +91,13 @@
         /// From whom it came.
         source: String,
     },
+    /// A generation is in force whose text is not understood; the text before it stays.
+    ConfigurationNotUnderstood {
+        /// The generation.
+        generation: ids::Generation,
+        /// Why.
+        reason: String,
+    },
     /// A member came, left, or is taken to be dead.
     MemberChanged {
         /// The member's VM.
--- /dev/null
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -0,0 +1,165 @@
+//! Spread of facts: what is known, and which neighbour may not have it yet.
+//!
+//! Each fact has one author and a version that grows. An entry keeps the latest of each and hands
+//! it on to every neighbour that is not known to have it, its own facts at once and those of
+//! others at most once in [`RELAY_INTERVAL`] a neighbour, since most neighbours hear the author
+//! themselves.
+
+use std::{collections, time};
+
+use crate::{ids, process::message};
+
+mod neighbour;
+
+/// Facts in one heartbeat, at most.
+pub const MAX_FACTS: usize = 200;
+/// Shortest time between two relays of facts of one author and subject to one neighbour.
+pub const RELAY_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Age after which a fact is forgotten.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(60);
+
+/// What a fact is about, under its author.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Subject {
+    /// The author itself.
+    Alive,
+    /// A backend server.
+    Load(ids::BackendServerId),
+}
+
+/// Author and subject of a fact.
+pub type Key = (ids::VmId, Subject);
+
+/// A fact with the time at which it was stated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Known {
+    /// The fact; its age is that at its receipt.
+    pub fact: message::Fact,
+    /// Time at which it was stated, by this process's clock.
+    pub stated_at: ids::Timestamp,
+}
+
+impl Known {
+    /// Returns incarnation and version.
+    fn version(&self) -> (ids::Incarnation, u64) {
+        (self.fact.incarnation, self.fact.version)
+    }
+}
+
+/// Facts and neighbours.
+#[derive(Debug, Default)]
+pub struct Gossip {
+    own: ids::VmId,
+    facts: collections::BTreeMap<Key, Known>,
+    neighbours: collections::BTreeMap<ids::VmId, neighbour::Neighbour>,
+}
+
+impl Gossip {
+    /// Makes the empty gossip of an entry.
+    pub fn new(own: ids::VmId) -> Self {
+        Self {
+            own,
+            ..Self::default()
+        }
+    }
+
+    /// Keeps a fact if it is newer than what is known; returns whether it is.
+    pub fn keep(&mut self, fact: message::Fact, now: ids::Timestamp) -> bool {
+        if fact.age >= FORGET_AFTER {
+            return false;
+        }
+        let key = key_of(&fact);
+        let known = Known {
+            stated_at: now.saturating_sub(fact.age),
+            fact,
+        };
+        match self.facts.get(&key) {
+            Some(earlier) if earlier.version() >= known.version() => false,
+            _ => {
+                self.facts.insert(key, known);
+                true
+            }
+        }
+    }
+
+    /// Notes that a neighbour has a fact, since it sent it.
+    pub fn note_sender(&mut self, vm: &str, fact: &message::Fact) {
+        if let Some(neighbour) = self.neighbours.get_mut(vm) {
+            neighbour.note_known(key_of(fact), (fact.incarnation, fact.version));
+        }
+    }
+
+    /// Notes an acknowledgement of a heartbeat.
+    pub fn acknowledged(&mut self, vm: &str, echo: ids::Timestamp) {
+        if let Some(neighbour) = self.neighbours.get_mut(vm) {
+            neighbour.acknowledged(echo);
+        }
+    }
+
+    /// Forgets what a neighbour was sent; it is another run of the process now.
+    pub fn forget_neighbour(&mut self, vm: &str) {
+        self.neighbours.remove(vm);
+    }
+
+    /// Returns the facts that a neighbour may not have, and takes them as sent.
+    pub fn take_for(&mut self, vm: &str, is_mesh: bool, now: ids::Timestamp) -> Vec<message::Fact> {
+        let neighbour = self.neighbours.entry(vm.to_owned()).or_default();
+        neighbour.begin(now);
+        let relay_interval = if is_mesh {
+            RELAY_INTERVAL
+        } else {
+            time::Duration::ZERO
+        };
+        let mut wanted: Vec<_> = self
+            .facts
+            .iter()
+            .filter(|(key, _)| key.0 != vm)
+            .filter_map(|(key, known)| {
+                let interval = if key.0 == self.own {
+                    time::Duration::ZERO
+                } else {
+                    relay_interval
+                };
+                let sent_at = neighbour.wants(key, known.version(), interval, now)?;
+                Some((sent_at, key, known))
+            })
+            .collect();
+        wanted.sort_by_key(|(sent_at, key, _)| (key.0 != self.own, *sent_at));
+        wanted.truncate(MAX_FACTS);
+        wanted
+            .into_iter()
+            .map(|(_, key, known)| {
+                neighbour.note_sent(key.clone(), known.version(), now);
+                aged(known, now)
+            })
+            .collect()
+    }
+
+    /// Returns all facts on the load of backend servers.
+    pub fn loads(&self) -> impl Iterator<Item = &Known> {
+        self.facts
+            .iter()
+            .filter(|((_, subject), _)| matches!(subject, Subject::Load(_)))
+            .map(|(_, known)| known)
+    }
+
+    /// Forgets what is out of date.
+    pub fn expire(&mut self, now: ids::Timestamp) {
+        self.facts
+            .retain(|_, known| now.saturating_sub(known.stated_at) < FORGET_AFTER);
+    }
+}
+
+fn aged(known: &Known, now: ids::Timestamp) -> message::Fact {
+    let mut fact = known.fact.clone();
+    fact.age = now.saturating_sub(known.stated_at);
+    fact
+}
+
+fn key_of(fact: &message::Fact) -> Key {
+    let subject = match &fact.body {
+        message::FactBody::Alive { .. } => Subject::Alive,
+        message::FactBody::Load { server, .. } => Subject::Load(server.clone()),
+    };
+    (fact.author.clone(), subject)
+}
--- a/crates/mustardshed-core/src/process/message.rs
+++ b/crates/mustardshed-core/src/process/message.rs
@@ -78,9 +78,11 @@
     pub confirmation_age: Option<time::Duration>,
     /// Whether the acknowledger's last call on the platform was answered.
     pub platform_answers: bool,
+    /// Whether the acknowledger has run for long enough to know of every intent that may have been written.
+    pub vouches: bool,
     /// Generation in force at the acknowledger.
     pub generation: ids::Generation,
-    /// Intents that the acknowledger holds.
+    /// Intents that the acknowledger holds, without their texts.
     pub intents: Vec<record::Record>,
 }
 
@@ -113,7 +115,7 @@
     Acquire {
         /// Number by which the sender finds its caller again.
         ticket: u64,
-        /// What is asked; its `wait_until` is relative to the sender's `sent_at`.
+        /// What is asked; its `wait_until` does not cross the link.
         req: control::CreditRequest,
         /// Time for which waiting makes sense, from the receipt on.
         patience: time::Duration,
@@ -122,6 +124,12 @@
     Acquired {
         /// Number of the question.
         ticket: u64,
+        /// Credit's request.
+        request: ids::RequestId,
+        /// Backend server.
+        server: ids::BackendServerId,
+        /// Time from the receipt of the question to the decision.
+        waited: time::Duration,
         /// Epoch for which the credit was granted, or the refusal.
         result: Result<ids::Epoch, error::Error>,
     },
@@ -134,7 +142,13 @@
         /// How the work went.
         feedback: control::Feedback,
     },
-    /// All credits that the sender holds on a backend server, for its new steward.
+    /// Asks for the credits that the receiver holds on a backend server.
+    WantHeldCredits {
+        /// Backend server.
+        server: ids::BackendServerId,
+    },
+    /// All credits that the sender holds, or has just granted, on a backend server; it takes the
+    /// receiver for its steward.
     HeldCredits {
         /// Backend server.
         server: ids::BackendServerId,
--- a/crates/mustardshed-core/src/process/node.rs
+++ b/crates/mustardshed-core/src/process/node.rs
@@ -1,14 +1,47 @@
 //! The decision core of one entry process.
+//!
+//! A node composes small state machines, each with one job, and hands events to them:
+//! [`world`] holds members, configuration and freshness; [`stewards`] hands out credits of
+//! backend servers; [`holder`] keeps those of this entry's own requests.
+//!
+//! ```
+//! use std::time;
+//!
+//! use mustardshed_core::process::{event, node};
+//!
+//! let identity = node::Identity {
+//!     vm: "e1".into(),
+//!     incarnation: 1,
+//!     data_centre: "a".into(),
+//!     address: "127.0.0.1:1".into(),
+//!     peer_address: "127.0.0.1:2".into(),
+//! };
+//! let mut node = node::Node::new(identity, 7, time::Duration::ZERO);
+//! node.handle(event::Event::Tick, node::TICK);
+//! assert_eq!(node.snapshot(node::TICK).generation, 0);
+//! ```
 
 use std::{sync, time};
 
 use crate::{
+    border::platform,
     ids,
-    process::{action, event, snapshot},
+    process::{
+        action, distances, event, fates, gossip, holder, links, members, servers, snapshot,
+        stewards, world,
+    },
 };
 
+mod answers;
+mod capacity;
+mod peers;
+mod periodic;
+mod view;
+
 /// Longest time between two [`event::Event::Tick`]s.
 pub const TICK: time::Duration = time::Duration::from_millis(100);
+/// Time between two heartbeats to a neighbour.
+pub const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// Who a node is.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,34 +62,160 @@
 #[derive(Debug)]
 pub struct Node {
     identity: Identity,
+    world: world::World,
+    servers: servers::Servers,
+    stewards: stewards::Stewards,
+    holder: holder::Holder,
+    gossip: gossip::Gossip,
+    links: links::Links,
+    fates: fates::Fates,
+    distances: distances::Distances,
+    is_leaving: bool,
+    is_fresh: bool,
+    version: u64,
+    heartbeat_at: ids::Timestamp,
+    are_members_changed: bool,
+    view: sync::Arc<snapshot::Snapshot>,
 }
 
 impl Node {
-    /// Makes a node that knows nothing yet; `seed` feeds its random choices.
-    pub fn new(identity: Identity, _seed: u64, _now: ids::Timestamp) -> Self {
-        Self { identity }
+    /// Makes a node that knows nothing yet; `seed` spreads heartbeats of entries over time.
+    pub fn new(identity: Identity, seed: u64, now: ids::Timestamp) -> Self {
+        let phase = seed % u64::try_from(HEARTBEAT_INTERVAL.as_millis()).unwrap_or(1);
+        let mut node = Self {
+            world: world::World::new(&identity, now),
+            servers: servers::Servers::default(),
+            stewards: stewards::Stewards::new(identity.vm.clone()),
+            holder: holder::Holder::default(),
+            gossip: gossip::Gossip::new(identity.vm.clone()),
+            links: links::Links::default(),
+            fates: fates::Fates::default(),
+            distances: distances::Distances::default(),
+            is_leaving: false,
+            is_fresh: false,
+            version: 0,
+            heartbeat_at: now + time::Duration::from_millis(phase),
+            are_members_changed: true,
+            view: sync::Arc::new(view::blank(&identity, now)),
+            identity,
+        };
+        node.refresh_view(now);
+        node
     }
 
     /// Handles an event and returns what is to be done, in order.
-    pub fn handle(&mut self, _event: event::Event, _now: ids::Timestamp) -> Vec<action::Action> {
-        Vec::new()
+    pub fn handle(&mut self, event: event::Event, now: ids::Timestamp) -> Vec<action::Action> {
+        let mut out = Vec::new();
+        self.dispatch(event, now, &mut out);
+        self.settle(now, &mut out);
+        self.refresh_view(now);
+        out
     }
 
     /// Returns what the node knows, for traffic threads.
-    pub fn snapshot(&self, now: ids::Timestamp) -> sync::Arc<snapshot::Snapshot> {
-        sync::Arc::new(snapshot::Snapshot {
-            taken_at: now,
-            vm: self.identity.vm.clone(),
-            incarnation: self.identity.incarnation,
-            data_centre: self.identity.data_centre.clone(),
-            generation: 0,
-            text: sync::Arc::default(),
-            data_centres_out: Default::default(),
-            may_place_until: time::Duration::ZERO,
-            leaving: false,
-            servers: Default::default(),
-            members: Default::default(),
-            distances: Default::default(),
-        })
+    ///
+    /// Loads of backend servers may be as old as the event before the latest; all else is not.
+    pub fn snapshot(&self, _now: ids::Timestamp) -> sync::Arc<snapshot::Snapshot> {
+        sync::Arc::clone(&self.view)
+    }
+
+    fn dispatch(
+        &mut self,
+        event: event::Event,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        match event {
+            event::Event::Tick => self.tick(now, out),
+            event::Event::Peer {
+                vm,
+                incarnation,
+                message,
+            } => self.peer(&vm, incarnation, message, now, out),
+            event::Event::ConfigurationRead { begun_at, result } => {
+                self.configuration_read(begun_at, result, out);
+            }
+            event::Event::VmsRead { result } => self.vms_read(result),
+            event::Event::LoadRead {
+                server,
+                begun_at,
+                result,
+            } => self.load_read(&server, begun_at, result, now, out),
+            event::Event::Acquire { ticket, req } => self.acquire(ticket, req, now, out),
+            event::Event::Release { credit, feedback } => {
+                self.release(&credit, feedback, now, out);
+            }
+            event::Event::Intent { ticket, record } => self.intent(ticket, &record, now, out),
+            event::Event::Commit { ticket, record } => self.commit(ticket, record, out),
+            event::Event::Fate(fate) => self.fates.record(fate),
+            event::Event::WantFate { ticket, request } => {
+                self.want_fate(ticket, &request, now, out);
+            }
+            event::Event::Leave => self.leave(now),
+        }
+    }
+
+    fn vms_read(&mut self, result: Result<Vec<platform::Vm>, platform::PlatformError>) {
+        let Ok(vms) = result else {
+            return;
+        };
+        let is_leaving = vms
+            .iter()
+            .any(|vm| vm.id == self.identity.vm && vm.state == platform::VmState::Leaving);
+        self.world.members.set_listed(&vms);
+        self.servers.set_listed(&vms);
+        self.are_members_changed = true;
+        if is_leaving {
+            self.set_leaving();
+        }
+    }
+
+    fn leave(&mut self, now: ids::Timestamp) {
+        self.set_leaving();
+        self.heartbeat_at = now;
+    }
+
+    fn set_leaving(&mut self) {
+        self.is_leaving = true;
+        self.world.members.set_leaving();
+        self.are_members_changed = true;
+    }
+
+    /// Draws the conclusions of what was handled.
+    fn settle(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        if self.world.count(now) {
+            self.stewards.restart(now);
+        }
+        if self.are_members_changed {
+            self.are_members_changed = false;
+            self.set_neighbours(now, out);
+            self.assign_stewards(now, out);
+        }
+        self.note_freshness(now, out);
+    }
+
+    fn note_freshness(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let is_fresh = now < self.world.may_place_until();
+        if is_fresh == self.is_fresh {
+            return;
+        }
+        self.is_fresh = is_fresh;
+        let reason = match self.world.freshness.confirmation_age(now) {
+            _ if self.world.members.is_superseded() => "a later run of this entry".to_owned(),
+            Some(age) => format!("confirmed {} ms ago", age.as_millis()),
+            None => "never confirmed".to_owned(),
+        };
+        out.push(action::Action::Log(action::Entry::FreshnessChanged {
+            fresh: is_fresh,
+            reason,
+        }));
+    }
+
+    fn note_member(&mut self, change: members::Change, out: &mut Vec<action::Action>) {
+        out.push(action::Action::Log(action::Entry::MemberChanged {
+            vm: change.vm,
+            state: change.state,
+        }));
+        self.are_members_changed = true;
     }
 }
--- /dev/null
+++ b/crates/mustardshed-core/src/process/node/answers.rs
@@ -0,0 +1,77 @@
+//! Questions that are answered later, or never: credits and fates asked of other entries.
+
+use crate::{
+    ids,
+    process::{action, members, message, steward},
+    request::owner,
+};
+
+use super::Node;
+
+impl Node {
+    pub(super) fn want_fate(
+        &mut self,
+        ticket: u64,
+        request: &str,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let Some(owner) = owner::of(request) else {
+            out.push(fate_is(ticket, action::FateAnswer::NoSuchRequest));
+            return;
+        };
+        let is_own_vm = owner.vm == self.identity.vm;
+        if is_own_vm && owner.incarnation == self.identity.incarnation {
+            let fate = self.fates.get(request).cloned();
+            let result = fate.map_or(action::FateAnswer::NoSuchRequest, action::FateAnswer::Known);
+            out.push(fate_is(ticket, result));
+            return;
+        }
+        let is_alive = self.world.members.is_alive(&owner.vm, owner.incarnation);
+        if is_own_vm || !is_alive {
+            out.push(fate_is(ticket, action::FateAnswer::OwnerGone));
+            return;
+        }
+        let message = message::Message::WantFate {
+            ticket,
+            request: request.to_owned(),
+        };
+        self.fates.asked(ticket, owner.vm.clone(), now);
+        self.send(&owner.vm, message, now, out);
+    }
+
+    pub(super) fn expire_questions(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let members = &self.world.members;
+        let is_gone = |vm: &str| {
+            let member = members.get(vm);
+            member.is_none_or(|member| member.state == members::State::Dead)
+        };
+        for ticket in self.fates.take_unanswered(now, is_gone) {
+            out.push(fate_is(ticket, action::FateAnswer::OwnerGone));
+        }
+        let stewards = &self.stewards;
+        let is_steward = |server: &str, vm: &str| {
+            let is_chosen = stewards.of(server).is_some_and(|chosen| chosen == vm);
+            is_chosen && members.get(vm).is_some_and(is_live)
+        };
+        for ticket in self.holder.take_unanswered(now, is_steward) {
+            let result = Err(steward::moved());
+            out.push(action::Action::Acquired { ticket, result });
+        }
+    }
+
+    /// Returns the steward of a server if it is not suspect.
+    pub(super) fn live_steward(&self, server: &str) -> Option<ids::VmId> {
+        let steward = self.stewards.of(server)?;
+        let member = self.world.members.get(steward)?;
+        is_live(member).then(|| steward.clone())
+    }
+}
+
+fn is_live(member: &members::Member) -> bool {
+    member.state == members::State::Live
+}
+
+const fn fate_is(ticket: u64, result: action::FateAnswer) -> action::Action {
+    action::Action::FateIs { ticket, result }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/node/capacity.rs
@@ -0,0 +1,343 @@
+//! Credits: asked for by traffic threads and peers, handed out by stewards.
+
+use std::time;
+
+use crate::{
+    border::{backend_server, control},
+    error, ids,
+    process::{action, credits, holder, message, queue, steward},
+};
+
+use super::Node;
+
+impl Node {
+    pub(super) fn assign_stewards(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let refusals = self
+            .stewards
+            .assign(self.servers.vms(), &self.world.members, now, out);
+        for decision in refusals {
+            self.answer(decision, now, out);
+        }
+    }
+
+    pub(super) fn tick_stewards(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        for server in self.stewards.own_servers() {
+            self.with_steward(&server, now, out, steward::Steward::tick);
+        }
+    }
+
+    pub(super) fn load_read(
+        &mut self,
+        server: &str,
+        begun_at: ids::Timestamp,
+        result: Result<backend_server::LoadReport, backend_server::BackendServerError>,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.with_steward(server, now, out, |steward, rules, fx| {
+            steward.load_read(begun_at, result, rules, fx);
+        });
+    }
+
+    pub(super) fn acquire(
+        &mut self,
+        ticket: u64,
+        req: control::CreditRequest,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let Some(steward) = self.live_steward(&req.server) else {
+            let result = Err(steward::moved());
+            out.push(action::Action::Acquired { ticket, result });
+            return;
+        };
+        if steward == self.identity.vm {
+            let until = req.wait_until;
+            self.ask_own(queue::Asker::Own { ticket }, req, until, now, out);
+            return;
+        }
+        let message = message::Message::Acquire {
+            ticket,
+            req: req.clone(),
+            patience: req.wait_until.saturating_sub(now),
+        };
+        self.holder.asked(ticket, req, steward.clone(), now);
+        self.send(&steward, message, now, out);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    pub(super) fn acquire_for_peer(
+        &mut self,
+        vm: &ids::VmId,
+        incarnation: ids::Incarnation,
+        ticket: u64,
+        req: control::CreditRequest,
+        patience: time::Duration,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let asker = queue::Asker::Peer {
+            vm: vm.clone(),
+            incarnation,
+            ticket,
+        };
+        self.ask_own(asker, req, now.saturating_add(patience), now, out);
+    }
+
+    /// Asks this entry as the steward; it refuses if it is not.
+    fn ask_own(
+        &mut self,
+        asker: queue::Asker,
+        req: control::CreditRequest,
+        until: ids::Timestamp,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let server = req.server.clone();
+        let waiting = queue::Waiting {
+            asker,
+            req,
+            since: now,
+            until,
+        };
+        if self.stewards.own_mut(&server).is_none() {
+            let refusal = steward::Decision::refuse(waiting, &steward::moved(), now);
+            self.answer(refusal, now, out);
+            return;
+        }
+        self.with_steward(&server, now, out, |steward, rules, fx| {
+            steward.ask(waiting, rules, fx);
+        });
+    }
+
+    pub(super) fn acquired_from_peer(
+        &mut self,
+        vm: &ids::VmId,
+        answer: &holder::Answer,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let ticket = answer.ticket;
+        let is_awaited = match self.holder.answered(answer, now) {
+            holder::Taken::Answered(result) => {
+                out.push(action::Action::Acquired { ticket, result });
+                return;
+            }
+            holder::Taken::Ignored => return,
+            holder::Taken::TooLate { is_awaited } => is_awaited,
+        };
+        let message = message::Message::Release {
+            request: answer.request.clone(),
+            server: answer.server.clone(),
+            feedback: unused(&answer.request, &answer.server),
+        };
+        self.send(vm, message, now, out);
+        if is_awaited {
+            let result = Err(steward::moved());
+            out.push(action::Action::Acquired { ticket, result });
+        }
+    }
+
+    pub(super) fn release(
+        &mut self,
+        credit: &control::Credit,
+        feedback: control::Feedback,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.holder.release(&credit.server, &credit.request);
+        if let Some(epoch) = feedback.epoch.filter(|epoch| *epoch != credit.epoch) {
+            self.servers.sign(&credit.server, epoch, now);
+        }
+        let steward = self.stewards.of(&credit.server).cloned();
+        match steward {
+            Some(steward) if steward != self.identity.vm => {
+                let message = message::Message::Release {
+                    request: credit.request.clone(),
+                    server: credit.server.clone(),
+                    feedback,
+                };
+                self.send(&steward, message, now, out);
+            }
+            _ => self.release_to_steward(&credit.server, &credit.request, feedback, now, out),
+        }
+    }
+
+    pub(super) fn release_to_steward(
+        &mut self,
+        server: &str,
+        request: &str,
+        feedback: control::Feedback,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.with_steward(server, now, out, |steward, rules, fx| {
+            steward.release(request, &feedback, rules, fx);
+        });
+    }
+
+    /// States this entry's credits on a server, if it takes the asker for the server's steward.
+    pub(super) fn state_held_credits(
+        &mut self,
+        vm: &ids::VmId,
+        server: ids::BackendServerId,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        if self.stewards.of(&server) != Some(vm) {
+            return;
+        }
+        let credits = self.held_credits(&server);
+        let message = message::Message::HeldCredits { server, credits };
+        self.send(vm, message, now, out);
+    }
+
+    fn held_credits(&self, server: &str) -> Vec<message::HeldCredit> {
+        let mut credits = self.holder.stated_on(server);
+        let granted = self.stewards.retired_on(server).iter();
+        credits.extend(granted.cloned());
+        credits
+    }
+
+    pub(super) fn credits_stated(
+        &mut self,
+        vm: &ids::VmId,
+        server: &str,
+        credits: &[message::HeldCredit],
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.with_steward(server, now, out, |steward, rules, fx| {
+            steward.stated(vm, credits, rules, fx);
+        });
+    }
+
+    pub(super) fn cold_sign(
+        &mut self,
+        server: &str,
+        epoch: ids::Epoch,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.servers.sign(server, epoch, now);
+        self.with_steward(server, now, out, |steward, rules, fx| {
+            steward.answered(epoch, rules, fx);
+        });
+    }
+
+    /// Lets this entry's steward of a server act, if there is one, and carries out what it wants.
+    fn with_steward(
+        &mut self,
+        server: &str,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+        act: impl FnOnce(&mut steward::Steward, &steward::Rules<'_>, &mut steward::Effects),
+    ) {
+        let Some(steward) = self.stewards.own_mut(server) else {
+            return;
+        };
+        let mut fx = steward::Effects::default();
+        act(steward, &self.world.rules(now), &mut fx);
+        self.carry_out(server, fx, now, out);
+    }
+
+    fn carry_out(
+        &mut self,
+        server: &str,
+        fx: steward::Effects,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        out.extend(fx.actions);
+        if let Some((epoch, holders)) = fx.cold_sign {
+            self.servers.sign(server, epoch, now);
+            for vm in holders {
+                if vm == self.identity.vm {
+                    continue;
+                }
+                let server = server.to_owned();
+                self.send(&vm, message::Message::ColdSign { server, epoch }, now, out);
+            }
+        }
+        for decision in fx.decisions {
+            self.answer(decision, now, out);
+        }
+        for vm in fx.ask {
+            self.ask_for_credits(&vm, server, now, out);
+        }
+    }
+
+    fn ask_for_credits(
+        &mut self,
+        vm: &ids::VmId,
+        server: &str,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        if *vm == self.identity.vm {
+            let credits = self.held_credits(server);
+            self.credits_stated(vm, server, &credits, now, out);
+            return;
+        }
+        let server = server.to_owned();
+        self.send(vm, message::Message::WantHeldCredits { server }, now, out);
+    }
+
+    /// Hands a steward's decision to who asked.
+    fn answer(
+        &mut self,
+        decision: steward::Decision,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        out.push(log_of(&decision));
+        let steward::Decision {
+            asker,
+            req,
+            waited,
+            result,
+        } = decision;
+        match asker {
+            queue::Asker::Own { ticket } => {
+                let use_by = now + credits::USE_WITHIN;
+                let result = result.map(|epoch| self.holder.hold(&req, epoch, use_by, now));
+                out.push(action::Action::Acquired { ticket, result });
+            }
+            queue::Asker::Peer { vm, ticket, .. } => {
+                let message = message::Message::Acquired {
+                    ticket,
+                    request: req.request,
+                    server: req.server,
+                    waited,
+                    result,
+                };
+                self.send(&vm, message, now, out);
+            }
+        }
+    }
+}
+
+fn log_of(decision: &steward::Decision) -> action::Action {
+    let (granted, reason) = match &decision.result {
+        Ok(epoch) => (true, format!("epoch {epoch}")),
+        Err(error::Error { kind, message, .. }) => (false, format!("{kind}: {message}")),
+    };
+    action::Action::Log(action::Entry::CreditDecided {
+        request: decision.req.request.clone(),
+        server: decision.req.server.clone(),
+        granted,
+        reason,
+    })
+}
+
+/// Returns the feedback on a credit that was never used.
+fn unused(request: &str, server: &str) -> control::Feedback {
+    control::Feedback {
+        request: request.to_owned(),
+        server: server.to_owned(),
+        prefill_tokens: 0,
+        first_token: None,
+        epoch: None,
+        failure: None,
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/node/peers.rs
@@ -0,0 +1,251 @@
+//! What a node does with messages of other entries.
+
+use crate::{
+    border::platform,
+    error, ids,
+    process::{action, holder, message},
+    version::record,
+};
+
+use super::Node;
+
+impl Node {
+    pub(super) fn peer(
+        &mut self,
+        vm: &ids::VmId,
+        incarnation: ids::Incarnation,
+        message: message::Message,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let known = self.world.members.get(vm).map(|m| m.incarnation);
+        if *vm == self.identity.vm || known.is_some_and(|known| known > incarnation) {
+            return;
+        }
+        match message {
+            message::Message::Heartbeat(heartbeat) => self.heartbeat(vm, heartbeat, now, out),
+            message::Message::HeartbeatAck(ack) => {
+                self.heartbeat_ack(vm, incarnation, ack, now, out);
+            }
+            message::Message::WantConfiguration { newer_than } => {
+                self.want_configuration(vm, newer_than, now, out);
+            }
+            message::Message::Configuration(record) => self.offer(record, vm, out),
+            message::Message::Intent(record) => {
+                self.world.configuration.adopt_intent(&record, now);
+                self.world.refresh_data_centres_out();
+            }
+            message::Message::Acquire {
+                ticket,
+                req,
+                patience,
+            } => self.acquire_for_peer(vm, incarnation, ticket, req, patience, now, out),
+            message::Message::Acquired {
+                ticket,
+                request,
+                server,
+                waited,
+                result,
+            } => {
+                let answer = holder::Answer {
+                    ticket,
+                    request,
+                    server,
+                    waited,
+                    result,
+                };
+                self.acquired_from_peer(vm, &answer, now, out);
+            }
+            message::Message::Release {
+                request,
+                server,
+                feedback,
+            } => self.release_to_steward(&server, &request, feedback, now, out),
+            message::Message::WantHeldCredits { server } => {
+                self.state_held_credits(vm, server, now, out);
+            }
+            message::Message::HeldCredits { server, credits } => {
+                self.credits_stated(vm, &server, &credits, now, out);
+            }
+            message::Message::ColdSign { server, epoch } => {
+                self.cold_sign(&server, epoch, now, out);
+            }
+            message::Message::WantFate { ticket, request } => {
+                let fate = self.fates.get(&request).cloned();
+                self.send(vm, message::Message::FateIs { ticket, fate }, now, out);
+            }
+            message::Message::FateIs { ticket, fate } => {
+                let answer = self.fates.answered(ticket, vm, fate);
+                out.extend(answer.map(|result| action::Action::FateIs { ticket, result }));
+            }
+        }
+    }
+
+    fn heartbeat(
+        &mut self,
+        vm: &ids::VmId,
+        heartbeat: message::Heartbeat,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        for fact in heartbeat.facts {
+            self.gossip.note_sender(vm, &fact);
+            self.hear(fact, now, out);
+        }
+        self.world.members.set_generation(vm, heartbeat.generation);
+        self.fetch_if_newer(vm, heartbeat.generation, now, out);
+        let world = &self.world;
+        let ack = message::HeartbeatAck {
+            echo: heartbeat.sent_at,
+            confirmation_age: world.freshness.confirmation_age(now),
+            platform_answers: world.freshness.platform_answers(now),
+            vouches: world.freshness.vouches(),
+            generation: world.configuration.generation(),
+            intents: world.configuration.intents().cloned().collect(),
+        };
+        self.send(vm, message::Message::HeartbeatAck(ack), now, out);
+    }
+
+    fn hear(&mut self, fact: message::Fact, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let change = self.world.members.hear(&fact, now);
+        if fact.author != self.identity.vm {
+            self.gossip.keep(fact, now);
+        }
+        let Some(change) = change else {
+            return;
+        };
+        if change.restarted {
+            self.gossip.forget_neighbour(&change.vm);
+            self.world.disturb(now);
+        }
+        self.note_member(change, out);
+    }
+
+    fn heartbeat_ack(
+        &mut self,
+        vm: &ids::VmId,
+        incarnation: ids::Incarnation,
+        mut ack: message::HeartbeatAck,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        if ack.echo > now {
+            return;
+        }
+        for intent in &ack.intents {
+            // Without a place for an intent, its holder's word must not count as agreement.
+            ack.vouches &= self.world.configuration.adopt_intent(intent, now);
+        }
+        self.world.refresh_data_centres_out();
+        let in_force = self.world.configuration.generation();
+        self.world.freshness.acknowledged(vm, &ack, in_force, now);
+        self.gossip.acknowledged(vm, ack.echo);
+        self.world.members.set_generation(vm, ack.generation);
+        self.fetch_if_newer(vm, ack.generation, now, out);
+        if let Some(member) = self.world.members.get(vm) {
+            if member.incarnation == incarnation {
+                self.world.quorum.acknowledged(vm, ack.echo);
+            }
+            let round_trip = now.saturating_sub(ack.echo);
+            self.distances.observe(&member.data_centre, round_trip);
+        }
+    }
+
+    fn fetch_if_newer(
+        &mut self,
+        vm: &ids::VmId,
+        generation: ids::Generation,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let newer_than = self.world.configuration.generation();
+        if generation > newer_than {
+            let message = message::Message::WantConfiguration { newer_than };
+            self.send(vm, message, now, out);
+        }
+    }
+
+    fn want_configuration(
+        &mut self,
+        vm: &ids::VmId,
+        newer_than: ids::Generation,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let record = self.world.configuration.record();
+        let Some(record) = record.filter(|record| record.generation > newer_than) else {
+            return;
+        };
+        let message = message::Message::Configuration(record.clone());
+        self.send(vm, message, now, out);
+    }
+
+    fn offer(&mut self, record: record::Record, source: &str, out: &mut Vec<action::Action>) {
+        if self.world.configuration.offer(record, source, out) {
+            self.world.refresh_data_centres_out();
+            // Peers hear of the generation with the next tick rather than the next heartbeat.
+            self.heartbeat_at = ids::Timestamp::ZERO;
+        }
+    }
+
+    pub(super) fn configuration_read(
+        &mut self,
+        begun_at: ids::Timestamp,
+        result: Result<Option<(ids::ObjectVersion, record::Record)>, platform::PlatformError>,
+        out: &mut Vec<action::Action>,
+    ) {
+        let Ok(shown) = result else {
+            self.world.freshness.platform_failed();
+            return;
+        };
+        let generation = shown.as_ref().map_or(0, |(_, record)| record.generation);
+        if let Some((_, record)) = shown {
+            self.offer(record, "platform", out);
+        }
+        let in_force = self.world.configuration.generation();
+        self.world
+            .freshness
+            .platform_answered(begun_at, generation, in_force);
+        self.world.configuration.read_intents(begun_at, generation);
+        self.world.refresh_data_centres_out();
+    }
+
+    pub(super) fn intent(
+        &mut self,
+        ticket: u64,
+        record: &record::Record,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let result = self.world.configuration.intend(record, now);
+        self.world.refresh_data_centres_out();
+        let generation = self.world.configuration.generation();
+        out.push(action::Action::Acknowledge {
+            ticket,
+            result: result.map(|()| generation),
+        });
+    }
+
+    pub(super) fn commit(
+        &mut self,
+        ticket: u64,
+        record: record::Record,
+        out: &mut Vec<action::Action>,
+    ) {
+        let nonce = record.nonce.clone();
+        let generation = record.generation;
+        self.offer(record, "operator", out);
+        let in_force = self.world.configuration.record();
+        let is_other = in_force
+            .is_some_and(|in_force| in_force.generation == generation && in_force.nonce != nonce);
+        let result = if is_other {
+            Err(error::Error::not_run(
+                error::ErrorKind::ConfigurationConflict,
+                "another record of this generation is in force",
+            ))
+        } else {
+            Ok(self.world.configuration.generation())
+        };
+        out.push(action::Action::Acknowledge { ticket, result });
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -0,0 +1,115 @@
+//! What a node does as time goes on.
+
+use std::{collections, time};
+
+use crate::{
+    ids,
+    process::{action, message, topology},
+};
+
+use super::{HEARTBEAT_INTERVAL, Node};
+
+impl Node {
+    pub(super) fn tick(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        self.expire_members(now, out);
+        self.gossip.expire(now);
+        self.stewards.expire(now);
+        self.expire_questions(now, out);
+        self.tick_stewards(now, out);
+        if now >= self.heartbeat_at {
+            self.heartbeat_at = now + HEARTBEAT_INTERVAL;
+            self.send_heartbeats(now, out);
+        }
+    }
+
+    fn expire_members(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let expiry = self.world.members.expire(now);
+        if expiry.frozen {
+            self.world.disturb(now);
+            self.stewards.restart(now);
+        }
+        for change in expiry.changes {
+            if change.state == "dead" {
+                self.world.disturb(now);
+            }
+            self.note_member(change, out);
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        self.state_alive(now);
+        self.state_loads(now);
+        let others = self.world.members.reachable().len();
+        let is_mesh = others < topology::MESH_LIMIT;
+        let generation = self.world.configuration.generation();
+        for vm in self.links.neighbours() {
+            let heartbeat = message::Heartbeat {
+                sent_at: now,
+                generation,
+                facts: self.gossip.take_for(&vm, is_mesh, now),
+            };
+            self.send(&vm, message::Message::Heartbeat(heartbeat), now, out);
+        }
+    }
+
+    fn state_alive(&mut self, now: ids::Timestamp) {
+        let identity = &self.identity;
+        let body = message::FactBody::Alive {
+            address: identity.address.clone(),
+            peer_address: identity.peer_address.clone(),
+            data_centre: identity.data_centre.clone(),
+            leaving: self.is_leaving,
+            generation: self.world.configuration.generation(),
+        };
+        self.version += 1;
+        self.state(self.version, body, now);
+    }
+
+    fn state_loads(&mut self, now: ids::Timestamp) {
+        for (version, measured_at, mut body) in self.stewards.restate(now) {
+            if let message::FactBody::Load {
+                report: Some(report),
+                ..
+            } = &mut body
+            {
+                report.age = now.saturating_sub(measured_at);
+            }
+            self.state(version, body, now);
+        }
+    }
+
+    fn state(&mut self, version: u64, body: message::FactBody, now: ids::Timestamp) {
+        let fact = message::Fact {
+            author: self.identity.vm.clone(),
+            incarnation: self.identity.incarnation,
+            version,
+            age: time::Duration::ZERO,
+            body,
+        };
+        self.gossip.keep(fact, now);
+    }
+
+    pub(super) fn set_neighbours(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let others = self.world.members.reachable();
+        let chosen = topology::neighbours(&self.identity.vm, &others);
+        let neighbours: collections::BTreeMap<ids::VmId, String> = chosen
+            .into_iter()
+            .filter_map(|vm| {
+                let address = self.world.members.peer_address(&vm)?.to_owned();
+                Some((vm, address))
+            })
+            .collect();
+        self.links.set_neighbours(&neighbours, now, out);
+    }
+
+    pub(super) fn send(
+        &mut self,
+        vm: &ids::VmId,
+        message: message::Message,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let peer_address = self.world.members.peer_address(vm);
+        self.links.send(vm, peer_address, message, now, out);
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/quorum.rs
@@ -0,0 +1,60 @@
+//! Whether this entry reaches a majority of the fleet, both ways.
+//!
+//! A steward may start work on a cold server only while it does: behind a cut, the other side
+//! may have another steward. Acknowledgements are counted rather than facts, since facts also come
+//! over links that carry only one way. In a fleet that is too large for a mesh only neighbours
+//! acknowledge, and members that are alive by facts are counted instead.
+
+use std::{collections, time};
+
+use crate::{
+    ids, mutation,
+    process::{members, topology},
+};
+
+/// Age of an acknowledged heartbeat up to which its receiver counts as reached.
+pub const REACHED_WITHIN: time::Duration = time::Duration::from_millis(1500);
+
+/// Latest acknowledged heartbeat of each member.
+#[derive(Debug, Default)]
+pub struct Quorum {
+    acknowledged: collections::BTreeMap<ids::VmId, ids::Timestamp>,
+}
+
+impl Quorum {
+    /// Notes that a member acknowledged the heartbeat sent at `echo`.
+    pub fn acknowledged(&mut self, vm: &ids::VmId, echo: ids::Timestamp) {
+        let latest = self.acknowledged.entry(vm.clone()).or_default();
+        *latest = echo.max(*latest);
+    }
+
+    /// Returns whether a majority of the voters is reached.
+    pub fn holds(&self, members: &members::Members, own: &str, now: ids::Timestamp) -> bool {
+        if mutation::on("minority_grants") {
+            return true;
+        }
+        let voters = members.voters();
+        let is_mesh = voters.len() <= topology::MESH_LIMIT;
+        let reached = voters.iter().filter(|vm| {
+            vm.as_str() == own
+                || if is_mesh {
+                    self.is_reached(vm, now)
+                } else {
+                    is_live(members, vm)
+                }
+        });
+        2 * reached.count() > voters.len()
+    }
+
+    fn is_reached(&self, vm: &str, now: ids::Timestamp) -> bool {
+        self.acknowledged
+            .get(vm)
+            .is_some_and(|echo| now.saturating_sub(*echo) < REACHED_WITHIN)
+    }
+}
+
+fn is_live(members: &members::Members, vm: &str) -> bool {
+    members
+        .get(vm)
+        .is_some_and(|member| member.state == members::State::Live)
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/servers.rs
@@ -0,0 +1,194 @@
+//! Backend servers as this entry sees them: the platform's list, stewards' facts, own signs.
+
+use std::collections;
+
+use crate::{
+    border::{backend_server, platform},
+    ids,
+    process::{gossip, holder, members, message, snapshot, world},
+};
+
+/// A sign of cold that this entry saw.
+#[derive(Clone, Copy, Debug)]
+struct Sign {
+    epoch: ids::Epoch,
+    seen_at: ids::Timestamp,
+}
+
+/// Backend servers.
+#[derive(Debug, Default)]
+pub struct Servers {
+    vms: collections::BTreeMap<ids::BackendServerId, platform::Vm>,
+    signs: collections::BTreeMap<ids::BackendServerId, Sign>,
+}
+
+/// What views of servers are made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Sources<'a> {
+    /// Facts.
+    pub gossip: &'a gossip::Gossip,
+    /// Steward of each server.
+    pub stewards: &'a collections::BTreeMap<ids::BackendServerId, ids::VmId>,
+    /// Credits of this entry.
+    pub holder: &'a holder::Holder,
+    /// Members and text.
+    pub world: &'a world::World,
+}
+
+impl Servers {
+    /// Takes the backend servers of the platform's list.
+    pub fn set_listed(&mut self, vms: &[platform::Vm]) {
+        self.vms = vms
+            .iter()
+            .filter(|vm| vm.role != platform::VmRole::Entry)
+            .map(|vm| (vm.id.clone(), vm.clone()))
+            .collect();
+        let vms = &self.vms;
+        self.signs.retain(|server, _| vms.contains_key(server));
+    }
+
+    /// Returns the backend servers.
+    pub const fn vms(&self) -> &collections::BTreeMap<ids::BackendServerId, platform::Vm> {
+        &self.vms
+    }
+
+    /// Notes a sign of cold.
+    pub fn sign(&mut self, server: &str, epoch: ids::Epoch, now: ids::Timestamp) {
+        let sign = Sign {
+            epoch,
+            seen_at: now,
+        };
+        self.signs.insert(server.to_owned(), sign);
+    }
+
+    /// Returns the views of all servers.
+    pub fn views(
+        &self,
+        sources: Sources<'_>,
+    ) -> collections::BTreeMap<ids::BackendServerId, snapshot::ServerView> {
+        let facts = latest_loads(sources);
+        self.vms
+            .iter()
+            .map(|(server, vm)| {
+                let fact = facts.get(server.as_str()).copied();
+                (server.clone(), self.view(vm, fact, sources))
+            })
+            .collect()
+    }
+
+    fn view(
+        &self,
+        vm: &platform::Vm,
+        known: Option<&gossip::Known>,
+        sources: Sources<'_>,
+    ) -> snapshot::ServerView {
+        let mut view = blank(vm, sources);
+        if let Some(known) = known {
+            fill(&mut view, known);
+            correct(&mut view, known.stated_at, sources.holder);
+        }
+        if let Some(sign) = self.signs.get(&vm.id) {
+            apply_sign(&mut view, *sign);
+        }
+        view
+    }
+}
+
+/// Returns the latest fact on each server.
+fn latest_loads(sources: Sources<'_>) -> collections::BTreeMap<&str, &gossip::Known> {
+    let mut latest: collections::BTreeMap<&str, &gossip::Known> = collections::BTreeMap::new();
+    for known in sources.gossip.loads() {
+        let message::FactBody::Load { server, .. } = &known.fact.body else {
+            continue;
+        };
+        let is_later = latest
+            .get(server.as_str())
+            .is_none_or(|other| other.stated_at < known.stated_at);
+        if is_later {
+            latest.insert(server, known);
+        }
+    }
+    latest
+}
+
+fn blank(vm: &platform::Vm, sources: Sources<'_>) -> snapshot::ServerView {
+    let kind = match &vm.role {
+        platform::VmRole::BackendServer { kind } => kind.clone(),
+        platform::VmRole::Entry => String::new(),
+    };
+    let limits = sources.world.rules(ids::Timestamp::ZERO).limits(vm);
+    snapshot::ServerView {
+        id: vm.id.clone(),
+        address: vm.address.clone(),
+        kind,
+        data_centre: vm.data_centre.clone(),
+        warmth: backend_server::Warmth::Cold,
+        epoch: 0,
+        reachable: false,
+        leaving: vm.state == platform::VmState::Leaving,
+        models: collections::BTreeMap::new(),
+        memory_tokens: limits.map_or(0, |limits| limits.memory_tokens),
+        used_tokens: 0,
+        queued_prefill_tokens: 0,
+        running: 0,
+        prefill_tokens_per_second: limits.map_or(0.0, |limits| limits.prefill_tokens_per_second),
+        reported_at: ids::Timestamp::ZERO,
+        steward: live_steward(&vm.id, sources),
+    }
+}
+
+/// Returns the steward of a server unless it is suspect.
+fn live_steward(server: &str, sources: Sources<'_>) -> Option<ids::VmId> {
+    let steward = sources.stewards.get(server)?;
+    let member = sources.world.members.get(steward)?;
+    (member.state == members::State::Live).then(|| steward.clone())
+}
+
+fn fill(view: &mut snapshot::ServerView, known: &gossip::Known) {
+    let message::FactBody::Load {
+        report: Some(report),
+        prefill_tokens_per_second,
+        credited_tokens,
+        credits,
+        ..
+    } = &known.fact.body
+    else {
+        return;
+    };
+    view.warmth = report.warmth;
+    view.epoch = report.epoch;
+    view.reachable = true;
+    view.leaving |= report.leaving;
+    view.models.clone_from(&report.models);
+    if report.memory_tokens > 0 {
+        view.memory_tokens = report.memory_tokens;
+    }
+    view.used_tokens = report.used_tokens.max(*credited_tokens);
+    view.queued_prefill_tokens = report.queued_prefill_tokens;
+    view.running = report.running.max(*credits);
+    if *prefill_tokens_per_second > 0.0 {
+        view.prefill_tokens_per_second = *prefill_tokens_per_second;
+    }
+    view.reported_at = known.stated_at.saturating_sub(report.age);
+}
+
+/// Adds the credits that this entry was given since the fact was stated.
+fn correct(view: &mut snapshot::ServerView, since: ids::Timestamp, holder: &holder::Holder) {
+    for (_, held) in holder.on_server(&view.id) {
+        if held.since <= since {
+            continue;
+        }
+        view.used_tokens = view.used_tokens.saturating_add(held.tokens);
+        view.queued_prefill_tokens = view
+            .queued_prefill_tokens
+            .saturating_add(held.prefill_tokens);
+        view.running = view.running.saturating_add(1);
+    }
+}
+
+fn apply_sign(view: &mut snapshot::ServerView, sign: Sign) {
+    if sign.epoch != view.epoch && sign.seen_at > view.reported_at {
+        view.warmth = backend_server::Warmth::Cold;
+        view.epoch = sign.epoch;
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/steward/load.rs
@@ -0,0 +1,86 @@
+//! Reads of one server's load.
+
+use crate::{border::backend_server, ids};
+
+use super::POLL_INTERVAL;
+
+/// Failed reads in a row after which a server does not answer.
+const MAX_FAILURES: u32 = 2;
+/// Reads after which one that did not end is given up.
+const GIVE_UP_POLLS: u32 = 4;
+
+/// What is known of one server's load.
+#[derive(Debug, Default)]
+pub(super) struct Load {
+    report: Option<backend_server::LoadReport>,
+    measured_at: ids::Timestamp,
+    begun_at: Option<ids::Timestamp>,
+    is_reading: bool,
+    failures: u32,
+}
+
+impl Load {
+    /// Returns whether a read is to begin now, and notes it.
+    pub(super) fn begin_read(&mut self, now: ids::Timestamp) -> bool {
+        let wait = if self.is_reading {
+            POLL_INTERVAL * GIVE_UP_POLLS
+        } else {
+            POLL_INTERVAL
+        };
+        if self.begun_at.is_some_and(|at| now < at + wait) {
+            return false;
+        }
+        self.begun_at = Some(now);
+        self.is_reading = true;
+        true
+    }
+
+    /// Lets the next read begin at once.
+    pub(super) const fn hurry(&mut self) {
+        if !self.is_reading {
+            self.begun_at = None;
+        }
+    }
+
+    /// Takes a report; returns false if its figures are older than those known.
+    pub(super) fn take(
+        &mut self,
+        measured_at: ids::Timestamp,
+        report: &backend_server::LoadReport,
+    ) -> bool {
+        self.is_reading = false;
+        self.failures = 0;
+        if measured_at < self.measured_at {
+            return false;
+        }
+        self.measured_at = measured_at;
+        self.report = Some(report.clone());
+        true
+    }
+
+    /// Notes a failed read.
+    pub(super) fn failed(&mut self, e: &backend_server::BackendServerError) {
+        self.is_reading = false;
+        let is_certain = matches!(e, backend_server::BackendServerError::Unreachable(_));
+        self.failures = if is_certain {
+            self.failures.max(MAX_FAILURES)
+        } else {
+            self.failures.saturating_add(1)
+        };
+    }
+
+    /// Returns whether the server answers, or was not asked yet.
+    pub(super) const fn is_reachable(&self) -> bool {
+        self.failures < MAX_FAILURES
+    }
+
+    /// Returns the latest report.
+    pub(super) const fn report(&self) -> Option<&backend_server::LoadReport> {
+        self.report.as_ref()
+    }
+
+    /// Returns the latest report of a server that answers.
+    pub(super) fn reachable_report(&self) -> Option<&backend_server::LoadReport> {
+        self.report.as_ref().filter(|_| self.is_reachable())
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/stewards.rs
@@ -0,0 +1,192 @@
+//! Which entry is steward of which backend server, and the stewardships of this one.
+
+use std::{collections, time};
+
+use crate::{
+    border::platform,
+    ids,
+    process::{action, members, message, steward},
+};
+
+/// Time for which credits granted by an ended stewardship are remembered.
+const REMEMBER_FOR: time::Duration = time::Duration::from_secs(10);
+/// Time after which a load is stated again although it did not change.
+const RESTATE_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// A load as it was last stated.
+#[derive(Debug)]
+struct Statement {
+    version: u64,
+    at: ids::Timestamp,
+    body: message::FactBody,
+}
+
+/// Credits that were outstanding when a stewardship ended.
+#[derive(Debug)]
+struct Retired {
+    at: ids::Timestamp,
+    credits: Vec<message::HeldCredit>,
+}
+
+/// Stewardships.
+#[derive(Debug)]
+pub struct Stewards {
+    own: ids::VmId,
+    chosen: collections::BTreeMap<ids::BackendServerId, ids::VmId>,
+    stewards: collections::BTreeMap<ids::BackendServerId, steward::Steward>,
+    retired: collections::BTreeMap<ids::BackendServerId, Retired>,
+    statements: collections::BTreeMap<ids::BackendServerId, Statement>,
+}
+
+impl Stewards {
+    /// Makes the stewardships of an entry that has none yet.
+    pub const fn new(own: ids::VmId) -> Self {
+        Self {
+            own,
+            chosen: collections::BTreeMap::new(),
+            stewards: collections::BTreeMap::new(),
+            retired: collections::BTreeMap::new(),
+            statements: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Chooses the stewards of all servers anew; returns refusals for those that waited here.
+    pub fn assign(
+        &mut self,
+        vms: &collections::BTreeMap<ids::BackendServerId, platform::Vm>,
+        members: &members::Members,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) -> Vec<steward::Decision> {
+        let candidates = candidates(members);
+        let mut refusals = Vec::new();
+        let gone: Vec<_> = self
+            .chosen
+            .keys()
+            .filter(|server| !vms.contains_key(*server))
+            .cloned()
+            .collect();
+        for server in gone {
+            self.set(&server, None, None, now, &mut refusals, out);
+        }
+        for (server, vm) in vms {
+            let chosen = steward::choose(server, candidates.iter().copied()).cloned();
+            self.set(server, chosen, Some(vm), now, &mut refusals, out);
+        }
+        refusals
+    }
+
+    fn set(
+        &mut self,
+        server: &ids::BackendServerId,
+        chosen: Option<ids::VmId>,
+        vm: Option<&platform::Vm>,
+        now: ids::Timestamp,
+        refusals: &mut Vec<steward::Decision>,
+        out: &mut Vec<action::Action>,
+    ) {
+        if let (Some(steward), Some(vm)) = (self.stewards.get_mut(server), vm) {
+            steward.set_vm(vm);
+        }
+        if self.chosen.get(server) == chosen.as_ref() {
+            return;
+        }
+        out.push(action::Action::Log(action::Entry::StewardChanged {
+            server: server.clone(),
+            steward: chosen.clone(),
+        }));
+        if let Some(steward) = self.stewards.remove(server) {
+            let (credits, refused) = steward.retire(now);
+            refusals.extend(refused);
+            let retired = Retired { at: now, credits };
+            self.retired.insert(server.clone(), retired);
+        }
+        let is_own = chosen.as_ref() == Some(&self.own);
+        if let (true, Some(vm)) = (is_own, vm) {
+            let steward = steward::Steward::new(vm.clone(), now);
+            self.stewards.insert(server.clone(), steward);
+        }
+        match chosen {
+            Some(chosen) => self.chosen.insert(server.clone(), chosen),
+            None => self.chosen.remove(server),
+        };
+    }
+
+    /// Returns the steward of each server.
+    pub const fn chosen(&self) -> &collections::BTreeMap<ids::BackendServerId, ids::VmId> {
+        &self.chosen
+    }
+
+    /// Returns the steward of a server.
+    pub fn of(&self, server: &str) -> Option<&ids::VmId> {
+        self.chosen.get(server)
+    }
+
+    /// Returns this entry's stewardship of a server.
+    pub fn own_mut(&mut self, server: &str) -> Option<&mut steward::Steward> {
+        self.stewards.get_mut(server)
+    }
+
+    /// Returns the servers of which this entry is steward.
+    pub fn own_servers(&self) -> Vec<ids::BackendServerId> {
+        self.stewards.keys().cloned().collect()
+    }
+
+    /// Lets all stewardships collect anew.
+    pub fn restart(&mut self, now: ids::Timestamp) {
+        for steward in self.stewards.values_mut() {
+            steward.restart(now);
+        }
+    }
+
+    /// Returns credits that this entry granted as an earlier steward of a server.
+    pub fn retired_on(&self, server: &str) -> &[message::HeldCredit] {
+        self.retired
+            .get(server)
+            .map_or(&[], |retired| &retired.credits)
+    }
+
+    /// Forgets what ended long ago.
+    pub fn expire(&mut self, now: ids::Timestamp) {
+        self.retired
+            .retain(|_, retired| now < retired.at + REMEMBER_FOR);
+    }
+
+    /// Returns the version and body of each load that is to be stated now.
+    pub fn restate(
+        &mut self,
+        now: ids::Timestamp,
+    ) -> Vec<(u64, ids::Timestamp, message::FactBody)> {
+        let mut due = Vec::new();
+        for (server, steward) in &self.stewards {
+            let body = steward.fact();
+            let earlier = self.statements.get(server);
+            let is_due = earlier.is_none_or(|s| s.body != body || now >= s.at + RESTATE_AFTER);
+            if !is_due {
+                continue;
+            }
+            let version = earlier.map_or(1, |s| s.version + 1);
+            due.push((version, steward.measured_at(), body.clone()));
+            let statement = Statement {
+                version,
+                at: now,
+                body,
+            };
+            self.statements.insert(server.clone(), statement);
+        }
+        due
+    }
+}
+
+/// Returns those that may be stewards: the alive that do not leave, or all if all leave.
+fn candidates(members: &members::Members) -> Vec<&ids::VmId> {
+    let staying: Vec<_> = members
+        .alive()
+        .filter(|(_, member)| !member.leaving)
+        .map(|(vm, _)| vm)
+        .collect();
+    if staying.is_empty() {
+        return members.alive().map(|(vm, _)| vm).collect();
+    }
+    staying
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -0,0 +1,88 @@
+//! What the decisions of a node rest upon: members, configuration, its freshness, the majority.
+
+use std::{collections, time};
+
+use crate::{
+    ids, mutation,
+    process::{credits, members, node, quorum, steward},
+    version::{configuration, freshness},
+};
+
+/// What the decisions of a node rest upon.
+#[derive(Debug)]
+pub struct World {
+    /// Members.
+    pub members: members::Members,
+    /// Configuration in force.
+    pub configuration: configuration::Configuration,
+    /// Its freshness.
+    pub freshness: freshness::Freshness,
+    /// Reach of a majority.
+    pub quorum: quorum::Quorum,
+    own: ids::VmId,
+    data_centres_out: collections::BTreeSet<ids::DataCentreId>,
+    restless_at: ids::Timestamp,
+    has_majority: bool,
+}
+
+impl World {
+    /// Makes the world of a process that just started.
+    pub fn new(identity: &node::Identity, now: ids::Timestamp) -> Self {
+        Self {
+            members: members::Members::new(identity, now),
+            configuration: configuration::Configuration::default(),
+            freshness: freshness::Freshness::new(now),
+            quorum: quorum::Quorum::default(),
+            own: identity.vm.clone(),
+            data_centres_out: collections::BTreeSet::new(),
+            restless_at: now,
+            has_majority: false,
+        }
+    }
+
+    /// Returns what stewards decide upon.
+    pub fn rules(&self, now: ids::Timestamp) -> steward::Rules<'_> {
+        steward::Rules {
+            now,
+            members: &self.members,
+            text: self.configuration.text(),
+            data_centres_out: &self.data_centres_out,
+            may_place: now < self.may_place_until(),
+            has_majority: self.has_majority,
+            is_quiet: now >= self.restless_at + credits::USE_WITHIN,
+        }
+    }
+
+    /// Returns the time until which new work may be placed.
+    pub fn may_place_until(&self) -> ids::Timestamp {
+        if self.members.is_superseded() && !mutation::on("superseded_places") {
+            return time::Duration::ZERO;
+        }
+        self.freshness.may_place_until()
+    }
+
+    /// Returns the data centres that get no new work.
+    pub const fn data_centres_out(&self) -> &collections::BTreeSet<ids::DataCentreId> {
+        &self.data_centres_out
+    }
+
+    /// Takes over the data centres that the configuration and its intents take out.
+    pub fn refresh_data_centres_out(&mut self) {
+        self.data_centres_out = self.configuration.data_centres_out();
+    }
+
+    /// Notes that a run of an entry ended, or that this one did not run for a while: credits that
+    /// nobody states may still be used.
+    pub const fn disturb(&mut self, now: ids::Timestamp) {
+        self.restless_at = now;
+    }
+
+    /// Counts the votes for the configuration and the reach of a majority; returns whether a
+    /// majority is reached again.
+    pub fn count(&mut self, now: ids::Timestamp) -> bool {
+        self.freshness.count_votes(&self.members, &self.own, now);
+        let had_majority = self.has_majority;
+        self.has_majority = self.quorum.holds(&self.members, &self.own, now);
+        self.has_majority && !had_majority
+    }
+}
--- a/crates/mustardshed-core/src/request.rs
+++ b/crates/mustardshed-core/src/request.rs
@@ -5,5 +5,6 @@
 pub mod fate;
 pub mod gang;
 pub mod lane;
+pub mod owner;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/mustardshed-core/src/request/owner.rs
@@ -0,0 +1,32 @@
+//! The process that a request's identifier names.
+
+use crate::ids;
+
+/// VM and run of the process that admitted a request.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Owner {
+    /// VM.
+    pub vm: ids::VmId,
+    /// Run of the process.
+    pub incarnation: ids::Incarnation,
+}
+
+/// Returns the owner that `VM.INCARNATION.SEQUENCE[.CLAIM]` names; nothing for other identifiers.
+///
+/// ```
+/// use mustardshed_core::request::owner;
+///
+/// let owner = owner::of("e1.7.42").unwrap();
+/// assert_eq!((owner.vm.as_str(), owner.incarnation), ("e1", 7));
+/// assert_eq!(owner::of("e1"), None);
+/// ```
+pub fn of(request: &str) -> Option<Owner> {
+    let mut parts = request.split('.');
+    let vm = parts.next().filter(|vm| !vm.is_empty())?;
+    let incarnation = parts.next()?.parse().ok()?;
+    parts.next()?.parse::<u64>().ok()?;
+    Some(Owner {
+        vm: vm.to_owned(),
+        incarnation,
+    })
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/node.rs
@@ -0,0 +1,246 @@
+//! One node alone: from nothing to a credit.
+
+use std::{collections, time};
+
+use googletest::prelude::*;
+use mustardshed_core::{
+    border::{backend_server, control, platform},
+    error, ids,
+    process::{action, event, node},
+    version::record,
+};
+
+const TEXT: &str = r#"
+[[data_centre]]
+name = "a"
+region = "r"
+
+[[engine_kind]]
+name = "k"
+memory_tokens = 1000
+max_running = 8
+cold_limit = 2
+warm_after = 3
+prefill_tokens_per_second = 1000
+fencing = "checked"
+
+[[model]]
+name = "m"
+engine_kind = "k"
+version = "1"
+context_tokens = 1000
+
+[[service]]
+name = "s"
+model = "m"
+
+[[client_account]]
+name = "c"
+key_sha256 = []
+"#;
+
+fn at_ms(ms: u64) -> ids::Timestamp {
+    time::Duration::from_millis(ms)
+}
+
+fn identity() -> node::Identity {
+    node::Identity {
+        vm: "e1".into(),
+        incarnation: 1,
+        data_centre: "a".into(),
+        address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+    }
+}
+
+/// Returns a list of this entry, the others named and one server.
+fn vms(others: &[&str]) -> Vec<platform::Vm> {
+    let entry = platform::Vm {
+        id: "e1".into(),
+        role: platform::VmRole::Entry,
+        address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+        data_centre: "a".into(),
+        state: platform::VmState::Live,
+    };
+    let server = platform::Vm {
+        id: "s1".into(),
+        role: platform::VmRole::BackendServer { kind: "k".into() },
+        address: "127.0.0.1:9".into(),
+        peer_address: String::new(),
+        ..entry.clone()
+    };
+    let others = others.iter().map(|id| platform::Vm {
+        id: (*id).into(),
+        ..entry.clone()
+    });
+    others.chain([entry.clone(), server]).collect()
+}
+
+fn record(generation: u64, out: &[&str]) -> record::Record {
+    record::Record {
+        generation,
+        text: TEXT.into(),
+        data_centres_out: out.iter().map(|name| (*name).to_owned()).collect(),
+        nonce: format!("n{generation}"),
+        author: "op".into(),
+    }
+}
+
+fn report(warmth: backend_server::Warmth) -> backend_server::LoadReport {
+    backend_server::LoadReport {
+        epoch: 1,
+        warmth,
+        leaving: false,
+        age: time::Duration::ZERO,
+        memory_tokens: 1000,
+        used_tokens: 0,
+        queued_prefill_tokens: 0,
+        running: 0,
+        models: collections::BTreeMap::new(),
+        held: Vec::new(),
+    }
+}
+
+fn request(number: u32, tokens: u64, now: ids::Timestamp) -> control::CreditRequest {
+    control::CreditRequest {
+        request: format!("e1.1.{number}"),
+        account: "c".into(),
+        server: "s1".into(),
+        tokens,
+        prefill_tokens: tokens,
+        priority: 0,
+        wait_until: now + at_ms(500),
+        gang: false,
+    }
+}
+
+/// Returns a node with a confirmed configuration and a report of its one server, at 3 s.
+fn ready_node(warmth: backend_server::Warmth) -> (node::Node, ids::Timestamp) {
+    ready_node_among(warmth, &[])
+}
+
+/// Returns the same among entries that are listed and do not run.
+fn ready_node_among(
+    warmth: backend_server::Warmth,
+    others: &[&str],
+) -> (node::Node, ids::Timestamp) {
+    let mut node = node::Node::new(identity(), 1, at_ms(0));
+    let mut now = at_ms(0);
+    while now < at_ms(3000) {
+        now += node::TICK;
+        let read = event::Event::ConfigurationRead {
+            begun_at: now,
+            result: Ok(Some((1, record(1, &[])))),
+        };
+        node.handle(read, now);
+        let result = Ok(vms(others));
+        node.handle(event::Event::VmsRead { result }, now);
+        let actions = node.handle(event::Event::Tick, now);
+        let is_read = actions
+            .iter()
+            .any(|action| matches!(action, action::Action::ReadLoad { .. }));
+        if is_read {
+            let read = event::Event::LoadRead {
+                server: "s1".into(),
+                begun_at: now,
+                result: Ok(report(warmth)),
+            };
+            node.handle(read, now);
+        }
+    }
+    (node, now)
+}
+
+fn acquire(
+    node: &mut node::Node,
+    req: control::CreditRequest,
+    now: ids::Timestamp,
+) -> Option<std::result::Result<control::Credit, error::Error>> {
+    let event = event::Event::Acquire { ticket: 1, req };
+    node.handle(event, now)
+        .into_iter()
+        .find_map(|action| match action {
+            action::Action::Acquired { result, .. } => Some(result),
+            _ => None,
+        })
+}
+
+#[gtest]
+fn warm_server_is_filled_up_to_its_memory() {
+    let (mut node, now) = ready_node(backend_server::Warmth::Warm);
+
+    let first = acquire(&mut node, request(1, 600, now), now);
+    let second = acquire(&mut node, request(2, 600, now), now);
+
+    expect_that!(first, some(ok(anything())));
+    expect_that!(second, none());
+}
+
+#[gtest]
+fn cold_server_gets_its_cold_limit() {
+    let (mut node, now) = ready_node(backend_server::Warmth::Cold);
+
+    let granted = (0..5).filter(|number| {
+        let req = request(*number, 1, now);
+        matches!(acquire(&mut node, req, now), Some(Ok(_)))
+    });
+
+    expect_that!(granted.count(), eq(2));
+}
+
+#[gtest]
+fn data_centre_taken_out_is_refused_at_once() {
+    let (mut node, now) = ready_node(backend_server::Warmth::Warm);
+    let commit = event::Event::Commit {
+        ticket: 2,
+        record: record(2, &["a"]),
+    };
+
+    node.handle(commit, now);
+    let answer = acquire(&mut node, request(1, 1, now), now);
+
+    let refusal = answer.unwrap().unwrap_err();
+    expect_that!(refusal.kind, eq(error::ErrorKind::NoBackendServer));
+    expect_that!(node.snapshot(now).data_centres_out, contains(eq("a")));
+}
+
+#[gtest]
+fn stale_configuration_stops_new_work() {
+    let (mut node, now) = ready_node_among(backend_server::Warmth::Warm, &["e2"]);
+    let later = now + at_ms(2100);
+
+    let answer = acquire(&mut node, request(1, 1, later), later);
+
+    let refusal = answer.unwrap().unwrap_err();
+    expect_that!(refusal.kind, eq(error::ErrorKind::ConfigurationStale));
+    expect_that!(node.snapshot(later).may_place_until, lt(later));
+}
+
+#[gtest]
+fn lone_entry_goes_on_in_an_outage_as_its_own_majority() {
+    let (mut node, now) = ready_node(backend_server::Warmth::Warm);
+    let later = now + at_ms(10_000);
+
+    node.handle(event::Event::Tick, later);
+
+    expect_that!(node.snapshot(later).may_place_until, gt(later));
+}
+
+#[gtest]
+fn text_that_is_not_understood_leaves_the_one_before() {
+    let (mut node, now) = ready_node(backend_server::Warmth::Warm);
+    let mut unreadable = record(2, &["a"]);
+    unreadable.text = "not a text".into();
+
+    let event = event::Event::Commit {
+        ticket: 2,
+        record: unreadable,
+    };
+    node.handle(event, now);
+
+    let snapshot = node.snapshot(now);
+    expect_that!(snapshot.generation, eq(2));
+    expect_that!(snapshot.text.engine_kinds.contains_key("k"), is_true());
+    expect_that!(snapshot.data_centres_out, contains(eq("a")));
+}
--- a/crates/mustardshed-wire/src/peer/heartbeat.rs
+++ b/crates/mustardshed-wire/src/peer/heartbeat.rs
@@ -24,6 +24,7 @@
     echo_nanos: u64,
     confirmation_age_nanos: Option<u64>,
     platform_answers: bool,
+    vouches: bool,
     generation: u64,
     intents: Vec<configuration::Record>,
 }
@@ -56,6 +57,7 @@
             echo_nanos: field::to_nanos(ack.echo),
             confirmation_age_nanos: ack.confirmation_age.map(field::to_nanos),
             platform_answers: ack.platform_answers,
+            vouches: ack.vouches,
             generation: ack.generation,
             intents: ack.intents.into_iter().map(Into::into).collect(),
         }
@@ -73,6 +75,7 @@
             echo: time::Duration::from_nanos(ack.echo_nanos),
             confirmation_age: ack.confirmation_age_nanos.map(time::Duration::from_nanos),
             platform_answers: ack.platform_answers,
+            vouches: ack.vouches,
             generation: ack.generation,
             intents: ack
                 .intents
--- a/crates/mustardshed-wire/src/peer/wire_message.rs
+++ b/crates/mustardshed-wire/src/peer/wire_message.rs
@@ -28,6 +28,9 @@
     },
     Acquired {
         ticket: u64,
+        request: String,
+        server: String,
+        waited_nanos: u64,
         result: Result<u64, credit::Refusal>,
     },
     Release {
@@ -35,6 +38,9 @@
         server: String,
         feedback: credit::Feedback,
     },
+    WantHeldCredits {
+        server: String,
+    },
     HeldCredits {
         server: String,
         credits: Vec<credit::HeldCredit>,
@@ -72,8 +78,17 @@
                 req: req.into(),
                 patience_nanos: field::to_nanos(patience),
             },
-            Core::Acquired { ticket, result } => Self::Acquired {
+            Core::Acquired {
                 ticket,
+                request,
+                server,
+                waited,
+                result,
+            } => Self::Acquired {
+                ticket,
+                request,
+                server,
+                waited_nanos: field::to_nanos(waited),
                 result: result.map_err(credit::Refusal::from),
             },
             Core::Release {
@@ -85,6 +100,7 @@
                 server,
                 feedback: feedback.into(),
             },
+            Core::WantHeldCredits { server } => Self::WantHeldCredits { server },
             Core::HeldCredits { server, credits } => Self::HeldCredits {
                 server,
                 credits: credits.into_iter().map(Into::into).collect(),
@@ -118,8 +134,17 @@
                 req: req.try_into()?,
                 patience: time::Duration::from_nanos(patience_nanos),
             },
-            Message::Acquired { ticket, result } => Self::Acquired {
+            Message::Acquired {
+                ticket,
+                request,
+                server,
+                waited_nanos,
+                result,
+            } => Self::Acquired {
                 ticket,
+                request: field::name("request", request)?,
+                server: field::name("server", server)?,
+                waited: time::Duration::from_nanos(waited_nanos),
                 result: acquired(result)?,
             },
             Message::Release {
@@ -131,6 +156,9 @@
                 server: field::name("server", server)?,
                 feedback: feedback.try_into()?,
             },
+            Message::WantHeldCredits { server } => Self::WantHeldCredits {
+                server: field::name("server", server)?,
+            },
             Message::HeldCredits { server, credits } => Self::HeldCredits {
                 server: field::name("server", server)?,
                 credits: field::list("credits", credits, MAX_HELD_CREDITS)?,
--- a/crates/mustardshed-wire/tests/peer.rs
+++ b/crates/mustardshed-wire/tests/peer.rs
@@ -205,21 +205,20 @@
         (
             duration(),
             proptest::option::of(duration()),
-            any::<bool>(),
+            any::<[bool; 2]>(),
             any::<u64>(),
             proptest::collection::vec(record(), 0..2)
         )
-            .prop_map(
-                |(echo, confirmation_age, platform_answers, generation, intents)| {
-                    Message::HeartbeatAck(message::HeartbeatAck {
-                        echo,
-                        confirmation_age,
-                        platform_answers,
-                        generation,
-                        intents,
-                    })
-                }
-            ),
+            .prop_map(|(echo, confirmation_age, flags, generation, intents)| {
+                Message::HeartbeatAck(message::HeartbeatAck {
+                    echo,
+                    confirmation_age,
+                    platform_answers: flags[0],
+                    vouches: flags[1],
+                    generation,
+                    intents,
+                })
+            }),
         any::<u64>().prop_map(|newer_than| Message::WantConfiguration { newer_than }),
         record().prop_map(Message::Configuration),
         record().prop_map(Message::Intent),
@@ -232,9 +231,21 @@
         }),
         (
             any::<u64>(),
+            name(),
+            name(),
+            duration(),
             proptest::result::maybe_ok(any::<u64>(), refusal())
         )
-            .prop_map(|(ticket, result)| Message::Acquired { ticket, result }),
+            .prop_map(
+                |(ticket, request, server, waited, result)| Message::Acquired {
+                    ticket,
+                    request,
+                    server,
+                    waited,
+                    result,
+                }
+            ),
+        name().prop_map(|server| Message::WantHeldCredits { server }),
         (name(), name(), feedback()).prop_map(|(request, server, feedback)| Message::Release {
             request,
             server,
