Add the platform's stand-in and the client of its object API

Everything that must last is kept by the platform, so both ends of its HTTP contract come first. The stand-in has versions from one counter, conditional updates, long-poll watches, call counts and its faults; the client tells calls that cannot have taken effect from those that may have. A panic to drop a connection was ruled out: the listener closes it through hyper's service error.

--- /dev/null
+++ b/crates/mustardshed-platform/src/call_counter.rs
@@ -0,0 +1,39 @@
+//! Counter of calls by purpose.
+
+use std::sync::atomic;
+
+use mustardshed_core::border::platform;
+
+use crate::call_counts;
+
+/// Counts the calls of one client.
+#[derive(Debug, Default)]
+pub struct CallCounter {
+    configuration: atomic::AtomicU64,
+    claim: atomic::AtomicU64,
+    lease: atomic::AtomicU64,
+    members: atomic::AtomicU64,
+}
+
+impl CallCounter {
+    /// Counts a call made for `purpose`.
+    pub fn count(&self, purpose: platform::Purpose) {
+        let counter = match purpose {
+            platform::Purpose::Configuration => &self.configuration,
+            platform::Purpose::Claim => &self.claim,
+            platform::Purpose::Lease => &self.lease,
+            platform::Purpose::Members => &self.members,
+        };
+        counter.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the numbers so far.
+    pub fn counts(&self) -> call_counts::CallCounts {
+        call_counts::CallCounts {
+            configuration: self.configuration.load(atomic::Ordering::Relaxed),
+            claim: self.claim.load(atomic::Ordering::Relaxed),
+            lease: self.lease.load(atomic::Ordering::Relaxed),
+            members: self.members.load(atomic::Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-platform/src/call_counts.rs
@@ -0,0 +1,21 @@
+//! Numbers of calls by purpose.
+
+/// Calls that a client made; a call that failed and a watch that waits count once each.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CallCounts {
+    /// Calls about the configuration.
+    pub configuration: u64,
+    /// Calls about claims of non-idempotent calls.
+    pub claim: u64,
+    /// Calls about leases of singleton roles.
+    pub lease: u64,
+    /// Calls about the list of VMs.
+    pub members: u64,
+}
+
+impl CallCounts {
+    /// Returns the number of calls of all purposes.
+    pub const fn total(&self) -> u64 {
+        self.configuration + self.claim + self.lease + self.members
+    }
+}
--- a/crates/mustardshed-platform/src/lib.rs
+++ b/crates/mustardshed-platform/src/lib.rs
@@ -1,1 +1,20 @@
-//! Laid out in ARCHITECTURE.
+//! Client of the platform's object API.
+//!
+//! ```no_run
+//! use std::time;
+//!
+//! use mustardshed_platform::client;
+//!
+//! # fn run() -> Result<(), client::OpenError> {
+//! let timeout = time::Duration::from_secs(1);
+//! let platform = client::Client::open("http://127.0.0.1:8400", "entry-1", timeout)?;
+//! assert_eq!(platform.calls().total(), 0);
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod call_counter;
+pub mod call_counts;
+pub mod client;
+mod transport;
+mod wire;
--- /dev/null
+++ b/crates/mustardshed-platform/src/transport.rs
@@ -0,0 +1,104 @@
+//! HTTP calls on the platform and the errors that they end in.
+
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper_util::{client::legacy, rt};
+use mustardshed_core::border::platform;
+
+/// Idle connections that are kept to the platform.
+const MAX_IDLE_CONNECTIONS: usize = 16;
+/// Time for which an idle connection is kept.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Largest answer that is read, in bytes; a list has its values in hexadecimal.
+const MAX_ANSWER_BYTES: usize = 64 * 1_024 * 1_024;
+
+type Body = http_body_util::Full<Bytes>;
+type HttpClient = legacy::Client<legacy::connect::HttpConnector, Body>;
+
+/// An answer of the platform.
+pub(crate) struct Answer {
+    /// Status.
+    pub(crate) status: http::StatusCode,
+    /// Headers.
+    pub(crate) headers: http::HeaderMap,
+    /// Whole body.
+    pub(crate) body: Bytes,
+}
+
+/// Connections to the platform.
+#[derive(Clone, Debug)]
+pub(crate) struct Transport {
+    http: HttpClient,
+}
+
+impl Transport {
+    /// Makes a transport whose connections must stand within `connect_timeout`.
+    pub(crate) fn new(connect_timeout: time::Duration) -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_nodelay(true);
+        let http = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_timer(rt::TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .build(connector);
+        Self { http }
+    }
+
+    /// Makes a call and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`platform::PlatformError::Refused`] if nothing was sent, and
+    /// [`platform::PlatformError::Unanswered`] if the call may have taken effect.
+    pub(crate) async fn call(
+        &self,
+        req: http::Request<Body>,
+        timeout: time::Duration,
+    ) -> Result<Answer, platform::PlatformError> {
+        match tokio::time::timeout(timeout, self.exchange(req)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(unanswered(format!("no answer within {timeout:?}"))),
+        }
+    }
+
+    async fn exchange(&self, req: http::Request<Body>) -> Result<Answer, platform::PlatformError> {
+        let res = self.http.request(req).await.map_err(send_error)?;
+        let (parts, body) = res.into_parts();
+        let body = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(unanswered)?;
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+/// Makes the error of a call that did not take effect.
+pub(crate) fn refused(reason: impl ToString) -> platform::PlatformError {
+    platform::PlatformError::Refused(reason.to_string())
+}
+
+/// Makes the error of a call that may have taken effect.
+pub(crate) fn unanswered(reason: impl ToString) -> platform::PlatformError {
+    platform::PlatformError::Unanswered(reason.to_string())
+}
+
+/// Tells a call that found no connection from one that was sent.
+fn send_error(e: legacy::Error) -> platform::PlatformError {
+    if e.is_connect() {
+        refused(describe(&e))
+    } else {
+        unanswered(describe(&e))
+    }
+}
+
+fn describe(e: &dyn std::error::Error) -> String {
+    match e.source() {
+        Some(source) => format!("{e}: {}", describe(source)),
+        None => e.to_string(),
+    }
+}
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -1,1 +1,8 @@
-//! Laid out in ARCHITECTURE.
+//! Stand-ins for the platform, model engines and plain services.
+//!
+//! Each program is a cargo example and one process; `docs/STANDINS.md` describes
+//! what it answers and which faults can be switched on while it runs.
+
+pub mod http;
+pub mod platform;
+pub mod unix_time;
--- /dev/null
+++ b/crates/mustardshed-standins/src/platform/state.rs
@@ -0,0 +1,215 @@
+//! What the platform holds, shared by its connections.
+
+use std::{sync, time};
+
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use crate::platform::{call, calls, faults, faults_change, object, store, vm, vm_list, write_log};
+
+/// State of a running platform.
+#[derive(Debug)]
+pub struct State {
+    started_at: tokio::time::Instant,
+    inner: sync::Mutex<Inner>,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    store: store::Store,
+    vms: vm_list::VmList,
+    faults: faults::Faults,
+    calls: calls::Calls,
+    writes: write_log::WriteLog,
+}
+
+/// A write that took effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Written {
+    /// Version that it gave the object.
+    pub version: u64,
+    /// Whether its answer is lost.
+    pub answer_lost: bool,
+}
+
+/// What a read shows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Shown {
+    /// Name of the object.
+    pub name: String,
+    /// Version of the object.
+    pub version: u64,
+    /// Value of the object.
+    pub value: Bytes,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            started_at: tokio::time::Instant::now(),
+            inner: sync::Mutex::default(),
+            changes: watch::Sender::new(0),
+        }
+    }
+}
+
+impl State {
+    /// Counts a call, and returns the time that it waits before and after it takes effect; `None` if it is refused.
+    pub fn begin(&self, call: &call::Call) -> Option<time::Duration> {
+        let mut inner = self.lock();
+        inner.calls.count(call);
+        let refused = inner.faults.refuses(&call.caller);
+        (!refused).then(|| inner.faults.half_delay())
+    }
+
+    /// Returns whether calls of `caller` are refused.
+    pub fn refuses(&self, caller: &str) -> bool {
+        self.lock().faults.refuses(caller)
+    }
+
+    /// Reads an object, a deletion included, as old as reads are to be.
+    pub fn get(&self, kind: &str, name: &str) -> Option<object::State> {
+        let inner = self.lock();
+        let shown_at = self.now().saturating_sub(inner.faults.staleness());
+        inner.store.get(kind, name, shown_at).cloned()
+    }
+
+    /// Lists the objects of a kind, as old as reads are to be.
+    pub fn list(&self, kind: &str, prefix: &str) -> Vec<Shown> {
+        let inner = self.lock();
+        let shown_at = self.now().saturating_sub(inner.faults.staleness());
+        let objects = inner.store.list(kind, prefix, shown_at);
+        objects
+            .map(|(name, version, value)| Shown {
+                name: name.to_owned(),
+                version,
+                value: value.clone(),
+            })
+            .collect()
+    }
+
+    /// Writes an object if it is at `expected`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the write did not take effect.
+    pub fn put(
+        &self,
+        caller: &str,
+        kind: &str,
+        name: &str,
+        expected: u64,
+        value: Bytes,
+    ) -> Result<Written, store::WriteError> {
+        let mut inner = self.lock();
+        let version = inner.store.put(kind, name, expected, value, self.now())?;
+        Ok(self.record(&mut inner, caller, kind, name, version))
+    }
+
+    /// Deletes an object if it is at `expected`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the deletion did not take effect.
+    pub fn delete(
+        &self,
+        caller: &str,
+        kind: &str,
+        name: &str,
+        expected: u64,
+    ) -> Result<Written, store::WriteError> {
+        let mut inner = self.lock();
+        let version = inner.store.delete(kind, name, expected, self.now())?;
+        Ok(self.record(&mut inner, caller, kind, name, version))
+    }
+
+    /// Returns a receiver that is told of every write and of every change of the faults.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Returns the list of VMs, as old as it is to be.
+    pub fn vms(&self) -> Vec<vm::Vm> {
+        let inner = self.lock();
+        let shown_at = self.now().saturating_sub(inner.faults.list_lag());
+        inner.vms.at(shown_at).cloned().collect()
+    }
+
+    /// Adds or replaces a listed VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a reason if the list is full.
+    pub fn insert_vm(&self, item: vm::Vm) -> Result<(), String> {
+        self.lock().vms.insert(item, self.now())
+    }
+
+    /// Removes a listed VM, and returns whether it was listed.
+    pub fn remove_vm(&self, id: &str) -> bool {
+        self.lock().vms.remove(id, self.now())
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> faults::Faults {
+        self.lock().faults.clone()
+    }
+
+    /// Changes the faults in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns a reason if a value is beyond its limit.
+    pub fn change_faults(&self, change: faults_change::FaultsChange) -> Result<(), String> {
+        self.lock().faults.apply(change)?;
+        self.tell();
+        Ok(())
+    }
+
+    /// Returns the counts of calls.
+    pub fn calls(&self) -> calls::Calls {
+        self.lock().calls.clone()
+    }
+
+    /// Returns the kept writes that took effect.
+    pub fn writes(&self) -> Vec<write_log::WriteRecord> {
+        self.lock().writes.records().iter().cloned().collect()
+    }
+
+    fn record(
+        &self,
+        inner: &mut Inner,
+        caller: &str,
+        kind: &str,
+        name: &str,
+        version: u64,
+    ) -> Written {
+        inner.writes.push(write_log::WriteRecord {
+            at_ms: crate::unix_time::now_ms(),
+            caller: caller.to_owned(),
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            version,
+        });
+        self.tell();
+        Written {
+            version,
+            answer_lost: inner.faults.loses_answer(kind),
+        }
+    }
+
+    fn tell(&self) {
+        self.changes.send_modify(|n| *n += 1);
+    }
+
+    fn now(&self) -> time::Duration {
+        self.started_at.elapsed()
+    }
+
+    /// Locks the state; a panic in another thread leaves it usable.
+    fn lock(&self) -> sync::MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/unix_time.rs
@@ -0,0 +1,11 @@
+//! Wall-clock time of the records, comparable between processes of one machine.
+
+use std::time;
+
+/// Returns the milliseconds since the Unix epoch.
+pub fn now_ms() -> u64 {
+    let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
