Start whole fleets of processes for tests and the experiment

Cause: process tests, the storm and the experiment all need platform, engines, services and entries as processes.

--- a/crates/mustardshed-standins/examples/hostile.rs
+++ b/crates/mustardshed-standins/examples/hostile.rs
@@ -8,13 +8,17 @@
 use rand_pcg::Pcg64Mcg;
 
 mod flags {
+    use std::net;
+
+    type Address = net::SocketAddr;
+
     xflags::xflags! {
         /// Sends malformed and hostile inputs to an entry's ports.
         cmd hostile {
             /// `IP:PORT` towards callers.
-            required --http addr: std::net::SocketAddr
+            required --http addr: Address
             /// `IP:PORT` towards peers.
-            optional --peer addr: std::net::SocketAddr
+            optional --peer addr: Address
             /// A client account's key.
             required --key key: String
             /// Inputs for each port, 200 by default.
--- /dev/null
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -0,0 +1,193 @@
+//! A whole fleet as processes on loopback: platform, engines, plain services, entries.
+//!
+//! Tests, the storm and the experiment start it; every process is ended when the fleet is dropped.
+
+use std::{fs, io, path, time};
+
+use displaydoc::Display;
+
+pub mod client;
+pub mod entry;
+pub mod files;
+pub mod process;
+pub mod spec;
+
+/// Name of the accounts' keys: the key of account `A` is `key-of-A`.
+pub fn key_of(account: &str) -> String {
+    format!("key-of-{account}")
+}
+
+/// Longest wait for a process to be ready.
+const READY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// Wait between looks at whether something is ready.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Why a fleet could not be started or driven.
+#[derive(Debug, Display)]
+pub enum FleetError {
+    /// {0}: {1}
+    File(path::PathBuf, io::Error),
+    /// cannot start {0}: {1}
+    Spawn(String, io::Error),
+    /// {0} did not say where it listens
+    NotListening(String),
+    /// {0} {1}: {2}
+    Call(String, String, String),
+    /// not ready in time: {0}
+    NotReady(String),
+}
+
+impl std::error::Error for FleetError {}
+
+/// Running processes of a fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Where programs are found and files are kept.
+    pub files: files::Files,
+    /// The platform's stand-in.
+    pub platform: process::Process,
+    /// Model engines.
+    pub engines: Vec<process::Process>,
+    /// Servers of plain services.
+    pub services: Vec<process::Process>,
+    /// Entries.
+    pub entries: Vec<entry::Entry>,
+    /// HTTP client for faults and records.
+    pub client: client::Client,
+}
+
+impl Fleet {
+    /// Starts all processes, registers their VMs and has the first configuration accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started or is not ready in time.
+    pub async fn start(spec: &spec::Spec) -> Result<Self, FleetError> {
+        let client = client::Client::open();
+        let files = files::Files::create(spec)?;
+        let platform = files.spawn_example("platform", "platform", &[])?;
+        let mut fleet = Self {
+            files,
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            entries: Vec::new(),
+            client,
+        };
+        for engine in &spec.engines {
+            let process = fleet
+                .files
+                .spawn_example("engine", &engine.name, &engine.args())?;
+            fleet.register(&engine.vm(&process.address)).await?;
+            fleet.engines.push(process);
+        }
+        for service in &spec.services {
+            let process = fleet
+                .files
+                .spawn_example("service", &service.name, &service.args())?;
+            fleet.register(&service.vm(&process.address)).await?;
+            fleet.services.push(process);
+        }
+        for i in 0..spec.entries {
+            fleet.add_entry(spec.entry_data_centre(i)).await?;
+        }
+        let text = fleet.files.text_file.clone();
+        fleet
+            .ctl(&["apply", &text.display().to_string(), "--wait"])
+            .await?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts one more entry and registers its VM; returns its index.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be started or the platform does not take its VM.
+    pub async fn add_entry(&mut self, data_centre: &str) -> Result<usize, FleetError> {
+        let vm = format!("entry-{}", self.entries.len());
+        let entry = entry::Entry::spawn(&self.files, &vm, data_centre, &self.platform.url())?;
+        self.register(&entry.vm()).await?;
+        self.entries.push(entry);
+        Ok(self.entries.len() - 1)
+    }
+
+    /// Puts a VM on the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform refuses it.
+    pub async fn register(&self, vm: &serde_json::Value) -> Result<(), FleetError> {
+        let id = vm["id"].as_str().unwrap_or_default();
+        let url = format!("{}/admin/vms/{id}", self.platform.url());
+        self.client.json("PUT", &url, Some(vm)).await?;
+        Ok(())
+    }
+
+    /// Switches faults of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in refuses them.
+    pub async fn set_faults(
+        &self,
+        stand_in: &process::Process,
+        faults: &serde_json::Value,
+    ) -> Result<(), FleetError> {
+        let url = format!("{}/admin/faults", stand_in.url());
+        self.client.json("PUT", &url, Some(faults)).await?;
+        Ok(())
+    }
+
+    /// Reads the records of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not answer.
+    pub async fn records(
+        &self,
+        stand_in: &process::Process,
+    ) -> Result<serde_json::Value, FleetError> {
+        let url = format!("{}/admin/records", stand_in.url());
+        self.client.json("GET", &url, None).await
+    }
+
+    /// Runs `mustardshedctl` with `args` and returns its standard output.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not exit with zero.
+    pub async fn ctl(&self, args: &[&str]) -> Result<String, FleetError> {
+        self.files.ctl(&self.platform.url(), args).await
+    }
+
+    /// Waits until every entry says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one is not ready in time.
+    pub async fn wait_ready(&self) -> Result<(), FleetError> {
+        let begun = time::Instant::now();
+        for entry in &self.entries {
+            while !self.is_ready(entry).await {
+                if begun.elapsed() > READY_TIMEOUT {
+                    return Err(FleetError::NotReady(entry.vm_id.clone()));
+                }
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, entry: &entry::Entry) -> bool {
+        let url = format!("{}/readyz", entry.url());
+        self.client.status("GET", &url).await == Some(200)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Processes end themselves when dropped; the folder is of no use afterwards.
+        let _ = fs::remove_dir_all(&self.files.folder);
+    }
+}
--- a/crates/mustardshed-standins/src/hostile/http.rs
+++ b/crates/mustardshed-standins/src/hostile/http.rs
@@ -20,7 +20,11 @@
         0 => garbage(rng),
         1 => truncated_head(rng),
         2 => post(key, "malformed JSON", b"{\"model\":".to_vec()),
-        3 => post(key, "wrong type of model", br#"{"model":7,"prompt":"x"}"#.to_vec()),
+        3 => post(
+            key,
+            "wrong type of model",
+            br#"{"model":7,"prompt":"x"}"#.to_vec(),
+        ),
         4 => post(key, "no prompt", br#"{"model":"m"}"#.to_vec()),
         5 => post(key, "body of random bytes", random(rng, 512)),
         6 => post(key, "invalid UTF-8", b"{\"model\":\"\xff\xfe\"}".to_vec()),
@@ -41,14 +45,24 @@
         13 => slow_head(),
         14 => slow_body(key),
         15 => bad_chunk(key),
-        16 => head(key, "method not allowed", "BREW /v1/completions HTTP/1.1", ""),
+        16 => head(
+            key,
+            "method not allowed",
+            "BREW /v1/completions HTTP/1.1",
+            "",
+        ),
         17 => head(
             key,
             "deadline that is no number",
             "POST /v1/completions HTTP/1.1",
             "X-Deadline-Ms: soon\r\n",
         ),
-        18 => head(key, "path with traversal", "GET /../../etc/passwd HTTP/1.1", ""),
+        18 => head(
+            key,
+            "path with traversal",
+            "GET /../../etc/passwd HTTP/1.1",
+            "",
+        ),
         _ => head("wrong-key", "wrong key", "GET /v1/models HTTP/1.1", ""),
     }
 }
--- a/crates/mustardshed-standins/src/hostile/peer.rs
+++ b/crates/mustardshed-standins/src/hostile/peer.rs
@@ -13,7 +13,10 @@
 fn input(rng: &mut Pcg64Mcg, i: usize) -> Input {
     match i % 6 {
         0 => plain("random bytes", random(rng, 2048)),
-        1 => plain("HTTP without upgrade", b"GET / HTTP/1.1\r\nHost: x\r\n\r\n".to_vec()),
+        1 => plain(
+            "HTTP without upgrade",
+            b"GET / HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(),
+        ),
         2 => plain("wrong hello", upgraded(&frame(0x82, &random(rng, 64)))),
         3 => plain("text frame for a hello", upgraded(&frame(0x81, b"hello"))),
         4 => plain("truncated frame", upgraded(&[0x82, 0xfe, 0xff])),
@@ -32,9 +35,10 @@
 
 /// Returns a WebSocket upgrade followed by `frames`.
 fn upgraded(frames: &[u8]) -> Vec<u8> {
-    let mut bytes = b"GET / HTTP/1.1\r\nHost: entry\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\
+    let mut bytes =
+        b"GET / HTTP/1.1\r\nHost: entry\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\
         Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
-        .to_vec();
+            .to_vec();
     bytes.extend(frames);
     bytes
 }
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -3,6 +3,8 @@
 //! Each program is a cargo example and one process; `docs/STANDINS.md` describes
 //! what it answers and which faults can be switched on while it runs.
 
+pub mod fleet;
+pub mod hostile;
 pub mod http;
 pub mod platform;
 pub mod unix_time;
--- /dev/null
+++ b/crates/mustardshedd/src/process/service.rs
@@ -0,0 +1,155 @@
+//! The daemon from its start to its planned stop.
+
+use std::{io, net, sync, time};
+
+use displaydoc::Display;
+use mustardshed::{
+    core::{
+        border::{backend_server, clock, control as border},
+        process::node,
+    },
+    platform::client,
+};
+use tokio::{runtime, signal::unix};
+
+use crate::{
+    connection::backend_server as engine,
+    http::{context, server},
+    log,
+    process::{clock as boot, control, operator, startup},
+};
+
+/// Longest wait for an answer of the platform.
+const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time for which a leaving entry still accepts: the life of an `/v1/entries` answer and the time
+/// until every entry knows that this one leaves.
+const ACCEPT_WHILE_LEAVING: time::Duration = time::Duration::from_secs(13);
+/// Wait between looks at whether to leave and whether all work is done.
+const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Why the daemon could not run.
+#[derive(Debug, Display)]
+pub enum ServiceError {
+    /// cannot listen on {0}: {1}
+    Listen(net::SocketAddr, io::Error),
+    /// cannot start a thread or a runtime: {0}
+    Runtime(io::Error),
+    /// cannot use the platform: {0}
+    Platform(client::OpenError),
+    /// cannot open the log: {0}
+    Log(String),
+}
+
+impl std::error::Error for ServiceError {}
+
+/// Runs the daemon until a planned stop has ended.
+///
+/// # Errors
+///
+/// Returns an error if it cannot start.
+pub fn run(start: startup::Start) -> Result<(), ServiceError> {
+    log::open(start.settings.log_level).map_err(|e| ServiceError::Log(e.to_string()))?;
+    let rt = runtime::Builder::new_multi_thread()
+        .worker_threads(start.settings.limits.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(ServiceError::Runtime)?;
+    rt.block_on(serve(start))
+}
+
+async fn serve(start: startup::Start) -> Result<(), ServiceError> {
+    let settings = &start.settings;
+    let identity = identity(settings);
+    let platform = client::Client::open(&settings.platform, &settings.vm, PLATFORM_TIMEOUT)
+        .map_err(ServiceError::Platform)?;
+    let platform = sync::Arc::new(platform);
+    let servers: sync::Arc<dyn backend_server::BackendServer> =
+        sync::Arc::new(engine::Client::open(engine::Timeouts::default()));
+    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(boot::BootClock);
+    let parts = control::Parts {
+        identity: identity.clone(),
+        seed: rand::random(),
+        clock: sync::Arc::clone(&clock),
+        platform: platform.clone(),
+        servers: sync::Arc::clone(&servers),
+        peer_key: sync::Arc::clone(&start.peer_key),
+        log: log::entry,
+    };
+    let peer_listener = listen(settings.peer_listen)?;
+    let handle = control::spawn(parts, peer_listener).map_err(ServiceError::Runtime)?;
+    let handle = sync::Arc::new(handle);
+    let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
+    let cx = context::Cx::new(
+        handle.clone() as sync::Arc<dyn border::Control>,
+        servers,
+        clock,
+        sync::Arc::new(operator),
+        settings,
+    );
+    let listener = listen(settings.listen)?;
+    let server = server::bind(listener, &settings.limits, sync::Arc::new(cx))
+        .map_err(|e| ServiceError::Listen(settings.listen, e))?;
+    log::started(&identity);
+    wait_for_leave(&handle).await?;
+    drain(&handle, &server).await;
+    log::stopped(&identity);
+    Ok(())
+}
+
+fn identity(settings: &mustardshed::config::settings::Settings) -> node::Identity {
+    node::Identity {
+        vm: settings.vm.clone(),
+        incarnation: incarnation(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.advertise.to_string(),
+        peer_address: settings.advertise_peer.to_string(),
+    }
+}
+
+/// Returns the start time in milliseconds; a later run of the VM has a greater one.
+fn incarnation() -> u64 {
+    let now = time::SystemTime::now();
+    let since = now.duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn listen(addr: net::SocketAddr) -> Result<net::TcpListener, ServiceError> {
+    let listener = net::TcpListener::bind(addr).map_err(|e| ServiceError::Listen(addr, e))?;
+    listener
+        .set_nonblocking(true)
+        .map_err(|e| ServiceError::Listen(addr, e))?;
+    Ok(listener)
+}
+
+/// Waits for SIGTERM, SIGINT, or the platform's word that this VM leaves.
+async fn wait_for_leave(handle: &control::Handle) -> Result<(), ServiceError> {
+    let mut terminate =
+        unix::signal(unix::SignalKind::terminate()).map_err(ServiceError::Runtime)?;
+    let mut interrupt =
+        unix::signal(unix::SignalKind::interrupt()).map_err(ServiceError::Runtime)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = leaving(handle) => {}
+    }
+    handle.leave();
+    Ok(())
+}
+
+async fn leaving(handle: &control::Handle) {
+    while !border::Control::snapshot(handle).leaving {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
+}
+
+/// Accepts until no caller names this entry any more, then finishes what it carries.
+async fn drain(handle: &control::Handle, server: &server::Server) {
+    tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
+    server.begin_drain();
+    while server.in_flight() > 0 {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
+    server.shutdown().await;
+    handle.flush().await;
+}
