--- a/crates/mustardshed-platform/src/client.rs
+++ b/crates/mustardshed-platform/src/client.rs
@@ -143,6 +143,7 @@
         let req = self
             .request(http::Method::PUT, purpose, &path)
             .header(http::header::IF_MATCH, expected)
+            .header(http::header::CONTENT_LENGTH, value.len())
             .body(Bytes::from(value).into())
             .map_err(refused)?;
         let answer = self.call(purpose, req, self.timeout).await?;
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -4,5 +4,6 @@
 //! what it answers and which faults can be switched on while it runs.
 
 pub mod http;
+pub mod json_client;
 pub mod platform;
 pub mod unix_time;
