Stand in for a model engine with continuous batching

The daemon and the measurements need engines that stream answers, and none may be downloaded. The scheduler is a plain struct under explicit time; HTTP and the wall clock stand around it. Prompts are reduced to their length and hashes when they arrive, so a prompt of a million tokens costs no memory.

Ruled out: warp for the stand-in, since it can't close a connection without an answer, which a dead engine must do.

Run by hand: a short prompt, and one of 390,000 tokens, stream whole and leave no memory held.

--- /dev/null
+++ b/crates/mustardshed-standins/src/engine/http.rs
@@ -0,0 +1,188 @@
+//! Calls of an engine over HTTP.
+
+use std::{io, sync};
+
+use bytes::Bytes;
+use futures_util::TryStreamExt;
+use http_body_util::BodyExt;
+use hyper::body;
+use serde::{Serialize, de};
+
+use crate::engine::{faults, job, refusal, scheduler, shared, stream, wire};
+
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+const REQUEST_ID: &str = "x-request-id";
+const EPOCH: &str = "x-epoch";
+
+type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
+type Response = http::Response<Body>;
+type Answer = Result<Response, refusal::Refusal>;
+
+/// One engine behind HTTP.
+#[derive(Clone, Debug)]
+pub(super) struct Service {
+    pub(super) shared: sync::Arc<shared::Shared>,
+}
+
+impl Service {
+    /// Answers a call.
+    ///
+    /// # Errors
+    ///
+    /// If the engine is dead, so that the connection is closed without an answer.
+    pub(super) async fn answer(self, req: http::Request<body::Incoming>) -> io::Result<Response> {
+        let admin = req.uri().path().starts_with("/admin/");
+        if !admin && self.shared.read(|e| e.faults().dead) {
+            return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
+        }
+        let answer = self.route(req).await;
+        let mut resp = answer.unwrap_or_else(refuse);
+        let epoch = self.shared.read(scheduler::Scheduler::epoch);
+        resp.headers_mut().insert(EPOCH, epoch.into());
+        Ok(resp)
+    }
+
+    async fn route(&self, req: http::Request<body::Incoming>) -> Answer {
+        let path = req.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (req.method().as_str(), parts.as_slice()) {
+            ("POST", ["v1", "completions"]) => self.complete(req).await,
+            ("GET", ["v1", "requests", id, "stream"]) => self.resume(id, req.uri().query()),
+            ("POST", ["v1", "requests", id, "cancel"]) => self.cancel(id),
+            ("GET", ["v1", "load"]) => self.load(),
+            ("PUT", ["v1", "reservations", id]) => self.reserve(id, req).await,
+            ("DELETE", ["v1", "reservations", id]) => self.release(id),
+            ("POST", ["v1", "orders"]) => self.order(req).await,
+            ("GET", ["admin", "faults"]) => self.faults(),
+            ("PUT", ["admin", "faults"]) => self.change_faults(req).await,
+            ("GET", ["admin", "records"]) => self.records(),
+            _ => Err(refusal::Refusal::NoSuchPath),
+        }
+    }
+
+    async fn complete(&self, req: http::Request<body::Incoming>) -> Answer {
+        let id = request_id(&req)?;
+        let call: wire::CompletionRequest = read_json(req).await?;
+        let offset = call.offset;
+        let admission = job::Admission {
+            id,
+            model: call.model,
+            prompt: call.prompt,
+            max_tokens: call.max_tokens,
+            offset,
+            priority: call.priority,
+            gang_size: call.gang.len().max(1) as u64,
+        };
+        let handle = self.shared.change(|e, now| e.admit(now, admission))?;
+        self.stream(handle, offset)
+    }
+
+    fn resume(&self, id: &str, query: Option<&str>) -> Answer {
+        let offset = offset_of(query)?;
+        let found = self.shared.change(|e, now| e.find(now, id));
+        let handle = found.ok_or(refusal::Refusal::NoSuchRequest)?;
+        self.stream(handle, offset)
+    }
+
+    fn stream(&self, handle: job::Handle, offset: u64) -> Answer {
+        let events = stream::events(sync::Arc::clone(&self.shared), handle, offset);
+        let frames = events.map_ok(body::Frame::data);
+        let body = http_body_util::StreamBody::new(frames);
+        respond("text/event-stream", Body::new(body))
+    }
+
+    fn cancel(&self, id: &str) -> Answer {
+        self.shared.change(|e, now| e.cancel(now, id));
+        json(&serde_json::json!({}))
+    }
+
+    fn load(&self) -> Answer {
+        let (load, age_ms) = self.shared.lagging_load();
+        json(&wire::LoadReport { age_ms, load })
+    }
+
+    async fn reserve(&self, id: &str, req: http::Request<body::Incoming>) -> Answer {
+        let call: wire::ReservationRequest = read_json(req).await?;
+        self.shared
+            .change(|e, now| e.reserve(now, id, call.tokens))?;
+        json(&serde_json::json!({}))
+    }
+
+    fn release(&self, id: &str) -> Answer {
+        self.shared.change(|e, now| e.release(now, id));
+        json(&serde_json::json!({}))
+    }
+
+    async fn order(&self, req: http::Request<body::Incoming>) -> Answer {
+        let call: scheduler::OrderRequest = read_json(req).await?;
+        self.shared.change(|e, now| e.order(now, call))?;
+        json(&serde_json::json!({}))
+    }
+
+    fn faults(&self) -> Answer {
+        json(&self.shared.read(|e| e.faults().clone()))
+    }
+
+    async fn change_faults(&self, req: http::Request<body::Incoming>) -> Answer {
+        let change: faults::FaultChange = read_json(req).await?;
+        self.shared.change(|e, now| e.change_faults(now, &change));
+        self.faults()
+    }
+
+    fn records(&self) -> Answer {
+        json(&self.shared.read(|e| wire::RecordsReport::from(e)))
+    }
+}
+
+fn request_id(req: &http::Request<body::Incoming>) -> Result<String, refusal::Refusal> {
+    let value = req.headers().get(REQUEST_ID);
+    let text = value.and_then(|v| v.to_str().ok()).map(str::to_owned);
+    text.ok_or(refusal::Refusal::BadRequest)
+}
+
+fn offset_of(query: Option<&str>) -> Result<u64, refusal::Refusal> {
+    let Some(text) = query.and_then(|q| q.strip_prefix("offset=")) else {
+        return Ok(0);
+    };
+    text.parse().map_err(|_| refusal::Refusal::BadRequest)
+}
+
+async fn read_json<T: de::DeserializeOwned>(
+    req: http::Request<body::Incoming>,
+) -> Result<T, refusal::Refusal> {
+    let limited = http_body_util::Limited::new(req.into_body(), MAX_BODY_BYTES);
+    let collected = limited.collect().await.map_err(|e| match e
+        .is::<http_body_util::LengthLimitError>()
+    {
+        true => refusal::Refusal::BodyTooLarge,
+        false => refusal::Refusal::BadRequest,
+    })?;
+    serde_json::from_slice(&collected.to_bytes()).map_err(|_| refusal::Refusal::BadRequest)
+}
+
+fn json<T: Serialize>(value: &T) -> Answer {
+    let bytes = serde_json::to_vec(value).map_err(|_| refusal::Refusal::BadRequest)?;
+    respond("application/json", full(bytes))
+}
+
+fn respond(content_type: &'static str, body: Body) -> Answer {
+    let mut resp = http::Response::new(body);
+    let value = http::HeaderValue::from_static(content_type);
+    resp.headers_mut().insert(http::header::CONTENT_TYPE, value);
+    Ok(resp)
+}
+
+fn refuse(refusal: refusal::Refusal) -> Response {
+    let report = wire::RefusalReport::from(refusal);
+    let bytes = serde_json::to_vec(&report).unwrap_or_default();
+    let mut resp = http::Response::new(full(bytes));
+    *resp.status_mut() = refusal.status();
+    resp
+}
+
+fn full(bytes: Vec<u8>) -> Body {
+    let body = http_body_util::Full::new(Bytes::from(bytes));
+    body.map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/engine/refusal.rs
@@ -0,0 +1,53 @@
+//! Refusals of an engine; nothing ran.
+
+use displaydoc::Display;
+use serde::Serialize;
+
+/// Why an engine refused a call.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// malformed request
+    BadRequest,
+    /// body too large
+    BodyTooLarge,
+    /// no such request
+    NoSuchRequest,
+    /// no such path
+    NoSuchPath,
+    /// no such model
+    NoSuchModel,
+    /// request id known already
+    KnownId,
+    /// no KV memory
+    NoMemory,
+    /// too many requests running
+    TooManyRunning,
+    /// no sufficient reservation
+    NoReservation,
+    /// older fencing number
+    OldFence,
+    /// leaving
+    Leaving,
+    /// fell over
+    FellOver,
+}
+
+impl Refusal {
+    /// Returns the HTTP status.
+    pub const fn status(self) -> http::StatusCode {
+        match self {
+            Self::BadRequest => http::StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoSuchRequest | Self::NoSuchPath | Self::NoSuchModel => {
+                http::StatusCode::NOT_FOUND
+            }
+            Self::KnownId => http::StatusCode::CONFLICT,
+            Self::NoMemory | Self::TooManyRunning | Self::NoReservation => {
+                http::StatusCode::TOO_MANY_REQUESTS
+            }
+            Self::OldFence => http::StatusCode::PRECONDITION_FAILED,
+            Self::Leaving | Self::FellOver => http::StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/engine/scheduler.rs
@@ -0,0 +1,485 @@
+//! Scheduler of an engine: batch steps, KV memory and warmth under explicit time.
+//!
+//! ```
+//! use std::time;
+//!
+//! use mustardshed_standins::engine::{job, prompt, scheduler, settings};
+//!
+//! let mut engine = scheduler::Scheduler::new(settings::Settings::default());
+//! let req = job::Admission {
+//!     id: String::from("vm1.1.1"),
+//!     model: String::from("draft"),
+//!     prompt: prompt::Prompt::of_bytes(b"a short draft"),
+//!     max_tokens: 2,
+//!     offset: 0,
+//!     priority: 0,
+//!     gang_size: 1,
+//! };
+//! let handle = engine.admit(time::Duration::ZERO, req).unwrap();
+//! engine.advance(time::Duration::from_secs(1));
+//! assert_eq!(handle.progress.borrow().produced, 2);
+//! ```
+
+use std::{collections, sync, sync::atomic, time};
+
+use crate::engine::{faults, job, memory, prefix_cache, progress, records, refusal, settings};
+
+mod orders;
+mod report;
+mod step;
+
+pub use orders::OrderRequest;
+pub use report::{HeldEntry, LoadSnapshot};
+
+/// How long an engine that fell over refuses everything.
+pub const DOWN: time::Duration = time::Duration::from_secs(5);
+/// How long the output of an ended request is kept.
+pub const KEPT: time::Duration = time::Duration::from_secs(30);
+
+/// Warmth of an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Warmth {
+    /// It runs at a quarter of its speed and bears its cold limit only.
+    Cold,
+    /// It runs at full speed.
+    Warm,
+}
+
+/// Scheduler of one engine.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: settings::Settings,
+    faults: faults::Faults,
+    memory: memory::Memory,
+    cache: prefix_cache::PrefixCache,
+    records: records::Records,
+    models: collections::BTreeMap<String, String>,
+    adapters: collections::BTreeSet<String>,
+    role: Option<String>,
+    epoch: u64,
+    warmth: Warmth,
+    finished_cold: u64,
+    down_until: Option<time::Duration>,
+    greatest_fence: u64,
+    next_number: u64,
+    jobs: collections::HashMap<u64, job::Job>,
+    numbers: collections::HashMap<String, u64>,
+    running: collections::BTreeSet<u64>,
+    prefill: collections::BTreeSet<(u32, u64)>,
+    decode: collections::BTreeSet<u64>,
+    ended: collections::VecDeque<(time::Duration, u64)>,
+    step: Option<step::Step>,
+}
+
+impl Scheduler {
+    /// Returns an engine that runs nothing.
+    pub fn new(settings: settings::Settings) -> Self {
+        let warmth = match settings.start_cold {
+            true => Warmth::Cold,
+            false => Warmth::Warm,
+        };
+        Self {
+            memory: memory::Memory::new(settings.memory_tokens),
+            models: settings.models.clone(),
+            adapters: collections::BTreeSet::new(),
+            role: None,
+            settings,
+            faults: faults::Faults::default(),
+            cache: prefix_cache::PrefixCache::default(),
+            records: records::Records::default(),
+            epoch: 1,
+            warmth,
+            finished_cold: 0,
+            down_until: None,
+            greatest_fence: 0,
+            next_number: 0,
+            jobs: collections::HashMap::new(),
+            numbers: collections::HashMap::new(),
+            running: collections::BTreeSet::new(),
+            prefill: collections::BTreeSet::new(),
+            decode: collections::BTreeSet::new(),
+            ended: collections::VecDeque::new(),
+            step: None,
+        }
+    }
+
+    /// Returns the number of the warm period.
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the warmth.
+    pub const fn warmth(&self) -> Warmth {
+        self.warmth
+    }
+
+    /// Returns the KV memory.
+    pub const fn memory(&self) -> &memory::Memory {
+        &self.memory
+    }
+
+    /// Returns the records.
+    pub const fn records(&self) -> &records::Records {
+        &self.records
+    }
+
+    /// Returns the adapters that are loaded.
+    pub const fn adapters(&self) -> &collections::BTreeSet<String> {
+        &self.adapters
+    }
+
+    /// Returns the role that an order gave.
+    pub fn role(&self) -> Option<&str> {
+        self.role.as_deref()
+    }
+
+    /// Returns the faults in force.
+    pub const fn faults(&self) -> &faults::Faults {
+        &self.faults
+    }
+
+    /// Returns the changes of the prefix cache since the last call.
+    pub fn take_cache_changes(&mut self) -> Vec<prefix_cache::CacheChange> {
+        self.cache.take_changes()
+    }
+
+    /// Starts a request.
+    ///
+    /// # Errors
+    ///
+    /// Why it is refused; then nothing of it ran. A request beyond the cold limit of a cold
+    /// engine makes it fall over and is refused itself.
+    pub fn admit(
+        &mut self,
+        now: time::Duration,
+        req: job::Admission,
+    ) -> Result<job::Handle, refusal::Refusal> {
+        self.advance(now);
+        let tokens = req.prompt.tokens + req.max_tokens;
+        let (record, sent) = self.record(now, &req.id, tokens);
+        let checked = self.check_admission(now, &req);
+        if let Err(refusal) = checked {
+            self.refuse(record, refusal);
+            return Err(refusal);
+        }
+        let cached = self.cache.lookup(&req.prompt.prefixes);
+        let job = job::Job::of_admission(req, cached, record, sent);
+        let handle = job.handle();
+        self.start(now, job);
+        Ok(handle)
+    }
+
+    /// Starts the prefill of a part of another engine's request.
+    ///
+    /// # Errors
+    ///
+    /// Why it is refused; then nothing of it ran.
+    pub fn join(
+        &mut self,
+        now: time::Duration,
+        req: job::Membership,
+    ) -> Result<job::Handle, refusal::Refusal> {
+        self.advance(now);
+        let (record, sent) = self.record(now, &req.id, req.prefill_tokens);
+        let checked = self.check_membership(now, &req);
+        if let Err(refusal) = checked {
+            self.refuse(record, refusal);
+            return Err(refusal);
+        }
+        let job = job::Job::of_membership(req, record, sent);
+        let handle = job.handle();
+        self.start(now, job);
+        Ok(handle)
+    }
+
+    /// Notes that one more engine of a gang has prefilled its part.
+    pub fn member_prefilled(&mut self, now: time::Duration, id: &str) {
+        self.advance(now);
+        let Some(number) = self.numbers.get(id).copied() else {
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.members_left = job.members_left.saturating_sub(1);
+        }
+        self.queue(number);
+        self.begin_step(now);
+    }
+
+    /// Returns a view of a request whose output is still kept.
+    pub fn find(&mut self, now: time::Duration, id: &str) -> Option<job::Handle> {
+        self.advance(now);
+        let number = self.numbers.get(id)?;
+        let job = self.jobs.get(number)?;
+        (!job.member).then(|| job.handle())
+    }
+
+    /// Returns a view of another request that runs.
+    pub fn find_other(&self, id: &str) -> Option<job::Handle> {
+        let others = self.running.iter().filter_map(|n| self.jobs.get(n));
+        let mut others = others.filter(|job| job.id != id && !job.member);
+        others.next().map(job::Job::handle)
+    }
+
+    /// Cancels a request and frees its memory; one that is not there changes nothing.
+    pub fn cancel(&mut self, now: time::Duration, id: &str) {
+        self.end_by_id(now, id, progress::End::Cancelled);
+    }
+
+    /// Breaks a request off because an engine of its gang is lost.
+    pub fn break_off(&mut self, now: time::Duration, id: &str) {
+        self.end_by_id(now, id, progress::End::Broken);
+    }
+
+    /// Reserves memory for a gang's request.
+    ///
+    /// # Errors
+    ///
+    /// Why nothing is reserved.
+    pub fn reserve(
+        &mut self,
+        now: time::Duration,
+        id: &str,
+        tokens: u64,
+    ) -> Result<(), refusal::Refusal> {
+        self.advance(now);
+        self.check_open(now)?;
+        self.memory.reserve(id, tokens)?;
+        self.cache.shrink(self.memory.free());
+        Ok(())
+    }
+
+    /// Gives a reservation back and cancels what runs under it.
+    pub fn release(&mut self, now: time::Duration, id: &str) {
+        self.advance(now);
+        if self.memory.reservation(id).is_some() {
+            self.cancel(now, id);
+            self.memory.release(id);
+        }
+    }
+
+    /// Changes the faults in force.
+    pub fn change_faults(&mut self, now: time::Duration, change: &faults::FaultChange) {
+        self.advance(now);
+        let was_dead = self.faults.dead;
+        self.faults.apply(change);
+        if change.turn_cold {
+            self.turn_cold();
+        }
+        if self.faults.dead && !was_dead {
+            self.lose_everything(now);
+        }
+    }
+
+    /// Returns when the present step ends.
+    pub fn next_step_at(&self) -> Option<time::Duration> {
+        self.step.as_ref().map(|step| step.ends_at)
+    }
+
+    /// Carries out all steps that end at or before `now`.
+    pub fn advance(&mut self, now: time::Duration) {
+        while let Some(step) = self.step.take_if(|step| step.ends_at <= now) {
+            let ended_at = step.ends_at;
+            self.finish_step(step);
+            self.begin_step(ended_at);
+        }
+        self.forget_ended(now);
+    }
+
+    fn check_open(&self, now: time::Duration) -> Result<(), refusal::Refusal> {
+        if self.down_until.is_some_and(|until| now < until) {
+            return Err(refusal::Refusal::FellOver);
+        }
+        if self.faults.leaving {
+            return Err(refusal::Refusal::Leaving);
+        }
+        Ok(())
+    }
+
+    fn check_admission(
+        &mut self,
+        now: time::Duration,
+        req: &job::Admission,
+    ) -> Result<(), refusal::Refusal> {
+        self.check_open(now)?;
+        if req.max_tokens <= req.offset {
+            return Err(refusal::Refusal::BadRequest);
+        }
+        if !self.models.contains_key(&req.model) {
+            return Err(refusal::Refusal::NoSuchModel);
+        }
+        self.check_batch(now, &req.id)?;
+        if req.gang_size > 1 {
+            return self.check_reservation(&req.id, req.share());
+        }
+        self.memory.hold(&req.id, req.share())?;
+        self.cache.shrink(self.memory.free());
+        Ok(())
+    }
+
+    fn check_membership(
+        &mut self,
+        now: time::Duration,
+        req: &job::Membership,
+    ) -> Result<(), refusal::Refusal> {
+        self.check_open(now)?;
+        self.check_batch(now, &req.id)?;
+        self.check_reservation(&req.id, req.prefill_tokens)
+    }
+
+    fn check_batch(&mut self, now: time::Duration, id: &str) -> Result<(), refusal::Refusal> {
+        if self.numbers.contains_key(id) {
+            return Err(refusal::Refusal::KnownId);
+        }
+        if self.warmth == Warmth::Cold && self.running.len() >= self.settings.cold_limit {
+            self.fall_over(now);
+            return Err(refusal::Refusal::FellOver);
+        }
+        if self.running.len() >= self.settings.max_running {
+            return Err(refusal::Refusal::TooManyRunning);
+        }
+        Ok(())
+    }
+
+    fn check_reservation(&self, id: &str, tokens: u64) -> Result<(), refusal::Refusal> {
+        match self.memory.reservation(id) {
+            Some(reserved) if reserved >= tokens => Ok(()),
+            _ => Err(refusal::Refusal::NoReservation),
+        }
+    }
+
+    fn start(&mut self, now: time::Duration, job: job::Job) {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.numbers.insert(job.id.clone(), number);
+        self.jobs.insert(number, job);
+        self.running.insert(number);
+        if self.warmth == Warmth::Cold {
+            let most = self.records.max_running_cold.max(self.running.len());
+            self.records.max_running_cold = most;
+        }
+        self.queue(number);
+        self.begin_step(now);
+    }
+
+    /// Puts a request into the queue that its state asks for.
+    fn queue(&mut self, number: u64) {
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        if job.ended() {
+            return;
+        }
+        if job.prefill_left > 0 {
+            self.prefill.insert((job.priority, number));
+            return;
+        }
+        self.prefill.remove(&(job.priority, number));
+        job.progress.send_if_modified(|p| {
+            let changed = !p.prefilled;
+            p.prefilled = true;
+            changed
+        });
+        if job.decodes() {
+            self.decode.insert(number);
+        }
+    }
+
+    fn end_by_id(&mut self, now: time::Duration, id: &str, end: progress::End) {
+        self.advance(now);
+        if let Some(number) = self.numbers.get(id).copied() {
+            self.end(now, number, end);
+        }
+    }
+
+    fn end(&mut self, now: time::Duration, number: u64, end: progress::End) {
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        if job.ended() {
+            return;
+        }
+        job.progress.send_modify(|p| p.end = Some(end));
+        self.records.end_request(job.record, end.name());
+        self.prefill.remove(&(job.priority, number));
+        self.decode.remove(&number);
+        self.running.remove(&number);
+        self.memory.free_hold(&job.id);
+        self.ended.push_back((now, number));
+        if end == progress::End::Finished {
+            self.count_finished();
+        }
+    }
+
+    fn count_finished(&mut self) {
+        if self.warmth == Warmth::Warm {
+            return;
+        }
+        self.finished_cold += 1;
+        if self.finished_cold >= self.settings.warm_after {
+            self.warmth = Warmth::Warm;
+        }
+    }
+
+    fn turn_cold(&mut self) {
+        self.epoch += 1;
+        self.warmth = Warmth::Cold;
+        self.finished_cold = 0;
+        self.cache.clear();
+    }
+
+    fn fall_over(&mut self, now: time::Duration) {
+        self.records.fell_over += 1;
+        self.records.max_running_cold = self.records.max_running_cold.max(self.running.len() + 1);
+        self.down_until = Some(now + DOWN);
+        self.lose_everything(now);
+    }
+
+    fn lose_everything(&mut self, now: time::Duration) {
+        let running: Vec<u64> = self.running.iter().copied().collect();
+        for number in running {
+            self.end(now, number, progress::End::Broken);
+        }
+        self.jobs.clear();
+        self.numbers.clear();
+        self.ended.clear();
+        self.memory.clear();
+        self.step = None;
+        self.turn_cold();
+    }
+
+    fn forget_ended(&mut self, now: time::Duration) {
+        while let Some((at, number)) = self.ended.front().copied() {
+            if now < at + KEPT {
+                return;
+            }
+            self.ended.pop_front();
+            if let Some(job) = self.jobs.remove(&number) {
+                self.numbers.remove(&job.id);
+            }
+        }
+    }
+
+    fn record(
+        &mut self,
+        now: time::Duration,
+        id: &str,
+        tokens: u64,
+    ) -> (u64, sync::Arc<atomic::AtomicU64>) {
+        let sent = sync::Arc::new(atomic::AtomicU64::new(0));
+        let number = self.records.add_request(records::RequestRecord {
+            id: id.to_owned(),
+            at_ms: now.as_millis() as u64,
+            tokens,
+            cold: self.warmth == Warmth::Cold,
+            refused: None,
+            outcome: "running",
+            sent_tokens: sync::Arc::clone(&sent),
+        });
+        (number, sent)
+    }
+
+    fn refuse(&mut self, record: u64, refusal: refusal::Refusal) {
+        self.records.refuse_request(record, refusal);
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/engine/server.rs
@@ -0,0 +1,72 @@
+//! An engine behind HTTP.
+
+use std::{io, net, sync, time};
+
+use hyper::{server::conn::http1, service};
+use hyper_util::rt;
+use tokio::{net as tokio_net, task};
+
+use crate::engine::{http, settings, shared};
+
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Running engine; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Engine {
+    address: net::SocketAddr,
+    tasks: task::JoinSet<()>,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be listened on.
+    pub async fn bind(settings: settings::Settings) -> io::Result<Self> {
+        let listener = tokio_net::TcpListener::bind(settings.listen).await?;
+        let address = listener.local_addr()?;
+        let shared = sync::Arc::new(shared::Shared::new(settings));
+        let mut tasks = task::JoinSet::new();
+        let driven = sync::Arc::clone(&shared);
+        tasks.spawn(async move { driven.drive().await });
+        tasks.spawn(serve(listener, http::Service { shared }));
+        Ok(Self { address, tasks })
+    }
+
+    /// Returns the address that it listens on.
+    pub const fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Waits until a task of the engine ends, which happens only on a panic.
+    pub async fn wait(&mut self) {
+        self.tasks.join_next().await;
+    }
+}
+
+async fn serve(listener: tokio_net::TcpListener, service: http::Service) {
+    let mut connections = task::JoinSet::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                connections.spawn(serve_connection(stream, service.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve_connection(stream: tokio_net::TcpStream, service: http::Service) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let answer = service::service_fn(move |req| service.clone().answer(req));
+    let connection = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .serve_connection(rt::TokioIo::new(stream), answer);
+    // A connection that ends in an error concerns its caller alone.
+    drop(connection.await);
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/engine/shared.rs
@@ -0,0 +1,108 @@
+//! State that an engine's connections share, and the task that drives it.
+
+use std::{sync, time};
+
+use tokio::sync::Notify;
+
+use crate::engine::{clock, load_history, scheduler, settings};
+
+/// State of an engine behind a lock.
+#[derive(Debug)]
+pub(super) struct Shared {
+    clock: clock::EngineClock,
+    state: sync::Mutex<State>,
+    wake: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    engine: scheduler::Scheduler,
+    history: load_history::LoadHistory,
+}
+
+impl Shared {
+    /// Returns the state of an engine that starts now.
+    pub(super) fn new(settings: settings::Settings) -> Self {
+        let mut history = load_history::LoadHistory::default();
+        history.note_change();
+        Self {
+            clock: clock::EngineClock::start(settings.time_scale),
+            state: sync::Mutex::new(State {
+                engine: scheduler::Scheduler::new(settings),
+                history,
+            }),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Changes the engine and wakes its driver.
+    pub(super) fn change<R>(
+        &self,
+        f: impl FnOnce(&mut scheduler::Scheduler, time::Duration) -> R,
+    ) -> R {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let result = f(&mut state.engine, now);
+        state.history.note_change();
+        drop(state);
+        self.wake.notify_one();
+        result
+    }
+
+    /// Reads from the engine.
+    pub(super) fn read<R>(&self, f: impl FnOnce(&scheduler::Scheduler) -> R) -> R {
+        f(&self.lock().engine)
+    }
+
+    /// Returns the load report with the lag in force, and the lag in milliseconds.
+    pub(super) fn lagging_load(&self) -> (sync::Arc<scheduler::LoadSnapshot>, u64) {
+        let state = self.lock();
+        let lag_ms = state.engine.faults().load_lag_ms;
+        let at = self
+            .clock
+            .now()
+            .saturating_sub(time::Duration::from_millis(lag_ms));
+        let sampled = state.history.at(at).filter(|_| lag_ms > 0);
+        let load = sampled.unwrap_or_else(|| sync::Arc::new(state.engine.load()));
+        (load, lag_ms)
+    }
+
+    /// Carries out the steps of the batch as their times come.
+    pub(super) async fn drive(&self) {
+        loop {
+            let due = self.tick();
+            let woken = self.wake.notified();
+            match due {
+                Some(at) => {
+                    let sleep = tokio::time::sleep_until(self.clock.wall(at).into());
+                    tokio::select! {
+                        () = sleep => {}
+                        () = woken => {}
+                    }
+                }
+                None => woken.await,
+            }
+        }
+    }
+
+    /// Carries out what is due and returns when more is.
+    fn tick(&self) -> Option<time::Duration> {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let now = self.clock.now();
+        if state.engine.next_step_at().is_some_and(|at| at <= now) {
+            state.engine.advance(now);
+            state.history.note_change();
+        }
+        state.history.sample(now, &state.engine);
+        let step = state.engine.next_step_at();
+        let sample = state.history.next_sample_at();
+        step.into_iter().chain(sample).min()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/engine/wire.rs
@@ -0,0 +1,85 @@
+//! Bodies of the engine's calls.
+
+use std::{collections, sync};
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{prompt, records, refusal, scheduler};
+
+/// Body of a completion.
+#[derive(Debug, Deserialize)]
+pub(super) struct CompletionRequest {
+    pub(super) model: String,
+    pub(super) prompt: prompt::Prompt,
+    #[serde(default = "default_max_tokens")]
+    pub(super) max_tokens: u64,
+    #[serde(default)]
+    pub(super) offset: u64,
+    #[serde(default)]
+    pub(super) priority: u32,
+    #[serde(default)]
+    pub(super) gang: Vec<String>,
+}
+
+const fn default_max_tokens() -> u64 {
+    16
+}
+
+/// Body of a reservation.
+#[derive(Debug, Deserialize)]
+pub(super) struct ReservationRequest {
+    pub(super) tokens: u64,
+}
+
+/// Load report with its age.
+#[derive(Debug, Serialize)]
+pub(super) struct LoadReport {
+    pub(super) age_ms: u64,
+    #[serde(flatten)]
+    pub(super) load: sync::Arc<scheduler::LoadSnapshot>,
+}
+
+/// Records of an engine.
+#[derive(Debug, Serialize)]
+pub(super) struct RecordsReport {
+    requests: collections::VecDeque<records::RequestRecord>,
+    fell_over: u64,
+    max_running_cold: usize,
+    used_tokens: u64,
+    reserved_tokens: u64,
+    orders: collections::VecDeque<records::OrderRecord>,
+    adapters: collections::BTreeSet<String>,
+    role: Option<String>,
+}
+
+impl From<&scheduler::Scheduler> for RecordsReport {
+    fn from(engine: &scheduler::Scheduler) -> Self {
+        let records = engine.records();
+        Self {
+            requests: records.requests().clone(),
+            fell_over: records.fell_over,
+            max_running_cold: records.max_running_cold,
+            used_tokens: engine.memory().used(),
+            reserved_tokens: engine.memory().reserved(),
+            orders: records.orders().clone(),
+            adapters: engine.adapters().clone(),
+            role: engine.role().map(str::to_owned),
+        }
+    }
+}
+
+/// Body of a refusal.
+#[derive(Debug, Serialize)]
+pub(super) struct RefusalReport {
+    error: refusal::Refusal,
+    message: String,
+}
+
+impl From<refusal::Refusal> for RefusalReport {
+    fn from(refusal: refusal::Refusal) -> Self {
+        Self {
+            error: refusal,
+            message: refusal.to_string(),
+        }
+    }
+}
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -1,1 +1,4 @@
 //! Laid out in ARCHITECTURE.
+
+pub mod engine;
+pub mod oracle;
