--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -3,8 +3,11 @@
 //! Each program is a cargo example and one process; `docs/STANDINS.md` describes
 //! what it answers and which faults can be switched on while it runs.
 
+pub mod engine;
 pub mod fleet;
 pub mod hostile;
 pub mod http;
+pub mod json_client;
+pub mod oracle;
 pub mod platform;
 pub mod unix_time;
