--- a/crates/mustardshed-standins/src/fleet.rs
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -6,7 +6,8 @@
 
 use displaydoc::Display;
 
-pub mod client;
+use crate::json_client;
+
 pub mod entry;
 pub mod files;
 pub mod process;
@@ -19,6 +20,8 @@
 
 /// Longest wait for a process to be ready.
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// Longest wait for an answer of a stand-in or an entry.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Wait between looks at whether something is ready.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -31,8 +34,8 @@
     Spawn(String, io::Error),
     /// {0} did not say where it listens
     NotListening(String),
-    /// {0} {1}: {2}
-    Call(String, String, String),
+    /// {0}: {1}
+    Call(String, String),
     /// not ready in time: {0}
     NotReady(String),
 }
@@ -53,7 +56,7 @@
     /// Entries.
     pub entries: Vec<entry::Entry>,
     /// HTTP client for faults and records.
-    pub client: client::Client,
+    pub client: json_client::JsonClient,
 }
 
 impl Fleet {
@@ -63,7 +66,7 @@
     ///
     /// Returns an error if a process cannot be started or is not ready in time.
     pub async fn start(spec: &spec::Spec) -> Result<Self, FleetError> {
-        let client = client::Client::open();
+        let client = json_client::JsonClient::open();
         let files = files::Files::create(spec)?;
         let platform = files.spawn_example("platform", "platform", &[])?;
         let mut fleet = Self {
@@ -120,8 +123,7 @@
     pub async fn register(&self, vm: &serde_json::Value) -> Result<(), FleetError> {
         let id = vm["id"].as_str().unwrap_or_default();
         let url = format!("{}/admin/vms/{id}", self.platform.url());
-        self.client.json("PUT", &url, Some(vm)).await?;
-        Ok(())
+        self.put(&url, vm).await
     }
 
     /// Switches faults of a stand-in.
@@ -135,8 +137,7 @@
         faults: &serde_json::Value,
     ) -> Result<(), FleetError> {
         let url = format!("{}/admin/faults", stand_in.url());
-        self.client.json("PUT", &url, Some(faults)).await?;
-        Ok(())
+        self.put(&url, faults).await
     }
 
     /// Reads the records of a stand-in.
@@ -149,7 +150,17 @@
         stand_in: &process::Process,
     ) -> Result<serde_json::Value, FleetError> {
         let url = format!("{}/admin/records", stand_in.url());
-        self.client.json("GET", &url, None).await
+        let answer = call(&url, self.client.get(&url)).await?;
+        Ok(answer.body)
+    }
+
+    async fn put(&self, url: &str, body: &serde_json::Value) -> Result<(), FleetError> {
+        let answer = call(url, self.client.put(url, body)).await?;
+        if answer.status == 200 {
+            return Ok(());
+        }
+        let seen = format!("{} {}", answer.status, answer.body);
+        Err(FleetError::Call(url.to_owned(), seen))
     }
 
     /// Runs `mustardshedctl` with `args` and returns its standard output.
@@ -181,10 +192,23 @@
 
     async fn is_ready(&self, entry: &entry::Entry) -> bool {
         let url = format!("{}/readyz", entry.url());
-        self.client.status("GET", &url).await == Some(200)
+        let answer = call(&url, self.client.get(&url)).await;
+        answer.is_ok_and(|answer| answer.status == 200)
     }
 }
 
+/// Bounds the wait for an answer.
+async fn call(
+    url: &str,
+    answer: impl Future<Output = Result<json_client::Answer, json_client::Error>>,
+) -> Result<json_client::Answer, FleetError> {
+    let failed = |reason: String| FleetError::Call(url.to_owned(), reason);
+    tokio::time::timeout(CALL_TIMEOUT, answer)
+        .await
+        .map_err(|e| failed(e.to_string()))?
+        .map_err(|e| failed(e.to_string()))
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         // Processes end themselves when dropped; the folder is of no use afterwards.
--- a/crates/mustardshed-standins/src/fleet/files.rs
+++ b/crates/mustardshed-standins/src/fleet/files.rs
@@ -107,7 +107,8 @@
             .arg(self.folder.join("operator.key"))
             .args(args);
         let spawned = tokio::task::spawn_blocking(move || command.output()).await;
-        let failed = |reason: String| FleetError::Call("ctl".to_owned(), args.join(" "), reason);
+        let failed =
+            |reason: String| FleetError::Call(format!("mustardshedctl {}", args.join(" ")), reason);
         let output = spawned
             .map_err(|e| failed(e.to_string()))?
             .map_err(|e| failed(e.to_string()))?;
