Reach backend servers over pooled HTTP connections

The daemon needs an implementation of the backend server border that says exactly whether something may have run. A refused connection is unreachable; 429, 404, 409, 412 and 503 of an engine are refusals; everything else after bytes were sent is broken. Lines are bounded to 64 KiB and whole answers to 1 MiB.

Ruled out: taking 400 or 413 of an engine for a refusal, since the engines' contract does not name them; and mapping statuses of plain services, whose answers belong to the caller.

--- /dev/null
+++ b/crates/mustardshedd/src/connection.rs
@@ -0,0 +1,3 @@
+//! What lives as long as a connection.
+
+pub mod backend_server;
--- /dev/null
+++ b/crates/mustardshedd/src/connection/backend_server/body.rs
@@ -0,0 +1,27 @@
+//! Bodies that are read whole, within a bound.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body;
+use mustardshed::core::border::backend_server::BackendServerError;
+use serde::de;
+
+use crate::connection::backend_server::failure;
+
+/// Longest answer that is read whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Reads a body whole.
+pub(super) async fn read(body: body::Incoming) -> Result<Bytes, BackendServerError> {
+    let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
+    let collected = limited.collect().await.map_err(failure::broken)?;
+    Ok(collected.to_bytes())
+}
+
+/// Reads a body whole and decodes it.
+pub(super) async fn read_json<T: de::DeserializeOwned>(
+    body: body::Incoming,
+) -> Result<T, BackendServerError> {
+    let bytes = read(body).await?;
+    serde_json::from_slice(&bytes).map_err(failure::broken)
+}
--- /dev/null
+++ b/crates/mustardshedd/src/connection/backend_server/data_lines.rs
@@ -0,0 +1,74 @@
+//! Splitter of server-sent events into their data lines.
+
+use bytes::{Buf, Bytes, BytesMut};
+use displaydoc::Display;
+
+/// Longest line in bytes.
+const MAX_LINE_BYTES: usize = 64 << 10;
+
+const DATA: &[u8] = b"data:";
+
+/// a line is longer than 64 KiB
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(super) struct LineTooLong;
+
+/// Bytes of an event stream that were received and not yet taken.
+#[derive(Debug, Default)]
+pub(super) struct DataLines {
+    buf: BytesMut,
+    scanned: usize,
+}
+
+impl DataLines {
+    /// Adds received bytes.
+    pub(super) fn push(&mut self, chunk: &[u8]) {
+        self.buf.extend_from_slice(chunk);
+    }
+
+    /// Takes the value of the next whole data line; lines of other fields are passed over.
+    ///
+    /// # Errors
+    ///
+    /// [`LineTooLong`], also for a line whose end has not arrived.
+    pub(super) fn take(&mut self) -> Result<Option<Bytes>, LineTooLong> {
+        while let Some(line) = self.take_line()? {
+            if let Some(value) = data_of(line) {
+                return Ok(Some(value));
+            }
+        }
+        Ok(None)
+    }
+
+    fn take_line(&mut self) -> Result<Option<Bytes>, LineTooLong> {
+        let newline = self.buf[self.scanned..].iter().position(|b| *b == b'\n');
+        let Some(i) = newline else {
+            self.scanned = self.buf.len();
+            return match self.scanned > MAX_LINE_BYTES {
+                true => Err(LineTooLong),
+                false => Ok(None),
+            };
+        };
+        let length = self.scanned + i;
+        if length > MAX_LINE_BYTES {
+            return Err(LineTooLong);
+        }
+        self.scanned = 0;
+        let mut line = self.buf.split_to(length + 1).freeze();
+        line.truncate(length);
+        if line.ends_with(b"\r") {
+            line.truncate(length - 1);
+        }
+        Ok(Some(line))
+    }
+}
+
+fn data_of(mut line: Bytes) -> Option<Bytes> {
+    if !line.starts_with(DATA) {
+        return None;
+    }
+    line.advance(DATA.len());
+    if line.starts_with(b" ") {
+        line.advance(1);
+    }
+    Some(line)
+}
--- /dev/null
+++ b/crates/mustardshedd/src/connection/backend_server/failure.rs
@@ -0,0 +1,78 @@
+//! What a failed call says about whether it ran.
+
+use std::{fmt, time};
+
+use http_body_util::BodyExt;
+use hyper::body;
+use hyper_util::client::legacy;
+use mustardshed::core::border::backend_server::BackendServerError;
+use serde::Deserialize;
+
+/// Longest refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 4 << 10;
+/// Longest time for the body of a refusal.
+const REFUSAL_BODY: time::Duration = time::Duration::from_millis(500);
+
+/// Statuses with which an engine says that nothing ran.
+const REFUSALS: [http::StatusCode; 5] = [
+    http::StatusCode::TOO_MANY_REQUESTS,
+    http::StatusCode::NOT_FOUND,
+    http::StatusCode::CONFLICT,
+    http::StatusCode::SERVICE_UNAVAILABLE,
+    http::StatusCode::PRECONDITION_FAILED,
+];
+
+/// Returns the failure of a request that can't be put together.
+pub(super) fn not_sent(e: impl fmt::Display) -> BackendServerError {
+    BackendServerError::Unreachable(e.to_string())
+}
+
+/// Returns the failure of a call whose answer is missing, short or not understood.
+pub(super) fn broken(e: impl fmt::Display) -> BackendServerError {
+    BackendServerError::Broken(e.to_string())
+}
+
+/// Returns the failure of a call that was not answered in time.
+pub(super) fn timed_out(limit: time::Duration) -> BackendServerError {
+    BackendServerError::Broken(format!("nothing received for {limit:?}"))
+}
+
+/// Returns the failure of a call that the HTTP client gave up.
+pub(super) fn of_client(e: &legacy::Error) -> BackendServerError {
+    let reason = with_source(e);
+    match e.is_connect() {
+        true => BackendServerError::Unreachable(reason),
+        false => BackendServerError::Broken(reason),
+    }
+}
+
+/// Returns the failure that an answer other than 200 stands for.
+pub(super) async fn of_answer(resp: http::Response<body::Incoming>) -> BackendServerError {
+    let status = resp.status();
+    if !REFUSALS.contains(&status) {
+        return BackendServerError::Broken(format!("unexpected status {status}"));
+    }
+    let reason = refusal_reason(resp.into_body()).await;
+    let reason = reason.unwrap_or_else(|| status.to_string());
+    BackendServerError::Refused(reason)
+}
+
+#[derive(Deserialize)]
+struct Refusal {
+    error: String,
+}
+
+async fn refusal_reason(body: body::Incoming) -> Option<String> {
+    let limited = http_body_util::Limited::new(body, MAX_REFUSAL_BYTES);
+    let collected = tokio::time::timeout(REFUSAL_BODY, limited.collect());
+    let bytes = collected.await.ok()?.ok()?.to_bytes();
+    let refusal: Refusal = serde_json::from_slice(&bytes).ok()?;
+    Some(refusal.error)
+}
+
+fn with_source(e: &legacy::Error) -> String {
+    match std::error::Error::source(e) {
+        Some(source) => format!("{e}: {source}"),
+        None => e.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/connection/backend_server/timeouts.rs
@@ -0,0 +1,41 @@
+//! Timeouts of the client.
+
+use std::time;
+
+/// Longest time to establish a connection.
+const CONNECT: time::Duration = time::Duration::from_secs(1);
+/// Longest time until an engine accepts or refuses.
+const HEAD: time::Duration = time::Duration::from_secs(5);
+/// Longest time until a control call is answered.
+const CONTROL: time::Duration = time::Duration::from_secs(2);
+/// Longest time until a plain service has answered.
+const ANSWER: time::Duration = time::Duration::from_secs(60);
+/// Longest time between two tokens.
+const TOKEN: time::Duration = time::Duration::from_secs(600);
+
+/// How long the client waits; the caller's own deadline may be shorter.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timeouts {
+    /// Until a connection is established.
+    pub connect: time::Duration,
+    /// Until an engine accepts or refuses a prompt or a resumption.
+    pub head: time::Duration,
+    /// Until a cancel, reservation, order or load report is answered.
+    pub control: time::Duration,
+    /// Until a plain service has answered whole.
+    pub answer: time::Duration,
+    /// Until the next token; the first one waits for the prefill.
+    pub token: time::Duration,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            connect: CONNECT,
+            head: HEAD,
+            control: CONTROL,
+            answer: ANSWER,
+            token: TOKEN,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/connection/backend_server/wire.rs
@@ -0,0 +1,168 @@
+//! Bodies of an engine's calls and answers.
+
+use std::{borrow, collections, str, time};
+
+use mustardshed::core::{
+    border::backend_server::{
+        BackendServerError, EngineRequest, HeldRequest, LoadReport, Order, TokenFrame, Warmth,
+    },
+    ids,
+};
+use serde::{Deserialize, Serialize};
+
+/// Body of a completion.
+#[derive(Debug, Serialize)]
+pub(super) struct CompletionBody<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u64,
+    stream: bool,
+    offset: u64,
+    priority: u32,
+    gang: &'a [String],
+}
+
+impl<'a> TryFrom<&'a EngineRequest> for CompletionBody<'a> {
+    type Error = BackendServerError;
+
+    fn try_from(req: &'a EngineRequest) -> Result<Self, BackendServerError> {
+        let prompt = str::from_utf8(&req.prompt)
+            .map_err(|_| BackendServerError::Refused(String::from("the prompt is not UTF-8")))?;
+        Ok(Self {
+            model: &req.model,
+            prompt,
+            max_tokens: req.max_tokens,
+            stream: true,
+            offset: req.offset,
+            priority: req.priority,
+            gang: &req.gang,
+        })
+    }
+}
+
+/// Output token in an event.
+#[derive(Debug, Deserialize)]
+pub(super) struct FrameBody<'a> {
+    #[serde(borrow)]
+    id: borrow::Cow<'a, str>,
+    offset: u64,
+    #[serde(borrow)]
+    text: borrow::Cow<'a, str>,
+    finish_reason: Option<String>,
+    epoch: u64,
+}
+
+impl From<FrameBody<'_>> for TokenFrame {
+    fn from(frame: FrameBody<'_>) -> Self {
+        Self {
+            id: frame.id.into_owned(),
+            offset: frame.offset,
+            text: frame.text.into_owned(),
+            finish: frame.finish_reason,
+            epoch: frame.epoch,
+        }
+    }
+}
+
+/// Body of a reservation.
+#[derive(Debug, Serialize)]
+pub(super) struct ReservationBody {
+    pub(super) tokens: u64,
+}
+
+/// Body of an order.
+#[derive(Debug, Serialize)]
+pub(super) struct OrderBody {
+    fence: u64,
+    order: OrderKind,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum OrderKind {
+    LoadModel { model: String, version: String },
+    LoadAdapter { adapter: String },
+    ChangeRole { role: String },
+}
+
+impl OrderBody {
+    /// Returns the body of an order under a fencing number.
+    pub(super) fn new(fence: ids::FencingNumber, order: Order) -> Self {
+        let order = match order {
+            Order::LoadModel { model, version } => OrderKind::LoadModel { model, version },
+            Order::LoadAdapter { adapter } => OrderKind::LoadAdapter { adapter },
+            Order::ChangeRole { role } => OrderKind::ChangeRole { role },
+        };
+        Self { fence, order }
+    }
+}
+
+/// Load report.
+#[derive(Debug, Deserialize)]
+pub(super) struct LoadBody {
+    epoch: u64,
+    warmth: WarmthBody,
+    leaving: bool,
+    age_ms: u64,
+    #[serde(default)]
+    memory_tokens: u64,
+    #[serde(default)]
+    used_tokens: u64,
+    #[serde(default)]
+    queued_prefill_tokens: u64,
+    running: u32,
+    #[serde(default)]
+    models: collections::BTreeMap<String, String>,
+    #[serde(default)]
+    held: Vec<HeldBody>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WarmthBody {
+    Cold,
+    Warm,
+}
+
+#[derive(Debug, Deserialize)]
+struct HeldBody {
+    id: String,
+    tokens: u64,
+    reservation: bool,
+}
+
+impl From<LoadBody> for LoadReport {
+    fn from(body: LoadBody) -> Self {
+        Self {
+            epoch: body.epoch,
+            warmth: body.warmth.into(),
+            leaving: body.leaving,
+            age: time::Duration::from_millis(body.age_ms),
+            memory_tokens: body.memory_tokens,
+            used_tokens: body.used_tokens,
+            queued_prefill_tokens: body.queued_prefill_tokens,
+            running: body.running,
+            models: body.models,
+            held: body.held.into_iter().map(HeldRequest::from).collect(),
+        }
+    }
+}
+
+impl From<WarmthBody> for Warmth {
+    fn from(body: WarmthBody) -> Self {
+        match body {
+            WarmthBody::Cold => Self::Cold,
+            WarmthBody::Warm => Self::Warm,
+        }
+    }
+}
+
+impl From<HeldBody> for HeldRequest {
+    fn from(body: HeldBody) -> Self {
+        Self {
+            id: body.id,
+            tokens: body.tokens,
+            reservation: body.reservation,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/lib.rs
@@ -0,0 +1,3 @@
+//! Entry daemon of mustardshed.
+
+pub mod connection;
