--- a/crates/mustardshedd/src/lib.rs
+++ b/crates/mustardshedd/src/lib.rs
@@ -1,3 +1,4 @@
 //! Entry daemon of mustardshed.
 
 pub mod connection;
+pub mod process;
--- a/crates/mustardshedd/src/process.rs
+++ b/crates/mustardshedd/src/process.rs
@@ -1,9 +1,13 @@
 //! What lives as long as the daemon process: clock, control thread, links to peers, pollers.
 
+pub mod claims;
 pub mod clock;
 pub mod control;
 pub mod handshake;
 pub mod inbound;
 pub mod links;
+pub mod operator;
 pub mod pending;
 pub mod pollers;
+pub mod service;
+pub mod startup;
--- a/crates/mustardshedd/src/process/control.rs
+++ b/crates/mustardshedd/src/process/control.rs
@@ -14,6 +14,7 @@
 
 use crate::process::{links, pending, pollers};
 
+mod border;
 mod handle;
 
 pub use handle::Handle;
--- a/crates/mustardshedd/src/process/control/handle.rs
+++ b/crates/mustardshedd/src/process/control/handle.rs
@@ -6,30 +6,26 @@
 };
 
 use arc_swap::ArcSwap;
-use async_trait::async_trait;
-use mustardshed::core::{
-    border::{control, platform},
-    error, ids,
-    process::{action, snapshot},
-    request::fate,
-    version::record,
-};
+use mustardshed::core::{border::clock, error, ids, process::snapshot, version::record};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Command, Parts};
+use crate::process::claims;
 
 /// Longest wait for the control thread beyond what was asked of it.
 const CONTROL_PATIENCE: time::Duration = time::Duration::from_secs(2);
+/// Longest wait for the owner of a request to say its fate.
+pub(super) const FATE_PATIENCE: time::Duration = time::Duration::from_secs(2);
 
 /// Running control thread.
 #[derive(Clone, Debug)]
 pub struct Handle {
-    prefix: sync::Arc<str>,
-    next_sequence: sync::Arc<atomic::AtomicU64>,
-    published: sync::Arc<ArcSwap<snapshot::Snapshot>>,
+    pub(super) prefix: sync::Arc<str>,
+    pub(super) next_sequence: sync::Arc<atomic::AtomicU64>,
+    pub(super) published: sync::Arc<ArcSwap<snapshot::Snapshot>>,
+    pub(super) claims: claims::Claims,
+    pub(super) clock: sync::Arc<dyn clock::Clock>,
     commands_tx: mpsc::UnboundedSender<Command>,
-    platform: sync::Arc<dyn platform::Platform>,
-    clock: sync::Arc<dyn mustardshed::core::border::clock::Clock>,
 }
 
 impl Handle {
@@ -43,9 +39,9 @@
             prefix: format!("{}.{}", identity.vm, identity.incarnation).into(),
             next_sequence: sync::Arc::default(),
             published,
-            commands_tx,
-            platform: sync::Arc::clone(&parts.platform),
+            claims: claims::Claims::new(parts),
             clock: sync::Arc::clone(&parts.clock),
+            commands_tx,
         }
     }
 
@@ -62,7 +58,7 @@
     pub async fn intent(&self, record: record::Record) -> Result<ids::Generation, error::Error> {
         let (tx, rx) = oneshot::channel();
         self.send(Command::Intent(record, tx));
-        answered(rx).await?
+        answered(rx, time::Duration::ZERO).await?
     }
 
     /// Hands an accepted configuration to the control thread.
@@ -73,17 +69,21 @@
     pub async fn commit(&self, record: record::Record) -> Result<ids::Generation, error::Error> {
         let (tx, rx) = oneshot::channel();
         self.send(Command::Commit(record, tx));
-        answered(rx).await?
+        answered(rx, time::Duration::ZERO).await?
     }
 
-    fn send(&self, command: Command) {
+    pub(super) fn send(&self, command: Command) {
         // The control thread ends only with the process; its callers then see a closed channel.
         let _ = self.commands_tx.send(command);
     }
 }
 
-async fn answered<T>(rx: oneshot::Receiver<T>) -> Result<T, error::Error> {
-    match tokio::time::timeout(CONTROL_PATIENCE, rx).await {
+/// Waits for an answer that may take `patience` to be decided.
+pub(super) async fn answered<T>(
+    rx: oneshot::Receiver<T>,
+    patience: time::Duration,
+) -> Result<T, error::Error> {
+    match tokio::time::timeout(patience + CONTROL_PATIENCE, rx).await {
         Ok(Ok(answer)) => Ok(answer),
         _ => Err(error::Error::not_run(
             error::ErrorKind::Internal,
