Add the plain service's stand-in

It records every execution, one that broke off included, turns cold, falls over beyond its cold limit and loses answers on demand, so that a call that ran twice cannot hide. Its decisions are a state machine without sockets.

--- a/crates/mustardshed-standins/src/http.rs
+++ b/crates/mustardshed-standins/src/http.rs
@@ -12,13 +12,15 @@
 //! # }
 //! ```
 
-use std::{convert, io, net, sync, time};
+use std::{convert, io, net, pin, sync, time};
 
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use displaydoc::Display;
+use futures_util::StreamExt;
 use hyper::{server::conn::http1, service::Service};
 use hyper_util::{rt, service};
 use tokio::{net as tokio_net, signal, task};
-use warp::{Reply, filters, reject, reply};
+use warp::{Filter, Reply, filters, reject, reply};
 
 /// Connections that one stand-in serves at once.
 const MAX_CONNECTIONS: usize = 8_192;
@@ -42,6 +44,18 @@
 
 impl std::error::Error for ConnectionCut {}
 
+/// A body that is larger than its route allows.
+#[derive(Clone, Copy, Debug)]
+struct BodyTooLarge;
+
+impl reject::Reject for BodyTooLarge {}
+
+/// A body that broke off.
+#[derive(Clone, Copy, Debug)]
+struct BodyBroken;
+
+impl reject::Reject for BodyBroken {}
+
 /// A running listener; dropping it ends the listener.
 #[derive(Debug)]
 pub struct Server {
@@ -111,6 +125,37 @@
     res
 }
 
+/// Works on a call to its end even if its caller hangs up meanwhile.
+pub async fn detached(
+    work: impl Future<Output = reply::Response> + Send + 'static,
+) -> reply::Response {
+    tokio::spawn(work).await.unwrap_or_else(|_| cut())
+}
+
+/// Extracts a body of at most `limit` bytes, whether its length is stated or not.
+pub fn body(limit: usize) -> filters::BoxedFilter<(Bytes,)> {
+    warp::body::stream()
+        .and_then(move |chunks| collect(chunks, limit))
+        .boxed()
+}
+
+async fn collect<S, B>(chunks: S, limit: usize) -> Result<Bytes, warp::Rejection>
+where
+    S: futures_util::Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    let mut chunks = pin::pin!(chunks);
+    let mut body = BytesMut::new();
+    while let Some(chunk) = chunks.next().await {
+        let mut chunk = chunk.map_err(|_| reject::custom(BodyBroken))?;
+        if body.len() + chunk.remaining() > limit {
+            return Err(reject::custom(BodyTooLarge));
+        }
+        body.put(chunk.copy_to_bytes(chunk.remaining()));
+    }
+    Ok(body.freeze())
+}
+
 /// Turns a rejection of the routes into an answer with a reason.
 ///
 /// # Errors
@@ -124,7 +169,9 @@
     if rejection.is_not_found() {
         return refusal(404, "no such path");
     }
-    if rejection.find::<reject::PayloadTooLarge>().is_some() {
+    if rejection.find::<reject::PayloadTooLarge>().is_some()
+        || rejection.find::<BodyTooLarge>().is_some()
+    {
         return refusal(413, "the body is too large");
     }
     if rejection.find::<reject::LengthRequired>().is_some() {
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod http;
 pub mod json_client;
 pub mod platform;
+pub mod service;
 pub mod unix_time;
--- a/crates/mustardshed-standins/src/platform/object_routes.rs
+++ b/crates/mustardshed-standins/src/platform/object_routes.rs
@@ -70,7 +70,7 @@
             move |kind: String, name: String, expected, headers, value: Bytes| {
                 let state = state.clone();
                 let call = call::Call::new(call::CallKind::Put, &headers);
-                unhurried(async move {
+                http::detached(async move {
                     slowed(&state, &call, || match check_names(&kind, &name) {
                         Ok(()) => answered(state.put(&call.caller, &kind, &name, expected, value)),
                         Err(reason) => http::refusal(400, reason),
@@ -91,7 +91,7 @@
         .then(move |kind: String, name: String, expected, headers| {
             let state = state.clone();
             let call = call::Call::new(call::CallKind::Delete, &headers);
-            unhurried(async move {
+            http::detached(async move {
                 slowed(&state, &call, || match check_names(&kind, &name) {
                     Ok(()) => answered(state.delete(&call.caller, &kind, &name, expected)),
                     Err(reason) => http::refusal(400, reason),
@@ -187,16 +187,6 @@
     res
 }
 
-/// Runs a write to its end even if its caller has hung up.
-async fn unhurried(
-    write: impl Future<Output = reply::Response> + Send + 'static,
-) -> reply::Response {
-    match tokio::spawn(write).await {
-        Ok(res) => res,
-        Err(_) => http::cut(),
-    }
-}
-
 fn check_names(kind: &str, name: &str) -> Result<(), String> {
     name::check(kind)?;
     name::check(name)
--- /dev/null
+++ b/crates/mustardshed-standins/src/service/refusal.rs
@@ -0,0 +1,29 @@
+//! Why a plain service did not execute a call.
+
+use displaydoc::Display;
+
+/// Why a call was not executed.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Refusal {
+    /// the service is dead
+    Dead,
+    /// the service fell over
+    FellOver,
+    /// the service is leaving
+    Leaving,
+    /// too many calls are running
+    TooManyRunning,
+}
+
+impl Refusal {
+    /// Returns the HTTP status; `None` if the connection is closed without an answer.
+    pub const fn status(self) -> Option<u16> {
+        match self {
+            Self::Dead => None,
+            Self::FellOver | Self::Leaving => Some(503),
+            Self::TooManyRunning => Some(429),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
--- /dev/null
+++ b/crates/mustardshed-standins/src/service/routes.rs
@@ -0,0 +1,34 @@
+//! Paths of a plain service.
+
+use std::sync;
+
+use warp::{Filter, reply};
+
+use crate::{
+    http,
+    service::{admin_routes, call_routes, state},
+};
+
+/// State as the routes share it.
+pub(super) type Shared = sync::Arc<state::State>;
+
+/// Returns every path of a plain service.
+pub(super) fn all(state: &Shared) -> http::Routes {
+    let admin = admin_routes::all(state);
+    let stamping = Shared::clone(state);
+    warp::path("admin")
+        .and(admin)
+        .or(call_routes::all(state))
+        .unify()
+        .recover(http::recover)
+        .unify()
+        .map(move |res| stamped(&stamping, res))
+        .boxed()
+}
+
+/// Names the warm period on an answer.
+fn stamped(state: &state::State, mut res: reply::Response) -> reply::Response {
+    let epoch = warp::http::HeaderValue::from(state.epoch());
+    res.headers_mut().insert("x-epoch", epoch);
+    res
+}
