--- /dev/null
+++ b/crates/mustardshedd/src/process.rs
@@ -0,0 +1,9 @@
+//! What lives as long as the daemon process: clock, control thread, links to peers, pollers.
+
+pub mod clock;
+pub mod control;
+pub mod handshake;
+pub mod inbound;
+pub mod links;
+pub mod pending;
+pub mod pollers;
