Add gangs, the prefix cache's events and KV export to the engine's stand-in

Very long prompts need several engines. The leading engine has each other one prefill an equal part and holds that call open, so that the loss of any engine breaks the request off, and the end of the request frees every engine. The parts take their budget from the same batch as all other work.

Ruled out: parts that the leader only accounts for itself, since then a gang would slow nobody down on the other engines.

--- a/crates/mustardshed-standins/src/engine.rs
+++ b/crates/mustardshed-standins/src/engine.rs
@@ -24,7 +24,9 @@
 pub mod server;
 pub mod settings;
 
+mod cache_events;
 mod clock;
+mod gang;
 mod http;
 mod load_history;
 mod prefix_cache;
--- a/crates/mustardshed-standins/src/engine/http.rs
+++ b/crates/mustardshed-standins/src/engine/http.rs
@@ -8,7 +8,7 @@
 use hyper::body;
 use serde::{Serialize, de};
 
-use crate::engine::{faults, job, refusal, scheduler, shared, stream, wire};
+use crate::engine::{faults, gang, job, refusal, scheduler, shared, stream, wire};
 
 /// Largest body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -24,6 +24,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Service {
     pub(super) shared: sync::Arc<shared::Shared>,
+    pub(super) leader: gang::Leader,
 }
 
 impl Service {
@@ -54,6 +55,10 @@
             ("GET", ["v1", "load"]) => self.load(),
             ("PUT", ["v1", "reservations", id]) => self.reserve(id, req).await,
             ("DELETE", ["v1", "reservations", id]) => self.release(id),
+            ("POST", ["v1", "gang"]) => self.join(req).await,
+            ("GET", ["v1", "cache", "events"]) => self.cache_events(req.uri().query()),
+            ("POST", ["v1", "kv", "export"]) => self.export(req).await,
+            ("POST", ["v1", "kv", "import"]) => self.import(req).await,
             ("POST", ["v1", "orders"]) => self.order(req).await,
             ("GET", ["admin", "faults"]) => self.faults(),
             ("PUT", ["admin", "faults"]) => self.change_faults(req).await,
@@ -75,12 +80,46 @@
             priority: call.priority,
             gang_size: call.gang.len().max(1) as u64,
         };
-        let handle = self.shared.change(|e, now| e.admit(now, admission))?;
+        let handle = match call.gang.split_first() {
+            Some((_, members)) if !members.is_empty() => self.lead(admission, members).await?,
+            _ => self.shared.change(|e, now| e.admit(now, admission))?,
+        };
         self.stream(handle, offset)
     }
 
+    /// Starts a request on a gang that this engine leads.
+    async fn lead(
+        &self,
+        admission: job::Admission,
+        members: &[String],
+    ) -> Result<job::Handle, refusal::Refusal> {
+        let part = gang::PartRequest {
+            prefill_tokens: admission.prefill_share(),
+            priority: admission.priority,
+        };
+        let parts = self.leader.begin(&admission.id, members, &part).await?;
+        let room = self.leader.room().await?;
+        let handle = self.shared.change(|e, now| e.admit(now, admission))?;
+        room.follow(handle.clone(), parts);
+        Ok(handle)
+    }
+
+    /// Takes part in a gang that another engine leads.
+    async fn join(&self, req: http::Request<body::Incoming>) -> Answer {
+        let id = request_id(&req)?;
+        let part: gang::PartRequest = read_json(req).await?;
+        let membership = job::Membership {
+            id,
+            prefill_tokens: part.prefill_tokens,
+            priority: part.priority,
+        };
+        let handle = self.shared.change(|e, now| e.join(now, membership))?;
+        let events = gang::part_events(sync::Arc::clone(&self.shared), handle);
+        respond("text/plain", streamed(events))
+    }
+
     fn resume(&self, id: &str, query: Option<&str>) -> Answer {
-        let offset = offset_of(query)?;
+        let offset = number_of(query, "offset=")?;
         let found = self.shared.change(|e, now| e.find(now, id));
         let handle = found.ok_or(refusal::Refusal::NoSuchRequest)?;
         self.stream(handle, offset)
@@ -88,9 +127,7 @@
 
     fn stream(&self, handle: job::Handle, offset: u64) -> Answer {
         let events = stream::events(sync::Arc::clone(&self.shared), handle, offset);
-        let frames = events.map_ok(body::Frame::data);
-        let body = http_body_util::StreamBody::new(frames);
-        respond("text/event-stream", Body::new(body))
+        respond("text/event-stream", streamed(events))
     }
 
     fn cancel(&self, id: &str) -> Answer {
@@ -115,6 +152,25 @@
         json(&serde_json::json!({}))
     }
 
+    fn cache_events(&self, query: Option<&str>) -> Answer {
+        let since = number_of(query, "since=")?;
+        json(&self.shared.cache_events(since))
+    }
+
+    async fn export(&self, req: http::Request<body::Incoming>) -> Answer {
+        let call: wire::ExportRequest = read_json(req).await?;
+        let exported = self.shared.read(|e| e.export(&call.id));
+        let prefixes = exported.ok_or(refusal::Refusal::NoSuchRequest)?;
+        json(&wire::KvHandle::from(&*prefixes))
+    }
+
+    async fn import(&self, req: http::Request<body::Incoming>) -> Answer {
+        let kv: wire::KvHandle = read_json(req).await?;
+        let prefixes: Vec<u64> = kv.try_into()?;
+        let tokens = self.shared.change(|e, now| e.import(now, &prefixes));
+        json(&serde_json::json!({ "tokens": tokens }))
+    }
+
     async fn order(&self, req: http::Request<body::Incoming>) -> Answer {
         let call: scheduler::OrderRequest = read_json(req).await?;
         self.shared.change(|e, now| e.order(now, call))?;
@@ -142,8 +198,8 @@
     text.ok_or(refusal::Refusal::BadRequest)
 }
 
-fn offset_of(query: Option<&str>) -> Result<u64, refusal::Refusal> {
-    let Some(text) = query.and_then(|q| q.strip_prefix("offset=")) else {
+fn number_of(query: Option<&str>, prefix: &str) -> Result<u64, refusal::Refusal> {
+    let Some(text) = query.and_then(|q| q.strip_prefix(prefix)) else {
         return Ok(0);
     };
     text.parse().map_err(|_| refusal::Refusal::BadRequest)
@@ -182,6 +238,11 @@
     resp
 }
 
+fn streamed(chunks: impl futures_util::Stream<Item = io::Result<Bytes>> + Send + 'static) -> Body {
+    let frames = chunks.map_ok(body::Frame::data);
+    Body::new(http_body_util::StreamBody::new(frames))
+}
+
 fn full(bytes: Vec<u8>) -> Body {
     let body = http_body_util::Full::new(Bytes::from(bytes));
     body.map_err(|never| match never {}).boxed_unsync()
--- a/crates/mustardshed-standins/src/engine/job.rs
+++ b/crates/mustardshed-standins/src/engine/job.rs
@@ -29,6 +29,11 @@
 }
 
 impl Admission {
+    /// Returns the tokens that each of its engines prefills.
+    pub fn prefill_share(&self) -> u64 {
+        (self.prompt.tokens + self.offset).div_ceil(self.gang_size.max(1))
+    }
+
     /// Returns the KV memory that the request holds on each of its engines, in tokens.
     pub fn share(&self) -> u64 {
         (self.prompt.tokens + self.max_tokens).div_ceil(self.gang_size.max(1))
@@ -88,6 +93,10 @@
         sent: sync::Arc<atomic::AtomicU64>,
     ) -> Self {
         let gang_size = req.gang_size.max(1);
+        let prefixes = match gang_size {
+            1 => req.prompt.prefixes,
+            _ => sync::Arc::new([]),
+        };
         let work = (req.prompt.tokens + req.offset).saturating_sub(cached);
         let progress = progress::Progress {
             produced: req.offset,
@@ -97,7 +106,7 @@
             id: req.id,
             priority: req.priority,
             oracle: req.prompt.oracle,
-            prefixes: req.prompt.prefixes,
+            prefixes,
             max_tokens: req.max_tokens,
             prefill_left: work.div_ceil(gang_size),
             members_left: gang_size - 1,
--- a/crates/mustardshed-standins/src/engine/refusal.rs
+++ b/crates/mustardshed-standins/src/engine/refusal.rs
@@ -25,6 +25,8 @@
     TooManyRunning,
     /// no sufficient reservation
     NoReservation,
+    /// an engine of the gang did not take part
+    GangIncomplete,
     /// older fencing number
     OldFence,
     /// leaving
@@ -43,7 +45,7 @@
                 http::StatusCode::NOT_FOUND
             }
             Self::KnownId => http::StatusCode::CONFLICT,
-            Self::NoMemory | Self::TooManyRunning | Self::NoReservation => {
+            Self::GangIncomplete | Self::NoMemory | Self::NoReservation | Self::TooManyRunning => {
                 http::StatusCode::TOO_MANY_REQUESTS
             }
             Self::OldFence => http::StatusCode::PRECONDITION_FAILED,
--- a/crates/mustardshed-standins/src/engine/scheduler.rs
+++ b/crates/mustardshed-standins/src/engine/scheduler.rs
@@ -20,13 +20,15 @@
 //! assert_eq!(handle.progress.borrow().produced, 2);
 //! ```
 
-use std::{collections, sync, sync::atomic, time};
+use std::{collections, sync, time};
 
-use crate::engine::{faults, job, memory, prefix_cache, progress, records, refusal, settings};
+use crate::engine::{faults, job, memory, prefix_cache, progress, records, settings};
 
+mod admission;
 mod orders;
 mod report;
 mod step;
+mod warmth;
 
 pub use orders::OrderRequest;
 pub use report::{HeldEntry, LoadSnapshot};
@@ -144,53 +146,13 @@
         self.cache.take_changes()
     }
 
-    /// Starts a request.
-    ///
-    /// # Errors
-    ///
-    /// Why it is refused; then nothing of it ran. A request beyond the cold limit of a cold
-    /// engine makes it fall over and is refused itself.
-    pub fn admit(
-        &mut self,
-        now: time::Duration,
-        req: job::Admission,
-    ) -> Result<job::Handle, refusal::Refusal> {
-        self.advance(now);
-        let tokens = req.prompt.tokens + req.max_tokens;
-        let (record, sent) = self.record(now, &req.id, tokens);
-        let checked = self.check_admission(now, &req);
-        if let Err(refusal) = checked {
-            self.refuse(record, refusal);
-            return Err(refusal);
-        }
-        let cached = self.cache.lookup(&req.prompt.prefixes);
-        let job = job::Job::of_admission(req, cached, record, sent);
-        let handle = job.handle();
-        self.start(now, job);
-        Ok(handle)
-    }
-
-    /// Starts the prefill of a part of another engine's request.
-    ///
-    /// # Errors
-    ///
-    /// Why it is refused; then nothing of it ran.
-    pub fn join(
-        &mut self,
-        now: time::Duration,
-        req: job::Membership,
-    ) -> Result<job::Handle, refusal::Refusal> {
-        self.advance(now);
-        let (record, sent) = self.record(now, &req.id, req.prefill_tokens);
-        let checked = self.check_membership(now, &req);
-        if let Err(refusal) = checked {
-            self.refuse(record, refusal);
-            return Err(refusal);
+    /// Ends the part of another engine's request.
+    pub fn leave(&mut self, now: time::Duration, id: &str) {
+        let number = self.numbers.get(id).copied();
+        let member = number.filter(|n| self.jobs.get(n).is_some_and(|job| job.member));
+        if let Some(number) = member {
+            self.end(now, number, progress::End::Finished);
         }
-        let job = job::Job::of_membership(req, record, sent);
-        let handle = job.handle();
-        self.start(now, job);
-        Ok(handle)
     }
 
     /// Notes that one more engine of a gang has prefilled its part.
@@ -221,6 +183,20 @@
         others.next().map(job::Job::handle)
     }
 
+    /// Returns the prefixes that an export of a request's KV cache holds.
+    pub fn export(&self, id: &str) -> Option<sync::Arc<[u64]>> {
+        let job = self.jobs.get(self.numbers.get(id)?)?;
+        let prefilled = job.progress.borrow().prefilled;
+        prefilled.then(|| sync::Arc::clone(&job.prefixes))
+    }
+
+    /// Stores imported prefixes and returns how many tokens fit.
+    pub fn import(&mut self, now: time::Duration, prefixes: &[u64]) -> u64 {
+        self.advance(now);
+        self.cache.store(prefixes, self.memory.free());
+        self.cache.lookup(prefixes)
+    }
+
     /// Cancels a request and frees its memory; one that is not there changes nothing.
     pub fn cancel(&mut self, now: time::Duration, id: &str) {
         self.end_by_id(now, id, progress::End::Cancelled);
@@ -231,24 +207,6 @@
         self.end_by_id(now, id, progress::End::Broken);
     }
 
-    /// Reserves memory for a gang's request.
-    ///
-    /// # Errors
-    ///
-    /// Why nothing is reserved.
-    pub fn reserve(
-        &mut self,
-        now: time::Duration,
-        id: &str,
-        tokens: u64,
-    ) -> Result<(), refusal::Refusal> {
-        self.advance(now);
-        self.check_open(now)?;
-        self.memory.reserve(id, tokens)?;
-        self.cache.shrink(self.memory.free());
-        Ok(())
-    }
-
     /// Gives a reservation back and cancels what runs under it.
     pub fn release(&mut self, now: time::Duration, id: &str) {
         self.advance(now);
@@ -258,19 +216,6 @@
         }
     }
 
-    /// Changes the faults in force.
-    pub fn change_faults(&mut self, now: time::Duration, change: &faults::FaultChange) {
-        self.advance(now);
-        let was_dead = self.faults.dead;
-        self.faults.apply(change);
-        if change.turn_cold {
-            self.turn_cold();
-        }
-        if self.faults.dead && !was_dead {
-            self.lose_everything(now);
-        }
-    }
-
     /// Returns when the present step ends.
     pub fn next_step_at(&self) -> Option<time::Duration> {
         self.step.as_ref().map(|step| step.ends_at)
@@ -286,82 +231,6 @@
         self.forget_ended(now);
     }
 
-    fn check_open(&self, now: time::Duration) -> Result<(), refusal::Refusal> {
-        if self.down_until.is_some_and(|until| now < until) {
-            return Err(refusal::Refusal::FellOver);
-        }
-        if self.faults.leaving {
-            return Err(refusal::Refusal::Leaving);
-        }
-        Ok(())
-    }
-
-    fn check_admission(
-        &mut self,
-        now: time::Duration,
-        req: &job::Admission,
-    ) -> Result<(), refusal::Refusal> {
-        self.check_open(now)?;
-        if req.max_tokens <= req.offset {
-            return Err(refusal::Refusal::BadRequest);
-        }
-        if !self.models.contains_key(&req.model) {
-            return Err(refusal::Refusal::NoSuchModel);
-        }
-        self.check_batch(now, &req.id)?;
-        if req.gang_size > 1 {
-            return self.check_reservation(&req.id, req.share());
-        }
-        self.memory.hold(&req.id, req.share())?;
-        self.cache.shrink(self.memory.free());
-        Ok(())
-    }
-
-    fn check_membership(
-        &mut self,
-        now: time::Duration,
-        req: &job::Membership,
-    ) -> Result<(), refusal::Refusal> {
-        self.check_open(now)?;
-        self.check_batch(now, &req.id)?;
-        self.check_reservation(&req.id, req.prefill_tokens)
-    }
-
-    fn check_batch(&mut self, now: time::Duration, id: &str) -> Result<(), refusal::Refusal> {
-        if self.numbers.contains_key(id) {
-            return Err(refusal::Refusal::KnownId);
-        }
-        if self.warmth == Warmth::Cold && self.running.len() >= self.settings.cold_limit {
-            self.fall_over(now);
-            return Err(refusal::Refusal::FellOver);
-        }
-        if self.running.len() >= self.settings.max_running {
-            return Err(refusal::Refusal::TooManyRunning);
-        }
-        Ok(())
-    }
-
-    fn check_reservation(&self, id: &str, tokens: u64) -> Result<(), refusal::Refusal> {
-        match self.memory.reservation(id) {
-            Some(reserved) if reserved >= tokens => Ok(()),
-            _ => Err(refusal::Refusal::NoReservation),
-        }
-    }
-
-    fn start(&mut self, now: time::Duration, job: job::Job) {
-        let number = self.next_number;
-        self.next_number += 1;
-        self.numbers.insert(job.id.clone(), number);
-        self.jobs.insert(number, job);
-        self.running.insert(number);
-        if self.warmth == Warmth::Cold {
-            let most = self.records.max_running_cold.max(self.running.len());
-            self.records.max_running_cold = most;
-        }
-        self.queue(number);
-        self.begin_step(now);
-    }
-
     /// Puts a request into the queue that its state asks for.
     fn queue(&mut self, number: u64) {
         let Some(job) = self.jobs.get(&number) else {
@@ -405,81 +274,28 @@
         self.decode.remove(&number);
         self.running.remove(&number);
         self.memory.free_hold(&job.id);
-        self.ended.push_back((now, number));
+        match job.member {
+            true => self.forget(number),
+            false => self.ended.push_back((now, number)),
+        }
         if end == progress::End::Finished {
             self.count_finished();
         }
     }
 
-    fn count_finished(&mut self) {
-        if self.warmth == Warmth::Warm {
-            return;
-        }
-        self.finished_cold += 1;
-        if self.finished_cold >= self.settings.warm_after {
-            self.warmth = Warmth::Warm;
-        }
-    }
-
-    fn turn_cold(&mut self) {
-        self.epoch += 1;
-        self.warmth = Warmth::Cold;
-        self.finished_cold = 0;
-        self.cache.clear();
-    }
-
-    fn fall_over(&mut self, now: time::Duration) {
-        self.records.fell_over += 1;
-        self.records.max_running_cold = self.records.max_running_cold.max(self.running.len() + 1);
-        self.down_until = Some(now + DOWN);
-        self.lose_everything(now);
-    }
-
-    fn lose_everything(&mut self, now: time::Duration) {
-        let running: Vec<u64> = self.running.iter().copied().collect();
-        for number in running {
-            self.end(now, number, progress::End::Broken);
-        }
-        self.jobs.clear();
-        self.numbers.clear();
-        self.ended.clear();
-        self.memory.clear();
-        self.step = None;
-        self.turn_cold();
-    }
-
     fn forget_ended(&mut self, now: time::Duration) {
         while let Some((at, number)) = self.ended.front().copied() {
             if now < at + KEPT {
                 return;
             }
             self.ended.pop_front();
-            if let Some(job) = self.jobs.remove(&number) {
-                self.numbers.remove(&job.id);
-            }
+            self.forget(number);
         }
     }
 
-    fn record(
-        &mut self,
-        now: time::Duration,
-        id: &str,
-        tokens: u64,
-    ) -> (u64, sync::Arc<atomic::AtomicU64>) {
-        let sent = sync::Arc::new(atomic::AtomicU64::new(0));
-        let number = self.records.add_request(records::RequestRecord {
-            id: id.to_owned(),
-            at_ms: now.as_millis() as u64,
-            tokens,
-            cold: self.warmth == Warmth::Cold,
-            refused: None,
-            outcome: "running",
-            sent_tokens: sync::Arc::clone(&sent),
-        });
-        (number, sent)
-    }
-
-    fn refuse(&mut self, record: u64, refusal: refusal::Refusal) {
-        self.records.refuse_request(record, refusal);
+    fn forget(&mut self, number: u64) {
+        if let Some(job) = self.jobs.remove(&number) {
+            self.numbers.remove(&job.id);
+        }
     }
 }
--- a/crates/mustardshed-standins/src/engine/server.rs
+++ b/crates/mustardshed-standins/src/engine/server.rs
@@ -6,7 +6,7 @@
 use hyper_util::rt;
 use tokio::{net as tokio_net, task};
 
-use crate::engine::{http, settings, shared};
+use crate::engine::{gang, http, settings, shared};
 
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
@@ -31,7 +31,9 @@
         let mut tasks = task::JoinSet::new();
         let driven = sync::Arc::clone(&shared);
         tasks.spawn(async move { driven.drive().await });
-        tasks.spawn(serve(listener, http::Service { shared }));
+        let (leader, followed) = gang::open(sync::Arc::clone(&shared));
+        tasks.spawn(followed);
+        tasks.spawn(serve(listener, http::Service { shared, leader }));
         Ok(Self { address, tasks })
     }
 
--- a/crates/mustardshed-standins/src/engine/shared.rs
+++ b/crates/mustardshed-standins/src/engine/shared.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::Notify;
 
-use crate::engine::{clock, load_history, scheduler, settings};
+use crate::engine::{cache_events, clock, load_history, scheduler, settings};
 
 /// State of an engine behind a lock.
 #[derive(Debug)]
@@ -18,6 +18,14 @@
 struct State {
     engine: scheduler::Scheduler,
     history: load_history::LoadHistory,
+    events: cache_events::CacheEvents,
+}
+
+impl State {
+    fn note_change(&mut self, now: time::Duration) {
+        self.history.note_change();
+        self.events.add(now, self.engine.take_cache_changes());
+    }
 }
 
 impl Shared {
@@ -30,6 +38,7 @@
             state: sync::Mutex::new(State {
                 engine: scheduler::Scheduler::new(settings),
                 history,
+                events: cache_events::CacheEvents::default(),
             }),
             wake: Notify::new(),
         }
@@ -43,7 +52,7 @@
         let mut state = self.lock();
         let now = self.clock.now();
         let result = f(&mut state.engine, now);
-        state.history.note_change();
+        state.note_change(now);
         drop(state);
         self.wake.notify_one();
         result
@@ -67,6 +76,13 @@
         (load, lag_ms)
     }
 
+    /// Returns the cache events after `since` that are published.
+    pub(super) fn cache_events(&self, since: u64) -> cache_events::CacheEventPage {
+        let state = self.lock();
+        let now = self.clock.now();
+        state.events.page(now, since, state.engine.faults())
+    }
+
     /// Carries out the steps of the batch as their times come.
     pub(super) async fn drive(&self) {
         loop {
@@ -92,7 +108,7 @@
         let now = self.clock.now();
         if state.engine.next_step_at().is_some_and(|at| at <= now) {
             state.engine.advance(now);
-            state.history.note_change();
+            state.note_change(now);
         }
         state.history.sample(now, &state.engine);
         let step = state.engine.next_step_at();
--- a/crates/mustardshed-standins/src/engine/wire.rs
+++ b/crates/mustardshed-standins/src/engine/wire.rs
@@ -31,6 +31,42 @@
     pub(super) tokens: u64,
 }
 
+/// Body of an export of a request's KV cache.
+#[derive(Debug, Deserialize)]
+pub(super) struct ExportRequest {
+    pub(super) id: String,
+}
+
+/// KV cache of a request: an opaque handle with its tokens.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct KvHandle {
+    handle: String,
+    tokens: u64,
+}
+
+impl From<&[u64]> for KvHandle {
+    fn from(prefixes: &[u64]) -> Self {
+        let bytes: Vec<u8> = prefixes.iter().flat_map(|p| p.to_le_bytes()).collect();
+        Self {
+            handle: hex::encode(bytes),
+            tokens: prefixes.len() as u64 * prompt::BLOCK_TOKENS,
+        }
+    }
+}
+
+impl TryFrom<KvHandle> for Vec<u64> {
+    type Error = refusal::Refusal;
+
+    fn try_from(kv: KvHandle) -> Result<Self, refusal::Refusal> {
+        let bytes = hex::decode(kv.handle).map_err(|_| refusal::Refusal::BadRequest)?;
+        let (prefixes, rest) = bytes.as_chunks();
+        if !rest.is_empty() {
+            return Err(refusal::Refusal::BadRequest);
+        }
+        Ok(prefixes.iter().map(|p| u64::from_le_bytes(*p)).collect())
+    }
+}
+
 /// Load report with its age.
 #[derive(Debug, Serialize)]
 pub(super) struct LoadReport {
--- a/crates/mustardshedd/src/connection/backend_server/client.rs
+++ b/crates/mustardshedd/src/connection/backend_server/client.rs
@@ -22,7 +22,7 @@
 /// Idle connections kept to one backend server.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// How long an idle connection is kept.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 /// Most bytes that are buffered of an answer.
 const MAX_READ_BUFFER_BYTES: usize = 128 << 10;
 
