--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod json_client;
 pub mod oracle;
 pub mod platform;
+pub mod service;
 pub mod unix_time;
