--- a/crates/mustardshed-core/src/request/gang.rs
+++ b/crates/mustardshed-core/src/request/gang.rs
@@ -29,6 +29,8 @@
     pub engines: Vec<Engine>,
     /// KV memory that each engine holds, in tokens.
     pub tokens_each: ids::Tokens,
+    /// Prompt tokens that each engine must prefill.
+    pub prefill_each: ids::Tokens,
     /// Greatest estimate of the gang's engines for their parts.
     pub estimate: estimate::Estimate,
 }
@@ -114,6 +116,7 @@
         data_centre: data_centre.to_owned(),
         engines,
         tokens_each: part.memory_tokens,
+        prefill_each: part.prompt_tokens,
         estimate: worst,
     })
 }
--- /dev/null
+++ b/crates/mustardshedd/src/http/body.rs
@@ -0,0 +1,85 @@
+//! Request bodies, bounded in length and time.
+
+use std::time;
+
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use mustardshed::core::error;
+use warp::filters::BoxedFilter;
+
+/// Parts of a body after which the rest of a refused one is no longer read, in multiples of the
+/// limit.
+const DISCARD_FACTOR: usize = 4;
+/// Time for which the rest of a refused body is read, so that its sender sees the answer.
+const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// A request body that was not read yet.
+pub type Body = std::pin::Pin<Box<dyn Stream<Item = Result<Bytes, warp::Error>> + Send>>;
+
+/// Returns a filter that extracts the body without reading it.
+pub fn stream() -> BoxedFilter<(Body,)> {
+    use warp::Filter;
+    warp::body::stream()
+        .map(|body| -> Body { Box::pin(chunks(body)) })
+        .boxed()
+}
+
+fn chunks<B: Buf>(
+    body: impl Stream<Item = Result<B, warp::Error>> + Send,
+) -> impl Stream<Item = Result<Bytes, warp::Error>> + Send {
+    body.map(|chunk| chunk.map(|mut buf| buf.copy_to_bytes(buf.remaining())))
+}
+
+/// Reads a body of at most `limit` bytes, each part of which must come within `idle_timeout`.
+///
+/// # Errors
+///
+/// Returns [`error::ErrorKind::TooLarge`] if it is longer, and
+/// [`error::ErrorKind::InvalidRequest`] if it breaks off or stands still.
+pub async fn read(
+    mut body: Body,
+    limit: usize,
+    idle_timeout: time::Duration,
+) -> Result<Bytes, error::Error> {
+    let mut whole = BytesMut::new();
+    loop {
+        let Ok(next) = tokio::time::timeout(idle_timeout, body.next()).await else {
+            return Err(invalid("the body stood still for too long"));
+        };
+        match next {
+            None => return Ok(whole.freeze()),
+            Some(Err(_)) => return Err(invalid("the body broke off")),
+            Some(Ok(chunk)) if whole.len() + chunk.len() > limit => {
+                drop(whole);
+                discard(body, limit).await;
+                return Err(too_large(limit));
+            }
+            Some(Ok(chunk)) => whole.extend_from_slice(&chunk),
+        }
+    }
+}
+
+/// Reads and drops the rest of a refused body, within bounds.
+pub async fn discard(mut body: Body, limit: usize) {
+    let reading = async {
+        let mut read = 0_usize;
+        while let Some(Ok(chunk)) = body.next().await {
+            read += chunk.len();
+            if read > limit.saturating_mul(DISCARD_FACTOR) {
+                return;
+            }
+        }
+    };
+    drop(tokio::time::timeout(DISCARD_TIMEOUT, reading).await);
+}
+
+fn invalid(message: &str) -> error::Error {
+    error::Error::not_run(error::ErrorKind::InvalidRequest, message)
+}
+
+fn too_large(limit: usize) -> error::Error {
+    error::Error::not_run(
+        error::ErrorKind::TooLarge,
+        format!("the body is longer than {limit} bytes"),
+    )
+}
--- /dev/null
+++ b/crates/mustardshedd/src/http/generate.rs
@@ -0,0 +1,202 @@
+//! `POST /v1/completions` and `POST /v1/chat/completions`.
+
+use std::sync;
+
+use bytes::Bytes;
+use http::header;
+use mustardshed::{
+    config::text,
+    core::{error, ids, process::snapshot},
+};
+use sha2::Digest;
+use tokio::sync::mpsc;
+use warp::{Reply, reply::Response};
+
+use crate::{
+    http::{auth, body, cx, form, generate_request, headers, replay, reply, sse},
+    request::{admit, completion, output, refused, resolve, whole},
+};
+
+/// Answers a completion request.
+pub async fn handle(
+    api: generate_request::Api,
+    cx: sync::Arc<cx::Cx>,
+    request_headers: http::HeaderMap,
+    body: body::Body,
+) -> Response {
+    match serve(api, &cx, &request_headers, body).await {
+        Ok(response) => response,
+        Err(refused) => refusal(&refused),
+    }
+}
+
+/// Makes the answer for a refused request.
+pub fn refusal(refused: &refused::Refused) -> Response {
+    let response = reply::error(&refused.error);
+    match &refused.id {
+        Some(id) => reply::with_request_id(response, id),
+        None => response,
+    }
+}
+
+async fn serve(
+    api: generate_request::Api,
+    cx: &sync::Arc<cx::Cx>,
+    request_headers: &http::HeaderMap,
+    body: body::Body,
+) -> Result<Response, refused::Refused> {
+    let snapshot = cx.requests.control.snapshot();
+    let account = match auth::client_account(&snapshot.text, request_headers) {
+        Ok(account) => account,
+        Err(err) => {
+            body::discard(body, cx.limits.max_body_bytes).await;
+            return Err(err.into());
+        }
+    };
+    let buf = body::read(body, cx.limits.max_body_bytes, cx.limits.idle_timeout).await?;
+    let identity = identity(api, request_headers, &buf)?;
+    let asked = generate_request::GenerateRequest::parse(api, &buf)?;
+    drop(buf);
+    let deadline = headers::deadline(request_headers)?;
+    let started = start(api, cx, &snapshot, account, asked, deadline, identity)?;
+    Ok(started.answer().await)
+}
+
+fn identity(
+    api: generate_request::Api,
+    request_headers: &http::HeaderMap,
+    body: &Bytes,
+) -> Result<admit::Identity, error::Error> {
+    let Some(key) = headers::idempotency_key(request_headers)? else {
+        return Ok(admit::Identity::default());
+    };
+    let path = match api {
+        generate_request::Api::Completions => "/v1/completions",
+        generate_request::Api::Chat => "/v1/chat/completions",
+    };
+    Ok(admit::Identity {
+        key: Some(key),
+        body_digest: digest("POST", path, body),
+    })
+}
+
+/// Returns the digest by which a repeat is told from another request with the same key.
+pub fn digest(method: &str, path: &str, body: &[u8]) -> [u8; 32] {
+    let mut sha = sha2::Sha256::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        sha.update((part.len() as u64).to_le_bytes());
+        sha.update(part);
+    }
+    sha.finalize().into()
+}
+
+/// A completion that a driver carries.
+struct Started {
+    id: ids::RequestId,
+    form: form::Form,
+    rx: mpsc::Receiver<output::Output>,
+    is_streamed: bool,
+    includes_usage: bool,
+}
+
+fn start(
+    api: generate_request::Api,
+    cx: &sync::Arc<cx::Cx>,
+    snapshot: &snapshot::Snapshot,
+    account: &text::ClientAccount,
+    asked: generate_request::GenerateRequest,
+    deadline: Option<std::time::Duration>,
+    identity: admit::Identity,
+) -> Result<Started, refused::Refused> {
+    let resolved = resolve::model(&snapshot.text, account, &asked.model)?;
+    let prompt_tokens = asked.prompt.tokens(resolved.model.bytes_per_token);
+    let model = asked.model.clone();
+    let ask = admit::PromptAsk {
+        model: asked.model,
+        prompt: asked.prompt.into_bytes(),
+        max_tokens: asked.max_tokens,
+        deadline,
+        identity,
+    };
+    let (completion, guards) = admit::prompt(
+        &cx.requests,
+        snapshot,
+        account,
+        &resolved,
+        ask,
+        prompt_tokens,
+    )?;
+    let id = completion.job.id.clone();
+    let form = form::Form::new(api, id.clone(), model, prompt_tokens);
+    let kept_form = sync::Arc::new(form.clone());
+    let rx = completion::spawn(&cx.requests, completion, kept_form, guards);
+    Ok(Started {
+        id,
+        form,
+        rx,
+        is_streamed: asked.is_streamed,
+        includes_usage: asked.includes_usage,
+    })
+}
+
+impl Started {
+    /// Waits for the first output, which decides the status, and makes the answer.
+    async fn answer(mut self) -> Response {
+        let id = self.id.clone();
+        let response = match self.rx.recv().await {
+            None => reply::error(&lost()),
+            Some(output::Output::Failed(err)) => reply::error(&err),
+            Some(output::Output::Earlier(fate)) if self.is_streamed => {
+                return replay::stream(&fate, &self.form, self.includes_usage);
+            }
+            Some(output::Output::Earlier(fate)) => return replay::reply(&fate),
+            Some(first) if self.is_streamed => self.stream(first),
+            Some(first) => self.whole(first).await,
+        };
+        reply::with_request_id(response, &id)
+    }
+
+    fn stream(self, first: output::Output) -> Response {
+        let body = sse::SseBody::new(self.form, first, self.rx, self.includes_usage);
+        let mut response = warp::reply::stream(body).into_response();
+        let response_headers = response.headers_mut();
+        response_headers.insert(
+            header::CONTENT_TYPE,
+            http::HeaderValue::from_static("text/event-stream"),
+        );
+        response_headers.insert(
+            header::CACHE_CONTROL,
+            http::HeaderValue::from_static("no-cache"),
+        );
+        response
+    }
+
+    async fn whole(mut self, first: output::Output) -> Response {
+        let mut whole = whole::Whole::default();
+        let mut next = Some(first);
+        while let Some(output) = next {
+            match output {
+                output::Output::Piece(piece) => {
+                    whole.text.push_str(&piece.text);
+                    whole.tokens += 1;
+                    if let Some(finish) = piece.finish {
+                        whole.finish = finish;
+                        let body = self.form.whole(&whole);
+                        return reply::bytes(http::StatusCode::OK, Some(reply::JSON), body);
+                    }
+                }
+                output::Output::Failed(err) => return reply::error(&err),
+                output::Output::Earlier(_) => {}
+            }
+            next = self.rx.recv().await;
+        }
+        reply::error(&lost())
+    }
+}
+
+fn lost() -> error::Error {
+    error::Error::unknown(
+        error::ErrorKind::Internal,
+        "the request's driver ended without an answer",
+    )
+}
--- /dev/null
+++ b/crates/mustardshedd/src/http/message.rs
@@ -0,0 +1,208 @@
+//! Bodies of answers as JSON.
+
+use std::collections;
+
+/// An error in the OpenAI form, with what is known of the request's fate.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct ErrorAnswer {
+    /// The error.
+    pub error: ErrorBody,
+    /// Stable name of the outcome.
+    pub outcome: &'static str,
+    /// Delay after which coming back helps, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+/// The inner part of an [`ErrorAnswer`].
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct ErrorBody {
+    /// Sentence for a person.
+    pub message: String,
+    /// Class of the error.
+    #[serde(rename = "type")]
+    pub class: &'static str,
+    /// Always null; the OpenAI form names a parameter here.
+    pub param: Option<String>,
+    /// Stable code.
+    pub code: &'static str,
+}
+
+/// Answer to `GET /v1/requests/{id}`.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct FateAnswer {
+    /// Identifier of the request.
+    pub id: String,
+    /// Stable name of the outcome.
+    pub outcome: &'static str,
+    /// Code of the error that ended it.
+    pub error: Option<&'static str>,
+    /// Backend servers that were given the request.
+    pub servers: Vec<String>,
+    /// Answer that repeats get.
+    pub answer: Option<KeptBody>,
+}
+
+/// A kept answer.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct KeptBody {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: Option<String>,
+    /// Body, as text.
+    pub body: String,
+}
+
+/// A model in the OpenAI form.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct ModelBody {
+    /// Name.
+    pub id: String,
+    /// Always `model`.
+    pub object: &'static str,
+    /// Always zero; the OpenAI form has a time here.
+    pub created: u64,
+    /// Who offers it.
+    pub owned_by: &'static str,
+}
+
+/// Answer to `GET /v1/models`.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct ModelList {
+    /// Always `list`.
+    pub object: &'static str,
+    /// Models and services that models stand behind.
+    pub data: Vec<ModelBody>,
+}
+
+/// One entry that callers may use.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct EntryBody {
+    /// Base URL.
+    pub url: String,
+    /// Weight among the entries.
+    pub weight: u32,
+    /// Data centre.
+    pub data_centre: String,
+}
+
+/// Answer to `GET /v1/entries`.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct EntryList {
+    /// Entries that callers may use.
+    pub entries: Vec<EntryBody>,
+    /// Time for which the answer holds, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// An entry as the status shows it.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct MemberBody {
+    /// VM on which it runs.
+    pub vm: String,
+    /// Its present run.
+    pub incarnation: u64,
+    /// `IP:PORT` towards callers.
+    pub address: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Whether it is taken to be live.
+    pub live: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Generation that it has in force.
+    pub generation: u64,
+}
+
+/// A backend server as the status shows it.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct ServerBody {
+    /// Name.
+    pub id: String,
+    /// Engine kind or plain service.
+    pub kind: String,
+    /// `IP:PORT`.
+    pub address: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// `cold` or `warm`.
+    pub warmth: &'static str,
+    /// Epoch.
+    pub epoch: u64,
+    /// Whether it answers.
+    pub reachable: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// KV memory, in tokens.
+    pub memory_tokens: u64,
+    /// KV memory in use, in tokens.
+    pub used_tokens: u64,
+    /// Prompt tokens that wait for prefill.
+    pub queued_prefill_tokens: u64,
+    /// Requests that are being worked on.
+    pub running: u32,
+    /// Entry VM that hands out its credits.
+    pub steward: Option<String>,
+}
+
+/// Answer to `GET /operator/status`.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct StatusAnswer {
+    /// VM of the entry that answers.
+    pub vm: String,
+    /// Its present run.
+    pub incarnation: u64,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Generation that it has in force.
+    pub generation: u64,
+    /// Time for which it may still send new work on the strength of its configuration, in
+    /// milliseconds.
+    pub may_place_ms: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Data centres out of service.
+    pub data_centres_out: Vec<String>,
+    /// Entries.
+    pub members: Vec<MemberBody>,
+    /// Backend servers.
+    pub servers: Vec<ServerBody>,
+    /// Calls of the platform, by purpose.
+    pub platform_calls: collections::BTreeMap<String, u64>,
+}
+
+/// Where work would go.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct DecisionBody {
+    /// Chosen servers, several for a gang.
+    pub servers: Vec<String>,
+    /// Data centre.
+    pub data_centre: String,
+    /// Estimated time to first token, in milliseconds.
+    pub estimate_ms: u64,
+    /// KV memory that each server holds, in tokens.
+    pub tokens_each: u64,
+}
+
+/// A backend server as the explanation shows it.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct CandidateBody {
+    /// Name.
+    pub server: String,
+    /// Estimated time to first token, in milliseconds, if the server is not excluded.
+    pub estimate_ms: Option<u64>,
+    /// Parts of the estimate, or the reason that excludes the server.
+    pub reason: String,
+}
+
+/// Answer to `GET /operator/explain`.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct ExplainAnswer {
+    /// Where the work would go.
+    pub decision: Option<DecisionBody>,
+    /// Why.
+    pub reason: String,
+    /// Every server of the right kind.
+    pub candidates: Vec<CandidateBody>,
+}
--- /dev/null
+++ b/crates/mustardshedd/src/http/reply.rs
@@ -0,0 +1,88 @@
+//! Answers in their HTTP form.
+
+use std::time;
+
+use http::header;
+use mustardshed::core::{error, ids, request::fate};
+use warp::{Reply, reply};
+
+use crate::http::message;
+
+/// Header that names the request.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Content type of JSON.
+pub const JSON: &str = "application/json";
+
+/// Makes an answer of a status and a JSON value.
+pub fn json<T: serde::Serialize>(status: http::StatusCode, value: &T) -> reply::Response {
+    match serde_json::to_vec(value) {
+        Ok(buf) => bytes(status, Some(JSON), buf.into()),
+        Err(_) => http::StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+/// Makes an answer of a status and a body.
+pub fn bytes(
+    status: http::StatusCode,
+    content_type: Option<&str>,
+    body: bytes::Bytes,
+) -> reply::Response {
+    let mut response = reply::Response::new(body.into());
+    *response.status_mut() = status;
+    if let Some(value) = content_type.and_then(|text| text.parse().ok()) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+/// Adds the header that names the request.
+#[must_use]
+pub fn with_request_id(mut response: reply::Response, id: &ids::RequestId) -> reply::Response {
+    if let Ok(value) = http::HeaderValue::from_str(id) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
+
+/// Makes the answer for an error.
+pub fn error(err: &error::Error) -> reply::Response {
+    let status = http::StatusCode::from_u16(err.kind.answer().status)
+        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = json(status, &error_answer(err));
+    if let Some(delay) = err.retry_after {
+        response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, whole_seconds(delay).into());
+    }
+    response
+}
+
+/// Makes the body of the answer for an error.
+pub fn error_answer(err: &error::Error) -> message::ErrorAnswer {
+    let answer = err.kind.answer();
+    message::ErrorAnswer {
+        error: message::ErrorBody {
+            message: format!("{}: {}", err.kind, err.message),
+            class: answer.class,
+            param: None,
+            code: answer.code,
+        },
+        outcome: err.outcome.as_str(),
+        retry_after_ms: err.retry_after.map(millis),
+    }
+}
+
+/// Makes the answer that was kept of an earlier request.
+pub fn kept(answer: &fate::KeptAnswer) -> reply::Response {
+    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    bytes(status, answer.content_type.as_deref(), answer.body.clone())
+}
+
+/// Returns a duration in whole milliseconds.
+pub fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn whole_seconds(duration: time::Duration) -> u64 {
+    millis(duration).div_ceil(1000)
+}
--- /dev/null
+++ b/crates/mustardshedd/src/http/server.rs
@@ -0,0 +1,144 @@
+//! The listener and its connections, bounded in number, header size and time.
+
+use std::{io, net, sync, time};
+
+use hyper::server::conn::http1;
+use hyper_util::{rt, service};
+use tokio::{net as tokio_net, sync as tokio_sync, task};
+use warp::{filters::BoxedFilter, reply::Response};
+
+use crate::{
+    http::{cx, routes},
+    log::{self, event},
+};
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Headers of one request at most.
+const MAX_HEADERS: usize = 64;
+
+/// A running listener; dropping it closes the socket but ends no connection.
+#[derive(Debug)]
+pub struct Server {
+    local_addr: net::SocketAddr,
+    cx: sync::Arc<cx::Cx>,
+    closing: tokio_sync::watch::Sender<bool>,
+    accepting: task::JoinHandle<()>,
+    tracker: tokio_util::task::TaskTracker,
+}
+
+/// Binds the listener and serves callers and operators.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn bind(addr: net::SocketAddr, cx: sync::Arc<cx::Cx>) -> io::Result<Server> {
+    let listener = tokio_net::TcpListener::bind(addr).await?;
+    let local_addr = listener.local_addr()?;
+    let (closing, closed) = tokio_sync::watch::channel(false);
+    let tracker = tokio_util::task::TaskTracker::new();
+    let acceptor = Acceptor {
+        listener,
+        routes: routes::routes(sync::Arc::clone(&cx)),
+        limits: cx.limits,
+        places: sync::Arc::new(tokio_sync::Semaphore::new(cx.limits.max_connections)),
+        closed,
+        tracker: tracker.clone(),
+    };
+    log::emit(&event::Event::Listening {
+        address: &local_addr.to_string(),
+    });
+    Ok(Server {
+        local_addr,
+        cx,
+        closing,
+        accepting: tokio::spawn(acceptor.run()),
+        tracker,
+    })
+}
+
+impl Server {
+    /// Returns the bound address.
+    pub const fn local_addr(&self) -> net::SocketAddr {
+        self.local_addr
+    }
+
+    /// Refuses new work from now on; what runs goes on, and fates can still be asked for.
+    pub fn begin_drain(&self) {
+        self.cx.requests.begin_drain();
+        log::emit(&event::Event::DrainBegan {
+            in_flight: self.in_flight(),
+        });
+    }
+
+    /// Returns the number of requests that are being carried.
+    pub fn in_flight(&self) -> usize {
+        self.cx.requests.in_flight()
+    }
+
+    /// Accepts no more connections and waits until those there are have ended.
+    ///
+    /// A connection ends when its present request does.
+    pub async fn shutdown(self) {
+        self.accepting.abort();
+        self.closing.send_replace(true);
+        self.tracker.close();
+        self.tracker.wait().await;
+    }
+}
+
+/// Accepts connections.
+struct Acceptor {
+    listener: tokio_net::TcpListener,
+    routes: BoxedFilter<(Response,)>,
+    limits: crate::http::limits::Limits,
+    places: sync::Arc<tokio_sync::Semaphore>,
+    closed: tokio_sync::watch::Receiver<bool>,
+    tracker: tokio_util::task::TaskTracker,
+}
+
+impl Acceptor {
+    async fn run(self) {
+        loop {
+            let Ok(place) = sync::Arc::clone(&self.places).acquire_owned().await else {
+                return;
+            };
+            match self.listener.accept().await {
+                Ok((stream, _)) => self.spawn(stream, place),
+                Err(err) => {
+                    log::emit(&event::Event::AcceptFailed {
+                        reason: &err.to_string(),
+                    });
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn spawn(&self, stream: tokio_net::TcpStream, place: tokio_sync::OwnedSemaphorePermit) {
+        // Without this a small chunk may wait for the acknowledgement of the one before.
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let served = service::TowerToHyperService::new(warp::service(self.routes.clone()));
+        let connection = http1::Builder::new()
+            .timer(rt::TokioTimer::new())
+            .header_read_timeout(self.limits.header_timeout.max(self.limits.idle_timeout))
+            .max_buf_size(self.limits.max_header_bytes)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(rt::TokioIo::new(stream), served);
+        let mut closed = self.closed.clone();
+        self.tracker.spawn(async move {
+            let mut connection = std::pin::pin!(connection);
+            let served = tokio::select! {
+                served = connection.as_mut() => Some(served),
+                _ = closed.wait_for(|closed| *closed) => None,
+            };
+            if served.is_none() {
+                connection.as_mut().graceful_shutdown();
+                drop(connection.await);
+            }
+            drop(place);
+        });
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/lib.rs
@@ -0,0 +1,8 @@
+//! Entry daemon of mustardshed as a library.
+//!
+//! Modules are laid out by life span: [`request`] for what lives as long as one request; [`http`]
+//! is the listener for callers and operators, and [`log`] the numbered events and metrics.
+
+pub mod http;
+pub mod log;
+pub mod request;
--- /dev/null
+++ b/crates/mustardshedd/src/log/event.rs
@@ -0,0 +1,98 @@
+//! The closed list of events; `docs/EVENTS.md` is its catalogue.
+
+use mustardshed::core::ids;
+
+use crate::log::catalogue;
+
+catalogue::events! {
+    /// A request was routed to one backend server.
+    1001 Info "routed" Routed {
+        request: &'a str,
+        account: &'a str,
+        service: &'a str,
+        server: &'a str,
+        data_centre: &'a str,
+        estimate_ms: u128,
+        prompt_tokens: ids::Tokens,
+        attempt: u32,
+        reason: &'a str,
+    }
+    /// No backend server may be given a request.
+    1002 Warn "not_routed" NotRouted {
+        request: &'a str,
+        account: &'a str,
+        service: &'a str,
+        reason: &'a str,
+    }
+    /// A request was routed to a gang of engines.
+    1003 Info "gang_routed" GangRouted {
+        request: &'a str,
+        account: &'a str,
+        service: &'a str,
+        servers: &'a str,
+        data_centre: &'a str,
+        estimate_ms: u128,
+        prompt_tokens: ids::Tokens,
+        tokens_each: ids::Tokens,
+        attempt: u32,
+        reason: &'a str,
+    }
+    /// A request was refused before anything ran.
+    1004 Info "refused" Refused {
+        request: &'a str,
+        account: &'a str,
+        code: &'a str,
+        reason: &'a str,
+    }
+    /// An attempt on a backend server failed.
+    1005 Warn "attempt_failed" AttemptFailed {
+        request: &'a str,
+        servers: &'a str,
+        code: &'a str,
+        outcome: &'a str,
+        next: &'a str,
+        reason: &'a str,
+    }
+    /// An output is resumed on the engine that runs it.
+    1006 Info "resumed" Resumed {
+        request: &'a str,
+        server: &'a str,
+        offset: ids::Tokens,
+        reason: &'a str,
+    }
+    /// A request ended.
+    1007 Info "ended" Ended {
+        request: &'a str,
+        account: &'a str,
+        service: &'a str,
+        outcome: &'a str,
+        code: &'a str,
+        servers: &'a str,
+        tokens: ids::Tokens,
+        elapsed_ms: u128,
+    }
+    /// A claim was granted, or an earlier request holds or held it.
+    1008 Info "claimed" Claimed {
+        request: &'a str,
+        account: &'a str,
+        granted: bool,
+        holder: &'a str,
+    }
+    /// The final fate of a claimed request could not be recorded.
+    1009 Error "not_settled" NotSettled {
+        request: &'a str,
+        reason: &'a str,
+    }
+    /// The listener for callers accepts connections.
+    1101 Info "listening" Listening {
+        address: &'a str,
+    }
+    /// The listener for callers could not accept a connection.
+    1102 Warn "accept_failed" AcceptFailed {
+        reason: &'a str,
+    }
+    /// The entry refuses new work from now on.
+    1103 Info "drain_began" DrainBegan {
+        in_flight: usize,
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/accounts.rs
@@ -0,0 +1,47 @@
+//! Running requests of each client account on this entry.
+
+use std::sync::{self, atomic};
+
+use mustardshed::{
+    config::text,
+    core::{error, process::snapshot, request::admission},
+};
+
+use crate::request::table;
+
+/// Running requests of each client account on this entry.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    running: table::Table<atomic::AtomicU32>,
+}
+
+impl Accounts {
+    /// Counts one more request of an account until the guard is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::ErrorKind::AccountLimit`] if that exceeds the account's limit.
+    pub fn enter(
+        &self,
+        snapshot: &snapshot::Snapshot,
+        account: &text::ClientAccount,
+    ) -> Result<Running, error::Error> {
+        let count = self.running.get(&account.name);
+        let before = count.fetch_add(1, atomic::Ordering::SeqCst);
+        let running = Running { count };
+        admission::check_account(snapshot, account, before)?;
+        Ok(running)
+    }
+}
+
+/// One running request of an account; dropping it counts one less.
+#[derive(Debug)]
+pub struct Running {
+    count: sync::Arc<atomic::AtomicU32>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/call/attempt.rs
@@ -0,0 +1,144 @@
+//! One attempt of a call: route, take a credit, check, send.
+
+use std::sync;
+
+use mustardshed::core::{
+    border::{backend_server, control},
+    error,
+    request::{admission, fate, route, route::work},
+};
+
+use crate::{
+    log::{self, event},
+    request::{call::driver, failure, held_credit, placement, send_check},
+};
+
+impl driver::Driver {
+    /// Makes one attempt; returns the service's answer.
+    pub(super) async fn attempt(&mut self) -> Result<fate::KeptAnswer, failure::Failure> {
+        let decision = self.route()?;
+        let mut placement = self.place(&decision).await?;
+        send_check::check(&self.cx, &placement, self.call.job.deadline)?;
+        self.send_call(&decision, &mut placement).await
+    }
+
+    fn route(&self) -> Result<route::decision::Decision, failure::Failure> {
+        let snapshot = self.cx.control.snapshot();
+        let now = self.cx.clock.now();
+        let job = &self.call.job;
+        let service = snapshot.text.services.get(&job.service);
+        let target = service.and_then(|service| admission::target(&snapshot.text, service));
+        let Some(target) = target else {
+            return Err(failure::Failure::stop(error::Error::not_run(
+                error::ErrorKind::UnknownService,
+                format!("service {} is no longer configured", job.service),
+            )));
+        };
+        let work = work::Work::new(target, self.cx.next_seed()).tried(&self.tried);
+        let decision = route::decide(&snapshot, &work, now)
+            .map_err(|none| self.not_routed(&none.to_string()))?;
+        self.log_routed(&decision);
+        admission::check_deadline(&decision.estimate, now, job.deadline)
+            .map_err(failure::Failure::stop)?;
+        Ok(decision)
+    }
+
+    fn log_routed(&self, decision: &route::decision::Decision) {
+        let job = &self.call.job;
+        log::emit(&event::Event::Routed {
+            request: &job.id,
+            account: &job.account,
+            service: &job.service,
+            server: &decision.server,
+            data_centre: &decision.data_centre,
+            estimate_ms: decision.estimate.total().as_millis(),
+            prompt_tokens: 0,
+            attempt: self.attempts,
+            reason: &decision.to_string(),
+        });
+    }
+
+    fn not_routed(&self, reason: &str) -> failure::Failure {
+        let job = &self.call.job;
+        log::emit(&event::Event::NotRouted {
+            request: &job.id,
+            account: &job.account,
+            service: &job.service,
+            reason,
+        });
+        failure::Failure::stop(error::Error::not_run(
+            error::ErrorKind::NoBackendServer,
+            "no backend server may be given the call now",
+        ))
+    }
+
+    async fn place(
+        &mut self,
+        decision: &route::decision::Decision,
+    ) -> Result<placement::Placement, failure::Failure> {
+        let job = &self.call.job;
+        let mut placement = placement::Placement::new(&self.cx, job.id.clone());
+        let req = control::CreditRequest {
+            request: job.id.clone(),
+            account: job.account.clone(),
+            server: decision.server.clone(),
+            tokens: 0,
+            prefill_tokens: 0,
+            priority: 0,
+            wait_until: self.wait_until,
+            gang: false,
+        };
+        match held_credit::HeldCredit::acquire(&self.cx, req).await {
+            Ok(credit) => {
+                placement.add_credit(credit);
+                Ok(placement)
+            }
+            Err(err) => {
+                self.tried.push(decision.server.clone());
+                Err(failure::Failure::again(err))
+            }
+        }
+    }
+
+    /// Sends the call, once; a call that may not be repeated is never sent again after it may
+    /// have run.
+    async fn send_call(
+        &mut self,
+        decision: &route::decision::Decision,
+        placement: &mut placement::Placement,
+    ) -> Result<fate::KeptAnswer, failure::Failure> {
+        let cx = sync::Arc::clone(&self.cx);
+        let ran_before = self.may_have_run;
+        self.may_have_run = true;
+        self.tried.push(decision.server.clone());
+        self.given.push(decision.server.clone());
+        self.record_running();
+        let answer = cx
+            .servers
+            .call(&decision.address, self.call.call.clone())
+            .await;
+        let err = match answer {
+            Ok(answer) => return Ok(kept(answer)),
+            Err(err) => err,
+        };
+        placement.fail(&err);
+        if failure::is_not_run(&err) {
+            self.may_have_run = ran_before;
+            self.given.pop();
+            return Err(failure::Failure::not_run(&err));
+        }
+        let mut broken = failure::Failure::broken(&err);
+        if !self.call.is_repeatable {
+            broken.next = failure::Next::Stop;
+        }
+        Err(broken)
+    }
+}
+
+fn kept(answer: backend_server::ServiceAnswer) -> fate::KeptAnswer {
+    fate::KeptAnswer {
+        status: answer.status,
+        content_type: answer.content_type,
+        body: answer.body,
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -0,0 +1,202 @@
+//! Carries a call of a plain service from its claim to its answer.
+
+use std::sync;
+
+use mustardshed::core::{
+    border::control,
+    error, ids,
+    outcome::Outcome,
+    request::{fate, retry},
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    log::{self, event},
+    request::{call, cx, failure, settlement},
+};
+
+/// Attempts that no backend server saw, at most.
+const MAX_FREE_ATTEMPTS: u32 = 4;
+/// Part of the time left until the deadline for which credits are waited for.
+const CREDIT_WAIT_DIVISOR: u32 = 2;
+
+/// Carries one call.
+#[derive(Debug)]
+pub struct Driver {
+    pub(super) cx: sync::Arc<cx::Cx>,
+    pub(super) call: call::Call,
+    pub(super) tried: Vec<ids::BackendServerId>,
+    pub(super) given: Vec<ids::BackendServerId>,
+    pub(super) attempts: u32,
+    pub(super) may_have_run: bool,
+    pub(super) wait_until: ids::Timestamp,
+    budget: sync::Arc<retry::Budget>,
+    tx: Option<oneshot::Sender<call::Ended>>,
+    started_at: ids::Timestamp,
+}
+
+impl Driver {
+    /// Makes the driver of an admitted call.
+    pub fn new(cx: sync::Arc<cx::Cx>, call: call::Call, tx: oneshot::Sender<call::Ended>) -> Self {
+        let budget = cx.budgets.get(&call.job.service);
+        budget.deposit(call.job.retry_percent);
+        let started_at = cx.clock.now();
+        let left = call.job.deadline.saturating_sub(started_at);
+        Self {
+            cx,
+            call,
+            tried: Vec::new(),
+            given: Vec::new(),
+            attempts: 0,
+            may_have_run: false,
+            wait_until: started_at + left / CREDIT_WAIT_DIVISOR,
+            budget,
+            tx: Some(tx),
+            started_at,
+        }
+    }
+
+    /// Carries the call to its end.
+    pub async fn run(mut self) {
+        let ended = self.drive().await;
+        let (outcome, kind, answer) = match &ended {
+            call::Ended::Earlier(_) => {
+                self.send(ended);
+                return;
+            }
+            call::Ended::Answered(answer) => (Outcome::Completed, None, Some(answer.clone())),
+            call::Ended::Failed(err) => (err.outcome, Some(err.kind), None),
+        };
+        self.log_end(outcome, kind);
+        let kept = answer.filter(|_| self.call.job.claim.is_some());
+        let fate = self.fate(outcome, kind, kept);
+        if outcome == Outcome::Completed {
+            settlement::conclude(&self.cx, &self.call.job, fate).await;
+            self.send(ended);
+        } else {
+            self.send(ended);
+            settlement::conclude(&self.cx, &self.call.job, fate).await;
+        }
+    }
+
+    /// Attempts until the call ends or its deadline passes.
+    async fn drive(&mut self) -> call::Ended {
+        let cx = sync::Arc::clone(&self.cx);
+        let deadline = self.call.job.deadline;
+        let late = tokio::select! {
+            biased;
+            ended = self.claim_and_attempt() => return ended,
+            () = cx.sleep_until(deadline) => error::Error::not_run(
+                error::ErrorKind::DeadlineExceeded,
+                "the deadline passed before the service answered",
+            ),
+        };
+        call::Ended::Failed(self.with_true_outcome(late))
+    }
+
+    async fn claim_and_attempt(&mut self) -> call::Ended {
+        if let Some(claim) = self.call.job.claim.clone() {
+            match settlement::claim(&self.cx, claim).await {
+                Ok(control::Claim::Granted) => {}
+                Ok(control::Claim::Earlier(fate)) => return call::Ended::Earlier(Box::new(fate)),
+                Err(err) => return call::Ended::Failed(err),
+            }
+        }
+        match self.attempts().await {
+            Ok(answer) => call::Ended::Answered(answer),
+            Err(err) => call::Ended::Failed(self.with_true_outcome(err)),
+        }
+    }
+
+    async fn attempts(&mut self) -> Result<fate::KeptAnswer, error::Error> {
+        let mut free_attempts = 0;
+        let mut last = None;
+        loop {
+            self.attempts += 1;
+            let failure = match self.attempt().await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            self.log_failure(&failure);
+            let goes_on = match failure.next {
+                failure::Next::Stop => false,
+                failure::Next::Again => {
+                    free_attempts += 1;
+                    free_attempts < MAX_FREE_ATTEMPTS && self.cx.clock.now() < self.wait_until
+                }
+                failure::Next::Retry => self.budget.withdraw(),
+            };
+            if !goes_on {
+                let first =
+                    last.filter(|_| failure.error.kind == error::ErrorKind::NoBackendServer);
+                return Err(first.unwrap_or(failure.error));
+            }
+            last = Some(failure.error);
+        }
+    }
+
+    /// Sets the outcome of an error by what the servers were given.
+    ///
+    /// A service cannot be told to stop, so that a call which it may have begun has an unknown end.
+    fn with_true_outcome(&self, mut err: error::Error) -> error::Error {
+        if !self.may_have_run {
+            return err;
+        }
+        err.outcome = Outcome::Unknown;
+        if err.kind != error::ErrorKind::DeadlineExceeded && !self.call.is_repeatable {
+            err.kind = error::ErrorKind::FateUnknown;
+            err.retry_after = None;
+        }
+        err
+    }
+
+    fn send(&mut self, ended: call::Ended) {
+        if let Some(tx) = self.tx.take() {
+            drop(tx.send(ended));
+        }
+    }
+
+    fn fate(
+        &self,
+        outcome: Outcome,
+        error: Option<error::ErrorKind>,
+        answer: Option<fate::KeptAnswer>,
+    ) -> fate::Fate {
+        self.call.job.fate(outcome, error, &self.given, answer)
+    }
+
+    /// Records that the call is being worked on.
+    pub(super) fn record_running(&self) {
+        self.cx
+            .control
+            .record(self.fate(Outcome::Running, None, None));
+    }
+
+    fn log_failure(&self, failure: &failure::Failure) {
+        log::emit(&event::Event::AttemptFailed {
+            request: &self.call.job.id,
+            servers: &self.given.join(","),
+            code: failure.error.kind.answer().code,
+            outcome: failure.error.outcome.as_str(),
+            next: failure.next.as_str(),
+            reason: &failure.error.message,
+        });
+    }
+
+    fn log_end(&self, outcome: Outcome, kind: Option<error::ErrorKind>) {
+        let job = &self.call.job;
+        let elapsed = self.cx.clock.now().saturating_sub(self.started_at);
+        self.cx.metrics.time("call.elapsed", elapsed);
+        self.cx.metrics.count(outcome.as_str());
+        log::emit(&event::Event::Ended {
+            request: &job.id,
+            account: &job.account,
+            service: &job.service,
+            outcome: outcome.as_str(),
+            code: kind.map_or("none", |kind| kind.answer().code),
+            servers: &self.given.join(","),
+            tokens: 0,
+            elapsed_ms: elapsed.as_millis(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -0,0 +1,212 @@
+//! One attempt to run a prompt: route, take credits, check, send.
+
+use std::sync;
+
+use mustardshed::core::{
+    border::{backend_server, control},
+    error, ids,
+    request::{admission, gang, lane, route, route::work},
+};
+
+use crate::{
+    log::{self, event},
+    request::{completion::driver, completion::plan, failure, held_credit, placement, send_check},
+};
+
+impl driver::Driver {
+    /// Makes one attempt; returns when the whole output was read.
+    pub(super) async fn attempt(&mut self) -> Result<(), failure::Failure> {
+        let plan = self.route()?;
+        let mut placement = self.place(&plan).await?;
+        send_check::check(&self.cx, &placement, self.completion.job.deadline)?;
+        self.send(&plan, &mut placement).await
+    }
+
+    fn route(&self) -> Result<plan::Plan, failure::Failure> {
+        let snapshot = self.cx.control.snapshot();
+        let now = self.cx.clock.now();
+        let completion = &self.completion;
+        let Some(target) = admission::model_target(&snapshot.text, &completion.model) else {
+            return Err(failure::Failure::stop(error::Error::not_run(
+                error::ErrorKind::UnknownModel,
+                format!("model {} is no longer configured", completion.model),
+            )));
+        };
+        let work = work::Work::new(target, self.cx.next_seed())
+            .tokens(completion.prompt_tokens, completion.max_tokens)
+            .tried(&self.progress.tried);
+        let plan = if gang::is_needed(&work) {
+            self.route_gang(gang::plan(&snapshot, &work, now))?
+        } else {
+            self.route_single(route::decide(&snapshot, &work, now), work.memory_tokens)?
+        };
+        admission::check_deadline(&plan.estimate, now, completion.job.deadline)
+            .map_err(failure::Failure::stop)?;
+        Ok(plan)
+    }
+
+    fn route_single(
+        &self,
+        decision: Result<route::decision::Decision, route::decision::NoRoute>,
+        memory_tokens: ids::Tokens,
+    ) -> Result<plan::Plan, failure::Failure> {
+        let job = &self.completion.job;
+        match decision {
+            Ok(decision) => {
+                log::emit(&event::Event::Routed {
+                    request: &job.id,
+                    account: &job.account,
+                    service: &job.service,
+                    server: &decision.server,
+                    data_centre: &decision.data_centre,
+                    estimate_ms: decision.estimate.total().as_millis(),
+                    prompt_tokens: self.completion.prompt_tokens,
+                    attempt: self.progress.attempts,
+                    reason: &decision.to_string(),
+                });
+                Ok(plan::Plan::single(decision, memory_tokens))
+            }
+            Err(none) => Err(self.not_routed(&none.to_string())),
+        }
+    }
+
+    fn route_gang(&self, plan: Option<gang::Plan>) -> Result<plan::Plan, failure::Failure> {
+        let job = &self.completion.job;
+        let Some(plan) = plan.and_then(plan::Plan::gang) else {
+            return Err(self.not_routed("no data centre has enough engines for the prompt"));
+        };
+        log::emit(&event::Event::GangRouted {
+            request: &job.id,
+            account: &job.account,
+            service: &job.service,
+            servers: &plan.names(),
+            data_centre: &plan.data_centre,
+            estimate_ms: plan.estimate.total().as_millis(),
+            prompt_tokens: self.completion.prompt_tokens,
+            tokens_each: plan.tokens_each,
+            attempt: self.progress.attempts,
+            reason: &format!(
+                "the prompt exceeds one engine's memory; the least estimate of all data centres: {}",
+                plan.estimate
+            ),
+        });
+        Ok(plan)
+    }
+
+    fn not_routed(&self, reason: &str) -> failure::Failure {
+        let job = &self.completion.job;
+        log::emit(&event::Event::NotRouted {
+            request: &job.id,
+            account: &job.account,
+            service: &job.service,
+            reason,
+        });
+        failure::Failure::stop(error::Error::not_run(
+            error::ErrorKind::NoBackendServer,
+            "no backend server may be given the prompt now",
+        ))
+    }
+
+    /// Takes the credits and then the reservations of a plan, all or nothing.
+    async fn place(&mut self, plan: &plan::Plan) -> Result<placement::Placement, failure::Failure> {
+        let job = &self.completion.job;
+        let mut placement = placement::Placement::new(&self.cx, job.id.clone());
+        for engine in &plan.engines {
+            let req = self.credit_request(plan, engine);
+            match held_credit::HeldCredit::acquire(&self.cx, req).await {
+                Ok(credit) => placement.add_credit(credit),
+                Err(err) => {
+                    self.progress.tried.push(engine.server.clone());
+                    return Err(failure::Failure::again(err));
+                }
+            }
+        }
+        if plan.is_gang() {
+            self.reserve(plan, &mut placement).await?;
+        }
+        Ok(placement)
+    }
+
+    async fn reserve(
+        &mut self,
+        plan: &plan::Plan,
+        placement: &mut placement::Placement,
+    ) -> Result<(), failure::Failure> {
+        for engine in &plan.engines {
+            let Err(err) = placement.reserve(engine, plan.tokens_each).await else {
+                continue;
+            };
+            placement.fail(&err);
+            self.progress.tried.push(engine.server.clone());
+            return Err(failure::Failure::not_run(&err));
+        }
+        Ok(())
+    }
+
+    fn credit_request(&self, plan: &plan::Plan, engine: &gang::Engine) -> control::CreditRequest {
+        let job = &self.completion.job;
+        let latest = job.deadline.saturating_sub(plan.estimate.prefill);
+        control::CreditRequest {
+            request: job.id.clone(),
+            account: job.account.clone(),
+            server: engine.server.clone(),
+            tokens: plan.tokens_each,
+            prefill_tokens: plan.prefill_each,
+            priority: self.priority(),
+            wait_until: latest.min(self.wait_until),
+            gang: plan.is_gang(),
+        }
+    }
+
+    fn priority(&self) -> u32 {
+        lane::Lane::of(self.completion.prompt_tokens).priority()
+    }
+
+    async fn send(
+        &mut self,
+        plan: &plan::Plan,
+        placement: &mut placement::Placement,
+    ) -> Result<(), failure::Failure> {
+        let cx = sync::Arc::clone(&self.cx);
+        let ran_before = self.progress.may_have_run;
+        let req = self.engine_request(plan);
+        placement.begin(&plan.lead.address);
+        self.progress.may_have_run = true;
+        self.progress.tried.push(plan.lead.server.clone());
+        self.progress.given.push(plan.lead.server.clone());
+        self.record_running();
+        let sent_at = cx.clock.now();
+        match cx.servers.generate(&plan.lead.address, req).await {
+            Ok(stream) => self.read(stream, plan, placement, sent_at).await,
+            Err(err) if failure::is_not_run(&err) => {
+                placement.end();
+                placement.fail(&err);
+                self.progress.may_have_run = ran_before;
+                self.progress.given.pop();
+                Err(failure::Failure::not_run(&err))
+            }
+            Err(err) => {
+                let stream = self.resume(plan, placement, &err).await?;
+                self.read(stream, plan, placement, sent_at).await
+            }
+        }
+    }
+
+    /// Makes the prompt's request for an engine.
+    ///
+    /// Engines are deterministic by their contract: the same prompt gives the same tokens on every
+    /// engine, so that an output may be continued on another one at the number of tokens delivered.
+    fn engine_request(&self, plan: &plan::Plan) -> backend_server::EngineRequest {
+        let completion = &self.completion;
+        backend_server::EngineRequest {
+            id: completion.job.id.clone(),
+            model: completion.model.clone(),
+            prompt: completion.prompt.clone(),
+            prompt_tokens: completion.prompt_tokens,
+            max_tokens: completion.max_tokens,
+            offset: self.progress.assembly.next_offset(),
+            priority: self.priority(),
+            gang: plan.gang_addresses(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/completion/plan.rs
@@ -0,0 +1,76 @@
+//! Where one attempt goes: one engine or a gang.
+
+use mustardshed::core::{
+    ids,
+    request::{
+        gang,
+        route::{decision, estimate},
+    },
+};
+
+/// Where one attempt goes.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Engine that the prompt is sent to.
+    pub lead: gang::Engine,
+    /// All engines in the order of their names; the lead alone if there is no gang.
+    pub engines: Vec<gang::Engine>,
+    /// Data centre of all engines.
+    pub data_centre: ids::DataCentreId,
+    /// KV memory that each engine holds, in tokens.
+    pub tokens_each: ids::Tokens,
+    /// Prompt tokens that each engine must prefill.
+    pub prefill_each: ids::Tokens,
+    /// Estimated time to first token.
+    pub estimate: estimate::Estimate,
+}
+
+impl Plan {
+    /// Makes the plan for one engine.
+    pub fn single(decision: decision::Decision, memory_tokens: ids::Tokens) -> Self {
+        let lead = gang::Engine {
+            server: decision.server,
+            address: decision.address,
+        };
+        Self {
+            engines: vec![lead.clone()],
+            lead,
+            data_centre: decision.data_centre,
+            tokens_each: memory_tokens,
+            prefill_each: decision.prefill_tokens,
+            estimate: decision.estimate,
+        }
+    }
+
+    /// Makes the plan for a gang; nothing if it has no engine.
+    pub fn gang(plan: gang::Plan) -> Option<Self> {
+        let lead = plan.engines.first()?.clone();
+        Some(Self {
+            lead,
+            engines: plan.engines,
+            data_centre: plan.data_centre,
+            tokens_each: plan.tokens_each,
+            prefill_each: plan.prefill_each,
+            estimate: plan.estimate,
+        })
+    }
+
+    /// Returns whether several engines share the prompt.
+    pub const fn is_gang(&self) -> bool {
+        self.engines.len() > 1
+    }
+
+    /// Returns the addresses of a gang, the lead's first; nothing for a single engine.
+    pub fn gang_addresses(&self) -> Vec<String> {
+        if !self.is_gang() {
+            return Vec::new();
+        }
+        self.engines.iter().map(|e| e.address.clone()).collect()
+    }
+
+    /// Returns the names of all engines, for the log.
+    pub fn names(&self) -> String {
+        let names: Vec<_> = self.engines.iter().map(|e| e.server.as_str()).collect();
+        names.join(",")
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -0,0 +1,131 @@
+//! What all requests of an entry share.
+
+use std::sync::{self, atomic};
+
+use mustardshed::core::{
+    border::{backend_server, clock, control},
+    error, ids,
+    request::retry,
+};
+
+use crate::{
+    log::metrics,
+    request::{accounts, table},
+};
+
+/// What all requests of an entry share.
+#[derive(Debug)]
+pub struct Cx {
+    /// Control thread.
+    pub control: sync::Arc<dyn control::Control>,
+    /// Backend servers.
+    pub servers: sync::Arc<dyn backend_server::BackendServer>,
+    /// Clock that also counts suspension.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Retry budgets, by service.
+    pub budgets: table::Table<retry::Budget>,
+    /// Running requests, by client account.
+    pub accounts: accounts::Accounts,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+    draws: atomic::AtomicU64,
+    draining: atomic::AtomicBool,
+    in_flight: atomic::AtomicUsize,
+    max_in_flight: usize,
+}
+
+impl Cx {
+    /// Makes the shared state of an entry's requests, of which at most `max_in_flight` run at once.
+    ///
+    /// `seed` starts the random draws of routing.
+    pub fn new(
+        control: sync::Arc<dyn control::Control>,
+        servers: sync::Arc<dyn backend_server::BackendServer>,
+        clock: sync::Arc<dyn clock::Clock>,
+        metrics: metrics::Metrics,
+        max_in_flight: usize,
+        seed: u64,
+    ) -> Self {
+        Self {
+            control,
+            servers,
+            clock,
+            budgets: table::Table::default(),
+            accounts: accounts::Accounts::default(),
+            metrics,
+            draws: atomic::AtomicU64::new(seed),
+            draining: atomic::AtomicBool::new(false),
+            in_flight: atomic::AtomicUsize::new(0),
+            max_in_flight,
+        }
+    }
+
+    /// Returns the seed of the next random draw.
+    pub fn next_seed(&self) -> u64 {
+        self.draws.fetch_add(1, atomic::Ordering::Relaxed)
+    }
+
+    /// Waits until `time` on the entry's clock.
+    pub async fn sleep_until(&self, time: ids::Timestamp) {
+        loop {
+            let left = time.saturating_sub(self.clock.now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
+
+    /// Refuses new work from now on.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, atomic::Ordering::SeqCst);
+    }
+
+    /// Returns whether new work is refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Returns the number of requests that are being carried.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Counts one more request until the guard is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::ErrorKind::Leaving`] if new work is refused, and
+    /// [`error::ErrorKind::Overloaded`] if too many requests are being carried.
+    pub fn enter(self: &sync::Arc<Self>) -> Result<InFlight, error::Error> {
+        let before = self.in_flight.fetch_add(1, atomic::Ordering::SeqCst);
+        let guard = InFlight {
+            cx: sync::Arc::clone(self),
+        };
+        if self.is_draining() {
+            return Err(error::Error::not_run(
+                error::ErrorKind::Leaving,
+                "this entry takes no new work; ask for the entries again",
+            ));
+        }
+        if before >= self.max_in_flight {
+            return Err(error::Error::not_run(
+                error::ErrorKind::Overloaded,
+                "this entry carries as many requests as it can",
+            ));
+        }
+        Ok(guard)
+    }
+}
+
+/// One request that is being carried; dropping it counts one less.
+#[derive(Debug)]
+pub struct InFlight {
+    cx: sync::Arc<Cx>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.cx.in_flight.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/held_credit.rs
@@ -0,0 +1,98 @@
+//! A credit that is given back exactly once.
+
+use std::sync;
+
+use mustardshed::core::{
+    border::{backend_server, control},
+    error, ids,
+};
+use tokio::sync::oneshot;
+
+use crate::request::cx;
+
+/// A credit that is given back, once, when this is dropped.
+#[derive(Debug)]
+pub struct HeldCredit {
+    cx: sync::Arc<cx::Cx>,
+    credit: Option<control::Credit>,
+    feedback: control::Feedback,
+}
+
+impl HeldCredit {
+    /// Asks for a credit.
+    ///
+    /// A credit that is granted after the asker has gone is given back as well, for the asking
+    /// goes on in a task of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the control thread's refusal.
+    pub async fn acquire(
+        cx: &sync::Arc<cx::Cx>,
+        req: control::CreditRequest,
+    ) -> Result<Self, error::Error> {
+        let (tx, rx) = oneshot::channel();
+        let cx = sync::Arc::clone(cx);
+        tokio::spawn(async move {
+            let prefill_tokens = req.prefill_tokens;
+            let granted = cx.control.acquire(req).await;
+            let held = granted.map(|credit| Self::new(cx, credit, prefill_tokens));
+            drop(tx.send(held));
+        });
+        rx.await.unwrap_or_else(|_| {
+            Err(error::Error::not_run(
+                error::ErrorKind::Internal,
+                "asking for a credit ended early",
+            ))
+        })
+    }
+
+    fn new(cx: sync::Arc<cx::Cx>, credit: control::Credit, prefill_tokens: ids::Tokens) -> Self {
+        let feedback = control::Feedback {
+            request: credit.request.clone(),
+            server: credit.server.clone(),
+            prefill_tokens,
+            first_token: None,
+            epoch: None,
+            failure: None,
+        };
+        Self {
+            cx,
+            credit: Some(credit),
+            feedback,
+        }
+    }
+
+    /// Returns the credit.
+    pub const fn credit(&self) -> Option<&control::Credit> {
+        self.credit.as_ref()
+    }
+
+    /// Returns whether the time to the first token is known.
+    pub const fn has_first_token(&self) -> bool {
+        self.feedback.first_token.is_some()
+    }
+
+    /// Notes the time from the send to the first token.
+    pub const fn set_first_token(&mut self, elapsed: std::time::Duration) {
+        self.feedback.first_token = Some(elapsed);
+    }
+
+    /// Notes the epoch that the server showed last.
+    pub const fn set_epoch(&mut self, epoch: ids::Epoch) {
+        self.feedback.epoch = Some(epoch);
+    }
+
+    /// Notes how the work failed.
+    pub fn set_failure(&mut self, failure: backend_server::BackendServerError) {
+        self.feedback.failure = Some(failure);
+    }
+}
+
+impl Drop for HeldCredit {
+    fn drop(&mut self) {
+        if let Some(credit) = self.credit.take() {
+            self.cx.control.release(credit, self.feedback.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/placement.rs
@@ -0,0 +1,141 @@
+//! Work on one backend server or on a gang of engines, cleaned up on every path.
+
+use std::{sync, time};
+
+use mustardshed::core::{border::backend_server, ids, request::gang};
+
+use crate::request::{cx, held_credit};
+
+/// Attempts to cancel work or to give a reservation back.
+const CLEANUP_ATTEMPTS: u32 = 5;
+/// Pause after the first failed attempt; it doubles.
+const CLEANUP_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// Credits, reservations and work that one attempt holds.
+///
+/// When it is dropped, work that was sent and did not end is cancelled, then reservations are
+/// given back, and then the credits, so that no credit is granted again before its memory is free.
+#[derive(Debug)]
+pub struct Placement {
+    cx: sync::Arc<cx::Cx>,
+    id: ids::RequestId,
+    credits: Vec<held_credit::HeldCredit>,
+    reserved: Vec<String>,
+    running_at: Option<String>,
+}
+
+impl Placement {
+    /// Makes a placement that holds nothing yet.
+    pub fn new(cx: &sync::Arc<cx::Cx>, id: ids::RequestId) -> Self {
+        Self {
+            cx: sync::Arc::clone(cx),
+            id,
+            credits: Vec::new(),
+            reserved: Vec::new(),
+            running_at: None,
+        }
+    }
+
+    /// Adds a credit.
+    pub fn add_credit(&mut self, credit: held_credit::HeldCredit) {
+        self.credits.push(credit);
+    }
+
+    /// Reserves memory on one engine of a gang.
+    ///
+    /// # Errors
+    ///
+    /// Returns the engine's refusal; a reservation whose answer was lost is given back as well.
+    pub async fn reserve(
+        &mut self,
+        engine: &gang::Engine,
+        tokens: ids::Tokens,
+    ) -> Result<(), backend_server::BackendServerError> {
+        self.reserved.push(engine.address.clone());
+        let cx = sync::Arc::clone(&self.cx);
+        cx.servers.reserve(&engine.address, &self.id, tokens).await
+    }
+
+    /// Returns the credits.
+    pub fn credits(&self) -> &[held_credit::HeldCredit] {
+        &self.credits
+    }
+
+    /// Returns the credits to note on them how the work went.
+    pub fn credits_mut(&mut self) -> &mut [held_credit::HeldCredit] {
+        &mut self.credits
+    }
+
+    /// Notes that the work is being sent to the server at `address`.
+    pub fn begin(&mut self, address: &str) {
+        self.running_at = Some(address.to_owned());
+    }
+
+    /// Notes that the work ended, or never ran, so that there is nothing to cancel.
+    pub fn end(&mut self) {
+        self.running_at = None;
+    }
+
+    /// Notes how the work failed.
+    pub fn fail(&mut self, failure: &backend_server::BackendServerError) {
+        for credit in &mut self.credits {
+            credit.set_failure(failure.clone());
+        }
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        if self.running_at.is_none() && self.reserved.is_empty() {
+            return;
+        }
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        let cleanup = Cleanup {
+            cx: sync::Arc::clone(&self.cx),
+            id: std::mem::take(&mut self.id),
+            credits: std::mem::take(&mut self.credits),
+            reserved: std::mem::take(&mut self.reserved),
+            running_at: self.running_at.take(),
+        };
+        runtime.spawn(cleanup.run());
+    }
+}
+
+/// What a dropped placement leaves to be done.
+struct Cleanup {
+    cx: sync::Arc<cx::Cx>,
+    id: ids::RequestId,
+    credits: Vec<held_credit::HeldCredit>,
+    reserved: Vec<String>,
+    running_at: Option<String>,
+}
+
+impl Cleanup {
+    async fn run(self) {
+        if let Some(address) = &self.running_at {
+            let cancel = || self.cx.servers.cancel(address, &self.id);
+            attempt_often(cancel).await;
+        }
+        for address in &self.reserved {
+            let release = || self.cx.servers.release(address, &self.id);
+            attempt_often(release).await;
+        }
+        drop(self.credits);
+    }
+}
+
+async fn attempt_often<F>(mut call: impl FnMut() -> F)
+where
+    F: Future<Output = Result<(), backend_server::BackendServerError>>,
+{
+    let mut pause = CLEANUP_PAUSE;
+    for _ in 0..CLEANUP_ATTEMPTS {
+        if call().await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+        pause *= 2;
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/send_check.rs
@@ -0,0 +1,63 @@
+//! The last check before work is sent.
+
+use mustardshed::core::{error, ids, process::snapshot, request::admission};
+
+use crate::request::{cx, failure, placement};
+
+/// Checks, on the clock and the newest snapshot, that work may still be sent.
+///
+/// A process that was frozen between the routing and the send finds here that its credits, its
+/// configuration or the request's deadline are out of date.
+///
+/// # Errors
+///
+/// Returns what stands against the send; nothing has run then.
+pub fn check(
+    cx: &cx::Cx,
+    placement: &placement::Placement,
+    deadline: ids::Timestamp,
+) -> Result<(), failure::Failure> {
+    let snapshot = cx.control.snapshot();
+    let now = cx.clock.now();
+    if now >= deadline {
+        return Err(failure::Failure::stop(error::Error::not_run(
+            error::ErrorKind::DeadlineExceeded,
+            "the deadline passed before the request could be sent",
+        )));
+    }
+    admission::check_fresh(&snapshot, now).map_err(failure::Failure::stop)?;
+    for held in placement.credits() {
+        let Some(credit) = held.credit() else {
+            continue;
+        };
+        if now >= credit.use_by {
+            return Err(out_of_date("the credit was not used in time"));
+        }
+        check_server(&snapshot, &credit.server, credit.epoch)?;
+    }
+    Ok(())
+}
+
+fn check_server(
+    snapshot: &snapshot::Snapshot,
+    id: &str,
+    epoch: ids::Epoch,
+) -> Result<(), failure::Failure> {
+    let Some(server) = snapshot.servers.get(id) else {
+        return Err(out_of_date("the backend server is no longer known"));
+    };
+    if server.leaving || snapshot.data_centres_out.contains(&server.data_centre) {
+        return Err(out_of_date("the backend server gets no new work any more"));
+    }
+    if server.epoch > epoch {
+        return Err(out_of_date("the backend server turned cold meanwhile"));
+    }
+    Ok(())
+}
+
+fn out_of_date(reason: &str) -> failure::Failure {
+    failure::Failure::again(error::Error::not_run(
+        error::ErrorKind::NoBackendServer,
+        reason,
+    ))
+}
--- /dev/null
+++ b/crates/mustardshedd/src/request/settlement.rs
@@ -0,0 +1,59 @@
+//! Claims of requests, and the records of their fates.
+
+use std::{sync, time};
+
+use mustardshed::core::{border::control, error, request::fate};
+
+use crate::{
+    log::{self, event},
+    request::{cx, job},
+};
+
+/// Wait for the record of a claimed request's fate before its caller is answered.
+const SETTLE_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// Takes a claim and logs who holds it.
+///
+/// # Errors
+///
+/// Returns the control thread's refusal; nothing has run then.
+pub async fn claim(
+    cx: &cx::Cx,
+    claim: control::ClaimRequest,
+) -> Result<control::Claim, error::Error> {
+    let (request, account) = (claim.request.clone(), claim.account.clone());
+    let answer = cx.control.claim(claim).await?;
+    let holder = match &answer {
+        control::Claim::Granted => &request,
+        control::Claim::Earlier(fate) => &fate.request,
+    };
+    log::emit(&event::Event::Claimed {
+        request: &request,
+        account: &account,
+        granted: answer == control::Claim::Granted,
+        holder,
+    });
+    Ok(answer)
+}
+
+/// Records the final fate of a request, and settles its claim if it has one.
+///
+/// The caller of a claimed request is answered when this returns, so that a repeat right after the
+/// answer finds it; settling that takes longer goes on in a task of its own.
+pub async fn conclude(cx: &sync::Arc<cx::Cx>, job: &job::Job, fate: fate::Fate) {
+    cx.control.record(fate.clone());
+    let Some(claim) = job.claim.clone() else {
+        return;
+    };
+    let cx = sync::Arc::clone(cx);
+    let settling = tokio::spawn(async move {
+        let request = claim.request.clone();
+        if let Err(err) = cx.control.settle(claim, fate).await {
+            log::emit(&event::Event::NotSettled {
+                request: &request,
+                reason: &err.to_string(),
+            });
+        }
+    });
+    drop(tokio::time::timeout(SETTLE_WAIT, settling).await);
+}
