--- a/crates/mustardshed-core/src/border/backend_server.rs
+++ b/crates/mustardshed-core/src/border/backend_server.rs
@@ -54,6 +54,15 @@
     pub held: Vec<HeldRequest>,
 }
 
+/// How the bytes of a prompt are to be read.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum PromptForm {
+    /// UTF-8 text.
+    Text,
+    /// Token numbers, each a little-endian 32-bit integer.
+    Tokens,
+}
+
 /// A prompt as it is handed to an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineRequest {
@@ -63,6 +72,8 @@
     pub model: ids::ModelId,
     /// Prompt.
     pub prompt: Bytes,
+    /// How the prompt's bytes are to be read.
+    pub prompt_form: PromptForm,
     /// Prompt length in tokens as counted by the entry.
     pub prompt_tokens: ids::Tokens,
     /// Output length at most, in tokens.
--- a/crates/mustardshedd/src/http/generate.rs
+++ b/crates/mustardshedd/src/http/generate.rs
@@ -113,6 +113,7 @@
     let model = asked.model.clone();
     let ask = admit::PromptAsk {
         model: asked.model,
+        prompt_form: asked.prompt.form(),
         prompt: asked.prompt.into_bytes(),
         max_tokens: asked.max_tokens,
         deadline,
--- a/crates/mustardshedd/src/http/prompt.rs
+++ b/crates/mustardshedd/src/http/prompt.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use bytes::{Bytes, BytesMut};
-use mustardshed::core::ids;
+use mustardshed::core::{border::backend_server, ids};
 use serde::de;
 
 /// A prompt.
@@ -16,6 +16,14 @@
 }
 
 impl Prompt {
+    /// Returns how the bytes that an engine is given are to be read.
+    pub const fn form(&self) -> backend_server::PromptForm {
+        match self {
+            Self::Text(_) => backend_server::PromptForm::Text,
+            Self::Tokens(_) => backend_server::PromptForm::Tokens,
+        }
+    }
+
     /// Returns the bytes that an engine is given; tokens as little-endian 32-bit integers.
     pub fn into_bytes(self) -> Bytes {
         match self {
--- a/crates/mustardshedd/src/request/admit.rs
+++ b/crates/mustardshedd/src/request/admit.rs
@@ -31,6 +31,8 @@
     pub model: String,
     /// Prompt.
     pub prompt: Bytes,
+    /// How the prompt's bytes are to be read.
+    pub prompt_form: backend_server::PromptForm,
     /// Output length at most, in tokens.
     pub max_tokens: ids::Tokens,
     /// Deadline that the caller named.
@@ -79,6 +81,7 @@
         job,
         model: resolved.model.name.clone(),
         prompt: ask.prompt,
+        prompt_form: ask.prompt_form,
         prompt_tokens,
         max_tokens: ask.max_tokens,
     };
--- a/crates/mustardshedd/src/request/completion.rs
+++ b/crates/mustardshedd/src/request/completion.rs
@@ -9,7 +9,7 @@
 use std::sync;
 
 use bytes::Bytes;
-use mustardshed::core::ids;
+use mustardshed::core::{border::backend_server, ids};
 use tokio::sync::mpsc;
 
 use crate::request::{accounts, cx, job, output, whole};
@@ -26,6 +26,8 @@
     pub model: ids::ModelId,
     /// Prompt.
     pub prompt: Bytes,
+    /// How the prompt's bytes are to be read.
+    pub prompt_form: backend_server::PromptForm,
     /// Prompt length in tokens.
     pub prompt_tokens: ids::Tokens,
     /// Output length at most, in tokens.
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -202,6 +202,7 @@
             id: completion.job.id.clone(),
             model: completion.model.clone(),
             prompt: completion.prompt.clone(),
+            prompt_form: completion.prompt_form,
             prompt_tokens: completion.prompt_tokens,
             max_tokens: completion.max_tokens,
             offset: self.progress.assembly.next_offset(),
