Put the daemon's control thread, settings and traffic side together

Cause: the parts were written side by side; the daemon did not start yet. Change: process::{service, startup, operator}, log events for the decision core's entries, integer prompts at the engine client. Result: clippy clean; the node does not decide yet, so no prompt is served.

--- a/crates/mustardshedd/src/connection/backend_server/wire.rs
+++ b/crates/mustardshedd/src/connection/backend_server/wire.rs
@@ -4,7 +4,8 @@
 
 use mustardshed::core::{
     border::backend_server::{
-        BackendServerError, EngineRequest, HeldRequest, LoadReport, Order, TokenFrame, Warmth,
+        BackendServerError, EngineRequest, HeldRequest, LoadReport, Order, PromptForm, TokenFrame,
+        Warmth,
     },
     ids,
 };
@@ -14,7 +15,7 @@
 #[derive(Debug, Serialize)]
 pub(super) struct CompletionBody<'a> {
     model: &'a str,
-    prompt: &'a str,
+    prompt: PromptBody<'a>,
     max_tokens: u64,
     stream: bool,
     offset: u64,
@@ -26,11 +27,9 @@
     type Error = BackendServerError;
 
     fn try_from(req: &'a EngineRequest) -> Result<Self, BackendServerError> {
-        let prompt = str::from_utf8(&req.prompt)
-            .map_err(|_| BackendServerError::Refused(String::from("the prompt is not UTF-8")))?;
         Ok(Self {
             model: &req.model,
-            prompt,
+            prompt: PromptBody::try_from(req)?,
             max_tokens: req.max_tokens,
             stream: true,
             offset: req.offset,
@@ -40,6 +39,36 @@
     }
 }
 
+/// Prompt of a completion.
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+enum PromptBody<'a> {
+    Text(&'a str),
+    Tokens(Vec<u32>),
+}
+
+impl<'a> TryFrom<&'a EngineRequest> for PromptBody<'a> {
+    type Error = BackendServerError;
+
+    fn try_from(req: &'a EngineRequest) -> Result<Self, BackendServerError> {
+        match req.prompt_form {
+            PromptForm::Text => str::from_utf8(&req.prompt)
+                .map(Self::Text)
+                .map_err(|_| BackendServerError::Refused("the prompt is not UTF-8".to_owned())),
+            PromptForm::Tokens => Ok(Self::Tokens(token_numbers(&req.prompt))),
+        }
+    }
+}
+
+/// Reads little-endian 32-bit integers; bytes that make no whole integer are left out.
+fn token_numbers(prompt: &[u8]) -> Vec<u32> {
+    let (numbers, _) = prompt.as_chunks::<4>();
+    numbers
+        .iter()
+        .map(|bytes| u32::from_le_bytes(*bytes))
+        .collect()
+}
+
 /// Output token in an event.
 #[derive(Debug, Deserialize)]
 pub(super) struct FrameBody<'a> {
--- a/crates/mustardshedd/src/http/limits.rs
+++ b/crates/mustardshedd/src/http/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use mustardshed::config::settings;
+
 /// Limits of the listener for callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -31,3 +33,16 @@
         }
     }
 }
+
+impl From<&settings::Limits> for Limits {
+    fn from(limits: &settings::Limits) -> Self {
+        Self {
+            max_connections: limits.max_connections,
+            max_body_bytes: limits.max_body_bytes,
+            max_header_bytes: limits.max_header_bytes,
+            idle_timeout: limits.idle_timeout,
+            header_timeout: limits.header_timeout,
+            max_in_flight: limits.max_in_flight,
+        }
+    }
+}
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -95,4 +95,53 @@
     1103 Info "drain_began" DrainBegan {
         in_flight: usize,
     }
+    /// The process runs.
+    1104 Info "started" Started {
+        vm: &'a str,
+        incarnation: ids::Incarnation,
+        data_centre: &'a str,
+    }
+    /// The process ends as planned.
+    1105 Info "stopped" Stopped {
+        vm: &'a str,
+        incarnation: ids::Incarnation,
+    }
+    /// A generation of the configuration is in force.
+    2001 Info "configuration_in_force" ConfigurationInForce {
+        generation: ids::Generation,
+        source: &'a str,
+    }
+    /// A member came, left, or is taken to be dead.
+    2002 Info "member_changed" MemberChanged {
+        vm: &'a str,
+        state: &'a str,
+    }
+    /// A backend server has another steward.
+    2003 Info "steward_changed" StewardChanged {
+        server: &'a str,
+        steward: &'a str,
+    }
+    /// A backend server turned cold or warm, stopped answering, or leaves.
+    2004 Info "server_changed" ServerChanged {
+        server: &'a str,
+        state: &'a str,
+        reason: &'a str,
+    }
+    /// A steward granted or refused a credit.
+    2005 Info "credit_decided" CreditDecided {
+        request: &'a str,
+        server: &'a str,
+        granted: bool,
+        reason: &'a str,
+    }
+    /// Memory that nobody owned was given back.
+    2006 Warn "reaped" Reaped {
+        server: &'a str,
+        request: &'a str,
+    }
+    /// New work may, or may no longer, be placed.
+    2007 Warn "freshness_changed" FreshnessChanged {
+        fresh: bool,
+        reason: &'a str,
+    }
 }
--- a/crates/mustardshedd/src/process/inbound.rs
+++ b/crates/mustardshedd/src/process/inbound.rs
@@ -66,8 +66,7 @@
 
     async fn serve(self, stream: net::TcpStream) {
         let handshake = handshake::accept(&self.identity, &self.key, stream);
-        let Ok(Ok((mut socket, hello))) =
-            tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await
+        let Ok(Ok((mut socket, hello))) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await
         else {
             return;
         };
--- a/crates/mustardshedd/src/process/links.rs
+++ b/crates/mustardshedd/src/process/links.rs
@@ -103,10 +103,10 @@
 ) {
     loop {
         let connecting = handshake::connect(&identity, &key, &vm, &peer_address);
-        if let Ok(Ok(mut socket)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            if forward(&mut socket, &mut rx).await == Ended::QueueClosed {
-                return;
-            }
+        if let Ok(Ok(mut socket)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await
+            && forward(&mut socket, &mut rx).await == Ended::QueueClosed
+        {
+            return;
         }
         discard(&mut rx);
         tokio::time::sleep(RECONNECT_INTERVAL).await;
--- a/crates/mustardshedd/src/process/pollers.rs
+++ b/crates/mustardshedd/src/process/pollers.rs
@@ -126,8 +126,16 @@
 async fn poll_vms(parts: control::Parts, events_tx: mpsc::Sender<event::Event>) {
     loop {
         let result = parts.platform.vms().await;
-        let wait = if result.is_ok() { VMS_INTERVAL } else { BACKOFF };
-        if events_tx.send(event::Event::VmsRead { result }).await.is_err() {
+        let wait = if result.is_ok() {
+            VMS_INTERVAL
+        } else {
+            BACKOFF
+        };
+        if events_tx
+            .send(event::Event::VmsRead { result })
+            .await
+            .is_err()
+        {
             return;
         }
         tokio::time::sleep(wait).await;
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -4,6 +4,7 @@
 
 use displaydoc::Display;
 use mustardshed::{
+    config::settings,
     core::{
         border::{backend_server, clock, control as border},
         process::node,
@@ -14,8 +15,8 @@
 
 use crate::{
     connection::backend_server as engine,
-    http::{context, server},
-    log,
+    http::{cx, limits, server},
+    log::{self, entry, event, metrics},
     process::{clock as boot, control, operator, startup},
 };
 
@@ -36,8 +37,8 @@
     Runtime(io::Error),
     /// cannot use the platform: {0}
     Platform(client::OpenError),
-    /// cannot open the log: {0}
-    Log(String),
+    /// cannot send metrics to {0}: {1}
+    Metrics(net::SocketAddr, io::Error),
 }
 
 impl std::error::Error for ServiceError {}
@@ -48,7 +49,7 @@
 ///
 /// Returns an error if it cannot start.
 pub fn run(start: startup::Start) -> Result<(), ServiceError> {
-    log::open(start.settings.log_level).map_err(|e| ServiceError::Log(e.to_string()))?;
+    log::open(start.settings.log_level);
     let rt = runtime::Builder::new_multi_thread()
         .worker_threads(start.settings.limits.traffic_threads)
         .thread_name("traffic")
@@ -64,8 +65,8 @@
     let platform = client::Client::open(&settings.platform, &settings.vm, PLATFORM_TIMEOUT)
         .map_err(ServiceError::Platform)?;
     let platform = sync::Arc::new(platform);
-    let servers: sync::Arc<dyn backend_server::BackendServer> =
-        sync::Arc::new(engine::Client::open(engine::Timeouts::default()));
+    let servers = engine::open(engine::Timeouts::default());
+    let servers: sync::Arc<dyn backend_server::BackendServer> = sync::Arc::new(servers);
     let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(boot::BootClock);
     let parts = control::Parts {
         identity: identity.clone(),
@@ -74,30 +75,46 @@
         platform: platform.clone(),
         servers: sync::Arc::clone(&servers),
         peer_key: sync::Arc::clone(&start.peer_key),
-        log: log::entry,
+        log: entry::emit,
     };
     let peer_listener = listen(settings.peer_listen)?;
     let handle = control::spawn(parts, peer_listener).map_err(ServiceError::Runtime)?;
     let handle = sync::Arc::new(handle);
     let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
-    let cx = context::Cx::new(
+    let cx = cx::Cx::new(
         handle.clone() as sync::Arc<dyn border::Control>,
         servers,
         clock,
         sync::Arc::new(operator),
-        settings,
+        metrics(settings)?,
+        limits::Limits::from(&settings.limits),
+        rand::random(),
     );
-    let listener = listen(settings.listen)?;
-    let server = server::bind(listener, &settings.limits, sync::Arc::new(cx))
+    let server = server::bind(settings.listen, sync::Arc::new(cx))
+        .await
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
-    log::started(&identity);
+    log::emit(&event::Event::Started {
+        vm: &identity.vm,
+        incarnation: identity.incarnation,
+        data_centre: &identity.data_centre,
+    });
     wait_for_leave(&handle).await?;
-    drain(&handle, &server).await;
-    log::stopped(&identity);
+    drain(server).await;
+    log::emit(&event::Event::Stopped {
+        vm: &identity.vm,
+        incarnation: identity.incarnation,
+    });
     Ok(())
 }
 
-fn identity(settings: &mustardshed::config::settings::Settings) -> node::Identity {
+fn metrics(settings: &settings::Settings) -> Result<metrics::Metrics, ServiceError> {
+    match settings.metrics {
+        None => Ok(metrics::Metrics::disabled()),
+        Some(addr) => metrics::Metrics::open(addr).map_err(|e| ServiceError::Metrics(addr, e)),
+    }
+}
+
+fn identity(settings: &settings::Settings) -> node::Identity {
     node::Identity {
         vm: settings.vm.clone(),
         incarnation: incarnation(),
@@ -144,12 +161,11 @@
 }
 
 /// Accepts until no caller names this entry any more, then finishes what it carries.
-async fn drain(handle: &control::Handle, server: &server::Server) {
+async fn drain(server: server::Server) {
     tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
     server.begin_drain();
     while server.in_flight() > 0 {
         tokio::time::sleep(WATCH_INTERVAL).await;
     }
     server.shutdown().await;
-    handle.flush().await;
 }
--- a/crates/mustardshedd/src/process/startup.rs
+++ b/crates/mustardshedd/src/process/startup.rs
@@ -26,7 +26,7 @@
     File(path::PathBuf, io::Error),
     /// {0}: {1}
     Settings(path::PathBuf, Problems),
-    /// {0}: expected at least {MIN_PEER_KEY_BYTES} bytes of shared secret, found {1}
+    /// {0}: expected at least 16 bytes of shared secret, found {1}
     PeerKey(path::PathBuf, usize),
     /// {0}: expected the SHA-256 digest of the operators' key as 64 hexadecimal digits
     OperatorKey(path::PathBuf),
--- a/crates/mustardshedd/tests/backend_server.rs
+++ b/crates/mustardshedd/tests/backend_server.rs
@@ -8,7 +8,8 @@
 use futures_util::StreamExt;
 use googletest::prelude::*;
 use mustardshed::core::border::backend_server::{
-    BackendServer, BackendServerError, EngineRequest, Order, ServiceCall, TokenFrame, TokenStream,
+    BackendServer, BackendServerError, EngineRequest, Order, PromptForm, ServiceCall, TokenFrame,
+    TokenStream,
 };
 use mustardshed_standins::{
     engine::{server, settings},
@@ -27,6 +28,7 @@
         id: id.to_owned(),
         model: String::from("draft"),
         prompt: Bytes::from_static(PROMPT.as_bytes()),
+        prompt_form: PromptForm::Text,
         prompt_tokens: 7,
         max_tokens: 6,
         offset: 0,
