Add the operators' client and the wire types of an entry's status

Cause: operators need one program to check, write and look at configurations and to take data centres out. Change: mustardshedctl with its subcommands. A write announces the intent, updates the platform's object on the version that was read, settles a lost answer by reading back and comparing the nonce, and tells the entries; the update is repeated only with the same version and nonce after a read has shown that version. Tables of a text are now read with defaults in place of invalid values, so that a mistake in a table hides none between tables. Ruled out: skipping the write when nothing would change, since a stale read would then pass for success.

--- a/crates/mustardshed-config/src/problem/reason.rs
+++ b/crates/mustardshed-config/src/problem/reason.rs
@@ -67,7 +67,7 @@
         /// What the name stands for.
         what: &'static str,
     },
-    /// services depend on each other: {cycle}
+    /// services depend on each other in a cycle: {cycle}
     Cycle {
         /// Names of the services, from the first back to the first.
         cycle: String,
--- a/crates/mustardshed-config/src/reader.rs
+++ b/crates/mustardshed-config/src/reader.rs
@@ -11,6 +11,8 @@
 use crate::problem;
 
 /// Parses `source` and hands its root table to `read`, unless it is not TOML or longer than `limit` bytes.
+///
+/// What `read` returns is dropped if it reported a problem.
 pub(crate) fn document<T>(
     source: &str,
     limit: usize,
--- a/crates/mustardshed-config/src/reader/item.rs
+++ b/crates/mustardshed-config/src/reader/item.rs
@@ -1,14 +1,14 @@
 //! One table of an array of tables.
 
-/// What was read from one table of an array, however much of it was valid.
+/// What was read from one table of an array; what is not valid stands as its default.
 #[derive(Debug)]
 pub(crate) struct Item<T> {
     /// Path of the table, such as `service[2]`.
     pub(crate) path: String,
     /// Its name, if it has one.
     pub(crate) name: Option<String>,
-    /// Its content, if all of it is valid by itself.
-    pub(crate) value: Option<T>,
+    /// Its content.
+    pub(crate) value: T,
 }
 
 impl<T> Item<T> {
--- a/crates/mustardshed-config/src/reader/read.rs
+++ b/crates/mustardshed-config/src/reader/read.rs
@@ -65,13 +65,14 @@
     }
 }
 
-/// Returns a reader of arrays; problems of all elements are reported.
-pub(crate) fn list<'r, 'a: 'r, T>(
+/// Returns a reader of arrays; an element that is reported as a problem stands as its default.
+pub(crate) fn list<'r, 'a: 'r, T: Default>(
     read: impl Fn(&field::Field<'r, 'a>) -> Option<T>,
 ) -> impl FnOnce(&field::Field<'r, 'a>) -> Option<Vec<T>> {
     move |field| {
-        let read_all: Vec<Option<T>> = field.elements()?.iter().map(read).collect();
-        read_all.into_iter().collect()
+        let elements = field.elements()?;
+        let values = elements.iter().map(|field| read(field).unwrap_or_default());
+        Some(values.collect())
     }
 }
 
--- a/crates/mustardshed-config/src/reader/section.rs
+++ b/crates/mustardshed-config/src/reader/section.rs
@@ -69,7 +69,7 @@
     pub(crate) fn items<T>(
         &self,
         key: &'static str,
-        read: fn(&Section<'r, 'a>) -> Option<T>,
+        read: fn(&Section<'r, 'a>) -> T,
     ) -> Vec<item::Item<T>> {
         self.field(key)
             .map(|field| field.tables())
@@ -125,7 +125,7 @@
         }
     }
 
-    fn item<T>(self, read: fn(&Section<'r, 'a>) -> Option<T>) -> item::Item<T> {
+    fn item<T>(self, read: fn(&Section<'r, 'a>) -> T) -> item::Item<T> {
         let name = self
             .table
             .get("name")
--- a/crates/mustardshed-config/src/text.rs
+++ b/crates/mustardshed-config/src/text.rs
@@ -53,6 +53,6 @@
     reader::document(source, MAX_TEXT_BYTES, |report, root| {
         let tables = tables::Tables::read(root);
         checks::check(report, &tables);
-        tables.into_text()
+        Some(tables.into_text())
     })
 }
--- a/crates/mustardshed-config/src/text/backing.rs
+++ b/crates/mustardshed-config/src/text/backing.rs
@@ -27,20 +27,19 @@
 
 impl Backing {
     /// Reads `model` or `plain` of a table `[[service]]`.
-    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
-        let model = section.optional("model", None, |field| read::model_name(field).map(Some));
-        let plain = section.optional("plain", None, |field| Self::read_plain(field).map(Some));
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Self {
+        let model = section.optional("model", String::new(), read::model_name);
+        let plain = section.optional("plain", Self::default(), Self::read_plain);
         match (section.has("model"), section.has("plain")) {
-            (true, false) => model.flatten().map(|model| Self::Model { model }),
-            (false, true) => plain.flatten(),
-            (true, true) => {
-                section.add("plain", problem::Reason::OneBacking);
-                None
-            }
-            (false, false) => {
-                section.add("model", problem::Reason::OneBacking);
-                None
-            }
+            (true, true) => section.add("plain", problem::Reason::OneBacking),
+            (false, false) => section.add("model", problem::Reason::OneBacking),
+            _ => {}
+        }
+        if section.has("plain") {
+            plain.unwrap_or_default()
+        } else {
+            let model = model.unwrap_or_default();
+            Self::Model { model }
         }
     }
 
@@ -52,9 +51,20 @@
         section.limit("cold_limit", cold_limit, "max_running", max_running);
         section.report_unknown();
         Some(Self::Plain {
-            non_repeatable: non_repeatable?,
-            max_running: max_running?,
-            cold_limit: cold_limit?,
+            non_repeatable: non_repeatable.unwrap_or_default(),
+            max_running: max_running.unwrap_or_default(),
+            cold_limit: cold_limit.unwrap_or_default(),
         })
     }
 }
+
+impl Default for Backing {
+    /// Returns plain services that take no calls.
+    fn default() -> Self {
+        Self::Plain {
+            non_repeatable: Vec::new(),
+            max_running: 0,
+            cold_limit: 0,
+        }
+    }
+}
--- a/crates/mustardshed-config/src/text/checks.rs
+++ b/crates/mustardshed-config/src/text/checks.rs
@@ -29,28 +29,22 @@
 }
 
 fn check_contexts(report: &report::Report<'_>, tables: &tables::Tables) {
-    let kinds = tables
-        .engine_kinds
-        .iter()
-        .filter_map(|item| item.value.as_ref());
+    let kinds = tables.engine_kinds.iter().map(|item| &item.value);
     let kinds: collections::BTreeMap<&str, &EngineKind> =
         kinds.map(|kind| (kind.name.as_str(), kind)).collect();
     for item in &tables.models {
-        let Some(model) = &item.value else { continue };
-        let Some(kind) = kinds.get(model.engine_kind.as_str()) else {
-            continue;
-        };
-        check_context(report, item, model, kind);
+        if let Some(kind) = kinds.get(item.value.engine_kind.as_str()) {
+            check_context(report, item, kind);
+        }
     }
 }
 
-fn check_context(
-    report: &report::Report<'_>,
-    item: &item::Item<Model>,
-    model: &Model,
-    kind: &EngineKind,
-) {
-    let needed = model.context_tokens.div_ceil(kind.memory_tokens);
+fn check_context(report: &report::Report<'_>, item: &item::Item<Model>, kind: &EngineKind) {
+    let context_tokens = item.value.context_tokens;
+    if kind.memory_tokens == 0 {
+        return;
+    }
+    let needed = context_tokens.div_ceil(kind.memory_tokens);
     if needed <= MAX_GANG_SERVERS {
         return;
     }
--- a/crates/mustardshed-config/src/text/checks/cycles.rs
+++ b/crates/mustardshed-config/src/text/checks/cycles.rs
@@ -11,13 +11,17 @@
 /// Services that are not yet shown to be free of cycles, by name.
 type Remaining<'t> = collections::BTreeMap<&'t str, &'t item::Item<Service>>;
 
-/// Reports every cycle once, at the dependency that closes it.
+/// Most cycles that are reported.
+const MAX_CYCLES: usize = 100;
+
+/// Reports the first [`MAX_CYCLES`] cycles, each once and at the dependency that closes it.
 pub(super) fn check(report: &report::Report<'_>, services: &[item::Item<Service>]) {
     let mut remaining: Remaining<'_> = services
         .iter()
-        .filter_map(|item| Some((item.value.as_ref()?.name.as_str(), item)))
+        .map(|item| (item.value.name.as_str(), item))
+        .filter(|(name, _)| !name.is_empty())
         .collect();
-    loop {
+    for _ in 0..MAX_CYCLES {
         remove_free(&mut remaining);
         let Some(start) = remaining.keys().next().copied() else {
             return;
@@ -83,7 +87,7 @@
     remaining: &Remaining<'t>,
     item: &'t item::Item<Service>,
 ) -> impl Iterator<Item = &'t str> {
-    let depends_on = item.value.iter().flat_map(|service| &service.depends_on);
+    let depends_on = item.value.depends_on.iter();
     depends_on.filter_map(|name| {
         remaining
             .get_key_value(name.as_str())
--- a/crates/mustardshed-config/src/text/checks/duplicates.rs
+++ b/crates/mustardshed-config/src/text/checks/duplicates.rs
@@ -8,6 +8,9 @@
     text::{ClientAccount, tables},
 };
 
+/// What stands for a digest that could not be read.
+const UNREAD_DIGEST: [u8; 32] = [0; 32];
+
 /// Reports every name that two tables of one kind share, and every key that stands twice.
 pub(super) fn check(report: &report::Report<'_>, tables: &tables::Tables) {
     check_names(report, &tables.data_centres);
@@ -35,8 +38,10 @@
 fn check_keys(report: &report::Report<'_>, items: &[item::Item<ClientAccount>]) {
     let mut first_uses = collections::BTreeMap::new();
     for item in items {
-        let Some(account) = &item.value else { continue };
-        for (i, digest) in account.key_digests.iter().enumerate() {
+        for (i, digest) in item.value.key_digests.iter().enumerate() {
+            if *digest == UNREAD_DIGEST {
+                continue;
+            }
             let path = item.path_of(&format!("key_sha256[{i}]"));
             let line = report.line(&path);
             if let Some(first) = first_uses.get(digest) {
--- a/crates/mustardshed-config/src/text/checks/references.rs
+++ b/crates/mustardshed-config/src/text/checks/references.rs
@@ -9,7 +9,9 @@
     text::{Backing, tables},
 };
 
-/// Reports every name that no table has, and plain services that share their name with an engine kind.
+/// Reports every name that no table has; an empty one stands for a value that could not be read.
+///
+/// Also reports plain services that share their name with an engine kind.
 pub(super) fn check(report: &report::Report<'_>, tables: &tables::Tables) {
     check_models(report, tables);
     check_services(report, tables);
@@ -19,9 +21,14 @@
 fn check_models(report: &report::Report<'_>, tables: &tables::Tables) {
     let kinds = names(&tables.engine_kinds);
     for item in &tables.models {
-        let Some(model) = &item.value else { continue };
         let path = item.path_of("engine_kind");
-        check_name(report, &path, &model.engine_kind, &kinds, "engine kind");
+        check_name(
+            report,
+            &path,
+            &item.value.engine_kind,
+            &kinds,
+            "engine kind",
+        );
     }
 }
 
@@ -30,7 +37,7 @@
     let kinds = names(&tables.engine_kinds);
     let services = names(&tables.services);
     for item in &tables.services {
-        let Some(service) = &item.value else { continue };
+        let service = &item.value;
         match &service.backing {
             Backing::Model { model } => {
                 check_name(report, &item.path_of("model"), model, &models, "model");
@@ -48,23 +55,24 @@
 fn check_client_accounts(report: &report::Report<'_>, tables: &tables::Tables) {
     let services = names(&tables.services);
     for item in &tables.client_accounts {
-        let Some(account) = &item.value else { continue };
         let path = item.path_of("services");
-        check_list(report, &path, &account.services, &services);
+        check_list(report, &path, &item.value.services, &services);
     }
 }
 
 fn check_list(
     report: &report::Report<'_>,
-    path: &str,
+    list_path: &str,
     list: &[String],
     services: &collections::BTreeSet<&str>,
 ) {
+    let mut first_uses = collections::BTreeMap::new();
     for (i, name) in list.iter().enumerate() {
-        let path = format!("{path}[{i}]");
+        let path = format!("{list_path}[{i}]");
         check_name(report, &path, name, services, "service");
-        if list[..i].contains(name) {
-            let line = report.line(&path);
+        let first = *first_uses.entry(name).or_insert(i);
+        if first != i && !name.is_empty() {
+            let line = report.line(&format!("{list_path}[{first}]"));
             report.add(&path, problem::Reason::Duplicate { line });
         }
     }
@@ -77,7 +85,7 @@
     known: &collections::BTreeSet<&str>,
     what: &'static str,
 ) {
-    if !known.contains(name) {
+    if !name.is_empty() && !known.contains(name) {
         report.add(path, problem::Reason::UnknownReference { what });
     }
 }
--- a/crates/mustardshed-config/src/text/client_account.rs
+++ b/crates/mustardshed-config/src/text/client_account.rs
@@ -27,8 +27,8 @@
 }
 
 impl ClientAccount {
-    /// Reads one table `[[client_account]]`.
-    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+    /// Reads one table `[[client_account]]`; a value that is reported as a problem stands as its default.
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Self {
         let name = section.required("name", read::name);
         let key_digests = section.required("key_sha256", read::list(read::digest));
         let weight = section.optional("weight", WEIGHT, read::u32_within(1, MAX_WEIGHT));
@@ -38,12 +38,12 @@
             read::u32_within(1, GREATEST_MAX_RUNNING),
         );
         let services = section.optional("services", Vec::new(), read::list(read::name));
-        Some(Self {
-            name: name?,
-            key_digests: key_digests?,
-            weight: weight?,
-            max_running: max_running?,
-            services: services?,
-        })
+        Self {
+            name: name.unwrap_or_default(),
+            key_digests: key_digests.unwrap_or_default(),
+            weight: weight.unwrap_or_default(),
+            max_running: max_running.unwrap_or_default(),
+            services: services.unwrap_or_default(),
+        }
     }
 }
--- a/crates/mustardshed-config/src/text/data_centre.rs
+++ b/crates/mustardshed-config/src/text/data_centre.rs
@@ -12,13 +12,13 @@
 }
 
 impl DataCentre {
-    /// Reads one table `[[data_centre]]`.
-    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+    /// Reads one table `[[data_centre]]`; a value that is reported as a problem stands as its default.
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Self {
         let name = section.required("name", read::name);
         let region = section.required("region", read::name);
-        Some(Self {
-            name: name?,
-            region: region?,
-        })
+        Self {
+            name: name.unwrap_or_default(),
+            region: region.unwrap_or_default(),
+        }
     }
 }
--- a/crates/mustardshed-config/src/text/engine_kind.rs
+++ b/crates/mustardshed-config/src/text/engine_kind.rs
@@ -32,8 +32,8 @@
 }
 
 impl EngineKind {
-    /// Reads one table `[[engine_kind]]`.
-    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+    /// Reads one table `[[engine_kind]]`; a value that is reported as a problem stands as its default.
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Self {
         let name = section.required("name", read::name);
         let memory_tokens = section.required("memory_tokens", read::u64_within(1, MEMORY_TOKENS));
         let max_running = section.required("max_running", read::u32_within(1, MAX_RUNNING));
@@ -45,14 +45,14 @@
         );
         let fencing = section.required("fencing", Fencing::read);
         section.limit("cold_limit", cold_limit, "max_running", max_running);
-        Some(Self {
-            name: name?,
-            memory_tokens: memory_tokens?,
-            max_running: max_running?,
-            cold_limit: cold_limit?,
-            warm_after: warm_after?,
-            prefill_tokens_per_second: prefill_tokens_per_second?,
-            fencing: fencing?,
-        })
+        Self {
+            name: name.unwrap_or_default(),
+            memory_tokens: memory_tokens.unwrap_or_default(),
+            max_running: max_running.unwrap_or_default(),
+            cold_limit: cold_limit.unwrap_or_default(),
+            warm_after: warm_after.unwrap_or_default(),
+            prefill_tokens_per_second: prefill_tokens_per_second.unwrap_or_default(),
+            fencing: fencing.unwrap_or_default(),
+        }
     }
 }
--- a/crates/mustardshed-config/src/text/fencing.rs
+++ b/crates/mustardshed-config/src/text/fencing.rs
@@ -8,11 +8,12 @@
 };
 
 /// Whether backend servers refuse an order that carries an old fencing number.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Fencing {
     /// They refuse it.
     Checked,
     /// They carry it out.
+    #[default]
     Ignored,
 }
 
--- a/crates/mustardshed-config/src/text/model.rs
+++ b/crates/mustardshed-config/src/text/model.rs
@@ -27,8 +27,8 @@
 }
 
 impl Model {
-    /// Reads one table `[[model]]`.
-    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+    /// Reads one table `[[model]]`; a value that is reported as a problem stands as its default.
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Self {
         let name = section.required("name", read::model_name);
         let engine_kind = section.required("engine_kind", read::name);
         let version = section.required("version", read::model_name);
@@ -40,13 +40,13 @@
             read::u32_within(1, MAX_BYTES_PER_TOKEN),
         );
         let adapters = section.optional("adapters", Vec::new(), read::list(read::model_name));
-        Some(Self {
-            name: name?,
-            engine_kind: engine_kind?,
-            version: version?,
-            context_tokens: context_tokens?,
-            bytes_per_token: bytes_per_token?,
-            adapters: adapters?,
-        })
+        Self {
+            name: name.unwrap_or_default(),
+            engine_kind: engine_kind.unwrap_or_default(),
+            version: version.unwrap_or_default(),
+            context_tokens: context_tokens.unwrap_or_default(),
+            bytes_per_token: bytes_per_token.unwrap_or_default(),
+            adapters: adapters.unwrap_or_default(),
+        }
     }
 }
--- a/crates/mustardshed-config/src/text/service.rs
+++ b/crates/mustardshed-config/src/text/service.rs
@@ -37,8 +37,8 @@
 }
 
 impl Service {
-    /// Reads one table `[[service]]`.
-    pub(super) fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+    /// Reads one table `[[service]]`; a value that is reported as a problem stands as its default.
+    pub(super) fn read(section: &section::Section<'_, '_>) -> Self {
         let name = section.required("name", read::name);
         let backing = Backing::read(section);
         let depends_on = section.optional("depends_on", Vec::new(), read::list(read::name));
@@ -58,14 +58,14 @@
             read::u32_within(0, MAX_RETRY_PERCENT),
         );
         check_deadlines(section, default_deadline, max_deadline);
-        Some(Self {
-            name: name?,
-            backing: backing?,
-            depends_on: depends_on?,
-            default_deadline: default_deadline?,
-            max_deadline: max_deadline?,
-            retry_percent: retry_percent?,
-        })
+        Self {
+            name: name.unwrap_or_default(),
+            backing,
+            depends_on: depends_on.unwrap_or_default(),
+            default_deadline: default_deadline.unwrap_or_default(),
+            max_deadline: max_deadline.unwrap_or_default(),
+            retry_percent: retry_percent.unwrap_or_default(),
+        }
     }
 }
 
--- a/crates/mustardshed-config/src/text/tables.rs
+++ b/crates/mustardshed-config/src/text/tables.rs
@@ -29,21 +29,21 @@
         tables
     }
 
-    /// Returns the text, or nothing if any table is not valid.
-    pub(super) fn into_text(self) -> Option<Text> {
-        Some(Text {
-            data_centres: by_name(self.data_centres)?,
-            engine_kinds: by_name(self.engine_kinds)?,
-            models: by_name(self.models)?,
-            services: by_name(self.services)?,
-            client_accounts: by_name(self.client_accounts)?,
-        })
+    /// Returns the text; tables without a name are left out.
+    pub(super) fn into_text(self) -> Text {
+        Text {
+            data_centres: by_name(self.data_centres),
+            engine_kinds: by_name(self.engine_kinds),
+            models: by_name(self.models),
+            services: by_name(self.services),
+            client_accounts: by_name(self.client_accounts),
+        }
     }
 }
 
-fn by_name<T>(items: Vec<item::Item<T>>) -> Option<collections::BTreeMap<String, T>> {
-    items
-        .into_iter()
-        .map(|item| Some((item.name?, item.value?)))
+fn by_name<T>(items: Vec<item::Item<T>>) -> collections::BTreeMap<String, T> {
+    let named = items.into_iter();
+    named
+        .filter_map(|item| Some((item.name?, item.value)))
         .collect()
 }
--- a/crates/mustardshed-config/tests/text.rs
+++ b/crates/mustardshed-config/tests/text.rs
@@ -138,6 +138,34 @@
     expect_that!(cycles, elements_are![eq("a -> b -> c -> a"), eq("d -> d")]);
 }
 
+#[googletest::test]
+fn a_mistake_in_a_table_hides_none_between_tables() {
+    let source = valid()
+        .replace(
+            "default_deadline_ms = 5000",
+            "default_deadline_ms = 'x'\ndepends_on = ['collation']",
+        )
+        .replace("version = \"3\"", "version = 3")
+        .replace("1_100_000", "6_400_001")
+        .replace(
+            "services = [\"collation\"]",
+            "services = [1, \"none\"]\nweight = 0",
+        );
+
+    expect_that!(
+        shown(&source),
+        elements_are![
+            contains_substring("model[0].version = 3: must be a string"),
+            contains_substring("model[0].context_tokens = 6_400_001: needs 17 engines"),
+            contains_substring("service[1].default_deadline_ms = 'x': must be an integer"),
+            contains_substring("cycle: collation -> deposits -> collation"),
+            contains_substring("client_account[0].services[0] = 1: must be a string"),
+            contains_substring("client_account[0].services[1] = \"none\": there is no service"),
+            contains_substring("client_account[0].weight = 0: must be from 1 to 1000"),
+        ]
+    );
+}
+
 #[googletest::test]
 fn a_chain_of_thousands_of_services_is_no_cycle() {
     let mut source = String::new();
--- /dev/null
+++ b/crates/mustardshedctl/src/apply.rs
@@ -0,0 +1,154 @@
+//! Writing a configuration in three steps: intent, conditional update, commit.
+//!
+//! A lost answer to the update is settled by reading back and comparing the nonce. The same update may be sent again
+//! only after a read has shown the version that it was based on; it carries that version and the same nonce, so at
+//! most one of its copies takes effect.
+
+mod announcement;
+mod current;
+mod edit;
+mod error;
+mod history;
+mod receipt;
+mod settlement;
+
+use std::time;
+
+use mustardshed::{
+    core::{border::platform, ids, version::record},
+    wire::configuration,
+};
+
+pub use current::Current;
+pub use edit::{Edit, EditError};
+pub use error::ApplyError;
+pub use history::{object_name as history_object_name, read as read_history};
+pub use receipt::{Receipt, Warning};
+
+use crate::entries;
+
+/// Name of the platform object that holds the configuration in force.
+pub const CURRENT: &str = "current";
+/// Size of the largest record, in bytes; the platform's values are not larger.
+pub const MAX_RECORD_BYTES: usize = 1024 * 1024;
+
+/// Time after which a lost answer is no longer waited out.
+const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(10);
+/// Pause between two reads of the configuration.
+const SETTLE_PAUSE: time::Duration = time::Duration::from_millis(200);
+
+/// Writes configurations.
+#[derive(Clone, Debug)]
+pub struct Writer<'a> {
+    platform: &'a dyn platform::Platform,
+    entries: &'a dyn entries::Entries,
+    author: String,
+    settle_limit: time::Duration,
+    settle_pause: time::Duration,
+}
+
+impl<'a> Writer<'a> {
+    /// Makes a writer whose records name `author`.
+    pub fn new(
+        platform: &'a dyn platform::Platform,
+        entries: &'a dyn entries::Entries,
+        author: impl Into<String>,
+    ) -> Self {
+        Self {
+            platform,
+            entries,
+            author: author.into(),
+            settle_limit: SETTLE_LIMIT,
+            settle_pause: SETTLE_PAUSE,
+        }
+    }
+
+    /// Sets the time after which a lost answer is no longer waited out.
+    #[must_use]
+    pub const fn settle_limit(mut self, limit: time::Duration) -> Self {
+        self.settle_limit = limit;
+        self
+    }
+
+    /// Sets the pause between two reads of the configuration.
+    #[must_use]
+    pub const fn settle_pause(mut self, pause: time::Duration) -> Self {
+        self.settle_pause = pause;
+        self
+    }
+
+    /// Writes the configuration that `edit` makes of the present one.
+    ///
+    /// With `expected`, nothing is written unless the present configuration has that generation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the configuration was not written, or if that cannot be told.
+    pub async fn write(
+        &self,
+        edit: &Edit,
+        expected: Option<ids::Generation>,
+    ) -> Result<Receipt, ApplyError> {
+        let base = Current::read(self.platform).await?;
+        self.check_expected(&base, expected).await?;
+        let record = edit.apply(&base, &self.author)?;
+        let value = encode(&record)?;
+        let announcement = self.announce(&base, &record).await?;
+        self.update(&base, &record, &value).await?;
+        let untold = announcement.commit(self.entries, &record).await;
+        let history = history::keep(self.platform, &base, &record, &value).await;
+        Ok(Receipt::new(record, &announcement, untold, history.err()))
+    }
+
+    async fn check_expected(
+        &self,
+        base: &Current,
+        expected: Option<ids::Generation>,
+    ) -> Result<(), ApplyError> {
+        let Some(expected) = expected else {
+            return Ok(());
+        };
+        if base.generation() == expected {
+            return Ok(());
+        }
+        let read_before = history::read(self.platform, expected).await.ok().flatten();
+        Err(ApplyError::conflict(
+            expected,
+            read_before.as_ref(),
+            base.record.as_ref(),
+        ))
+    }
+
+    async fn announce(
+        &self,
+        base: &Current,
+        record: &record::Record,
+    ) -> Result<announcement::Announcement, ApplyError> {
+        let vms = self.platform.vms().await?;
+        let announcement = announcement::Announcement::send(self.entries, &vms, record).await;
+        if announcement.has_majority() {
+            return Ok(announcement);
+        }
+        if announcement.is_conflict() {
+            let found = Current::read(self.platform).await?;
+            if found.generation() > base.generation() {
+                let generation = base.generation();
+                let (before, after) = (base.record.as_ref(), found.record.as_ref());
+                return Err(ApplyError::conflict(generation, before, after));
+            }
+        }
+        Err(announcement.into_error())
+    }
+}
+
+fn encode(record: &record::Record) -> Result<Vec<u8>, ApplyError> {
+    let value =
+        configuration::encode(record).map_err(|err| ApplyError::Unwritable(err.to_string()))?;
+    if value.len() > MAX_RECORD_BYTES {
+        return Err(ApplyError::TooLarge {
+            len: value.len(),
+            limit: MAX_RECORD_BYTES,
+        });
+    }
+    Ok(value)
+}
--- /dev/null
+++ b/crates/mustardshedctl/src/apply/current.rs
@@ -0,0 +1,52 @@
+//! The configuration that the platform holds.
+
+use mustardshed::{
+    core::{border::platform, ids, version::record},
+    wire::configuration,
+};
+
+use super::{ApplyError, CURRENT};
+
+/// The configuration that the platform showed at one moment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Current {
+    /// Version of its object; zero if there is none.
+    pub version: ids::ObjectVersion,
+    /// The record, if there is one.
+    pub record: Option<record::Record>,
+}
+
+impl Current {
+    /// Reads it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer or holds something else.
+    pub async fn read(platform: &dyn platform::Platform) -> Result<Self, ApplyError> {
+        let purpose = platform::Purpose::Configuration;
+        let kind = platform::ObjectKind::Configuration;
+        let Some(object) = platform.get(purpose, kind, CURRENT).await? else {
+            return Ok(Self {
+                version: 0,
+                record: None,
+            });
+        };
+        let record = configuration::decode(&object.value)
+            .map_err(|err| ApplyError::Unreadable(err.to_string()))?;
+        Ok(Self {
+            version: object.version,
+            record: Some(record),
+        })
+    }
+
+    /// Returns its generation; zero if there is none.
+    pub fn generation(&self) -> ids::Generation {
+        self.record.as_ref().map_or(0, |record| record.generation)
+    }
+
+    /// Whether it is the record with this nonce.
+    pub fn has_nonce(&self, nonce: &str) -> bool {
+        let record = self.record.as_ref();
+        record.is_some_and(|record| record.nonce == nonce)
+    }
+}
--- /dev/null
+++ b/crates/mustardshedctl/src/apply/settlement.rs
@@ -0,0 +1,138 @@
+//! The conditional update, and settling its fate.
+
+use std::time;
+
+use mustardshed::core::{border::platform, ids, version::record};
+
+use super::{ApplyError, CURRENT, Current, Writer, history};
+
+/// What the last attempt at the update showed.
+#[derive(Debug)]
+enum Attempt {
+    /// It took effect.
+    Written,
+    /// It did not take effect and never will, since the object is at another version.
+    Superseded,
+    /// It may have taken effect, or may yet.
+    Lost(String),
+}
+
+impl Writer<'_> {
+    /// Writes `record` on the condition that `base` is still there.
+    pub(super) async fn update(
+        &self,
+        base: &Current,
+        record: &record::Record,
+        value: &[u8],
+    ) -> Result<(), ApplyError> {
+        let deadline = time::Instant::now() + self.settle_limit;
+        let mut may_be_written = false;
+        loop {
+            let reason = match self.attempt(base, value).await {
+                Ok(Attempt::Written) => return Ok(()),
+                Ok(Attempt::Superseded) => "the object is at another version".to_owned(),
+                Ok(Attempt::Lost(reason)) => {
+                    may_be_written = true;
+                    reason
+                }
+                Err(err) if may_be_written => err.to_string(),
+                Err(err) => return Err(err),
+            };
+            let settlement = Settlement {
+                writer: self,
+                base,
+                record,
+                may_be_written,
+                deadline,
+            };
+            if settlement.settle(reason).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn attempt(&self, base: &Current, value: &[u8]) -> Result<Attempt, ApplyError> {
+        let purpose = platform::Purpose::Configuration;
+        let kind = platform::ObjectKind::Configuration;
+        let value = value.to_vec();
+        let platform = self.platform;
+        let put = platform.put(purpose, kind, CURRENT, base.version, value);
+        match put.await {
+            Ok(_) => Ok(Attempt::Written),
+            Err(platform::PlatformError::Conflict(_)) => Ok(Attempt::Superseded),
+            Err(platform::PlatformError::Unanswered(reason)) => Ok(Attempt::Lost(reason)),
+            Err(err @ platform::PlatformError::Refused(_)) => Err(err.into()),
+        }
+    }
+}
+
+/// An update whose fate is not known from its answer.
+#[derive(Debug)]
+struct Settlement<'a> {
+    writer: &'a Writer<'a>,
+    base: &'a Current,
+    record: &'a record::Record,
+    may_be_written: bool,
+    deadline: time::Instant,
+}
+
+impl Settlement<'_> {
+    /// Reads back until the fate is known: true if the record was written, false if the update may be repeated.
+    async fn settle(&self, mut reason: String) -> Result<bool, ApplyError> {
+        loop {
+            match Current::read(self.writer.platform).await {
+                Ok(found) if found.has_nonce(&self.record.nonce) => return Ok(true),
+                Ok(found) if found.generation() >= self.record.generation => {
+                    return self.replaced(&found).await;
+                }
+                Ok(_) if self.pause().await => return Ok(false),
+                Ok(_) => return Err(self.unsettled(reason)),
+                Err(err) => reason = err.to_string(),
+            }
+            if !self.pause().await {
+                return Err(self.unsettled(reason));
+            }
+        }
+    }
+
+    /// Somebody else's record is there: either in place of this one, or after it.
+    async fn replaced(&self, found: &Current) -> Result<bool, ApplyError> {
+        if found.generation() == self.record.generation || !self.may_be_written {
+            return Err(self.conflict(Some(found)));
+        }
+        match history::read(self.writer.platform, self.record.generation).await {
+            Ok(Some(kept)) if kept.nonce == self.record.nonce => Ok(true),
+            Ok(Some(_)) => Err(self.conflict(Some(found))),
+            Ok(None) => Err(self.unknown("its generation was replaced and not kept".to_owned())),
+            Err(err) => Err(self.unknown(err.to_string())),
+        }
+    }
+
+    /// Waits for a moment; false if the time is over.
+    async fn pause(&self) -> bool {
+        tokio::time::sleep(self.writer.settle_pause).await;
+        time::Instant::now() < self.deadline
+    }
+
+    fn unsettled(&self, reason: String) -> ApplyError {
+        if self.may_be_written {
+            self.unknown(reason)
+        } else {
+            self.conflict(None)
+        }
+    }
+
+    fn conflict(&self, found: Option<&Current>) -> ApplyError {
+        let expected: ids::Generation = self.base.generation();
+        let found = found.and_then(|found| found.record.as_ref());
+        ApplyError::conflict(expected, self.base.record.as_ref(), found)
+    }
+
+    fn unknown(&self, reason: String) -> ApplyError {
+        ApplyError::Unknown {
+            generation: self.record.generation,
+            nonce: self.record.nonce.clone(),
+            reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshedctl/src/commands/explain.rs
@@ -0,0 +1,67 @@
+//! `explain`: where a prompt would go, and why.
+
+use crate::{commands, commands::context, entries, failure, output};
+
+/// Asks an entry where it would send a prompt.
+///
+/// # Errors
+///
+/// Returns an error if a name cannot be one, no entry answers, or the account or the service is not known.
+pub async fn run(cx: &context::Context, query: &entries::ExplainQuery) -> commands::Result {
+    check_name("--account", &query.account)?;
+    check_name("--service", &query.service)?;
+    let answer = cx
+        .ask(async |entries, address| entries.explain(&address, query).await)
+        .await?;
+    Ok(output::Output::done(text(&answer), answer))
+}
+
+fn check_name(flag: &str, name: &str) -> Result<(), failure::Failure> {
+    let is_safe = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'_' | b'-');
+    if !name.is_empty() && name.bytes().all(is_safe) {
+        return Ok(());
+    }
+    let reason = format!("{flag} has only letters, digits, _ and -");
+    Err(failure::Failure::Usage(reason))
+}
+
+fn text(answer: &serde_json::Value) -> String {
+    let decision = match answer.get("decision") {
+        None | Some(serde_json::Value::Null) => "would not be placed".to_owned(),
+        Some(decision) => format!("would go to {}", fields(decision)),
+    };
+    let mut lines = vec![decision];
+    if let Some(reason) = answer.get("reason").and_then(serde_json::Value::as_str) {
+        lines.push(format!("because {reason}"));
+    }
+    let candidates = answer
+        .get("candidates")
+        .and_then(serde_json::Value::as_array);
+    if let Some(candidates) = candidates {
+        lines.push("candidates:".to_owned());
+        lines.extend(
+            candidates
+                .iter()
+                .map(|candidate| format!("  {}", fields(candidate))),
+        );
+    }
+    lines.join("\n")
+}
+
+fn fields(value: &serde_json::Value) -> String {
+    let Some(object) = value.as_object() else {
+        return plain(value);
+    };
+    let fields: Vec<String> = object
+        .iter()
+        .filter(|(_, value)| !value.is_null())
+        .map(|(key, value)| format!("{key} {}", plain(value)))
+        .collect();
+    fields.join(", ")
+}
+
+fn plain(value: &serde_json::Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/crates/mustardshedctl/src/commands/status.rs
@@ -0,0 +1,138 @@
+//! `status`: what is in force where, and which backend servers are known.
+
+use futures_util::future;
+use mustardshed::{core::ids, wire::operator};
+
+use crate::{
+    apply, commands,
+    commands::{context, table},
+    entries, exit, failure, output,
+};
+
+/// An entry and what it answered.
+type Answer = (String, Result<operator::Status, entries::EntryError>);
+
+/// Asks all entries for their status.
+///
+/// An entry that does not answer is shown as such. The platform's own generation is left out if it cannot be read.
+///
+/// # Errors
+///
+/// Returns an error if no entry is known or none answers.
+pub async fn run(cx: &context::Context) -> commands::Result {
+    let entries = cx.entries()?;
+    let addresses = cx.addresses().await?;
+    let accepted = accepted_generation(cx).await;
+    let statuses = addresses.iter().map(|address| entries.status(address));
+    let statuses = future::join_all(statuses).await;
+    let answers: Vec<Answer> = addresses.into_iter().zip(statuses).collect();
+    let json = serde_json::json!({
+        "accepted_generation": accepted.as_ref().ok(),
+        "entries": answers.iter().map(answer_json).collect::<Vec<_>>(),
+    });
+    let accepted = match &accepted {
+        Ok(generation) => format!("accepted: generation {generation}"),
+        Err(err) => format!("accepted: cannot be told: {err}"),
+    };
+    let first = answers.iter().find_map(|(_, answer)| answer.as_ref().ok());
+    let mut text = format!("{accepted}\n\n{}", entries_table(&answers));
+    if let Some(status) = first {
+        text.push_str(&format!("\nbackend servers as seen by {}:\n", status.vm));
+        text.push_str(&servers_table(status).to_string());
+    }
+    let output = output::Output::done(text, json);
+    Ok(match first {
+        Some(_) => output,
+        None => output.status(exit::ExitStatus::Failed),
+    })
+}
+
+async fn accepted_generation(cx: &context::Context) -> Result<ids::Generation, failure::Failure> {
+    let current = apply::Current::read(cx.platform()?).await?;
+    Ok(current.generation())
+}
+
+fn answer_json((address, answer): &Answer) -> serde_json::Value {
+    serde_json::json!({
+        "address": address,
+        "status": answer.as_ref().ok(),
+        "error": answer.as_ref().err().map(ToString::to_string),
+    })
+}
+
+fn entries_table(answers: &[Answer]) -> table::Table {
+    let header = [
+        "entry",
+        "vm",
+        "data centre",
+        "generation",
+        "may place",
+        "state",
+        "out",
+        "members live",
+    ];
+    let mut rows = table::Table::new(&header);
+    for (address, answer) in answers {
+        match answer {
+            Ok(status) => push_entry(&mut rows, address, status),
+            Err(err) => rows.push(&[address, "-", "-", "-", "-", &err.to_string()]),
+        }
+    }
+    rows
+}
+
+fn push_entry(rows: &mut table::Table, address: &str, status: &operator::Status) {
+    let out: Vec<&str> = status.data_centres_out.iter().map(String::as_str).collect();
+    let live = status.members.iter().filter(|member| member.live).count();
+    rows.push(&[
+        address,
+        &status.vm,
+        &status.data_centre,
+        &status.generation.to_string(),
+        &format!("{} ms", status.may_place_ms),
+        if status.leaving { "leaving" } else { "live" },
+        &if out.is_empty() {
+            "-".to_owned()
+        } else {
+            out.join(",")
+        },
+        &format!("{live}/{}", status.members.len()),
+    ]);
+}
+
+fn servers_table(status: &operator::Status) -> table::Table {
+    let header = [
+        "server",
+        "kind",
+        "data centre",
+        "state",
+        "epoch",
+        "memory used",
+        "prefill queued",
+        "running",
+        "steward",
+    ];
+    let mut rows = table::Table::new(&header);
+    for server in &status.servers {
+        rows.push(&[
+            &server.id,
+            &server.kind,
+            &server.data_centre,
+            state(server),
+            &server.epoch.to_string(),
+            &format!("{}/{}", server.used_tokens, server.memory_tokens),
+            &server.queued_prefill_tokens.to_string(),
+            &server.running.to_string(),
+            server.steward.as_deref().unwrap_or("-"),
+        ]);
+    }
+    rows
+}
+
+fn state(server: &operator::ServerStatus) -> &str {
+    match (server.reachable, server.leaving) {
+        (false, _) => "unreachable",
+        (true, true) => "leaving",
+        (true, false) => &server.warmth,
+    }
+}
--- /dev/null
+++ b/crates/mustardshedctl/src/lib.rs
@@ -0,0 +1,10 @@
+//! Operators' client of mustardshed, as a library for its program and its tests.
+
+pub mod apply;
+pub mod commands;
+pub mod entries;
+pub mod exit;
+pub mod failure;
+pub mod output;
+pub mod record_change;
+pub mod wait;
--- a/crates/mustardshedctl/src/main.rs
+++ b/crates/mustardshedctl/src/main.rs
@@ -1,3 +1,17 @@
-//! Laid out in ARCHITECTURE.
+//! Operators' client of mustardshed.
 
-fn main() {}
+#[expect(clippy::allow_attributes, reason = "generated code")]
+mod flags;
+mod run;
+
+use std::process;
+
+use mustardshedctl::output;
+
+fn main() -> process::ExitCode {
+    let flags = flags::Mustardshedctl::from_env_or_exit();
+    let as_json = flags.json;
+    let output = run::run(flags).unwrap_or_else(|failure| output::Output::from(&failure));
+    output.print(as_json);
+    output.status.into()
+}
