--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -175,6 +175,9 @@
     async fn fail(self, mut err: error::Error) {
         if self.progress.may_have_run && err.outcome == Outcome::NotRun {
             err.outcome = Outcome::Failed;
+            if err.kind != error::ErrorKind::DeadlineExceeded {
+                err.kind = error::ErrorKind::BackendServerFailed;
+            }
         }
         self.log_end(err.outcome, Some(err.kind));
         let fate = self.fate(err.outcome, Some(err.kind), None);
--- /dev/null
+++ b/crates/mustardshedd/tests/traffic/calls.rs
@@ -0,0 +1,145 @@
+//! Calls of plain services: what may not be repeated is sent at most once.
+
+use std::time;
+
+use googletest::prelude::*;
+use mustardshed::core::outcome::Outcome;
+
+use crate::fakes::{
+    servers::{self, Step},
+    world,
+};
+
+#[gtest]
+#[tokio::test]
+async fn non_idempotent_call_is_sent_at_most_once() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Fail(servers::broken()));
+
+    let answer = charge(&world, None).await;
+
+    world.assert_balanced().await;
+    verify_that!(answer.code(), eq("fate_unknown"))?;
+    verify_that!(answer.outcome(), eq("unknown"))?;
+    verify_that!(world.servers.count("call"), eq(1))?;
+    let settled = world
+        .control
+        .seen(|seen| seen.settled.last().unwrap().outcome);
+    verify_that!(settled, eq(Outcome::Unknown))
+}
+
+#[gtest]
+#[tokio::test]
+async fn provably_unsent_call_is_tried_elsewhere() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Fail(servers::unreachable()));
+
+    let answer = charge(&world, None).await;
+
+    world.assert_balanced().await;
+    verify_that!(answer.status, eq(200))?;
+    verify_that!(world.servers.count("call"), eq(2))
+}
+
+#[gtest]
+#[tokio::test]
+async fn call_that_never_ran_says_so() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Fail(servers::refused()));
+    world.servers.then(Step::Fail(servers::unreachable()));
+
+    let answer = charge(&world, None).await;
+
+    world.assert_balanced().await;
+    verify_that!(answer.outcome(), eq("not_run"))?;
+    let settled = world
+        .control
+        .seen(|seen| seen.settled.last().unwrap().outcome);
+    verify_that!(settled, eq(Outcome::NotRun))
+}
+
+#[gtest]
+#[tokio::test]
+async fn repeat_with_the_same_key_gets_the_first_answer() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Answer(201, "charged"));
+
+    let first = charge(&world, Some("deposit-1")).await;
+    let second = charge(&world, Some("deposit-1")).await;
+
+    world.assert_balanced().await;
+    verify_that!(first.status, eq(201))?;
+    verify_that!(second.status, eq(201))?;
+    verify_that!(second.body, eq("charged"))?;
+    verify_that!(world.servers.count("call"), eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn deadline_leaves_the_fate_unknown() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Hang);
+    let req = world
+        .request("POST", "/services/ledger/charge")
+        .header("x-deadline-ms", 100);
+
+    let answer = world.send(req, "{}").await;
+
+    world.assert_balanced().await;
+    verify_that!(answer.code(), eq("deadline_exceeded"))?;
+    verify_that!(answer.outcome(), eq("unknown"))
+}
+
+#[gtest]
+#[tokio::test]
+async fn caller_that_leaves_does_not_end_a_claimed_call() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Hang);
+    let req = world
+        .request("POST", "/services/ledger/charge")
+        .header("x-deadline-ms", 500);
+
+    let left = tokio::time::timeout(time::Duration::from_millis(100), world.send(req, "{}")).await;
+
+    verify_that!(left.is_err(), eq(true))?;
+    world.assert_balanced().await;
+    let settled = world
+        .control
+        .seen(|seen| seen.settled.last().unwrap().outcome);
+    verify_that!(settled, eq(Outcome::Unknown))
+}
+
+#[gtest]
+#[tokio::test]
+async fn repeatable_call_is_retried_after_a_break() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Fail(servers::broken()));
+    let req = world.request("GET", "/services/ledger/balance?of=1");
+
+    let answer = world.send(req, "").await;
+
+    world.assert_balanced().await;
+    verify_that!(answer.status, eq(200))?;
+    verify_that!(world.servers.count("call"), eq(2))
+}
+
+#[gtest]
+#[tokio::test]
+async fn encoded_path_of_a_charge_is_still_a_charge() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Fail(servers::broken()));
+    let req = world.request("POST", "/services/ledger/%63harge");
+
+    let answer = world.send(req, "{}").await;
+
+    verify_that!(answer.outcome(), eq("unknown"))?;
+    verify_that!(world.servers.count("call"), eq(1))
+}
+
+async fn charge(world: &world::World, key: Option<&str>) -> world::Answer {
+    let mut req = world.request("POST", "/services/ledger/charge");
+    if let Some(key) = key {
+        req = req.header("idempotency-key", key);
+    }
+    world.send(req, r#"{"cents":900}"#).await
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/traffic/fakes/servers.rs
@@ -0,0 +1,236 @@
+//! Backend servers that follow a script.
+
+use std::{collections, sync, time};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use mustardshed::core::{border::backend_server, ids};
+
+/// What the next stream does after the frames it sends.
+#[derive(Clone, Copy, Debug)]
+pub enum After {
+    /// It has sent the last token.
+    Finish,
+    /// It breaks.
+    Break,
+    /// It sends nothing more.
+    Stall,
+}
+
+/// One step of the script.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Sends frames with these offsets and then does what `After` says.
+    Stream(Vec<u64>, After),
+    /// Sends these frames as they are.
+    Frames(Vec<backend_server::TokenFrame>),
+    /// Fails before there is a stream or an answer.
+    Fail(backend_server::BackendServerError),
+    /// Never answers.
+    Hang,
+    /// Answers a call.
+    Answer(u16, &'static str),
+}
+
+/// Backend servers that follow a script; without one, prompts get three tokens and calls `ok`.
+#[derive(Debug, Default)]
+pub struct FakeServers {
+    script: sync::Mutex<collections::VecDeque<Step>>,
+    resumes: sync::Mutex<collections::VecDeque<Step>>,
+    reservations: sync::Mutex<collections::VecDeque<backend_server::BackendServerError>>,
+    log: sync::Mutex<Vec<String>>,
+}
+
+impl FakeServers {
+    /// Adds a step for a prompt or a call.
+    pub fn then(&self, step: Step) {
+        self.script.lock().unwrap().push_back(step);
+    }
+
+    /// Adds a step for a resumption.
+    pub fn then_on_resume(&self, step: Step) {
+        self.resumes.lock().unwrap().push_back(step);
+    }
+
+    /// Fails the next reservation but `before`.
+    pub fn fail_reservation(&self, err: backend_server::BackendServerError) {
+        self.reservations.lock().unwrap().push_back(err);
+    }
+
+    /// Returns what was asked so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
+    /// Returns how many entries of the log begin with `what`.
+    pub fn count(&self, what: &str) -> usize {
+        self.log().iter().filter(|l| l.starts_with(what)).count()
+    }
+
+    /// Waits until the log has an entry that begins with `what`.
+    pub async fn wait_for(&self, what: &str) {
+        for _ in 0..500 {
+            if self.count(what) > 0 {
+                return;
+            }
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+        panic!("never saw {what} in {:?}", self.log());
+    }
+
+    fn note(&self, what: String) {
+        self.log.lock().unwrap().push(what);
+    }
+
+    async fn play(
+        &self,
+        step: Option<Step>,
+        id: &ids::RequestId,
+        offset: u64,
+    ) -> Result<backend_server::TokenStream, backend_server::BackendServerError> {
+        match step {
+            None => Ok(frames(id, (offset..3).collect(), After::Finish)),
+            Some(Step::Stream(offsets, after)) => Ok(frames(id, offsets, after)),
+            Some(Step::Frames(frames)) => Ok(Box::pin(stream::iter(frames.into_iter().map(Ok)))),
+            Some(Step::Fail(err)) => Err(err),
+            Some(Step::Hang) => std::future::pending().await,
+            Some(Step::Answer(..)) => panic!("an answer of a service for a prompt"),
+        }
+    }
+}
+
+/// Makes a frame.
+pub fn frame(id: &str, offset: u64, finish: bool) -> backend_server::TokenFrame {
+    backend_server::TokenFrame {
+        id: id.to_owned(),
+        offset,
+        text: format!("t{offset} "),
+        finish: finish.then(|| "length".to_owned()),
+        epoch: 1,
+    }
+}
+
+fn frames(id: &str, offsets: Vec<u64>, after: After) -> backend_server::TokenStream {
+    let last = offsets.len().saturating_sub(1);
+    let id = id.to_owned();
+    let finishes = matches!(after, After::Finish);
+    let sent = stream::iter(offsets.into_iter().enumerate())
+        .map(move |(index, offset)| Ok(frame(&id, offset, finishes && index == last)));
+    match after {
+        After::Finish => Box::pin(sent),
+        After::Break => Box::pin(sent.chain(stream::iter([Err(broken())]))),
+        After::Stall => Box::pin(sent.chain(stream::pending())),
+    }
+}
+
+/// Makes the failure of a connection that broke.
+pub fn broken() -> backend_server::BackendServerError {
+    backend_server::BackendServerError::Broken("reset".to_owned())
+}
+
+/// Makes a refusal.
+pub fn refused() -> backend_server::BackendServerError {
+    backend_server::BackendServerError::Refused("full".to_owned())
+}
+
+/// Makes the failure to connect.
+pub fn unreachable() -> backend_server::BackendServerError {
+    backend_server::BackendServerError::Unreachable("no route".to_owned())
+}
+
+#[async_trait]
+impl backend_server::BackendServer for FakeServers {
+    async fn generate(
+        &self,
+        address: &str,
+        req: backend_server::EngineRequest,
+    ) -> Result<backend_server::TokenStream, backend_server::BackendServerError> {
+        self.note(format!(
+            "generate {address} at {} of {}",
+            req.offset,
+            req.gang.len()
+        ));
+        let step = self.script.lock().unwrap().pop_front();
+        self.play(step, &req.id, req.offset).await
+    }
+
+    async fn resume(
+        &self,
+        address: &str,
+        id: &ids::RequestId,
+        offset: ids::Tokens,
+    ) -> Result<backend_server::TokenStream, backend_server::BackendServerError> {
+        self.note(format!("resume {address} at {offset}"));
+        let step = self.resumes.lock().unwrap().pop_front();
+        self.play(step, id, offset).await
+    }
+
+    async fn cancel(
+        &self,
+        address: &str,
+        _id: &ids::RequestId,
+    ) -> Result<(), backend_server::BackendServerError> {
+        self.note(format!("cancel {address}"));
+        Ok(())
+    }
+
+    async fn reserve(
+        &self,
+        address: &str,
+        _id: &ids::RequestId,
+        tokens: ids::Tokens,
+    ) -> Result<(), backend_server::BackendServerError> {
+        self.note(format!("reserve {address} {tokens}"));
+        match self.reservations.lock().unwrap().pop_front() {
+            Some(err) => Err(err),
+            None => Ok(()),
+        }
+    }
+
+    async fn release(
+        &self,
+        address: &str,
+        _id: &ids::RequestId,
+    ) -> Result<(), backend_server::BackendServerError> {
+        self.note(format!("release {address}"));
+        Ok(())
+    }
+
+    async fn load(
+        &self,
+        _address: &str,
+    ) -> Result<backend_server::LoadReport, backend_server::BackendServerError> {
+        Err(unreachable())
+    }
+
+    async fn order(
+        &self,
+        _address: &str,
+        _fence: ids::FencingNumber,
+        _order: backend_server::Order,
+    ) -> Result<(), backend_server::BackendServerError> {
+        Err(unreachable())
+    }
+
+    async fn call(
+        &self,
+        address: &str,
+        call: backend_server::ServiceCall,
+    ) -> Result<backend_server::ServiceAnswer, backend_server::BackendServerError> {
+        self.note(format!("call {address} {} {}", call.method, call.path));
+        let step = self.script.lock().unwrap().pop_front();
+        let (status, body) = match step {
+            None => (200, "ok"),
+            Some(Step::Answer(status, body)) => (status, body),
+            Some(Step::Fail(err)) => return Err(err),
+            Some(Step::Hang) => std::future::pending().await,
+            Some(_) => panic!("a stream for a call"),
+        };
+        Ok(backend_server::ServiceAnswer {
+            status,
+            content_type: Some("text/plain".to_owned()),
+            body: Bytes::from_static(body.as_bytes()),
+        })
+    }
+}
