--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -1,1 +1,15 @@
-//! Laid out in ARCHITECTURE.
+//! Stand-ins for the platform, model engines and plain services.
+//!
+//! Each program is a cargo example and one process; `docs/STANDINS.md` describes
+//! what it answers and which faults can be switched on while it runs.
+
+pub mod capacity;
+pub mod engine;
+pub mod fleet;
+pub mod hostile;
+pub mod http;
+pub mod json_client;
+pub mod oracle;
+pub mod platform;
+pub mod service;
+pub mod unix_time;
--- /dev/null
+++ b/crates/mustardshedd/src/process/control/handle.rs
@@ -0,0 +1,93 @@
+//! The handle by which traffic threads reach the control thread.
+
+use std::{
+    sync::{self, atomic},
+    time,
+};
+
+use arc_swap::ArcSwap;
+use mustardshed::core::{border::clock, error, ids, process::snapshot, version::record};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{Command, Parts};
+use crate::process::claims;
+
+/// Longest wait for the control thread beyond what was asked of it.
+const CONTROL_PATIENCE: time::Duration = time::Duration::from_secs(2);
+/// Longest wait for the owner of a request to say its fate.
+pub(super) const FATE_PATIENCE: time::Duration = time::Duration::from_secs(2);
+
+/// Running control thread.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    pub(super) prefix: sync::Arc<str>,
+    pub(super) next_sequence: sync::Arc<atomic::AtomicU64>,
+    pub(super) published: sync::Arc<ArcSwap<snapshot::Snapshot>>,
+    pub(super) claims: claims::Claims,
+    pub(super) clock: sync::Arc<dyn clock::Clock>,
+    commands_tx: mpsc::UnboundedSender<Command>,
+}
+
+impl Handle {
+    pub(super) fn new(
+        parts: &Parts,
+        published: sync::Arc<ArcSwap<snapshot::Snapshot>>,
+        commands_tx: mpsc::UnboundedSender<Command>,
+    ) -> Self {
+        let identity = &parts.identity;
+        Self {
+            prefix: format!("{}.{}", identity.vm, identity.incarnation).into(),
+            next_sequence: sync::Arc::default(),
+            published,
+            claims: claims::Claims::new(parts),
+            clock: sync::Arc::clone(&parts.clock),
+            commands_tx,
+        }
+    }
+
+    /// Begins to leave: peers and callers are told, work in flight goes on.
+    pub fn leave(&self) {
+        self.send(Command::Leave);
+    }
+
+    /// Hands an operator's intended configuration to the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is refused, for instance because a later one is in force.
+    pub async fn intent(&self, record: record::Record) -> Result<ids::Generation, error::Error> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Command::Intent(record, tx));
+        answered(rx, time::Duration::ZERO).await?
+    }
+
+    /// Hands an accepted configuration to the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is refused, for instance because a later one is in force.
+    pub async fn commit(&self, record: record::Record) -> Result<ids::Generation, error::Error> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Command::Commit(record, tx));
+        answered(rx, time::Duration::ZERO).await?
+    }
+
+    pub(super) fn send(&self, command: Command) {
+        // The control thread ends only with the process; its callers then see a closed channel.
+        let _ = self.commands_tx.send(command);
+    }
+}
+
+/// Waits for an answer that may take `patience` to be decided.
+pub(super) async fn answered<T>(
+    rx: oneshot::Receiver<T>,
+    patience: time::Duration,
+) -> Result<T, error::Error> {
+    match tokio::time::timeout(patience + CONTROL_PATIENCE, rx).await {
+        Ok(Ok(answer)) => Ok(answer),
+        _ => Err(error::Error::not_run(
+            error::ErrorKind::Internal,
+            "the control thread did not answer",
+        )),
+    }
+}
