--- /dev/null
+++ b/crates/mustardshedctl/tests/apply/fakes.rs
@@ -0,0 +1,349 @@
+//! A platform and entries in memory, with faults and a common log of calls.
+
+use std::{collections, sync, time};
+
+use async_trait::async_trait;
+use mustardshed::{
+    core::{border::platform, ids, version::record},
+    wire::{configuration, operator},
+};
+use mustardshedctl::{apply, entries};
+
+/// Calls in the order in which they came.
+pub type Log = sync::Arc<sync::Mutex<Vec<String>>>;
+
+/// What happens to one update of the configuration.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// It takes effect, and its answer is lost.
+    LostAfter,
+    /// It does not take effect, and its answer is lost.
+    LostBefore,
+    /// Another operator writes first.
+    RacedBefore(record::Record),
+    /// It takes effect, its answer is lost, and another operator replaces it and may keep its history.
+    LostThenReplaced { by: record::Record, kept: bool },
+    /// It does not take effect, its answer is lost, and another operator writes.
+    LostBeforeRaced(record::Record),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: collections::BTreeMap<(&'static str, String), platform::Object>,
+    version: ids::ObjectVersion,
+    faults: collections::VecDeque<Fault>,
+    failing_reads: usize,
+    vms: Vec<platform::Vm>,
+}
+
+impl State {
+    fn write(&mut self, kind: platform::ObjectKind, name: &str, value: Vec<u8>) -> u64 {
+        self.version += 1;
+        let object = platform::Object {
+            name: name.to_owned(),
+            version: self.version,
+            value,
+        };
+        self.objects
+            .insert((kind.as_str(), name.to_owned()), object);
+        self.version
+    }
+
+    fn keep_current(&mut self) {
+        let key = ("configuration", "current".to_owned());
+        let value = self.objects.get(&key).map(|object| object.value.clone());
+        let value = value.unwrap_or_default();
+        let generation = configuration::decode(&value).map_or(0, |record| record.generation);
+        let name = apply::history_object_name(generation);
+        self.write(platform::ObjectKind::History, &name, value);
+    }
+
+    fn write_record(&mut self, record: &record::Record) {
+        let value = configuration::encode(record).unwrap_or_default();
+        self.write(platform::ObjectKind::Configuration, "current", value);
+    }
+}
+
+/// A platform in memory.
+#[derive(Debug, Default)]
+pub struct Platform {
+    state: sync::Mutex<State>,
+    log: Log,
+}
+
+impl Platform {
+    pub fn open(log: &Log) -> Self {
+        Self {
+            log: log.clone(),
+            ..Self::default()
+        }
+    }
+
+    pub fn with_record(self, record: &record::Record) -> Self {
+        self.lock().write_record(record);
+        self
+    }
+
+    pub fn with_entries(self, entries: &[(&str, platform::VmState)]) -> Self {
+        self.lock().vms = entries
+            .iter()
+            .map(|(address, state)| vm(address, *state))
+            .collect();
+        self
+    }
+
+    pub fn with_fault(self, fault: Fault) -> Self {
+        self.lock().faults.push_back(fault);
+        self
+    }
+
+    /// Lets reads fail once the first update was tried.
+    pub fn with_failing_reads(self, count: usize) -> Self {
+        self.lock().failing_reads = count;
+        self
+    }
+
+    pub fn record(&self, kind: platform::ObjectKind, name: &str) -> Option<record::Record> {
+        let state = self.lock();
+        let object = state.objects.get(&(kind.as_str(), name.to_owned()))?;
+        configuration::decode(&object.value).ok()
+    }
+
+    pub fn current(&self) -> Option<record::Record> {
+        self.record(platform::ObjectKind::Configuration, "current")
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn log(&self, call: String) {
+        note(&self.log, call);
+    }
+}
+
+#[async_trait]
+impl platform::Platform for Platform {
+    async fn get(
+        &self,
+        _: platform::Purpose,
+        kind: platform::ObjectKind,
+        name: &str,
+    ) -> Result<Option<platform::Object>, platform::PlatformError> {
+        self.log(format!("get {}/{name}", kind.as_str()));
+        let mut state = self.lock();
+        let updated = noted(&self.log)
+            .iter()
+            .any(|call| call.starts_with("put configuration"));
+        if updated && state.failing_reads > 0 {
+            state.failing_reads -= 1;
+            return Err(platform::PlatformError::Refused("outage".to_owned()));
+        }
+        Ok(state
+            .objects
+            .get(&(kind.as_str(), name.to_owned()))
+            .cloned())
+    }
+
+    async fn put(
+        &self,
+        _: platform::Purpose,
+        kind: platform::ObjectKind,
+        name: &str,
+        expected: ids::ObjectVersion,
+        value: Vec<u8>,
+    ) -> Result<ids::ObjectVersion, platform::PlatformError> {
+        self.log(format!("put {}/{name} at {expected}", kind.as_str()));
+        let mut state = self.lock();
+        let fault = match kind {
+            platform::ObjectKind::Configuration => state.faults.pop_front(),
+            _ => None,
+        };
+        if let Some(Fault::RacedBefore(record)) = &fault {
+            state.write_record(record);
+        }
+        let object = state.objects.get(&(kind.as_str(), name.to_owned()));
+        let version = object.map_or(0, |object| object.version);
+        if version != expected {
+            return Err(platform::PlatformError::Conflict(version));
+        }
+        let lost = Err(platform::PlatformError::Unanswered("closed".to_owned()));
+        if matches!(fault, Some(Fault::LostBefore)) {
+            return lost;
+        }
+        if let Some(Fault::LostBeforeRaced(record)) = &fault {
+            state.write_record(record);
+            return lost;
+        }
+        let version = state.write(kind, name, value);
+        match fault {
+            Some(Fault::LostAfter) => lost,
+            Some(Fault::LostThenReplaced { by, kept }) => {
+                if kept {
+                    state.keep_current();
+                }
+                state.write_record(&by);
+                lost
+            }
+            _ => Ok(version),
+        }
+    }
+
+    async fn delete(
+        &self,
+        _: platform::Purpose,
+        _: platform::ObjectKind,
+        _: &str,
+        _: ids::ObjectVersion,
+    ) -> Result<(), platform::PlatformError> {
+        Err(platform::PlatformError::Refused("not used".to_owned()))
+    }
+
+    async fn list(
+        &self,
+        _: platform::Purpose,
+        _: platform::ObjectKind,
+        _: &str,
+    ) -> Result<Vec<platform::Object>, platform::PlatformError> {
+        Err(platform::PlatformError::Refused("not used".to_owned()))
+    }
+
+    async fn watch(
+        &self,
+        _: platform::Purpose,
+        _: platform::ObjectKind,
+        _: &str,
+        _: ids::ObjectVersion,
+        _: time::Duration,
+    ) -> Result<Option<platform::Object>, platform::PlatformError> {
+        Err(platform::PlatformError::Refused("not used".to_owned()))
+    }
+
+    async fn vms(&self) -> Result<Vec<platform::Vm>, platform::PlatformError> {
+        Ok(self.lock().vms.clone())
+    }
+}
+
+/// Entries in memory.
+#[derive(Debug, Default)]
+pub struct Entries {
+    silent: Vec<&'static str>,
+    generations: sync::Mutex<collections::BTreeMap<String, ids::Generation>>,
+    log: Log,
+}
+
+impl Entries {
+    pub fn open(log: &Log) -> Self {
+        Self {
+            log: log.clone(),
+            ..Self::default()
+        }
+    }
+
+    pub fn with_silent(mut self, addresses: &[&'static str]) -> Self {
+        self.silent.extend(addresses);
+        self
+    }
+
+    fn answer(&self, address: &str) -> Result<(), entries::EntryError> {
+        if self.silent.contains(&address) {
+            return Err(entries::EntryError::Unanswered("timed out".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn generations(&self) -> sync::MutexGuard<'_, collections::BTreeMap<String, ids::Generation>> {
+        self.generations
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl entries::Entries for Entries {
+    async fn intent(
+        &self,
+        address: &str,
+        record: &record::Record,
+    ) -> Result<(), entries::EntryError> {
+        note(
+            &self.log,
+            format!("intent {} to {address}", record.generation),
+        );
+        self.answer(address)
+    }
+
+    async fn commit(
+        &self,
+        address: &str,
+        record: &record::Record,
+    ) -> Result<(), entries::EntryError> {
+        note(
+            &self.log,
+            format!("commit {} to {address}", record.generation),
+        );
+        self.answer(address)?;
+        self.generations()
+            .insert(address.to_owned(), record.generation);
+        Ok(())
+    }
+
+    async fn status(&self, address: &str) -> Result<operator::Status, entries::EntryError> {
+        self.answer(address)?;
+        let generation = self.generations().get(address).copied().unwrap_or(0);
+        Ok(status(address, generation))
+    }
+
+    async fn request(&self, _: &str, _: &str) -> Result<serde_json::Value, entries::EntryError> {
+        Err(entries::EntryError::Unanswered("not used".to_owned()))
+    }
+
+    async fn explain(
+        &self,
+        _: &str,
+        _: &entries::ExplainQuery,
+    ) -> Result<serde_json::Value, entries::EntryError> {
+        Err(entries::EntryError::Unanswered("not used".to_owned()))
+    }
+}
+
+/// Returns the calls so far.
+pub fn noted(log: &Log) -> Vec<String> {
+    log.lock()
+        .unwrap_or_else(sync::PoisonError::into_inner)
+        .clone()
+}
+
+fn note(log: &Log, call: String) {
+    log.lock()
+        .unwrap_or_else(sync::PoisonError::into_inner)
+        .push(call);
+}
+
+fn vm(address: &str, state: platform::VmState) -> platform::Vm {
+    platform::Vm {
+        id: address.to_owned(),
+        role: platform::VmRole::Entry,
+        address: address.to_owned(),
+        peer_address: String::new(),
+        data_centre: "oak".to_owned(),
+        state,
+    }
+}
+
+fn status(address: &str, generation: ids::Generation) -> operator::Status {
+    operator::Status {
+        vm: address.to_owned(),
+        incarnation: 1,
+        data_centre: "oak".to_owned(),
+        generation,
+        may_place_ms: 2000,
+        leaving: false,
+        data_centres_out: collections::BTreeSet::new(),
+        members: Vec::new(),
+        servers: Vec::new(),
+        platform_calls: collections::BTreeMap::new(),
+    }
+}
