--- /dev/null
+++ b/crates/mustardshed-standins/src/demo/caller.rs
@@ -0,0 +1,160 @@
+//! A client account's connections to one entry.
+
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper_util::{client::legacy, rt};
+
+use crate::{
+    demo::{charge, completion, event_stream, fate},
+    json_client,
+};
+
+/// Deadline that the demo names for every completion, in milliseconds.
+const DEADLINE_MS: u64 = 60_000;
+/// Largest answer that is read at once, in bytes.
+const MAX_ANSWER_BYTES: usize = 1_024 * 1_024;
+
+/// A caller at one entry.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    http: legacy::Client<legacy::connect::HttpConnector, json_client::Body>,
+    url: String,
+    key: String,
+}
+
+impl Caller {
+    /// Opens a caller; connections are made when they are needed.
+    pub fn open(url: &str, key: &str) -> Self {
+        let http = legacy::Client::builder(rt::TokioExecutor::new()).build_http();
+        Self {
+            http,
+            url: url.trim_end_matches('/').to_owned(),
+            key: key.to_owned(),
+        }
+    }
+
+    /// Returns the base URL of the entry.
+    pub fn url(&self) -> &str {
+        &self.url
+    }
+
+    /// Streams a completion, and hands each text to `on_text` as it comes.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description if the answer is no stream of pieces.
+    pub async fn complete(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u64,
+        mut on_text: impl FnMut(&str),
+    ) -> Result<completion::Completion, String> {
+        let body = serde_json::json!({
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": true,
+        });
+        let req = self
+            .request(http::Method::POST, "/v1/completions")
+            .header("x-deadline-ms", DEADLINE_MS)
+            .body(body.to_string().into());
+        let begun = time::Instant::now();
+        let mut res = self.send(req).await?;
+        let mut events = event_stream::EventStream::default();
+        let mut completion = completion::Completion {
+            request_id: header(&res, "x-request-id"),
+            ..completion::Completion::default()
+        };
+        while let Some(frame) = res.body_mut().frame().await {
+            let frame = frame.map_err(|e| format!("the stream broke off: {e}"))?;
+            events.push(frame.data_ref().unwrap_or(&Bytes::new()))?;
+            while let Some(data) = events.next_data() {
+                match completion::Piece::parse(&data)? {
+                    completion::Piece::Done => completion.is_done = true,
+                    completion::Piece::Text(text, finish_reason) => {
+                        if completion.text.is_empty() {
+                            completion.first_token_after = begun.elapsed();
+                        }
+                        on_text(&text);
+                        completion.text.push_str(&text);
+                        completion.finish_reason = finish_reason.or(completion.finish_reason);
+                    }
+                }
+            }
+        }
+        completion.whole_after = begun.elapsed();
+        Ok(completion)
+    }
+
+    /// Sends a call that may not be repeated to a plain service.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description if it is not answered with 200.
+    pub async fn charge(
+        &self,
+        path: &str,
+        idempotency_key: &str,
+        body: &serde_json::Value,
+    ) -> Result<charge::Charge, String> {
+        let req = self
+            .request(http::Method::POST, path)
+            .header("idempotency-key", idempotency_key)
+            .body(body.to_string().into());
+        let res = self.send(req).await?;
+        let request_id = header(&res, "x-request-id");
+        let answer = read(res).await?;
+        Ok(charge::Charge { request_id, answer })
+    }
+
+    /// Asks for the fate of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description if the fate is not told.
+    pub async fn fate(&self, request_id: &str) -> Result<fate::Fate, String> {
+        let path = format!("/v1/requests/{request_id}");
+        let req = self.request(http::Method::GET, &path);
+        let res = self.send(req.body(json_client::Body::default())).await?;
+        let answer = read(res).await?;
+        serde_json::from_value(answer).map_err(|e| e.to_string())
+    }
+
+    fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
+        http::Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.url))
+            .header(http::header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(http::header::CONTENT_TYPE, "application/json")
+    }
+
+    async fn send(
+        &self,
+        req: http::Result<http::Request<json_client::Body>>,
+    ) -> Result<http::Response<hyper::body::Incoming>, String> {
+        let req = req.map_err(|e| e.to_string())?;
+        let res = self.http.request(req).await.map_err(|e| e.to_string())?;
+        if res.status() == http::StatusCode::OK {
+            return Ok(res);
+        }
+        let status = res.status();
+        let answer = read(res).await.unwrap_or_default();
+        Err(format!("answered with {status}: {answer}"))
+    }
+}
+
+fn header(res: &http::Response<hyper::body::Incoming>, name: &str) -> String {
+    let value = res.headers().get(name);
+    let value = value.and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+async fn read(res: http::Response<hyper::body::Incoming>) -> Result<serde_json::Value, String> {
+    let body = http_body_util::Limited::new(res.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
+    serde_json::from_slice(&body).map_err(|e| e.to_string())
+}
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each program is a cargo example and one process; `docs/STANDINS.md` describes
 //! what it answers and which faults can be switched on while it runs.
 
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod hostile;
