--- a/crates/mustardshed-standins/src/engine/stream.rs
+++ b/crates/mustardshed-standins/src/engine/stream.rs
@@ -5,6 +5,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::stream;
 use serde::Serialize;
+use tokio::task;
 
 use crate::{
     engine::{job, progress, shared},
@@ -62,24 +63,24 @@
         loop {
             let progress = *self.handle.progress.borrow_and_update();
             if self.next < progress.produced {
-                return Some(self.write_tokens(progress));
+                return Some(self.write_tokens(progress).await);
             }
             match progress.end {
                 Some(progress::End::Finished) => return Some(Ok(self.close())),
-                Some(_) => return Some(self.break_off()),
+                Some(_) => return Some(self.break_off().await),
                 None => {}
             }
             if self.handle.progress.changed().await.is_err() {
-                return Some(self.break_off());
+                return Some(self.break_off().await);
             }
         }
     }
 
-    fn write_tokens(&mut self, progress: progress::Progress) -> io::Result<Bytes> {
+    async fn write_tokens(&mut self, progress: progress::Progress) -> io::Result<Bytes> {
         let (epoch, faults) = self.shared.read(|e| (e.epoch(), e.faults().clone()));
         let limit = faults.break_streams_after_tokens.unwrap_or(u64::MAX);
         if self.written >= limit {
-            return self.break_off();
+            return self.break_off().await;
         }
         let batch = (progress.produced - self.next)
             .min(MAX_BATCH)
@@ -138,8 +139,10 @@
         Bytes::from_static(DONE)
     }
 
-    fn break_off(&mut self) -> io::Result<Bytes> {
+    /// Breaks the stream off once the connection has had a turn to send what was written.
+    async fn break_off(&mut self) -> io::Result<Bytes> {
         self.closed = true;
+        task::yield_now().await;
         Err(io::Error::from(io::ErrorKind::ConnectionAborted))
     }
 }
--- a/crates/mustardshedd/src/connection/backend_server/wire.rs
+++ b/crates/mustardshedd/src/connection/backend_server/wire.rs
@@ -4,17 +4,23 @@
 
 use mustardshed::core::{
     border::backend_server::{
-        BackendServerError, EngineRequest, HeldRequest, LoadReport, Order, TokenFrame, Warmth,
+        BackendServerError, EngineRequest, HeldRequest, LoadReport, Order, PromptForm, TokenFrame,
+        Warmth,
     },
     ids,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
+
+use crate::connection::backend_server::failure;
+
+/// Bytes of one token number.
+const TOKEN_BYTES: usize = 4;
 
 /// Body of a completion.
 #[derive(Debug, Serialize)]
 pub(super) struct CompletionBody<'a> {
     model: &'a str,
-    prompt: &'a str,
+    prompt: PromptBody<'a>,
     max_tokens: u64,
     stream: bool,
     offset: u64,
@@ -26,11 +32,9 @@
     type Error = BackendServerError;
 
     fn try_from(req: &'a EngineRequest) -> Result<Self, BackendServerError> {
-        let prompt = str::from_utf8(&req.prompt)
-            .map_err(|_| BackendServerError::Refused(String::from("the prompt is not UTF-8")))?;
         Ok(Self {
             model: &req.model,
-            prompt,
+            prompt: PromptBody::try_from(req)?,
             max_tokens: req.max_tokens,
             stream: true,
             offset: req.offset,
@@ -40,6 +44,38 @@
     }
 }
 
+/// Prompt as text or as an array of integers.
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+enum PromptBody<'a> {
+    Text(&'a str),
+    #[serde(serialize_with = "serialize_tokens")]
+    Tokens(&'a [[u8; TOKEN_BYTES]]),
+}
+
+impl<'a> TryFrom<&'a EngineRequest> for PromptBody<'a> {
+    type Error = BackendServerError;
+
+    fn try_from(req: &'a EngineRequest) -> Result<Self, BackendServerError> {
+        match req.prompt_form {
+            PromptForm::Text => str::from_utf8(&req.prompt)
+                .map(Self::Text)
+                .map_err(failure::not_sent),
+            PromptForm::Tokens => match req.prompt.as_chunks() {
+                (tokens, []) => Ok(Self::Tokens(tokens)),
+                _ => Err(failure::not_sent("the prompt ends within a token")),
+            },
+        }
+    }
+}
+
+fn serialize_tokens<S: Serializer>(
+    tokens: &&[[u8; TOKEN_BYTES]],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(tokens.iter().map(|token| u32::from_le_bytes(*token)))
+}
+
 /// Output token in an event.
 #[derive(Debug, Deserialize)]
 pub(super) struct FrameBody<'a> {
--- a/crates/mustardshedd/tests/backend_server.rs
+++ b/crates/mustardshedd/tests/backend_server.rs
@@ -8,7 +8,8 @@
 use futures_util::StreamExt;
 use googletest::prelude::*;
 use mustardshed::core::border::backend_server::{
-    BackendServer, BackendServerError, EngineRequest, Order, ServiceCall, TokenFrame, TokenStream,
+    BackendServer, BackendServerError, EngineRequest, Order, PromptForm, ServiceCall, TokenFrame,
+    TokenStream,
 };
 use mustardshed_standins::{
     engine::{server, settings},
@@ -27,6 +28,7 @@
         id: id.to_owned(),
         model: String::from("draft"),
         prompt: Bytes::from_static(PROMPT.as_bytes()),
+        prompt_form: PromptForm::Text,
         prompt_tokens: 7,
         max_tokens: 6,
         offset: 0,
@@ -104,6 +106,25 @@
     assert_that!(frames[5].finish.as_deref(), some(eq("length")));
 }
 
+#[tokio::test]
+async fn a_prompt_of_integers_is_passed_on_as_integers() {
+    let (_engine, address) = engine().await;
+    let tokens = [1_u32, 700, u32::MAX];
+    let bytes: Vec<u8> = tokens.iter().flat_map(|t| t.to_le_bytes()).collect();
+    let req = EngineRequest {
+        prompt: Bytes::from(bytes),
+        prompt_form: PromptForm::Tokens,
+        ..request("vm1.1.1")
+    };
+
+    let stream = client().generate(&address, req).await;
+    let (frames, error) = read_all(stream.unwrap()).await;
+
+    assert_that!(error, none());
+    let expected = oracle::Oracle::of_tokens(&tokens).text(0, 6);
+    assert_that!(text(&frames), eq(&expected));
+}
+
 #[tokio::test]
 async fn a_stream_resumes_at_an_offset() {
     let (_engine, address) = engine().await;
