--- a/crates/mustardshedd/src/connection/backend_server/wire.rs
+++ b/crates/mustardshedd/src/connection/backend_server/wire.rs
@@ -9,7 +9,12 @@
     },
     ids,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
+
+use crate::connection::backend_server::failure;
+
+/// Bytes of one token number.
+const TOKEN_BYTES: usize = 4;
 
 /// Body of a completion.
 #[derive(Debug, Serialize)]
@@ -39,12 +44,13 @@
     }
 }
 
-/// Prompt of a completion.
+/// Prompt as text or as an array of integers.
 #[derive(Debug, Serialize)]
 #[serde(untagged)]
 enum PromptBody<'a> {
     Text(&'a str),
-    Tokens(Vec<u32>),
+    #[serde(serialize_with = "serialize_tokens")]
+    Tokens(&'a [[u8; TOKEN_BYTES]]),
 }
 
 impl<'a> TryFrom<&'a EngineRequest> for PromptBody<'a> {
@@ -54,19 +60,20 @@
         match req.prompt_form {
             PromptForm::Text => str::from_utf8(&req.prompt)
                 .map(Self::Text)
-                .map_err(|_| BackendServerError::Refused("the prompt is not UTF-8".to_owned())),
-            PromptForm::Tokens => Ok(Self::Tokens(token_numbers(&req.prompt))),
+                .map_err(failure::not_sent),
+            PromptForm::Tokens => match req.prompt.as_chunks() {
+                (tokens, []) => Ok(Self::Tokens(tokens)),
+                _ => Err(failure::not_sent("the prompt ends within a token")),
+            },
         }
     }
 }
 
-/// Reads little-endian 32-bit integers; bytes that make no whole integer are left out.
-fn token_numbers(prompt: &[u8]) -> Vec<u32> {
-    let (numbers, _) = prompt.as_chunks::<4>();
-    numbers
-        .iter()
-        .map(|bytes| u32::from_le_bytes(*bytes))
-        .collect()
+fn serialize_tokens<S: Serializer>(
+    tokens: &&[[u8; TOKEN_BYTES]],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(tokens.iter().map(|token| u32::from_le_bytes(*token)))
 }
 
 /// Output token in an event.
