--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -111,6 +111,11 @@
         generation: ids::Generation,
         source: &'a str,
     }
+    /// A generation is in force whose text is not understood; the text before it stays.
+    2008 Error "configuration_not_understood" ConfigurationNotUnderstood {
+        generation: ids::Generation,
+        reason: &'a str,
+    }
     /// A member came, left, or is taken to be dead.
     2002 Info "member_changed" MemberChanged {
         vm: &'a str,
