Say that an entry is ready once a backend server reported, and name all engines of a gang

Cause: the demo's first prompt came 50 ms after the start and was refused, since no load report had come, while /readyz already said ready; the fate of a gang named its first engine only. Ruled out: routing on servers that never reported (a dead one cannot be told from a new one). Change: /readyz waits for the first report; the fate lists every engine of a gang.

--- a/crates/mustardshedd/src/http/health.rs
+++ b/crates/mustardshedd/src/http/health.rs
@@ -20,8 +20,14 @@
             "this entry is leaving",
         ));
     }
-    match admission::check_fresh(&snapshot, now) {
-        Ok(()) => live(),
-        Err(err) => reply::error(&err),
+    if let Err(err) = admission::check_fresh(&snapshot, now) {
+        return reply::error(&err);
     }
+    if !snapshot.servers.is_empty() && snapshot.servers.values().all(|server| !server.reachable) {
+        return reply::error(&error::Error::not_run(
+            error::ErrorKind::NoBackendServer,
+            "no backend server has reported its load",
+        ));
+    }
+    live()
 }
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -169,11 +169,13 @@
     ) -> Result<(), failure::Failure> {
         let cx = sync::Arc::clone(&self.cx);
         let ran_before = self.progress.may_have_run;
+        let given_before = self.progress.given.len();
         let req = self.engine_request(plan);
         placement.begin(&plan.lead.address);
         self.progress.may_have_run = true;
         self.progress.tried.push(plan.lead.server.clone());
-        self.progress.given.push(plan.lead.server.clone());
+        let servers = plan.engines.iter().map(|engine| engine.server.clone());
+        self.progress.given.extend(servers);
         self.record_running();
         let sent_at = cx.clock.now();
         match cx.servers.generate(&plan.lead.address, req).await {
@@ -182,7 +184,7 @@
                 placement.end();
                 placement.fail(&err);
                 self.progress.may_have_run = ran_before;
-                self.progress.given.pop();
+                self.progress.given.truncate(given_before);
                 Err(failure::Failure::not_run(&err))
             }
             Err(err) => {
