Claim non-idempotent calls at most once

A call that may not be repeated is claimed by a conditional create. The machine is free of I/O: each step is a put, a read or a question for the owner's word, and a lost answer is settled by reading back the request that the value names. A claim of a dead owner is never taken over; one whose live owner says that it did not run is, by a conditional update.

Ruled out: a separate nonce, since the request's id is unique already.

--- a/crates/mustardshed-core/src/error.rs
+++ b/crates/mustardshed-core/src/error.rs
@@ -111,6 +111,13 @@
         Self::Internal,
     ];
 
+    /// Returns the kind with a stable code.
+    pub fn of_code(code: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.answer().code == code)
+    }
+
     /// Returns the answer for this kind.
     pub const fn answer(self) -> Answer {
         match self {
--- a/crates/mustardshed-core/src/outcome.rs
+++ b/crates/mustardshed-core/src/outcome.rs
@@ -18,6 +18,22 @@
 }
 
 impl Outcome {
+    /// Every outcome.
+    pub const ALL: [Self; 5] = [
+        Self::NotRun,
+        Self::Failed,
+        Self::Unknown,
+        Self::Running,
+        Self::Completed,
+    ];
+
+    /// Returns the outcome with a stable name.
+    pub fn of_name(name: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|outcome| outcome.as_str() == name)
+    }
+
     /// Returns the stable name that callers see.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/mustardshed-core/src/request.rs
+++ b/crates/mustardshed-core/src/request.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod assembly;
+pub mod claim;
 pub mod fate;
 pub mod gang;
 pub mod lane;
--- /dev/null
+++ b/crates/mustardshed-core/src/request/claim/settling.rs
@@ -0,0 +1,103 @@
+//! The end of a claim: its final fate is recorded, or it is given back unused.
+
+use crate::{border::platform, ids, request::fate};
+
+use super::Value;
+
+/// Calls on the platform after which the end of a claim is given up for now.
+const MAX_CALLS: u32 = 6;
+
+/// What is to be done next for the end of a claim.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Write the object if it is at `expected`.
+    Put {
+        /// Version that it must have.
+        expected: ids::ObjectVersion,
+        /// Value.
+        value: Box<Value>,
+    },
+    /// Delete the object if it is at `expected`.
+    Delete {
+        /// Version that it must have.
+        expected: ids::ObjectVersion,
+    },
+    /// Read the object.
+    Get,
+    /// Nothing; tells whether the end is recorded.
+    Done(bool),
+}
+
+/// The end of a claim being recorded.
+#[derive(Clone, Debug)]
+pub struct Settling {
+    request: ids::RequestId,
+    fate: Option<fate::Fate>,
+    calls: u32,
+}
+
+impl Settling {
+    /// Begins to record the final fate of a claim's request.
+    pub const fn settle(request: ids::RequestId, fate: fate::Fate) -> (Self, Step) {
+        let settling = Self {
+            request,
+            fate: Some(fate),
+            calls: 1,
+        };
+        (settling, Step::Get)
+    }
+
+    /// Begins to give back a claim whose request never sent its call and never will.
+    pub const fn renounce(request: ids::RequestId) -> (Self, Step) {
+        let settling = Self {
+            request,
+            fate: None,
+            calls: 1,
+        };
+        (settling, Step::Get)
+    }
+
+    /// Takes the end of a [`Step::Get`].
+    pub fn got(
+        &mut self,
+        result: Result<Option<(ids::ObjectVersion, Value)>, platform::PlatformError>,
+    ) -> Step {
+        let (version, held) = match result {
+            Err(_) => return self.again(),
+            Ok(None) => return Step::Done(self.fate.is_none()),
+            Ok(Some(found)) => found,
+        };
+        if held.request != self.request {
+            return Step::Done(self.fate.is_none());
+        }
+        if held.fate.is_some() {
+            return Step::Done(held.fate == self.fate);
+        }
+        match &self.fate {
+            None => Step::Delete { expected: version },
+            Some(fate) => Step::Put {
+                expected: version,
+                value: Box::new(Value {
+                    fate: Some(fate.clone()),
+                    ..held
+                }),
+            },
+        }
+    }
+
+    /// Takes the end of a [`Step::Put`] or a [`Step::Delete`]; anything but success is read back.
+    pub fn written(&mut self, result: Result<(), platform::PlatformError>) -> Step {
+        match result {
+            Ok(()) => Step::Done(true),
+            Err(_) => self.again(),
+        }
+    }
+
+    const fn again(&mut self) -> Step {
+        self.calls += 1;
+        if self.calls > MAX_CALLS {
+            return Step::Done(false);
+        }
+        Step::Get
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/request/claim/value.rs
@@ -0,0 +1,39 @@
+//! What the object of a claim says.
+
+use std::time;
+
+use crate::{ids, request::fate};
+
+/// Time for which a key is remembered.
+pub const WINDOW: time::Duration = time::Duration::from_secs(24 * 60 * 60);
+
+/// What the object of a claim says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Value {
+    /// Request that holds the claim; it also tells a writer its own value from another's.
+    pub request: ids::RequestId,
+    /// Digest of method, path and body.
+    pub body_digest: [u8; 32],
+    /// Time of the claim since the Unix epoch.
+    pub created_at: time::Duration,
+    /// Final fate, once it is known.
+    pub fate: Option<fate::Fate>,
+}
+
+impl Value {
+    /// Returns whether the key counts as new at `wall_now` since the Unix epoch.
+    pub fn is_expired(&self, wall_now: time::Duration) -> bool {
+        wall_now >= self.created_at.saturating_add(WINDOW)
+    }
+}
+
+/// Returns names and versions of the claims that are to be deleted, out of a listing.
+pub fn expired<'a>(
+    claims: impl Iterator<Item = (&'a str, ids::ObjectVersion, &'a Value)>,
+    wall_now: time::Duration,
+) -> Vec<(String, ids::ObjectVersion)> {
+    claims
+        .filter(|(_, _, value)| value.is_expired(wall_now))
+        .map(|(name, version, _)| (name.to_owned(), version))
+        .collect()
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/claims.rs
@@ -0,0 +1,345 @@
+//! Every interleaving of a few requests with one idempotency key, with a few faults.
+//!
+//! The machine that ships is driven through all orders of steps of up to three requests at three
+//! entries: lost answers before and after the write takes effect, writes that take effect late,
+//! refusals, entries that die or cannot be reached. The oracle: the call is sent at most once.
+
+use std::{collections, hash, hash::Hasher, time};
+
+use googletest::prelude::*;
+use mustardshed_core::{
+    border::{control, platform},
+    outcome,
+    process::action,
+    request::{claim, fate},
+};
+
+const REQUESTS: usize = 3;
+const DEADLINE: time::Duration = time::Duration::from_secs(10);
+const NOW: time::Duration = time::Duration::from_secs(1);
+
+#[derive(Clone, Debug)]
+enum Request {
+    Idle,
+    Claiming(Box<claim::Claiming>, claim::Step),
+    Granted,
+    Sent,
+    Completed,
+    Refused { must_renounce: bool },
+    Repeated,
+    Dead,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    object: Option<(u64, claim::Value)>,
+    version: u64,
+    late: Vec<(u64, claim::Value)>,
+    requests: Vec<Request>,
+    faults_left: u32,
+    sends: u32,
+}
+
+fn id(index: usize) -> String {
+    format!("e{index}.1.1")
+}
+
+fn claim_request(index: usize) -> control::ClaimRequest {
+    control::ClaimRequest {
+        account: "c".into(),
+        key: "k".into(),
+        body_digest: [1; 32],
+        request: id(index),
+    }
+}
+
+fn fate_of(index: usize, outcome: outcome::Outcome) -> fate::Fate {
+    fate::Fate {
+        request: id(index),
+        account: "c".into(),
+        outcome,
+        error: None,
+        servers: Vec::new(),
+        answer: None,
+    }
+}
+
+impl World {
+    fn new(faults_left: u32) -> Self {
+        Self {
+            object: None,
+            version: 0,
+            late: Vec::new(),
+            requests: vec![Request::Idle; REQUESTS],
+            faults_left,
+            sends: 0,
+        }
+    }
+
+    fn write(
+        &mut self,
+        expected: u64,
+        value: claim::Value,
+    ) -> std::result::Result<u64, platform::PlatformError> {
+        let present = self.object.as_ref().map_or(0, |(version, _)| *version);
+        if present != expected {
+            return Err(platform::PlatformError::Conflict(present));
+        }
+        self.version += 1;
+        self.object = Some((self.version, value));
+        Ok(self.version)
+    }
+
+    fn holds(&self, index: usize) -> bool {
+        let held = self.object.as_ref();
+        held.is_some_and(|(_, value)| value.request == id(index) && value.fate.is_none())
+    }
+
+    /// Returns the world after a fault, if one is left.
+    fn with_fault(&self) -> Option<Self> {
+        let mut next = self.clone();
+        next.faults_left = self.faults_left.checked_sub(1)?;
+        Some(next)
+    }
+
+    fn with(mut self, index: usize, request: Request) -> Self {
+        self.requests[index] = request;
+        self
+    }
+
+    fn go_on(self, index: usize, claiming: Box<claim::Claiming>, step: claim::Step) -> Self {
+        let request = match step {
+            claim::Step::Done(claim::Ended::Granted { .. }) => Request::Granted,
+            claim::Step::Done(claim::Ended::Earlier(_)) => Request::Repeated,
+            claim::Step::Done(claim::Ended::Refused(_)) => Request::Refused {
+                must_renounce: claiming.must_renounce(),
+            },
+            step => Request::Claiming(claiming, step),
+        };
+        self.with(index, request)
+    }
+
+    /// Returns what the owner of a request truly says of it.
+    fn truth(&self, request: &str) -> action::FateAnswer {
+        let index = (0..REQUESTS).find(|index| id(*index) == request).unwrap();
+        let outcome = match self.requests[index] {
+            Request::Idle => return action::FateAnswer::NoSuchRequest,
+            Request::Dead => return action::FateAnswer::OwnerGone,
+            Request::Refused { .. } | Request::Repeated => outcome::Outcome::NotRun,
+            Request::Completed => outcome::Outcome::Completed,
+            _ => outcome::Outcome::Running,
+        };
+        action::FateAnswer::Known(fate_of(index, outcome))
+    }
+
+    /// Returns all worlds that may come next.
+    fn next(&self) -> Vec<Self> {
+        let mut worlds = Vec::new();
+        for index in 0..self.late.len() {
+            let mut next = self.clone();
+            let (expected, value) = next.late.remove(index);
+            let _ = next.write(expected, value);
+            worlds.push(next);
+        }
+        for index in 0..REQUESTS {
+            self.next_of(index, &mut worlds);
+            if let (false, Some(next)) = (self.is_over(index), self.with_fault()) {
+                worlds.push(next.with(index, Request::Dead));
+            }
+        }
+        worlds
+    }
+
+    fn is_over(&self, index: usize) -> bool {
+        matches!(
+            self.requests[index],
+            Request::Idle | Request::Dead | Request::Repeated
+        )
+    }
+
+    fn next_of(&self, index: usize, worlds: &mut Vec<Self>) {
+        match self.requests[index].clone() {
+            Request::Idle => {
+                let (claiming, step) = claim::Claiming::begin(claim_request(index), NOW, DEADLINE);
+                worlds.push(self.clone().go_on(index, Box::new(claiming), step));
+            }
+            Request::Claiming(claiming, step) => self.carry_out(index, claiming, step, worlds),
+            Request::Granted => {
+                let mut sent = self.clone().with(index, Request::Sent);
+                sent.sends += 1;
+                worlds.push(sent);
+                // Its process was frozen until the deadline passed.
+                let refused = Request::Refused {
+                    must_renounce: true,
+                };
+                worlds.push(self.clone().with(index, refused));
+            }
+            Request::Sent => worlds.push(self.clone().with(index, Request::Completed)),
+            Request::Completed if self.holds(index) => {
+                let mut next = self.clone();
+                if let Some((version, value)) = next.object.clone() {
+                    let fate = Some(fate_of(index, outcome::Outcome::Completed));
+                    let _ = next.write(version, claim::Value { fate, ..value });
+                }
+                worlds.push(next);
+            }
+            Request::Refused {
+                must_renounce: true,
+            } if self.holds(index) => {
+                let mut next = self.clone();
+                next.object = None;
+                worlds.push(next);
+            }
+            _ => {}
+        }
+    }
+
+    fn carry_out(
+        &self,
+        index: usize,
+        claiming: Box<claim::Claiming>,
+        step: claim::Step,
+        worlds: &mut Vec<Self>,
+    ) {
+        match step {
+            claim::Step::Put { expected, value } => {
+                self.put(index, &claiming, expected, &value, worlds);
+            }
+            claim::Step::Get => {
+                let mut answered = claiming.clone();
+                let step = answered.got(Ok(self.object.clone()), NOW);
+                worlds.push(self.clone().go_on(index, answered, step));
+                if let Some(next) = self.with_fault() {
+                    let mut unanswered = claiming;
+                    let step = unanswered.got(Err(lost()), NOW);
+                    worlds.push(next.go_on(index, unanswered, step));
+                }
+            }
+            claim::Step::WantFate { request } => {
+                let mut answered = claiming.clone();
+                let step = answered.fate(self.truth(&request));
+                worlds.push(self.clone().go_on(index, answered, step));
+                if let Some(next) = self.with_fault() {
+                    let mut unreached = claiming;
+                    let step = unreached.fate(action::FateAnswer::OwnerGone);
+                    worlds.push(next.go_on(index, unreached, step));
+                }
+            }
+            claim::Step::Done(_) => {}
+        }
+    }
+
+    fn put(
+        &self,
+        index: usize,
+        claiming: &claim::Claiming,
+        expected: u64,
+        value: &claim::Value,
+        worlds: &mut Vec<Self>,
+    ) {
+        let mut end = |mut next: Self, result| {
+            let mut claiming = Box::new(claiming.clone());
+            let step = claiming.put(result, NOW);
+            next = next.go_on(index, claiming, step);
+            worlds.push(next);
+        };
+        let mut written = self.clone();
+        let result = written.write(expected, value.clone());
+        end(written, result);
+        let Some(next) = self.with_fault() else {
+            return;
+        };
+        let mut written = next.clone();
+        let _ = written.write(expected, value.clone());
+        end(written, Err(lost()));
+        let mut late = next.clone();
+        late.late.push((expected, value.clone()));
+        end(late, Err(lost()));
+        end(next, Err(platform::PlatformError::Refused("no".into())));
+    }
+
+    fn digest(&self) -> u64 {
+        let mut hasher = hash::DefaultHasher::new();
+        hasher.write(format!("{self:?}").as_bytes());
+        hasher.finish()
+    }
+}
+
+fn lost() -> platform::PlatformError {
+    platform::PlatformError::Unanswered("lost".into())
+}
+
+/// Explores all worlds; returns their number and the greatest number of sends.
+fn explore(faults: u32) -> (usize, u32) {
+    let mut seen = collections::HashSet::new();
+    let mut open = vec![World::new(faults)];
+    let mut most_sends = 0;
+    while let Some(world) = open.pop() {
+        if !seen.insert(world.digest()) {
+            continue;
+        }
+        most_sends = most_sends.max(world.sends);
+        if most_sends > 1 {
+            println!("sent twice: {world:#?}");
+            break;
+        }
+        open.extend(world.next());
+    }
+    (seen.len(), most_sends)
+}
+
+#[gtest]
+fn promise_7_call_is_sent_at_most_once_in_every_interleaving() {
+    let faults = std::env::var("MUSTARDSHED_FAULTS").ok();
+    let faults = faults.map_or(2, |faults| faults.parse().unwrap());
+
+    let (worlds, most_sends) = explore(faults);
+
+    println!("{worlds} worlds");
+    expect_that!(most_sends, eq(1));
+}
+
+#[gtest]
+fn repeat_with_another_body_is_refused() {
+    let mut other = claim_request(1);
+    other.body_digest = [2; 32];
+    let (mut claiming, _) = claim::Claiming::begin(other, NOW, DEADLINE);
+    let held = claim::Value {
+        request: id(0),
+        body_digest: [1; 32],
+        created_at: NOW,
+        fate: None,
+    };
+
+    let step = claiming.got(Ok(Some((1, held))), NOW);
+
+    let refusal = match step {
+        claim::Step::Done(claim::Ended::Refused(refusal)) => refusal,
+        step => panic!("{step:?}"),
+    };
+    expect_that!(refusal.kind.answer().code, eq("idempotency_key_reused"));
+}
+
+#[gtest]
+fn key_counts_as_new_after_its_window() {
+    let wall_now = NOW + claim::WINDOW;
+    let (mut claiming, _) = claim::Claiming::begin(claim_request(1), wall_now, DEADLINE);
+    let held = claim::Value {
+        request: id(0),
+        body_digest: [1; 32],
+        created_at: NOW,
+        fate: Some(fate_of(0, outcome::Outcome::Completed)),
+    };
+
+    let step = claiming.got(Ok(Some((7, held.clone()))), NOW);
+
+    expect_that!(
+        step,
+        matches_pattern!(claim::Step::Put {
+            expected: eq(&7),
+            ..
+        })
+    );
+    let deleted = claim::expired([("c.x", 7, &held)].into_iter(), wall_now);
+    expect_that!(deleted, elements_are![eq(&("c.x".to_owned(), 7))]);
+}
--- a/crates/mustardshed-wire/src/lib.rs
+++ b/crates/mustardshed-wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wire types and codecs, apart from the core's own types.
 
+pub mod claim;
 pub mod configuration;
 pub mod operator;
 pub mod peer;
--- a/crates/mustardshed-wire/src/peer/credit.rs
+++ b/crates/mustardshed-wire/src/peer/credit.rs
@@ -190,22 +190,10 @@
 
 /// Finds an error kind by its stable code.
 pub(super) fn kind(code: &str) -> Result<core_error::ErrorKind, error::Error> {
-    core_error::ErrorKind::ALL
-        .into_iter()
-        .find(|kind| kind.answer().code == code)
-        .ok_or(error::Error::UnknownValue("code"))
+    core_error::ErrorKind::of_code(code).ok_or(error::Error::UnknownValue("code"))
 }
 
 /// Finds an outcome by its stable name.
 pub(super) fn outcome(name: &str) -> Result<outcome::Outcome, error::Error> {
-    const ALL: [outcome::Outcome; 5] = [
-        outcome::Outcome::NotRun,
-        outcome::Outcome::Failed,
-        outcome::Outcome::Unknown,
-        outcome::Outcome::Running,
-        outcome::Outcome::Completed,
-    ];
-    ALL.into_iter()
-        .find(|outcome| outcome.as_str() == name)
-        .ok_or(error::Error::UnknownValue("outcome"))
+    outcome::Outcome::of_name(name).ok_or(error::Error::UnknownValue("outcome"))
 }
--- a/crates/mustardshedd/src/log/entry.rs
+++ b/crates/mustardshedd/src/log/entry.rs
@@ -16,6 +16,12 @@
                 generation: *generation,
                 source,
             },
+            Entry::ConfigurationNotUnderstood { generation, reason } => {
+                Self::ConfigurationNotUnderstood {
+                    generation: *generation,
+                    reason,
+                }
+            }
             Entry::MemberChanged { vm, state } => Self::MemberChanged { vm, state },
             Entry::StewardChanged { server, steward } => Self::StewardChanged {
                 server,
