--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! what it answers and which faults can be switched on while it runs.
 
 pub mod capacity;
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod hostile;
