--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -149,9 +149,4 @@
         fresh: bool,
         reason: &'a str,
     }
-    /// A generation is in force whose text is not understood; the text before it stays.
-    2008 Error "configuration_not_understood" ConfigurationNotUnderstood {
-        generation: ids::Generation,
-        reason: &'a str,
-    }
 }
