--- /dev/null
+++ b/crates/mustardshed-core/tests/request/assembly.rs
@@ -0,0 +1,108 @@
+//! Assembly: any interleaving of late, doubled, crossed and missing frames yields each token once,
+//! in order.
+
+use googletest::prelude::*;
+use mustardshed_core::{
+    border::backend_server,
+    request::assembly::{Assembly, Step},
+};
+use proptest::prelude::{Just, Strategy, prop_oneof, proptest};
+
+const ID: &str = "e1.1.1";
+
+/// What the network does next.
+#[derive(Clone, Copy, Debug)]
+enum Network {
+    /// It delivers the next frame of the stream.
+    Next,
+    /// It delivers a frame again that came this many frames before.
+    Again(u64),
+    /// It delivers a frame of another request at this offset.
+    Crossed(u64),
+    /// It loses this many frames.
+    Lose(u64),
+}
+
+fn network() -> impl Strategy<Value = Network> {
+    prop_oneof![
+        4 => Just(Network::Next),
+        2 => (0..8_u64).prop_map(Network::Again),
+        2 => (0..40_u64).prop_map(Network::Crossed),
+        1 => (1..4_u64).prop_map(Network::Lose),
+    ]
+}
+
+fn frame(id: &str, offset: u64, len: u64) -> backend_server::TokenFrame {
+    backend_server::TokenFrame {
+        id: id.to_owned(),
+        offset,
+        text: offset.to_string(),
+        finish: (offset + 1 == len).then(|| "length".to_owned()),
+        epoch: 1,
+    }
+}
+
+/// Plays an output of `len` tokens over a network; a gap or a lost end is resumed.
+fn play(len: u64, network: &[Network]) -> (Vec<u64>, Assembly) {
+    let mut assembly = Assembly::new(ID.to_owned());
+    let mut delivered = Vec::new();
+    let mut cursor = 0;
+    let rest = std::iter::repeat_n(Network::Next, 4 * (len as usize + network.len()));
+    for act in network.iter().copied().chain(rest) {
+        if cursor >= len {
+            cursor = assembly.next_offset();
+        }
+        let frame = match act {
+            Network::Next => {
+                cursor += 1;
+                frame(ID, cursor - 1, len)
+            }
+            Network::Again(back) => frame(ID, cursor.saturating_sub(back + 1), len),
+            Network::Crossed(offset) => frame("e9.9.9", offset, len),
+            Network::Lose(count) => {
+                cursor += count;
+                continue;
+            }
+        };
+        match assembly.accept(&frame) {
+            Step::Deliver | Step::Finish => delivered.push(frame.offset),
+            Step::Gap => cursor = assembly.next_offset(),
+            Step::Drop => {}
+        }
+    }
+    (delivered, assembly)
+}
+
+proptest! {
+    #[test]
+    fn each_token_comes_once_and_in_order(
+        len in 1..40_u64,
+        network in proptest::collection::vec(network(), 0..120),
+    ) {
+        let (delivered, assembly) = play(len, &network);
+
+        let oracle: Vec<_> = (0..len).collect();
+        proptest::prop_assert_eq!(delivered, oracle);
+        proptest::prop_assert!(assembly.is_finished());
+    }
+}
+
+#[gtest]
+fn frame_of_another_request_is_dropped() -> Result<()> {
+    let mut assembly = Assembly::new(ID.to_owned());
+
+    let step = assembly.accept(&frame("e9.9.9", 0, 2));
+
+    verify_that!(step, eq(&Step::Drop))?;
+    verify_that!(assembly.next_offset(), eq(0))
+}
+
+#[gtest]
+fn nothing_follows_the_last_token() -> Result<()> {
+    let mut assembly = Assembly::new(ID.to_owned());
+    assembly.accept(&frame(ID, 0, 1));
+
+    let step = assembly.accept(&frame(ID, 1, 3));
+
+    verify_that!(step, eq(&Step::Drop))
+}
--- a/crates/mustardshedd/src/http/explain.rs
+++ b/crates/mustardshedd/src/http/explain.rs
@@ -14,8 +14,9 @@
 /// What is to be explained.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize)]
 pub struct Query {
-    /// Model, or service that a model stands behind.
-    model: String,
+    /// Service that a model stands behind, or model.
+    #[serde(alias = "model")]
+    service: String,
     /// Client account.
     account: String,
     /// Prompt length, in tokens.
@@ -43,7 +44,7 @@
                 "no client account has this name",
             )
         })?;
-    let resolved = resolve::model(&snapshot.text, account, &query.model)?;
+    let resolved = resolve::model(&snapshot.text, account, &query.service)?;
     let target = work::Target::Model {
         model: resolved.model,
         kind: resolved.kind,
--- a/crates/mustardshedd/src/http/message.rs
+++ b/crates/mustardshedd/src/http/message.rs
@@ -1,7 +1,5 @@
 //! Bodies of answers as JSON.
 
-use std::collections;
-
 /// An error in the OpenAI form, with what is known of the request's fate.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
 pub struct ErrorAnswer {
@@ -96,82 +94,6 @@
     pub ttl_ms: u64,
 }
 
-/// An entry as the status shows it.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
-pub struct MemberBody {
-    /// VM on which it runs.
-    pub vm: String,
-    /// Its present run.
-    pub incarnation: u64,
-    /// `IP:PORT` towards callers.
-    pub address: String,
-    /// Data centre.
-    pub data_centre: String,
-    /// Whether it is taken to be live.
-    pub live: bool,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Generation that it has in force.
-    pub generation: u64,
-}
-
-/// A backend server as the status shows it.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
-pub struct ServerBody {
-    /// Name.
-    pub id: String,
-    /// Engine kind or plain service.
-    pub kind: String,
-    /// `IP:PORT`.
-    pub address: String,
-    /// Data centre.
-    pub data_centre: String,
-    /// `cold` or `warm`.
-    pub warmth: &'static str,
-    /// Epoch.
-    pub epoch: u64,
-    /// Whether it answers.
-    pub reachable: bool,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// KV memory, in tokens.
-    pub memory_tokens: u64,
-    /// KV memory in use, in tokens.
-    pub used_tokens: u64,
-    /// Prompt tokens that wait for prefill.
-    pub queued_prefill_tokens: u64,
-    /// Requests that are being worked on.
-    pub running: u32,
-    /// Entry VM that hands out its credits.
-    pub steward: Option<String>,
-}
-
-/// Answer to `GET /operator/status`.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
-pub struct StatusAnswer {
-    /// VM of the entry that answers.
-    pub vm: String,
-    /// Its present run.
-    pub incarnation: u64,
-    /// Its data centre.
-    pub data_centre: String,
-    /// Generation that it has in force.
-    pub generation: u64,
-    /// Time for which it may still send new work on the strength of its configuration, in
-    /// milliseconds.
-    pub may_place_ms: u64,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Data centres out of service.
-    pub data_centres_out: Vec<String>,
-    /// Entries.
-    pub members: Vec<MemberBody>,
-    /// Backend servers.
-    pub servers: Vec<ServerBody>,
-    /// Calls of the platform, by purpose.
-    pub platform_calls: collections::BTreeMap<String, u64>,
-}
-
 /// Where work would go.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
 pub struct DecisionBody {
--- a/crates/mustardshedd/src/http/status.rs
+++ b/crates/mustardshedd/src/http/status.rs
@@ -1,29 +1,32 @@
 //! `GET /operator/status`: what is in force where.
 
-use mustardshed::core::{border::backend_server, process::snapshot};
+use mustardshed::{
+    core::{border::backend_server, process::snapshot},
+    wire::operator,
+};
 
-use crate::http::{cx, message, reply};
+use crate::http::{cx, reply};
 
 /// Returns the status as this entry sees it.
-pub fn status(cx: &cx::Cx) -> message::StatusAnswer {
+pub fn status(cx: &cx::Cx) -> operator::Status {
     let snapshot = cx.requests.control.snapshot();
     let now = cx.requests.clock.now();
-    message::StatusAnswer {
+    operator::Status {
         vm: snapshot.vm.clone(),
         incarnation: snapshot.incarnation,
         data_centre: snapshot.data_centre.clone(),
         generation: snapshot.generation,
         may_place_ms: reply::millis(snapshot.may_place_until.saturating_sub(now)),
         leaving: snapshot.leaving,
-        data_centres_out: snapshot.data_centres_out.iter().cloned().collect(),
+        data_centres_out: snapshot.data_centres_out.clone(),
         members: snapshot.members.values().map(member).collect(),
         servers: snapshot.servers.values().map(server).collect(),
         platform_calls: cx.operator.platform_calls(),
     }
 }
 
-fn member(view: &snapshot::MemberView) -> message::MemberBody {
-    message::MemberBody {
+fn member(view: &snapshot::MemberView) -> operator::MemberStatus {
+    operator::MemberStatus {
         vm: view.vm.clone(),
         incarnation: view.incarnation,
         address: view.address.clone(),
@@ -34,16 +37,13 @@
     }
 }
 
-fn server(view: &snapshot::ServerView) -> message::ServerBody {
-    message::ServerBody {
+fn server(view: &snapshot::ServerView) -> operator::ServerStatus {
+    operator::ServerStatus {
         id: view.id.clone(),
         kind: view.kind.clone(),
         address: view.address.clone(),
         data_centre: view.data_centre.clone(),
-        warmth: match view.warmth {
-            backend_server::Warmth::Cold => "cold",
-            backend_server::Warmth::Warm => "warm",
-        },
+        warmth: warmth(view.warmth).to_owned(),
         epoch: view.epoch,
         reachable: view.reachable,
         leaving: view.leaving,
@@ -54,3 +54,10 @@
         steward: view.steward.clone(),
     }
 }
+
+const fn warmth(warmth: backend_server::Warmth) -> &'static str {
+    match warmth {
+        backend_server::Warmth::Cold => "cold",
+        backend_server::Warmth::Warm => "warm",
+    }
+}
