Hide values in problems wherever a key may have been pasted

Cause: an inline table or a line that is not TOML could show a key pasted in place of its digest. Change: values are replaced by their length if their key, their line or the table they are names a secret.

--- a/crates/mustardshed-config/src/reader/report.rs
+++ b/crates/mustardshed-config/src/reader/report.rs
@@ -54,7 +54,7 @@
     /// Adds a syntax error.
     pub(crate) fn add_syntax(&self, err: &de::Error) {
         let span = err.span().unwrap_or_default();
-        let value = self.slice(&span);
+        let value = hide(self.line_at(span.start), self.slice(&span));
         let reason = problem::Reason::Syntax(err.message().to_owned());
         self.push(self.line_of(span.start), "", value, reason);
     }
@@ -94,11 +94,7 @@
         let Some(span) = self.spans.borrow().get(path).cloned() else {
             return String::new();
         };
-        let value = self.slice(&span);
-        if may_be_secret(path) {
-            return format!("({} characters, not shown)", value.chars().count());
-        }
-        value
+        hide(path, self.slice(&span))
     }
 
     fn slice(&self, span: &ops::Range<usize>) -> String {
@@ -110,16 +106,38 @@
         shorten(flat.trim())
     }
 
+    /// Returns the line that holds `at`, without its end.
+    fn line_at(&self, at: usize) -> &str {
+        let start = self.line_starts.get(self.line_of(at) - 1);
+        let rest = start.and_then(|start| self.source.get(*start..));
+        rest.and_then(|rest| rest.lines().next())
+            .unwrap_or_default()
+    }
+
     fn line_of(&self, at: usize) -> usize {
         self.line_starts.partition_point(|start| *start <= at)
     }
 }
 
-/// Whether someone may have pasted a key where `path` stands.
-fn may_be_secret(path: &str) -> bool {
-    let last = path.rsplit('.').next().unwrap_or(path);
-    let named = ["key", "secret", "password"];
-    named.iter().any(|word| last.contains(word)) && !last.ends_with("_file")
+/// Returns `value`, or only its length if someone may have pasted a key there.
+///
+/// `place` is the path of the value, or the line that holds it.
+fn hide(place: &str, value: String) -> String {
+    let key = place.split('=').next().unwrap_or(place);
+    let key = key.rsplit('.').next().unwrap_or(key).trim();
+    let is_file = key.ends_with("_file");
+    let is_composite = value.starts_with(['{', '[']);
+    if (names_secret(key) && !is_file) || (is_composite && names_secret(&value)) {
+        return format!("({} characters, not shown)", value.chars().count());
+    }
+    value
+}
+
+/// Whether a word in `text` stands for a secret; amounts of tokens are none.
+fn names_secret(text: &str) -> bool {
+    let text = text.to_lowercase().replace("tokens", "");
+    let words = ["key", "password", "secret", "token"];
+    words.iter().any(|word| text.contains(word))
 }
 
 fn shorten(value: &str) -> String {
--- a/crates/mustardshed-config/tests/text.rs
+++ b/crates/mustardshed-config/tests/text.rs
@@ -223,14 +223,23 @@
 
 #[googletest::test]
 fn a_pasted_key_is_not_shown() {
-    let problems = shown(&valid().replace(DIGEST, "sk-very-secret"));
-
-    expect_that!(problems.len(), eq(1));
-    expect_that!(problems[0], not(contains_substring("very-secret")));
-    expect_that!(
-        problems[0],
-        starts_with("line 33: client_account[0].key_sha256[0] = (")
-    );
+    let account = "{ name = \"st-anne\", key_sha256 = [\"sk-very-secret\"] }";
+    let sources = [
+        valid().replace(DIGEST, "sk-very-secret"),
+        valid().replace(&format!("[\"{DIGEST}\"]"), "sk-very-secret"),
+        valid().replace(&format!("[\"{DIGEST}\"]"), "\"sk-very-secret\""),
+        valid().replace("services = [\"collation\"]", "key = \"sk-very-secret\""),
+        valid().replace("services = [\"collation\"]", "token = \"sk-very-secret\""),
+        format!("client_account = {account}"),
+        format!("data_centre = [{account}]"),
+    ];
+
+    for source in sources {
+        let problems = shown(&source);
+
+        expect_that!(problems, not(is_empty()), "{source}");
+        expect_that!(problems, each(not(contains_substring("very-secret"))));
+    }
 }
 
 #[googletest::test]
