--- a/crates/mustardshed-standins/examples/demo_client.rs
+++ b/crates/mustardshed-standins/examples/demo_client.rs
@@ -22,8 +22,10 @@
                 /// Item of the list, in JSON.
                 required --vm item: String
             }
-            /// Waits until entries are ready.
-            cmd ready {
+            /// Waits until entries answer a path with 200.
+            cmd wait {
+                /// Path.
+                required --path path: String
                 /// Base URL of an entry.
                 repeated --entry url: String
             }
@@ -44,9 +46,9 @@
 
 /// Output of each completion, in tokens.
 const OUTPUT_TOKENS: u64 = 24;
-/// Longest wait for entries, in steps of [`READY_STEP`].
-const READY_STEPS: u32 = 300;
-const READY_STEP: time::Duration = time::Duration::from_millis(100);
+/// Longest wait for an entry, in steps of [`WAIT_STEP`].
+const WAIT_STEPS: u32 = 300;
+const WAIT_STEP: time::Duration = time::Duration::from_millis(100);
 
 /// A completion of the demo.
 struct Scene {
@@ -81,7 +83,7 @@
 async fn main() -> process::ExitCode {
     let outcome = match flags::DemoClient::from_env_or_exit().subcommand {
         flags::DemoClientCmd::Register(flags) => register(&flags).await,
-        flags::DemoClientCmd::Ready(flags) => ready(&flags).await,
+        flags::DemoClientCmd::Wait(flags) => wait(&flags).await,
         flags::DemoClientCmd::Run(flags) => run(&flags).await,
     };
     match outcome {
@@ -104,17 +106,17 @@
     }
 }
 
-async fn ready(flags: &flags::Ready) -> Result<(), String> {
+async fn wait(flags: &flags::Wait) -> Result<(), String> {
     let client = json_client::JsonClient::open();
     for entry in &flags.entry {
-        let url = format!("{entry}/readyz");
+        let url = format!("{entry}{}", flags.path);
         let mut steps = 0;
         while !client.get(&url).await.is_ok_and(|a| a.status == 200) {
             steps += 1;
-            if steps > READY_STEPS {
-                return Err(format!("{entry} does not become ready"));
+            if steps > WAIT_STEPS {
+                return Err(format!("{url} is not answered with 200"));
             }
-            tokio::time::sleep(READY_STEP).await;
+            tokio::time::sleep(WAIT_STEP).await;
         }
     }
     Ok(())
