--- a/crates/mustardshed-platform/src/client.rs
+++ b/crates/mustardshed-platform/src/client.rs
@@ -7,11 +7,7 @@
 use displaydoc::Display;
 use mustardshed_core::{border::platform, ids};
 
-use crate::{
-    call_counter, call_counts,
-    transport::{self, refused, unanswered},
-    wire,
-};
+use crate::{call_counter, call_counts, transport, wire};
 
 /// Size of the largest value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_024 * 1_024;
@@ -80,8 +76,8 @@
         self.calls.count(purpose);
         let answer = self.transport.call(req, timeout).await?;
         match answer.status {
-            http::StatusCode::SERVICE_UNAVAILABLE => Err(refused(reason(&answer))),
-            status if status.is_server_error() => Err(unanswered(reason(&answer))),
+            http::StatusCode::SERVICE_UNAVAILABLE => Err(transport::refused(reason(&answer))),
+            status if status.is_server_error() => Err(transport::unanswered(reason(&answer))),
             _ => Ok(answer),
         }
     }
@@ -101,7 +97,8 @@
 
     fn read(&self, purpose: platform::Purpose, path: &str) -> Result<Request> {
         let req = self.request(http::Method::GET, purpose, path);
-        req.body(http_body_util::Full::default()).map_err(refused)
+        req.body(http_body_util::Full::default())
+            .map_err(transport::refused)
     }
 }
 
@@ -137,7 +134,7 @@
         value: Vec<u8>,
     ) -> Result<ids::ObjectVersion> {
         if value.len() > MAX_VALUE_BYTES {
-            return Err(refused("the value is larger than a megabyte"));
+            return Err(transport::refused("the value is larger than a megabyte"));
         }
         let path = object_path("objects", kind, name)?;
         let req = self
@@ -145,12 +142,12 @@
             .header(http::header::IF_MATCH, expected)
             .header(http::header::CONTENT_LENGTH, value.len())
             .body(Bytes::from(value).into())
-            .map_err(refused)?;
+            .map_err(transport::refused)?;
         let answer = self.call(purpose, req, self.timeout).await?;
         match answer.status {
             http::StatusCode::OK => version(&answer),
             http::StatusCode::CONFLICT => Err(conflict(&answer)),
-            _ => Err(refused(reason(&answer))),
+            _ => Err(transport::refused(reason(&answer))),
         }
     }
 
@@ -166,13 +163,13 @@
             .request(http::Method::DELETE, purpose, &path)
             .header(http::header::IF_MATCH, expected)
             .body(http_body_util::Full::default())
-            .map_err(refused)?;
+            .map_err(transport::refused)?;
         let answer = self.call(purpose, req, self.timeout).await?;
         match answer.status {
             http::StatusCode::OK => Ok(()),
             http::StatusCode::NOT_FOUND => Err(platform::PlatformError::Conflict(0)),
             http::StatusCode::CONFLICT => Err(conflict(&answer)),
-            _ => Err(refused(reason(&answer))),
+            _ => Err(transport::refused(reason(&answer))),
         }
     }
 
@@ -187,7 +184,7 @@
         let req = self.read(purpose, &path)?;
         let answer = self.call(purpose, req, self.timeout).await?;
         let list: wire::object_list::ObjectList = parse(&answer)?;
-        list.try_into().map_err(unanswered)
+        list.try_into().map_err(transport::unanswered)
     }
 
     /// Waits for a newer object; `None` if nothing newer came in time, or if the object was deleted.
@@ -232,7 +229,7 @@
 
 fn object_path(root: &str, kind: platform::ObjectKind, name: &str) -> Result<String> {
     if name.is_empty() {
-        return Err(refused("an object's name is empty"));
+        return Err(transport::refused("an object's name is empty"));
     }
     check_name_part(name)?;
     Ok(format!("/{root}/{}/{name}", kind.as_str()))
@@ -244,7 +241,7 @@
     if part.bytes().all(is_safe) {
         Ok(())
     } else {
-        Err(refused(
+        Err(transport::refused(
             "an object's name has only letters, digits and . _ - ~",
         ))
     }
@@ -254,12 +251,12 @@
     match answer.status {
         http::StatusCode::OK => {}
         http::StatusCode::NOT_FOUND | http::StatusCode::NO_CONTENT => return Ok(None),
-        _ => return Err(refused(reason(answer))),
+        _ => return Err(transport::refused(reason(answer))),
     }
     let version = answer.headers.get(VERSION);
     let version = version.and_then(|value| value.to_str().ok()?.parse().ok());
     let Some(version) = version else {
-        return Err(unanswered("the answer has no version"));
+        return Err(transport::unanswered("the answer has no version"));
     };
     Ok(Some(platform::Object {
         name: name.to_owned(),
@@ -276,15 +273,15 @@
 fn conflict(answer: &transport::Answer) -> platform::PlatformError {
     match version(answer) {
         Ok(version) => platform::PlatformError::Conflict(version),
-        Err(_) => refused("a conflict without the present version"),
+        Err(_) => transport::refused("a conflict without the present version"),
     }
 }
 
 fn parse<T: serde::de::DeserializeOwned>(answer: &transport::Answer) -> Result<T> {
     if answer.status.is_client_error() && answer.status != http::StatusCode::CONFLICT {
-        return Err(refused(reason(answer)));
+        return Err(transport::refused(reason(answer)));
     }
-    serde_json::from_slice(&answer.body).map_err(unanswered)
+    serde_json::from_slice(&answer.body).map_err(transport::unanswered)
 }
 
 fn reason(answer: &transport::Answer) -> String {
--- a/crates/mustardshed-standins/examples/demo_client.rs
+++ b/crates/mustardshed-standins/examples/demo_client.rs
@@ -3,7 +3,8 @@
 use std::{process, time};
 
 use mustardshed_standins::{
-    demo::{caller, check, decisions, fate, prompt},
+    caller::{self, fate},
+    demo::{check, decisions, prompt},
     json_client,
 };
 
@@ -147,7 +148,8 @@
     let on_text = |text: &str| print_now(text);
     let completion = at
         .complete(scene.model, &prompt, OUTPUT_TOKENS, on_text)
-        .await?;
+        .await
+        .map_err(|e| e.to_string())?;
     println!();
     check::completion(&prompt, OUTPUT_TOKENS, &completion)?;
     println!(
@@ -155,7 +157,7 @@
         completion.first_token_after.as_millis(),
         completion.whole_after.as_millis(),
     );
-    let fate = elsewhere.fate(&completion.request_id).await?;
+    let fate = fate_at(elsewhere, &completion.request_id).await?;
     check::fate(&fate, scene.servers)?;
     print_fate(&fate, elsewhere, flags);
     Ok(())
@@ -173,8 +175,10 @@
     );
     let body = serde_json::json!({ "church": "grace-chapel", "deposit": 120 });
     let path = "/services/payments/charge";
-    let one = first.charge(path, "deposit-1", &body).await?;
-    let two = second.charge(path, "deposit-1", &body).await?;
+    let one = first.charge(path, "deposit-1", &body).await;
+    let one = one.map_err(|e| e.to_string())?;
+    let two = second.charge(path, "deposit-1", &body).await;
+    let two = two.map_err(|e| e.to_string())?;
     println!("   first answer:  {}", one.answer);
     println!("   second answer: {}", two.answer);
     let records = format!("{}/admin/records", flags.service);
@@ -182,12 +186,16 @@
     let executions = records.map_err(|e| e.to_string())?.body;
     check::charged_once(&one, &two, &executions)?;
     println!("   one execution: {}", executions[0]);
-    let fate = second.fate(&one.request_id).await?;
+    let fate = fate_at(second, &one.request_id).await?;
     check::fate(&fate, 1)?;
     print_fate(&fate, second, flags);
     Ok(())
 }
 
+async fn fate_at(entry: &caller::Caller, request_id: &str) -> Result<fate::Fate, String> {
+    entry.fate(request_id).await.map_err(|e| e.to_string())
+}
+
 fn print_fate(fate: &fate::Fate, entry: &caller::Caller, flags: &flags::Run) {
     println!(
         "   {} says of {}: {} on {}",
--- a/crates/mustardshed-standins/src/demo/caller.rs
+++ b/crates/mustardshed-standins/src/caller.rs
@@ -1,17 +1,30 @@
 //! A client account's connections to one entry.
+//!
+//! ```no_run
+//! use mustardshed_standins::caller;
+//!
+//! # async fn run() -> Result<(), caller::error::Error> {
+//! let caller = caller::Caller::open("http://127.0.0.1:8080", "example-key-of-st-marks");
+//! let completion = caller.complete("drafts", "Psalm 23", 16, |text| print!("{text}")).await?;
+//! assert!(completion.is_done);
+//! # Ok(())
+//! # }
+//! ```
 
 use std::time;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper_util::{client::legacy, rt};
 
-use crate::{
-    demo::{charge, completion, event_stream, fate},
-    json_client,
-};
+use crate::json_client;
 
-/// Deadline that the demo names for every completion, in milliseconds.
+pub mod charge;
+pub mod completion;
+pub mod error;
+pub mod event_stream;
+pub mod fate;
+
+/// Deadline that is named for every completion, in milliseconds.
 const DEADLINE_MS: u64 = 60_000;
 /// Largest answer that is read at once, in bytes.
 const MAX_ANSWER_BYTES: usize = 1_024 * 1_024;
@@ -44,14 +57,14 @@
     ///
     /// # Errors
     ///
-    /// Returns a description if the answer is no stream of pieces.
+    /// Returns an error if the answer is no stream of pieces.
     pub async fn complete(
         &self,
         model: &str,
         prompt: &str,
         max_tokens: u64,
         mut on_text: impl FnMut(&str),
-    ) -> Result<completion::Completion, String> {
+    ) -> Result<completion::Completion, error::Error> {
         let body = serde_json::json!({
             "model": model,
             "prompt": prompt,
@@ -70,10 +83,12 @@
             ..completion::Completion::default()
         };
         while let Some(frame) = res.body_mut().frame().await {
-            let frame = frame.map_err(|e| format!("the stream broke off: {e}"))?;
-            events.push(frame.data_ref().unwrap_or(&Bytes::new()))?;
+            let frame = frame.map_err(error::broken)?;
+            if let Some(piece) = frame.data_ref() {
+                events.push(piece).map_err(error::broken)?;
+            }
             while let Some(data) = events.next_data() {
-                match completion::Piece::parse(&data)? {
+                match completion::Piece::parse(&data).map_err(error::broken)? {
                     completion::Piece::Done => completion.is_done = true,
                     completion::Piece::Text(text, finish_reason) => {
                         if completion.text.is_empty() {
@@ -94,13 +109,13 @@
     ///
     /// # Errors
     ///
-    /// Returns a description if it is not answered with 200.
+    /// Returns an error if it is not answered with 200.
     pub async fn charge(
         &self,
         path: &str,
         idempotency_key: &str,
         body: &serde_json::Value,
-    ) -> Result<charge::Charge, String> {
+    ) -> Result<charge::Charge, error::Error> {
         let req = self
             .request(http::Method::POST, path)
             .header("idempotency-key", idempotency_key)
@@ -115,13 +130,13 @@
     ///
     /// # Errors
     ///
-    /// Returns a description if the fate is not told.
-    pub async fn fate(&self, request_id: &str) -> Result<fate::Fate, String> {
+    /// Returns an error if the fate is not told.
+    pub async fn fate(&self, request_id: &str) -> Result<fate::Fate, error::Error> {
         let path = format!("/v1/requests/{request_id}");
         let req = self.request(http::Method::GET, &path);
         let res = self.send(req.body(json_client::Body::default())).await?;
         let answer = read(res).await?;
-        serde_json::from_value(answer).map_err(|e| e.to_string())
+        serde_json::from_value(answer).map_err(error::broken)
     }
 
     fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
@@ -135,15 +150,15 @@
     async fn send(
         &self,
         req: http::Result<http::Request<json_client::Body>>,
-    ) -> Result<http::Response<hyper::body::Incoming>, String> {
-        let req = req.map_err(|e| e.to_string())?;
-        let res = self.http.request(req).await.map_err(|e| e.to_string())?;
+    ) -> Result<http::Response<hyper::body::Incoming>, error::Error> {
+        let req = req.map_err(error::broken)?;
+        let res = self.http.request(req).await.map_err(error::broken)?;
         if res.status() == http::StatusCode::OK {
             return Ok(res);
         }
-        let status = res.status();
-        let answer = read(res).await.unwrap_or_default();
-        Err(format!("answered with {status}: {answer}"))
+        let status = res.status().as_u16();
+        let body = read(res).await.unwrap_or_default();
+        Err(error::Error::Refused { status, body })
     }
 }
 
@@ -153,8 +168,10 @@
     value.unwrap_or_default().to_owned()
 }
 
-async fn read(res: http::Response<hyper::body::Incoming>) -> Result<serde_json::Value, String> {
+async fn read(
+    res: http::Response<hyper::body::Incoming>,
+) -> Result<serde_json::Value, error::Error> {
     let body = http_body_util::Limited::new(res.into_body(), MAX_ANSWER_BYTES);
-    let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
-    serde_json::from_slice(&body).map_err(|e| e.to_string())
+    let body = body.collect().await.map_err(error::broken)?.to_bytes();
+    serde_json::from_slice(&body).map_err(error::broken)
 }
--- a/crates/mustardshed-standins/src/demo/check.rs
+++ b/crates/mustardshed-standins/src/demo/check.rs
@@ -1,7 +1,7 @@
 //! Checks of what a caller received.
 
 use crate::{
-    demo::{charge, completion, fate},
+    caller::{charge, completion, fate},
     oracle,
 };
 
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each program is a cargo example and one process; `docs/STANDINS.md` describes
 //! what it answers and which faults can be switched on while it runs.
 
+pub mod caller;
 pub mod capacity;
 pub mod demo;
 pub mod engine;
