--- a/crates/mustardshed-standins/tests/platform.rs
+++ b/crates/mustardshed-standins/tests/platform.rs
@@ -9,10 +9,13 @@
     core::border::platform::{self, Platform},
     platform::client,
 };
-use mustardshed_standins::{http, json_client, platform as standin};
+use mustardshed_standins::{
+    http, json_client,
+    platform::{self as standin, store},
+};
 use serde_json::json;
 
-const TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const KIND: platform::ObjectKind = platform::ObjectKind::Claim;
 const PURPOSE: platform::Purpose = platform::Purpose::Claim;
 
@@ -260,55 +263,72 @@
 #[tokio::test]
 async fn slow_write_takes_effect_after_its_caller_gave_up() {
     let f = fixture().await;
-    f.faults(json!({ "slow_ms": 2_000 })).await;
+    let patience = time::Duration::from_millis(200);
+    let hurried = client::Client::open(&f.server.url(), "entry-2", patience).unwrap();
+    f.faults(json!({ "slow_ms": 3_000 })).await;
 
-    let written = f.create("a", "one").await;
+    let written = hurried.put(PURPOSE, KIND, "a", 0, "one".into()).await;
     let before = f.writes().await;
-    tokio::time::sleep(time::Duration::from_millis(1_000)).await;
     f.faults(json!({ "slow_ms": 0 })).await;
+    let after = f.watch("a", 0, TIMEOUT).await;
 
     assert_that!(
         written,
         err(matches_pattern!(platform::PlatformError::Unanswered(_)))
     );
     assert_that!(before, eq(&json!([])));
-    assert_that!(f.get("a").await, ok(some(eq(&object("a", 1, "one")))));
+    assert_that!(after, ok(some(eq(&object("a", 1, "one")))));
 }
 
 #[tokio::test]
 async fn stale_reads_show_an_earlier_state_but_conditions_see_the_present() {
     let f = fixture().await;
     f.create("a", "one").await.unwrap();
-    tokio::time::sleep(time::Duration::from_millis(600)).await;
-    f.put("a", 1, "two").await.unwrap();
 
-    f.faults(json!({ "stale_reads_ms": 400 })).await;
+    f.faults(json!({ "stale_reads_ms": 600_000 })).await;
     let stale = f.get("a").await;
-    let listed = f.client.list(PURPOSE, KIND, "").await.unwrap();
-    let written = f.put("a", 1, "three").await;
-    tokio::time::sleep(time::Duration::from_millis(500)).await;
-    let caught_up = f.get("a").await;
-
-    assert_that!(stale, ok(some(eq(&object("a", 1, "one")))));
-    assert_that!(listed, elements_are![eq(&object("a", 1, "one"))]);
-    assert_that!(written, err(eq(&platform::PlatformError::Conflict(2))));
-    assert_that!(caught_up, ok(some(eq(&object("a", 2, "two")))));
+    let listed = f.client.list(PURPOSE, KIND, "").await;
+    let written = f.create("a", "two").await;
+    f.faults(json!({ "stale_reads_ms": 0 })).await;
+    let fresh = f.get("a").await;
+
+    assert_that!(stale, ok(none()));
+    assert_that!(listed, ok(is_empty()));
+    assert_that!(written, err(eq(&platform::PlatformError::Conflict(1))));
+    assert_that!(fresh, ok(some(eq(&object("a", 1, "one")))));
+}
+
+#[test]
+fn store_shows_the_state_of_any_recent_time() {
+    let at = time::Duration::from_secs;
+    let mut store = store::Store::default();
+    store.put("claim", "a", 0, "one".into(), at(10)).unwrap();
+    store.put("claim", "a", 1, "two".into(), at(20)).unwrap();
+    store.delete("claim", "a", 2, at(30)).unwrap();
+
+    let shown = |time| store.get("claim", "a", time)?.value.clone();
+
+    assert_that!(shown(at(9)), none());
+    assert_that!(shown(at(10)), some(eq("one")));
+    assert_that!(shown(at(19)), some(eq("one")));
+    assert_that!(shown(at(29)), some(eq("two")));
+    assert_that!(shown(at(30)), none());
 }
 
 #[tokio::test]
 async fn list_of_vms_lags_behind_its_changes() {
     let f = fixture().await;
-    f.faults(json!({ "list_lag_ms": 400 })).await;
+    f.faults(json!({ "list_lag_ms": 600_000 })).await;
 
     let listed = f.admin("vms/entry-1", entry("entry-1", "live")).await;
-    let at_once = f.client.vms().await.unwrap();
-    tokio::time::sleep(time::Duration::from_millis(500)).await;
-    let later = f.client.vms().await.unwrap();
+    let lagging = f.client.vms().await;
+    f.faults(json!({ "list_lag_ms": 0 })).await;
+    let present = f.client.vms().await.unwrap();
 
     assert_that!(listed.status, eq(200));
-    assert_that!(at_once, is_empty());
+    assert_that!(lagging, ok(is_empty()));
     assert_that!(
-        later,
+        present,
         elements_are![eq(&platform::Vm {
             id: "entry-1".to_owned(),
             role: platform::VmRole::Entry,
--- a/crates/mustardshed-standins/tests/service.rs
+++ b/crates/mustardshed-standins/tests/service.rs
@@ -41,6 +41,13 @@
         self.client.send(req).await
     }
 
+    /// Waits until a call is being executed.
+    async fn executing(&self) {
+        while self.executions().await == 0 {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+
     async fn executions(&self) -> usize {
         let records = self.get("/admin/records").await.body;
         records.as_array().unwrap().len()
@@ -131,7 +138,7 @@
     let running = f.post("/charge", "r.1", "");
 
     let (broken, ()) = tokio::join!(running, async {
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        f.executing().await;
         f.faults(json!({ "dead": true })).await;
     });
     let unanswered = f.post("/charge", "r.2", "").await;
@@ -149,7 +156,7 @@
     let running = f.post("/charge", "r.1", "");
 
     let (finished, refused) = tokio::join!(running, async {
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        f.executing().await;
         f.faults(json!({ "leaving": true, "load_lag_ms": 0 })).await;
         f.post("/charge", "r.2", "").await
     });
@@ -164,7 +171,7 @@
 #[tokio::test]
 async fn cold_service_falls_over_beyond_its_limit_and_changes_its_epoch() {
     let settings = payments().start_cold(true).cold_limit(1);
-    let f = fixture(settings.work(time::Duration::from_millis(200))).await;
+    let f = fixture(settings.work(time::Duration::from_secs(10))).await;
     let before = f.get("/admin/counts").await.body;
 
     let (first, second) = tokio::join!(f.post("/charge", "r.1", ""), f.post("/charge", "r.2", ""));
@@ -182,22 +189,27 @@
 
 #[tokio::test]
 async fn load_report_lags_and_says_how_old_it_is() {
-    let f = fixture(payments().work(time::Duration::from_secs(2))).await;
-    f.faults(json!({ "load_lag_ms": 500 })).await;
+    let f = fixture(payments().work(time::Duration::from_secs(60))).await;
     let running = f.post("/charge", "r.1", "");
 
-    let (_, (at_once, later)) = tokio::join!(running, async {
-        tokio::time::sleep(time::Duration::from_millis(200)).await;
-        let at_once = f.get("/v1/load").await.body;
-        tokio::time::sleep(time::Duration::from_millis(800)).await;
-        (at_once, f.get("/v1/load").await.body)
-    });
+    let looks = async {
+        f.executing().await;
+        f.faults(json!({ "load_lag_ms": 60_000 })).await;
+        let lagging = f.get("/v1/load").await.body;
+        f.faults(json!({ "load_lag_ms": 0 })).await;
+        (lagging, f.get("/v1/load").await.body)
+    };
+    let seen = tokio::select! {
+        seen = looks => Some(seen),
+        _ = running => None,
+    };
+    let (lagging, present) = seen.unwrap();
 
-    assert_that!(at_once["running"], eq(&json!(0)));
-    assert_that!(at_once["age_ms"], eq(&json!(500)));
-    assert_that!(later["running"], eq(&json!(1)));
-    assert_that!(later["held"][0]["id"], eq(&json!("r.1")));
-    assert_that!(later["memory_tokens"], eq(&json!(0)));
+    assert_that!(lagging["running"], eq(&json!(0)));
+    assert_that!(lagging["age_ms"], eq(&json!(60_000)));
+    assert_that!(present["running"], eq(&json!(1)));
+    assert_that!(present["held"][0]["id"], eq(&json!("r.1")));
+    assert_that!(present["memory_tokens"], eq(&json!(0)));
 }
 
 #[tokio::test]
