--- a/crates/mustardshed-standins/examples/demo_client.rs
+++ b/crates/mustardshed-standins/examples/demo_client.rs
@@ -3,7 +3,8 @@
 use std::{process, time};
 
 use mustardshed_standins::{
-    demo::{caller, check, decisions, fate, prompt},
+    caller::{self, fate},
+    demo::{check, decisions, prompt},
     json_client,
 };
 
@@ -22,8 +23,10 @@
                 /// Item of the list, in JSON.
                 required --vm item: String
             }
-            /// Waits until entries are ready.
-            cmd ready {
+            /// Waits until entries answer a path with 200.
+            cmd wait {
+                /// Path.
+                required --path path: String
                 /// Base URL of an entry.
                 repeated --entry url: String
             }
@@ -44,9 +47,9 @@
 
 /// Output of each completion, in tokens.
 const OUTPUT_TOKENS: u64 = 24;
-/// Longest wait for entries, in steps of [`READY_STEP`].
-const READY_STEPS: u32 = 300;
-const READY_STEP: time::Duration = time::Duration::from_millis(100);
+/// Longest wait for an entry, in steps of [`WAIT_STEP`].
+const WAIT_STEPS: u32 = 300;
+const WAIT_STEP: time::Duration = time::Duration::from_millis(100);
 
 /// A completion of the demo.
 struct Scene {
@@ -81,7 +84,7 @@
 async fn main() -> process::ExitCode {
     let outcome = match flags::DemoClient::from_env_or_exit().subcommand {
         flags::DemoClientCmd::Register(flags) => register(&flags).await,
-        flags::DemoClientCmd::Ready(flags) => ready(&flags).await,
+        flags::DemoClientCmd::Wait(flags) => wait(&flags).await,
         flags::DemoClientCmd::Run(flags) => run(&flags).await,
     };
     match outcome {
@@ -104,17 +107,17 @@
     }
 }
 
-async fn ready(flags: &flags::Ready) -> Result<(), String> {
+async fn wait(flags: &flags::Wait) -> Result<(), String> {
     let client = json_client::JsonClient::open();
     for entry in &flags.entry {
-        let url = format!("{entry}/readyz");
+        let url = format!("{entry}{}", flags.path);
         let mut steps = 0;
         while !client.get(&url).await.is_ok_and(|a| a.status == 200) {
             steps += 1;
-            if steps > READY_STEPS {
-                return Err(format!("{entry} does not become ready"));
+            if steps > WAIT_STEPS {
+                return Err(format!("{url} is not answered with 200"));
             }
-            tokio::time::sleep(READY_STEP).await;
+            tokio::time::sleep(WAIT_STEP).await;
         }
     }
     Ok(())
@@ -145,7 +148,8 @@
     let on_text = |text: &str| print_now(text);
     let completion = at
         .complete(scene.model, &prompt, OUTPUT_TOKENS, on_text)
-        .await?;
+        .await
+        .map_err(|e| e.to_string())?;
     println!();
     check::completion(&prompt, OUTPUT_TOKENS, &completion)?;
     println!(
@@ -153,7 +157,7 @@
         completion.first_token_after.as_millis(),
         completion.whole_after.as_millis(),
     );
-    let fate = elsewhere.fate(&completion.request_id).await?;
+    let fate = fate_at(elsewhere, &completion.request_id).await?;
     check::fate(&fate, scene.servers)?;
     print_fate(&fate, elsewhere, flags);
     Ok(())
@@ -171,8 +175,10 @@
     );
     let body = serde_json::json!({ "church": "grace-chapel", "deposit": 120 });
     let path = "/services/payments/charge";
-    let one = first.charge(path, "deposit-1", &body).await?;
-    let two = second.charge(path, "deposit-1", &body).await?;
+    let one = first.charge(path, "deposit-1", &body).await;
+    let one = one.map_err(|e| e.to_string())?;
+    let two = second.charge(path, "deposit-1", &body).await;
+    let two = two.map_err(|e| e.to_string())?;
     println!("   first answer:  {}", one.answer);
     println!("   second answer: {}", two.answer);
     let records = format!("{}/admin/records", flags.service);
@@ -180,12 +186,16 @@
     let executions = records.map_err(|e| e.to_string())?.body;
     check::charged_once(&one, &two, &executions)?;
     println!("   one execution: {}", executions[0]);
-    let fate = second.fate(&one.request_id).await?;
+    let fate = fate_at(second, &one.request_id).await?;
     check::fate(&fate, 1)?;
     print_fate(&fate, second, flags);
     Ok(())
 }
 
+async fn fate_at(entry: &caller::Caller, request_id: &str) -> Result<fate::Fate, String> {
+    entry.fate(request_id).await.map_err(|e| e.to_string())
+}
+
 fn print_fate(fate: &fate::Fate, entry: &caller::Caller, flags: &flags::Run) {
     println!(
         "   {} says of {}: {} on {}",
