Share the splitter of event streams; record the engine's times by the wall clock

The load program reads the same event streams as the daemon's client, so the splitter moves to the wire package. The engine's records are compared with those of other processes, so their times are Unix milliseconds.

--- a/crates/mustardshed-standins/src/engine/http.rs
+++ b/crates/mustardshed-standins/src/engine/http.rs
@@ -188,7 +188,7 @@
     }
 
     fn records(&self) -> Answer {
-        json(&self.shared.read(|e| wire::RecordsReport::from(e)))
+        json(&self.shared.records())
     }
 }
 
--- a/crates/mustardshed-standins/src/engine/shared.rs
+++ b/crates/mustardshed-standins/src/engine/shared.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::Notify;
 
-use crate::engine::{cache_events, clock, load_history, scheduler, settings};
+use crate::engine::{cache_events, clock, load_history, scheduler, settings, wire};
 
 /// State of an engine behind a lock.
 #[derive(Debug)]
@@ -63,6 +63,12 @@
         f(&self.lock().engine)
     }
 
+    /// Returns the records, with times in Unix milliseconds.
+    pub(super) fn records(&self) -> wire::RecordsReport {
+        let report = self.read(|e| wire::RecordsReport::from(e));
+        report.with_times(|at_ms| self.clock.unix_ms(at_ms))
+    }
+
     /// Returns the load report with the lag in force, and the lag in milliseconds.
     pub(super) fn lagging_load(&self) -> (sync::Arc<scheduler::LoadSnapshot>, u64) {
         let state = self.lock();
--- a/crates/mustardshed-standins/src/engine/wire.rs
+++ b/crates/mustardshed-standins/src/engine/wire.rs
@@ -104,6 +104,19 @@
     }
 }
 
+impl RecordsReport {
+    /// Replaces the times of the engine's clock.
+    pub(super) fn with_times(mut self, time_of: impl Fn(u64) -> u64) -> Self {
+        for record in &mut self.requests {
+            record.at_ms = time_of(record.at_ms);
+        }
+        for record in &mut self.orders {
+            record.at_ms = time_of(record.at_ms);
+        }
+        self
+    }
+}
+
 /// Body of a refusal.
 #[derive(Debug, Serialize)]
 pub(super) struct RefusalReport {
--- a/crates/mustardshedd/src/connection/backend_server/data_lines.rs
+++ b/crates/mustardshed-wire/src/data_lines.rs
@@ -1,4 +1,13 @@
 //! Splitter of server-sent events into their data lines.
+//!
+//! ```
+//! use mustardshed_wire::data_lines;
+//!
+//! let mut lines = data_lines::DataLines::default();
+//! lines.push(b"data: one\n\nda");
+//! assert_eq!(lines.take().unwrap().as_deref(), Some(&b"one"[..]));
+//! assert_eq!(lines.take(), Ok(None));
+//! ```
 
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
@@ -10,18 +19,20 @@
 
 /// a line is longer than 64 KiB
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub(super) struct LineTooLong;
+pub struct LineTooLong;
+
+impl std::error::Error for LineTooLong {}
 
 /// Bytes of an event stream that were received and not yet taken.
 #[derive(Debug, Default)]
-pub(super) struct DataLines {
+pub struct DataLines {
     buf: BytesMut,
     scanned: usize,
 }
 
 impl DataLines {
     /// Adds received bytes.
-    pub(super) fn push(&mut self, chunk: &[u8]) {
+    pub fn push(&mut self, chunk: &[u8]) {
         self.buf.extend_from_slice(chunk);
     }
 
@@ -30,7 +41,7 @@
     /// # Errors
     ///
     /// [`LineTooLong`], also for a line whose end has not arrived.
-    pub(super) fn take(&mut self) -> Result<Option<Bytes>, LineTooLong> {
+    pub fn take(&mut self) -> Result<Option<Bytes>, LineTooLong> {
         while let Some(line) = self.take_line()? {
             if let Some(value) = data_of(line) {
                 return Ok(Some(value));
--- a/crates/mustardshed-wire/src/lib.rs
+++ b/crates/mustardshed-wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wire types and codecs, apart from the core's own types.
 
 pub mod configuration;
+pub mod data_lines;
 pub mod operator;
 pub mod peer;
--- a/crates/mustardshedd/src/connection/backend_server.rs
+++ b/crates/mustardshedd/src/connection/backend_server.rs
@@ -12,7 +12,6 @@
 
 mod body;
 mod client;
-mod data_lines;
 mod failure;
 mod timeouts;
 mod token_stream;
--- a/crates/mustardshedd/src/connection/backend_server/token_stream.rs
+++ b/crates/mustardshedd/src/connection/backend_server/token_stream.rs
@@ -6,9 +6,12 @@
 use futures_util::{FutureExt, stream};
 use http_body_util::BodyExt;
 use hyper::body;
-use mustardshed::core::border::backend_server::{BackendServerError, TokenFrame, TokenStream};
+use mustardshed::{
+    core::border::backend_server::{BackendServerError, TokenFrame, TokenStream},
+    wire::data_lines,
+};
 
-use crate::connection::backend_server::{data_lines, failure, wire};
+use crate::connection::backend_server::{failure, wire};
 
 /// Value of the last event of a whole output.
 const DONE: &[u8] = b"[DONE]";
