--- a/crates/mustardshed-wire/src/lib.rs
+++ b/crates/mustardshed-wire/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod claim;
 pub mod configuration;
+pub mod data_lines;
 pub mod operator;
 pub mod peer;
