Claim non-idempotent calls on the platform

Cause: keyed calls were refused, since the daemon had no claims. Ruled out: making the claim in the caller's task, since a caller who gives up would leave the claim behind.

--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -1,66 +1,212 @@
-//! At-most-once claims on the platform.
+//! At-most-once claims, carried out on the platform.
+//!
+//! The decisions are those of [`claim::Claiming`] and [`claim::Settling`]; this module makes their
+//! calls. A claim is made in a task of its own, so that a caller who gives up leaves no claim
+//! behind that nobody gives back.
 
-use std::sync;
+mod objects;
+
+use std::{sync, time};
 
 use mustardshed::core::{
-    border::{control, platform},
+    border::{clock, control as border},
     error, ids,
-    request::fate,
+    outcome::Outcome,
+    process::action,
+    request::{claim, fate},
 };
+use tokio::sync::{mpsc, oneshot};
+
+use crate::process::control::{self, Command, handle};
+
+/// Longest time that making a claim may take.
+const CLAIM_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Attempts to give back a claim that was not used.
+const RENOUNCE_ATTEMPTS: u32 = 8;
+/// Wait after the first failed attempt; it doubles.
+const RENOUNCE_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// Claims of non-idempotent calls.
 #[derive(Clone, Debug)]
 pub struct Claims {
-    platform: sync::Arc<dyn platform::Platform>,
+    objects: objects::Objects,
+    clock: sync::Arc<dyn clock::Clock>,
+    commands_tx: mpsc::UnboundedSender<Command>,
 }
 
 impl Claims {
     /// Makes the claims of an entry.
-    pub fn new(parts: &super::control::Parts) -> Self {
+    pub(crate) fn new(parts: &control::Parts, commands_tx: mpsc::UnboundedSender<Command>) -> Self {
         Self {
-            platform: sync::Arc::clone(&parts.platform),
+            objects: objects::Objects::new(sync::Arc::clone(&parts.platform)),
+            clock: sync::Arc::clone(&parts.clock),
+            commands_tx,
         }
     }
 
-    /// Returns the name of the object that claims `key` for `account`.
-    pub fn object_name(&self, account: &ids::ClientAccountId, key: &str) -> String {
-        format!("{account}.{}", key.len())
-    }
-
     /// Claims a non-idempotent call.
     ///
     /// # Errors
     ///
-    /// Returns an error with the outcome `not_run` if the claim cannot be decided.
-    pub async fn claim(&self, _req: control::ClaimRequest) -> Result<control::Claim, error::Error> {
-        Err(error::Error::not_run(
-            error::ErrorKind::PlatformUnavailable,
-            format!("claims are not served: {:?}", self.platform),
-        ))
+    /// Returns an error with the outcome `not_run` if the call must not be sent.
+    pub async fn claim(&self, req: border::ClaimRequest) -> Result<border::Claim, error::Error> {
+        let (tx, rx) = oneshot::channel();
+        let claims = self.clone();
+        tokio::spawn(async move {
+            let request = req.request.clone();
+            let name = claim::object_name(&req.account, &req.key);
+            let (ended, is_doubtful) = claims.make(req, &name).await;
+            let is_granted = matches!(ended, claim::Ended::Granted { .. });
+            let is_unused = tx.send(ended).is_err() && is_granted;
+            if is_unused || is_doubtful {
+                claims.renounce(request, &name).await;
+            }
+        });
+        match rx.await {
+            Ok(claim::Ended::Granted { .. }) => Ok(border::Claim::Granted),
+            Ok(claim::Ended::Earlier(fate)) => Ok(border::Claim::Earlier(fate)),
+            Ok(claim::Ended::Refused(err)) => Err(err),
+            Err(_) => Err(error::Error::not_run(
+                error::ErrorKind::Internal,
+                "claiming the call ended early",
+            )),
+        }
     }
 
-    /// Records the final fate of a claimed call.
+    /// Records the final fate of a claimed call so that repeats find it.
     ///
     /// # Errors
     ///
-    /// Returns an error if the platform does not take it.
+    /// Returns an error if the platform did not take the fate of a call that may have run.
     pub async fn settle(
         &self,
-        _req: control::ClaimRequest,
-        _fate: fate::Fate,
+        req: border::ClaimRequest,
+        fate: fate::Fate,
     ) -> Result<(), error::Error> {
-        Ok(())
+        let name = claim::object_name(&req.account, &req.key);
+        let did_not_run = fate.outcome == Outcome::NotRun;
+        let (settling, step) = claim::Settling::settle(req.request, fate);
+        if self.finish(settling, step, &name).await || did_not_run {
+            return Ok(());
+        }
+        Err(error::Error::failed(
+            error::ErrorKind::PlatformUnavailable,
+            "the fate of the call is not recorded",
+        ))
     }
 
-    /// Finds the fate of a request whose owner is gone.
+    /// Finds the fate of a claimed request whose owner is gone.
     ///
     /// # Errors
     ///
     /// Returns an error with the outcome `unknown` if it cannot be told.
     pub async fn fate(&self, id: &ids::RequestId) -> Result<fate::Fate, error::Error> {
-        Err(error::Error::unknown(
-            error::ErrorKind::FateUnknown,
-            format!("the entry that carried {id} is gone"),
-        ))
+        let Some((name, account)) = claim_of(id) else {
+            return Err(owner_gone(id));
+        };
+        let held = match self.objects.get(name).await {
+            Ok(Some((_, held))) if held.request == *id => held,
+            Ok(_) => return Err(owner_gone(id)),
+            Err(e) => {
+                let kind = error::ErrorKind::PlatformUnavailable;
+                return Err(error::Error::unknown(kind, e.to_string()));
+            }
+        };
+        Ok(held.fate.unwrap_or_else(|| fate::Fate {
+            request: id.clone(),
+            account: account.to_owned(),
+            outcome: Outcome::Unknown,
+            error: Some(error::ErrorKind::FateUnknown),
+            servers: Vec::new(),
+            answer: None,
+        }))
+    }
+
+    /// Makes a claim; also returns whether an unused one may be left behind.
+    async fn make(&self, req: border::ClaimRequest, name: &str) -> (claim::Ended, bool) {
+        let deadline = self.clock.now() + CLAIM_TIMEOUT;
+        let (mut claiming, mut step) = claim::Claiming::begin(req, wall_now(), deadline);
+        loop {
+            step = match step {
+                claim::Step::Put { expected, value } => {
+                    let result = self.objects.put(name, expected, &value).await;
+                    claiming.put(result, self.clock.now())
+                }
+                claim::Step::Get => {
+                    let result = self.objects.get(name).await;
+                    claiming.got(result, self.clock.now())
+                }
+                claim::Step::WantFate { request } => {
+                    claiming.fate(self.fate_of_owner(request).await)
+                }
+                claim::Step::Done(ended) => return (ended, claiming.must_renounce()),
+            };
+        }
     }
+
+    async fn fate_of_owner(&self, request: ids::RequestId) -> action::FateAnswer {
+        let (tx, rx) = oneshot::channel();
+        // The control thread ends only with the process.
+        let _ = self.commands_tx.send(Command::WantFate(request, tx));
+        handle::answered(rx, handle::FATE_PATIENCE)
+            .await
+            .unwrap_or(action::FateAnswer::OwnerGone)
+    }
+
+    /// Gives back a claim whose request never sent its call and never will.
+    async fn renounce(&self, request: ids::RequestId, name: &str) {
+        let mut pause = RENOUNCE_PAUSE;
+        for _ in 0..RENOUNCE_ATTEMPTS {
+            let (settling, step) = claim::Settling::renounce(request.clone());
+            if self.finish(settling, step, name).await {
+                return;
+            }
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+        }
+    }
+
+    /// Carries the end of a claim out; returns whether it is recorded.
+    async fn finish(
+        &self,
+        mut settling: claim::Settling,
+        mut step: claim::settling::Step,
+        name: &str,
+    ) -> bool {
+        use claim::settling::Step;
+        loop {
+            step = match step {
+                Step::Put { expected, value } => {
+                    let result = self.objects.put(name, expected, &value).await;
+                    settling.written(result.map(|_| ()))
+                }
+                Step::Delete { expected } => {
+                    settling.written(self.objects.delete(name, expected).await)
+                }
+                Step::Get => settling.got(self.objects.get(name).await),
+                Step::Done(is_recorded) => return is_recorded,
+            };
+        }
+    }
+}
+
+/// Returns the name of a request's claim object and the client account in it, if it has a claim.
+fn claim_of(id: &ids::RequestId) -> Option<(&str, &str)> {
+    let name = id.splitn(4, '.').nth(3)?;
+    let (account, _) = name.split_once('.')?;
+    Some((name, account))
+}
+
+fn owner_gone(id: &ids::RequestId) -> error::Error {
+    error::Error::unknown(
+        error::ErrorKind::FateUnknown,
+        format!("the entry that carried {id} is gone"),
+    )
+}
+
+/// Returns the time since the Unix epoch.
+fn wall_now() -> time::Duration {
+    time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default()
 }
--- /dev/null
+++ b/crates/mustardshedd/src/process/claims/objects.rs
@@ -0,0 +1,72 @@
+//! Claim objects on the platform.
+
+use std::sync;
+
+use mustardshed::{
+    core::{border::platform, ids, request::claim},
+    wire,
+};
+
+/// Claim objects on the platform.
+#[derive(Clone, Debug)]
+pub(super) struct Objects {
+    platform: sync::Arc<dyn platform::Platform>,
+}
+
+impl Objects {
+    pub(super) fn new(platform: sync::Arc<dyn platform::Platform>) -> Self {
+        Self { platform }
+    }
+
+    pub(super) async fn get(
+        &self,
+        name: &str,
+    ) -> Result<Option<(ids::ObjectVersion, claim::Value)>, platform::PlatformError> {
+        let object = self
+            .platform
+            .get(platform::Purpose::Claim, platform::ObjectKind::Claim, name)
+            .await?;
+        let Some(object) = object else {
+            return Ok(None);
+        };
+        let value = wire::claim::decode(&object.value).map_err(refused)?;
+        Ok(Some((object.version, value)))
+    }
+
+    pub(super) async fn put(
+        &self,
+        name: &str,
+        expected: ids::ObjectVersion,
+        value: &claim::Value,
+    ) -> Result<ids::ObjectVersion, platform::PlatformError> {
+        let value = wire::claim::encode(value).map_err(refused)?;
+        self.platform
+            .put(
+                platform::Purpose::Claim,
+                platform::ObjectKind::Claim,
+                name,
+                expected,
+                value,
+            )
+            .await
+    }
+
+    pub(super) async fn delete(
+        &self,
+        name: &str,
+        expected: ids::ObjectVersion,
+    ) -> Result<(), platform::PlatformError> {
+        self.platform
+            .delete(
+                platform::Purpose::Claim,
+                platform::ObjectKind::Claim,
+                name,
+                expected,
+            )
+            .await
+    }
+}
+
+fn refused(e: wire::claim::ClaimError) -> platform::PlatformError {
+    platform::PlatformError::Refused(e.to_string())
+}
--- a/crates/mustardshedd/src/process/control.rs
+++ b/crates/mustardshedd/src/process/control.rs
@@ -15,7 +15,7 @@
 use crate::process::{links, pending, pollers};
 
 mod border;
-mod handle;
+pub(crate) mod handle;
 
 pub use handle::Handle;
 
--- a/crates/mustardshedd/src/process/control/border.rs
+++ b/crates/mustardshedd/src/process/control/border.rs
@@ -7,7 +7,7 @@
     border::control,
     error, ids,
     process::{action, snapshot},
-    request::fate,
+    request::{claim, fate},
 };
 use tokio::sync::oneshot;
 
@@ -25,7 +25,7 @@
         match claim {
             None => format!("{prefix}.{sequence}"),
             Some((account, key)) => {
-                let name = self.claims.object_name(account, key);
+                let name = claim::object_name(account, key);
                 format!("{prefix}.{sequence}.{name}")
             }
         }
--- a/crates/mustardshedd/src/process/control/handle.rs
+++ b/crates/mustardshedd/src/process/control/handle.rs
@@ -15,7 +15,7 @@
 /// Longest wait for the control thread beyond what was asked of it.
 const CONTROL_PATIENCE: time::Duration = time::Duration::from_secs(2);
 /// Longest wait for the owner of a request to say its fate.
-pub(super) const FATE_PATIENCE: time::Duration = time::Duration::from_secs(2);
+pub(crate) const FATE_PATIENCE: time::Duration = time::Duration::from_secs(2);
 
 /// Running control thread.
 #[derive(Clone, Debug)]
@@ -39,7 +39,7 @@
             prefix: format!("{}.{}", identity.vm, identity.incarnation).into(),
             next_sequence: sync::Arc::default(),
             published,
-            claims: claims::Claims::new(parts),
+            claims: claims::Claims::new(parts, commands_tx.clone()),
             clock: sync::Arc::clone(&parts.clock),
             commands_tx,
         }
@@ -79,7 +79,7 @@
 }
 
 /// Waits for an answer that may take `patience` to be decided.
-pub(super) async fn answered<T>(
+pub(crate) async fn answered<T>(
     rx: oneshot::Receiver<T>,
     patience: time::Duration,
 ) -> Result<T, error::Error> {
