Offer open-loop load and check every answer against the oracle

Measures need arrivals that do not wait for answers. A seed determines times, lengths, accounts and texts; latencies count from the intended send time and go into HDR histograms by prompt length, account and second. With an engine given, every other request goes to it directly, so the overhead of an entry shows within one run.

Pacing has a thread of its own, since the runtime's timers round up to a millisecond, which is the size of the overhead to be measured.

--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod hostile;
 pub mod http;
 pub mod json_client;
+pub mod load;
 pub mod oracle;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/crates/mustardshed-standins/src/load.rs
@@ -0,0 +1,35 @@
+//! Open-loop load against entries, or against one engine directly.
+//!
+//! Arrivals follow a Poisson process that a seed determines. Every latency counts from the
+//! intended send time, so that a slow answer does not hide the ones that had to wait behind it,
+//! and every answer is compared with the oracle.
+//!
+//! ```no_run
+//! use mustardshed_standins::load::{plan, run};
+//!
+//! # async fn example() {
+//! let plan = plan::Plan {
+//!     entries: vec![String::from("http://127.0.0.1:8080")],
+//!     ..plan::Plan::default()
+//! };
+//! let report = run::run(plan).await;
+//! println!("{report}");
+//! # }
+//! ```
+
+pub mod arrival;
+pub mod arrivals;
+pub mod bucket;
+pub mod latencies;
+pub mod outcome;
+pub mod plan;
+pub mod report;
+pub mod run;
+
+mod call;
+mod cpu;
+mod directory;
+mod measures;
+mod prompt_text;
+mod reader;
+mod sample;
--- /dev/null
+++ b/crates/mustardshed-standins/src/load/reader.rs
@@ -0,0 +1,160 @@
+//! Reading and checking of a streamed answer.
+
+use std::{borrow, time};
+
+use http_body_util::BodyExt;
+use hyper::body;
+use mustardshed::wire::data_lines;
+use serde::Deserialize;
+
+use crate::{load::outcome, oracle};
+
+/// Value of the last event of a whole answer.
+const DONE: &[u8] = b"[DONE]";
+/// Longest error that is read, in bytes.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+
+/// Event of an entry or of an engine.
+#[derive(Debug, Deserialize)]
+struct Event<'a> {
+    /// Text of an engine's token.
+    #[serde(borrow, default)]
+    text: Option<borrow::Cow<'a, str>>,
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+    #[serde(default)]
+    error: Option<ErrorBody>,
+    #[serde(default)]
+    outcome: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    text: borrow::Cow<'a, str>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum ErrorBody {
+    Entry { code: String },
+    Engine(String),
+}
+
+/// What was read of an answer.
+#[derive(Debug)]
+pub(super) struct Reading {
+    start: time::Instant,
+    last: Option<time::Instant>,
+    expected: String,
+    received: String,
+    /// Time to the first token.
+    pub(super) first_token: Option<time::Duration>,
+    /// Times between tokens.
+    pub(super) between_tokens: Vec<time::Duration>,
+}
+
+impl Reading {
+    /// Begins to read the answer of a request that was to be sent at `start`.
+    pub(super) fn new(start: time::Instant, oracle: oracle::Oracle, output_tokens: u64) -> Self {
+        Self {
+            start,
+            last: None,
+            expected: oracle.text(0, output_tokens),
+            received: String::new(),
+            first_token: None,
+            between_tokens: Vec::with_capacity(output_tokens as usize),
+        }
+    }
+
+    /// Reads an answer to its end.
+    pub(super) async fn read(&mut self, resp: http::Response<body::Incoming>) -> outcome::Outcome {
+        if resp.status() != http::StatusCode::OK {
+            return read_error(resp.into_body()).await;
+        }
+        let ended = self.read_events(resp.into_body()).await;
+        ended.unwrap_or(outcome::Outcome::Cut)
+    }
+
+    /// Reads events until one ends the answer; returns nothing if none does.
+    async fn read_events(&mut self, mut body: body::Incoming) -> Option<outcome::Outcome> {
+        let mut lines = data_lines::DataLines::default();
+        loop {
+            while let Some(data) = lines.take().ok()? {
+                if let Some(ended) = self.take_event(&data) {
+                    return Some(ended);
+                }
+            }
+            let frame = body.frame().await?.ok()?;
+            lines.push(&frame.into_data().unwrap_or_default());
+        }
+    }
+
+    fn take_event(&mut self, data: &[u8]) -> Option<outcome::Outcome> {
+        if data == DONE {
+            return Some(self.judge());
+        }
+        let Ok(event) = serde_json::from_slice::<Event<'_>>(data) else {
+            return Some(outcome::Outcome::Wrong);
+        };
+        if let Some(error) = event.error {
+            return Some(told(event.outcome, error));
+        }
+        let text = event
+            .text
+            .or_else(|| event.choices.into_iter().next().map(|c| c.text));
+        self.take_text(&text.unwrap_or_default())
+    }
+
+    fn take_text(&mut self, text: &str) -> Option<outcome::Outcome> {
+        if text.is_empty() {
+            return None;
+        }
+        let now = time::Instant::now();
+        match self.last {
+            None => self.first_token = Some(now - self.start),
+            Some(last) => self.between_tokens.push(now - last),
+        }
+        self.last = Some(now);
+        self.received.push_str(text);
+        let is_own = self.expected.starts_with(&self.received);
+        (!is_own).then_some(outcome::Outcome::Wrong)
+    }
+
+    fn judge(&self) -> outcome::Outcome {
+        match self.received == self.expected {
+            true => outcome::Outcome::Completed,
+            false => outcome::Outcome::Wrong,
+        }
+    }
+}
+
+async fn read_error(body: body::Incoming) -> outcome::Outcome {
+    let limited = http_body_util::Limited::new(body, MAX_ERROR_BYTES);
+    let Ok(collected) = limited.collect().await else {
+        return outcome::Outcome::Cut;
+    };
+    let bytes = collected.to_bytes();
+    match serde_json::from_slice::<Event<'_>>(&bytes) {
+        Ok(Event {
+            error: Some(error),
+            outcome,
+            ..
+        }) => told(outcome, error),
+        _ => outcome::Outcome::Cut,
+    }
+}
+
+/// Returns what an error tells; an engine's refusal always means that nothing ran.
+fn told(outcome: Option<String>, error: ErrorBody) -> outcome::Outcome {
+    match error {
+        ErrorBody::Entry { code } => outcome::Outcome::Told {
+            outcome: outcome.unwrap_or_else(|| String::from("untold")),
+            code,
+        },
+        ErrorBody::Engine(code) => outcome::Outcome::Told {
+            outcome: String::from("not_run"),
+            code,
+        },
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/load/run.rs
@@ -0,0 +1,131 @@
+//! Running of a plan.
+
+use std::{sync, sync::mpsc as std_mpsc, thread, time};
+
+use displaydoc::Display;
+use rand::distr::weighted;
+use tokio::{sync::mpsc, task};
+
+use crate::load::{arrivals, call, cpu, directory, measures, outcome, plan, report, sample};
+
+/// Requests that are prepared ahead of their time.
+const PREPARED_AHEAD: usize = 32;
+/// Requests that are open at once at most.
+const MAX_OPEN: usize = 16_384;
+/// Time for the first requests to be prepared.
+const LEAD: time::Duration = time::Duration::from_millis(300);
+
+/// Why a plan can't be run.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum RunError {
+    /// neither an entry nor an engine is given
+    NoReceiver,
+    /// rate and time scale must be greater than zero
+    NoRate,
+    /// the client accounts have no weights: {0}
+    NoAccounts(weighted::Error),
+}
+
+impl std::error::Error for RunError {}
+
+/// Offers a plan's load and returns what was measured once every request has ended.
+///
+/// # Errors
+///
+/// If the plan can't be run; nothing was sent then.
+pub async fn run(plan: plan::Plan) -> Result<report::Report, RunError> {
+    if plan.entries.is_empty() && plan.direct.is_none() {
+        return Err(RunError::NoReceiver);
+    }
+    if plan.rate <= 0.0 || plan.time_scale <= 0.0 {
+        return Err(RunError::NoRate);
+    }
+    let arrivals = arrivals::Arrivals::of_plan(&plan).map_err(RunError::NoAccounts)?;
+    let plan = sync::Arc::new(plan);
+    let directory = sync::Arc::new(directory::Directory::of_plan(&plan));
+    let mut background = task::JoinSet::new();
+    if plan.discover {
+        let directory = sync::Arc::clone(&directory);
+        background.spawn(async move { directory.refresh().await });
+    }
+    let cpu_before = cpu::used_by(&plan.cpu_pids);
+    let measures = offer(&plan, arrivals, directory).await;
+    let cpu_used = cpu::used_by(&plan.cpu_pids).saturating_sub(cpu_before);
+    Ok(report::Report::new(&plan, &measures, cpu_used))
+}
+
+/// Sends every request at its time and gathers what was measured.
+async fn offer(
+    plan: &sync::Arc<plan::Plan>,
+    arrivals: arrivals::Arrivals,
+    directory: sync::Arc<directory::Directory>,
+) -> measures::Measures {
+    let start = time::Instant::now() + LEAD;
+    let mut due = pace(plan, arrivals, start);
+    let caller = sync::Arc::new(call::Caller::open(sync::Arc::clone(plan), directory));
+    let mut measures = measures::Measures::of_plan(plan);
+    let mut open = task::JoinSet::new();
+    loop {
+        tokio::select! {
+            prepared = due.recv() => {
+                let Some(prepared) = prepared else { break };
+                if open.len() >= MAX_OPEN {
+                    measures.add(&not_sent(&prepared));
+                    continue;
+                }
+                let at = start + plan.wall(prepared.arrival.at);
+                let caller = sync::Arc::clone(&caller);
+                open.spawn(async move { caller.call(prepared, at).await });
+            }
+            Some(Ok(sample)) = open.join_next() => measures.add(&sample),
+        }
+    }
+    while let Some(ended) = open.join_next().await {
+        if let Ok(sample) = ended {
+            measures.add(&sample);
+        }
+    }
+    measures
+}
+
+/// Prepares requests and hands each out at its time, on threads that do nothing else.
+fn pace(
+    plan: &sync::Arc<plan::Plan>,
+    arrivals: arrivals::Arrivals,
+    start: time::Instant,
+) -> mpsc::Receiver<call::Prepared> {
+    let (prepared_tx, prepared_rx) = std_mpsc::sync_channel(PREPARED_AHEAD);
+    let (due_tx, due_rx) = mpsc::channel(PREPARED_AHEAD);
+    let preparer = sync::Arc::clone(plan);
+    thread::spawn(move || {
+        for arrival in arrivals {
+            let prepared = call::Prepared::of_arrival(&preparer, arrival);
+            if prepared_tx.send(prepared).is_err() {
+                return;
+            }
+        }
+    });
+    let pacer = sync::Arc::clone(plan);
+    thread::spawn(move || {
+        for prepared in prepared_rx {
+            let at = start + pacer.wall(prepared.arrival.at);
+            thread::sleep(at.saturating_duration_since(time::Instant::now()));
+            if due_tx.blocking_send(prepared).is_err() {
+                return;
+            }
+        }
+    });
+    due_rx
+}
+
+fn not_sent(prepared: &call::Prepared) -> sample::Sample {
+    sample::Sample {
+        arrival: prepared.arrival,
+        via: sample::Via::Entry,
+        outcome: outcome::Outcome::NotSent,
+        refused_connections: 0,
+        first_token: None,
+        between_tokens: Vec::new(),
+        total: time::Duration::ZERO,
+    }
+}
