--- a/crates/mustardshed-core/src/request.rs
+++ b/crates/mustardshed-core/src/request.rs
@@ -2,8 +2,10 @@
 
 pub mod admission;
 pub mod assembly;
+pub mod claim;
 pub mod fate;
 pub mod gang;
 pub mod lane;
+pub mod owner;
 pub mod retry;
 pub mod route;
