Storm harder: handovers of stewards, slow links, changes that an entry cannot hear

The storms now hand over stewards in the midst of work, delay links, restart entries that acknowledged an intent, and look at grants as well as at sends.

--- a/crates/mustardshed-core/src/process/credits.rs
+++ b/crates/mustardshed-core/src/process/credits.rs
@@ -115,9 +115,6 @@
         may_be_held: bool,
         now: ids::Timestamp,
     ) -> Option<Granted> {
-        if mutation::on("release_lost") {
-            return None;
-        }
         let credit = self.granted.remove(request)?;
         if may_be_held && !mutation::on("broken_counts_as_ended") {
             let doubtful = Doubtful {
@@ -174,7 +171,7 @@
 
     /// Drops credits that ought to show in the report and do not.
     fn drop_unused(&mut self, report: &backend_server::LoadReport) {
-        if mutation::on("unused_kept") {
+        if mutation::on("lost_release_kept") {
             return;
         }
         let names: collections::BTreeSet<&str> =
--- a/crates/mustardshed-core/src/process/node/peers.rs
+++ b/crates/mustardshed-core/src/process/node/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     border::platform,
-    error, ids,
+    error, ids, mutation,
     process::{action, holder, message},
     version::record,
 };
@@ -159,7 +159,7 @@
         out: &mut Vec<action::Action>,
     ) {
         let newer_than = self.world.configuration.generation();
-        if generation > newer_than {
+        if generation > newer_than && !mutation::on("newer_not_fetched") {
             let message = message::Message::WantConfiguration { newer_than };
             self.send(vm, message, now, out);
         }
--- a/crates/mustardshed-core/src/process/steward.rs
+++ b/crates/mustardshed-core/src/process/steward.rs
@@ -231,7 +231,8 @@
         self.credits.drop_where(|request, credit| {
             let is_theirs = owner::of(request).is_some_and(|owner| owner.vm == *vm);
             let is_old = credit.granted_at + STATED_AFTER <= rules.now;
-            is_theirs && is_old && !claimed.contains(request)
+            let is_dropped = is_theirs && is_old && !claimed.contains(request);
+            is_dropped && !mutation::on("lost_release_kept")
         });
         for held in credits {
             self.credits.adopt(&held.request, held.tokens, rules.now);
--- a/crates/mustardshed-core/src/process/steward/serve.rs
+++ b/crates/mustardshed-core/src/process/steward/serve.rs
@@ -178,9 +178,6 @@
 }
 
 fn memory_of(reported: ids::Tokens, limits: limits::Limits) -> Option<ids::Tokens> {
-    if mutation::on("memory_unchecked") {
-        return None;
-    }
     let memory_tokens = if reported > 0 {
         reported
     } else {
--- a/crates/mustardshed-core/src/process/world.rs
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use crate::{
-    ids, mutation,
+    ids,
     process::{credits, members, node, quorum, steward},
     version::{configuration, freshness},
 };
@@ -55,7 +55,7 @@
 
     /// Returns the time until which new work may be placed.
     pub fn may_place_until(&self) -> ids::Timestamp {
-        if self.members.is_superseded() && !mutation::on("superseded_places") {
+        if self.members.is_superseded() {
             return time::Duration::ZERO;
         }
         self.freshness.may_place_until()
--- a/crates/mustardshed-core/src/version/freshness.rs
+++ b/crates/mustardshed-core/src/version/freshness.rs
@@ -57,8 +57,7 @@
         in_force: ids::Generation,
     ) {
         self.answered_at = self.answered_at.max(Some(begun_at));
-        let is_current = shown == in_force || mutation::on("stale_read_confirms");
-        if is_current && in_force > 0 {
+        if shown == in_force && in_force > 0 {
             self.confirm(begun_at);
         }
     }
@@ -76,7 +75,7 @@
         in_force: ids::Generation,
         now: ids::Timestamp,
     ) {
-        if ack.generation > in_force && !mutation::on("newer_ack_confirms") {
+        if ack.generation > in_force {
             self.votes.remove(vm);
             return;
         }
@@ -97,7 +96,8 @@
 
     /// Confirms by a majority of the voters, if the platform does not answer.
     pub fn count_votes(&mut self, members: &members::Members, own: &str, now: ids::Timestamp) {
-        if !members.is_listed_known() || self.platform_answers(now) {
+        let is_counted = !self.platform_answers(now) && !mutation::on("votes_uncounted");
+        if !members.is_listed_known() || !is_counted {
             return;
         }
         let voters = members.voters();
--- a/crates/mustardshed-core/tests/promises/engine.rs
+++ b/crates/mustardshed-core/tests/promises/engine.rs
@@ -41,14 +41,14 @@
 }
 
 impl Engine {
-    pub fn new(address: String, data_centre: String) -> Self {
+    pub fn new(address: String, data_centre: String, is_cold: bool) -> Self {
         Self {
             address,
             data_centre,
             is_dead: false,
             leaving_since: None,
             epoch: 1,
-            is_cold: true,
+            is_cold,
             turned_cold_at: None,
             held: collections::BTreeMap::new(),
             finished: 0,
--- /dev/null
+++ b/crates/mustardshed-core/tests/promises/fleet/faults.rs
@@ -0,0 +1,76 @@
+//! Faults of processes and servers, and their end.
+
+use std::time;
+
+use mustardshed_core::{border::platform as border, process::event};
+
+use super::{DRAIN, ENTRIES, Fleet, Item, SERVERS, entry, server};
+
+impl Fleet {
+    /// Kills a process.
+    pub fn kill(&mut self, vm: &str) {
+        self.processes.remove(vm);
+    }
+
+    /// Stops a process without its knowledge.
+    pub fn freeze(&mut self, vm: &str) {
+        if let Some(process) = self.processes.get_mut(vm) {
+            process.is_frozen = true;
+        }
+    }
+
+    /// Lets a stopped process go on with all that waited for it.
+    pub fn thaw(&mut self, vm: &str) {
+        let Some(process) = self.processes.get_mut(vm) else {
+            return;
+        };
+        process.is_frozen = false;
+        let run = (vm.to_owned(), process.incarnation);
+        for item in std::mem::take(&mut process.backlog) {
+            self.at(self.now, run.clone(), item);
+        }
+    }
+
+    /// Lets an entry leave; it exits later.
+    pub fn leave(&mut self, vm: &str) {
+        let Some(process) = self.processes.get(vm) else {
+            return;
+        };
+        let run = (vm.to_owned(), process.incarnation);
+        self.at(self.now, run.clone(), Item::Handle(event::Event::Leave));
+        self.at(self.now + DRAIN, run, Item::Exit);
+    }
+
+    /// Lets a backend server say that it leaves, in its reports and on the list.
+    pub fn leave_server(&mut self, server: &str, is_leaving: bool) {
+        if let Some(engine) = self.engines.get_mut(server) {
+            engine.leaving_since = is_leaving.then(|| engine.leaving_since.unwrap_or(self.now));
+        }
+        let mut vms = self.platform.listed();
+        for vm in vms.iter_mut().filter(|vm| vm.id == server) {
+            vm.state = if is_leaving {
+                border::VmState::Leaving
+            } else {
+                border::VmState::Live
+            };
+        }
+        self.platform.set_list(vms, self.now);
+    }
+
+    /// Ends all faults and starts all processes.
+    pub fn heal(&mut self) {
+        self.network.mend_all();
+        self.platform.is_out = false;
+        self.platform.staleness = time::Duration::ZERO;
+        for engine in self.engines.values_mut() {
+            engine.is_dead = false;
+        }
+        for index in 0..SERVERS {
+            self.leave_server(&server(index), false);
+        }
+        for index in 0..ENTRIES {
+            self.thaw(&entry(index));
+            self.start(&entry(index));
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/promises/fleet/operators.rs
@@ -0,0 +1,78 @@
+//! Operators: an intent to every entry, the conditional write, commits.
+
+use std::time;
+
+use mustardshed_core::{ids, process::event, version::record};
+
+use super::{ENTRIES, Fleet, Item, Run, network};
+
+/// An operator's change on its way.
+#[derive(Clone, Debug)]
+pub struct Change {
+    pub data_centre: ids::DataCentreId,
+    pub is_out: bool,
+    pub then_outage: bool,
+    pub tells: bool,
+}
+
+impl Fleet {
+    /// Lets an operator change what is out of service: intents, the write, commits.
+    pub fn operate(&mut self, changes: &[Change]) {
+        let Some((version, present)) = self.platform.accepted(self.now) else {
+            return;
+        };
+        let mut plans = Vec::new();
+        for change in changes {
+            let mut next = present.clone();
+            next.generation += 1;
+            self.counter += 1;
+            next.nonce = format!("n{}", self.counter);
+            if change.is_out {
+                next.data_centres_out.insert(change.data_centre.clone());
+            } else {
+                next.data_centres_out.remove(&change.data_centre);
+            }
+            plans.push((self.counter, change, next));
+        }
+        for (ticket, _, next) in &plans {
+            self.tell_all(
+                |ticket, record| event::Event::Intent { ticket, record },
+                *ticket,
+                next,
+            );
+        }
+        self.advance(time::Duration::from_millis(50));
+        for (ticket, change, next) in plans {
+            let acknowledged = self.acknowledged.remove(&ticket).unwrap_or_default();
+            if 2 * acknowledged.len() <= ENTRIES {
+                continue;
+            }
+            if !self.platform.write(version, next.clone(), self.now) {
+                continue;
+            }
+            let is_lost = std::mem::take(&mut self.platform.loses_answer);
+            self.platform.is_out |= change.then_outage;
+            if change.tells && !(is_lost && self.platform.is_out) {
+                self.tell_all(
+                    |ticket, record| event::Event::Commit { ticket, record },
+                    ticket,
+                    &next,
+                );
+            }
+        }
+    }
+
+    fn tell_all(
+        &mut self,
+        event: impl Fn(u64, record::Record) -> event::Event,
+        ticket: u64,
+        record: &record::Record,
+    ) {
+        let runs: Vec<Run> = self.runs();
+        for run in runs {
+            if let Some(at) = self.network.arrival(network::OPERATOR, &run.0, self.now) {
+                self.at(at, run, Item::Handle(event(ticket, record.clone())));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/promises/fleet/traffic.rs
@@ -0,0 +1,269 @@
+//! Traffic threads: credits asked for and given back, work sent to engines, its end.
+
+use std::time;
+
+use mustardshed_core::{
+    border::{backend_server, control},
+    ids,
+    process::event,
+    request::owner,
+};
+
+use super::{Fleet, Item, PATIENCE, Run, broken, engine};
+
+/// One request as its traffic thread knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) server: ids::BackendServerId,
+    work: engine::Work,
+    lasts: time::Duration,
+    think: time::Duration,
+    credit: Option<control::Credit>,
+}
+
+/// How the work of a request ended, as its traffic thread learns.
+#[derive(Clone, Debug)]
+enum End {
+    Unsent,
+    Finished,
+    Failed(backend_server::BackendServerError),
+}
+
+/// Work that was granted on, or sent to, an engine.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub at: ids::Timestamp,
+    pub what: String,
+    pub data_centre: ids::DataCentreId,
+    pub leaving_for: Option<time::Duration>,
+}
+
+/// An engine that fell over under too much work in its cold start.
+#[derive(Clone, Debug)]
+pub struct FellOver {
+    pub what: String,
+    pub cold_for: Option<time::Duration>,
+}
+
+impl Fleet {
+    /// Begins a request.
+    pub fn submit(&mut self, vm: &str, server: &str, work: engine::Work, lasts: time::Duration) {
+        let now = self.now;
+        let Some(process) = self.processes.get_mut(vm) else {
+            return;
+        };
+        process.sequence += 1;
+        let request = format!("{vm}.{}.{}", process.incarnation, process.sequence);
+        let ticket = process.sequence;
+        let req = control::CreditRequest {
+            request: request.clone(),
+            account: format!("c{}", ticket % 3),
+            server: server.into(),
+            tokens: work.tokens,
+            prefill_tokens: work.tokens,
+            priority: (ticket % 4) as u32,
+            wait_until: now + PATIENCE,
+            gang: work.is_reservation,
+        };
+        let job = Job {
+            server: server.into(),
+            work,
+            lasts,
+            think: time::Duration::from_millis(1 + (ticket * 37) % 400),
+            credit: None,
+        };
+        process.jobs.insert(request.clone(), job);
+        process.tickets.insert(ticket, request);
+        let run = (vm.to_owned(), process.incarnation);
+        let event = event::Event::Acquire { ticket, req };
+        self.at(now, run, Item::Handle(event));
+    }
+
+    /// Breaks all streams of an engine: entries give up, and their cancellations are lost.
+    pub fn break_streams(&mut self, server: &str) {
+        let Some(engine) = self.engines.get(server) else {
+            return;
+        };
+        let held: Vec<_> = engine.held.keys().cloned().collect();
+        self.ends.retain(|_, (other, _)| other != server);
+        for request in held {
+            self.tell_owner(server, &request, End::Failed(broken()));
+        }
+    }
+
+    /// Lets an engine lose its work and turn cold without notice.
+    pub fn turn_cold(&mut self, server: &str, is_dead: bool) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        engine.is_dead = is_dead;
+        let lost = engine.restart(now);
+        self.ends.retain(|_, (other, _)| other != server);
+        for request in lost {
+            self.tell_owner(server, &request, End::Failed(broken()));
+        }
+    }
+
+    pub(super) fn acquired(&mut self, run: &Run, ticket: u64, credit: Option<control::Credit>) {
+        let now = self.now;
+        let Some(process) = self.processes.get_mut(&run.0) else {
+            return;
+        };
+        let Some(request) = process.tickets.remove(&ticket) else {
+            return;
+        };
+        let Some(credit) = credit else {
+            process.jobs.remove(&request);
+            return;
+        };
+        let Some(job) = process.jobs.get_mut(&request) else {
+            return;
+        };
+        let at = now + job.think;
+        job.credit = Some(credit);
+        self.at(at, run.clone(), Item::Send(request));
+    }
+
+    /// Sends work to its engine, after the checks that traffic threads make at the send.
+    pub(super) fn send_work(&mut self, run: &Run, request: &str) {
+        let now = self.now;
+        let Some(process) = self.processes.get(&run.0) else {
+            return;
+        };
+        let Some(job) = process.jobs.get(request).cloned() else {
+            return;
+        };
+        let snapshot = process.node.snapshot(now);
+        let is_good = job.credit.as_ref().is_some_and(|credit| {
+            snapshot.servers.get(&job.server).is_some_and(|view| {
+                now < snapshot.may_place_until
+                    && now < credit.use_by
+                    && !snapshot.data_centres_out.contains(&view.data_centre)
+                    && !view.leaving
+                    && view.epoch == credit.epoch
+            })
+        });
+        if !is_good || self.network.is_cut(&run.0, &job.server) {
+            self.tell_owner(&job.server, request, End::Unsent);
+            return;
+        }
+        let Some(engine) = self.engines.get(&job.server) else {
+            return;
+        };
+        let cold_for = engine.turned_cold_at.map(|at| now - at);
+        self.sent.extend(self.place(request, &job.server));
+        let Some(engine) = self.engines.get_mut(&job.server) else {
+            return;
+        };
+        if engine.is_dead {
+            self.tell_owner(&job.server, request, End::Failed(unreachable()));
+            return;
+        }
+        let held: Vec<_> = engine.held.keys().cloned().collect();
+        match engine.arrive(request, job.work, now) {
+            engine::Arrival::Taken => {
+                self.counter += 1;
+                let end = (now + job.lasts, self.counter);
+                self.ends.insert(end, (job.server, request.to_owned()));
+            }
+            engine::Arrival::Refused => {
+                self.tell_owner(&job.server, request, End::Failed(refused()));
+            }
+            engine::Arrival::FellOver => {
+                self.fell_over.push(FellOver {
+                    what: format!("{} at {now:?} under {held:?} and {request}", job.server),
+                    cold_for,
+                });
+                self.ends.retain(|_, (server, _)| *server != job.server);
+                for lost in held.iter().map(String::as_str).chain([request]) {
+                    self.tell_owner(&job.server, lost, End::Failed(broken()));
+                }
+            }
+        }
+    }
+
+    fn end_work(&mut self, server: &str, request: &str, end: End) {
+        let is_held = self
+            .engines
+            .get_mut(server)
+            .is_some_and(|engine| engine.end(request));
+        if is_held {
+            self.tell_owner(server, request, end);
+        }
+    }
+
+    /// Describes work that is placed on a server now.
+    pub(super) fn place(&self, request: &str, server: &str) -> Option<Sent> {
+        let engine = self.engines.get(server)?;
+        Some(Sent {
+            at: self.now,
+            what: format!("{request} on {server} at {:?}", self.now),
+            data_centre: engine.data_centre.clone(),
+            leaving_for: engine.leaving_since.map(|at| self.now - at),
+        })
+    }
+
+    /// Lets the traffic thread of a request, if its process still runs, give its credit back.
+    fn tell_owner(&mut self, server: &str, request: &str, end: End) {
+        let epoch = self.engines.get(server).map(|engine| engine.epoch);
+        let Some(owner) = owner::of(request) else {
+            return;
+        };
+        let process = self.processes.get_mut(&owner.vm);
+        let process = process.filter(|process| process.incarnation == owner.incarnation);
+        let Some(process) = process else {
+            return;
+        };
+        let job = process.jobs.remove(request);
+        let Some(credit) = job.and_then(|job| job.credit) else {
+            return;
+        };
+        let feedback = control::Feedback {
+            request: request.into(),
+            server: server.into(),
+            prefill_tokens: 0,
+            first_token: None,
+            epoch: epoch.filter(|_| matches!(end, End::Finished)),
+            failure: match end {
+                End::Failed(failure) => Some(failure),
+                End::Unsent | End::Finished => None,
+            },
+        };
+        let event = event::Event::Release { credit, feedback };
+        self.at(self.now, (owner.vm, owner.incarnation), Item::Handle(event));
+    }
+
+    /// Returns whether a request is being worked on for a process that runs.
+    pub fn is_needed(&self, request: &str) -> bool {
+        owner::of(request).is_some_and(|owner| {
+            self.processes.get(&owner.vm).is_some_and(|process| {
+                process.incarnation == owner.incarnation && process.jobs.contains_key(request)
+            })
+        })
+    }
+
+    pub(super) fn cancel(&mut self, address: &str, request: &str) {
+        let server = self
+            .engines
+            .iter()
+            .find(|(_, engine)| engine.address == address);
+        let Some(server) = server.map(|(server, _)| server.clone()) else {
+            return;
+        };
+        self.end_work(&server, request, End::Failed(broken()));
+    }
+
+    /// Ends work that ran to its end.
+    pub(super) fn finish_work(&mut self, server: &str, request: &str) {
+        self.end_work(server, request, End::Finished);
+    }
+}
+
+fn refused() -> backend_server::BackendServerError {
+    backend_server::BackendServerError::Refused("full".into())
+}
+
+fn unreachable() -> backend_server::BackendServerError {
+    backend_server::BackendServerError::Unreachable("dead".into())
+}
--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -41,6 +41,8 @@
     fn check(_fleet: &fleet::Fleet) {}
 
     fn finish(mut fleet: fleet::Fleet) {
+        fleet.heal();
+        fleet.advance(fleet::DRAIN);
         fleet.heal();
         fleet.advance(MEMORY_RETURNS_WITHIN);
         for (server, engine) in &fleet.engines {
@@ -51,7 +53,7 @@
         fleet.advance(time::Duration::from_secs(45));
         fleet.heal();
         fleet.advance(FIVE_SECONDS);
-        let granted = fleet.granted;
+        let granted = fleet.granted.len();
         for index in 0..fleet::SERVERS {
             let whole = engine::Work {
                 tokens: fleet::MEMORY_TOKENS,
@@ -60,8 +62,8 @@
             fleet.submit(&fleet::entry(0), &fleet::server(index), whole, FIVE_SECONDS);
         }
         fleet.advance(FIVE_SECONDS);
-        let granted = fleet.granted - granted;
-        assert_eq!(granted, fleet::SERVERS as u64, "whole memory granted");
+        let granted = fleet.granted.len() - granted;
+        assert_eq!(granted, fleet::SERVERS, "whole memory granted");
     }
 }
 
@@ -73,9 +75,11 @@
     fn steps() -> BoxedStrategy<step::Step> {
         prop_oneof![
             3 => step::wait(),
-            5 => step::submit(),
+            3 => step::submit(),
             2 => step::entry_fault(),
             2 => step::server_fault(),
+            3 => step::handover(),
+            1 => step::slow_links(),
         ]
         .boxed()
     }
@@ -104,12 +108,13 @@
             2 => step::operate(),
             2 => step::entry_fault(),
             2 => step::platform_fault(),
+            4 => step::unheard_change(),
         ]
         .boxed()
     }
 
     fn check(fleet: &fleet::Fleet) {
-        for sent in &fleet.sent {
+        for sent in fleet.sent.iter().chain(&fleet.granted) {
             let before = fleet.platform.accepted(sent.at - FIVE_SECONDS);
             let before = before.into_iter().map(|(_, record)| record);
             let since = fleet
@@ -142,7 +147,7 @@
     }
 
     fn check(fleet: &fleet::Fleet) {
-        for sent in &fleet.sent {
+        for sent in fleet.sent.iter().chain(&fleet.granted) {
             let is_late = sent.leaving_for.is_some_and(|age| age >= FIVE_SECONDS);
             assert!(!is_late, "sent to a server that leaves: {}", sent.what);
         }
@@ -170,6 +175,17 @@
 
     fn finish(mut fleet: fleet::Fleet) {
         fleet.heal();
+        fleet.advance(fleet::DRAIN);
+        fleet.heal();
+        fleet.advance(FIVE_SECONDS);
+        fleet.network.cut(&fleet::entry(0), "platform");
+        fleet.network.cut(network::OPERATOR, &fleet::entry(0));
+        fleet.operate(&[fleet::Change {
+            data_centre: "a".into(),
+            is_out: true,
+            then_outage: false,
+            tells: false,
+        }]);
         fleet.advance(FIVE_SECONDS);
         let accepted = fleet.platform.accepted(fleet.now - FIVE_SECONDS);
         let accepted = accepted.map_or(0, |(_, record)| record.generation);
--- a/crates/mustardshed-core/tests/promises/network.rs
+++ b/crates/mustardshed-core/tests/promises/network.rs
@@ -14,6 +14,7 @@
 #[derive(Debug, Default)]
 pub struct Network {
     cuts: collections::BTreeSet<(String, String)>,
+    slow: collections::BTreeMap<String, time::Duration>,
     last_arrival: collections::BTreeMap<(String, String), ids::Timestamp>,
     sent: u64,
 }
@@ -24,9 +25,20 @@
         self.cuts.insert((a.to_owned(), b.to_owned()));
     }
 
+    /// Lets all that is sent to `b` arrive late.
+    pub fn slow(&mut self, b: &str, by: time::Duration) {
+        self.slow.insert(b.to_owned(), by);
+    }
+
+    /// Returns by how much all that is sent to `b` is late.
+    pub fn delay(&self, b: &str) -> time::Duration {
+        self.slow.get(b).copied().unwrap_or_default()
+    }
+
     /// Mends all links.
     pub fn mend_all(&mut self) {
         self.cuts.clear();
+        self.slow.clear();
     }
 
     /// Returns whether the link from `a` to `b` is cut.
@@ -41,7 +53,8 @@
         }
         self.sent += 1;
         let extra = self.sent.wrapping_mul(0x9E37_79B9) % MOST_EXTRA_DELAY_US;
-        let arrival = now + LEAST_DELAY + time::Duration::from_micros(extra);
+        let extra = time::Duration::from_micros(extra) + self.delay(b);
+        let arrival = now + LEAST_DELAY + extra;
         let last = self.last_arrival.entry((a.to_owned(), b.to_owned()));
         let last = last.or_default();
         *last = arrival.max(*last);
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -36,6 +36,19 @@
     BreakStreams(usize),
     LeaveServer(usize, bool),
     Operate(Vec<fleet::Change>),
+    Slow(usize, u64),
+    Steward(usize, Fault),
+    CutOperator(usize),
+    Script(Vec<Step>),
+}
+
+/// A fault of the entry that is steward of a server.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    Kill,
+    Freeze,
+    Isolate,
+    Leave,
 }
 
 /// Requests of one kind on one server, one from each of some entries.
@@ -68,7 +81,7 @@
                     fleet.network.cut(&entry(b), &entry(a));
                 }
             }
-            Self::Isolate(index) => isolate(fleet, index),
+            Self::Isolate(index) => isolate(fleet, &entry(index)),
             Self::CutPlatform(index) => fleet.network.cut(&entry(index), "platform"),
             Self::CutServer(index, other) => fleet.network.cut(&entry(index), &server(other)),
             Self::Mend => fleet.network.mend_all(),
@@ -86,6 +99,22 @@
                 fleet.leave_server(&server(index), is_leaving);
             }
             Self::Operate(changes) => fleet.operate(&changes),
+            Self::Slow(index, ms) => {
+                fleet
+                    .network
+                    .slow(&entry(index), time::Duration::from_millis(ms));
+            }
+            Self::Steward(index, fault) => {
+                if let Some(steward) = fleet.steward(&server(index)) {
+                    fault.apply(&steward, fleet);
+                }
+            }
+            Self::CutOperator(index) => fleet.network.cut(network::OPERATOR, &entry(index)),
+            Self::Script(steps) => {
+                for step in steps {
+                    step.apply(fleet);
+                }
+            }
         }
     }
 }
@@ -105,13 +134,23 @@
 }
 
 /// Cuts an entry off from the platform, operators and all other entries.
-fn isolate(fleet: &mut fleet::Fleet, index: usize) {
-    let own = fleet::entry(index);
-    fleet.network.cut(&own, "platform");
-    fleet.network.cut(network::OPERATOR, &own);
-    for other in (0..ENTRIES).filter(|other| *other != index) {
-        fleet.network.cut(&own, &fleet::entry(other));
-        fleet.network.cut(&fleet::entry(other), &own);
+fn isolate(fleet: &mut fleet::Fleet, own: &str) {
+    fleet.network.cut(own, "platform");
+    fleet.network.cut(network::OPERATOR, own);
+    for other in (0..ENTRIES).map(fleet::entry).filter(|other| other != own) {
+        fleet.network.cut(own, &other);
+        fleet.network.cut(&other, own);
+    }
+}
+
+impl Fault {
+    fn apply(self, vm: &str, fleet: &mut fleet::Fleet) {
+        match self {
+            Self::Kill => fleet.kill(vm),
+            Self::Freeze => fleet.freeze(vm),
+            Self::Isolate => isolate(fleet, vm),
+            Self::Leave => fleet.leave(vm),
+        }
     }
 }
 
@@ -216,3 +255,124 @@
         .prop_map(Step::Operate)
         .boxed()
 }
+
+/// Small work on one server from every entry at once.
+fn everywhere(server: usize, lasts_ms: u64) -> Step {
+    Step::Submit(Load {
+        first_entry: 0,
+        count: 2 * ENTRIES,
+        server,
+        tokens: 1,
+        lasts_ms,
+        is_reservation: false,
+    })
+}
+
+/// Small work on every server from one entry.
+fn all_servers(entry: usize) -> Step {
+    let loads = (0..SERVERS).map(|server| {
+        Step::Submit(Load {
+            first_entry: entry,
+            count: 1,
+            server,
+            tokens: 1,
+            lasts_ms: 100,
+            is_reservation: false,
+        })
+    });
+    Step::Script(loads.collect())
+}
+
+/// A change of steward in the midst of work on the server.
+pub fn handover() -> BoxedStrategy<Step> {
+    let fault = proptest::sample::select(vec![
+        Fault::Kill,
+        Fault::Freeze,
+        Fault::Isolate,
+        Fault::Leave,
+    ]);
+    let waits = (1_u64..400, prop_oneof![1_u64..1500, 5000_u64..12_000]);
+    (0..SERVERS, fault, waits, any::<bool>())
+        .prop_map(|(server, fault, (before, after), is_mended)| {
+            let mut steps = vec![
+                everywhere(server, 20_000),
+                Step::Wait(before),
+                Step::Steward(server, fault),
+                Step::Wait(after),
+                everywhere(server, 20_000),
+            ];
+            if is_mended {
+                steps.extend([Step::Wait(300), Step::Mend, everywhere(server, 20_000)]);
+                steps.extend((0..ENTRIES).map(Step::Thaw));
+            }
+            Step::Script(steps)
+        })
+        .boxed()
+}
+
+/// Messages to one entry that arrive late while work is placed.
+pub fn slow_links() -> BoxedStrategy<Step> {
+    (0..ENTRIES, 0_u64..9000, 0..SERVERS, 0_u64..6000)
+        .prop_map(|(entry, ms, server, after)| {
+            Step::Script(vec![
+                Step::Slow(entry, ms),
+                everywhere(server, 5000),
+                Step::Wait(after),
+                everywhere(server, 5000),
+            ])
+        })
+        .boxed()
+}
+
+/// An entry that cannot hear of a change which takes a data centre out, and work on all servers
+/// from it for a while after.
+pub fn unheard_change() -> BoxedStrategy<Step> {
+    let deafness = prop_oneof![
+        (0..ENTRIES).prop_map(|entry| (entry, vec![Step::Isolate(entry)])),
+        (0..ENTRIES).prop_map(|entry| (entry, vec![Step::Freeze(entry)])),
+        (0..ENTRIES, 0_u64..9000).prop_map(|(entry, ms)| {
+            (entry, vec![Step::Slow(entry, ms), Step::CutPlatform(entry)])
+        }),
+        (0..ENTRIES).prop_map(|entry| (entry, vec![Step::CutOperator(entry)])),
+        (0..ENTRIES).prop_map(|entry| (entry, vec![Step::CutPlatform(entry)])),
+    ];
+    let restarts = proptest::collection::vec(0..ENTRIES, 0..3);
+    let freeze = proptest::option::of(0..ENTRIES);
+    (
+        deafness,
+        change_out(),
+        restarts,
+        freeze,
+        0_u64..4000,
+        2000_u64..7000,
+    )
+        .prop_map(
+            |((entry, mut steps), change, restarts, frozen, before, after)| {
+                steps.extend([Step::Wait(before), all_servers(entry)]);
+                steps.push(Step::Operate(vec![change]));
+                let restarts = restarts.into_iter().filter(|other| *other != entry);
+                steps.extend(restarts.flat_map(|other| [Step::Kill(other), Step::Start(other)]));
+                steps.extend(frozen.filter(|other| *other != entry).map(Step::Freeze));
+                steps.push(Step::Wait(after));
+                steps.push(Step::Thaw(entry));
+                for _ in 0..6 {
+                    steps.extend([all_servers(entry), Step::Wait(500)]);
+                }
+                steps.extend([Step::Mend, Step::Outage(false)]);
+                steps.extend((0..ENTRIES).map(Step::Thaw));
+                Step::Script(steps)
+            },
+        )
+        .boxed()
+}
+
+fn change_out() -> BoxedStrategy<fleet::Change> {
+    (0..DATA_CENTRES.len(), any::<bool>(), any::<bool>())
+        .prop_map(|(data_centre, then_outage, tells)| fleet::Change {
+            data_centre: DATA_CENTRES[data_centre].into(),
+            is_out: true,
+            then_outage,
+            tells,
+        })
+        .boxed()
+}
