Learn late fates, bound stalled writes, and route by believed prefixes

A call that may not be repeated was given up at its deadline, so that its fate stayed unknown even if the service answered a moment later; it is now waited for in the background. A caller that never read held its connection, and a planned stop, for good. An engine that is silent but still has the request is asked again instead of being taken for dead. Prompts go to the server that was last given their longest known prefix if its queue allows.

--- a/crates/mustardshed-core/src/request.rs
+++ b/crates/mustardshed-core/src/request.rs
@@ -6,5 +6,6 @@
 pub mod gang;
 pub mod lane;
 pub mod owner;
+pub mod prefix;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/mustardshed-core/src/request/prefix.rs
@@ -0,0 +1,124 @@
+//! Which server is believed to hold which prompt prefix in its cache.
+
+use std::{sync::atomic, time};
+
+use xxhash_rust::xxh3;
+
+use crate::ids;
+
+/// Length of the shortest prefix that is remembered, in tokens; each next one is twice as long.
+const FIRST_PREFIX_TOKENS: ids::Tokens = 256;
+/// Time after which a prefix is no longer believed to be held.
+const MAX_AGE: time::Duration = time::Duration::from_secs(300);
+/// Unit of the times in a slot.
+const AGE_UNIT: time::Duration = time::Duration::from_secs(4);
+/// Bits of a slot that hold its time.
+const TIME_BITS: u32 = 16;
+/// Bits of a slot that hold the server's tag.
+const SERVER_BITS: u32 = 24;
+
+/// One prefix of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Mark {
+    hash: u64,
+    tokens: ids::Tokens,
+}
+
+/// A server at one epoch, in short.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerTag(u64);
+
+impl ServerTag {
+    /// Returns the tag of a server; a server that turned cold has another one.
+    pub fn of(server: &str, epoch: ids::Epoch) -> Self {
+        let hash = xxh3::xxh3_64_with_seed(server.as_bytes(), epoch);
+        Self(hash & mask(SERVER_BITS))
+    }
+}
+
+/// Returns the prefixes of a prompt for a model, the shortest first.
+pub fn marks(model: &str, prompt: &[u8], bytes_per_token: u32) -> Vec<Mark> {
+    let bytes_per_token = ids::Tokens::from(bytes_per_token.max(1));
+    let mut hasher = xxh3::Xxh3::with_seed(xxh3::xxh3_64(model.as_bytes()));
+    let mut marks = Vec::new();
+    let mut rest = prompt;
+    let mut hashed = 0;
+    let mut tokens = FIRST_PREFIX_TOKENS;
+    loop {
+        let wanted = usize::try_from(tokens * bytes_per_token).unwrap_or(usize::MAX);
+        let Some((prefix, after)) = rest.split_at_checked(wanted - hashed) else {
+            return marks;
+        };
+        hasher.update(prefix);
+        marks.push(Mark {
+            hash: hasher.digest(),
+            tokens,
+        });
+        rest = after;
+        hashed = wanted;
+        tokens *= 2;
+    }
+}
+
+/// Which server was given which prefix last; read and written without locks.
+///
+/// A slot holds a part of the prefix's hash, the server's tag and the time. A prefix that shares a
+/// slot with another one is forgotten, and a wrong belief costs no more than a longer prefill.
+#[derive(Debug)]
+pub struct Table {
+    slots: Box<[atomic::AtomicU64]>,
+}
+
+impl Table {
+    /// Makes a table with `slots` slots, rounded up to a power of two.
+    pub fn new(slots: usize) -> Self {
+        let slots = slots.next_power_of_two();
+        Self {
+            slots: (0..slots).map(|_| atomic::AtomicU64::new(0)).collect(),
+        }
+    }
+
+    /// Remembers that a server prefilled a prompt with these prefixes.
+    pub fn learn(&self, marks: &[Mark], server: ServerTag, now: ids::Timestamp) {
+        for mark in marks {
+            let value = tag(mark) | server.0 << TIME_BITS | time_of(now);
+            if let Some(slot) = self.slot(mark) {
+                slot.store(value, atomic::Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Returns the server that was given the longest known prefix last, and its length in tokens.
+    pub fn find(&self, marks: &[Mark], now: ids::Timestamp) -> Option<(ServerTag, ids::Tokens)> {
+        marks.iter().rev().find_map(|mark| {
+            let value = self.slot(mark)?.load(atomic::Ordering::Relaxed);
+            let is_known =
+                value >> (TIME_BITS + SERVER_BITS) == tag(mark) >> (TIME_BITS + SERVER_BITS);
+            let server = ServerTag(value >> TIME_BITS & mask(SERVER_BITS));
+            (value != 0 && is_known && is_recent(value, now)).then_some((server, mark.tokens))
+        })
+    }
+
+    fn slot(&self, mark: &Mark) -> Option<&atomic::AtomicU64> {
+        let index = mark.hash & (self.slots.len() as u64 - 1);
+        self.slots.get(usize::try_from(index).ok()?)
+    }
+}
+
+const fn mask(bits: u32) -> u64 {
+    (1 << bits) - 1
+}
+
+/// Returns the part of the hash that a slot holds, in its place.
+const fn tag(mark: &Mark) -> u64 {
+    mark.hash & !mask(TIME_BITS + SERVER_BITS)
+}
+
+const fn time_of(now: ids::Timestamp) -> u64 {
+    (now.as_secs() / AGE_UNIT.as_secs()) & mask(TIME_BITS)
+}
+
+const fn is_recent(value: u64, now: ids::Timestamp) -> bool {
+    let age = time_of(now).wrapping_sub(value & mask(TIME_BITS)) & mask(TIME_BITS);
+    age * AGE_UNIT.as_secs() <= MAX_AGE.as_secs()
+}
--- a/crates/mustardshed-core/tests/request/main.rs
+++ b/crates/mustardshed-core/tests/request/main.rs
@@ -4,5 +4,6 @@
 mod assembly;
 mod fixtures;
 mod gang;
+mod prefix;
 mod retry;
 mod route;
--- a/crates/mustardshedd/src/http.rs
+++ b/crates/mustardshedd/src/http.rs
@@ -5,6 +5,7 @@
 
 pub mod auth;
 pub mod body;
+pub mod bounded_io;
 pub mod cx;
 pub mod entries;
 pub mod explain;
--- a/crates/mustardshedd/src/http/server.rs
+++ b/crates/mustardshedd/src/http/server.rs
@@ -8,7 +8,7 @@
 use warp::{filters::BoxedFilter, reply::Response};
 
 use crate::{
-    http::{cx, routes},
+    http::{bounded_io, cx, routes},
     log::{self, event},
 };
 
@@ -120,13 +120,14 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
+        let io = bounded_io::BoundedIo::new(stream, self.limits.idle_timeout);
         let served = service::TowerToHyperService::new(warp::service(self.routes.clone()));
         let connection = http1::Builder::new()
             .timer(rt::TokioTimer::new())
             .header_read_timeout(self.limits.header_timeout.max(self.limits.idle_timeout))
             .max_buf_size(self.limits.max_header_bytes)
             .max_headers(MAX_HEADERS)
-            .serve_connection(rt::TokioIo::new(stream), served);
+            .serve_connection(rt::TokioIo::new(io), served);
         let mut closed = self.closed.clone();
         self.tracker.spawn(async move {
             let mut connection = std::pin::pin!(connection);
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -111,11 +111,6 @@
         generation: ids::Generation,
         source: &'a str,
     }
-    /// A generation is in force whose text is not understood; the text before it stays.
-    2008 Error "configuration_not_understood" ConfigurationNotUnderstood {
-        generation: ids::Generation,
-        reason: &'a str,
-    }
     /// A member came, left, or is taken to be dead.
     2002 Info "member_changed" MemberChanged {
         vm: &'a str,
@@ -149,4 +144,9 @@
         fresh: bool,
         reason: &'a str,
     }
+    /// A generation is in force whose text is not understood; the text before it stays.
+    2008 Error "configuration_not_understood" ConfigurationNotUnderstood {
+        generation: ids::Generation,
+        reason: &'a str,
+    }
 }
--- a/crates/mustardshedd/src/request/call.rs
+++ b/crates/mustardshedd/src/request/call.rs
@@ -43,9 +43,9 @@
     guards: completion::Guards,
 ) -> oneshot::Receiver<Ended> {
     let (tx, rx) = oneshot::channel();
-    let driver = driver::Driver::new(sync::Arc::clone(cx), call, tx);
+    let driver = driver::Driver::new(sync::Arc::clone(cx), call);
     tokio::spawn(async move {
-        driver.run().await;
+        driver.run(tx).await;
         drop(guards);
     });
     rx
--- a/crates/mustardshedd/src/request/call/attempt.rs
+++ b/crates/mustardshedd/src/request/call/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a call: route, take a credit, check, send.
 
-use std::sync;
+use std::sync::{self, atomic};
 
 use mustardshed::core::{
     border::{backend_server, control},
@@ -108,8 +108,7 @@
         placement: &mut placement::Placement,
     ) -> Result<fate::KeptAnswer, failure::Failure> {
         let cx = sync::Arc::clone(&self.cx);
-        let ran_before = self.may_have_run;
-        self.may_have_run = true;
+        let ran_before = self.may_have_run.swap(true, atomic::Ordering::SeqCst);
         self.tried.push(decision.server.clone());
         self.given.push(decision.server.clone());
         self.record_running();
@@ -123,7 +122,8 @@
         };
         placement.fail(&err);
         if failure::is_not_run(&err) {
-            self.may_have_run = ran_before;
+            self.may_have_run
+                .store(ran_before, atomic::Ordering::SeqCst);
             self.given.pop();
             return Err(failure::Failure::not_run(&err));
         }
--- a/crates/mustardshedd/src/request/call/driver.rs
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -1,6 +1,9 @@
 //! Carries a call of a plain service from its claim to its answer.
 
-use std::sync;
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use mustardshed::core::{
     border::control,
@@ -20,6 +23,20 @@
 /// Part of the time left until the deadline for which credits are waited for.
 const CREDIT_WAIT_DIVISOR: u32 = 2;
 
+/// Wait beyond the deadline for the fate of a call that may not be repeated.
+const FATE_WAIT: time::Duration = time::Duration::from_secs(60);
+
+/// Who waits for a call's end; told once.
+struct Caller(Option<oneshot::Sender<call::Ended>>);
+
+impl Caller {
+    fn tell(&mut self, ended: call::Ended) {
+        if let Some(tx) = self.0.take() {
+            drop(tx.send(ended));
+        }
+    }
+}
+
 /// Carries one call.
 #[derive(Debug)]
 pub struct Driver {
@@ -28,16 +45,15 @@
     pub(super) tried: Vec<ids::BackendServerId>,
     pub(super) given: Vec<ids::BackendServerId>,
     pub(super) attempts: u32,
-    pub(super) may_have_run: bool,
+    pub(super) may_have_run: sync::Arc<atomic::AtomicBool>,
     pub(super) wait_until: ids::Timestamp,
     budget: sync::Arc<retry::Budget>,
-    tx: Option<oneshot::Sender<call::Ended>>,
     started_at: ids::Timestamp,
 }
 
 impl Driver {
     /// Makes the driver of an admitted call.
-    pub fn new(cx: sync::Arc<cx::Cx>, call: call::Call, tx: oneshot::Sender<call::Ended>) -> Self {
+    pub fn new(cx: sync::Arc<cx::Cx>, call: call::Call) -> Self {
         let budget = cx.budgets.get(&call.job.service);
         budget.deposit(call.job.retry_percent);
         let started_at = cx.clock.now();
@@ -48,20 +64,20 @@
             tried: Vec::new(),
             given: Vec::new(),
             attempts: 0,
-            may_have_run: false,
+            may_have_run: sync::Arc::default(),
             wait_until: started_at + left / CREDIT_WAIT_DIVISOR,
             budget,
-            tx: Some(tx),
             started_at,
         }
     }
 
-    /// Carries the call to its end.
-    pub async fn run(mut self) {
-        let ended = self.drive().await;
+    /// Carries the call to its end and tells it over `tx`.
+    pub async fn run(mut self, tx: oneshot::Sender<call::Ended>) {
+        let mut caller = Caller(Some(tx));
+        let ended = self.drive(&mut caller).await;
         let (outcome, kind, answer) = match &ended {
             call::Ended::Earlier(_) => {
-                self.send(ended);
+                caller.tell(ended);
                 return;
             }
             call::Ended::Answered(answer) => (Outcome::Completed, None, Some(answer.clone())),
@@ -72,26 +88,38 @@
         let fate = self.fate(outcome, kind, kept);
         if outcome == Outcome::Completed {
             settlement::conclude(&self.cx, &self.call.job, fate).await;
-            self.send(ended);
+            caller.tell(ended);
         } else {
-            self.send(ended);
+            caller.tell(ended);
             settlement::conclude(&self.cx, &self.call.job, fate).await;
         }
     }
 
     /// Attempts until the call ends or its deadline passes.
-    async fn drive(&mut self) -> call::Ended {
+    ///
+    /// A call that may not be repeated and may be running is waited for beyond its deadline, so
+    /// that its true fate can be told later; its caller is answered at the deadline all the same.
+    async fn drive(&mut self, caller: &mut Caller) -> call::Ended {
         let cx = sync::Arc::clone(&self.cx);
         let deadline = self.call.job.deadline;
-        let late = tokio::select! {
+        let is_repeatable = self.call.is_repeatable;
+        let may_have_run = sync::Arc::clone(&self.may_have_run);
+        let mut attempts = std::pin::pin!(self.claim_and_attempt());
+        tokio::select! {
             biased;
-            ended = self.claim_and_attempt() => return ended,
-            () = cx.sleep_until(deadline) => error::Error::not_run(
-                error::ErrorKind::DeadlineExceeded,
-                "the deadline passed before the service answered",
-            ),
-        };
-        call::Ended::Failed(self.with_true_outcome(late))
+            ended = &mut attempts => return ended,
+            () = cx.sleep_until(deadline) => {}
+        }
+        if !may_have_run.load(atomic::Ordering::SeqCst) {
+            return call::Ended::Failed(late(Outcome::NotRun));
+        }
+        let unknown = call::Ended::Failed(late(Outcome::Unknown));
+        if is_repeatable {
+            return unknown;
+        }
+        caller.tell(unknown.clone());
+        let learned = tokio::time::timeout(FATE_WAIT, attempts).await;
+        learned.unwrap_or(unknown)
     }
 
     async fn claim_and_attempt(&mut self) -> call::Ended {
@@ -139,7 +167,7 @@
     ///
     /// A service cannot be told to stop, so that a call which it may have begun has an unknown end.
     fn with_true_outcome(&self, mut err: error::Error) -> error::Error {
-        if !self.may_have_run {
+        if !self.may_have_run.load(atomic::Ordering::SeqCst) {
             return err;
         }
         err.outcome = Outcome::Unknown;
@@ -150,12 +178,6 @@
         err
     }
 
-    fn send(&mut self, ended: call::Ended) {
-        if let Some(tx) = self.tx.take() {
-            drop(tx.send(ended));
-        }
-    }
-
     fn fate(
         &self,
         outcome: Outcome,
@@ -200,3 +222,12 @@
         });
     }
 }
+
+fn late(outcome: Outcome) -> error::Error {
+    let mut err = error::Error::not_run(
+        error::ErrorKind::DeadlineExceeded,
+        "the deadline passed before the service answered",
+    );
+    err.outcome = outcome;
+    err
+}
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -2,10 +2,14 @@
 
 use std::sync;
 
-use mustardshed::core::{
-    border::{backend_server, control},
-    error, ids,
-    request::{admission, gang, lane, route, route::work},
+use mustardshed::{
+    config::text,
+    core::{
+        border::{backend_server, control},
+        error, ids,
+        process::snapshot,
+        request::{admission, gang, lane, prefix, route, route::work},
+    },
 };
 
 use crate::{
@@ -22,9 +26,10 @@
         self.send(&plan, &mut placement).await
     }
 
-    fn route(&self) -> Result<plan::Plan, failure::Failure> {
+    fn route(&mut self) -> Result<plan::Plan, failure::Failure> {
         let snapshot = self.cx.control.snapshot();
         let now = self.cx.clock.now();
+        self.mark_prefixes(&snapshot.text);
         let completion = &self.completion;
         let Some(target) = admission::model_target(&snapshot.text, &completion.model) else {
             return Err(failure::Failure::stop(error::Error::not_run(
@@ -34,7 +39,8 @@
         };
         let work = work::Work::new(target, self.cx.next_seed())
             .tokens(completion.prompt_tokens, completion.max_tokens)
-            .tried(&self.progress.tried);
+            .tried(&self.progress.tried)
+            .cached_prefix(self.cached_prefix(&snapshot, now));
         let plan = if gang::is_needed(&work) {
             self.route_gang(gang::plan(&snapshot, &work, now))?
         } else {
@@ -45,6 +51,42 @@
         Ok(plan)
     }
 
+    fn mark_prefixes(&mut self, text: &text::Text) {
+        if !self.progress.marks.is_empty() {
+            return;
+        }
+        let Some(model) = text.models.get(&self.completion.model) else {
+            return;
+        };
+        let prompt = &self.completion.prompt;
+        self.progress.marks = prefix::marks(&model.name, prompt, model.bytes_per_token);
+    }
+
+    /// Returns the server that is believed to hold the longest prefix of the prompt.
+    fn cached_prefix(
+        &self,
+        snapshot: &snapshot::Snapshot,
+        now: ids::Timestamp,
+    ) -> Option<work::CachedPrefix> {
+        let (tag, tokens) = self.cx.prefixes.find(&self.progress.marks, now)?;
+        let mut servers = snapshot.servers.values();
+        let server = servers.find(|s| prefix::ServerTag::of(&s.id, s.epoch) == tag)?;
+        Some(work::CachedPrefix {
+            server: server.id.clone(),
+            tokens,
+        })
+    }
+
+    /// Remembers that a server has prefilled the prompt.
+    pub(super) fn learn_prefixes(&self, plan: &plan::Plan, epoch: ids::Epoch) {
+        if plan.is_gang() {
+            return;
+        }
+        let server = prefix::ServerTag::of(&plan.lead.server, epoch);
+        let now = self.cx.clock.now();
+        self.cx.prefixes.learn(&self.progress.marks, server, now);
+    }
+
     fn route_single(
         &self,
         decision: Result<route::decision::Decision, route::decision::NoRoute>,
--- a/crates/mustardshedd/src/request/completion/progress.rs
+++ b/crates/mustardshedd/src/request/completion/progress.rs
@@ -1,6 +1,9 @@
 //! How far a prompt has come over all its attempts.
 
-use mustardshed::core::{ids, request::assembly};
+use mustardshed::core::{
+    ids,
+    request::{assembly, prefix},
+};
 
 use crate::request::{output, whole};
 
@@ -17,6 +20,8 @@
     pub attempts: u32,
     /// Whether any server ran the prompt, or may have run it, in part.
     pub may_have_run: bool,
+    /// Prefixes of the prompt.
+    pub marks: Vec<prefix::Mark>,
     /// Last piece, which is held back until the fate is recorded.
     pub last: Option<output::Piece>,
     /// Output so far, if it is kept for repeats.
@@ -32,6 +37,7 @@
             given: Vec::new(),
             attempts: 0,
             may_have_run: false,
+            marks: Vec::new(),
             last: None,
             kept: keeps_output.then(whole::Whole::default),
         }
--- a/crates/mustardshedd/src/request/completion/reading.rs
+++ b/crates/mustardshedd/src/request/completion/reading.rs
@@ -1,6 +1,6 @@
 //! Reading of an output, resumed where its stream breaks.
 
-use std::{sync, time};
+use std::time;
 
 use futures_util::StreamExt;
 use mustardshed::core::{border::backend_server, ids, request::assembly};
@@ -12,11 +12,19 @@
 
 /// Resumptions of one stream without a new token, at most.
 const MAX_RESUMES: u32 = 3;
-/// Least wait for the next token before a stream counts as broken.
+/// Least wait for the next token before the engine is asked whether it still has the request.
 const MIN_PATIENCE: time::Duration = time::Duration::from_secs(10);
-/// Multiple of the estimate after which a first token counts as lost.
+/// Multiple of the estimate after which a first token is asked for.
 const PATIENCE_FACTOR: u32 = 4;
 
+/// What reading of one stream came to.
+enum Pumped {
+    /// The last token was read.
+    Finished,
+    /// No token came for a while; an engine that still has the request says so when it is resumed.
+    Silent,
+}
+
 impl driver::Driver {
     /// Reads an output to its end, resuming it where its stream breaks.
     pub(super) async fn read(
@@ -29,14 +37,20 @@
         let mut resumes = 0;
         loop {
             let before = self.progress.assembly.next_offset();
-            let Err(err) = self.pump(&mut stream, plan, placement, sent_at).await else {
-                placement.end();
-                return Ok(());
+            let err = match self.pump(&mut stream, plan, placement, sent_at).await {
+                Ok(Pumped::Finished) => {
+                    placement.end();
+                    return Ok(());
+                }
+                Ok(Pumped::Silent) => broken("no token came for a while"),
+                Err(err) => {
+                    resumes += 1;
+                    err
+                }
             };
             if self.progress.assembly.next_offset() > before {
                 resumes = 0;
             }
-            resumes += 1;
             if resumes > MAX_RESUMES {
                 placement.fail(&err);
                 return Err(failure::Failure::broken(&err));
@@ -74,15 +88,14 @@
         plan: &plan::Plan,
         placement: &mut placement::Placement,
         sent_at: ids::Timestamp,
-    ) -> Result<(), backend_server::BackendServerError> {
-        let cx = sync::Arc::clone(&self.cx);
+    ) -> Result<Pumped, backend_server::BackendServerError> {
         let mut patience = MIN_PATIENCE.max(plan.estimate.total() * PATIENCE_FACTOR);
         loop {
             let next = tokio::time::timeout(patience, stream.next()).await;
             let frame = match next {
                 Ok(Some(frame)) => frame?,
                 Ok(None) => return Err(broken("the stream ended before the output")),
-                Err(_) => return Err(broken("no token came for too long")),
+                Err(_) => return Ok(Pumped::Silent),
             };
             let step = self.progress.assembly.accept(&frame);
             if step == assembly::Step::Gap {
@@ -92,18 +105,32 @@
                 continue;
             }
             patience = MIN_PATIENCE;
-            if let Some(credit) = placement.credits_mut().first_mut() {
-                credit.set_epoch(frame.epoch);
-                if !credit.has_first_token() {
-                    credit.set_first_token(cx.clock.now().saturating_sub(sent_at));
-                }
-            }
+            self.note_token(frame.epoch, plan, placement, sent_at);
             if self.deliver(frame, step).await {
-                return Ok(());
+                return Ok(Pumped::Finished);
             }
         }
     }
 
+    /// Notes on the credit, and for later prompts, what a token shows.
+    fn note_token(
+        &self,
+        epoch: ids::Epoch,
+        plan: &plan::Plan,
+        placement: &mut placement::Placement,
+        sent_at: ids::Timestamp,
+    ) {
+        let Some(credit) = placement.credits_mut().first_mut() else {
+            return;
+        };
+        credit.set_epoch(epoch);
+        if credit.has_first_token() {
+            return;
+        }
+        credit.set_first_token(self.cx.clock.now().saturating_sub(sent_at));
+        self.learn_prefixes(plan, epoch);
+    }
+
     /// Hands on one frame; returns whether it was the last.
     async fn deliver(&mut self, frame: backend_server::TokenFrame, step: assembly::Step) -> bool {
         let piece = output::Piece {
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -5,7 +5,7 @@
 use mustardshed::core::{
     border::{backend_server, clock, control},
     error, ids,
-    request::retry,
+    request::{prefix, retry},
 };
 
 use crate::{
@@ -13,6 +13,9 @@
     request::{accounts, table},
 };
 
+/// Prompt prefixes that are remembered at most.
+const PREFIX_SLOTS: usize = 65_536;
+
 /// What all requests of an entry share.
 #[derive(Debug)]
 pub struct Cx {
@@ -24,6 +27,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// Retry budgets, by service.
     pub budgets: table::Table<retry::Budget>,
+    /// Which server is believed to hold which prompt prefix.
+    pub prefixes: prefix::Table,
     /// Running requests, by client account.
     pub accounts: accounts::Accounts,
     /// Metrics.
@@ -51,6 +56,7 @@
             servers,
             clock,
             budgets: table::Table::default(),
+            prefixes: prefix::Table::new(PREFIX_SLOTS),
             accounts: accounts::Accounts::default(),
             metrics,
             draws: atomic::AtomicU64::new(seed),
--- a/crates/mustardshedd/tests/traffic/hostile.rs
+++ b/crates/mustardshedd/tests/traffic/hostile.rs
@@ -9,7 +9,10 @@
     net,
 };
 
-use crate::fakes::world;
+use crate::fakes::{
+    servers::{self, Step},
+    world,
+};
 
 #[gtest]
 #[tokio::test]
@@ -213,6 +216,34 @@
     verify_that!(answer, starts_with("HTTP/1.1 400"))
 }
 
+#[gtest]
+#[tokio::test]
+async fn caller_that_never_reads_does_not_hold_a_planned_stop() -> Result<()> {
+    let limits = limits::Limits {
+        idle_timeout: time::Duration::from_millis(200),
+        ..limits::Limits::default()
+    };
+    let world = world::World::start_with(limits).await;
+    let frames = servers::long_frames("entry-1.1.1");
+    world.servers.then(Step::Frames(frames));
+    let mut stream = net::TcpStream::connect(world.server.local_addr())
+        .await
+        .unwrap();
+    let body = world::STREAMED;
+    let req = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        world::KEY,
+        body.len()
+    );
+    stream.write_all(req.as_bytes()).await.unwrap();
+    world.servers.wait_for("generate").await;
+
+    let stopped = tokio::time::timeout(time::Duration::from_secs(20), world.server.shutdown());
+
+    verify_that!(stopped.await.is_ok(), eq(true))
+}
+
 /// Sends bytes, keeps the connection open and returns what comes back until it is closed.
 async fn send_raw(world: &world::World, input: &[u8]) -> String {
     let mut stream = net::TcpStream::connect(world.server.local_addr())
