--- a/crates/mustardshed-config/src/settings.rs
+++ b/crates/mustardshed-config/src/settings.rs
@@ -33,9 +33,9 @@
     pub advertise_peer: net::SocketAddr,
     /// Base URL of the platform's object API, without a slash at its end.
     pub platform: String,
-    /// File that holds the key shared by all entries.
+    /// File that holds the secret shared by all entries.
     pub peer_key_file: path::PathBuf,
-    /// File that holds the operators' key.
+    /// File that holds the SHA-256 digest of the operators' key.
     pub operator_key_file: path::PathBuf,
     /// Least severity that is logged.
     pub log_level: LogLevel,
--- a/crates/mustardshed-config/tests/settings.rs
+++ b/crates/mustardshed-config/tests/settings.rs
@@ -73,6 +73,12 @@
 }
 
 proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..Default::default()
+    })]
+
     #[test]
     fn parsing_never_panics(source in "\\PC*") {
         let _ = settings::parse(&source);
--- a/crates/mustardshed-config/tests/text.rs
+++ b/crates/mustardshed-config/tests/text.rs
@@ -271,6 +271,12 @@
 }
 
 proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..Default::default()
+    })]
+
     #[test]
     fn parsing_never_panics(source in "\\PC*") {
         let _ = text::parse(&source);
