Tell failed reads from failed writes, and print candidates as a table

Cause: a trial in a platform outage showed 'nothing was written' for commands that only read. Change: reading a configuration has an error of its own; explain aligns its candidates.

--- a/crates/mustardshedctl/src/apply.rs
+++ b/crates/mustardshedctl/src/apply.rs
@@ -9,6 +9,7 @@
 mod edit;
 mod error;
 mod history;
+mod read_error;
 mod receipt;
 mod settlement;
 
@@ -23,6 +24,7 @@
 pub use edit::{Edit, EditError};
 pub use error::ApplyError;
 pub use history::{object_name as history_object_name, read as read_history};
+pub use read_error::ReadError;
 pub use receipt::{Receipt, Warning};
 
 use crate::entries;
--- a/crates/mustardshedctl/src/apply/current.rs
+++ b/crates/mustardshedctl/src/apply/current.rs
@@ -5,7 +5,7 @@
     wire::configuration,
 };
 
-use super::{ApplyError, CURRENT};
+use super::{CURRENT, ReadError};
 
 /// The configuration that the platform showed at one moment.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -22,7 +22,7 @@
     /// # Errors
     ///
     /// Returns an error if the platform does not answer or holds something else.
-    pub async fn read(platform: &dyn platform::Platform) -> Result<Self, ApplyError> {
+    pub async fn read(platform: &dyn platform::Platform) -> Result<Self, ReadError> {
         let purpose = platform::Purpose::Configuration;
         let kind = platform::ObjectKind::Configuration;
         let Some(object) = platform.get(purpose, kind, CURRENT).await? else {
@@ -32,7 +32,7 @@
             });
         };
         let record = configuration::decode(&object.value)
-            .map_err(|err| ApplyError::Unreadable(err.to_string()))?;
+            .map_err(|err| ReadError::Unreadable(err.to_string()))?;
         Ok(Self {
             version: object.version,
             record: Some(record),
--- a/crates/mustardshedctl/src/apply/error.rs
+++ b/crates/mustardshedctl/src/apply/error.rs
@@ -3,7 +3,7 @@
 use displaydoc::Display;
 use mustardshed::core::{border::platform, ids, version::record};
 
-use super::EditError;
+use super::{EditError, ReadError};
 use crate::{entries, exit, record_change};
 
 /// Failure to write a configuration.
@@ -22,8 +22,8 @@
     Unwritable(String),
     /// nothing was written: the platform failed: {0}
     Platform(platform::PlatformError),
-    /// nothing was written: what the platform holds cannot be read: {0}
-    Unreadable(String),
+    /// nothing was written: {0}
+    Read(ReadError),
     /// nothing was written: {acknowledged} of {live} live entries acknowledged the intent, not a majority
     IntentRefused {
         /// Live entries that acknowledged it.
@@ -97,7 +97,7 @@
             Self::Unknown { .. } => exit::ExitStatus::Unknown,
             Self::Unwritable(_)
             | Self::Platform(_)
-            | Self::Unreadable(_)
+            | Self::Read(_)
             | Self::IntentRefused { .. } => exit::ExitStatus::Failed,
         }
     }
@@ -109,6 +109,12 @@
     }
 }
 
+impl From<ReadError> for ApplyError {
+    fn from(err: ReadError) -> Self {
+        Self::Read(err)
+    }
+}
+
 impl From<platform::PlatformError> for ApplyError {
     fn from(err: platform::PlatformError) -> Self {
         Self::Platform(err)
--- a/crates/mustardshedctl/src/apply/history.rs
+++ b/crates/mustardshedctl/src/apply/history.rs
@@ -5,7 +5,7 @@
     wire::configuration,
 };
 
-use super::{ApplyError, Current};
+use super::{Current, ReadError};
 
 const KIND: platform::ObjectKind = platform::ObjectKind::History;
 const PURPOSE: platform::Purpose = platform::Purpose::Configuration;
@@ -23,14 +23,14 @@
 pub async fn read(
     platform: &dyn platform::Platform,
     generation: ids::Generation,
-) -> Result<Option<record::Record>, ApplyError> {
+) -> Result<Option<record::Record>, ReadError> {
     let object = platform
         .get(PURPOSE, KIND, &object_name(generation))
         .await?;
     let record = object.map(|object| configuration::decode(&object.value));
     record
         .transpose()
-        .map_err(|err| ApplyError::Unreadable(err.to_string()))
+        .map_err(|err| ReadError::Unreadable(err.to_string()))
 }
 
 /// Keeps the new record, and the one before it in case its own writer could not.
--- /dev/null
+++ b/crates/mustardshedctl/src/apply/read_error.rs
@@ -0,0 +1,21 @@
+//! Why a configuration could not be read.
+
+use displaydoc::Display;
+use mustardshed::core::border::platform;
+
+/// Failure to read a configuration.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum ReadError {
+    /// the platform failed: {0}
+    Platform(platform::PlatformError),
+    /// what the platform holds is no configuration: {0}
+    Unreadable(String),
+}
+
+impl std::error::Error for ReadError {}
+
+impl From<platform::PlatformError> for ReadError {
+    fn from(err: platform::PlatformError) -> Self {
+        Self::Platform(err)
+    }
+}
--- a/crates/mustardshedctl/src/commands/explain.rs
+++ b/crates/mustardshedctl/src/commands/explain.rs
@@ -1,6 +1,10 @@
 //! `explain`: where a prompt would go, and why.
 
-use crate::{commands, commands::context, entries, failure, output};
+use crate::{
+    commands,
+    commands::{context, table},
+    entries, failure, output,
+};
 
 /// Asks an entry where it would send a prompt.
 ///
@@ -38,16 +42,25 @@
         .get("candidates")
         .and_then(serde_json::Value::as_array);
     if let Some(candidates) = candidates {
-        lines.push("candidates:".to_owned());
-        lines.extend(
-            candidates
-                .iter()
-                .map(|candidate| format!("  {}", fields(candidate))),
-        );
+        lines.push(String::new());
+        lines.push(candidates_table(candidates).to_string());
     }
     lines.join("\n")
 }
 
+fn candidates_table(candidates: &[serde_json::Value]) -> table::Table {
+    let mut rows = table::Table::new(&["candidate", "estimate", "reason"]);
+    for candidate in candidates {
+        let cell = |key| candidate.get(key).map_or_else(|| "-".to_owned(), plain);
+        let estimate = candidate
+            .get("estimate_ms")
+            .and_then(serde_json::Value::as_u64);
+        let estimate = estimate.map_or_else(|| "-".to_owned(), |ms| format!("{ms} ms"));
+        rows.push(&[&cell("server"), &estimate, &cell("reason")]);
+    }
+    rows
+}
+
 fn fields(value: &serde_json::Value) -> String {
     let Some(object) = value.as_object() else {
         return plain(value);
--- a/crates/mustardshedctl/src/failure.rs
+++ b/crates/mustardshedctl/src/failure.rs
@@ -16,8 +16,8 @@
     Text(Vec<problem::Problem>),
     /// {0}
     Apply(apply::ApplyError),
-    /// the platform failed: {0}
-    Platform(platform::PlatformError),
+    /// {0}
+    Read(apply::ReadError),
     /// no live entry is on the platform's list
     NoEntry,
     /// no entry answered; the last one that was asked, {address}: {reason}
@@ -49,7 +49,7 @@
             Self::Usage(_) | Self::Text(_) => exit::ExitStatus::Invalid,
             Self::Apply(err) => err.exit_status(),
             Self::Local(_)
-            | Self::Platform(_)
+            | Self::Read(_)
             | Self::NoEntry
             | Self::Entry { .. }
             | Self::Refused { .. }
@@ -85,9 +85,15 @@
     }
 }
 
+impl From<apply::ReadError> for Failure {
+    fn from(err: apply::ReadError) -> Self {
+        Self::Read(err)
+    }
+}
+
 impl From<platform::PlatformError> for Failure {
     fn from(err: platform::PlatformError) -> Self {
-        Self::Platform(err)
+        Self::Read(err.into())
     }
 }
 
