--- a/crates/mustardshed-standins/src/load.rs
+++ b/crates/mustardshed-standins/src/load.rs
@@ -7,13 +7,14 @@
 //! ```no_run
 //! use mustardshed_standins::load::{plan, run};
 //!
-//! # async fn example() {
+//! # async fn example() -> Result<(), run::RunError> {
 //! let plan = plan::Plan {
 //!     entries: vec![String::from("http://127.0.0.1:8080")],
 //!     ..plan::Plan::default()
 //! };
-//! let report = run::run(plan).await;
+//! let report = run::run(plan).await?;
 //! println!("{report}");
+//! # Ok(())
 //! # }
 //! ```
 
