--- a/crates/mustardshedctl/src/commands.rs
+++ b/crates/mustardshedctl/src/commands.rs
@@ -11,6 +11,7 @@
 pub mod request;
 pub mod status;
 mod table;
+mod value;
 
 use crate::{failure, output};
 
--- a/crates/mustardshedctl/src/commands/explain.rs
+++ b/crates/mustardshedctl/src/commands/explain.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     commands,
-    commands::{context, table},
+    commands::{context, table, value},
     entries, failure, output,
 };
 
@@ -32,7 +32,7 @@
 fn text(answer: &serde_json::Value) -> String {
     let decision = match answer.get("decision") {
         None | Some(serde_json::Value::Null) => "would not be placed".to_owned(),
-        Some(decision) => format!("would go to {}", fields(decision)),
+        Some(decision) => format!("would go to {}", value::fields(decision).join(", ")),
     };
     let mut lines = vec![decision];
     if let Some(reason) = answer.get("reason").and_then(serde_json::Value::as_str) {
@@ -51,7 +51,11 @@
 fn candidates_table(candidates: &[serde_json::Value]) -> table::Table {
     let mut rows = table::Table::new(&["candidate", "estimate", "reason"]);
     for candidate in candidates {
-        let cell = |key| candidate.get(key).map_or_else(|| "-".to_owned(), plain);
+        let cell = |key| {
+            candidate
+                .get(key)
+                .map_or_else(|| "-".to_owned(), value::plain)
+        };
         let estimate = candidate
             .get("estimate_ms")
             .and_then(serde_json::Value::as_u64);
@@ -60,21 +64,3 @@
     }
     rows
 }
-
-fn fields(value: &serde_json::Value) -> String {
-    let Some(object) = value.as_object() else {
-        return plain(value);
-    };
-    let fields: Vec<String> = object
-        .iter()
-        .filter(|(_, value)| !value.is_null())
-        .map(|(key, value)| format!("{key} {}", plain(value)))
-        .collect();
-    fields.join(", ")
-}
-
-fn plain(value: &serde_json::Value) -> String {
-    value
-        .as_str()
-        .map_or_else(|| value.to_string(), str::to_owned)
-}
--- a/crates/mustardshedctl/src/commands/request.rs
+++ b/crates/mustardshedctl/src/commands/request.rs
@@ -1,6 +1,10 @@
 //! `request`: the fate of a request.
 
-use crate::{commands, commands::context, failure, output};
+use crate::{
+    commands,
+    commands::{context, value},
+    failure, output,
+};
 
 /// Longest identifier of a request, in bytes.
 const ID_BYTES: usize = 512;
@@ -15,7 +19,7 @@
     let answer = cx
         .ask(async |entries, address| entries.request(&address, id).await)
         .await?;
-    let text = serde_json::to_string_pretty(&answer).unwrap_or_default();
+    let text = value::fields(&answer).join("\n");
     Ok(output::Output::done(text, answer))
 }
 
--- a/crates/mustardshedctl/src/commands/status.rs
+++ b/crates/mustardshedctl/src/commands/status.rs
@@ -30,21 +30,31 @@
         "accepted_generation": accepted.as_ref().ok(),
         "entries": answers.iter().map(answer_json).collect::<Vec<_>>(),
     });
-    let accepted = match &accepted {
-        Ok(generation) => format!("accepted: generation {generation}"),
-        Err(err) => format!("accepted: cannot be told: {err}"),
+    let mut output = output::Output::done(text(&accepted, &answers), json);
+    output.notes = answers.iter().filter_map(silence).collect();
+    if output.notes.len() == answers.len() {
+        output.status = exit::ExitStatus::Failed;
+    }
+    Ok(output)
+}
+
+/// Returns a line on an entry that did not answer.
+fn silence((address, answer): &Answer) -> Option<String> {
+    let err = answer.as_ref().err()?;
+    Some(format!("{address}: {err}"))
+}
+
+fn text(accepted: &Result<ids::Generation, failure::Failure>, answers: &[Answer]) -> String {
+    let accepted = match accepted {
+        Ok(generation) => format!("generation {generation}"),
+        Err(err) => format!("cannot be told: {err}"),
     };
-    let first = answers.iter().find_map(|(_, answer)| answer.as_ref().ok());
-    let mut text = format!("{accepted}\n\n{}", entries_table(&answers));
-    if let Some(status) = first {
+    let mut text = format!("accepted: {accepted}\n\n{}", entries_table(answers));
+    if let Some(status) = answers.iter().find_map(|(_, answer)| answer.as_ref().ok()) {
         text.push_str(&format!("\nbackend servers as seen by {}:\n", status.vm));
         text.push_str(&servers_table(status).to_string());
     }
-    let output = output::Output::done(text, json);
-    Ok(match first {
-        Some(_) => output,
-        None => output.status(exit::ExitStatus::Failed),
-    })
+    text
 }
 
 async fn accepted_generation(cx: &context::Context) -> Result<ids::Generation, failure::Failure> {
@@ -75,7 +85,7 @@
     for (address, answer) in answers {
         match answer {
             Ok(status) => push_entry(&mut rows, address, status),
-            Err(err) => rows.push(&[address, "-", "-", "-", "-", &err.to_string()]),
+            Err(_) => rows.push(&[address, "-", "-", "-", "-", "no answer", "-", "-"]),
         }
     }
     rows
