Test what the operators' commands print and how they end

Cause: only the write itself and the program's exit statuses had tests. Change: history, list, get, status, request and explain run against the fakes, which move beside both test modules.

--- a/crates/mustardshedctl/tests/apply/main.rs
+++ b/crates/mustardshedctl/tests/operator/apply.rs
@@ -1,13 +1,13 @@
 //! Writing a configuration while answers are lost, operators race and entries are silent.
 
-mod fakes;
-
 use std::{collections, time};
 
 use googletest::prelude::*;
 use mustardshed::core::{border::platform, version::record};
 use mustardshedctl::{apply, exit, record_change, wait};
 
+use crate::fakes;
+
 const TEXT: &str = "[[data_centre]]\nname = 'oak'\nregion = 'south'\n";
 const LIVE: [(&str, platform::VmState); 3] = [
     ("a", platform::VmState::Live),
--- a/crates/mustardshedctl/tests/apply/fakes.rs
+++ b/crates/mustardshedctl/tests/operator/fakes.rs
@@ -9,6 +9,9 @@
 };
 use mustardshedctl::{apply, entries};
 
+/// Identifier of a request that no entry knows.
+pub const UNKNOWN_REQUEST: &str = "entry-9.1.1";
+
 /// Calls in the order in which they came.
 pub type Log = sync::Arc<sync::Mutex<Vec<String>>>;
 
@@ -204,10 +207,14 @@
     async fn list(
         &self,
         _: platform::Purpose,
-        _: platform::ObjectKind,
-        _: &str,
+        kind: platform::ObjectKind,
+        prefix: &str,
     ) -> Result<Vec<platform::Object>, platform::PlatformError> {
-        Err(platform::PlatformError::Refused("not used".to_owned()))
+        let state = self.lock();
+        let objects = state.objects.iter();
+        let found = objects
+            .filter(|((of_kind, name), _)| *of_kind == kind.as_str() && name.starts_with(prefix));
+        Ok(found.map(|(_, object)| object.clone()).collect())
     }
 
     async fn watch(
@@ -296,16 +303,36 @@
         Ok(status(address, generation))
     }
 
-    async fn request(&self, _: &str, _: &str) -> Result<serde_json::Value, entries::EntryError> {
-        Err(entries::EntryError::Unanswered("not used".to_owned()))
+    async fn request(
+        &self,
+        address: &str,
+        id: &str,
+    ) -> Result<serde_json::Value, entries::EntryError> {
+        self.answer(address)?;
+        if id == UNKNOWN_REQUEST {
+            return Err(entries::EntryError::Refused {
+                status: 404,
+                code: "request_not_found".to_owned(),
+                message: "no such request".to_owned(),
+            });
+        }
+        Ok(serde_json::json!({ "id": id, "outcome": "completed", "error": null }))
     }
 
     async fn explain(
         &self,
-        _: &str,
-        _: &entries::ExplainQuery,
+        address: &str,
+        query: &entries::ExplainQuery,
     ) -> Result<serde_json::Value, entries::EntryError> {
-        Err(entries::EntryError::Unanswered("not used".to_owned()))
+        self.answer(address)?;
+        Ok(serde_json::json!({
+            "decision": { "servers": ["runner-1"], "tokens_each": query.tokens },
+            "reason": "least estimate",
+            "candidates": [
+                { "server": "runner-1", "estimate_ms": 7, "reason": "queue 0 ms" },
+                { "server": "runner-2", "estimate_ms": null, "reason": "cold" },
+            ],
+        }))
     }
 }
 
--- /dev/null
+++ b/crates/mustardshedctl/tests/operator/main.rs
@@ -0,0 +1,5 @@
+//! The operators' client against a platform and entries in memory.
+
+mod apply;
+mod commands;
+mod fakes;
