--- a/crates/mustardshedd/tests/engine_faults.rs
+++ b/crates/mustardshedd/tests/engine_faults.rs
@@ -55,6 +55,14 @@
         self.client.generate(&self.address, req).await.unwrap()
     }
 
+    /// Waits until nothing runs; the test runner's own limit bounds this.
+    async fn wait_until_idle(&self) {
+        self.set_faults(serde_json::json!({"load_lag_ms": 0})).await;
+        while self.client.load(&self.address).await.unwrap().running != 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Waits until nothing holds memory; the test runner's own limit bounds this.
     async fn wait_until_empty(&self) {
         while self.records().await["used_tokens"] != 0 {
@@ -202,6 +210,9 @@
     };
 
     let (frames, error) = read_all(engines[0].generate(req).await).await;
+    for engine in &engines {
+        engine.wait_until_idle().await;
+    }
     let id = String::from(ID);
     for engine in &engines {
         engine.client.release(&engine.address, &id).await.unwrap();
@@ -215,6 +226,28 @@
     }
 }
 
+#[tokio::test]
+async fn cancelling_a_gang_at_its_leader_ends_every_part() {
+    let engines = [Fixture::start().await, Fixture::start().await];
+    let req = EngineRequest {
+        gang: reserve_on_all(&engines, 9_000).await,
+        ..request(16_000, 2_000)
+    };
+    drop(engines[0].generate(req).await);
+
+    let id = String::from(ID);
+    let leader = &engines[0];
+    leader.client.cancel(&leader.address, &id).await.unwrap();
+
+    for engine in &engines {
+        engine.wait_until_idle().await;
+        assert_that!(
+            engine.records().await["used_tokens"],
+            eq(&serde_json::json!(9_000))
+        );
+    }
+}
+
 #[tokio::test]
 async fn a_gang_breaks_off_when_one_engine_loses_its_part() {
     let engines = [Fixture::start().await, Fixture::start().await];
