--- a/crates/mustardshed-standins/src/engine/http.rs
+++ b/crates/mustardshed-standins/src/engine/http.rs
@@ -209,11 +209,12 @@
     req: http::Request<body::Incoming>,
 ) -> Result<T, refusal::Refusal> {
     let limited = http_body_util::Limited::new(req.into_body(), MAX_BODY_BYTES);
-    let collected = limited.collect().await.map_err(|e| match e
-        .is::<http_body_util::LengthLimitError>()
-    {
-        true => refusal::Refusal::BodyTooLarge,
-        false => refusal::Refusal::BadRequest,
+    let collected = limited.collect().await.map_err(|e| {
+        if e.is::<http_body_util::LengthLimitError>() {
+            refusal::Refusal::BodyTooLarge
+        } else {
+            refusal::Refusal::BadRequest
+        }
     })?;
     serde_json::from_slice(&collected.to_bytes()).map_err(|_| refusal::Refusal::BadRequest)
 }
--- a/crates/mustardshed-standins/src/engine/scheduler.rs
+++ b/crates/mustardshed-standins/src/engine/scheduler.rs
@@ -77,9 +77,10 @@
 impl Scheduler {
     /// Returns an engine that runs nothing.
     pub fn new(settings: settings::Settings) -> Self {
-        let warmth = match settings.start_cold {
-            true => Warmth::Cold,
-            false => Warmth::Warm,
+        let warmth = if settings.start_cold {
+            Warmth::Cold
+        } else {
+            Warmth::Warm
         };
         Self {
             memory: memory::Memory::new(settings.memory_tokens),
@@ -274,9 +275,10 @@
         self.decode.remove(&number);
         self.running.remove(&number);
         self.memory.free_hold(&job.id);
-        match job.member {
-            true => self.forget(number),
-            false => self.ended.push_back((now, number)),
+        if job.member {
+            self.forget(number);
+        } else {
+            self.ended.push_back((now, number));
         }
         if end == progress::End::Finished {
             self.count_finished();
--- a/crates/mustardshed-standins/src/engine/scheduler/admission.rs
+++ b/crates/mustardshed-standins/src/engine/scheduler/admission.rs
@@ -24,9 +24,10 @@
             self.refuse(record, refusal);
             return Err(refusal);
         }
-        let cached = match req.gang_size > 1 {
-            true => 0,
-            false => self.cache.lookup(&req.prompt.prefixes),
+        let cached = if req.gang_size > 1 {
+            0
+        } else {
+            self.cache.lookup(&req.prompt.prefixes)
         };
         let job = job::Job::of_admission(req, cached, record, sent);
         let handle = job.handle();
--- a/crates/mustardshed-standins/src/load/arrivals.rs
+++ b/crates/mustardshed-standins/src/load/arrivals.rs
@@ -96,9 +96,10 @@
     /// Draws a length that is log-uniform within the short or within the long prompts.
     fn draw_tokens(&mut self) -> u64 {
         let border = arrival::LONG_TOKENS as f64;
-        let (low, high) = match self.rng.random_ratio(1, LONG_EVERY) {
-            true => (border + 1.0, MAX_TOKENS),
-            false => (MIN_TOKENS, border),
+        let (low, high) = if self.rng.random_ratio(1, LONG_EVERY) {
+            (border + 1.0, MAX_TOKENS)
+        } else {
+            (MIN_TOKENS, border)
         };
         let uniform: f64 = self.rng.random();
         (low * (high / low).powf(uniform)) as u64
--- a/crates/mustardshed-standins/src/load/call.rs
+++ b/crates/mustardshed-standins/src/load/call.rs
@@ -115,9 +115,10 @@
     fn via(&self, arrival: &arrival::Arrival) -> sample::Via {
         let has_entries = !self.plan.entries.is_empty();
         let is_direct = self.plan.direct.is_some() && (!has_entries || arrival.number % 2 == 1);
-        match is_direct {
-            true => sample::Via::Direct,
-            false => sample::Via::Entry,
+        if is_direct {
+            sample::Via::Direct
+        } else {
+            sample::Via::Entry
         }
     }
 
--- a/crates/mustardshed-standins/src/load/reader.rs
+++ b/crates/mustardshed-standins/src/load/reader.rs
@@ -122,9 +122,10 @@
     }
 
     fn judge(&self) -> outcome::Outcome {
-        match self.received == self.expected {
-            true => outcome::Outcome::Completed,
-            false => outcome::Outcome::Wrong,
+        if self.received == self.expected {
+            outcome::Outcome::Completed
+        } else {
+            outcome::Outcome::Wrong
         }
     }
 }
--- a/crates/mustardshed-wire/src/data_lines.rs
+++ b/crates/mustardshed-wire/src/data_lines.rs
@@ -54,9 +54,10 @@
         let newline = self.buf[self.scanned..].iter().position(|b| *b == b'\n');
         let Some(i) = newline else {
             self.scanned = self.buf.len();
-            return match self.scanned > MAX_LINE_BYTES {
-                true => Err(LineTooLong),
-                false => Ok(None),
+            return if self.scanned > MAX_LINE_BYTES {
+                Err(LineTooLong)
+            } else {
+                Ok(None)
             };
         };
         let length = self.scanned + i;
--- a/crates/mustardshedd/src/connection/backend_server/failure.rs
+++ b/crates/mustardshedd/src/connection/backend_server/failure.rs
@@ -40,9 +40,10 @@
 /// Returns the failure of a call that the HTTP client gave up.
 pub(super) fn of_client(e: &legacy::Error) -> BackendServerError {
     let reason = with_source(e);
-    match e.is_connect() {
-        true => BackendServerError::Unreachable(reason),
-        false => BackendServerError::Broken(reason),
+    if e.is_connect() {
+        BackendServerError::Unreachable(reason)
+    } else {
+        BackendServerError::Broken(reason)
     }
 }
 
