--- a/crates/mustardshed-core/src/process/node.rs
+++ b/crates/mustardshed-core/src/process/node.rs
@@ -75,6 +75,7 @@
     version: u64,
     heartbeat_at: ids::Timestamp,
     are_members_changed: bool,
+    is_view_urgent: bool,
     view: sync::Arc<snapshot::Snapshot>,
 }
 
@@ -96,6 +97,7 @@
             version: 0,
             heartbeat_at: now + time::Duration::from_millis(phase),
             are_members_changed: true,
+            is_view_urgent: false,
             view: sync::Arc::new(view::blank(&identity, now)),
             identity,
         };
--- a/crates/mustardshed-core/src/process/node/capacity.rs
+++ b/crates/mustardshed-core/src/process/node/capacity.rs
@@ -147,7 +147,7 @@
     ) {
         self.holder.release(&credit.server, &credit.request);
         if let Some(epoch) = feedback.epoch.filter(|epoch| *epoch != credit.epoch) {
-            self.servers.sign(&credit.server, epoch, now);
+            self.note_sign(&credit.server, epoch, now);
         }
         let steward = self.stewards.of(&credit.server).cloned();
         match steward {
@@ -219,12 +219,18 @@
         now: ids::Timestamp,
         out: &mut Vec<action::Action>,
     ) {
-        self.servers.sign(server, epoch, now);
+        self.note_sign(server, epoch, now);
         self.with_steward(server, now, out, |steward, rules, fx| {
             steward.answered(epoch, rules, fx);
         });
     }
 
+    /// Notes a sign of cold, which traffic threads must see at once.
+    fn note_sign(&mut self, server: &str, epoch: ids::Epoch, now: ids::Timestamp) {
+        self.servers.sign(server, epoch, now);
+        self.is_view_urgent = true;
+    }
+
     /// Lets this entry's steward of a server act, if there is one, and carries out what it wants.
     fn with_steward(
         &mut self,
@@ -250,7 +256,7 @@
     ) {
         out.extend(fx.actions);
         if let Some((epoch, holders)) = fx.cold_sign {
-            self.servers.sign(server, epoch, now);
+            self.note_sign(server, epoch, now);
             for vm in holders {
                 if vm == self.identity.vm {
                     continue;
--- a/crates/mustardshed-core/src/process/node/view.rs
+++ b/crates/mustardshed-core/src/process/node/view.rs
@@ -32,7 +32,8 @@
 
 impl Node {
     pub(super) fn refresh_view(&mut self, now: ids::Timestamp) {
-        if !self.is_view_current(now) {
+        if self.is_view_urgent || !self.is_view_current(now) {
+            self.is_view_urgent = false;
             self.view = sync::Arc::new(self.make_view(now));
         }
     }
--- a/crates/mustardshed-core/tests/promises/fleet.rs
+++ b/crates/mustardshed-core/tests/promises/fleet.rs
@@ -50,7 +50,8 @@
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(600);
 const LIST_INTERVAL: time::Duration = time::Duration::from_secs(2);
 const CALL_TIME: time::Duration = time::Duration::from_millis(2);
-const PATIENCE: time::Duration = time::Duration::from_secs(2);
+/// Patience of requests, by turns.
+const PATIENCE: [time::Duration; 2] = [time::Duration::from_secs(2), time::Duration::from_secs(10)];
 /// Time from the beginning to the end of an entry's leaving.
 pub const DRAIN: time::Duration = time::Duration::from_secs(12);
 
@@ -95,6 +96,7 @@
     pub reverted: Vec<String>,
     items: collections::BTreeMap<(ids::Timestamp, u64), (Run, Item)>,
     ends: collections::BTreeMap<(ids::Timestamp, u64), (ids::BackendServerId, ids::RequestId)>,
+    signs: collections::BTreeMap<ids::BackendServerId, (ids::Epoch, ids::Timestamp)>,
     acknowledged: collections::BTreeMap<u64, collections::BTreeSet<ids::VmId>>,
     generations: collections::BTreeMap<Run, ids::Generation>,
     counter: u64,
@@ -144,6 +146,7 @@
             reverted: Vec::new(),
             items: collections::BTreeMap::new(),
             ends: collections::BTreeMap::new(),
+            signs: collections::BTreeMap::new(),
             acknowledged: collections::BTreeMap::new(),
             generations: collections::BTreeMap::new(),
             counter: 0,
@@ -301,6 +304,7 @@
 
     fn handle(&mut self, run: &Run, event: event::Event) {
         let now = self.now;
+        self.note_sign(&event);
         let Some(process) = self.processes.get_mut(&run.0) else {
             return;
         };
--- a/crates/mustardshed-core/tests/promises/fleet/traffic.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/traffic.rs
@@ -43,6 +43,8 @@
 pub struct FellOver {
     pub what: String,
     pub cold_for: Option<time::Duration>,
+    /// Time since the first sign of this cold period that any entry saw.
+    pub seen_for: Option<time::Duration>,
 }
 
 impl Fleet {
@@ -62,14 +64,14 @@
             tokens: work.tokens,
             prefill_tokens: work.tokens,
             priority: (ticket % 4) as u32,
-            wait_until: now + PATIENCE,
+            wait_until: now + PATIENCE[ticket as usize % PATIENCE.len()],
             gang: work.is_reservation,
         };
         let job = Job {
             server: server.into(),
             work,
             lasts,
-            think: time::Duration::from_millis(1 + (ticket * 37) % 400),
+            think: time::Duration::from_millis(1 + (ticket * 137) % 1900),
             credit: None,
         };
         process.jobs.insert(request.clone(), job);
@@ -152,6 +154,9 @@
             return;
         };
         let cold_for = engine.turned_cold_at.map(|at| now - at);
+        let sign = self.signs.get(&job.server);
+        let sign = sign.filter(|(epoch, _)| *epoch == engine.epoch);
+        let seen_for = sign.map(|(_, at)| now - *at);
         self.sent.extend(self.place(request, &job.server));
         let Some(engine) = self.engines.get_mut(&job.server) else {
             return;
@@ -174,6 +179,7 @@
                 self.fell_over.push(FellOver {
                     what: format!("{} at {now:?} under {held:?} and {request}", job.server),
                     cold_for,
+                    seen_for,
                 });
                 self.ends.retain(|_, (server, _)| *server != job.server);
                 for lost in held.iter().map(String::as_str).chain([request]) {
@@ -254,6 +260,26 @@
         self.end_work(&server, request, End::Failed(broken()));
     }
 
+    /// Notes the first sign of a server's present cold period that reaches any entry.
+    pub(super) fn note_sign(&mut self, event: &event::Event) {
+        let (server, epoch) = match event {
+            event::Event::LoadRead {
+                server,
+                result: Ok(report),
+                ..
+            } => (server, report.epoch),
+            event::Event::Release { credit, feedback } => match feedback.epoch {
+                Some(epoch) => (&credit.server, epoch),
+                None => return,
+            },
+            _ => return,
+        };
+        let earlier = self.signs.get(server);
+        if earlier.is_none_or(|(known, _)| *known < epoch) {
+            self.signs.insert(server.clone(), (epoch, self.now));
+        }
+    }
+
     /// Ends work that ran to its end.
     pub(super) fn finish_work(&mut self, server: &str, request: &str) {
         self.end_work(server, request, End::Finished);
--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -20,6 +20,8 @@
 const FIVE_SECONDS: time::Duration = time::Duration::from_secs(5);
 /// Time in which a server that turned cold without notice is known to be cold everywhere.
 const COLD_KNOWN_WITHIN: time::Duration = time::Duration::from_secs(3);
+/// Time of three messages, one after another, on links that are not slow.
+const SPREAD_WITHIN: time::Duration = time::Duration::from_millis(11);
 /// Time in which memory returns after the last fault.
 const MEMORY_RETURNS_WITHIN: time::Duration = time::Duration::from_secs(30);
 
@@ -80,6 +82,7 @@
             2 => step::server_fault(),
             3 => step::handover(),
             1 => step::slow_links(),
+            1 => step::broken_streams(),
         ]
         .boxed()
     }
@@ -96,6 +99,34 @@
     }
 }
 
+/// Promise 3 without faults of entries: nothing new beyond the cold limit from the first sign that
+/// any entry saw, but for the time of the messages that spread it.
+#[derive(Clone, Debug)]
+struct FirstSign;
+
+impl storm::Promise for FirstSign {
+    fn steps() -> BoxedStrategy<step::Step> {
+        prop_oneof![
+            2 => step::wait(),
+            1 => step::submit(),
+            3 => step::unnoticed_cold(),
+        ]
+        .boxed()
+    }
+
+    fn check(fleet: &fleet::Fleet) {
+        for event in &fleet.fell_over {
+            let is_known =
+                event.cold_for.is_none() || event.seen_for.is_some_and(|age| age >= SPREAD_WITHIN);
+            assert!(
+                !is_known,
+                "fell over {:?} after the first sign: {}",
+                event.seen_for, event.what
+            );
+        }
+    }
+}
+
 /// Promise 4: a data centre that was taken out gets no new work 5 s later.
 #[derive(Clone, Debug)]
 struct DataCentreOut;
@@ -109,6 +140,7 @@
             2 => step::entry_fault(),
             2 => step::platform_fault(),
             4 => step::unheard_change(),
+            1 => step::forgotten_intent(),
         ]
         .boxed()
     }
@@ -206,6 +238,11 @@
     storm::run::<ColdStart>();
 }
 
+#[test]
+fn promise_3_first_sign_of_cold_counts() {
+    storm::run::<FirstSign>();
+}
+
 #[test]
 fn promise_4_data_centre_out_gets_no_new_work() {
     storm::run::<DataCentreOut>();
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -48,6 +48,7 @@
     Kill,
     Freeze,
     Isolate,
+    Partition,
     Leave,
 }
 
@@ -137,6 +138,11 @@
 fn isolate(fleet: &mut fleet::Fleet, own: &str) {
     fleet.network.cut(own, "platform");
     fleet.network.cut(network::OPERATOR, own);
+    partition(fleet, own);
+}
+
+/// Cuts an entry off from all other entries.
+fn partition(fleet: &mut fleet::Fleet, own: &str) {
     for other in (0..ENTRIES).map(fleet::entry).filter(|other| other != own) {
         fleet.network.cut(own, &other);
         fleet.network.cut(&other, own);
@@ -149,6 +155,7 @@
             Self::Kill => fleet.kill(vm),
             Self::Freeze => fleet.freeze(vm),
             Self::Isolate => isolate(fleet, vm),
+            Self::Partition => partition(fleet, vm),
             Self::Leave => fleet.leave(vm),
         }
     }
@@ -289,6 +296,7 @@
         Fault::Kill,
         Fault::Freeze,
         Fault::Isolate,
+        Fault::Partition,
         Fault::Leave,
     ]);
     let waits = (1_u64..400, prop_oneof![1_u64..1500, 5000_u64..12_000]);
@@ -316,9 +324,9 @@
         .prop_map(|(entry, ms, server, after)| {
             Step::Script(vec![
                 Step::Slow(entry, ms),
-                everywhere(server, 5000),
+                everywhere(server, 20_000),
                 Step::Wait(after),
-                everywhere(server, 5000),
+                everywhere(server, 20_000),
             ])
         })
         .boxed()
@@ -376,3 +384,70 @@
         })
         .boxed()
 }
+
+/// Streams that break while the engine goes on with the work, and more work at once.
+pub fn broken_streams() -> BoxedStrategy<Step> {
+    (0..SERVERS, 1_u64..2500)
+        .prop_map(|(server, before)| {
+            Step::Script(vec![
+                everywhere(server, 20_000),
+                Step::Wait(before),
+                Step::BreakStreams(server),
+                everywhere(server, 20_000),
+            ])
+        })
+        .boxed()
+}
+
+/// A server that turns cold without notice, and whose first answer shows it.
+pub fn unnoticed_cold() -> BoxedStrategy<Step> {
+    (0..SERVERS, 0..ENTRIES, 0_u64..300, 0_u64..2500)
+        .prop_map(|(server, entry, before, after)| {
+            let first = Step::Submit(Load {
+                first_entry: entry,
+                count: 1,
+                server,
+                tokens: 1,
+                lasts_ms: 20,
+                is_reservation: false,
+            });
+            Step::Script(vec![
+                Step::TurnCold(server, false),
+                Step::Wait(before),
+                first,
+                Step::Wait(after),
+                everywhere(server, 3000),
+            ])
+        })
+        .boxed()
+}
+
+/// An intent that its holders forget by a restart, in an outage right after the accept.
+pub fn forgotten_intent() -> BoxedStrategy<Step> {
+    (0..ENTRIES, 0..DATA_CENTRES.len(), 5000_u64..7000)
+        .prop_map(|(entry, data_centre, after)| {
+            let other = |by: usize| (entry + by) % ENTRIES;
+            let change = fleet::Change {
+                data_centre: DATA_CENTRES[data_centre].into(),
+                is_out: true,
+                then_outage: true,
+                tells: false,
+            };
+            let mut steps = vec![
+                Step::CutOperator(entry),
+                Step::Operate(vec![change]),
+                Step::Kill(other(1)),
+                Step::Kill(other(2)),
+                Step::Freeze(other(3)),
+                Step::Start(other(1)),
+                Step::Start(other(2)),
+                Step::Wait(after),
+            ];
+            for _ in 0..6 {
+                steps.extend([all_servers(entry), Step::Wait(500)]);
+            }
+            steps.extend([Step::Mend, Step::Outage(false), Step::Thaw(other(3))]);
+            Step::Script(steps)
+        })
+        .boxed()
+}
