--- a/crates/mustardshed-standins/src/hostile/sender.rs
+++ b/crates/mustardshed-standins/src/hostile/sender.rs
@@ -10,9 +10,9 @@
 use super::Input;
 
 /// Longest wait for an answer or for the connection to be closed.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(20);
-/// Answer read at most, in bytes.
-const MAX_ANSWER_BYTES: usize = 4096;
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(45);
+/// Start of an answer that holds its status, in bytes.
+const STATUS_BYTES: usize = 12;
 
 /// What the receiver did.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -45,8 +45,8 @@
 
 async fn answer(stream: &mut TcpStream) -> Reaction {
     let mut buf = Vec::new();
-    let mut chunk = [0; 512];
-    while buf.len() < MAX_ANSWER_BYTES {
+    let mut chunk = [0; STATUS_BYTES];
+    while buf.len() < STATUS_BYTES {
         match stream.read(&mut chunk).await {
             Ok(0) | Err(_) => break,
             Ok(len) => buf.extend_from_slice(&chunk[..len]),
@@ -56,6 +56,6 @@
 }
 
 fn status(buf: &[u8]) -> Option<u16> {
-    let text = std::str::from_utf8(buf.get(..12)?).ok()?;
+    let text = std::str::from_utf8(buf.get(..STATUS_BYTES)?).ok()?;
     text.strip_prefix("HTTP/1.1 ")?.parse().ok()
 }
