Storm the drivers with faults, and seed the faults that the tests must notice

Any sequence of refusals, breaks, silences, late and crossed frames, credit refusals and freezes is held against a short oracle: an answer is whole or its outcome is true, a charge runs at most once, every credit comes back once.

--- a/crates/mustardshed-core/src/lib.rs
+++ b/crates/mustardshed-core/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod border;
 pub mod error;
 pub mod ids;
-mod mutation;
+pub mod mutation;
 pub mod outcome;
 pub mod process;
 pub mod request;
--- a/crates/mustardshed-core/src/mutation.rs
+++ b/crates/mustardshed-core/src/mutation.rs
@@ -4,7 +4,7 @@
 
 /// Returns whether the named fault is seeded in this process, by `MUSTARDSHED_MUTATION`.
 #[cfg(feature = "mutations")]
-pub(crate) fn on(name: &str) -> bool {
+pub fn on(name: &str) -> bool {
     use std::{env, sync};
 
     static SEEDED: sync::OnceLock<Option<String>> = sync::OnceLock::new();
@@ -14,6 +14,6 @@
 
 /// Returns `false`: no fault is seeded.
 #[cfg(not(feature = "mutations"))]
-pub(crate) const fn on(_name: &str) -> bool {
+pub const fn on(_name: &str) -> bool {
     false
 }
--- a/crates/mustardshed-core/src/request/assembly.rs
+++ b/crates/mustardshed-core/src/request/assembly.rs
@@ -1,6 +1,6 @@
 //! Assembly of an output from frames that may be late, doubled or of another request.
 
-use crate::{border::backend_server, ids};
+use crate::{border::backend_server, ids, mutation};
 
 /// What becomes of one frame.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -60,10 +60,12 @@
 
     /// Decides what becomes of a frame.
     pub fn accept(&mut self, frame: &backend_server::TokenFrame) -> Step {
-        if self.finished || frame.id != self.id || frame.offset < self.next {
+        let is_crossed = frame.id != self.id && !mutation::on("crossed_accepted");
+        let is_repeat = frame.offset < self.next && !mutation::on("repeats_accepted");
+        if self.finished || is_crossed || is_repeat {
             return Step::Drop;
         }
-        if frame.offset > self.next {
+        if frame.offset > self.next && !mutation::on("gaps_accepted") {
             return Step::Gap;
         }
         self.next += 1;
--- a/crates/mustardshedd/src/request/call/attempt.rs
+++ b/crates/mustardshedd/src/request/call/attempt.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::core::{
     border::{backend_server, control},
-    error,
+    error, mutation,
     request::{admission, fate, route, route::work},
 };
 
@@ -128,7 +128,7 @@
             return Err(failure::Failure::not_run(&err));
         }
         let mut broken = failure::Failure::broken(&err);
-        if !self.call.is_repeatable {
+        if !self.call.is_repeatable && !mutation::on("broken_call_resent") {
             broken.next = failure::Next::Stop;
         }
         Err(broken)
--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::core::{
     border::control,
-    error, ids,
+    error, ids, mutation,
     outcome::Outcome,
     request::{fate, retry},
 };
@@ -101,7 +101,7 @@
         tokio::select! {
             biased;
             stop = self.claim_and_attempt() => stop,
-            () = cx.sleep_until(deadline) => Stop::Deadline,
+            () = cx.sleep_until(deadline), if !mutation::on("deadline_ignored") => Stop::Deadline,
             () = tx.closed(), if needs_caller => Stop::CallerGone,
         }
     }
@@ -173,7 +173,8 @@
     }
 
     async fn fail(self, mut err: error::Error) {
-        if self.progress.may_have_run && err.outcome == Outcome::NotRun {
+        let ran = self.progress.may_have_run && !mutation::on("not_run_after_send");
+        if ran && err.outcome == Outcome::NotRun {
             err.outcome = Outcome::Failed;
             if err.kind != error::ErrorKind::DeadlineExceeded {
                 err.kind = error::ErrorKind::BackendServerFailed;
--- a/crates/mustardshedd/src/request/held_credit.rs
+++ b/crates/mustardshedd/src/request/held_credit.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::core::{
     border::{backend_server, control},
-    error, ids,
+    error, ids, mutation,
 };
 use tokio::sync::oneshot;
 
@@ -91,6 +91,9 @@
 
 impl Drop for HeldCredit {
     fn drop(&mut self) {
+        if mutation::on("credit_kept") {
+            return;
+        }
         if let Some(credit) = self.credit.take() {
             self.cx.control.release(credit, self.feedback.clone());
         }
--- a/crates/mustardshedd/src/request/placement.rs
+++ b/crates/mustardshedd/src/request/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use mustardshed::core::{border::backend_server, ids, request::gang};
+use mustardshed::core::{border::backend_server, ids, mutation, request::gang};
 
 use crate::request::{cx, held_credit};
 
@@ -86,7 +86,8 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        if self.running_at.is_none() && self.reserved.is_empty() {
+        let is_clean = self.running_at.is_none() && self.reserved.is_empty();
+        if is_clean || mutation::on("uncancelled") {
             return;
         }
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
--- a/crates/mustardshedd/src/request/send_check.rs
+++ b/crates/mustardshedd/src/request/send_check.rs
@@ -1,6 +1,6 @@
 //! The last check before work is sent.
 
-use mustardshed::core::{error, ids, process::snapshot, request::admission};
+use mustardshed::core::{error, ids, mutation, process::snapshot, request::admission};
 
 use crate::request::{cx, failure, placement};
 
@@ -17,6 +17,9 @@
     placement: &placement::Placement,
     deadline: ids::Timestamp,
 ) -> Result<(), failure::Failure> {
+    if mutation::on("send_unchecked") {
+        return Ok(());
+    }
     let snapshot = cx.control.snapshot();
     let now = cx.clock.now();
     if now >= deadline {
--- a/crates/mustardshedd/tests/traffic/fakes/world.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/world.rs
@@ -16,6 +16,9 @@
 
 use crate::fakes::{clock, control, operator, servers};
 
+/// Time within which every answer must come, on a busy machine too; no deadline is as long.
+const ANSWER_TIME: time::Duration = time::Duration::from_secs(10);
+
 /// Key of the client account `bindery`.
 pub const KEY: &str = "bindery-key";
 /// Key of the client account `haulers`.
@@ -92,8 +95,13 @@
         }
     }
 
-    /// Sends a request and reads the answer to its end.
+    /// Sends a request and reads the answer to its end, which must come in good time.
     pub async fn send(&self, req: http::request::Builder, body: &str) -> Answer {
+        let answer = tokio::time::timeout(ANSWER_TIME, self.exchange(req, body)).await;
+        answer.unwrap()
+    }
+
+    async fn exchange(&self, req: http::request::Builder, body: &str) -> Answer {
         let client: legacy::Client<_, String> =
             legacy::Client::builder(rt::TokioExecutor::new()).build_http();
         let req = req.body(body.to_owned()).unwrap();
--- a/crates/mustardshedd/tests/traffic/main.rs
+++ b/crates/mustardshedd/tests/traffic/main.rs
@@ -13,3 +13,4 @@
 mod gangs;
 mod hostile;
 mod listener;
+mod storm;
--- /dev/null
+++ b/crates/mustardshedd/tests/traffic/storm.rs
@@ -0,0 +1,212 @@
+//! Any sequence of faults of servers and of the entry itself, held against a short oracle.
+
+use std::{env, time};
+
+use mustardshed::core::{border::backend_server, error};
+use proptest::{
+    prelude::{Just, Strategy, any, prop_oneof},
+    prop_assert, prop_assert_eq, proptest,
+    test_runner::{self, TestCaseError},
+};
+
+use crate::fakes::{
+    servers::{self, After, Step},
+    world,
+};
+
+/// Cases of the bounded run.
+const CASES: u32 = 96;
+/// Seed of the bounded run.
+const SEED: u64 = 1;
+/// Time for shrinking a failure, in milliseconds.
+const MAX_SHRINK_MS: u32 = 20_000;
+/// Identifier of the first request of a world.
+const ID: &str = "entry-1.1.1";
+/// Whole output of a prompt.
+const OUTPUT: &str = "t0 t1 t2 ";
+/// Deadline of each request, in milliseconds; [`world::World::send`] fails an answer that is late.
+const DEADLINE_MS: u64 = 150;
+
+/// What happens to one request.
+#[derive(Clone, Debug)]
+struct Storm {
+    sends: Vec<Step>,
+    resumes: Vec<Step>,
+    credit_refusals: usize,
+    freeze_ms: Option<u64>,
+}
+
+fn frames() -> impl Strategy<Value = Vec<backend_server::TokenFrame>> {
+    let frame = (0..3_u64, proptest::bool::weighted(0.8)).prop_map(|(offset, is_own)| {
+        let id = if is_own { ID } else { "entry-9.1.1" };
+        servers::frame(id, offset, offset == 2)
+    });
+    proptest::collection::vec(frame, 0..8)
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let after = prop_oneof![
+        3 => Just(After::Finish),
+        3 => Just(After::Break),
+        1 => Just(After::Stall),
+    ];
+    prop_oneof![
+        6 => (frames(), after).prop_map(|(frames, after)| Step::Noise(frames, after)),
+        2 => Just(Step::Fail(servers::refused())),
+        2 => Just(Step::Fail(servers::unreachable())),
+        2 => Just(Step::Fail(servers::broken())),
+        1 => Just(Step::Hang),
+    ]
+}
+
+fn call_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => Just(Step::Answer(200, "ok")),
+        2 => Just(Step::Fail(servers::refused())),
+        2 => Just(Step::Fail(servers::unreachable())),
+        3 => Just(Step::Fail(servers::broken())),
+        1 => Just(Step::Late(time::Duration::from_millis(2 * DEADLINE_MS), 200, "late")),
+    ]
+}
+
+fn storm(step: impl Strategy<Value = Step>) -> impl Strategy<Value = Storm> {
+    let sends = proptest::collection::vec(step, 0..5);
+    let resumes = proptest::collection::vec(self::step(), 0..4);
+    let freeze = proptest::option::weighted(0.3, 50..4_000_u64);
+    (sends, resumes, 0..3_usize, freeze).prop_map(|(sends, resumes, refusals, freeze_ms)| Storm {
+        sends,
+        resumes,
+        credit_refusals: refusals,
+        freeze_ms,
+    })
+}
+
+async fn start(storm: &Storm) -> world::World {
+    let world = world::World::start().await;
+    for step in &storm.sends {
+        world.servers.then(step.clone());
+    }
+    for step in &storm.resumes {
+        world.servers.then_on_resume(step.clone());
+    }
+    for _ in 0..storm.credit_refusals {
+        let err = error::Error::not_run(error::ErrorKind::Overloaded, "full");
+        world.control.refuse_next(err);
+    }
+    if let Some(millis) = storm.freeze_ms {
+        let time = time::Duration::from_millis(millis);
+        world.control.freeze_after_next_credit(time);
+    }
+    world
+}
+
+/// Returns the text of a streamed answer.
+fn streamed_text(body: &str) -> String {
+    let events = body.split("\n\n").filter_map(|e| e.strip_prefix("data: "));
+    events
+        .filter_map(|event| serde_json::from_str::<serde_json::Value>(event).ok())
+        .filter_map(|chunk| chunk["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect()
+}
+
+/// Returns the outcome that an answer, whole or streamed, tells of.
+fn told(answer: &world::Answer) -> String {
+    let is_error = |event: &&str| event.contains("\"outcome\"");
+    let event = answer.body.split("data: ").find(is_error);
+    let error: serde_json::Value = event
+        .and_then(|event| serde_json::from_str(event.trim()).ok())
+        .unwrap_or_default();
+    error["outcome"].as_str().unwrap_or("completed").to_owned()
+}
+
+async fn check_prompt(storm: Storm, is_streamed: bool) -> Result<(), TestCaseError> {
+    let world = start(&storm).await;
+    let body = if is_streamed {
+        world::STREAMED
+    } else {
+        world::PROMPT
+    };
+
+    let answer = world.complete(body, DEADLINE_MS).await;
+
+    world.assert_balanced().await;
+    let text = if is_streamed {
+        streamed_text(&answer.body)
+    } else {
+        answer.json()["choices"][0]["text"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    prop_assert!(OUTPUT.starts_with(&text), "{text}");
+    let ran = world.servers.count("ran");
+    let sent = world.servers.count("generate");
+    prop_assert!(sent <= world.control.seen(|seen| seen.granted.len()));
+    match told(&answer).as_str() {
+        "completed" => prop_assert_eq!(text.as_str(), OUTPUT),
+        "not_run" => prop_assert_eq!(ran, 0),
+        "failed" => prop_assert!(ran > 0),
+        other => prop_assert!(false, "{other}"),
+    }
+    Ok(())
+}
+
+async fn check_charge(storm: Storm) -> Result<(), TestCaseError> {
+    let world = start(&storm).await;
+    let req = world
+        .request("POST", "/services/ledger/charge")
+        .header("x-deadline-ms", DEADLINE_MS);
+
+    let answer = world.send(req, "{}").await;
+
+    world.assert_balanced().await;
+    let ran = world.servers.count("ran");
+    prop_assert!(ran <= 1);
+    let told = told(&answer);
+    prop_assert!((told == "not_run") == (ran == 0), "{told} {ran}");
+    let settled = world.control.seen(|seen| seen.settled.last().cloned());
+    let settled = settled.map(|fate| fate.outcome.as_str());
+    prop_assert!(
+        (settled == Some("not_run")) == (ran == 0),
+        "{settled:?} {ran}"
+    );
+    Ok(())
+}
+
+/// Returns the bounded run from a fixed seed, unless the environment says otherwise.
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: setting("MUSTARDSHED_CASES").unwrap_or(CASES),
+        rng_seed: test_runner::RngSeed::Fixed(setting("MUSTARDSHED_SEED").unwrap_or(SEED)),
+        failure_persistence: None,
+        max_shrink_time: MAX_SHRINK_MS,
+        ..test_runner::Config::default()
+    }
+}
+
+fn setting<T: std::str::FromStr>(name: &str) -> Option<T> {
+    env::var(name).ok()?.parse().ok()
+}
+
+fn run(check: impl Future<Output = Result<(), TestCaseError>>) -> Result<(), TestCaseError> {
+    let rt = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    rt.block_on(check)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn prompt_is_whole_or_its_fate_is_true(storm in storm(step()), is_streamed in any::<bool>()) {
+        run(check_prompt(storm, is_streamed))?;
+    }
+
+    #[test]
+    fn charge_runs_at_most_once_and_its_fate_is_true(storm in storm(call_step())) {
+        run(check_charge(storm))?;
+    }
+}
