--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -20,6 +20,8 @@
 const FIVE_SECONDS: time::Duration = time::Duration::from_secs(5);
 /// Time in which a server that turned cold without notice is known to be cold everywhere.
 const COLD_KNOWN_WITHIN: time::Duration = time::Duration::from_secs(3);
+/// Time of three messages, one after another, on links that are not slow.
+const SPREAD_WITHIN: time::Duration = time::Duration::from_millis(11);
 /// Time in which memory returns after the last fault.
 const MEMORY_RETURNS_WITHIN: time::Duration = time::Duration::from_secs(30);
 
@@ -41,6 +43,8 @@
     fn check(_fleet: &fleet::Fleet) {}
 
     fn finish(mut fleet: fleet::Fleet) {
+        fleet.heal();
+        fleet.advance(fleet::DRAIN);
         fleet.heal();
         fleet.advance(MEMORY_RETURNS_WITHIN);
         for (server, engine) in &fleet.engines {
@@ -51,7 +55,7 @@
         fleet.advance(time::Duration::from_secs(45));
         fleet.heal();
         fleet.advance(FIVE_SECONDS);
-        let granted = fleet.granted;
+        let granted = fleet.granted.len();
         for index in 0..fleet::SERVERS {
             let whole = engine::Work {
                 tokens: fleet::MEMORY_TOKENS,
@@ -60,8 +64,8 @@
             fleet.submit(&fleet::entry(0), &fleet::server(index), whole, FIVE_SECONDS);
         }
         fleet.advance(FIVE_SECONDS);
-        let granted = fleet.granted - granted;
-        assert_eq!(granted, fleet::SERVERS as u64, "whole memory granted");
+        let granted = fleet.granted.len() - granted;
+        assert_eq!(granted, fleet::SERVERS, "whole memory granted");
     }
 }
 
@@ -73,9 +77,12 @@
     fn steps() -> BoxedStrategy<step::Step> {
         prop_oneof![
             3 => step::wait(),
-            5 => step::submit(),
+            3 => step::submit(),
             2 => step::entry_fault(),
             2 => step::server_fault(),
+            3 => step::handover(),
+            1 => step::slow_links(),
+            1 => step::broken_streams(),
         ]
         .boxed()
     }
@@ -92,6 +99,34 @@
     }
 }
 
+/// Promise 3 without faults of entries: nothing new beyond the cold limit from the first sign that
+/// any entry saw, but for the time of the messages that spread it.
+#[derive(Clone, Debug)]
+struct FirstSign;
+
+impl storm::Promise for FirstSign {
+    fn steps() -> BoxedStrategy<step::Step> {
+        prop_oneof![
+            2 => step::wait(),
+            1 => step::submit(),
+            3 => step::unnoticed_cold(),
+        ]
+        .boxed()
+    }
+
+    fn check(fleet: &fleet::Fleet) {
+        for event in &fleet.fell_over {
+            let is_known =
+                event.cold_for.is_none() || event.seen_for.is_some_and(|age| age >= SPREAD_WITHIN);
+            assert!(
+                !is_known,
+                "fell over {:?} after the first sign: {}",
+                event.seen_for, event.what
+            );
+        }
+    }
+}
+
 /// Promise 4: a data centre that was taken out gets no new work 5 s later.
 #[derive(Clone, Debug)]
 struct DataCentreOut;
@@ -104,12 +139,14 @@
             2 => step::operate(),
             2 => step::entry_fault(),
             2 => step::platform_fault(),
+            4 => step::unheard_change(),
+            1 => step::forgotten_intent(),
         ]
         .boxed()
     }
 
     fn check(fleet: &fleet::Fleet) {
-        for sent in &fleet.sent {
+        for sent in fleet.sent.iter().chain(&fleet.granted) {
             let before = fleet.platform.accepted(sent.at - FIVE_SECONDS);
             let before = before.into_iter().map(|(_, record)| record);
             let since = fleet
@@ -142,7 +179,7 @@
     }
 
     fn check(fleet: &fleet::Fleet) {
-        for sent in &fleet.sent {
+        for sent in fleet.sent.iter().chain(&fleet.granted) {
             let is_late = sent.leaving_for.is_some_and(|age| age >= FIVE_SECONDS);
             assert!(!is_late, "sent to a server that leaves: {}", sent.what);
         }
@@ -170,6 +207,17 @@
 
     fn finish(mut fleet: fleet::Fleet) {
         fleet.heal();
+        fleet.advance(fleet::DRAIN);
+        fleet.heal();
+        fleet.advance(FIVE_SECONDS);
+        fleet.network.cut(&fleet::entry(0), "platform");
+        fleet.network.cut(network::OPERATOR, &fleet::entry(0));
+        fleet.operate(&[fleet::Change {
+            data_centre: "a".into(),
+            is_out: true,
+            then_outage: false,
+            tells: false,
+        }]);
         fleet.advance(FIVE_SECONDS);
         let accepted = fleet.platform.accepted(fleet.now - FIVE_SECONDS);
         let accepted = accepted.map_or(0, |(_, record)| record.generation);
@@ -190,6 +238,11 @@
     storm::run::<ColdStart>();
 }
 
+#[test]
+fn promise_3_first_sign_of_cold_counts() {
+    storm::run::<FirstSign>();
+}
+
 #[test]
 fn promise_4_data_centre_out_gets_no_new_work() {
     storm::run::<DataCentreOut>();
