Let a steward of a cold server hear from a majority before it grants

It granted beside the true steward. A majority must now have stated their credits too.

Ruled out: taking an acknowledgement for a sign of life, which would leave the view of who is steward as it is.

--- a/crates/mustardshed-core/src/process/steward.rs
+++ b/crates/mustardshed-core/src/process/steward.rs
@@ -7,8 +7,8 @@
 //! has stopped granting.
 //!
 //! On a cold server, which falls over under too much work, the steward is stricter: it grants only
-//! while it reaches a majority, after everybody has answered, and after a report that was measured
-//! since it took over. On a warm server the engine's own refusal is the last limit, and a
+//! while it reaches a majority, after everybody that is alive and a majority of all have answered,
+//! and after a report that was measured since it took over. On a warm server the engine's own refusal is the last limit, and a
 //! member that does not answer for [`COLLECT_FOR`] is not waited for.
 
 use std::{collections, time};
--- a/crates/mustardshed-core/src/process/steward/serve.rs
+++ b/crates/mustardshed-core/src/process/steward/serve.rs
@@ -167,10 +167,21 @@
         is_reported || self.vm.state == platform::VmState::Leaving
     }
 
+    /// Returns whether a majority of the voters took this entry for the steward.
+    ///
+    /// An entry that was cut off takes all others for dead until it hears of them again, and would
+    /// otherwise collect from nobody.
+    fn has_majority_stated(&self, rules: &Rules<'_>) -> bool {
+        let voters = rules.members.voters();
+        let stated = voters.iter().filter(|vm| self.stated.contains(**vm));
+        2 * stated.count() > voters.len() || mutation::on("minority_states")
+    }
+
     fn is_collected(&self, rules: &Rules<'_>) -> bool {
         let has_all = self.missing(rules).is_empty();
         if self.ramp.is_cold() && !mutation::on("collecting_skipped") {
-            has_all && rules.is_quiet && self.credits.measured_at() >= self.since
+            let is_seen = self.credits.measured_at() >= self.since;
+            has_all && self.has_majority_stated(rules) && rules.is_quiet && is_seen
         } else {
             has_all || rules.now >= self.since + COLLECT_FOR
         }
