Raise a storm of faults on a fleet of real processes and check every promise

A seed determines faults of entries, platform, operators and backend servers, each kind alone and then overlapping, with mixed load meanwhile; the stand-ins' records and the callers' notes are checked afterwards. The fleet can restart an entry on its VM and addresses, its ports lie below those of outgoing connections, and its plain services bear as many cold calls as the operators' text says (they bore two, the text said four).

--- a/crates/mustardshed-standins/src/fleet.rs
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -57,6 +57,8 @@
     pub entries: Vec<entry::Entry>,
     /// HTTP client for faults and records.
     pub client: json_client::JsonClient,
+    /// What it consists of.
+    pub spec: spec::Spec,
 }
 
 impl Fleet {
@@ -76,6 +78,7 @@
             services: Vec::new(),
             entries: Vec::new(),
             client,
+            spec: spec.clone(),
         };
         for engine in &spec.engines {
             let process = fleet
@@ -126,6 +129,16 @@
         self.put(&url, vm).await
     }
 
+    /// Returns the backend servers' names and items of the platform's list.
+    pub fn listed_servers(&self) -> Vec<(String, serde_json::Value)> {
+        let engines = self.spec.engines.iter().zip(&self.engines);
+        let engines = engines.map(|(spec, process)| (spec.name.clone(), spec.vm(&process.address)));
+        let services = self.spec.services.iter().zip(&self.services);
+        let services =
+            services.map(|(spec, process)| (spec.name.clone(), spec.vm(&process.address)));
+        engines.chain(services).collect()
+    }
+
     /// Switches faults of a stand-in.
     ///
     /// # Errors
@@ -149,9 +162,21 @@
         &self,
         stand_in: &process::Process,
     ) -> Result<serde_json::Value, FleetError> {
-        let url = format!("{}/admin/records", stand_in.url());
-        let answer = call(&url, self.client.get(&url)).await?;
-        Ok(answer.body)
+        self.get(&format!("{}/admin/records", stand_in.url())).await
+    }
+
+    /// Reads what a URL answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not answer with 200.
+    pub async fn get(&self, url: &str) -> Result<serde_json::Value, FleetError> {
+        let answer = call(url, self.client.get(url)).await?;
+        if answer.status == 200 {
+            return Ok(answer.body);
+        }
+        let seen = format!("{} {}", answer.status, answer.body);
+        Err(FleetError::Call(url.to_owned(), seen))
     }
 
     async fn put(&self, url: &str, body: &serde_json::Value) -> Result<(), FleetError> {
--- a/crates/mustardshed-standins/src/fleet/entry.rs
+++ b/crates/mustardshed-standins/src/fleet/entry.rs
@@ -1,9 +1,16 @@
 //! An entry process of a fleet.
 
-use std::{fs, net, process as std_process};
+use std::{fs, net, path, process as std_process};
+
+use rand::RngExt;
 
 use super::{FleetError, files, process};
 
+/// Ports of entries; they lie below those of outgoing connections, so that a restart finds them free.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+/// Ports that are tried until one is free.
+const MAX_TRIES: u32 = 100;
+
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -17,6 +24,9 @@
     pub peer_address: String,
     /// Its process.
     pub process: process::Process,
+    /// Logs of its runs, the first one's first.
+    pub logs: Vec<path::PathBuf>,
+    settings: path::PathBuf,
 }
 
 impl Entry {
@@ -35,23 +45,32 @@
         let peer_address = free_address()?;
         let settings =
             files.write_settings(vm, data_centre, &address, &peer_address, platform_url)?;
-        let log = files.folder.join(format!("{vm}.log"));
-        let log = fs::File::create(&log).map_err(|e| FleetError::File(log, e))?;
-        let errors = log
-            .try_clone()
-            .map_err(|e| FleetError::Spawn(vm.to_owned(), e))?;
-        let mut command = std_process::Command::new(&files.daemon);
-        command.arg("--settings").arg(settings);
-        command.stdout(log).stderr(errors);
+        let log = log_file(files, vm, 0);
+        let process = spawn_process(files, vm, &settings, &log)?;
         Ok(Self {
             vm_id: vm.to_owned(),
             data_centre: data_centre.to_owned(),
             address,
             peer_address,
-            process: process::Process::spawn(vm, command)?,
+            process,
+            logs: vec![log],
+            settings,
         })
     }
 
+    /// Ends the process if it still runs, and starts one on the same VM and addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be started.
+    pub fn restart(&mut self, files: &files::Files) -> Result<(), FleetError> {
+        self.process.kill();
+        let log = log_file(files, &self.vm_id, self.logs.len());
+        self.process = spawn_process(files, &self.vm_id, &self.settings, &log)?;
+        self.logs.push(log);
+        Ok(())
+    }
+
     /// Returns the base URL towards callers.
     pub fn url(&self) -> String {
         format!("http://{}", self.address)
@@ -71,10 +90,40 @@
     }
 }
 
+/// Returns the log file of a run.
+fn log_file(files: &files::Files, vm: &str, run: usize) -> path::PathBuf {
+    let name = match run {
+        0 => format!("{vm}.log"),
+        _ => format!("{vm}.{run}.log"),
+    };
+    files.folder.join(name)
+}
+
+fn spawn_process(
+    files: &files::Files,
+    vm: &str,
+    settings: &path::Path,
+    log: &path::Path,
+) -> Result<process::Process, FleetError> {
+    let output = fs::File::create(log).map_err(|e| FleetError::File(log.to_owned(), e))?;
+    let errors = output
+        .try_clone()
+        .map_err(|e| FleetError::Spawn(vm.to_owned(), e))?;
+    let mut command = std_process::Command::new(&files.daemon);
+    command.arg("--settings").arg(settings);
+    command.stdout(output).stderr(errors);
+    process::Process::spawn(vm, command)
+}
+
 /// Returns a loopback address that nobody listens on now.
 fn free_address() -> Result<String, FleetError> {
-    let failed = |e| FleetError::Spawn("a listener".to_owned(), e);
-    let listener = net::TcpListener::bind(("127.0.0.1", 0)).map_err(failed)?;
-    let address = listener.local_addr().map_err(failed)?;
-    Ok(address.to_string())
+    let mut tries = 0;
+    loop {
+        let port = rand::rng().random_range(PORTS);
+        match net::TcpListener::bind(("127.0.0.1", port)) {
+            Ok(_) => return Ok(format!("127.0.0.1:{port}")),
+            Err(_) if tries < MAX_TRIES => tries += 1,
+            Err(e) => return Err(FleetError::Spawn("a listener".to_owned(), e)),
+        }
+    }
 }
--- a/crates/mustardshed-standins/src/fleet/files.rs
+++ b/crates/mustardshed-standins/src/fleet/files.rs
@@ -14,7 +14,7 @@
 static NEXT_FOLDER: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 
 /// Where programs are found and files are kept.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Files {
     /// Folder of this fleet's files.
     pub folder: path::PathBuf,
--- a/crates/mustardshed-standins/src/fleet/spec.rs
+++ b/crates/mustardshed-standins/src/fleet/spec.rs
@@ -2,6 +2,13 @@
 
 use super::{files, key_of};
 
+/// Requests that a cold engine must finish before it is warm.
+const WARM_AFTER: u32 = 4;
+/// Calls at once that a server of a plain service takes.
+const SERVICE_MAX_RUNNING: u32 = 64;
+/// Calls at once that a cold server of a plain service bears.
+pub const SERVICE_COLD_LIMIT: u32 = 4;
+
 /// A model engine of a fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
@@ -23,6 +30,8 @@
     pub cold_limit: u32,
     /// Model that it has loaded.
     pub model: String,
+    /// Whether it refuses orders with old fencing numbers: `checked` or `ignored`.
+    pub fencing: String,
     /// Whether it starts cold.
     pub start_cold: bool,
 }
@@ -39,6 +48,8 @@
             format!("--max-running={}", self.max_running),
             format!("--cold-limit={}", self.cold_limit),
             format!("--model={}=1", self.model),
+            format!("--fencing={}", self.fencing),
+            format!("--warm-after={WARM_AFTER}"),
         ];
         if self.start_cold {
             args.push("--start-cold".to_owned());
@@ -70,6 +81,8 @@
             format!("--name={}", self.name),
             format!("--data-centre={}", self.data_centre),
             "--non-repeatable=POST /charge".to_owned(),
+            format!("--max-running={SERVICE_MAX_RUNNING}"),
+            format!("--cold-limit={SERVICE_COLD_LIMIT}"),
         ]
         .iter()
         .flat_map(|arg| split(arg))
@@ -113,6 +126,7 @@
             max_running: 32,
             cold_limit: 2,
             model: "psalter".to_owned(),
+            fencing: "checked".to_owned(),
             start_cold: false,
         };
         Self {
@@ -149,8 +163,11 @@
         for engine in kinds {
             text += &self.kind_text(engine);
         }
-        text += "[[service]]\nname = \"payments\"\ndepends_on = []\n\
-                 plain = { non_repeatable = [\"POST /charge\"], max_running = 64, cold_limit = 4 }\n\n";
+        text += &format!(
+            "[[service]]\nname = \"payments\"\ndepends_on = []\n\
+             plain = {{ non_repeatable = [\"POST /charge\"], max_running = {SERVICE_MAX_RUNNING}, \
+             cold_limit = {SERVICE_COLD_LIMIT} }}\n\n"
+        );
         for (name, weight) in &self.accounts {
             let digest = files::digest(&key_of(name));
             text += &format!(
@@ -165,8 +182,8 @@
         let speed = (f64::from(engine.prefill_tps) * self.time_scale) as u64;
         format!(
             "[[engine_kind]]\nname = \"{kind}\"\nmemory_tokens = {memory}\n\
-             max_running = {running}\ncold_limit = {cold}\nwarm_after = 4\n\
-             prefill_tokens_per_second = {speed}\nfencing = \"checked\"\n\n\
+             max_running = {running}\ncold_limit = {cold}\nwarm_after = {WARM_AFTER}\n\
+             prefill_tokens_per_second = {speed}\nfencing = \"{fencing}\"\n\n\
              [[model]]\nname = \"{model}\"\nengine_kind = \"{kind}\"\nversion = \"1\"\n\
              context_tokens = 1048576\n\n\
              [[service]]\nname = \"{kind}-drafts\"\nmodel = \"{model}\"\n\
@@ -176,6 +193,7 @@
             running = engine.max_running,
             cold = engine.cold_limit,
             model = engine.model,
+            fencing = engine.fencing,
         )
     }
 }
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod oracle;
 pub mod platform;
 pub mod service;
+pub mod storm;
 pub mod unix_time;
--- a/crates/mustardshed-standins/src/load.rs
+++ b/crates/mustardshed-standins/src/load.rs
@@ -32,5 +32,5 @@
 mod directory;
 mod measures;
 mod prompt_text;
-mod reader;
+pub(crate) mod reader;
 mod sample;
--- a/crates/mustardshed-standins/src/load/reader.rs
+++ b/crates/mustardshed-standins/src/load/reader.rs
@@ -43,20 +43,20 @@
 
 /// What was read of an answer.
 #[derive(Debug)]
-pub(super) struct Reading {
+pub(crate) struct Reading {
     start: time::Instant,
     last: Option<time::Instant>,
     expected: String,
     received: String,
     /// Time to the first token.
-    pub(super) first_token: Option<time::Duration>,
+    pub(crate) first_token: Option<time::Duration>,
     /// Times between tokens.
-    pub(super) between_tokens: Vec<time::Duration>,
+    pub(crate) between_tokens: Vec<time::Duration>,
 }
 
 impl Reading {
     /// Begins to read the answer of a request that was to be sent at `start`.
-    pub(super) fn new(start: time::Instant, oracle: oracle::Oracle, output_tokens: u64) -> Self {
+    pub(crate) fn new(start: time::Instant, oracle: oracle::Oracle, output_tokens: u64) -> Self {
         Self {
             start,
             last: None,
@@ -68,7 +68,7 @@
     }
 
     /// Reads an answer to its end.
-    pub(super) async fn read(&mut self, resp: http::Response<body::Incoming>) -> outcome::Outcome {
+    pub(crate) async fn read(&mut self, resp: http::Response<body::Incoming>) -> outcome::Outcome {
         if resp.status() != http::StatusCode::OK {
             return read_error(resp.into_body()).await;
         }
--- /dev/null
+++ b/crates/mustardshed-standins/src/storm/checks/deadlines.rs
@@ -0,0 +1,53 @@
+//! Promise 1: every admitted request is answered by its deadline.
+
+use crate::{
+    load::outcome,
+    storm::{attempt, evidence, verdict},
+};
+
+/// Time for processing after the deadline, in milliseconds.
+const PROCESSING_MS: u64 = 100;
+
+/// Checks that every call to an entry that was neither killed nor frozen had its final answer in time.
+pub fn check(evidence: &evidence::Evidence) -> verdict::Verdict {
+    let mut violations = Vec::new();
+    let (mut looked_at, mut struck, mut worst_ms) = (0_u64, 0_u64, 0_u64);
+    for attempt in evidence.attempts().filter(|attempt| attempt.is_connected()) {
+        if evidence.was_entry_struck(attempt) {
+            struck += 1;
+            continue;
+        }
+        looked_at += 1;
+        worst_ms = worst_ms.max(attempt.ended_ms.saturating_sub(attempt.due_ms()));
+        if !is_final(&attempt.outcome) {
+            violations.push(format!("no final answer: {}", describe(evidence, attempt)));
+        } else if attempt.ended_ms > attempt.due_ms() + PROCESSING_MS {
+            violations.push(format!("late: {}", describe(evidence, attempt)));
+        }
+    }
+    let detail = format!(
+        "calls {looked_at}, worst lateness {worst_ms} ms; \
+         apart: {struck} at entries that were killed or frozen meanwhile"
+    );
+    verdict::Verdict::new(1, violations, detail)
+}
+
+const fn is_final(outcome: &outcome::Outcome) -> bool {
+    !matches!(
+        outcome,
+        outcome::Outcome::Cut | outcome::Outcome::NeverTold | outcome::Outcome::NoConnection
+    )
+}
+
+/// Describes a call for a person.
+pub fn describe(evidence: &evidence::Evidence, attempt: &attempt::Attempt) -> String {
+    format!(
+        "{} at {} sent {} took {} ms of {} ms: {}",
+        attempt.request_id,
+        evidence.vm(&attempt.entry),
+        attempt.sent_ms,
+        attempt.ended_ms.saturating_sub(attempt.sent_ms),
+        attempt.deadline.as_millis(),
+        attempt.outcome.name(),
+    )
+}
--- /dev/null
+++ b/crates/mustardshed-standins/src/storm/plan.rs
@@ -0,0 +1,27 @@
+//! What storm is to be raised.
+
+use std::{path, time};
+
+/// A storm, as a seed determines it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Plan {
+    /// How long faults and load last.
+    pub duration: time::Duration,
+    /// Seed of faults and load.
+    pub seed: u64,
+    /// How long the fleet rests before it is looked at.
+    pub rest: time::Duration,
+    /// Folder to which the entries' logs are copied.
+    pub keep_logs: Option<path::PathBuf>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            duration: time::Duration::from_secs(180),
+            seed: 1,
+            rest: time::Duration::from_secs(30),
+            keep_logs: None,
+        }
+    }
+}
