Break the control cost down by message and call

Cause: the bytes of an entry grow beyond 22 KB/s at 8 entries, and nothing showed which messages they belong to, nor which calls use the processor.

--- a/crates/mustardshed-standins/examples/capacity.rs
+++ b/crates/mustardshed-standins/examples/capacity.rs
@@ -18,6 +18,8 @@
         optional --seconds count: u64
         /// Seed, 1 by default
         optional --seed seed: u64
+        /// Prints what each message and call costs as well
+        optional --parts
     };
     let counts = flags.entries.unwrap_or_else(|| "8,32,96".to_owned());
     println!("entries servers msgs/s bytes/s cpu_ms/s memory_bytes credits/s");
@@ -32,7 +34,11 @@
             requests_per_second: flags.rate.unwrap_or(18.25),
             duration: time::Duration::from_secs(flags.seconds.unwrap_or(20)),
         };
-        print(&size, &world::measure(size, flags.seed.unwrap_or(1)));
+        let cost = world::measure(size, flags.seed.unwrap_or(1));
+        print(&size, &cost);
+        if flags.parts {
+            print_parts(&cost);
+        }
     }
 }
 
@@ -48,3 +54,12 @@
         cost.credits_per_second,
     );
 }
+
+fn print_parts(cost: &cost::Cost) {
+    for (name, rate) in &cost.parts {
+        println!(
+            "  {name}: {:.2}/s {:.0} bytes/s {:.3} cpu_ms/s",
+            rate.count, rate.bytes, rate.cpu_ms
+        );
+    }
+}
--- a/crates/mustardshed-standins/src/capacity.rs
+++ b/crates/mustardshed-standins/src/capacity.rs
@@ -12,6 +12,7 @@
     version::record,
 };
 
+pub mod breakdown;
 pub mod cost;
 pub mod world;
 
--- a/crates/mustardshed-standins/src/capacity/cost.rs
+++ b/crates/mustardshed-standins/src/capacity/cost.rs
@@ -4,8 +4,10 @@
 
 use rustix::time as system;
 
+use super::breakdown;
+
 /// Control cost of one entry.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Cost {
     /// Messages sent a second.
     pub messages_per_second: f64,
@@ -17,6 +19,30 @@
     pub memory_bytes: f64,
     /// Credits granted a second.
     pub credits_per_second: f64,
+    /// Parts of these, by message and call.
+    pub parts: Vec<(&'static str, Rate)>,
+}
+
+/// What one message or call costs, per entry and second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Rate {
+    /// Messages, facts or calls a second.
+    pub count: f64,
+    /// Bytes sent a second.
+    pub bytes: f64,
+    /// Processor time, in milliseconds a second.
+    pub cpu_ms: f64,
+}
+
+impl Rate {
+    /// Divides a count by entries times seconds.
+    pub fn new(part: &breakdown::Part, entry_seconds: f64) -> Self {
+        Self {
+            count: part.count as f64 / entry_seconds,
+            bytes: part.bytes as f64 / entry_seconds,
+            cpu_ms: part.cpu.as_secs_f64() * 1e3 / entry_seconds,
+        }
+    }
 }
 
 /// Returns the processor time that this thread has used.
--- a/crates/mustardshed-standins/src/capacity/world.rs
+++ b/crates/mustardshed-standins/src/capacity/world.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{Size, configuration, cost, entry_name, report, server_name};
+use super::{Size, breakdown, configuration, cost, entry_name, report, server_name};
 
 /// One-way delay between entries.
 const LINK_DELAY: time::Duration = time::Duration::from_millis(1);
@@ -80,6 +80,7 @@
     bytes: u64,
     granted: u64,
     busy: time::Duration,
+    breakdown: breakdown::Breakdown,
 }
 
 /// Measures the control cost of one entry in a fleet of this size.
@@ -89,6 +90,7 @@
     world.run_until(WARM_UP);
     let (messages, bytes, granted) = (world.messages, world.bytes, world.granted);
     let busy_before = world.busy;
+    let parts_before = world.breakdown.clone();
     world.run_until(WARM_UP + size.duration);
     let busy = world.busy.saturating_sub(busy_before);
     let resident = cost::resident_bytes().saturating_sub(resident_before);
@@ -99,6 +101,11 @@
         cpu_ms_per_second: busy.as_secs_f64() * 1e3 / entry_seconds,
         memory_bytes: resident as f64 / size.entries as f64,
         credits_per_second: (world.granted - granted) as f64 / entry_seconds,
+        parts: world
+            .breakdown
+            .since(&parts_before)
+            .map(|(name, part)| (name, cost::Rate::new(&part, entry_seconds)))
+            .collect(),
     }
 }
 
@@ -118,6 +125,7 @@
             bytes: 0,
             granted: 0,
             busy: time::Duration::ZERO,
+            breakdown: breakdown::Breakdown::default(),
         };
         for entry in 0..size.entries {
             let offset = node::TICK.mul_f64(world.rng.random());
@@ -205,7 +213,7 @@
     fn receive(&mut self, entry: usize, from: usize, buf: &[u8]) {
         let begun_at = cost::thread_cpu_time();
         let decoded = peer::decode(buf);
-        self.busy += cost::thread_cpu_time().saturating_sub(begun_at);
+        self.note_cpu("decode", begun_at);
         let Ok(message) = decoded else {
             return;
         };
@@ -223,10 +231,11 @@
         let Some(node) = self.nodes.get_mut(entry) else {
             return;
         };
+        let name = breakdown::event_name(&event);
         let begun_at = cost::thread_cpu_time();
         let actions = node.handle(event, now);
         std::hint::black_box(node.snapshot(now));
-        self.busy += cost::thread_cpu_time().saturating_sub(begun_at);
+        self.note_cpu(name, begun_at);
         for action in actions {
             self.carry_out(entry, action);
         }
@@ -250,6 +259,13 @@
         }
     }
 
+    /// Counts processor time used since `begun_at`.
+    fn note_cpu(&mut self, name: &'static str, begun_at: time::Duration) {
+        let cpu = cost::thread_cpu_time().saturating_sub(begun_at);
+        self.busy += cpu;
+        self.breakdown.add(name, 0, cpu);
+    }
+
     fn granted(&mut self, entry: usize, credit: control::Credit) {
         self.granted += 1;
         let feedback = control::Feedback {
@@ -267,10 +283,13 @@
     fn send(&mut self, from: usize, vm: &ids::VmId, message: &message::Message) {
         let begun_at = cost::thread_cpu_time();
         let encoded = peer::encode(message);
-        self.busy += cost::thread_cpu_time().saturating_sub(begun_at);
+        self.note_cpu("encode", begun_at);
         let Ok(buf) = encoded else {
             return;
         };
+        let name = breakdown::message_name(message);
+        self.breakdown.add(name, buf.len(), time::Duration::ZERO);
+        self.breakdown.add_facts(&entry_name(from), message);
         self.messages += 1;
         self.bytes += buf.len() as u64;
         if let Some(to) = self.indices.get(vm).copied() {
