Check only as many backend servers as a decision needs

Cause: a decision checked every server of the right kind (40.2 us at 840 servers, 48 ns a server), though it compares five. Change: servers of the right kind are looked at in a random order until five may be given the work.

--- a/crates/mustardshed-core/src/request/route.rs
+++ b/crates/mustardshed-core/src/request/route.rs
@@ -32,20 +32,10 @@
     work: &work::Work<'_>,
     now: ids::Timestamp,
 ) -> Result<decision::Decision, decision::NoRoute> {
-    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(work.seed);
-    let mut drawn: Vec<&snapshot::ServerView> = Vec::with_capacity(CHOICES);
-    let mut eligible = 0_u32;
     let mut refused = decision::NoRoute::default();
-    for server in snapshot.servers.values().filter(|s| work.wants_kind(s)) {
-        match exclusion::check(snapshot, work, server) {
-            Some(reason) => refused.add(&server.id, reason),
-            None => {
-                eligible += 1;
-                draw(&mut drawn, server, eligible, &mut rng);
-            }
-        }
-    }
+    let mut drawn = draw(snapshot, work, &mut refused);
     add_affine(&mut drawn, snapshot, work);
+    let drawn_count = drawn.len();
     let best = drawn
         .into_iter()
         .map(|server| Eligible {
@@ -57,7 +47,7 @@
         Some(best) => Ok(decision::Decision::new(
             best.server,
             best.estimate,
-            eligible,
+            drawn_count,
             work,
         )),
         None => Err(refused),
@@ -84,21 +74,34 @@
         .collect()
 }
 
-/// Keeps a uniform sample of at most [`CHOICES`] of the servers seen so far.
+/// Draws [`CHOICES`] servers uniformly from those that may be given the work, or all if they are fewer.
+///
+/// Servers are looked at in a random order until enough are found, so that a decision does not
+/// check every server of a large fleet.
 fn draw<'a>(
-    drawn: &mut Vec<&'a snapshot::ServerView>,
-    server: &'a snapshot::ServerView,
-    seen: u32,
-    rng: &mut rand_pcg::Pcg64Mcg,
-) {
-    if drawn.len() < CHOICES {
-        drawn.push(server);
-        return;
-    }
-    let slot = rng.random_range(0..seen as usize);
-    if let Some(kept) = drawn.get_mut(slot) {
-        *kept = server;
+    snapshot: &'a snapshot::Snapshot,
+    work: &work::Work<'_>,
+    refused: &mut decision::NoRoute,
+) -> Vec<&'a snapshot::ServerView> {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(work.seed);
+    let mut servers: Vec<_> = snapshot
+        .servers
+        .values()
+        .filter(|server| work.wants_kind(server))
+        .collect();
+    let mut drawn = Vec::with_capacity(CHOICES + 1);
+    for i in 0..servers.len() {
+        if drawn.len() == CHOICES {
+            break;
+        }
+        let chosen = rng.random_range(i..servers.len());
+        servers.swap(i, chosen);
+        match exclusion::check(snapshot, work, servers[i]) {
+            Some(reason) => refused.add(&servers[i].id, reason),
+            None => drawn.push(servers[i]),
+        }
     }
+    drawn
 }
 
 /// Adds the server that is believed to hold the prompt's prefix, if it may be given the work.
--- a/crates/mustardshed-core/src/request/route/decision.rs
+++ b/crates/mustardshed-core/src/request/route/decision.rs
@@ -24,15 +24,15 @@
     pub estimate: estimate::Estimate,
     /// Prompt tokens that it must prefill.
     pub prefill_tokens: ids::Tokens,
-    /// Servers that might have been given the work.
-    pub eligible: u32,
+    /// Servers of which it has the least estimate.
+    pub drawn: usize,
 }
 
 impl Decision {
     pub(crate) fn new(
         server: &snapshot::ServerView,
         estimate: estimate::Estimate,
-        eligible: u32,
+        drawn: usize,
         work: &work::Work<'_>,
     ) -> Self {
         Self {
@@ -42,7 +42,7 @@
             warmth: server.warmth,
             estimate,
             prefill_tokens: work.uncached_tokens(server),
-            eligible,
+            drawn,
         }
     }
 }
@@ -55,10 +55,8 @@
         };
         write!(
             f,
-            "least estimate of {} drawn from {} eligible, {warmth}: {}",
-            super::CHOICES.min(self.eligible as usize),
-            self.eligible,
-            self.estimate
+            "least estimate of {} drawn, {warmth}: {}",
+            self.drawn, self.estimate
         )
     }
 }
