--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -83,6 +83,7 @@
             3 => step::handover(),
             1 => step::slow_links(),
             1 => step::broken_streams(),
+            1 => step::brief_return(),
         ]
         .boxed()
     }
@@ -257,3 +258,23 @@
 fn promise_10_accepted_configuration_is_in_force() {
     storm::run::<InForce>();
 }
+
+#[test]
+fn promise_4_outage_alone_does_not_stop_service() {
+    let mut fleet = fleet::Fleet::new();
+    fleet.platform.is_out = true;
+    fleet.advance(time::Duration::from_secs(60));
+    let granted = fleet.granted.len();
+
+    for index in 0..fleet::ENTRIES {
+        let work = engine::Work {
+            tokens: 1,
+            is_reservation: false,
+        };
+        let lasts = time::Duration::from_millis(100);
+        fleet.submit(&fleet::entry(index), &fleet::server(0), work, lasts);
+    }
+    fleet.advance(FIVE_SECONDS);
+
+    assert_eq!(fleet.granted.len() - granted, fleet::ENTRIES);
+}
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -25,6 +25,7 @@
     Leave(usize),
     Cut(usize, usize, bool),
     Isolate(usize),
+    Partition(usize),
     CutPlatform(usize),
     CutServer(usize, usize),
     Mend,
@@ -83,6 +84,7 @@
                 }
             }
             Self::Isolate(index) => isolate(fleet, &entry(index)),
+            Self::Partition(index) => partition(fleet, &entry(index)),
             Self::CutPlatform(index) => fleet.network.cut(&entry(index), "platform"),
             Self::CutServer(index, other) => fleet.network.cut(&entry(index), &server(other)),
             Self::Mend => fleet.network.mend_all(),
@@ -451,3 +453,21 @@
         })
         .boxed()
 }
+
+/// An entry that was cut off for long, returns, and is cut off again before it hears of others.
+pub fn brief_return() -> BoxedStrategy<Step> {
+    (0..ENTRIES, 0..SERVERS, 5000_u64..7000, 1_u64..600)
+        .prop_map(|(entry, server, away, back)| {
+            Step::Script(vec![
+                Step::Isolate(entry),
+                Step::Wait(away),
+                Step::Mend,
+                Step::Wait(back),
+                Step::Partition(entry),
+                everywhere(server, 20_000),
+                Step::Wait(1500),
+                Step::Mend,
+            ])
+        })
+        .boxed()
+}
