Confirm the configuration of a large fleet in an outage

With more than 16 entries heartbeats go to eight neighbours only, of whom no majority of the fleet can be made, so a platform outage would have stopped all new work there. A few entries chosen by hash now ask all others in an outage, with bare heartbeats, and each other entry asks two of them and takes over their confirmation by its age.

Ruled out: every entry asking a majority (200 heartbeats each half second at 400 entries), and confirmation over neighbours alone, whose age at three hops reaches the 2 s for which it holds.

--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -135,6 +135,12 @@
             .collect()
     }
 
+    /// Returns the fact that this entry is alive.
+    pub fn own_alive(&self, now: ids::Timestamp) -> Option<message::Fact> {
+        let key = (self.own.clone(), Subject::Alive);
+        self.facts.get(&key).map(|known| aged(known, now))
+    }
+
     /// Returns all facts on the load of backend servers.
     pub fn loads(&self) -> impl Iterator<Item = &Known> {
         self.facts
--- a/crates/mustardshed-core/src/process/node/periodic.rs
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use crate::{
-    ids,
+    ids, mutation,
     process::{action, message, topology},
 };
 
@@ -41,15 +41,41 @@
         self.state_loads(now);
         let others = self.world.members.reachable().len();
         let is_mesh = others < topology::MESH_LIMIT;
-        let generation = self.world.configuration.generation();
-        for vm in self.links.neighbours() {
-            let heartbeat = message::Heartbeat {
-                sent_at: now,
-                generation,
-                facts: self.gossip.take_for(&vm, is_mesh, now),
-            };
-            self.send(&vm, message::Message::Heartbeat(heartbeat), now, out);
+        let neighbours = self.links.neighbours();
+        for vm in &neighbours {
+            let facts = self.gossip.take_for(vm, is_mesh, now);
+            self.send_heartbeat(vm, facts, now, out);
         }
+        for vm in self.outage_contacts(now) {
+            if !neighbours.contains(&vm) {
+                let facts = self.gossip.own_alive(now).into_iter().collect();
+                self.send_heartbeat(&vm, facts, now, out);
+            }
+        }
+    }
+
+    fn send_heartbeat(
+        &mut self,
+        vm: &ids::VmId,
+        facts: Vec<message::Fact>,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let heartbeat = message::Heartbeat {
+            sent_at: now,
+            generation: self.world.configuration.generation(),
+            facts,
+        };
+        self.send(vm, message::Message::Heartbeat(heartbeat), now, out);
+    }
+
+    /// Returns the entries beside neighbours whose word is needed while the platform is silent.
+    fn outage_contacts(&self, now: ids::Timestamp) -> collections::BTreeSet<ids::VmId> {
+        if self.world.freshness.platform_answers(now) || mutation::on("neighbours_only") {
+            return collections::BTreeSet::new();
+        }
+        let others = self.world.members.reachable();
+        topology::outage_contacts(&self.identity.vm, &others)
     }
 
     fn state_alive(&mut self, now: ids::Timestamp) {
--- a/crates/mustardshed-core/tests/promises/fleet.rs
+++ b/crates/mustardshed-core/tests/promises/fleet.rs
@@ -134,6 +134,11 @@
 impl Fleet {
     /// Makes a fleet with a configuration in force, running for a few seconds.
     pub fn new() -> Self {
+        Self::of(ENTRIES)
+    }
+
+    /// Makes a fleet of so many entries.
+    pub fn of(entries: usize) -> Self {
         let mut fleet = Self {
             now: time::Duration::from_secs(100),
             processes: collections::BTreeMap::new(),
@@ -152,7 +157,7 @@
             counter: 0,
         };
         let mut vms = Vec::new();
-        for index in 0..ENTRIES {
+        for index in 0..entries {
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
             vms.push(listed(&entry(index), border::VmRole::Entry, data_centre));
         }
@@ -172,7 +177,7 @@
         fleet
             .platform
             .write(0, first_record(), time::Duration::ZERO);
-        for index in 0..ENTRIES {
+        for index in 0..entries {
             fleet.start(&entry(index));
         }
         fleet.advance(time::Duration::from_secs(6));
--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -278,3 +278,19 @@
 
     assert_eq!(fleet.granted.len() - granted, fleet::ENTRIES);
 }
+
+#[test]
+fn promise_4_outage_does_not_stop_a_large_fleet() {
+    let entries = 48;
+    let mut fleet = fleet::Fleet::of(entries);
+    fleet.platform.is_out = true;
+
+    for _ in 0..40 {
+        fleet.advance(time::Duration::from_millis(500));
+        let is_fresh = |process: &&fleet::Process| {
+            process.node.snapshot(fleet.now).may_place_until > fleet.now
+        };
+        let fresh = fleet.processes.values().filter(is_fresh).count();
+        assert_eq!(fresh, entries, "at {:?}", fleet.now);
+    }
+}
