--- a/crates/mustardshed-standins/src/storm/caller.rs
+++ b/crates/mustardshed-standins/src/storm/caller.rs
@@ -109,11 +109,11 @@
                 Err(outcome) => return outcome,
             };
             attempt.request_id = request_id(&resp);
-            let is_whole = resp.status() == http::StatusCode::OK;
+            let status = resp.status();
             let Some(answer) = read(resp).await else {
                 return outcome::Outcome::Cut;
             };
-            let outcome = outcome_of(is_whole, &answer);
+            let outcome = outcome_of(status, &answer);
             attempt.answer = Some(answer);
             outcome
         };
@@ -194,13 +194,14 @@
     serde_json::from_slice(&bytes).ok()
 }
 
-fn outcome_of(is_whole: bool, answer: &serde_json::Value) -> outcome::Outcome {
-    if is_whole {
+/// Returns what an answer tells; one that names no outcome is told by its status.
+fn outcome_of(status: http::StatusCode, answer: &serde_json::Value) -> outcome::Outcome {
+    if status == http::StatusCode::OK {
         return outcome::Outcome::Completed;
     }
-    let text = |value: &serde_json::Value| value.as_str().unwrap_or("untold").to_owned();
+    let code = answer["error"]["code"].as_str();
     outcome::Outcome::Told {
-        outcome: text(&answer["outcome"]),
-        code: text(&answer["error"]["code"]),
+        outcome: answer["outcome"].as_str().unwrap_or("untold").to_owned(),
+        code: code.map_or_else(|| format!("status {status}"), str::to_owned),
     }
 }
--- a/crates/mustardshed-standins/src/storm/checks/cold.rs
+++ b/crates/mustardshed-standins/src/storm/checks/cold.rs
@@ -1,6 +1,9 @@
 //! Promise 3: no backend server in cold start is given more than it bears.
 
-use crate::storm::{evidence, verdict};
+use crate::storm::{evidence, fault, verdict};
+
+/// Refusals that are shown of one engine.
+const SHOWN_REFUSALS: usize = 6;
 
 /// Checks that nothing fell over or ran more than its limit while it was cold.
 pub fn check(evidence: &evidence::Evidence) -> verdict::Verdict {
@@ -26,16 +29,20 @@
     verdict::Verdict::new(3, violations, format!("fell over {fell_over_in_all} times"))
 }
 
-/// Returns when an engine refused because it had fallen over, for a person.
+/// Describes for a person when a server turned cold, and when an engine refused because it had
+/// fallen over.
 fn falls(evidence: &evidence::Evidence, name: &str) -> String {
-    let Some(records) = evidence.records.engines.get(name) else {
-        return String::new();
-    };
-    let refused = records.requests.iter();
-    let refused = refused.filter(|req| req.refused.as_deref() == Some("fell_over"));
-    let times: Vec<String> = refused
-        .map(|req| format!("{} {}", req.at_ms, req.id))
-        .take(4)
-        .collect();
-    format!(", first refused so: {}", times.join(", "))
+    let mut text = String::new();
+    for span in evidence.spans.iter().filter(|span| span.target == name) {
+        if span.kind != fault::Kind::ServerLeaving {
+            text += &format!("; {:?} at {}", span.kind, span.from_ms);
+        }
+    }
+    let records = evidence.records.engines.get(name);
+    let requests = records.into_iter().flat_map(|records| &records.requests);
+    let refused = requests.filter(|req| req.refused.as_deref() == Some("fell_over"));
+    for req in refused.take(SHOWN_REFUSALS) {
+        text += &format!("; refused {} at {}", req.id, req.at_ms);
+    }
+    text
 }
