Shorten the frames between entries

Cause: half of a frame were names of fields, and a heartbeat named its author in every fact.

Change: fields and messages have names of one or two letters, fields with the default value are left out, facts are grouped by author, and feedback does not repeat the names of its message. Version 2 of the protocol. Weighed: arrays in place of maps, which save two bytes a field more and make every later field a break.

--- a/crates/mustardshed-wire/src/peer.rs
+++ b/crates/mustardshed-wire/src/peer.rs
@@ -1,7 +1,8 @@
 //! Frames between entry processes: CBOR, bounded in size and in the length of every list.
 //!
 //! A link starts with a [`Hello`] each way, then a [`Proof`] each way; every later frame is a
-//! message. Durations cross as nanoseconds, errors by their stable codes.
+//! message. Durations cross as nanoseconds, errors by their stable codes. Fields of frequent messages
+//! have names of one letter, and those with the default value are left out.
 //!
 //! ```
 //! use mustardshed_core::process::message;
@@ -31,7 +32,7 @@
 pub use wire_message::Message;
 
 /// Version of the protocol between entry processes.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 /// Largest frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
--- a/crates/mustardshed-wire/src/peer/credit.rs
+++ b/crates/mustardshed-wire/src/peer/credit.rs
@@ -13,23 +13,36 @@
 /// A question for a credit on the wire; the time to wait crosses beside it as a duration.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct CreditRequest {
+    #[serde(rename = "r")]
     request: String,
+    #[serde(rename = "a")]
     account: String,
+    #[serde(rename = "s")]
     server: String,
+    #[serde(rename = "t")]
     tokens: u64,
+    #[serde(rename = "p", default, skip_serializing_if = "field::is_default")]
     prefill_tokens: u64,
+    #[serde(rename = "y", default, skip_serializing_if = "field::is_default")]
     priority: u32,
+    #[serde(rename = "g", default, skip_serializing_if = "field::is_default")]
     gang: bool,
 }
 
-/// How work went, on the wire.
+/// How work went, on the wire; an empty name is that of the message around it.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct Feedback {
+    #[serde(rename = "r", default, skip_serializing_if = "field::is_default")]
     request: String,
+    #[serde(rename = "s", default, skip_serializing_if = "field::is_default")]
     server: String,
+    #[serde(rename = "p", default, skip_serializing_if = "field::is_default")]
     prefill_tokens: u64,
+    #[serde(rename = "t", default, skip_serializing_if = "field::is_default")]
     first_token_nanos: Option<u64>,
+    #[serde(rename = "e", default, skip_serializing_if = "field::is_default")]
     epoch: Option<u64>,
+    #[serde(rename = "f", default, skip_serializing_if = "field::is_default")]
     failure: Option<Failure>,
 }
 
@@ -48,7 +61,9 @@
 /// A held credit on the wire.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct HeldCredit {
+    #[serde(rename = "r")]
     request: String,
+    #[serde(rename = "t")]
     tokens: u64,
 }
 
@@ -92,6 +107,30 @@
     }
 }
 
+impl Feedback {
+    /// Leaves out names that the message around it states.
+    pub(super) fn within(mut self, request: &str, server: &str) -> Self {
+        if self.request == request {
+            self.request.clear();
+        }
+        if self.server == server {
+            self.server.clear();
+        }
+        self
+    }
+
+    /// Fills in names that the message around it states.
+    pub(super) fn out_of(mut self, request: &str, server: &str) -> Self {
+        if self.request.is_empty() {
+            request.clone_into(&mut self.request);
+        }
+        if self.server.is_empty() {
+            server.clone_into(&mut self.server);
+        }
+        self
+    }
+}
+
 impl From<control::Feedback> for Feedback {
     fn from(feedback: control::Feedback) -> Self {
         Self {
--- a/crates/mustardshed-wire/src/peer/fact.rs
+++ b/crates/mustardshed-wire/src/peer/fact.rs
@@ -6,71 +6,137 @@
 
 use super::{error, field, load};
 
-/// A fact on the wire.
+/// Facts of one run of an author on the wire, so that it is named once.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
-pub struct Fact {
+pub struct AuthorFacts {
+    #[serde(rename = "a")]
     author: String,
+    #[serde(rename = "i")]
     incarnation: u64,
+    #[serde(rename = "f")]
+    facts: Vec<Fact>,
+}
+
+/// A fact on the wire, without its author.
+#[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
+pub struct Fact {
+    #[serde(rename = "v")]
     version: u64,
+    #[serde(rename = "g", default, skip_serializing_if = "field::is_default")]
     age_nanos: u64,
+    #[serde(rename = "b")]
     body: FactBody,
 }
 
 /// What a fact states, on the wire.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
 pub enum FactBody {
     /// The author is alive.
+    #[serde(rename = "a")]
     Alive {
         /// `IP:PORT` towards callers.
+        #[serde(rename = "a")]
         address: String,
         /// `IP:PORT` towards peers.
+        #[serde(rename = "p")]
         peer_address: String,
         /// Data centre.
+        #[serde(rename = "d")]
         data_centre: String,
         /// Whether it is leaving.
+        #[serde(rename = "l", default, skip_serializing_if = "field::is_default")]
         leaving: bool,
         /// Generation in force.
+        #[serde(rename = "g")]
         generation: u64,
     },
     /// The author is steward of a backend server and read its load.
+    #[serde(rename = "l")]
     Load {
         /// Backend server.
+        #[serde(rename = "s")]
         server: String,
         /// Its report; `None` if it does not answer.
+        #[serde(rename = "r", default, skip_serializing_if = "field::is_default")]
         report: Option<load::LoadReport>,
         /// Prefill speed in tokens a second.
+        #[serde(rename = "p", default, skip_serializing_if = "field::is_default")]
         prefill_tokens_per_second: f64,
         /// KV memory under credits, in tokens.
+        #[serde(rename = "t", default, skip_serializing_if = "field::is_default")]
         credited_tokens: u64,
         /// Number of credits.
+        #[serde(rename = "c", default, skip_serializing_if = "field::is_default")]
         credits: u32,
     },
 }
 
-impl From<message::Fact> for Fact {
+/// Groups facts that follow each other and are of one run of an author.
+pub(super) fn group(facts: Vec<message::Fact>) -> Vec<AuthorFacts> {
+    let mut groups: Vec<AuthorFacts> = Vec::new();
+    for fact in facts {
+        match groups.last_mut() {
+            Some(group) if group.is_of(&fact) => group.facts.push(fact.into()),
+            _ => groups.push(AuthorFacts::from(fact)),
+        }
+    }
+    groups
+}
+
+/// Returns the facts of groups one by one, at most `max_len`.
+pub(super) fn ungroup(
+    groups: Vec<AuthorFacts>,
+    max_len: usize,
+) -> Result<Vec<message::Fact>, error::Error> {
+    let count: usize = groups.iter().map(|group| group.facts.len()).sum();
+    if count > max_len || groups.len() > max_len {
+        return Err(error::Error::OutOfBounds("facts"));
+    }
+    let mut facts = Vec::with_capacity(count);
+    for group in groups {
+        let author = field::name("author", group.author)?;
+        for fact in group.facts {
+            facts.push(fact.of_author(&author, group.incarnation)?);
+        }
+    }
+    Ok(facts)
+}
+
+impl AuthorFacts {
+    fn is_of(&self, fact: &message::Fact) -> bool {
+        self.author == fact.author && self.incarnation == fact.incarnation
+    }
+}
+
+impl From<message::Fact> for AuthorFacts {
     fn from(fact: message::Fact) -> Self {
         Self {
-            author: fact.author,
+            author: fact.author.clone(),
             incarnation: fact.incarnation,
-            version: fact.version,
-            age_nanos: field::to_nanos(fact.age),
-            body: fact.body.into(),
+            facts: vec![fact.into()],
         }
     }
 }
 
-impl TryFrom<Fact> for message::Fact {
-    type Error = error::Error;
+impl Fact {
+    fn of_author(self, author: &str, incarnation: u64) -> Result<message::Fact, error::Error> {
+        Ok(message::Fact {
+            author: author.to_owned(),
+            incarnation,
+            version: self.version,
+            age: time::Duration::from_nanos(self.age_nanos),
+            body: self.body.try_into()?,
+        })
+    }
+}
 
-    fn try_from(fact: Fact) -> Result<Self, Self::Error> {
-        Ok(Self {
-            author: field::name("author", fact.author)?,
-            incarnation: fact.incarnation,
+impl From<message::Fact> for Fact {
+    fn from(fact: message::Fact) -> Self {
+        Self {
             version: fact.version,
-            age: time::Duration::from_nanos(fact.age_nanos),
-            body: fact.body.try_into()?,
-        })
+            age_nanos: field::to_nanos(fact.age),
+            body: fact.body.into(),
+        }
     }
 }
 
--- a/crates/mustardshed-wire/src/peer/field.rs
+++ b/crates/mustardshed-wire/src/peer/field.rs
@@ -14,6 +14,11 @@
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
 }
 
+/// Returns whether a value is the default, which need not be sent.
+pub(super) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// Checks the length of a name.
 pub(super) fn name(field: &'static str, value: String) -> Result<String, error::Error> {
     bounded_text(field, value, MAX_NAME_BYTES)
--- a/crates/mustardshed-wire/src/peer/heartbeat.rs
+++ b/crates/mustardshed-wire/src/peer/heartbeat.rs
@@ -14,23 +14,32 @@
 /// A heartbeat on the wire.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
 pub struct Heartbeat {
+    #[serde(rename = "s")]
     sent_at_nanos: u64,
+    #[serde(rename = "g")]
     generation: u64,
-    facts: Vec<fact::Fact>,
+    #[serde(rename = "f")]
+    facts: Vec<fact::AuthorFacts>,
 }
 
 /// An acknowledgement on the wire.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct HeartbeatAck {
+    #[serde(rename = "e")]
     echo_nanos: u64,
+    #[serde(rename = "c", default, skip_serializing_if = "field::is_default")]
     confirmation_age_nanos: Option<u64>,
+    #[serde(rename = "p", default, skip_serializing_if = "field::is_default")]
     platform_answers: bool,
+    #[serde(rename = "v", default, skip_serializing_if = "field::is_default")]
     vouches: bool,
+    #[serde(rename = "g")]
     generation: u64,
+    #[serde(rename = "i", default, skip_serializing_if = "field::is_default")]
     intents: Vec<configuration::Record>,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "w", default, skip_serializing_if = "field::is_default")]
     wants: Vec<String>,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "d", default, skip_serializing_if = "field::is_default")]
     declines: Vec<String>,
 }
 
@@ -39,7 +48,7 @@
         Self {
             sent_at_nanos: field::to_nanos(heartbeat.sent_at),
             generation: heartbeat.generation,
-            facts: heartbeat.facts.into_iter().map(Into::into).collect(),
+            facts: fact::group(heartbeat.facts),
         }
     }
 }
@@ -51,7 +60,7 @@
         Ok(Self {
             sent_at: time::Duration::from_nanos(heartbeat.sent_at_nanos),
             generation: heartbeat.generation,
-            facts: field::list("facts", heartbeat.facts, MAX_FACTS)?,
+            facts: fact::ungroup(heartbeat.facts, MAX_FACTS)?,
         })
     }
 }
--- a/crates/mustardshed-wire/src/peer/load.rs
+++ b/crates/mustardshed-wire/src/peer/load.rs
@@ -10,25 +10,35 @@
 
 /// Warmth on the wire.
 #[derive(Clone, Copy, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
 pub enum Warmth {
     /// It bears its cold limit.
+    #[serde(rename = "c")]
     Cold,
     /// It bears its full load.
+    #[serde(rename = "w")]
     Warm,
 }
 
 /// A load report on the wire.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct LoadReport {
+    #[serde(rename = "e")]
     epoch: u64,
+    #[serde(rename = "w")]
     warmth: Warmth,
+    #[serde(rename = "l", default, skip_serializing_if = "field::is_default")]
     leaving: bool,
+    #[serde(rename = "a", default, skip_serializing_if = "field::is_default")]
     age_nanos: u64,
+    #[serde(rename = "m")]
     memory_tokens: u64,
+    #[serde(rename = "u", default, skip_serializing_if = "field::is_default")]
     used_tokens: u64,
+    #[serde(rename = "q", default, skip_serializing_if = "field::is_default")]
     queued_prefill_tokens: u64,
+    #[serde(rename = "r", default, skip_serializing_if = "field::is_default")]
     running: u32,
+    #[serde(rename = "o", default, skip_serializing_if = "field::is_default")]
     models: collections::BTreeMap<String, String>,
 }
 
--- a/crates/mustardshed-wire/src/peer/wire_message.rs
+++ b/crates/mustardshed-wire/src/peer/wire_message.rs
@@ -11,48 +11,61 @@
 
 /// A message on the wire; each variant stands for the one of the same name in the core.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
 #[expect(missing_docs, reason = "the core documents the variants and fields")]
 pub enum Message {
+    #[serde(rename = "h")]
     Heartbeat(heartbeat::Heartbeat),
+    #[serde(rename = "k")]
     HeartbeatAck(heartbeat::HeartbeatAck),
-    WantConfiguration {
-        newer_than: u64,
-    },
+    #[serde(rename = "wc")]
+    WantConfiguration { newer_than: u64 },
+    #[serde(rename = "c")]
     Configuration(configuration::Record),
+    #[serde(rename = "i")]
     Intent(configuration::Record),
+    #[serde(rename = "a")]
     Acquire {
+        #[serde(rename = "t")]
         ticket: u64,
+        #[serde(rename = "q")]
         req: credit::CreditRequest,
+        #[serde(rename = "p")]
         patience_nanos: u64,
     },
+    #[serde(rename = "g")]
     Acquired {
+        #[serde(rename = "t")]
         ticket: u64,
+        #[serde(rename = "r")]
         request: String,
+        #[serde(rename = "s")]
         server: String,
+        #[serde(rename = "w", default, skip_serializing_if = "field::is_default")]
         waited_nanos: u64,
+        #[serde(rename = "e")]
         result: Result<u64, credit::Refusal>,
     },
+    #[serde(rename = "r")]
     Release {
+        #[serde(rename = "r")]
         request: String,
+        #[serde(rename = "s")]
         server: String,
+        #[serde(rename = "f")]
         feedback: credit::Feedback,
     },
-    WantHeldCredits {
-        server: String,
-    },
+    #[serde(rename = "wh")]
+    WantHeldCredits { server: String },
+    #[serde(rename = "hc")]
     HeldCredits {
         server: String,
         credits: Vec<credit::HeldCredit>,
     },
-    ColdSign {
-        server: String,
-        epoch: u64,
-    },
-    WantFate {
-        ticket: u64,
-        request: String,
-    },
+    #[serde(rename = "s")]
+    ColdSign { server: String, epoch: u64 },
+    #[serde(rename = "wf")]
+    WantFate { ticket: u64, request: String },
+    #[serde(rename = "f")]
     FateIs {
         ticket: u64,
         fate: Option<fate::Fate>,
@@ -96,9 +109,9 @@
                 server,
                 feedback,
             } => Self::Release {
+                feedback: credit::Feedback::from(feedback).within(&request, &server),
                 request,
                 server,
-                feedback: feedback.into(),
             },
             Core::WantHeldCredits { server } => Self::WantHeldCredits { server },
             Core::HeldCredits { server, credits } => Self::HeldCredits {
@@ -152,9 +165,9 @@
                 server,
                 feedback,
             } => Self::Release {
+                feedback: feedback.out_of(&request, &server).try_into()?,
                 request: field::name("request", request)?,
                 server: field::name("server", server)?,
-                feedback: feedback.try_into()?,
             },
             Message::WantHeldCredits { server } => Self::WantHeldCredits {
                 server: field::name("server", server)?,
