--- a/crates/mustardshed-core/src/process/node/periodic.rs
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -39,11 +39,9 @@
     fn send_heartbeats(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         self.state_alive(now);
         self.state_loads(now);
-        let others = self.world.members.reachable().len();
-        let is_mesh = others < topology::MESH_LIMIT;
         let neighbours = self.links.neighbours();
         for vm in &neighbours {
-            let facts = self.gossip.take_for(vm, is_mesh, now);
+            let facts = self.gossip.take_for(vm, now);
             self.send_heartbeat(vm, facts, now, out);
         }
         for vm in self.outage_contacts(now) {
