Offer baselines of routing for measurements

Change: setting routing, route::baseline; the listener's state takes that of the requests instead of its parts.

--- a/crates/mustardshed-config/src/settings.rs
+++ b/crates/mustardshed-config/src/settings.rs
@@ -2,11 +2,13 @@
 
 mod limits;
 mod log_level;
+mod routing;
 
 use std::{net, path};
 
 pub use limits::Limits;
 pub use log_level::LogLevel;
+pub use routing::Routing;
 
 use crate::{
     problem,
@@ -39,6 +41,8 @@
     pub operator_key_file: path::PathBuf,
     /// Least severity that is logged.
     pub log_level: LogLevel,
+    /// Policy by which backend servers are chosen.
+    pub routing: Routing,
     /// Address that statsd metrics are sent to, if any.
     pub metrics: Option<net::SocketAddr>,
     /// Limits of this process.
@@ -71,6 +75,7 @@
         let peer_key_file = root.required("peer_key_file", read::file);
         let operator_key_file = root.required("operator_key_file", read::file);
         let log_level = root.optional("log_level", LogLevel::Info, LogLevel::read);
+        let routing = root.optional("routing", Routing::Estimate, Routing::read);
         let metrics = root.optional("metrics", None, |field| read::address(field).map(Some));
         let limits = root.optional("limits", Limits::default(), Limits::read);
         Some(Self {
@@ -84,6 +89,7 @@
             peer_key_file: peer_key_file?,
             operator_key_file: operator_key_file?,
             log_level: log_level?,
+            routing: routing?,
             metrics: metrics?,
             limits: limits?,
         })
--- a/crates/mustardshed-core/src/request/route.rs
+++ b/crates/mustardshed-core/src/request/route.rs
@@ -4,11 +4,13 @@
 //! reason; a few of the others are drawn at random and the one with the least estimate is chosen,
 //! so that entries with the same snapshot do not all choose the same server.
 
+mod baseline;
 pub mod decision;
 pub mod estimate;
 pub mod exclusion;
 pub mod work;
 
+use mustardshed_config::settings;
 use rand::{RngExt, SeedableRng};
 
 use crate::{ids, process::snapshot};
@@ -33,8 +35,13 @@
     now: ids::Timestamp,
 ) -> Result<decision::Decision, decision::NoRoute> {
     let mut refused = decision::NoRoute::default();
-    let mut drawn = draw(snapshot, work, &mut refused);
-    add_affine(&mut drawn, snapshot, work);
+    let mut drawn = match baseline::choose(snapshot, work) {
+        Some(server) => vec![server],
+        None => draw(snapshot, work, &mut refused),
+    };
+    if work.routing == settings::Routing::Estimate {
+        add_affine(&mut drawn, snapshot, work);
+    }
     let drawn_count = drawn.len();
     let best = drawn
         .into_iter()
--- a/crates/mustardshed-core/src/request/route/work.rs
+++ b/crates/mustardshed-core/src/request/route/work.rs
@@ -1,6 +1,6 @@
 //! What is to be placed.
 
-use mustardshed_config::text;
+use mustardshed_config::{settings, text};
 
 use crate::{ids, process::snapshot, request::lane};
 
@@ -47,6 +47,8 @@
     pub cached_prefix: Option<CachedPrefix>,
     /// Servers that were tried already.
     pub tried: &'a [ids::BackendServerId],
+    /// Policy of the choice.
+    pub routing: settings::Routing,
     /// Seed of the random draw.
     pub seed: u64,
 }
@@ -60,6 +62,7 @@
             memory_tokens: 0,
             cached_prefix: None,
             tried: &[],
+            routing: settings::Routing::Estimate,
             seed,
         }
     }
@@ -72,6 +75,13 @@
         self
     }
 
+    /// Sets the policy of the choice.
+    #[must_use]
+    pub const fn routing(mut self, routing: settings::Routing) -> Self {
+        self.routing = routing;
+        self
+    }
+
     /// Sets the servers that were tried already.
     #[must_use]
     pub const fn tried(mut self, tried: &'a [ids::BackendServerId]) -> Self {
--- a/crates/mustardshedd/src/http/cx.rs
+++ b/crates/mustardshedd/src/http/cx.rs
@@ -2,11 +2,8 @@
 
 use std::sync;
 
-use mustardshed::core::border::{backend_server, clock, control};
-
 use crate::{
     http::{limits, operator},
-    log::metrics,
     request::cx,
 };
 
@@ -22,25 +19,14 @@
 }
 
 impl Cx {
-    /// Makes the shared state; `seed` starts the random draws of routing.
+    /// Makes the shared state around that of the requests.
     pub fn new(
-        control: sync::Arc<dyn control::Control>,
-        servers: sync::Arc<dyn backend_server::BackendServer>,
-        clock: sync::Arc<dyn clock::Clock>,
+        requests: cx::Cx,
         operator: sync::Arc<dyn operator::Operator>,
-        metrics: metrics::Metrics,
         limits: limits::Limits,
-        seed: u64,
     ) -> Self {
         Self {
-            requests: sync::Arc::new(cx::Cx::new(
-                control,
-                servers,
-                clock,
-                metrics,
-                limits.max_in_flight,
-                seed,
-            )),
+            requests: sync::Arc::new(requests),
             operator,
             limits,
         }
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -18,6 +18,7 @@
     http::{cx, limits, server},
     log::{self, entry, event, metrics},
     process::{clock as boot, control, operator, startup},
+    request,
 };
 
 /// Longest wait for an answer of the platform.
@@ -81,15 +82,17 @@
     let handle = control::spawn(parts, peer_listener).map_err(ServiceError::Runtime)?;
     let handle = sync::Arc::new(handle);
     let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
-    let cx = cx::Cx::new(
+    let limits = limits::Limits::from(&settings.limits);
+    let requests = request::cx::Cx::new(
         handle.clone() as sync::Arc<dyn border::Control>,
         servers,
         clock,
-        sync::Arc::new(operator),
         metrics(settings)?,
-        limits::Limits::from(&settings.limits),
+        limits.max_in_flight,
         rand::random(),
     );
+    let requests = requests.routing(settings.routing);
+    let cx = cx::Cx::new(requests, sync::Arc::new(operator), limits);
     let server = server::bind(settings.listen, sync::Arc::new(cx))
         .await
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -40,6 +40,7 @@
         let work = work::Work::new(target, self.cx.next_seed())
             .tokens(completion.prompt_tokens, completion.max_tokens)
             .tried(&self.progress.tried)
+            .routing(self.cx.routing)
             .cached_prefix(self.cached_prefix(&snapshot, now));
         let plan = if gang::is_needed(&work) {
             self.route_gang(gang::plan(&snapshot, &work, now))?
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -2,10 +2,13 @@
 
 use std::sync::{self, atomic};
 
-use mustardshed::core::{
-    border::{backend_server, clock, control},
-    error, ids,
-    request::{prefix, retry},
+use mustardshed::{
+    config::settings,
+    core::{
+        border::{backend_server, clock, control},
+        error, ids,
+        request::{prefix, retry},
+    },
 };
 
 use crate::{
@@ -33,6 +36,8 @@
     pub accounts: accounts::Accounts,
     /// Metrics.
     pub metrics: metrics::Metrics,
+    /// Policy by which backend servers are chosen.
+    pub routing: settings::Routing,
     draws: atomic::AtomicU64,
     draining: atomic::AtomicBool,
     in_flight: atomic::AtomicUsize,
@@ -59,6 +64,7 @@
             prefixes: prefix::Table::new(PREFIX_SLOTS),
             accounts: accounts::Accounts::default(),
             metrics,
+            routing: settings::Routing::default(),
             draws: atomic::AtomicU64::new(seed),
             draining: atomic::AtomicBool::new(false),
             in_flight: atomic::AtomicUsize::new(0),
@@ -66,6 +72,13 @@
         }
     }
 
+    /// Sets the policy by which backend servers are chosen.
+    #[must_use]
+    pub const fn routing(mut self, routing: settings::Routing) -> Self {
+        self.routing = routing;
+        self
+    }
+
     /// Returns the seed of the next random draw.
     pub fn next_seed(&self) -> u64 {
         self.draws.fetch_add(1, atomic::Ordering::Relaxed)
--- a/crates/mustardshedd/tests/traffic/fakes/world.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/world.rs
@@ -11,6 +11,7 @@
 use mustardshedd::{
     http::{cx, limits, server},
     log::metrics,
+    request,
 };
 use sha2::Digest;
 
@@ -77,15 +78,15 @@
             snapshot(),
         ));
         let servers = sync::Arc::new(servers::FakeServers::default());
-        let cx = cx::Cx::new(
+        let requests = request::cx::Cx::new(
             sync::Arc::clone(&control) as _,
             sync::Arc::clone(&servers) as _,
             sync::Arc::clone(&clock) as _,
-            sync::Arc::new(operator::FakeOperator),
             metrics::Metrics::disabled(),
-            limits,
+            limits.max_in_flight,
             7,
         );
+        let cx = cx::Cx::new(requests, sync::Arc::new(operator::FakeOperator), limits);
         let addr = "127.0.0.1:0".parse().unwrap();
         let server = server::bind(addr, sync::Arc::new(cx)).await.unwrap();
         Self {
