Make heartbeats small

Heartbeats are most of the traffic between entries. Fields of facts have names of one letter on the wire, and loads of other stewards are relayed in a mesh at most each 5 s, since most neighbours hear the steward themselves.

Ruled out: positions instead of names, which a later release could not extend.

--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -1,9 +1,9 @@
 //! Spread of facts: what is known, and which neighbour may not have it yet.
 //!
-//! Each fact has one author and a version that grows. An entry keeps the latest of each and hands
-//! it on to every neighbour that is not known to have it, its own facts at once and those of
-//! others at most once in [`RELAY_INTERVAL`] a neighbour, since most neighbours hear the author
-//! themselves.
+//! Each fact has one author and a version that grows. An entry keeps the latest of each and hands it
+//! on to every neighbour that is not known to have it, its own facts at once. In a mesh, where most
+//! neighbours hear the author themselves, those of others follow at most once in
+//! [`RELAY_INTERVAL`] or [`LOAD_RELAY_INTERVAL`] a neighbour.
 
 use std::{collections, time};
 
@@ -13,8 +13,10 @@
 
 /// Facts in one heartbeat, at most.
 pub const MAX_FACTS: usize = 200;
-/// Shortest time between two relays of facts of one author and subject to one neighbour.
+/// Shortest time between two relays of one entry's `Alive` facts to one neighbour.
 pub const RELAY_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Shortest time between two relays of one server's `Load` facts to one neighbour.
+pub const LOAD_RELAY_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Age after which a fact is forgotten.
 const FORGET_AFTER: time::Duration = time::Duration::from_secs(60);
 
@@ -105,20 +107,15 @@
     pub fn take_for(&mut self, vm: &str, is_mesh: bool, now: ids::Timestamp) -> Vec<message::Fact> {
         let neighbour = self.neighbours.entry(vm.to_owned()).or_default();
         neighbour.begin(now);
-        let relay_interval = if is_mesh {
-            RELAY_INTERVAL
-        } else {
-            time::Duration::ZERO
-        };
         let mut wanted: Vec<_> = self
             .facts
             .iter()
             .filter(|(key, _)| key.0 != vm)
             .filter_map(|(key, known)| {
-                let interval = if key.0 == self.own {
-                    time::Duration::ZERO
-                } else {
-                    relay_interval
+                let interval = match &key.1 {
+                    _ if key.0 == self.own || !is_mesh => time::Duration::ZERO,
+                    Subject::Alive => RELAY_INTERVAL,
+                    Subject::Load(_) => LOAD_RELAY_INTERVAL,
                 };
                 let sent_at = neighbour.wants(key, known.version(), interval, now)?;
                 Some((sent_at, key, known))
--- a/crates/mustardshed-wire/src/peer.rs
+++ b/crates/mustardshed-wire/src/peer.rs
@@ -1,7 +1,8 @@
 //! Frames between entry processes: CBOR, bounded in size and in the length of every list.
 //!
 //! A link starts with a [`Hello`] each way, then a [`Proof`] each way; every later frame is a
-//! message. Durations cross as nanoseconds, errors by their stable codes.
+//! message. Durations cross as nanoseconds, errors by their stable codes. Fields of heartbeats, which
+//! are most of the traffic, have names of one letter on the wire.
 //!
 //! ```
 //! use mustardshed_core::process::message;
--- a/crates/mustardshed-wire/src/peer/fact.rs
+++ b/crates/mustardshed-wire/src/peer/fact.rs
@@ -9,10 +9,15 @@
 /// A fact on the wire.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
 pub struct Fact {
+    #[serde(rename = "a")]
     author: String,
+    #[serde(rename = "i")]
     incarnation: u64,
+    #[serde(rename = "v")]
     version: u64,
+    #[serde(rename = "t")]
     age_nanos: u64,
+    #[serde(rename = "b")]
     body: FactBody,
 }
 
@@ -23,27 +28,37 @@
     /// The author is alive.
     Alive {
         /// `IP:PORT` towards callers.
+        #[serde(rename = "a")]
         address: String,
         /// `IP:PORT` towards peers.
+        #[serde(rename = "p")]
         peer_address: String,
         /// Data centre.
+        #[serde(rename = "d")]
         data_centre: String,
         /// Whether it is leaving.
+        #[serde(rename = "l")]
         leaving: bool,
         /// Generation in force.
+        #[serde(rename = "g")]
         generation: u64,
     },
     /// The author is steward of a backend server and read its load.
     Load {
         /// Backend server.
+        #[serde(rename = "s")]
         server: String,
         /// Its report; `None` if it does not answer.
+        #[serde(rename = "r")]
         report: Option<load::LoadReport>,
         /// Prefill speed in tokens a second.
+        #[serde(rename = "f")]
         prefill_tokens_per_second: f64,
         /// KV memory under credits, in tokens.
+        #[serde(rename = "t")]
         credited_tokens: u64,
         /// Number of credits.
+        #[serde(rename = "c")]
         credits: u32,
     },
 }
--- a/crates/mustardshed-wire/src/peer/heartbeat.rs
+++ b/crates/mustardshed-wire/src/peer/heartbeat.rs
@@ -13,19 +13,28 @@
 /// A heartbeat on the wire.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
 pub struct Heartbeat {
+    #[serde(rename = "t")]
     sent_at_nanos: u64,
+    #[serde(rename = "g")]
     generation: u64,
+    #[serde(rename = "f")]
     facts: Vec<fact::Fact>,
 }
 
 /// An acknowledgement on the wire.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct HeartbeatAck {
+    #[serde(rename = "t")]
     echo_nanos: u64,
+    #[serde(rename = "c")]
     confirmation_age_nanos: Option<u64>,
+    #[serde(rename = "p")]
     platform_answers: bool,
+    #[serde(rename = "v")]
     vouches: bool,
+    #[serde(rename = "g")]
     generation: u64,
+    #[serde(rename = "i")]
     intents: Vec<configuration::Record>,
 }
 
--- a/crates/mustardshed-wire/src/peer/load.rs
+++ b/crates/mustardshed-wire/src/peer/load.rs
@@ -21,14 +21,23 @@
 /// A load report on the wire.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct LoadReport {
+    #[serde(rename = "e")]
     epoch: u64,
+    #[serde(rename = "w")]
     warmth: Warmth,
+    #[serde(rename = "l")]
     leaving: bool,
+    #[serde(rename = "t")]
     age_nanos: u64,
+    #[serde(rename = "m")]
     memory_tokens: u64,
+    #[serde(rename = "u")]
     used_tokens: u64,
+    #[serde(rename = "q")]
     queued_prefill_tokens: u64,
+    #[serde(rename = "r")]
     running: u32,
+    #[serde(rename = "o")]
     models: collections::BTreeMap<String, String>,
 }
 
--- a/crates/mustardshed-wire/tests/peer.rs
+++ b/crates/mustardshed-wire/tests/peer.rs
@@ -381,3 +381,52 @@
         expect_that!(hex, eq(expected));
     }
 }
+
+#[gtest]
+fn heartbeats_are_small() {
+    let alive = message::FactBody::Alive {
+        address: "10.11.12.13:8080".into(),
+        peer_address: "10.11.12.13:8081".into(),
+        data_centre: "north".into(),
+        leaving: false,
+        generation: 17,
+    };
+    let load = message::FactBody::Load {
+        server: "runner-17".into(),
+        report: Some(backend_server::LoadReport {
+            epoch: 3,
+            warmth: backend_server::Warmth::Warm,
+            leaving: false,
+            age: time::Duration::from_millis(212),
+            memory_tokens: 400_000,
+            used_tokens: 123_456,
+            queued_prefill_tokens: 65_432,
+            running: 12,
+            models: collections::BTreeMap::from([("draft".into(), "2".into())]),
+            held: Vec::new(),
+        }),
+        prefill_tokens_per_second: 8123.4,
+        credited_tokens: 123_456,
+        credits: 12,
+    };
+    let sizes = [alive, load].map(|body| {
+        let fact = message::Fact {
+            author: "entry-3".into(),
+            incarnation: 1_764_000_000_000,
+            version: 12_345,
+            age: time::Duration::from_millis(333),
+            body,
+        };
+        let heartbeat = message::Heartbeat {
+            sent_at: time::Duration::from_secs(123_456),
+            generation: 17,
+            facts: vec![fact],
+        };
+        peer::encode(&message::Message::Heartbeat(heartbeat))
+            .unwrap()
+            .len()
+    });
+
+    println!("bytes of a heartbeat with one fact: {sizes:?}");
+    expect_that!(sizes, elements_are![le(160), le(190)]);
+}
