Wait out a change of stewards, and decide on further attempts in one place

While stewards change, a server's credits are refused for a moment; a request for a service with one server ended at once with not_run. Both drivers had the same rules for further attempts; they are one type now.

--- a/crates/mustardshedd/src/request.rs
+++ b/crates/mustardshedd/src/request.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 pub mod admit;
+pub mod attempts;
 pub mod call;
 pub mod completion;
 pub mod cx;
--- a/crates/mustardshedd/src/request/call/attempt.rs
+++ b/crates/mustardshedd/src/request/call/attempt.rs
@@ -34,9 +34,10 @@
                 format!("service {} is no longer configured", job.service),
             )));
         };
-        let work = work::Work::new(target, self.cx.next_seed()).tried(&self.tried);
-        let decision = route::decide(&snapshot, &work, now)
-            .map_err(|none| self.not_routed(&none.to_string()))?;
+        let tried = [&*self.tried, &*self.denied].concat();
+        let work = work::Work::new(target, self.cx.next_seed()).tried(&tried);
+        let decision =
+            route::decide(&snapshot, &work, now).map_err(|none| self.not_routed(&none))?;
         self.log_routed(&decision);
         admission::check_deadline(&decision.estimate, now, job.deadline)
             .map_err(failure::Failure::stop)?;
@@ -53,23 +54,23 @@
             data_centre: &decision.data_centre,
             estimate_ms: decision.estimate.total().as_millis(),
             prompt_tokens: 0,
-            attempt: self.attempts,
+            attempt: self.count,
             reason: &decision.to_string(),
         });
     }
 
-    fn not_routed(&self, reason: &str) -> failure::Failure {
+    fn not_routed(&self, none: &route::decision::NoRoute) -> failure::Failure {
         let job = &self.call.job;
         log::emit(&event::Event::NotRouted {
             request: &job.id,
             account: &job.account,
             service: &job.service,
-            reason,
+            reason: &none.to_string(),
         });
-        failure::Failure::stop(error::Error::not_run(
-            error::ErrorKind::NoBackendServer,
+        failure::Failure::no_server(
             "no backend server may be given the call now",
-        ))
+            none.any(route::exclusion::Exclusion::NoSteward) || self.is_changing,
+        )
     }
 
     async fn place(
@@ -85,7 +86,7 @@
             tokens: 0,
             prefill_tokens: 0,
             priority: 0,
-            wait_until: self.wait_until,
+            wait_until: self.attempts.wait_until(),
             gang: false,
         };
         match held_credit::HeldCredit::acquire(&self.cx, req).await {
@@ -94,7 +95,8 @@
                 Ok(placement)
             }
             Err(err) => {
-                self.tried.push(decision.server.clone());
+                self.denied.push(decision.server.clone());
+                self.is_changing = err.kind == error::ErrorKind::NoBackendServer;
                 Err(failure::Failure::again(err))
             }
         }
--- a/crates/mustardshedd/src/request/call/driver.rs
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -5,24 +5,14 @@
     time,
 };
 
-use mustardshed::core::{
-    border::control,
-    error, ids,
-    outcome::Outcome,
-    request::{fate, retry},
-};
+use mustardshed::core::{border::control, error, ids, outcome::Outcome, request::fate};
 use tokio::sync::oneshot;
 
 use crate::{
     log::{self, event},
-    request::{call, cx, failure, settlement},
+    request::{attempts, call, cx, failure, settlement},
 };
 
-/// Attempts that no backend server saw, at most.
-const MAX_FREE_ATTEMPTS: u32 = 4;
-/// Part of the time left until the deadline for which credits are waited for.
-const CREDIT_WAIT_DIVISOR: u32 = 2;
-
 /// Wait beyond the deadline for the fate of a call that may not be repeated.
 const FATE_WAIT: time::Duration = time::Duration::from_secs(60);
 
@@ -44,29 +34,31 @@
     pub(super) call: call::Call,
     pub(super) tried: Vec<ids::BackendServerId>,
     pub(super) given: Vec<ids::BackendServerId>,
-    pub(super) attempts: u32,
+    /// Servers whose credits were refused since the last pause.
+    pub(super) denied: Vec<ids::BackendServerId>,
+    /// Whether a credit was refused because stewards change.
+    pub(super) is_changing: bool,
+    pub(super) count: u32,
+    pub(super) attempts: attempts::Attempts,
     pub(super) may_have_run: sync::Arc<atomic::AtomicBool>,
-    pub(super) wait_until: ids::Timestamp,
-    budget: sync::Arc<retry::Budget>,
     started_at: ids::Timestamp,
 }
 
 impl Driver {
     /// Makes the driver of an admitted call.
     pub fn new(cx: sync::Arc<cx::Cx>, call: call::Call) -> Self {
-        let budget = cx.budgets.get(&call.job.service);
-        budget.deposit(call.job.retry_percent);
+        let attempts = attempts::Attempts::new(&cx, &call.job);
         let started_at = cx.clock.now();
-        let left = call.job.deadline.saturating_sub(started_at);
         Self {
             cx,
             call,
             tried: Vec::new(),
             given: Vec::new(),
-            attempts: 0,
+            denied: Vec::new(),
+            is_changing: false,
+            count: 0,
+            attempts,
             may_have_run: sync::Arc::default(),
-            wait_until: started_at + left / CREDIT_WAIT_DIVISOR,
-            budget,
             started_at,
         }
     }
@@ -130,36 +122,23 @@
                 Err(err) => return call::Ended::Failed(err),
             }
         }
-        match self.attempts().await {
+        match self.attempt_until_end().await {
             Ok(answer) => call::Ended::Answered(answer),
             Err(err) => call::Ended::Failed(self.with_true_outcome(err)),
         }
     }
 
-    async fn attempts(&mut self) -> Result<fate::KeptAnswer, error::Error> {
-        let mut free_attempts = 0;
-        let mut last = None;
+    async fn attempt_until_end(&mut self) -> Result<fate::KeptAnswer, error::Error> {
         loop {
-            self.attempts += 1;
+            self.count += 1;
             let failure = match self.attempt().await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
             self.log_failure(&failure);
-            let goes_on = match failure.next {
-                failure::Next::Stop => false,
-                failure::Next::Again => {
-                    free_attempts += 1;
-                    free_attempts < MAX_FREE_ATTEMPTS && self.cx.clock.now() < self.wait_until
-                }
-                failure::Next::Retry => self.budget.withdraw(),
-            };
-            if !goes_on {
-                let first =
-                    last.filter(|_| failure.error.kind == error::ErrorKind::NoBackendServer);
-                return Err(first.unwrap_or(failure.error));
+            if self.attempts.after(&self.cx, failure).await? == failure::Next::Later {
+                self.denied.clear();
             }
-            last = Some(failure.error);
         }
     }
 
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -37,9 +37,10 @@
                 format!("model {} is no longer configured", completion.model),
             )));
         };
+        let tried = [&*self.progress.tried, &*self.progress.denied].concat();
         let work = work::Work::new(target, self.cx.next_seed())
             .tokens(completion.prompt_tokens, completion.max_tokens)
-            .tried(&self.progress.tried)
+            .tried(&tried)
             .cached_prefix(self.cached_prefix(&snapshot, now));
         let plan = if gang::is_needed(&work) {
             self.route_gang(gang::plan(&snapshot, &work, now))?
@@ -108,14 +109,18 @@
                 });
                 Ok(plan::Plan::single(decision, memory_tokens))
             }
-            Err(none) => Err(self.not_routed(&none.to_string())),
+            Err(none) => {
+                let has_no_steward = none.any(route::exclusion::Exclusion::NoSteward);
+                Err(self.not_routed(&none.to_string(), has_no_steward))
+            }
         }
     }
 
     fn route_gang(&self, plan: Option<gang::Plan>) -> Result<plan::Plan, failure::Failure> {
         let job = &self.completion.job;
         let Some(plan) = plan.and_then(plan::Plan::gang) else {
-            return Err(self.not_routed("no data centre has enough engines for the prompt"));
+            let reason = "no data centre has enough engines for the prompt";
+            return Err(self.not_routed(reason, false));
         };
         log::emit(&event::Event::GangRouted {
             request: &job.id,
@@ -135,7 +140,7 @@
         Ok(plan)
     }
 
-    fn not_routed(&self, reason: &str) -> failure::Failure {
+    fn not_routed(&self, reason: &str, has_no_steward: bool) -> failure::Failure {
         let job = &self.completion.job;
         log::emit(&event::Event::NotRouted {
             request: &job.id,
@@ -143,10 +148,10 @@
             service: &job.service,
             reason,
         });
-        failure::Failure::stop(error::Error::not_run(
-            error::ErrorKind::NoBackendServer,
+        failure::Failure::no_server(
             "no backend server may be given the prompt now",
-        ))
+            has_no_steward || self.progress.is_changing,
+        )
     }
 
     /// Takes the credits and then the reservations of a plan, all or nothing.
@@ -158,7 +163,8 @@
             match held_credit::HeldCredit::acquire(&self.cx, req).await {
                 Ok(credit) => placement.add_credit(credit),
                 Err(err) => {
-                    self.progress.tried.push(engine.server.clone());
+                    self.progress.denied.push(engine.server.clone());
+                    self.progress.is_changing = err.kind == error::ErrorKind::NoBackendServer;
                     return Err(failure::Failure::again(err));
                 }
             }
@@ -195,7 +201,7 @@
             tokens: plan.tokens_each,
             prefill_tokens: plan.prefill_each,
             priority: self.priority(),
-            wait_until: latest.min(self.wait_until),
+            wait_until: latest.min(self.attempts.wait_until()),
             gang: plan.is_gang(),
         }
     }
--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -2,23 +2,14 @@
 
 use std::{sync, time};
 
-use mustardshed::core::{
-    border::control,
-    error, ids, mutation,
-    outcome::Outcome,
-    request::{fate, retry},
-};
+use mustardshed::core::{border::control, error, ids, mutation, outcome::Outcome, request::fate};
 use tokio::sync::mpsc;
 
 use crate::{
     log::{self, event},
-    request::{completion, completion::progress, cx, failure, output, settlement, whole},
+    request::{attempts, completion, completion::progress, cx, failure, output, settlement, whole},
 };
 
-/// Attempts that no backend server saw, at most.
-const MAX_FREE_ATTEMPTS: u32 = 4;
-/// Part of the time left until the deadline for which credits are waited for.
-const CREDIT_WAIT_DIVISOR: u32 = 2;
 /// Wait for the connection to take the final answer.
 const FINAL_SEND_WAIT: time::Duration = time::Duration::from_secs(10);
 
@@ -29,9 +20,7 @@
     pub(super) completion: completion::Completion,
     pub(super) tx: mpsc::Sender<output::Output>,
     pub(super) progress: progress::Progress,
-    pub(super) budget: sync::Arc<retry::Budget>,
-    /// Time until which credits are waited for.
-    pub(super) wait_until: ids::Timestamp,
+    pub(super) attempts: attempts::Attempts,
     form: sync::Arc<dyn whole::Form>,
     started_at: ids::Timestamp,
 }
@@ -54,16 +43,14 @@
     ) -> Self {
         let job = &completion.job;
         let progress = progress::Progress::new(job.id.clone(), job.claim.is_some());
-        let budget = cx.budgets.get(&job.service);
-        budget.deposit(job.retry_percent);
+        let attempts = attempts::Attempts::new(&cx, job);
         let started_at = cx.clock.now();
         Self {
             cx,
             completion,
             tx,
             progress,
-            budget,
-            wait_until: ids::Timestamp::ZERO,
+            attempts,
             form,
             started_at,
         }
@@ -108,7 +95,7 @@
 
     async fn claim_and_attempt(&mut self) -> Stop {
         match self.claim().await {
-            Ok(control::Claim::Granted) => Stop::Ended(self.attempts().await),
+            Ok(control::Claim::Granted) => Stop::Ended(self.attempt_until_end().await),
             Ok(control::Claim::Earlier(fate)) => Stop::Earlier(fate),
             Err(err) => Stop::Ended(Err(err)),
         }
@@ -121,43 +108,19 @@
         settlement::claim(&self.cx, claim).await
     }
 
-    async fn attempts(&mut self) -> Result<(), error::Error> {
-        let mut free_attempts = 0;
-        let mut last = None;
-        self.extend_wait();
+    async fn attempt_until_end(&mut self) -> Result<(), error::Error> {
         loop {
             self.progress.attempts += 1;
             let Err(failure) = self.attempt().await else {
                 return Ok(());
             };
             self.log_failure(&failure);
-            let goes_on = match failure.next {
-                failure::Next::Stop => false,
-                failure::Next::Again => {
-                    free_attempts += 1;
-                    free_attempts < MAX_FREE_ATTEMPTS && self.cx.clock.now() < self.wait_until
-                }
-                failure::Next::Retry => {
-                    self.extend_wait();
-                    self.budget.withdraw()
-                }
-            };
-            if !goes_on {
-                let first =
-                    last.filter(|_| failure.error.kind == error::ErrorKind::NoBackendServer);
-                return Err(first.unwrap_or(failure.error));
+            if self.attempts.after(&self.cx, failure).await? == failure::Next::Later {
+                self.progress.denied.clear();
             }
-            last = Some(failure.error);
         }
     }
 
-    /// Lets credits be waited for during a part of what is left until the deadline.
-    fn extend_wait(&mut self) {
-        let now = self.cx.clock.now();
-        let left = self.completion.job.deadline.saturating_sub(now);
-        self.wait_until = now + left / CREDIT_WAIT_DIVISOR;
-    }
-
     async fn complete(mut self) {
         let answer = self
             .progress
--- a/crates/mustardshedd/src/request/completion/progress.rs
+++ b/crates/mustardshedd/src/request/completion/progress.rs
@@ -14,6 +14,10 @@
     pub assembly: assembly::Assembly,
     /// Servers that are not to be tried again.
     pub tried: Vec<ids::BackendServerId>,
+    /// Servers whose credits were refused since the last pause.
+    pub denied: Vec<ids::BackendServerId>,
+    /// Whether a credit was refused because stewards change.
+    pub is_changing: bool,
     /// Servers that were given the prompt.
     pub given: Vec<ids::BackendServerId>,
     /// Attempts so far.
@@ -34,6 +38,8 @@
         Self {
             assembly: assembly::Assembly::new(id),
             tried: Vec::new(),
+            denied: Vec::new(),
+            is_changing: false,
             given: Vec::new(),
             attempts: 0,
             may_have_run: false,
--- a/crates/mustardshedd/src/request/failure.rs
+++ b/crates/mustardshedd/src/request/failure.rs
@@ -9,6 +9,8 @@
     Stop,
     /// Another attempt that costs nothing, since no backend server saw this one.
     Again,
+    /// Another attempt after a pause, since the stewards of backend servers change.
+    Later,
     /// Another attempt within the retry budget.
     Retry,
 }
@@ -19,6 +21,7 @@
         match self {
             Self::Stop => "stop",
             Self::Again => "again",
+            Self::Later => "later",
             Self::Retry => "retry",
         }
     }
@@ -50,6 +53,14 @@
         }
     }
 
+    /// Makes the failure to find a server; `may_change` says that one is expected soon.
+    pub fn no_server(message: &str, may_change: bool) -> Self {
+        Self {
+            error: error::Error::not_run(error::ErrorKind::NoBackendServer, message),
+            next: if may_change { Next::Later } else { Next::Stop },
+        }
+    }
+
     /// Makes the failure of a call that provably did not run.
     pub fn not_run(err: &backend_server::BackendServerError) -> Self {
         let kind = match err {
--- a/crates/mustardshedd/tests/traffic/calls.rs
+++ b/crates/mustardshedd/tests/traffic/calls.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use googletest::prelude::*;
-use mustardshed::core::outcome::Outcome;
+use mustardshed::core::{error, outcome::Outcome};
 
 use crate::fakes::{
     servers::{self, Step},
@@ -158,6 +158,24 @@
     verify_that!(world.servers.count("call"), eq(1))
 }
 
+#[gtest]
+#[tokio::test]
+async fn change_of_stewards_is_waited_out() -> Result<()> {
+    let world = world::World::start().await;
+    for _ in 0..3 {
+        world.control.refuse_next(error::Error::not_run(
+            error::ErrorKind::NoBackendServer,
+            "another entry hands out the credits",
+        ));
+    }
+
+    let answer = charge(&world, None).await;
+
+    world.assert_balanced().await;
+    verify_that!(answer.status, eq(200))?;
+    verify_that!(world.servers.count("call"), eq(1))
+}
+
 async fn charge(world: &world::World, key: Option<&str>) -> world::Answer {
     let mut req = world.request("POST", "/services/ledger/charge");
     if let Some(key) = key {
