--- a/crates/mustardshed-core/src/request/route.rs
+++ b/crates/mustardshed-core/src/request/route.rs
@@ -2,8 +2,7 @@
 //!
 //! A decision looks at one snapshot. Servers that may not be given the work are excluded with a
 //! reason; a few of the others are drawn at random and the one with the least estimate is chosen,
-//! so that entries with the same snapshot do not all choose the same server. Of a large fleet only
-//! a part is looked at, unless too few of that part may be given the work.
+//! so that entries with the same snapshot do not all choose the same server.
 
 pub mod decision;
 pub mod estimate;
@@ -17,9 +16,6 @@
 /// Servers of which the best is chosen.
 pub const CHOICES: usize = 5;
 
-/// Servers of a large fleet that are looked at before all are.
-const PROBES: usize = 32;
-
 /// A server that may be given the work.
 struct Eligible<'a> {
     server: &'a snapshot::ServerView,
@@ -36,14 +32,10 @@
     work: &work::Work<'_>,
     now: ids::Timestamp,
 ) -> Result<decision::Decision, decision::NoRoute> {
-    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(work.seed);
-    let (mut drawn, eligible) = draw(snapshot, work, &mut rng);
-    if !drawn.is_empty() {
-        // The first of equal estimates is chosen, and a server's place depends on its name.
-        let first = rng.random_range(0..drawn.len());
-        drawn.rotate_left(first);
-    }
+    let mut refused = decision::NoRoute::default();
+    let mut drawn = draw(snapshot, work, &mut refused);
     add_affine(&mut drawn, snapshot, work);
+    let drawn_count = drawn.len();
     let best = drawn
         .into_iter()
         .map(|server| Eligible {
@@ -55,10 +47,10 @@
         Some(best) => Ok(decision::Decision::new(
             best.server,
             best.estimate,
-            eligible,
+            drawn_count,
             work,
         )),
-        None => Err(decision::NoRoute::of(explain(snapshot, work, now))),
+        None => Err(refused),
     }
 }
 
@@ -82,48 +74,34 @@
         .collect()
 }
 
-/// Draws at most [`CHOICES`] servers that may be given the work; returns how many were found too.
+/// Draws [`CHOICES`] servers uniformly from those that may be given the work, or all if they are fewer.
+///
+/// Servers are looked at in a random order until enough are found, so that a decision does not
+/// check every server of a large fleet.
 fn draw<'a>(
     snapshot: &'a snapshot::Snapshot,
     work: &work::Work<'_>,
-    rng: &mut rand_pcg::Pcg64Mcg,
-) -> (Vec<&'a snapshot::ServerView>, u32) {
-    let step = snapshot.servers.len() / PROBES;
-    if step > 1 {
-        let first = rng.random_range(0..step);
-        let probes = snapshot.servers.values().skip(first).step_by(step);
-        let (drawn, eligible) = draw_from(probes, snapshot, work, rng);
-        if drawn.len() == CHOICES {
-            return (drawn, eligible);
-        }
-    }
-    draw_from(snapshot.servers.values(), snapshot, work, rng)
-}
-
-/// Draws a uniform sample of the servers that may be given the work.
-fn draw_from<'a>(
-    servers: impl Iterator<Item = &'a snapshot::ServerView>,
-    snapshot: &snapshot::Snapshot,
-    work: &work::Work<'_>,
-    rng: &mut rand_pcg::Pcg64Mcg,
-) -> (Vec<&'a snapshot::ServerView>, u32) {
-    let mut drawn: Vec<&snapshot::ServerView> = Vec::with_capacity(CHOICES + 1);
-    let mut eligible = 0;
-    let usable = servers
+    refused: &mut decision::NoRoute,
+) -> Vec<&'a snapshot::ServerView> {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(work.seed);
+    let mut servers: Vec<_> = snapshot
+        .servers
+        .values()
         .filter(|server| work.wants_kind(server))
-        .filter(|server| exclusion::check(snapshot, work, server).is_none());
-    for server in usable {
-        eligible += 1;
-        if drawn.len() < CHOICES {
-            drawn.push(server);
-            continue;
+        .collect();
+    let mut drawn = Vec::with_capacity(CHOICES + 1);
+    for i in 0..servers.len() {
+        if drawn.len() == CHOICES {
+            break;
         }
-        let slot = rng.random_range(0..eligible as usize);
-        if let Some(kept) = drawn.get_mut(slot) {
-            *kept = server;
+        let chosen = rng.random_range(i..servers.len());
+        servers.swap(i, chosen);
+        match exclusion::check(snapshot, work, servers[i]) {
+            Some(reason) => refused.add(&servers[i].id, reason),
+            None => drawn.push(servers[i]),
         }
     }
-    (drawn, eligible)
+    drawn
 }
 
 /// Adds the server that is believed to hold the prompt's prefix, if it may be given the work.
--- a/crates/mustardshed-core/src/request/route/decision.rs
+++ b/crates/mustardshed-core/src/request/route/decision.rs
@@ -24,15 +24,15 @@
     pub estimate: estimate::Estimate,
     /// Prompt tokens that it must prefill.
     pub prefill_tokens: ids::Tokens,
-    /// Servers that were found to be usable; of a large fleet only a part is looked at.
-    pub eligible: u32,
+    /// Servers of which it has the least estimate.
+    pub drawn: usize,
 }
 
 impl Decision {
     pub(crate) fn new(
         server: &snapshot::ServerView,
         estimate: estimate::Estimate,
-        eligible: u32,
+        drawn: usize,
         work: &work::Work<'_>,
     ) -> Self {
         Self {
@@ -42,7 +42,7 @@
             warmth: server.warmth,
             estimate,
             prefill_tokens: work.uncached_tokens(server),
-            eligible,
+            drawn,
         }
     }
 }
@@ -55,10 +55,8 @@
         };
         write!(
             f,
-            "least estimate of {} drawn from {} eligible, {warmth}: {}",
-            super::CHOICES.min(self.eligible as usize),
-            self.eligible,
-            self.estimate
+            "least estimate of {} drawn, {warmth}: {}",
+            self.drawn, self.estimate
         )
     }
 }
@@ -95,12 +93,8 @@
 }
 
 impl NoRoute {
-    pub(crate) fn of(candidates: Vec<Candidate>) -> Self {
-        let excluded = candidates
-            .into_iter()
-            .filter_map(|candidate| Some((candidate.server, candidate.verdict.err()?)))
-            .collect();
-        Self { excluded }
+    pub(crate) fn add(&mut self, server: &str, reason: exclusion::Exclusion) {
+        self.excluded.push((server.to_owned(), reason));
     }
 
     /// Returns whether a reason excludes a server.
