Record ends of claims again later, and only of claims that are held

Cause: in an outage of the platform every call that was refused at its claim had the end of that claim recorded, though there was none: six reads at once, all refused, so seven platform calls for each refused call. A call that had completed meanwhile got the same six reads without a pause and was then given up (E1009), although its entry lived on and the platform came back; once the entry ended, a repeat was told that nobody knows.

Change: a request whose claim was refused forgets the claim; the end of a held one is tried eight times with doubling pauses, as giving back was already; a refusal by the platform ends a try at once. The caller waits for the record until its deadline at most.

Ruled out: doubtful claims that are given back (a refusal by the platform is certain).

--- a/crates/mustardshed-core/src/request/claim/settling.rs
+++ b/crates/mustardshed-core/src/request/claim/settling.rs
@@ -63,6 +63,8 @@
         result: Result<Option<(ids::ObjectVersion, Value)>, platform::PlatformError>,
     ) -> Step {
         let (version, held) = match result {
+            // A platform that answers nothing but refusals is asked again later.
+            Err(platform::PlatformError::Refused(_)) => return Step::Done(false),
             Err(_) => return self.again(),
             Ok(None) => return Step::Done(self.fate.is_none()),
             Ok(Some(found)) => found,
@@ -89,6 +91,7 @@
     pub fn written(&mut self, result: Result<(), platform::PlatformError>) -> Step {
         match result {
             Ok(()) => Step::Done(true),
+            Err(platform::PlatformError::Refused(_)) => Step::Done(false),
             Err(_) => self.again(),
         }
     }
--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -21,10 +21,10 @@
 
 /// Longest time that making a claim may take.
 const CLAIM_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-/// Attempts to give back a claim that was not used.
-const RENOUNCE_ATTEMPTS: u32 = 8;
+/// Attempts to record the end of a claim.
+const END_ATTEMPTS: u32 = 8;
 /// Wait after the first failed attempt; it doubles.
-const RENOUNCE_PAUSE: time::Duration = time::Duration::from_millis(250);
+const END_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// Claims of non-idempotent calls.
 #[derive(Clone, Debug)]
@@ -85,8 +85,8 @@
     ) -> Result<(), error::Error> {
         let name = claim::object_name(&req.account, &req.key);
         let did_not_run = fate.outcome == Outcome::NotRun;
-        let (settling, step) = claim::Settling::settle(req.request, fate);
-        if self.finish(settling, step, &name).await || did_not_run {
+        let begin = || claim::Settling::settle(req.request.clone(), fate.clone());
+        if self.finish_often(begin, &name).await || did_not_run {
             return Ok(());
         }
         Err(error::Error::failed(
@@ -155,15 +155,27 @@
 
     /// Gives back a claim whose request never sent its call and never will.
     async fn renounce(&self, request: ids::RequestId, name: &str) {
-        let mut pause = RENOUNCE_PAUSE;
-        for _ in 0..RENOUNCE_ATTEMPTS {
-            let (settling, step) = claim::Settling::renounce(request.clone());
+        let begin = || claim::Settling::renounce(request.clone());
+        self.finish_often(begin, name).await;
+    }
+
+    /// Carries the end of a claim out, again and again while it fails; returns whether it is
+    /// recorded.
+    async fn finish_often(
+        &self,
+        begin: impl Fn() -> (claim::Settling, claim::settling::Step),
+        name: &str,
+    ) -> bool {
+        let mut pause = END_PAUSE;
+        for _ in 0..END_ATTEMPTS {
+            let (settling, step) = begin();
             if self.finish(settling, step, name).await {
-                return;
+                return true;
             }
             tokio::time::sleep(pause).await;
             pause *= 2;
         }
+        false
     }
 
     /// Carries the end of a claim out; returns whether it is recorded.
--- a/crates/mustardshedd/src/request/call/driver.rs
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -127,7 +127,11 @@
             match settlement::claim(&self.cx, claim).await {
                 Ok(control::Claim::Granted) => {}
                 Ok(control::Claim::Earlier(fate)) => return call::Ended::Earlier(Box::new(fate)),
-                Err(err) => return call::Ended::Failed(err),
+                Err(err) => {
+                    // A claim that is not held has no end to be recorded.
+                    self.call.job.claim = None;
+                    return call::Ended::Failed(err);
+                }
             }
         }
         match self.attempts().await {
--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -110,7 +110,11 @@
         match self.claim().await {
             Ok(control::Claim::Granted) => Stop::Ended(self.attempts().await),
             Ok(control::Claim::Earlier(fate)) => Stop::Earlier(fate),
-            Err(err) => Stop::Ended(Err(err)),
+            Err(err) => {
+                // A claim that is not held has no end to be recorded.
+                self.completion.job.claim = None;
+                Stop::Ended(Err(err))
+            }
         }
     }
 
--- a/crates/mustardshedd/src/request/settlement.rs
+++ b/crates/mustardshedd/src/request/settlement.rs
@@ -9,7 +9,7 @@
     request::{cx, job},
 };
 
-/// Wait for the record of a claimed request's fate before its caller is answered.
+/// Wait for the record of a claimed request's fate before its caller is answered, at most.
 const SETTLE_WAIT: time::Duration = time::Duration::from_secs(1);
 
 /// Takes a claim and logs who holds it.
@@ -39,12 +39,14 @@
 /// Records the final fate of a request, and settles its claim if it has one.
 ///
 /// The caller of a claimed request is answered when this returns, so that a repeat right after the
-/// answer finds it; settling that takes longer goes on in a task of its own.
+/// answer finds it; settling that takes longer, or beyond the deadline, goes on in a task of its
+/// own.
 pub async fn conclude(cx: &sync::Arc<cx::Cx>, job: &job::Job, fate: fate::Fate) {
     cx.control.record(fate.clone());
     let Some(claim) = job.claim.clone() else {
         return;
     };
+    let left = job.deadline.saturating_sub(cx.clock.now());
     let cx = sync::Arc::clone(cx);
     let settling = tokio::spawn(async move {
         let request = claim.request.clone();
@@ -55,5 +57,5 @@
             });
         }
     });
-    drop(tokio::time::timeout(SETTLE_WAIT, settling).await);
+    drop(tokio::time::timeout(SETTLE_WAIT.min(left), settling).await);
 }
