Leave questions about requests of an earlier run unanswered

Cause: a VM's new run answered a question that was meant for the run before it: it found no such request, and the caller was told 404 with not_run of a request that had completed.

Change: a run answers only for its own requests; the asker then finds within a second that the owner is gone, and reads the claim or says unknown.

--- a/crates/mustardshed-core/src/process/node/answers.rs
+++ b/crates/mustardshed-core/src/process/node/answers.rs
@@ -40,6 +40,27 @@
         self.send(&owner.vm, message, now, out);
     }
 
+    /// Answers a peer's question for the fate of a request of this run.
+    ///
+    /// A question about a request of an earlier run of this VM stays without an answer: this run
+    /// knows nothing of it, and the peer then finds that its owner is gone.
+    pub(super) fn tell_fate(
+        &mut self,
+        vm: &ids::VmId,
+        ticket: u64,
+        request: &str,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let is_own =
+            owner::of(request).is_some_and(|owner| owner.incarnation == self.identity.incarnation);
+        if !is_own {
+            return;
+        }
+        let fate = self.fates.get(request).cloned();
+        self.send(vm, message::Message::FateIs { ticket, fate }, now, out);
+    }
+
     pub(super) fn expire_questions(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         let members = &self.world.members;
         let is_gone = |vm: &str| {
--- a/crates/mustardshed-core/src/process/node/peers.rs
+++ b/crates/mustardshed-core/src/process/node/peers.rs
@@ -71,8 +71,7 @@
                 self.cold_sign(&server, epoch, now, out);
             }
             message::Message::WantFate { ticket, request } => {
-                let fate = self.fates.get(&request).cloned();
-                self.send(vm, message::Message::FateIs { ticket, fate }, now, out);
+                self.tell_fate(vm, ticket, &request, now, out);
             }
             message::Message::FateIs { ticket, fate } => {
                 let answer = self.fates.answered(ticket, vm, fate);
--- a/crates/mustardshed-core/tests/node.rs
+++ b/crates/mustardshed-core/tests/node.rs
@@ -6,7 +6,7 @@
 use mustardshed_core::{
     border::{backend_server, control, platform},
     error, ids,
-    process::{action, event, node},
+    process::{action, event, message, node},
     version::record,
 };
 
@@ -244,3 +244,31 @@
     expect_that!(snapshot.text.engine_kinds.contains_key("k"), is_true());
     expect_that!(snapshot.data_centres_out, contains(eq("a")));
 }
+
+#[gtest]
+fn question_about_a_request_of_an_earlier_run_stays_unanswered() {
+    let (mut node, now) = ready_node_among(backend_server::Warmth::Warm, &["e2"]);
+    let mut ask = |request: &str| {
+        let message = message::Message::WantFate {
+            ticket: 1,
+            request: request.to_owned(),
+        };
+        let question = event::Event::Peer {
+            vm: "e2".into(),
+            incarnation: 1,
+            message,
+        };
+        let actions = node.handle(question, now);
+        actions.iter().any(|action| {
+            let action::Action::Send { message, .. } = action else {
+                return false;
+            };
+            matches!(message, message::Message::FateIs { .. })
+        })
+    };
+
+    let (earlier, present) = (ask("e1.0.7"), ask("e1.1.7"));
+
+    expect_that!(earlier, eq(false));
+    expect_that!(present, eq(true));
+}
