Tell an unknown fate as unknown, and call no key wrong without a configuration

Cause: an entry that starts during an outage has no configuration and answered 401 to every key, which tells callers not to come back; and errors on questions for a fate carried the outcome not_run of the question, which reads as the fate of the request.

Change: without a configuration the answer is 503 configuration_stale; a fate that cannot be told has the outcome unknown, also with 404.

--- a/crates/mustardshedd/src/http/auth.rs
+++ b/crates/mustardshedd/src/http/auth.rs
@@ -1,7 +1,10 @@
 //! Who sends a request.
 
 use http::header;
-use mustardshed::{config::text, core::error};
+use mustardshed::{
+    config::text,
+    core::{error, process::snapshot},
+};
 use sha2::Digest;
 use subtle::ConstantTimeEq;
 
@@ -16,15 +19,22 @@
 ///
 /// # Errors
 ///
-/// Returns [`error::ErrorKind::Unauthenticated`] if the key is missing or unknown.
+/// Returns [`error::ErrorKind::Unauthenticated`] if the key is missing or unknown, and
+/// [`error::ErrorKind::ConfigurationStale`] if no configuration is in force that could name it.
 pub fn client_account<'a>(
-    text: &'a text::Text,
+    snapshot: &'a snapshot::Snapshot,
     headers: &http::HeaderMap,
 ) -> Result<&'a text::ClientAccount, error::Error> {
     let key = bearer(headers)?;
+    if snapshot.generation == 0 {
+        return Err(error::Error::not_run(
+            error::ErrorKind::ConfigurationStale,
+            "this entry has no configuration yet",
+        ));
+    }
     let digest: [u8; 32] = sha2::Sha256::digest(key).into();
     let mut found = None;
-    for account in text.client_accounts.values() {
+    for account in snapshot.text.client_accounts.values() {
         for known in &account.key_digests {
             if bool::from(known.ct_eq(&digest)) {
                 found = Some(account);
--- a/crates/mustardshedd/src/http/entries.rs
+++ b/crates/mustardshedd/src/http/entries.rs
@@ -15,7 +15,7 @@
 /// Answers `GET /v1/entries`.
 pub fn handle(cx: &cx::Cx, headers: &http::HeaderMap) -> Response {
     let snapshot = cx.requests.control.snapshot();
-    if let Err(err) = auth::client_account(&snapshot.text, headers) {
+    if let Err(err) = auth::client_account(&snapshot, headers) {
         return reply::error(&err);
     }
     let list = message::EntryList {
--- a/crates/mustardshedd/src/http/generate.rs
+++ b/crates/mustardshedd/src/http/generate.rs
@@ -46,7 +46,7 @@
     body: body::Body,
 ) -> Result<Response, refused::Refused> {
     let snapshot = cx.requests.control.snapshot();
-    let account = match auth::client_account(&snapshot.text, request_headers) {
+    let account = match auth::client_account(&snapshot, request_headers) {
         Ok(account) => account,
         Err(err) => {
             body::discard(body, cx.limits.max_body_bytes).await;
--- a/crates/mustardshedd/src/http/models.rs
+++ b/crates/mustardshedd/src/http/models.rs
@@ -13,7 +13,7 @@
 /// Answers `GET /v1/models` with what the account may use.
 pub fn list(cx: &cx::Cx, headers: &http::HeaderMap) -> Response {
     let snapshot = cx.requests.control.snapshot();
-    match auth::client_account(&snapshot.text, headers) {
+    match auth::client_account(&snapshot, headers) {
         Ok(account) => reply::json(
             http::StatusCode::OK,
             &message::ModelList {
@@ -28,7 +28,7 @@
 /// Answers `GET /v1/models/{id}`.
 pub fn one(cx: &cx::Cx, headers: &http::HeaderMap, name: &str) -> Response {
     let snapshot = cx.requests.control.snapshot();
-    let found = auth::client_account(&snapshot.text, headers).and_then(|account| {
+    let found = auth::client_account(&snapshot, headers).and_then(|account| {
         names(&snapshot.text, account)
             .find(|known| *known == name)
             .ok_or_else(|| {
--- a/crates/mustardshedd/src/http/requests.rs
+++ b/crates/mustardshedd/src/http/requests.rs
@@ -1,6 +1,6 @@
 //! The fate of a request, asked for by its account or by operators.
 
-use mustardshed::core::{error, request::fate};
+use mustardshed::core::{error, outcome::Outcome, request::fate};
 use warp::reply::Response;
 
 use crate::http::{auth, cx, message, reply};
@@ -8,14 +8,14 @@
 /// Answers `GET /v1/requests/{id}`; another account's request is not found.
 pub async fn handle(cx: &cx::Cx, headers: &http::HeaderMap, id: String) -> Response {
     let snapshot = cx.requests.control.snapshot();
-    let account = match auth::client_account(&snapshot.text, headers) {
+    let account = match auth::client_account(&snapshot, headers) {
         Ok(account) => account,
-        Err(err) => return reply::error(&err),
+        Err(err) => return untold(err),
     };
     match cx.requests.control.fate(&id).await {
         Ok(fate) if fate.account == account.name => answer(&fate),
-        Ok(_) => reply::error(&not_found()),
-        Err(err) => reply::error(&err),
+        Ok(_) => untold(not_found()),
+        Err(err) => untold(err),
     }
 }
 
@@ -23,10 +23,16 @@
 pub async fn handle_operator(cx: &cx::Cx, id: String) -> Response {
     match cx.requests.control.fate(&id).await {
         Ok(fate) => answer(&fate),
-        Err(err) => reply::error(&err),
+        Err(err) => untold(err),
     }
 }
 
+/// Makes the answer for a fate that cannot be told; it never says that the request did not run.
+fn untold(mut err: error::Error) -> Response {
+    err.outcome = Outcome::Unknown;
+    reply::error(&err)
+}
+
 fn answer(fate: &fate::Fate) -> Response {
     let body = message::FateAnswer {
         id: fate.request.clone(),
--- a/crates/mustardshedd/tests/traffic/listener.rs
+++ b/crates/mustardshedd/tests/traffic/listener.rs
@@ -1,5 +1,7 @@
 //! The listener: who may see what, and what a drained entry still does.
 
+use std::sync;
+
 use googletest::prelude::*;
 
 use crate::fakes::{operator, world};
@@ -130,7 +132,7 @@
         let mut text = mustardshed::config::text::Text::clone(&s.text);
         let drafts = text.services.get_mut("drafts").unwrap();
         drafts.depends_on = vec!["ledger".to_owned()];
-        s.text = std::sync::Arc::new(text);
+        s.text = sync::Arc::new(text);
         for server in s.servers.values_mut().filter(|s| s.kind == "ledger") {
             server.running = 8;
         }
@@ -142,3 +144,33 @@
     verify_that!(answer.outcome(), eq("not_run"))?;
     verify_that!(world.servers.count("generate"), eq(0))
 }
+
+#[gtest]
+#[tokio::test]
+async fn fate_that_is_not_known_is_not_called_not_run() -> Result<()> {
+    let world = world::World::start().await;
+
+    let answer = world.send(world.request("GET", "/v1/requests/x"), "").await;
+
+    verify_that!(answer.status, eq(404))?;
+    verify_that!(answer.outcome(), eq("unknown"))
+}
+
+#[gtest]
+#[tokio::test]
+async fn entry_without_a_configuration_calls_no_key_wrong() -> Result<()> {
+    let world = world::World::start().await;
+    world.control.change(|snapshot| {
+        snapshot.generation = 0;
+        snapshot.text = sync::Arc::default();
+    });
+
+    let list = world.send(world.request("GET", "/v1/entries"), "").await;
+    let completion = world.complete(world::PROMPT, 5_000).await;
+
+    for answer in [list, completion] {
+        verify_that!(answer.status, eq(503))?;
+        verify_that!(answer.code(), eq("configuration_stale"))?;
+    }
+    Ok(())
+}
