--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -97,7 +97,11 @@
         match self.claim().await {
             Ok(control::Claim::Granted) => Stop::Ended(self.attempt_until_end().await),
             Ok(control::Claim::Earlier(fate)) => Stop::Earlier(fate),
-            Err(err) => Stop::Ended(Err(err)),
+            Err(err) => {
+                // A claim that is not held has no end to be recorded.
+                self.completion.job.claim = None;
+                Stop::Ended(Err(err))
+            }
         }
     }
 
