Test whole fleets as real processes

Nine tests start platform, engines, a plain service and three entries as processes: prompts of three lengths, a call with one key at all entries at once, lost answers of the service and of a claim, an outage, a killed entry, a killed engine, a planned stop, and a data centre out and back.

--- /dev/null
+++ b/crates/mustardshedd/tests/processes.rs
@@ -0,0 +1,301 @@
+//! Whole fleets as real processes: prompts of every length, at-most-once calls and failures.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails ends its test")]
+
+use std::{collections, fs, time};
+
+use futures_util::future;
+use googletest::prelude::*;
+use mustardshed_standins::{
+    caller,
+    demo::{check, prompt},
+    fleet::{self, spec},
+};
+use serde_json::json;
+use tokio::sync;
+
+const ACCOUNT: &str = "st-marks";
+const MODEL: &str = "drafting-drafts";
+const CHARGE: &str = "/services/payments/charge";
+const OUTPUT_TOKENS: u64 = 16;
+/// Log lines of each entry that explain a failure.
+const DECISIONS: usize = 60;
+/// Time within which a change of the configuration or the loss of a process must have told.
+const SECONDS: time::Duration = time::Duration::from_secs(5);
+
+/// Fleets run one at a time, since each is a dozen processes.
+static ONE_AT_A_TIME: sync::Mutex<()> = sync::Mutex::const_new(());
+
+struct Fixture {
+    fleet: fleet::Fleet,
+    callers: Vec<caller::Caller>,
+    _turn: sync::MutexGuard<'static, ()>,
+}
+
+async fn fixture(engines: usize) -> Fixture {
+    let turn = ONE_AT_A_TIME.lock().await;
+    let fleet = fleet::Fleet::start(&spec::Spec::small(engines, 3))
+        .await
+        .unwrap();
+    let key = fleet::key_of(ACCOUNT);
+    let open = |entry: &fleet::entry::Entry| caller::Caller::open(&entry.url(), &key);
+    Fixture {
+        callers: fleet.entries.iter().map(open).collect(),
+        fleet,
+        _turn: turn,
+    }
+}
+
+impl Fixture {
+    /// Has a prompt answered at an entry, checks the answer and returns the servers that worked on it.
+    async fn prompt(&self, entry: usize, title: &str, tokens: u64) -> Vec<String> {
+        let prompt = prompt::of_tokens(title, tokens);
+        let caller = &self.callers[entry];
+        let completion = caller.complete(MODEL, &prompt, OUTPUT_TOKENS, |_| {}).await;
+        let completion = completion.unwrap();
+        check::completion(&prompt, OUTPUT_TOKENS, &completion).unwrap();
+        let fate = caller.fate(&completion.request_id).await.unwrap();
+        assert_that!(fate.outcome, eq("completed"));
+        fate.servers
+    }
+
+    /// Has prompts answered at all entries at once, more than one engine has idle time for, and
+    /// returns the servers that worked on them.
+    async fn prompts_at_once(&self, title: &str) -> collections::BTreeSet<String> {
+        let titles: Vec<String> = (0..12).map(|i| format!("{title} {i}")).collect();
+        let prompts = titles.iter().enumerate();
+        let prompts = prompts.map(|(i, title)| self.prompt(i % 3, title, 50_000));
+        let servers = future::join_all(prompts).await;
+        servers.into_iter().flatten().collect()
+    }
+
+    async fn charge(
+        &self,
+        entry: usize,
+        key: &str,
+    ) -> std::result::Result<caller::charge::Charge, caller::error::Error> {
+        let body = json!({ "deposit": 120 });
+        self.callers[entry].charge(CHARGE, key, &body).await
+    }
+
+    async fn executions(&self) -> usize {
+        let records = self.fleet.records(&self.fleet.services[0]).await.unwrap();
+        records.as_array().unwrap().len()
+    }
+
+    async fn platform_faults(&self, faults: serde_json::Value) {
+        let platform = &self.fleet.platform;
+        self.fleet.set_faults(platform, &faults).await.unwrap();
+    }
+
+    /// Returns the latest decisions of every entry, to explain a failure.
+    fn decisions(&self) -> String {
+        let log = |vm: &str| self.fleet.files.folder.join(format!("{vm}.log"));
+        let logs = self.fleet.entries.iter().map(|entry| log(&entry.vm_id));
+        let logs: Vec<String> = logs.flat_map(fs::read_to_string).collect();
+        let latest = |log: &String| -> Vec<String> {
+            let lines: Vec<&str> = log.lines().collect();
+            let start = lines.len().saturating_sub(DECISIONS);
+            lines[start..].iter().map(|line| line.to_string()).collect()
+        };
+        logs.iter().flat_map(latest).collect::<Vec<_>>().join("\n")
+    }
+
+    /// Returns the names of the engines of a data centre.
+    fn engines_of(&self, spec: &spec::Spec, data_centre: &str) -> collections::BTreeSet<String> {
+        let there = spec.engines.iter().filter(|e| e.data_centre == data_centre);
+        there.map(|engine| engine.name.clone()).collect()
+    }
+}
+
+#[tokio::test]
+async fn prompts_of_every_length_are_answered_whole_and_leave_no_memory_held() {
+    let f = fixture(9).await;
+
+    let short = f.prompt(0, "draft", 1_000).await;
+    let long = f.prompt(1, "chapter", 200_000).await;
+    let longest = f.prompt(2, "book", 1_000_000).await;
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+
+    assert_that!(short.len(), eq(1));
+    assert_that!(long.len(), eq(1));
+    assert_that!(longest.len(), eq(3));
+    for engine in &f.fleet.engines {
+        let records = f.fleet.records(engine).await.unwrap();
+        assert_that!(records["used_tokens"], eq(&json!(0)), "{}", engine.name);
+        assert_that!(records["reserved_tokens"], eq(&json!(0)), "{}", engine.name);
+    }
+}
+
+#[tokio::test]
+async fn call_sent_with_one_key_to_every_entry_at_once_runs_once() {
+    let f = fixture(1).await;
+
+    let (a, b, c) = tokio::join!(
+        f.charge(0, "deposit"),
+        f.charge(1, "deposit"),
+        f.charge(2, "deposit")
+    );
+    let again = f.charge(1, "deposit").await.unwrap();
+
+    assert_that!(f.executions().await, eq(1));
+    for answer in [a, b, c] {
+        match answer {
+            Ok(charge) => assert_that!(charge.answer, eq(&again.answer)),
+            Err(e) => assert_that!(e.code(), some(eq("idempotency_key_in_progress"))),
+        }
+    }
+}
+
+#[tokio::test]
+async fn call_whose_answer_was_lost_is_never_run_again() {
+    let f = fixture(1).await;
+    let faults = json!({ "lose_answers": 1 });
+    let service = &f.fleet.services[0];
+    f.fleet.set_faults(service, &faults).await.unwrap();
+
+    let lost = f.charge(0, "deposit").await.unwrap_err();
+    let again = f.charge(1, "deposit").await.unwrap_err();
+
+    assert_that!(lost.outcome(), some(eq("unknown")), "{lost}");
+    assert_that!(again.outcome(), some(eq("unknown")), "{again}");
+    assert_that!(f.executions().await, eq(1));
+}
+
+#[tokio::test]
+async fn lost_answer_to_a_claim_leaves_the_call_at_most_once() {
+    let f = fixture(1).await;
+    f.platform_faults(json!({ "lose_answers": 1, "lose_answers_kind": "claim" }))
+        .await;
+
+    let first = f.charge(0, "deposit").await;
+    let executed = f.executions().await;
+    let second = f.charge(1, "deposit").await;
+
+    match first {
+        Ok(_) => assert_that!(executed, eq(1)),
+        Err(e) if e.outcome() == Some("not_run") => assert_that!(executed, eq(0)),
+        Err(e) => assert_that!(e.outcome(), some(eq("unknown")), "{e}"),
+    }
+    assert_that!(f.executions().await, le(1), "{second:?}");
+}
+
+#[tokio::test]
+async fn outage_of_the_platform_refuses_calls_as_not_run_and_serves_prompts() {
+    let f = fixture(3).await;
+    // Entries vouch for the configuration once they were confirmed for longer than an intent may stand.
+    tokio::time::sleep(SECONDS).await;
+    f.platform_faults(json!({ "outage": true })).await;
+    tokio::time::sleep(SECONDS).await;
+
+    let refused = f.charge(0, "deposit").await.unwrap_err();
+    for entry in 0..3 {
+        f.prompt(entry, "draft", 1_000).await;
+    }
+    let executed = f.executions().await;
+    f.platform_faults(json!({ "outage": false })).await;
+    tokio::time::sleep(SECONDS).await;
+    let answered = f.charge(0, "deposit").await;
+
+    assert_that!(
+        refused.code(),
+        some(eq("platform_unavailable")),
+        "{refused}"
+    );
+    assert_that!(refused.outcome(), some(eq("not_run")));
+    assert_that!(executed, eq(0));
+    assert_that!(answered, ok(anything()));
+}
+
+#[tokio::test]
+async fn entries_serve_on_when_one_is_killed() {
+    let mut f = fixture(3).await;
+    f.prompt(0, "draft", 1_000).await;
+
+    f.fleet.entries[0].process.kill();
+    for entry in [1, 2] {
+        f.prompt(entry, "draft", 1_000).await;
+    }
+    tokio::time::sleep(SECONDS).await;
+    for entry in [1, 2] {
+        f.prompt(entry, "chapter", 100_000).await;
+        f.charge(entry, &format!("deposit-{entry}")).await.unwrap();
+    }
+
+    assert_that!(f.executions().await, eq(2));
+}
+
+#[tokio::test]
+async fn data_centre_that_is_out_gets_no_new_work_until_it_is_back() {
+    let f = fixture(3).await;
+    let out = f.engines_of(&spec::Spec::small(3, 3), "east");
+    f.fleet.ctl(&["data-centre", "out", "east"]).await.unwrap();
+    tokio::time::sleep(SECONDS).await;
+
+    let during = f.prompts_at_once("draft").await;
+    f.fleet
+        .ctl(&["data-centre", "in", "east", "--wait"])
+        .await
+        .unwrap();
+    tokio::time::sleep(SECONDS).await;
+    let after = f.prompts_at_once("later draft").await;
+
+    assert_that!(during.is_disjoint(&out), eq(true), "{during:?}");
+    assert_that!(after.is_disjoint(&out), eq(false), "{}", f.decisions());
+}
+
+#[tokio::test]
+async fn planned_stop_of_an_entry_cuts_off_no_request() {
+    let mut f = fixture(3).await;
+    let running = f.prompt(0, "book", 300_000);
+
+    let ((), servers) = tokio::join!(
+        async {
+            tokio::time::sleep(time::Duration::from_millis(200)).await;
+            f.fleet.entries[0].process.terminate();
+        },
+        running
+    );
+    let begun = time::Instant::now();
+    let entry = &mut f.fleet.entries[0].process;
+    while entry.is_running() && begun.elapsed() < 6 * SECONDS {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+
+    assert_that!(servers.len(), eq(1));
+    assert_that!(entry.exit_code(), some(eq(0)));
+}
+
+#[tokio::test]
+async fn prompt_is_answered_whole_though_its_engine_is_killed() {
+    let mut f = fixture(3).await;
+    for engine in &f.fleet.engines {
+        let slow = json!({ "slow_percent": 400 });
+        f.fleet.set_faults(engine, &slow).await.unwrap();
+    }
+    let prompt = prompt::of_tokens("chapter", 300_000);
+    let caller = f.callers[0].clone();
+
+    let running = tokio::spawn(async move {
+        let completion = caller.complete(MODEL, &prompt, OUTPUT_TOKENS, |_| {}).await;
+        completion.map(|whole| check::completion(&prompt, OUTPUT_TOKENS, &whole))
+    });
+    let working = working_engine(&f).await.unwrap();
+    f.fleet.engines[working].kill();
+
+    assert_that!(running.await.unwrap(), ok(ok(anything())));
+}
+
+/// Waits until an engine holds memory for a request, and returns its index.
+async fn working_engine(f: &Fixture) -> Option<usize> {
+    let begun = time::Instant::now();
+    while begun.elapsed() < SECONDS {
+        for (i, engine) in f.fleet.engines.iter().enumerate() {
+            let records = f.fleet.records(engine).await.unwrap();
+            if records["used_tokens"] != json!(0) {
+                return Some(i);
+            }
+        }
+    }
+    None
+}
