--- a/crates/mustardshed-core/src/request/route/decision.rs
+++ b/crates/mustardshed-core/src/request/route/decision.rs
@@ -97,6 +97,11 @@
         self.excluded.push((server.to_owned(), reason));
     }
 
+    /// Returns whether a reason excludes a server.
+    pub fn any(&self, reason: exclusion::Exclusion) -> bool {
+        self.excluded.iter().any(|(_, other)| *other == reason)
+    }
+
     /// Returns whether a reason excludes every server of the right kind, of which there is one.
     pub fn is_all(&self, reason: exclusion::Exclusion) -> bool {
         !self.excluded.is_empty() && self.excluded.iter().all(|(_, other)| *other == reason)
