--- /dev/null
+++ b/crates/mustardshed-standins/src/experiment/scenario.rs
@@ -0,0 +1,107 @@
+//! What is offered, and what changes meanwhile.
+
+use std::{fmt, time};
+
+use crate::{
+    experiment::{ExperimentError, Run, deployment},
+    fleet,
+    load::plan,
+};
+
+/// Requests of a large account for each of a small one.
+const LARGE_WEIGHT: u32 = 8;
+/// Requests of a flooding account for each that its share would give it.
+const FLOOD: u32 = 10;
+/// Data centre that is taken out and back.
+const DATA_CENTRE: &str = "mid";
+
+/// What is offered, and what changes meanwhile; loads are shares of the nominal capacity.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Scenario {
+    /// All prompts at a load.
+    Mixed(f64),
+    /// The short prompts of a mixed load alone.
+    ShortOnly(f64),
+    /// A data centre is taken out after a third of the time, and back after two.
+    DataCentreOut(f64),
+    /// One small account sends ten times what the others do.
+    Flood(f64),
+    /// Three times the capacity, with deadlines of 30 s.
+    Overload,
+}
+
+impl Scenario {
+    /// Returns the offered load as a share of the nominal capacity.
+    pub const fn load(self) -> f64 {
+        match self {
+            Self::Mixed(load)
+            | Self::ShortOnly(load)
+            | Self::DataCentreOut(load)
+            | Self::Flood(load) => load,
+            Self::Overload => 3.0,
+        }
+    }
+
+    /// Returns whether long prompts are left out.
+    pub const fn is_short_only(self) -> bool {
+        matches!(self, Self::ShortOnly(_))
+    }
+
+    /// Returns the deadline of every request.
+    pub const fn deadline(self) -> time::Duration {
+        match self {
+            Self::Overload => time::Duration::from_secs(30),
+            _ => time::Duration::from_secs(600),
+        }
+    }
+
+    /// Returns who sends how much.
+    pub fn accounts(self) -> Vec<plan::Account> {
+        let accounts = deployment::accounts().into_iter();
+        let mut accounts: Vec<plan::Account> = accounts
+            .map(|(name, _)| plan::Account {
+                key: fleet::key_of(&name),
+                weight: if name.starts_with("large") {
+                    LARGE_WEIGHT
+                } else {
+                    1
+                },
+                name,
+            })
+            .collect();
+        if let (Self::Flood(_), Some(last)) = (self, accounts.last_mut()) {
+            last.weight *= FLOOD;
+        }
+        accounts
+    }
+
+    /// Makes the changes of the scenario while the load is offered.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an operator's command fails.
+    pub async fn change(self, fleet: &fleet::Fleet, run: &Run) -> Result<(), ExperimentError> {
+        if !matches!(self, Self::DataCentreOut(_)) {
+            return Ok(());
+        }
+        let third = run.duration.div_f64(3.0 * run.time_scale);
+        tokio::time::sleep(third).await;
+        fleet.ctl(&["data-centre", "out", DATA_CENTRE]).await?;
+        tokio::time::sleep(third).await;
+        fleet.ctl(&["data-centre", "in", DATA_CENTRE]).await?;
+        Ok(())
+    }
+}
+
+impl fmt::Display for Scenario {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let percent = self.load() * 100.0;
+        match self {
+            Self::Mixed(_) => write!(f, "mixed at {percent:.0}%"),
+            Self::ShortOnly(_) => write!(f, "short only at {percent:.0}%"),
+            Self::DataCentreOut(_) => write!(f, "data centre out and back at {percent:.0}%"),
+            Self::Flood(_) => write!(f, "one account floods at {percent:.0}%"),
+            Self::Overload => write!(f, "overload at {percent:.0}%"),
+        }
+    }
+}
--- a/crates/mustardshed-standins/src/fleet/files.rs
+++ b/crates/mustardshed-standins/src/fleet/files.rs
@@ -24,6 +24,7 @@
     pub text_file: path::PathBuf,
     programs: path::PathBuf,
     time_scale: f64,
+    routing: &'static str,
 }
 
 impl Files {
@@ -44,6 +45,7 @@
             programs,
             folder,
             time_scale: spec.time_scale,
+            routing: spec.routing,
         };
         files.write("peer.key", PEER_KEY)?;
         files.write("operator.key", OPERATOR_KEY)?;
@@ -86,11 +88,12 @@
         platform_url: &str,
     ) -> Result<path::PathBuf, FleetError> {
         let folder = self.folder.display();
+        let routing = self.routing;
         let settings = format!(
             "vm = \"{vm}\"\ndata_centre = \"{data_centre}\"\nlisten = \"{address}\"\n\
              peer_listen = \"{peer_address}\"\nplatform = \"{platform_url}\"\n\
              peer_key_file = \"{folder}/peer.key\"\n\
-             operator_key_file = \"{folder}/operator.digest\"\n"
+             operator_key_file = \"{folder}/operator.digest\"\nrouting = \"{routing}\"\n"
         );
         self.write(&format!("{vm}.toml"), &settings)
     }
--- a/crates/mustardshed-standins/src/fleet/spec.rs
+++ b/crates/mustardshed-standins/src/fleet/spec.rs
@@ -24,6 +24,8 @@
     pub prefill_tps: u32,
     /// Decode speed, in steps a second.
     pub decode_tps: u32,
+    /// Prefill tokens in a step.
+    pub chunk_tokens: u64,
     /// Requests at once, at most.
     pub max_running: u32,
     /// Requests that it bears while cold.
@@ -45,6 +47,7 @@
             format!("--memory-tokens={}", self.memory_tokens),
             format!("--prefill-tps={}", self.prefill_tps),
             format!("--decode-tps={}", self.decode_tps),
+            format!("--chunk-tokens={}", self.chunk_tokens),
             format!("--max-running={}", self.max_running),
             format!("--cold-limit={}", self.cold_limit),
             format!("--model={}=1", self.model),
@@ -110,6 +113,8 @@
     pub accounts: Vec<(String, u32)>,
     /// How many times faster than stated the engines run.
     pub time_scale: f64,
+    /// Policy by which entries choose engines, as in their settings.
+    pub routing: &'static str,
 }
 
 impl Spec {
@@ -123,6 +128,7 @@
             memory_tokens: 400_000,
             prefill_tps: 40_000,
             decode_tps: 50,
+            chunk_tokens: 1_024,
             max_running: 32,
             cold_limit: 2,
             model: "psalter".to_owned(),
@@ -139,6 +145,7 @@
             entries,
             accounts: vec![("st-marks".to_owned(), 1), ("grace".to_owned(), 1)],
             time_scale: 10.0,
+            routing: "estimate",
             data_centres,
         }
     }
