Ask that work returns to a data centre, and that bursts are spread

It now takes the other two out, so that all work must go there, and the spread is a test of its own. A killed steward leaves its plain service refused for longer than 5 s.

--- a/crates/mustardshedd/tests/processes.rs
+++ b/crates/mustardshedd/tests/processes.rs
@@ -59,6 +59,12 @@
         fate.servers
     }
 
+    /// Has the operators' client make a change, and gives it the time to tell everywhere.
+    async fn change(&self, args: &[&str]) {
+        self.fleet.ctl(args).await.unwrap();
+        tokio::time::sleep(SECONDS).await;
+    }
+
     /// Has prompts answered at all entries at once, more than one engine has idle time for, and
     /// returns the servers that worked on them.
     async fn prompts_at_once(&self, title: &str) -> collections::BTreeSet<String> {
@@ -228,20 +234,27 @@
 #[tokio::test]
 async fn data_centre_that_is_out_gets_no_new_work_until_it_is_back() {
     let f = fixture(3).await;
-    let out = f.engines_of(&spec::Spec::small(3, 3), "east");
-    f.fleet.ctl(&["data-centre", "out", "east"]).await.unwrap();
-    tokio::time::sleep(SECONDS).await;
+    let there = f.engines_of(&spec::Spec::small(3, 3), "east");
+    f.change(&["data-centre", "out", "east"]).await;
 
     let during = f.prompts_at_once("draft").await;
-    f.fleet
-        .ctl(&["data-centre", "in", "east", "--wait"])
-        .await
-        .unwrap();
-    tokio::time::sleep(SECONDS).await;
+    f.change(&["data-centre", "in", "east"]).await;
+    f.change(&["data-centre", "out", "mid"]).await;
+    f.change(&["data-centre", "out", "west"]).await;
     let after = f.prompts_at_once("later draft").await;
 
-    assert_that!(during.is_disjoint(&out), eq(true), "{during:?}");
-    assert_that!(after.is_disjoint(&out), eq(false), "{}", f.decisions());
+    let seen = f.decisions();
+    assert_that!(during.is_disjoint(&there), eq(true), "{during:?} {seen}");
+    assert_that!(after, eq(&there), "{seen}");
+}
+
+#[tokio::test]
+async fn prompts_that_come_at_once_are_spread_over_idle_engines() {
+    let f = fixture(3).await;
+
+    let servers = f.prompts_at_once("draft").await;
+
+    assert_that!(servers.len(), eq(3), "{servers:?} {}", f.decisions());
 }
 
 #[tokio::test]
@@ -280,7 +293,9 @@
         let completion = caller.complete(MODEL, &prompt, OUTPUT_TOKENS, |_| {}).await;
         completion.map(|whole| check::completion(&prompt, OUTPUT_TOKENS, &whole))
     });
-    let working = working_engine(&f).await.unwrap();
+    let Some(working) = working_engine(&f).await else {
+        panic!("no engine works: {:?} {}", running.await, f.decisions());
+    };
     f.fleet.engines[working].kill();
 
     assert_that!(running.await.unwrap(), ok(ok(anything())));
