--- a/crates/mustardshed-core/tests/request/assembly.rs
+++ b/crates/mustardshed-core/tests/request/assembly.rs
@@ -1,14 +1,23 @@
 //! Assembly: any interleaving of late, doubled, crossed and missing frames yields each token once,
 //! in order.
 
+use std::env;
+
 use googletest::prelude::*;
 use mustardshed_core::{
     border::backend_server,
     request::assembly::{Assembly, Step},
 };
-use proptest::prelude::{Just, Strategy, prop_oneof, proptest};
+use proptest::{
+    prelude::{Just, Strategy, prop_oneof, proptest},
+    test_runner,
+};
 
 const ID: &str = "e1.1.1";
+/// Cases of the bounded run.
+const CASES: u32 = 256;
+/// Seed of the bounded run.
+const SEED: u64 = 1;
 
 /// What the network does next.
 #[derive(Clone, Copy, Debug)]
@@ -73,7 +82,23 @@
     (delivered, assembly)
 }
 
+/// Returns the bounded run from a fixed seed, unless the environment says otherwise.
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: setting("MUSTARDSHED_CASES").unwrap_or(CASES),
+        rng_seed: test_runner::RngSeed::Fixed(setting("MUSTARDSHED_SEED").unwrap_or(SEED)),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
+fn setting<T: std::str::FromStr>(name: &str) -> Option<T> {
+    env::var(name).ok()?.parse().ok()
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     #[test]
     fn each_token_comes_once_and_in_order(
         len in 1..40_u64,
