--- a/crates/mustardshed-core/src/process/node/answers.rs
+++ b/crates/mustardshed-core/src/process/node/answers.rs
@@ -50,9 +50,10 @@
             out.push(fate_is(ticket, action::FateAnswer::OwnerGone));
         }
         let stewards = &self.stewards;
+        let world = &self.world;
         let is_steward = |server: &str, vm: &str| {
             let is_chosen = stewards.of(server).is_some_and(|chosen| chosen == vm);
-            is_chosen && members.get(vm).is_some_and(is_live)
+            is_chosen && world.can_ask(vm, now)
         };
         for ticket in self.holder.take_unanswered(now, is_steward) {
             let result = Err(steward::moved());
@@ -60,18 +61,14 @@
         }
     }
 
-    /// Returns the steward of a server if it is not suspect.
-    pub(super) fn live_steward(&self, server: &str) -> Option<ids::VmId> {
+    /// Returns the steward of a server if it can be asked.
+    pub(super) fn askable_steward(&self, server: &str, now: ids::Timestamp) -> Option<ids::VmId> {
         let steward = self.stewards.of(server)?;
-        let member = self.world.members.get(steward)?;
-        is_live(member).then(|| steward.clone())
+        let can_ask = self.world.can_ask(steward, now);
+        can_ask.then(|| steward.clone())
     }
 }
 
-fn is_live(member: &members::Member) -> bool {
-    member.state == members::State::Live
-}
-
 const fn fate_is(ticket: u64, result: action::FateAnswer) -> action::Action {
     action::Action::FateIs { ticket, result }
 }
--- a/crates/mustardshed-core/src/process/quorum.rs
+++ b/crates/mustardshed-core/src/process/quorum.rs
@@ -34,27 +34,28 @@
             return true;
         }
         let voters = members.voters();
-        let is_mesh = voters.len() <= topology::MESH_LIMIT;
-        let reached = voters.iter().filter(|vm| {
-            vm.as_str() == own
-                || if is_mesh {
-                    self.is_reached(vm, now)
-                } else {
-                    is_live(members, vm)
-                }
-        });
+        let reached = voters
+            .iter()
+            .filter(|vm| vm.as_str() == own || self.reaches(members, vm, now));
         2 * reached.count() > voters.len()
     }
 
-    fn is_reached(&self, vm: &str, now: ids::Timestamp) -> bool {
+    /// Returns whether another entry is reached and answers.
+    pub fn reaches(&self, members: &members::Members, vm: &str, now: ids::Timestamp) -> bool {
+        let is_live = members
+            .get(vm)
+            .is_some_and(|member| member.state == members::State::Live);
+        let is_mesh = members.voters().len() <= topology::MESH_LIMIT;
+        if is_mesh {
+            self.is_acknowledged(vm, now)
+        } else {
+            is_live
+        }
+    }
+
+    fn is_acknowledged(&self, vm: &str, now: ids::Timestamp) -> bool {
         self.acknowledged
             .get(vm)
             .is_some_and(|echo| now.saturating_sub(*echo) < REACHED_WITHIN)
     }
 }
-
-fn is_live(members: &members::Members, vm: &str) -> bool {
-    members
-        .get(vm)
-        .is_some_and(|member| member.state == members::State::Live)
-}
--- a/crates/mustardshed-core/src/process/servers.rs
+++ b/crates/mustardshed-core/src/process/servers.rs
@@ -5,7 +5,7 @@
 use crate::{
     border::{backend_server, platform},
     ids,
-    process::{gossip, holder, members, message, snapshot, world},
+    process::{gossip, holder, message, snapshot, world},
 };
 
 /// A sign of cold that this entry saw.
@@ -33,6 +33,8 @@
     pub holder: &'a holder::Holder,
     /// Members and text.
     pub world: &'a world::World,
+    /// Present time.
+    pub now: ids::Timestamp,
 }
 
 impl Servers {
@@ -133,15 +135,15 @@
         running: 0,
         prefill_tokens_per_second: limits.map_or(0.0, |limits| limits.prefill_tokens_per_second),
         reported_at: ids::Timestamp::ZERO,
-        steward: live_steward(&vm.id, sources),
+        steward: askable_steward(&vm.id, sources),
     }
 }
 
-/// Returns the steward of a server unless it is suspect.
-fn live_steward(server: &str, sources: Sources<'_>) -> Option<ids::VmId> {
+/// Returns the steward of a server if it can be asked.
+fn askable_steward(server: &str, sources: Sources<'_>) -> Option<ids::VmId> {
     let steward = sources.stewards.get(server)?;
-    let member = sources.world.members.get(steward)?;
-    (member.state == members::State::Live).then(|| steward.clone())
+    let can_ask = sources.world.can_ask(steward, sources.now);
+    can_ask.then(|| steward.clone())
 }
 
 fn fill(view: &mut snapshot::ServerView, known: &gossip::Known) {
--- a/crates/mustardshed-core/src/process/world.rs
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -61,6 +61,17 @@
         self.freshness.may_place_until()
     }
 
+    /// Returns whether a steward can be asked: this entry, or one that is live and reached.
+    ///
+    /// One that is alive by the facts of others, over a link that is cut, would let work wait in vain.
+    pub fn can_ask(&self, vm: &str, now: ids::Timestamp) -> bool {
+        let is_live = self
+            .members
+            .get(vm)
+            .is_some_and(|member| member.state == members::State::Live);
+        vm == self.own || (is_live && self.quorum.reaches(&self.members, vm, now))
+    }
+
     /// Returns the data centres that get no new work.
     pub const fn data_centres_out(&self) -> &collections::BTreeSet<ids::DataCentreId> {
         &self.data_centres_out
