--- a/crates/mustardshed-core/src/process/ramp.rs
+++ b/crates/mustardshed-core/src/process/ramp.rs
@@ -4,6 +4,10 @@
 //! report that says cold, a first token far later than estimated. The server is warm again when it
 //! has finished enough requests in this epoch and then reports that it is warm. A server of which
 //! no sign of cold was ever seen is as warm as it reports.
+//!
+//! What was measured or sent before the latest sign arrives after it now and then, and must not
+//! bring an earlier epoch back: a report counts only if it was measured since, an answer only if
+//! its epoch is greater.
 
 use crate::{border::backend_server, ids, mutation};
 
@@ -45,6 +49,9 @@
     ) -> bool {
         let is_first = self.epoch.is_none();
         if !is_first && self.epoch != Some(report.epoch) {
+            if self.is_older_than_sign(measured_at) {
+                return false;
+            }
             return self.turn_cold(Some(report.epoch), now);
         }
         self.epoch = Some(report.epoch);
@@ -62,7 +69,9 @@
 
     /// Takes the epoch of an answer; returns whether it is a sign of cold.
     pub fn answered(&mut self, epoch: ids::Epoch, now: ids::Timestamp) -> bool {
-        if self.epoch == Some(epoch) || mutation::on("answer_epoch_ignored") {
+        let is_earlier = epoch < self.epoch.unwrap_or_default();
+        let is_late = is_earlier && !mutation::on("late_epoch_counts");
+        if self.epoch == Some(epoch) || is_late || mutation::on("answer_epoch_ignored") {
             return false;
         }
         self.turn_cold(Some(epoch), now)
@@ -88,6 +97,14 @@
         is_new
     }
 
+    fn is_older_than_sign(&self, measured_at: ids::Timestamp) -> bool {
+        let is_older = self
+            .cold
+            .as_ref()
+            .is_some_and(|cold| measured_at < cold.since);
+        is_older && !mutation::on("late_epoch_counts")
+    }
+
     fn warm_up(&mut self, measured_at: ids::Timestamp, warm_after: u32) {
         let is_warm = self
             .cold
--- a/crates/mustardshed-core/src/process/servers.rs
+++ b/crates/mustardshed-core/src/process/servers.rs
@@ -54,8 +54,15 @@
         &self.vms
     }
 
-    /// Notes a sign of cold.
+    /// Notes a sign of cold, unless one of a later epoch is known.
     pub fn sign(&mut self, server: &str, epoch: ids::Epoch, now: ids::Timestamp) {
+        if self
+            .signs
+            .get(server)
+            .is_some_and(|sign| sign.epoch > epoch)
+        {
+            return;
+        }
         let sign = Sign {
             epoch,
             seen_at: now,
@@ -189,7 +196,7 @@
 }
 
 fn apply_sign(view: &mut snapshot::ServerView, sign: Sign) {
-    if sign.epoch != view.epoch && sign.seen_at > view.reported_at {
+    if sign.epoch > view.epoch && sign.seen_at > view.reported_at {
         view.warmth = backend_server::Warmth::Cold;
         view.epoch = sign.epoch;
     }
