--- a/crates/mustardshed-core/src/process/node/view.rs
+++ b/crates/mustardshed-core/src/process/node/view.rs
@@ -54,6 +54,7 @@
             stewards: self.stewards.chosen(),
             holder: &self.holder,
             world: &self.world,
+            now,
         };
         snapshot::Snapshot {
             taken_at: now,
--- a/crates/mustardshed-core/src/process/servers.rs
+++ b/crates/mustardshed-core/src/process/servers.rs
@@ -5,7 +5,7 @@
 use crate::{
     border::{backend_server, platform},
     ids,
-    process::{gossip, holder, members, message, snapshot, world},
+    process::{gossip, holder, message, snapshot, world},
 };
 
 /// A sign of cold that this entry saw.
@@ -33,6 +33,8 @@
     pub holder: &'a holder::Holder,
     /// Members and text.
     pub world: &'a world::World,
+    /// Present time.
+    pub now: ids::Timestamp,
 }
 
 impl Servers {
@@ -52,8 +54,15 @@
         &self.vms
     }
 
-    /// Notes a sign of cold.
+    /// Notes a sign of cold, unless one of a later epoch is known.
     pub fn sign(&mut self, server: &str, epoch: ids::Epoch, now: ids::Timestamp) {
+        if self
+            .signs
+            .get(server)
+            .is_some_and(|sign| sign.epoch > epoch)
+        {
+            return;
+        }
         let sign = Sign {
             epoch,
             seen_at: now,
@@ -133,15 +142,15 @@
         running: 0,
         prefill_tokens_per_second: limits.map_or(0.0, |limits| limits.prefill_tokens_per_second),
         reported_at: ids::Timestamp::ZERO,
-        steward: live_steward(&vm.id, sources),
+        steward: askable_steward(&vm.id, sources),
     }
 }
 
-/// Returns the steward of a server unless it is suspect.
-fn live_steward(server: &str, sources: Sources<'_>) -> Option<ids::VmId> {
+/// Returns the steward of a server if it can be asked.
+fn askable_steward(server: &str, sources: Sources<'_>) -> Option<ids::VmId> {
     let steward = sources.stewards.get(server)?;
-    let member = sources.world.members.get(steward)?;
-    (member.state == members::State::Live).then(|| steward.clone())
+    let can_ask = sources.world.can_ask(steward, sources.now);
+    can_ask.then(|| steward.clone())
 }
 
 fn fill(view: &mut snapshot::ServerView, known: &gossip::Known) {
@@ -187,7 +196,7 @@
 }
 
 fn apply_sign(view: &mut snapshot::ServerView, sign: Sign) {
-    if sign.epoch != view.epoch && sign.seen_at > view.reported_at {
+    if sign.epoch > view.epoch && sign.seen_at > view.reported_at {
         view.warmth = backend_server::Warmth::Cold;
         view.epoch = sign.epoch;
     }
--- a/crates/mustardshed-core/src/process/world.rs
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use crate::{
-    ids,
+    ids, mutation,
     process::{credits, members, node, quorum, steward},
     version::{configuration, freshness},
 };
@@ -61,6 +61,19 @@
         self.freshness.may_place_until()
     }
 
+    /// Returns whether a steward can be asked: this entry, or one that is live and reached.
+    ///
+    /// One that is alive by the facts of others, over a link that is cut, would let work wait in vain.
+    pub fn can_ask(&self, vm: &str, now: ids::Timestamp) -> bool {
+        let is_live = self
+            .members
+            .get(vm)
+            .is_some_and(|member| member.state == members::State::Live);
+        let is_reached =
+            self.quorum.reaches(&self.members, vm, now) || mutation::on("unreached_asked");
+        vm == self.own || (is_live && is_reached)
+    }
+
     /// Returns the data centres that get no new work.
     pub const fn data_centres_out(&self) -> &collections::BTreeSet<ids::DataCentreId> {
         &self.data_centres_out
