Learn from the answers of plain services that they turned cold

Cause: the epoch that a plain service names on every answer was not read, so that an entry learned of a cold one by the next load report alone, up to 500 ms later; until then calls went on up to the warm limit.

Change: the epoch of an answer goes back with the credit, as that of engines does.

--- a/crates/mustardshed-core/src/border/backend_server.rs
+++ b/crates/mustardshed-core/src/border/backend_server.rs
@@ -160,6 +160,8 @@
 pub struct ServiceAnswer {
     /// HTTP status.
     pub status: u16,
+    /// Epoch of the server, if the answer names it.
+    pub epoch: Option<ids::Epoch>,
     /// Content type of the body.
     pub content_type: Option<String>,
     /// Body.
--- a/crates/mustardshedd/src/connection/backend_server/client.rs
+++ b/crates/mustardshedd/src/connection/backend_server/client.rs
@@ -27,6 +27,7 @@
 const MAX_READ_BUFFER_BYTES: usize = 128 << 10;
 
 const REQUEST_ID: &str = "x-request-id";
+const EPOCH: &str = "x-epoch";
 const JSON: &str = "application/json";
 
 type HttpBody = http_body_util::Full<Bytes>;
@@ -81,11 +82,11 @@
 
     async fn answer_of(&self, req: HttpRequest) -> Result<ServiceAnswer, BackendServerError> {
         let resp = self.send(req).await?;
-        let content_type = resp.headers().get(http::header::CONTENT_TYPE);
-        let content_type = content_type.and_then(|v| v.to_str().ok());
+        let header = |name| resp.headers().get(name)?.to_str().ok();
         Ok(ServiceAnswer {
             status: resp.status().as_u16(),
-            content_type: content_type.map(str::to_owned),
+            epoch: header(EPOCH).and_then(|epoch| epoch.parse().ok()),
+            content_type: header(http::header::CONTENT_TYPE.as_str()).map(str::to_owned),
             body: whole_body::read(resp.into_body()).await?,
         })
     }
--- a/crates/mustardshedd/src/request/call/attempt.rs
+++ b/crates/mustardshedd/src/request/call/attempt.rs
@@ -117,7 +117,10 @@
             .call(&decision.address, self.call.call.clone())
             .await;
         let err = match answer {
-            Ok(answer) => return Ok(kept(answer)),
+            Ok(answer) => {
+                placement.answered(answer.epoch);
+                return Ok(kept(answer));
+            }
             Err(err) => err,
         };
         placement.fail(&err);
--- a/crates/mustardshedd/src/request/placement.rs
+++ b/crates/mustardshedd/src/request/placement.rs
@@ -76,6 +76,13 @@
         self.running_at = None;
     }
 
+    /// Notes the epoch that an answer named.
+    pub fn answered(&mut self, epoch: Option<ids::Epoch>) {
+        for credit in &mut self.credits {
+            epoch.into_iter().for_each(|epoch| credit.set_epoch(epoch));
+        }
+    }
+
     /// Notes how the work failed.
     pub fn fail(&mut self, failure: &backend_server::BackendServerError) {
         for credit in &mut self.credits {
--- a/crates/mustardshedd/tests/backend_server.rs
+++ b/crates/mustardshedd/tests/backend_server.rs
@@ -260,6 +260,16 @@
     assert_that!(answered.body.as_ref(), eq(b"busy"));
 }
 
+#[tokio::test]
+async fn the_epoch_of_a_service_answer_is_read() {
+    let answer = b"HTTP/1.1 200 OK\r\nx-epoch: 7\r\ncontent-length: 2\r\n\r\nok";
+    let address = canned(answer.to_vec()).await;
+
+    let answered = client().call(&address, call("/charge")).await.unwrap();
+
+    assert_that!(answered.epoch, some(eq(7)));
+}
+
 #[tokio::test]
 async fn a_service_answer_beyond_the_bound_is_broken() {
     let mut answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1048577\r\n\r\n".to_vec();
--- a/crates/mustardshedd/tests/traffic/fakes/servers.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/servers.rs
@@ -247,6 +247,7 @@
             Some(_) => panic!("a stream for a call"),
         };
         Ok(backend_server::ServiceAnswer {
+            epoch: None,
             status,
             content_type: Some("text/plain".to_owned()),
             body: Bytes::from_static(body.as_bytes()),
