--- a/crates/mustardshed-standins/src/storm/fault.rs
+++ b/crates/mustardshed-standins/src/storm/fault.rs
@@ -84,6 +84,7 @@
         match self {
             Self::EntryKilled | Self::EntryFrozen | Self::EntryStopped => 3,
             Self::PlatformOutage | Self::OperatorsRace | Self::DataCentreOut => 2,
+            Self::EngineCold | Self::EngineDead | Self::ServiceCold | Self::ServerLeaving => 2,
             _ => 1,
         }
     }
--- a/crates/mustardshed-standins/src/storm/traffic.rs
+++ b/crates/mustardshed-standins/src/storm/traffic.rs
@@ -11,8 +11,8 @@
 
 /// Requests a second of each sort.
 const RATES: [(Work, f64); 5] = [
-    (Work::Completion(note::Sort::Short), 25.0),
-    (Work::Completion(note::Sort::Stream), 1.5),
+    (Work::Completion(note::Sort::Short), 40.0),
+    (Work::Completion(note::Sort::Stream), 3.0),
     (Work::Completion(note::Sort::Long), 1.5),
     (Work::Completion(note::Sort::Gang), 0.3),
     (Work::Charge, 10.0),
