--- a/crates/mustardshed-wire/src/peer/heartbeat.rs
+++ b/crates/mustardshed-wire/src/peer/heartbeat.rs
@@ -9,24 +9,38 @@
 
 const MAX_FACTS: usize = 1024;
 const MAX_INTENTS: usize = 16;
+const MAX_AUTHORS: usize = 1024;
 
 /// A heartbeat on the wire.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
 pub struct Heartbeat {
+    #[serde(rename = "s")]
     sent_at_nanos: u64,
+    #[serde(rename = "g")]
     generation: u64,
-    facts: Vec<fact::Fact>,
+    #[serde(rename = "f")]
+    facts: Vec<fact::AuthorFacts>,
 }
 
 /// An acknowledgement on the wire.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct HeartbeatAck {
+    #[serde(rename = "e")]
     echo_nanos: u64,
+    #[serde(rename = "c", default, skip_serializing_if = "field::is_default")]
     confirmation_age_nanos: Option<u64>,
+    #[serde(rename = "p", default, skip_serializing_if = "field::is_default")]
     platform_answers: bool,
+    #[serde(rename = "v", default, skip_serializing_if = "field::is_default")]
     vouches: bool,
+    #[serde(rename = "g")]
     generation: u64,
+    #[serde(rename = "i", default, skip_serializing_if = "field::is_default")]
     intents: Vec<configuration::Record>,
+    #[serde(rename = "w", default, skip_serializing_if = "field::is_default")]
+    wants: Vec<String>,
+    #[serde(rename = "d", default, skip_serializing_if = "field::is_default")]
+    declines: Vec<String>,
 }
 
 impl From<message::Heartbeat> for Heartbeat {
@@ -34,7 +48,7 @@
         Self {
             sent_at_nanos: field::to_nanos(heartbeat.sent_at),
             generation: heartbeat.generation,
-            facts: heartbeat.facts.into_iter().map(Into::into).collect(),
+            facts: fact::group(heartbeat.facts),
         }
     }
 }
@@ -46,7 +60,7 @@
         Ok(Self {
             sent_at: time::Duration::from_nanos(heartbeat.sent_at_nanos),
             generation: heartbeat.generation,
-            facts: field::list("facts", heartbeat.facts, MAX_FACTS)?,
+            facts: fact::ungroup(heartbeat.facts, MAX_FACTS)?,
         })
     }
 }
@@ -60,6 +74,8 @@
             vouches: ack.vouches,
             generation: ack.generation,
             intents: ack.intents.into_iter().map(Into::into).collect(),
+            wants: ack.wants,
+            declines: ack.declines,
         }
     }
 }
@@ -82,10 +98,23 @@
                 .into_iter()
                 .map(record)
                 .collect::<Result<_, _>>()?,
+            wants: authors("wants", ack.wants)?,
+            declines: authors("declines", ack.declines)?,
         })
     }
 }
 
+/// Checks a list of authors of facts.
+fn authors(field: &'static str, names: Vec<String>) -> Result<Vec<String>, error::Error> {
+    if names.len() > MAX_AUTHORS {
+        return Err(error::Error::OutOfBounds(field));
+    }
+    names
+        .into_iter()
+        .map(|name| field::name(field, name))
+        .collect()
+}
+
 /// Converts a record whose generation must be at least one.
 pub(super) fn record(record: configuration::Record) -> Result<record::Record, error::Error> {
     record
--- a/crates/mustardshedd/tests/traffic/fakes/world.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/world.rs
@@ -11,11 +11,15 @@
 use mustardshedd::{
     http::{cx, limits, server},
     log::metrics,
+    request,
 };
 use sha2::Digest;
 
 use crate::fakes::{clock, control, operator, servers};
 
+/// Time within which every answer must come, on a busy machine too; no deadline is as long.
+const ANSWER_TIME: time::Duration = time::Duration::from_secs(10);
+
 /// Key of the client account `bindery`.
 pub const KEY: &str = "bindery-key";
 /// Key of the client account `haulers`.
@@ -74,15 +78,15 @@
             snapshot(),
         ));
         let servers = sync::Arc::new(servers::FakeServers::default());
-        let cx = cx::Cx::new(
+        let requests = request::cx::Cx::new(
             sync::Arc::clone(&control) as _,
             sync::Arc::clone(&servers) as _,
             sync::Arc::clone(&clock) as _,
-            sync::Arc::new(operator::FakeOperator),
             metrics::Metrics::disabled(),
-            limits,
+            limits.max_in_flight,
             7,
         );
+        let cx = cx::Cx::new(requests, sync::Arc::new(operator::FakeOperator), limits);
         let addr = "127.0.0.1:0".parse().unwrap();
         let server = server::bind(addr, sync::Arc::new(cx)).await.unwrap();
         Self {
@@ -92,8 +96,13 @@
         }
     }
 
-    /// Sends a request and reads the answer to its end.
+    /// Sends a request and reads the answer to its end, which must come in good time.
     pub async fn send(&self, req: http::request::Builder, body: &str) -> Answer {
+        let answer = tokio::time::timeout(ANSWER_TIME, self.exchange(req, body)).await;
+        answer.unwrap()
+    }
+
+    async fn exchange(&self, req: http::request::Builder, body: &str) -> Answer {
         let client: legacy::Client<_, String> =
             legacy::Client::builder(rt::TokioExecutor::new()).build_http();
         let req = req.body(body.to_owned()).unwrap();
