State loads less often in a fleet beyond the mesh, Alive facts first

Cause: beyond 16 entries the load of each server was stated with every change of its credits, up to twice a second; in a crowded heartbeat loads came before Alive facts, so that members were taken for dead. The capacity program started all heartbeats at the same time, which no fleet does.

Change: beyond the mesh a load is stated at once if it changed in what matters (epoch, warmth, leaving, reach, models, a tenth of the memory, an eighth of the requests), else every 2 s; within it nothing changes, since today's fleets have the bytes to spare. Alive facts go first. Heartbeats of the capacity program have random phases.

Conclusion: the start of a large fleet is next: each entry takes itself for steward of all servers until it knows the others, and all that it states is relayed to all.

--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -151,7 +151,9 @@
                 Some((sent_at, key, known))
             })
             .collect();
-        wanted.sort_by_key(|(sent_at, key, _)| (key.0 != self.own, *sent_at));
+        wanted.sort_by_key(|(sent_at, key, _)| {
+            (key.0 != self.own, key.1 != Subject::Alive, *sent_at)
+        });
         wanted.truncate(MAX_FACTS);
         wanted
             .into_iter()
--- a/crates/mustardshed-core/src/process/node/periodic.rs
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -64,7 +64,9 @@
     }
 
     fn state_loads(&mut self, now: ids::Timestamp) {
-        for (version, measured_at, mut body) in self.stewards.restate(now) {
+        let others = self.world.members.reachable().len();
+        let is_mesh = others < topology::MESH_LIMIT;
+        for (version, measured_at, mut body) in self.stewards.restate(is_mesh, now) {
             if let message::FactBody::Load {
                 report: Some(report),
                 ..
--- a/crates/mustardshed-core/src/process/stewards.rs
+++ b/crates/mustardshed-core/src/process/stewards.rs
@@ -8,10 +8,14 @@
     process::{action, members, message, steward},
 };
 
+mod change;
+
 /// Time for which credits granted by an ended stewardship are remembered.
 const REMEMBER_FOR: time::Duration = time::Duration::from_secs(10);
 /// Time after which a load is stated again although it did not change.
 const RESTATE_AFTER: time::Duration = time::Duration::from_secs(1);
+/// The same in a fleet that is too large for a mesh, where small changes wait for it.
+const RESTATE_AFTER_IN_RING: time::Duration = time::Duration::from_secs(2);
 
 /// A load as it was last stated.
 #[derive(Debug)]
@@ -21,6 +25,16 @@
     body: message::FactBody,
 }
 
+impl Statement {
+    /// Returns whether the load is to be stated again, now that it is `body`.
+    fn is_due(&self, body: &message::FactBody, is_mesh: bool, now: ids::Timestamp) -> bool {
+        if is_mesh {
+            return self.body != *body || now >= self.at + RESTATE_AFTER;
+        }
+        change::matters(&self.body, body) || now >= self.at + RESTATE_AFTER_IN_RING
+    }
+}
+
 /// Credits that were outstanding when a stewardship ended.
 #[derive(Debug)]
 struct Retired {
@@ -153,16 +167,18 @@
     }
 
     /// Returns the version and body of each load that is to be stated now.
+    ///
+    /// In a mesh every change is stated at once, in a larger fleet only one that matters.
     pub fn restate(
         &mut self,
+        is_mesh: bool,
         now: ids::Timestamp,
     ) -> Vec<(u64, ids::Timestamp, message::FactBody)> {
         let mut due = Vec::new();
         for (server, steward) in &self.stewards {
             let body = steward.fact();
             let earlier = self.statements.get(server);
-            let is_due = earlier.is_none_or(|s| s.body != body || now >= s.at + RESTATE_AFTER);
-            if !is_due {
+            if !earlier.is_none_or(|earlier| earlier.is_due(&body, is_mesh, now)) {
                 continue;
             }
             let version = earlier.map_or(1, |s| s.version + 1);
--- /dev/null
+++ b/crates/mustardshed-core/src/process/stewards/change.rs
@@ -0,0 +1,69 @@
+//! Whether a change of a load matters to routing so much that other entries hear of it at once.
+
+use crate::{border::backend_server, ids, process::message};
+
+/// Part of the memory by which a figure in tokens may change without mattering.
+const MEMORY_PART: u64 = 10;
+/// Part of the requests by which their number may change without mattering.
+const REQUESTS_PART: u32 = 8;
+
+/// Returns whether the change from one stated load to another matters.
+pub(super) fn matters(earlier: &message::FactBody, later: &message::FactBody) -> bool {
+    let (
+        message::FactBody::Load {
+            report: earlier_report,
+            credited_tokens: earlier_tokens,
+            credits: earlier_credits,
+            ..
+        },
+        message::FactBody::Load {
+            report: later_report,
+            credited_tokens,
+            credits,
+            ..
+        },
+    ) = (earlier, later)
+    else {
+        return true;
+    };
+    match (earlier_report, later_report) {
+        (Some(earlier), Some(later)) => {
+            is_other_server(earlier, later)
+                || figures_moved(earlier, later)
+                || tokens_moved(*earlier_tokens, *credited_tokens, later.memory_tokens)
+                || requests_moved(*earlier_credits, *credits)
+        }
+        (None, None) => false,
+        _ => true,
+    }
+}
+
+fn is_other_server(
+    earlier: &backend_server::LoadReport,
+    later: &backend_server::LoadReport,
+) -> bool {
+    earlier.epoch != later.epoch
+        || earlier.warmth != later.warmth
+        || earlier.leaving != later.leaving
+        || earlier.memory_tokens != later.memory_tokens
+        || earlier.models != later.models
+}
+
+fn figures_moved(earlier: &backend_server::LoadReport, later: &backend_server::LoadReport) -> bool {
+    let memory = later.memory_tokens;
+    tokens_moved(earlier.used_tokens, later.used_tokens, memory)
+        || tokens_moved(
+            earlier.queued_prefill_tokens,
+            later.queued_prefill_tokens,
+            memory,
+        )
+        || requests_moved(earlier.running, later.running)
+}
+
+fn tokens_moved(earlier: ids::Tokens, later: ids::Tokens, memory: ids::Tokens) -> bool {
+    earlier.abs_diff(later) > memory / MEMORY_PART
+}
+
+fn requests_moved(earlier: u32, later: u32) -> bool {
+    earlier.abs_diff(later) > 1 + earlier.max(later) / REQUESTS_PART
+}
--- a/crates/mustardshed-standins/src/capacity/world.rs
+++ b/crates/mustardshed-standins/src/capacity/world.rs
@@ -111,15 +111,16 @@
 
 impl World {
     fn new(size: Size, seed: u64) -> Self {
-        let node = |i| node::Node::new(size.identity(i), seed + i as u64, time::Duration::ZERO);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut node = |i| node::Node::new(size.identity(i), rng.random(), time::Duration::ZERO);
         let mut world = Self {
             size,
-            nodes: (0..size.entries).map(node).collect(),
+            nodes: (0..size.entries).map(&mut node).collect(),
             due: collections::BinaryHeap::new(),
             now: time::Duration::ZERO,
             next_order: 0,
             next_request: 0,
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            rng,
             indices: (0..size.entries).map(|i| (entry_name(i), i)).collect(),
             messages: 0,
             bytes: 0,
