--- a/crates/mustardshed-core/src/process/holder.rs
+++ b/crates/mustardshed-core/src/process/holder.rs
@@ -173,6 +173,15 @@
             .map(|((_, request), held)| (request, held))
     }
 
+    /// Returns the questions to the steward of a server that are not answered yet.
+    pub fn asked_on<'a>(
+        &'a self,
+        server: &'a str,
+    ) -> impl Iterator<Item = &'a control::CreditRequest> {
+        let asked = self.pending.values().map(|pending| &pending.req);
+        asked.filter(move |req| req.server == server)
+    }
+
     /// Returns the credits held on a server as a steward is told of them.
     pub fn stated_on(&self, server: &str) -> Vec<message::HeldCredit> {
         self.on_server(server)
--- a/crates/mustardshed-core/src/process/members.rs
+++ b/crates/mustardshed-core/src/process/members.rs
@@ -23,7 +23,7 @@
 /// Silence after which a member is suspect.
 pub const SUSPECT_AFTER: time::Duration = time::Duration::from_secs(2);
 /// Silence after which a member is dead.
-pub const DEAD_AFTER: time::Duration = time::Duration::from_secs(5);
+pub const DEAD_AFTER: time::Duration = time::Duration::from_secs(3);
 /// Gap between two calls of [`Members::expire`] after which the process was frozen.
 pub const FROZEN_AFTER: time::Duration = time::Duration::from_secs(1);
 /// Silence after which a member that is not listed is forgotten.
--- a/crates/mustardshed-core/src/process/servers.rs
+++ b/crates/mustardshed-core/src/process/servers.rs
@@ -181,18 +181,33 @@
     view.reported_at = known.stated_at.saturating_sub(report.age);
 }
 
-/// Adds the credits that this entry was given since the fact was stated.
-fn correct(view: &mut snapshot::ServerView, since: ids::Timestamp, holder: &holder::Holder) {
-    for (_, held) in holder.on_server(&view.id) {
-        if held.since <= since {
-            continue;
+/// Adds what this entry was given since, or asks for.
+///
+/// The steward's count of credits is as new as its fact; the server's own figures are older.
+fn correct(view: &mut snapshot::ServerView, stated_at: ids::Timestamp, holder: &holder::Holder) {
+    let reported_at = view.reported_at;
+    let server = view.id.clone();
+    for (_, held) in holder.on_server(&server) {
+        if held.since > reported_at {
+            add_prefill(view, held.prefill_tokens);
+        }
+        if held.since > stated_at {
+            add_request(view, held.tokens);
         }
-        view.used_tokens = view.used_tokens.saturating_add(held.tokens);
-        view.queued_prefill_tokens = view
-            .queued_prefill_tokens
-            .saturating_add(held.prefill_tokens);
-        view.running = view.running.saturating_add(1);
     }
+    for req in holder.asked_on(&server) {
+        add_prefill(view, req.prefill_tokens);
+        add_request(view, req.tokens);
+    }
+}
+
+const fn add_prefill(view: &mut snapshot::ServerView, tokens: ids::Tokens) {
+    view.queued_prefill_tokens = view.queued_prefill_tokens.saturating_add(tokens);
+}
+
+const fn add_request(view: &mut snapshot::ServerView, tokens: ids::Tokens) {
+    view.used_tokens = view.used_tokens.saturating_add(tokens);
+    view.running = view.running.saturating_add(1);
 }
 
 fn apply_sign(view: &mut snapshot::ServerView, sign: Sign) {
--- a/crates/mustardshed-core/src/request/route.rs
+++ b/crates/mustardshed-core/src/request/route.rs
@@ -8,6 +8,7 @@
 pub mod decision;
 pub mod estimate;
 pub mod exclusion;
+pub mod recent;
 pub mod work;
 
 use mustardshed_config::settings;
--- a/crates/mustardshed-core/src/request/route/estimate.rs
+++ b/crates/mustardshed-core/src/request/route/estimate.rs
@@ -64,7 +64,7 @@
 ) -> Estimate {
     let speed = prefill_speed(work, server);
     Estimate {
-        queue: prefill_time(tokens_ahead(work, server), speed),
+        queue: prefill_time(tokens_ahead(snapshot, work, server), speed),
         prefill: prefill_time(work.uncached_tokens(server), speed),
         capacity: place_wait(work, server) + memory_wait(work, server),
         distance: 2 * distance(snapshot, server),
@@ -76,12 +76,21 @@
 ///
 /// Engines take prompts by priority and then by arrival, so that no more than the running
 /// requests, each of the longest prompt of this lane, can be ahead.
-fn tokens_ahead(work: &work::Work<'_>, server: &snapshot::ServerView) -> ids::Tokens {
-    let most = work
-        .lane()
-        .most_tokens()
-        .saturating_mul(u64::from(server.running));
-    server.queued_prefill_tokens.min(most)
+fn tokens_ahead(
+    snapshot: &snapshot::Snapshot,
+    work: &work::Work<'_>,
+    server: &snapshot::ServerView,
+) -> ids::Tokens {
+    let sent = work
+        .recent
+        .map(|recent| recent.since(&server.id, snapshot.taken_at))
+        .unwrap_or_default();
+    let running = server.running.saturating_add(sent.requests);
+    let queued = server
+        .queued_prefill_tokens
+        .saturating_add(sent.prefill_tokens);
+    let most = work.lane().most_tokens().saturating_mul(u64::from(running));
+    queued.min(most)
 }
 
 fn prefill_speed(work: &work::Work<'_>, server: &snapshot::ServerView) -> f64 {
--- a/crates/mustardshed-core/src/request/route/work.rs
+++ b/crates/mustardshed-core/src/request/route/work.rs
@@ -2,7 +2,11 @@
 
 use mustardshed_config::{settings, text};
 
-use crate::{ids, process::snapshot, request::lane};
+use crate::{
+    ids,
+    process::snapshot,
+    request::{lane, route::recent},
+};
 
 /// What kind of backend server the work needs.
 #[derive(Clone, Copy, Debug)]
@@ -47,6 +51,8 @@
     pub cached_prefix: Option<CachedPrefix>,
     /// Servers that were tried already.
     pub tried: &'a [ids::BackendServerId],
+    /// What this entry routed since the snapshot was taken.
+    pub recent: Option<&'a recent::Recent>,
     /// Policy of the choice.
     pub routing: settings::Routing,
     /// Seed of the random draw.
@@ -62,6 +68,7 @@
             memory_tokens: 0,
             cached_prefix: None,
             tried: &[],
+            recent: None,
             routing: settings::Routing::Estimate,
             seed,
         }
@@ -75,6 +82,13 @@
         self
     }
 
+    /// Sets what this entry routed since the snapshot was taken.
+    #[must_use]
+    pub const fn recent(mut self, recent: &'a recent::Recent) -> Self {
+        self.recent = Some(recent);
+        self
+    }
+
     /// Sets the policy of the choice.
     #[must_use]
     pub const fn routing(mut self, routing: settings::Routing) -> Self {
--- a/crates/mustardshedd/src/request/attempts.rs
+++ b/crates/mustardshedd/src/request/attempts.rs
@@ -11,9 +11,9 @@
 /// Part of the time left until the deadline for which credits are waited for.
 const CREDIT_WAIT_DIVISOR: u32 = 2;
 /// Part of the time left until the deadline for which a change of stewards is waited for.
-const CHANGE_WAIT_DIVISOR: u32 = 4;
+const CHANGE_WAIT_DIVISOR: u32 = 2;
 /// Longest wait for a change of stewards.
-const MAX_CHANGE_WAIT: time::Duration = time::Duration::from_secs(3);
+const MAX_CHANGE_WAIT: time::Duration = time::Duration::from_secs(8);
 /// Pause before the next look at a change of stewards.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(150);
 
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -42,6 +42,7 @@
             .tokens(completion.prompt_tokens, completion.max_tokens)
             .tried(&tried)
             .routing(self.cx.routing)
+            .recent(&self.cx.recent)
             .cached_prefix(self.cached_prefix(&snapshot, now));
         let plan = if gang::is_needed(&work) {
             self.route_gang(gang::plan(&snapshot, &work, now))?
@@ -50,6 +51,11 @@
         };
         admission::check_deadline(&plan.estimate, now, completion.job.deadline)
             .map_err(failure::Failure::stop)?;
+        for engine in &plan.engines {
+            self.cx
+                .recent
+                .add(&engine.server, snapshot.taken_at, plan.prefill_each);
+        }
         Ok(plan)
     }
 
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -7,7 +7,7 @@
     core::{
         border::{backend_server, clock, control},
         error, ids,
-        request::{prefix, retry},
+        request::{prefix, retry, route::recent},
     },
 };
 
@@ -16,6 +16,8 @@
     request::{accounts, table},
 };
 
+/// Slots for backend servers that were routed to.
+const RECENT_SLOTS: usize = 4_096;
 /// Prompt prefixes that are remembered at most.
 const PREFIX_SLOTS: usize = 65_536;
 
@@ -32,6 +34,8 @@
     pub budgets: table::Table<retry::Budget>,
     /// Which server is believed to hold which prompt prefix.
     pub prefixes: prefix::Table,
+    /// What was routed since the snapshot was taken.
+    pub recent: recent::Recent,
     /// Running requests, by client account.
     pub accounts: accounts::Accounts,
     /// Metrics.
@@ -62,6 +66,7 @@
             clock,
             budgets: table::Table::default(),
             prefixes: prefix::Table::new(PREFIX_SLOTS),
+            recent: recent::Recent::new(RECENT_SLOTS),
             accounts: accounts::Accounts::default(),
             metrics,
             routing: settings::Routing::default(),
