Relay loads for the steward of each server only

Cause: an entry that starts knows nobody and takes itself for steward of every server; what it stated was relayed to all and kept for 60 s. 96 entries that start together made 96 times 201 facts, more than heartbeats carry, and took one another for dead.

Change: a load is relayed only if its author is the server's steward as the relaying entry sees it. An own load is sent to neighbours as before. Test of that.

--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -138,14 +138,24 @@
     }
 
     /// Returns the facts that a neighbour may not have, and takes them as sent.
-    pub fn take_for(&mut self, vm: &str, now: ids::Timestamp) -> Vec<message::Fact> {
+    ///
+    /// Loads are relayed for the steward of each server only: others have stated them too, such as
+    /// every entry that has just started and knows of no other.
+    pub fn take_for(
+        &mut self,
+        vm: &str,
+        stewards: &collections::BTreeMap<ids::BackendServerId, ids::VmId>,
+        now: ids::Timestamp,
+    ) -> Vec<message::Fact> {
         let neighbour = self.neighbours.entry(vm.to_owned()).or_default();
         neighbour.begin(now);
         let mut wanted: Vec<_> = self
             .facts
             .iter()
             .filter(|(key, _)| key.0 != vm)
-            .filter(|(key, _)| key.0 == self.own || !neighbour.declines(&key.0))
+            .filter(|(key, _)| {
+                key.0 == self.own || !neighbour.declines(&key.0) && is_of_steward(key, stewards)
+            })
             .filter_map(|(key, known)| {
                 let sent_at = neighbour.lacks(key, known.version())?;
                 Some((sent_at, key, known))
@@ -179,6 +189,17 @@
     }
 }
 
+/// Returns whether a fact is not a load stated by another entry than the server's steward.
+fn is_of_steward(
+    (author, subject): &Key,
+    stewards: &collections::BTreeMap<ids::BackendServerId, ids::VmId>,
+) -> bool {
+    match subject {
+        Subject::Alive => true,
+        Subject::Load(server) => stewards.get(server) == Some(author),
+    }
+}
+
 fn aged(known: &Known, now: ids::Timestamp) -> message::Fact {
     let mut fact = known.fact.clone();
     fact.age = now.saturating_sub(known.stated_at);
--- a/crates/mustardshed-core/src/process/node/periodic.rs
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -44,7 +44,7 @@
             let heartbeat = message::Heartbeat {
                 sent_at: now,
                 generation,
-                facts: self.gossip.take_for(&vm, now),
+                facts: self.gossip.take_for(&vm, self.stewards.chosen(), now),
             };
             self.send(&vm, message::Message::Heartbeat(heartbeat), now, out);
         }
--- a/crates/mustardshed-core/tests/gossip.rs
+++ b/crates/mustardshed-core/tests/gossip.rs
@@ -42,6 +42,24 @@
     }
 }
 
+fn load(author: &str) -> message::Fact {
+    message::Fact {
+        body: message::FactBody::Load {
+            server: "s".into(),
+            report: None,
+            prefill_tokens_per_second: 1.0,
+            credited_tokens: 0,
+            credits: 0,
+        },
+        ..alive(author, 1)
+    }
+}
+
+/// Returns the stewards: `a` of the server `s`.
+fn stewards() -> collections::BTreeMap<ids::BackendServerId, ids::VmId> {
+    [("s".into(), "a".into())].into()
+}
+
 fn authors(facts: &[message::Fact]) -> Vec<&str> {
     facts.iter().map(|fact| fact.author.as_str()).collect()
 }
@@ -51,7 +69,7 @@
     let mut gossip = gossip::Gossip::new("own".into());
     gossip.keep(alive("own", 1), at_ms(0));
     gossip.keep(alive("a", 1), at_ms(0));
-    gossip.take_for("n", at_ms(0));
+    gossip.take_for("n", &stewards(), at_ms(0));
     gossip.acknowledged("n", &ack(at_ms(0), &[], &["a", "own"]));
     gossip
 }
@@ -62,7 +80,7 @@
     gossip.keep(alive("own", 2), at_ms(500));
     gossip.keep(alive("a", 2), at_ms(500));
 
-    let facts = gossip.take_for("n", at_ms(500));
+    let facts = gossip.take_for("n", &stewards(), at_ms(500));
 
     expect_that!(authors(&facts), elements_are![eq(&"own")]);
 }
@@ -73,7 +91,7 @@
     gossip.keep(alive("a", 2), at_ms(500));
     gossip.acknowledged("n", &ack(at_ms(500), &["a"], &[]));
 
-    let facts = gossip.take_for("n", at_ms(1000));
+    let facts = gossip.take_for("n", &stewards(), at_ms(1000));
 
     expect_that!(authors(&facts), elements_are![eq(&"a")]);
 }
@@ -81,13 +99,24 @@
 #[gtest]
 fn neighbour_that_acknowledges_nothing_is_sent_everything() {
     let mut gossip = declined();
-    gossip.take_for("n", at_ms(500));
+    gossip.take_for("n", &stewards(), at_ms(500));
 
-    let facts = gossip.take_for("n", at_ms(2500));
+    let facts = gossip.take_for("n", &stewards(), at_ms(2500));
 
     expect_that!(authors(&facts), elements_are![eq(&"own"), eq(&"a")]);
 }
 
+#[gtest]
+fn load_is_relayed_for_the_steward_only() {
+    let mut gossip = gossip::Gossip::new("own".into());
+    gossip.keep(load("a"), at_ms(0));
+    gossip.keep(load("b"), at_ms(0));
+
+    let facts = gossip.take_for("n", &stewards(), at_ms(0));
+
+    expect_that!(authors(&facts), elements_are![eq(&"a")]);
+}
+
 #[gtest]
 fn author_is_wanted_after_silence_only() {
     let (a, b): (ids::VmId, ids::VmId) = ("a".into(), "b".into());
