Tell an entry's addresses once to each neighbour

Cause: more than half of each Alive fact, sent twice a second along every tree, were addresses that the receiver has.

Change: a neighbour that was sent an Alive fact of a run of an author, or sent one itself, gets StillAlive, without addresses and data centre; the receiver completes it from what it knows. If it knows nothing of that run it takes nothing, does not decline, and asks for the author as for any silent one, which brings the whole fact. Tests of both, and the generator of facts on the wire has the new kind.

--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -5,7 +5,7 @@
 //!
 //! Relays form a tree for each author, as in epidemic broadcast trees (Plumtree). An entry that is
 //! told only what it knows already declines that author's facts from that neighbour, so that
-//! the first to tell remains. It asks all neighbours for the facts of an author of which it has
+//! the first to tell remains. An entry that has an author's address is not told it again. It asks all neighbours for the facts of an author of which it has
 //! heard nothing new for [`WANT_AFTER`]. Both travel in acknowledgements of heartbeats; a
 //! neighbour that acknowledges nothing is sent everything.
 
@@ -71,6 +71,32 @@
         }
     }
 
+    /// Fills in what a fact leaves out; nothing if that is not known.
+    pub fn complete(&self, mut fact: message::Fact) -> Option<message::Fact> {
+        let message::FactBody::StillAlive {
+            leaving: still_leaving,
+            generation: latest_generation,
+        } = fact.body
+        else {
+            return Some(fact);
+        };
+        let known = self.facts.get(&(fact.author.clone(), Subject::Alive))?;
+        if known.fact.incarnation != fact.incarnation {
+            return None;
+        }
+        fact.body = known.fact.body.clone();
+        if let message::FactBody::Alive {
+            leaving,
+            generation,
+            ..
+        } = &mut fact.body
+        {
+            *leaving = still_leaving;
+            *generation = latest_generation;
+        }
+        Some(fact)
+    }
+
     /// Keeps a fact if it is newer than what is known; returns whether it is.
     pub fn keep(&mut self, fact: message::Fact, now: ids::Timestamp) -> bool {
         if fact.age >= FORGET_AFTER {
@@ -168,8 +194,9 @@
         wanted
             .into_iter()
             .map(|(_, key, known)| {
+                let has_address = neighbour.has_run(key, known.fact.incarnation);
                 neighbour.note_sent(key.clone(), known.version(), now);
-                aged(known, now)
+                aged(known, has_address, now)
             })
             .collect()
     }
@@ -200,15 +227,30 @@
     }
 }
 
-fn aged(known: &Known, now: ids::Timestamp) -> message::Fact {
+/// Returns a fact with its present age, without what a neighbour has that knows the address.
+fn aged(known: &Known, has_address: bool, now: ids::Timestamp) -> message::Fact {
     let mut fact = known.fact.clone();
     fact.age = now.saturating_sub(known.stated_at);
+    if let (
+        true,
+        message::FactBody::Alive {
+            leaving,
+            generation,
+            ..
+        },
+    ) = (has_address, &fact.body)
+    {
+        fact.body = message::FactBody::StillAlive {
+            leaving: *leaving,
+            generation: *generation,
+        };
+    }
     fact
 }
 
 fn key_of(fact: &message::Fact) -> Key {
     let subject = match &fact.body {
-        message::FactBody::Alive { .. } => Subject::Alive,
+        message::FactBody::Alive { .. } | message::FactBody::StillAlive { .. } => Subject::Alive,
         message::FactBody::Load { server, .. } => Subject::Load(server.clone()),
     };
     (fact.author.clone(), subject)
--- a/crates/mustardshed-core/src/process/gossip/neighbour.rs
+++ b/crates/mustardshed-core/src/process/gossip/neighbour.rs
@@ -4,7 +4,7 @@
 
 use crate::ids;
 
-use super::Key;
+use super::{Key, Subject};
 
 /// Time without an acknowledgement after which nothing is taken to have arrived.
 const LOST_AFTER: time::Duration = time::Duration::from_secs(2);
@@ -50,13 +50,20 @@
         self.declined.extend(authors.iter().cloned());
     }
 
-    /// Notes authors whose facts the neighbour asks for.
+    /// Notes authors whose facts the neighbour asks for; it may not even have their addresses.
     pub(super) fn want(&mut self, authors: &[ids::VmId]) {
         for author in authors {
             self.declined.remove(author);
+            self.had.remove(&(author.clone(), Subject::Alive));
         }
     }
 
+    /// Returns whether the neighbour has a fact of this run of an author on the subject.
+    pub(super) fn has_run(&self, key: &Key, incarnation: ids::Incarnation) -> bool {
+        let had = self.had.get(key);
+        had.is_some_and(|had| had.version.0 == incarnation)
+    }
+
     /// Returns whether the neighbour gets the facts of an author elsewhere.
     pub(super) fn declines(&self, author: &str) -> bool {
         self.declined.contains(author)
--- a/crates/mustardshed-core/src/process/message.rs
+++ b/crates/mustardshed-core/src/process/message.rs
@@ -43,6 +43,13 @@
         /// Generation in force.
         generation: ids::Generation,
     },
+    /// The author is alive, and where its latest [`FactBody::Alive`] of this incarnation says.
+    StillAlive {
+        /// Whether it is leaving.
+        leaving: bool,
+        /// Generation in force.
+        generation: ids::Generation,
+    },
     /// The author is steward of a backend server and read its load.
     Load {
         /// Backend server.
--- a/crates/mustardshed-core/src/process/node/peers.rs
+++ b/crates/mustardshed-core/src/process/node/peers.rs
@@ -128,13 +128,16 @@
             .collect()
     }
 
-    /// Takes a fact; returns whether it is news.
+    /// Takes a fact; returns whether it is news, or would be if its author's address was known.
     fn hear(
         &mut self,
         fact: message::Fact,
         now: ids::Timestamp,
         out: &mut Vec<action::Action>,
     ) -> bool {
+        let Some(fact) = self.gossip.complete(fact) else {
+            return true;
+        };
         let change = self.world.members.hear(&fact, now);
         let is_new = fact.author != self.identity.vm && self.gossip.keep(fact, now);
         if let Some(change) = change {
--- a/crates/mustardshed-core/tests/gossip.rs
+++ b/crates/mustardshed-core/tests/gossip.rs
@@ -106,6 +106,60 @@
     expect_that!(authors(&facts), elements_are![eq(&"own"), eq(&"a")]);
 }
 
+#[gtest]
+fn address_is_told_once_and_again_when_wanted() {
+    let mut gossip = gossip::Gossip::new("own".into());
+    gossip.keep(alive("a", 1), at_ms(0));
+    let first = gossip.take_for("n", &stewards(), at_ms(0));
+    gossip.keep(alive("a", 2), at_ms(500));
+    let second = gossip.take_for("n", &stewards(), at_ms(500));
+
+    gossip.acknowledged("n", &ack(at_ms(500), &["a"], &[]));
+    let third = gossip.take_for("n", &stewards(), at_ms(1000));
+
+    let brief = message::FactBody::StillAlive {
+        leaving: false,
+        generation: 1,
+    };
+    expect_that!(first, elements_are![eq(&alive("a", 1))]);
+    expect_that!(second[0].body, eq(&brief));
+    expect_that!(third[0].body, eq(&alive("a", 2).body));
+}
+
+#[gtest]
+fn brief_fact_is_completed_for_the_same_run_only() {
+    let mut gossip = gossip::Gossip::new("own".into());
+    gossip.keep(alive("a", 1), at_ms(0));
+    let brief = message::Fact {
+        body: message::FactBody::StillAlive {
+            leaving: true,
+            generation: 7,
+        },
+        ..alive("a", 2)
+    };
+    let later_run = message::Fact {
+        incarnation: 2,
+        ..brief.clone()
+    };
+
+    let completed = gossip.complete(brief);
+
+    let message::FactBody::Alive {
+        address,
+        leaving,
+        generation,
+        ..
+    } = completed.unwrap().body
+    else {
+        panic!("an address");
+    };
+    expect_that!(
+        (address.as_str(), leaving, generation),
+        eq(("127.0.0.1:1", true, 7))
+    );
+    expect_that!(gossip.complete(later_run), none());
+}
+
 #[gtest]
 fn load_is_relayed_for_the_steward_only() {
     let mut gossip = gossip::Gossip::new("own".into());
--- a/crates/mustardshed-standins/src/capacity/breakdown.rs
+++ b/crates/mustardshed-standins/src/capacity/breakdown.rs
@@ -113,6 +113,8 @@
     match (&fact.body, is_own) {
         (message::FactBody::Alive { .. }, true) => "fact alive, own",
         (message::FactBody::Alive { .. }, false) => "fact alive, relayed",
+        (message::FactBody::StillAlive { .. }, true) => "fact still alive, own",
+        (message::FactBody::StillAlive { .. }, false) => "fact still alive, relayed",
         (message::FactBody::Load { .. }, true) => "fact load, own",
         (message::FactBody::Load { .. }, false) => "fact load, relayed",
     }
--- a/crates/mustardshed-wire/src/peer/fact.rs
+++ b/crates/mustardshed-wire/src/peer/fact.rs
@@ -50,6 +50,16 @@
         #[serde(rename = "g")]
         generation: u64,
     },
+    /// The author is alive, and where its latest fact of this incarnation said.
+    #[serde(rename = "s")]
+    StillAlive {
+        /// Whether it is leaving.
+        #[serde(rename = "l", default, skip_serializing_if = "field::is_default")]
+        leaving: bool,
+        /// Generation in force.
+        #[serde(rename = "g")]
+        generation: u64,
+    },
     /// The author is steward of a backend server and read its load.
     #[serde(rename = "l")]
     Load {
@@ -156,6 +166,13 @@
                 leaving,
                 generation,
             },
+            message::FactBody::StillAlive {
+                leaving,
+                generation,
+            } => Self::StillAlive {
+                leaving,
+                generation,
+            },
             message::FactBody::Load {
                 server,
                 report,
@@ -191,6 +208,13 @@
                 leaving,
                 generation,
             },
+            FactBody::StillAlive {
+                leaving,
+                generation,
+            } => Self::StillAlive {
+                leaving,
+                generation,
+            },
             FactBody::Load {
                 server,
                 report,
--- a/crates/mustardshed-wire/tests/peer.rs
+++ b/crates/mustardshed-wire/tests/peer.rs
@@ -72,6 +72,12 @@
             generation,
         },
     );
+    let still_alive = (any::<bool>(), any::<u64>()).prop_map(|(leaving, generation)| {
+        message::FactBody::StillAlive {
+            leaving,
+            generation,
+        }
+    });
     let load = (
         name(),
         proptest::option::of(report()),
@@ -93,7 +99,7 @@
         any::<u64>(),
         any::<u64>(),
         duration(),
-        prop_oneof![alive, load],
+        prop_oneof![alive, still_alive, load],
     )
         .prop_map(|(author, incarnation, version, age, body)| message::Fact {
             author,
