Forget what former neighbours and forgotten authors had

Change: memory of a neighbour ends when it is one no more; facts that are forgotten are forgotten of neighbours too; only authors that are known can be declined. Growth was read from the code, not measured. Test of a neighbour that returns.

--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -80,7 +80,7 @@
         else {
             return Some(fact);
         };
-        let known = self.facts.get(&(fact.author.clone(), Subject::Alive))?;
+        let known = self.facts.get(&alive_key(&fact.author))?;
         if known.fact.incarnation != fact.incarnation {
             return None;
         }
@@ -128,7 +128,8 @@
     pub fn acknowledged(&mut self, vm: &str, ack: &message::HeartbeatAck) {
         if let Some(neighbour) = self.neighbours.get_mut(vm) {
             neighbour.acknowledged(ack.echo);
-            neighbour.decline(&ack.declines);
+            let is_known = |vm: &&ids::VmId| self.facts.contains_key(&alive_key(vm));
+            neighbour.decline(ack.declines.iter().filter(is_known));
             neighbour.want(&ack.wants);
         }
     }
@@ -154,7 +155,7 @@
     }
 
     fn is_silent(&self, author: &str, now: ids::Timestamp) -> bool {
-        let alive = self.facts.get(&(author.to_owned(), Subject::Alive));
+        let alive = self.facts.get(&alive_key(author));
         alive.is_none_or(|known| now.saturating_sub(known.received_at) >= WANT_AFTER)
     }
 
@@ -209,13 +210,29 @@
             .map(|(_, known)| known)
     }
 
-    /// Forgets what is out of date.
+    /// Forgets what is out of date, and what neighbours are known to have of it.
     pub fn expire(&mut self, now: ids::Timestamp) {
+        let count = self.facts.len();
         self.facts
             .retain(|_, known| now.saturating_sub(known.stated_at) < FORGET_AFTER);
+        if self.facts.len() == count {
+            return;
+        }
+        for neighbour in self.neighbours.values_mut() {
+            neighbour.forget(|key| !self.facts.contains_key(key));
+        }
+    }
+
+    /// Forgets all neighbours but those given.
+    pub fn retain_neighbours(&mut self, is_neighbour: impl Fn(&ids::VmId) -> bool) {
+        self.neighbours.retain(|vm, _| is_neighbour(vm));
     }
 }
 
+fn alive_key(vm: &str) -> Key {
+    (vm.to_owned(), Subject::Alive)
+}
+
 /// Returns whether a fact is not a load stated by another entry than the server's steward.
 fn is_of_steward(
     (author, subject): &Key,
--- a/crates/mustardshed-core/src/process/gossip/neighbour.rs
+++ b/crates/mustardshed-core/src/process/gossip/neighbour.rs
@@ -46,8 +46,15 @@
     }
 
     /// Notes authors whose facts the neighbour gets elsewhere.
-    pub(super) fn decline(&mut self, authors: &[ids::VmId]) {
-        self.declined.extend(authors.iter().cloned());
+    pub(super) fn decline<'a>(&mut self, authors: impl Iterator<Item = &'a ids::VmId>) {
+        self.declined.extend(authors.cloned());
+    }
+
+    /// Forgets facts that this entry has forgotten, and the authors of whom it knows no more.
+    pub(super) fn forget(&mut self, is_forgotten: impl Fn(&Key) -> bool) {
+        self.had.retain(|key, _| !is_forgotten(key));
+        self.declined
+            .retain(|author| !is_forgotten(&(author.clone(), Subject::Alive)));
     }
 
     /// Notes authors whose facts the neighbour asks for; it may not even have their addresses.
--- a/crates/mustardshed-core/src/process/node/periodic.rs
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -100,6 +100,8 @@
             })
             .collect();
         self.links.set_neighbours(&neighbours, now, out);
+        self.gossip
+            .retain_neighbours(|vm| neighbours.contains_key(vm));
     }
 
     pub(super) fn send(
--- a/crates/mustardshed-core/tests/gossip.rs
+++ b/crates/mustardshed-core/tests/gossip.rs
@@ -106,6 +106,16 @@
     expect_that!(authors(&facts), elements_are![eq(&"own"), eq(&"a")]);
 }
 
+#[gtest]
+fn entry_that_is_neighbour_again_is_sent_everything() {
+    let mut gossip = declined();
+    gossip.retain_neighbours(|vm| vm != "n");
+
+    let facts = gossip.take_for("n", &stewards(), at_ms(500));
+
+    expect_that!(authors(&facts), elements_are![eq(&"own"), eq(&"a")]);
+}
+
 #[gtest]
 fn address_is_told_once_and_again_when_wanted() {
     let mut gossip = gossip::Gossip::new("own".into());
