--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -5,7 +5,7 @@
 //!
 //! Relays form a tree for each author, as in epidemic broadcast trees (Plumtree). An entry that is
 //! told only what it knows already declines that author's facts from that neighbour, so that
-//! the first to tell remains. It asks all neighbours for the facts of an author of which it has
+//! the first to tell remains. An entry that has an author's address is not told it again. It asks all neighbours for the facts of an author of which it has
 //! heard nothing new for [`WANT_AFTER`]. Both travel in acknowledgements of heartbeats; a
 //! neighbour that acknowledges nothing is sent everything.
 
@@ -71,6 +71,32 @@
         }
     }
 
+    /// Fills in what a fact leaves out; nothing if that is not known.
+    pub fn complete(&self, mut fact: message::Fact) -> Option<message::Fact> {
+        let message::FactBody::StillAlive {
+            leaving: still_leaving,
+            generation: latest_generation,
+        } = fact.body
+        else {
+            return Some(fact);
+        };
+        let known = self.facts.get(&alive_key(&fact.author))?;
+        if known.fact.incarnation != fact.incarnation {
+            return None;
+        }
+        fact.body = known.fact.body.clone();
+        if let message::FactBody::Alive {
+            leaving,
+            generation,
+            ..
+        } = &mut fact.body
+        {
+            *leaving = still_leaving;
+            *generation = latest_generation;
+        }
+        Some(fact)
+    }
+
     /// Keeps a fact if it is newer than what is known; returns whether it is.
     pub fn keep(&mut self, fact: message::Fact, now: ids::Timestamp) -> bool {
         if fact.age >= FORGET_AFTER {
@@ -102,7 +128,8 @@
     pub fn acknowledged(&mut self, vm: &str, ack: &message::HeartbeatAck) {
         if let Some(neighbour) = self.neighbours.get_mut(vm) {
             neighbour.acknowledged(ack.echo);
-            neighbour.decline(&ack.declines);
+            let is_known = |vm: &&ids::VmId| self.facts.contains_key(&alive_key(vm));
+            neighbour.decline(ack.declines.iter().filter(is_known));
             neighbour.want(&ack.wants);
         }
     }
@@ -128,7 +155,7 @@
     }
 
     fn is_silent(&self, author: &str, now: ids::Timestamp) -> bool {
-        let alive = self.facts.get(&(author.to_owned(), Subject::Alive));
+        let alive = self.facts.get(&alive_key(author));
         alive.is_none_or(|known| now.saturating_sub(known.received_at) >= WANT_AFTER)
     }
 
@@ -138,14 +165,24 @@
     }
 
     /// Returns the facts that a neighbour may not have, and takes them as sent.
-    pub fn take_for(&mut self, vm: &str, now: ids::Timestamp) -> Vec<message::Fact> {
+    ///
+    /// Loads are relayed for the steward of each server only: others have stated them too, such as
+    /// every entry that has just started and knows of no other.
+    pub fn take_for(
+        &mut self,
+        vm: &str,
+        stewards: &collections::BTreeMap<ids::BackendServerId, ids::VmId>,
+        now: ids::Timestamp,
+    ) -> Vec<message::Fact> {
         let neighbour = self.neighbours.entry(vm.to_owned()).or_default();
         neighbour.begin(now);
         let mut wanted: Vec<_> = self
             .facts
             .iter()
             .filter(|(key, _)| key.0 != vm)
-            .filter(|(key, _)| key.0 == self.own || !neighbour.declines(&key.0))
+            .filter(|(key, _)| {
+                key.0 == self.own || !neighbour.declines(&key.0) && is_of_steward(key, stewards)
+            })
             .filter_map(|(key, known)| {
                 let sent_at = neighbour.lacks(key, known.version())?;
                 Some((sent_at, key, known))
@@ -158,8 +195,9 @@
         wanted
             .into_iter()
             .map(|(_, key, known)| {
+                let has_address = neighbour.has_run(key, known.fact.incarnation);
                 neighbour.note_sent(key.clone(), known.version(), now);
-                aged(known, now)
+                aged(known, has_address, now)
             })
             .collect()
     }
@@ -178,22 +216,64 @@
             .map(|(_, known)| known)
     }
 
-    /// Forgets what is out of date.
+    /// Forgets what is out of date, and what neighbours are known to have of it.
     pub fn expire(&mut self, now: ids::Timestamp) {
+        let count = self.facts.len();
         self.facts
             .retain(|_, known| now.saturating_sub(known.stated_at) < FORGET_AFTER);
+        if self.facts.len() == count {
+            return;
+        }
+        for neighbour in self.neighbours.values_mut() {
+            neighbour.forget(|key| !self.facts.contains_key(key));
+        }
+    }
+
+    /// Forgets all neighbours but those given.
+    pub fn retain_neighbours(&mut self, is_neighbour: impl Fn(&ids::VmId) -> bool) {
+        self.neighbours.retain(|vm, _| is_neighbour(vm));
     }
 }
 
-fn aged(known: &Known, now: ids::Timestamp) -> message::Fact {
+fn alive_key(vm: &str) -> Key {
+    (vm.to_owned(), Subject::Alive)
+}
+
+/// Returns whether a fact is not a load stated by another entry than the server's steward.
+fn is_of_steward(
+    (author, subject): &Key,
+    stewards: &collections::BTreeMap<ids::BackendServerId, ids::VmId>,
+) -> bool {
+    match subject {
+        Subject::Alive => true,
+        Subject::Load(server) => stewards.get(server) == Some(author),
+    }
+}
+
+/// Returns a fact with its present age, without what a neighbour has that knows the address.
+fn aged(known: &Known, has_address: bool, now: ids::Timestamp) -> message::Fact {
     let mut fact = known.fact.clone();
     fact.age = now.saturating_sub(known.stated_at);
+    if let (
+        true,
+        message::FactBody::Alive {
+            leaving,
+            generation,
+            ..
+        },
+    ) = (has_address, &fact.body)
+    {
+        fact.body = message::FactBody::StillAlive {
+            leaving: *leaving,
+            generation: *generation,
+        };
+    }
     fact
 }
 
 fn key_of(fact: &message::Fact) -> Key {
     let subject = match &fact.body {
-        message::FactBody::Alive { .. } => Subject::Alive,
+        message::FactBody::Alive { .. } | message::FactBody::StillAlive { .. } => Subject::Alive,
         message::FactBody::Load { server, .. } => Subject::Load(server.clone()),
     };
     (fact.author.clone(), subject)
--- a/crates/mustardshed-core/src/process/node/periodic.rs
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -41,7 +41,7 @@
         self.state_loads(now);
         let neighbours = self.links.neighbours();
         for vm in &neighbours {
-            let facts = self.gossip.take_for(vm, now);
+            let facts = self.gossip.take_for(vm, self.stewards.chosen(), now);
             self.send_heartbeat(vm, facts, now, out);
         }
         for vm in self.outage_contacts(now) {
@@ -126,6 +126,8 @@
             })
             .collect();
         self.links.set_neighbours(&neighbours, now, out);
+        self.gossip
+            .retain_neighbours(|vm| neighbours.contains_key(vm));
     }
 
     pub(super) fn send(
