--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod network;
 mod platform;
+mod script;
 mod step;
 mod storm;
 
@@ -80,10 +81,10 @@
             3 => step::submit(),
             2 => step::entry_fault(),
             2 => step::server_fault(),
-            3 => step::handover(),
-            1 => step::slow_links(),
-            1 => step::broken_streams(),
-            1 => step::brief_return(),
+            3 => script::handover(),
+            1 => script::slow_links(),
+            1 => script::broken_streams(),
+            1 => script::brief_return(),
         ]
         .boxed()
     }
@@ -110,7 +111,7 @@
         prop_oneof![
             2 => step::wait(),
             1 => step::submit(),
-            3 => step::unnoticed_cold(),
+            3 => script::unnoticed_cold(),
         ]
         .boxed()
     }
@@ -140,8 +141,8 @@
             2 => step::operate(),
             2 => step::entry_fault(),
             2 => step::platform_fault(),
-            4 => step::unheard_change(),
-            1 => step::forgotten_intent(),
+            4 => script::unheard_change(),
+            1 => script::forgotten_intent(),
         ]
         .boxed()
     }
