--- a/crates/mustardshed-standins/src/storm.rs
+++ b/crates/mustardshed-standins/src/storm.rs
@@ -24,6 +24,7 @@
 
 pub mod attempt;
 pub mod caller;
+pub mod change;
 pub mod checks;
 pub mod entry_list;
 pub mod entry_log;
--- a/crates/mustardshed-standins/src/storm/faults.rs
+++ b/crates/mustardshed-standins/src/storm/faults.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use tokio::task;
 
-use super::{fault, operators, schedule, stop, timeline};
+use super::{change, fault, operators, schedule, stop, timeline};
 use crate::{
     fleet::{self, FleetError},
     unix_time,
@@ -17,15 +17,6 @@
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Longest wait for the end of an entry that was told to end.
 const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(60);
-/// Delay of each half of a call to a slow platform, in milliseconds.
-const SLOW_MS: u64 = 700;
-/// Answers that are lost at once.
-const LOST_ANSWERS: u64 = 3;
-/// Age of stale reads, in milliseconds.
-const STALE_MS: u64 = 2_500;
-/// Tokens after which streams break off.
-const BREAK_AFTER: u64 = 7;
-
 /// What strikes the fleet.
 #[derive(Debug)]
 pub struct Faults {
@@ -84,77 +75,34 @@
     }
 
     async fn carry_out(&self, planned: schedule::Planned) -> Result<(), FleetError> {
-        use fault::Kind;
+        if let Some(change) = change::Change::of_platform(planned.kind) {
+            return self.strike_platform(planned, change).await;
+        }
+        if let Some(change) = change::Change::of_engine(planned.kind) {
+            return self.strike_engine(planned, change).await;
+        }
+        if let Some(change) = change::Change::of_service(planned.kind) {
+            return self.strike_service(planned, change).await;
+        }
         match planned.kind {
-            Kind::EntryKilled | Kind::EntryFrozen | Kind::EntryStopped => {
-                self.strike_entry(planned).await
-            }
-            Kind::PlatformOutage => {
-                self.strike_platform(
-                    planned,
-                    json!({ "outage": true }),
-                    json!({ "outage": false }),
-                )
-                .await
-            }
-            Kind::PlatformSlow => {
-                let on = json!({ "slow_ms": SLOW_MS });
-                self.strike_platform(planned, on, json!({ "slow_ms": 0 }))
-                    .await
-            }
-            Kind::AnswersLost => {
-                let on = json!({ "lose_answers": LOST_ANSWERS });
-                self.strike_platform(planned, on, json!({ "lose_answers": 0 }))
-                    .await
-            }
-            Kind::StaleReads => {
-                let on = json!({ "stale_reads_ms": STALE_MS });
-                self.strike_platform(planned, on, json!({ "stale_reads_ms": 0 }))
-                    .await
-            }
-            Kind::CallerCut => self.cut_caller(planned).await,
-            Kind::OperatorsRace => {
-                let data_centre = self.data_centre(planned.target).await;
-                let _span = self.span(planned.kind, &data_centre);
-                self.operators.race(&data_centre).await;
-                Ok(())
-            }
-            Kind::DataCentreOut => {
-                let data_centre = self.data_centre(planned.target).await;
-                let _span = self.span(planned.kind, &data_centre);
-                self.operators
-                    .out_and_back(&data_centre, planned.lasts)
-                    .await;
+            fault::Kind::CallerCut => self.cut_caller(planned).await,
+            fault::Kind::ServerLeaving => self.list_as_leaving(planned).await,
+            fault::Kind::OperatorsRace | fault::Kind::DataCentreOut => {
+                self.operate(planned).await;
                 Ok(())
             }
-            Kind::EngineDead => {
-                self.strike_engine(planned, json!({ "dead": true }), json!({ "dead": false }))
-                    .await
-            }
-            Kind::EngineCold => {
-                self.strike_engine(planned, json!({ "turn_cold": true }), json!({}))
-                    .await
-            }
-            Kind::StreamsBroken => {
-                let on = json!({ "break_streams_after_tokens": BREAK_AFTER });
-                let off = json!({ "break_streams_after_tokens": null });
-                self.strike_engine(planned, on, off).await
-            }
-            Kind::FramesCrossed => {
-                let on = json!({ "cross_frames": true });
-                self.strike_engine(planned, on, json!({ "cross_frames": false }))
-                    .await
-            }
-            Kind::ServerLeaving => self.list_as_leaving(planned).await,
-            Kind::ServiceCold => {
-                self.strike_service(planned, json!({ "turn_cold": true }), json!({}))
-                    .await
-            }
-            Kind::ServiceAnswersLost => {
-                let on = json!({ "lose_answers": LOST_ANSWERS });
-                self.strike_service(planned, on, json!({ "lose_answers": 0 }))
-                    .await
-            }
+            _ => self.strike_entry(planned).await,
+        }
+    }
+
+    async fn operate(&self, planned: schedule::Planned) {
+        let data_centre = self.data_centre(planned.target).await;
+        let _span = self.span(planned.kind, &data_centre);
+        if planned.kind == fault::Kind::OperatorsRace {
+            self.operators.race(&data_centre).await;
+        } else {
+            let lasts = planned.lasts;
+            self.operators.out_and_back(&data_centre, lasts).await;
         }
     }
 
@@ -233,16 +181,15 @@
     async fn strike_platform(
         &self,
         planned: schedule::Planned,
-        on: serde_json::Value,
-        off: serde_json::Value,
+        change: change::Change,
     ) -> Result<(), FleetError> {
         let Some(_busy) = Busy::claim(&self.busy, &format!("{:?}", planned.kind)) else {
             return Ok(());
         };
         let _span = self.span(planned.kind, "platform");
-        self.set_platform(&on).await?;
+        self.set_platform(&change.on).await?;
         tokio::time::sleep(planned.lasts).await;
-        self.set_platform(&off).await
+        self.set_platform(&change.off).await
     }
 
     async fn cut_caller(&self, planned: schedule::Planned) -> Result<(), FleetError> {
@@ -268,8 +215,7 @@
     async fn strike_engine(
         &self,
         planned: schedule::Planned,
-        on: serde_json::Value,
-        off: serde_json::Value,
+        change: change::Change,
     ) -> Result<(), FleetError> {
         let fleet = self.fleet.lock().await;
         let engine = &fleet.engines[planned.target % fleet.engines.len()];
@@ -278,29 +224,28 @@
             return Ok(());
         };
         let _span = self.span(planned.kind, &name);
-        fleet.set_faults(engine, &on).await?;
+        fleet.set_faults(engine, &change.on).await?;
         drop(fleet);
         tokio::time::sleep(planned.lasts).await;
         let fleet = self.fleet.lock().await;
         let engine = &fleet.engines[planned.target % fleet.engines.len()];
-        fleet.set_faults(engine, &off).await
+        fleet.set_faults(engine, &change.off).await
     }
 
     async fn strike_service(
         &self,
         planned: schedule::Planned,
-        on: serde_json::Value,
-        off: serde_json::Value,
+        change: change::Change,
     ) -> Result<(), FleetError> {
         let fleet = self.fleet.lock().await;
         let service = &fleet.services[planned.target % fleet.services.len()];
         let _span = self.span(planned.kind, &service.name);
-        fleet.set_faults(service, &on).await?;
+        fleet.set_faults(service, &change.on).await?;
         drop(fleet);
         tokio::time::sleep(planned.lasts).await;
         let fleet = self.fleet.lock().await;
         let service = &fleet.services[planned.target % fleet.services.len()];
-        fleet.set_faults(service, &off).await
+        fleet.set_faults(service, &change.off).await
     }
 
     async fn list_as_leaving(&self, planned: schedule::Planned) -> Result<(), FleetError> {
