--- a/crates/mustardshed-core/src/process/node/capacity.rs
+++ b/crates/mustardshed-core/src/process/node/capacity.rs
@@ -46,7 +46,7 @@
         now: ids::Timestamp,
         out: &mut Vec<action::Action>,
     ) {
-        let Some(steward) = self.live_steward(&req.server) else {
+        let Some(steward) = self.askable_steward(&req.server, now) else {
             let result = Err(steward::moved());
             out.push(action::Action::Acquired { ticket, result });
             return;
--- a/crates/mustardshed-core/src/process/world.rs
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -3,11 +3,14 @@
 use std::{collections, time};
 
 use crate::{
-    ids,
+    ids, mutation,
     process::{credits, members, node, quorum, steward},
     version::{configuration, freshness},
 };
 
+/// Age of a count of votes and of the majority up to which it holds.
+const COUNT_HOLDS_FOR: time::Duration = time::Duration::from_millis(20);
+
 /// What the decisions of a node rest upon.
 #[derive(Debug)]
 pub struct World {
@@ -23,6 +26,7 @@
     data_centres_out: collections::BTreeSet<ids::DataCentreId>,
     restless_at: ids::Timestamp,
     has_majority: bool,
+    counted_at: Option<ids::Timestamp>,
 }
 
 impl World {
@@ -37,6 +41,7 @@
             data_centres_out: collections::BTreeSet::new(),
             restless_at: now,
             has_majority: false,
+            counted_at: None,
         }
     }
 
@@ -61,6 +66,19 @@
         self.freshness.may_place_until()
     }
 
+    /// Returns whether a steward can be asked: this entry, or one that is live and reached.
+    ///
+    /// One that is alive by the facts of others, over a link that is cut, would let work wait in vain.
+    pub fn can_ask(&self, vm: &str, now: ids::Timestamp) -> bool {
+        let is_live = self
+            .members
+            .get(vm)
+            .is_some_and(|member| member.state == members::State::Live);
+        let is_reached =
+            self.quorum.reaches(&self.members, vm, now) || mutation::on("unreached_asked");
+        vm == self.own || (is_live && is_reached)
+    }
+
     /// Returns the data centres that get no new work.
     pub const fn data_centres_out(&self) -> &collections::BTreeSet<ids::DataCentreId> {
         &self.data_centres_out
@@ -77,9 +95,14 @@
         self.restless_at = now;
     }
 
-    /// Counts the votes for the configuration and the reach of a majority; returns whether a
-    /// majority is reached again.
+    /// Counts the votes for the configuration and the reach of a majority, unless that was done
+    /// just now; returns whether a majority is reached again.
     pub fn count(&mut self, now: ids::Timestamp) -> bool {
+        let is_recent = |at| now.saturating_sub(at) < COUNT_HOLDS_FOR;
+        if self.counted_at.is_some_and(is_recent) {
+            return false;
+        }
+        self.counted_at = Some(now);
         self.freshness.count_votes(&self.members, &self.own, now);
         let had_majority = self.has_majority;
         self.has_majority = self.quorum.holds(&self.members, &self.own, now);
