Wait for servers of which nothing was heard yet, instead of refusing at once

Cause: right after the start an entry had heard of the plain service only and said that it was ready; a prompt was refused at once with no_backend_server (log: E1002 'it does not answer' for three engines that nobody had reported). Change: 'nothing was heard of it yet' is a reason of its own that passes; requests wait for it as for a change of stewards; /readyz waits for one server of each kind.

--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -205,7 +205,7 @@
     /// Returns the fact that this entry is alive.
     pub fn own_alive(&self, now: ids::Timestamp) -> Option<message::Fact> {
         let key = (self.own.clone(), Subject::Alive);
-        self.facts.get(&key).map(|known| aged(known, now))
+        self.facts.get(&key).map(|known| aged(known, false, now))
     }
 
     /// Returns all facts on the load of backend servers.
--- a/crates/mustardshed-core/src/process/servers.rs
+++ b/crates/mustardshed-core/src/process/servers.rs
@@ -162,6 +162,7 @@
         ..
     } = &known.fact.body
     else {
+        view.reported_at = known.stated_at;
         return;
     };
     view.warmth = report.warmth;
--- a/crates/mustardshed-core/src/process/snapshot.rs
+++ b/crates/mustardshed-core/src/process/snapshot.rs
@@ -37,7 +37,7 @@
     pub running: u32,
     /// Prefill speed learned from first tokens, in tokens a second.
     pub prefill_tokens_per_second: f64,
-    /// Time of the report.
+    /// Time of the report, or since when it does not answer; zero if nothing was heard of it yet.
     pub reported_at: ids::Timestamp,
     /// Entry VM that hands out its credits.
     pub steward: Option<ids::VmId>,
--- a/crates/mustardshed-core/src/request/route.rs
+++ b/crates/mustardshed-core/src/request/route.rs
@@ -62,6 +62,16 @@
     }
 }
 
+/// Returns whether a server of the right kind is excluded for a reason that passes within seconds.
+pub fn is_passing(snapshot: &snapshot::Snapshot, work: &work::Work<'_>) -> bool {
+    snapshot
+        .servers
+        .values()
+        .filter(|server| work.wants_kind(server))
+        .filter_map(|server| exclusion::check(snapshot, work, server))
+        .any(exclusion::Exclusion::is_passing)
+}
+
 /// Lists every server of the right kind with its estimate or the reason that excludes it.
 pub fn explain(
     snapshot: &snapshot::Snapshot,
--- a/crates/mustardshed-core/src/request/route/decision.rs
+++ b/crates/mustardshed-core/src/request/route/decision.rs
@@ -97,9 +97,9 @@
         self.excluded.push((server.to_owned(), reason));
     }
 
-    /// Returns whether a reason excludes a server.
-    pub fn any(&self, reason: exclusion::Exclusion) -> bool {
-        self.excluded.iter().any(|(_, other)| *other == reason)
+    /// Returns whether a server is excluded for a reason that passes within seconds.
+    pub fn is_passing(&self) -> bool {
+        self.excluded.iter().any(|(_, reason)| reason.is_passing())
     }
 
     /// Returns whether a reason excludes every server of the right kind, of which there is one.
--- a/crates/mustardshed-core/src/request/route/exclusion.rs
+++ b/crates/mustardshed-core/src/request/route/exclusion.rs
@@ -13,6 +13,8 @@
     Leaving,
     /// it does not answer
     Unreachable,
+    /// nothing was heard of it yet
+    NotReported,
     /// it was tried already
     Tried,
     /// it has not loaded the model
@@ -25,6 +27,13 @@
     NoSteward,
 }
 
+impl Exclusion {
+    /// Returns whether the reason passes by itself within seconds.
+    pub const fn is_passing(self) -> bool {
+        matches!(self, Self::NotReported | Self::NoSteward)
+    }
+}
+
 /// Returns why a server of the right kind may not be given the work, if it may not.
 pub fn check(
     snapshot: &snapshot::Snapshot,
@@ -38,6 +47,9 @@
     if server.leaving {
         return Some(Exclusion::Leaving);
     }
+    if !server.reachable && server.reported_at.is_zero() {
+        return Some(Exclusion::NotReported);
+    }
     if !server.reachable {
         return Some(Exclusion::Unreachable);
     }
--- a/crates/mustardshedd/src/http/health.rs
+++ b/crates/mustardshedd/src/http/health.rs
@@ -1,6 +1,8 @@
 //! `/healthz` and `/readyz`.
 
-use mustardshed::core::{error, request::admission};
+use std::collections;
+
+use mustardshed::core::{error, process::snapshot, request::admission};
 use warp::reply::Response;
 
 use crate::http::{cx, reply};
@@ -23,11 +25,20 @@
     if let Err(err) = admission::check_fresh(&snapshot, now) {
         return reply::error(&err);
     }
-    if !snapshot.servers.is_empty() && snapshot.servers.values().all(|server| !server.reachable) {
+    if has_silent_kind(&snapshot) {
         return reply::error(&error::Error::not_run(
             error::ErrorKind::NoBackendServer,
-            "no backend server has reported its load",
+            "nothing was heard yet of the backend servers of one kind",
         ));
     }
     live()
 }
+
+/// Returns whether there is a kind of backend server of none of which anything was heard yet.
+fn has_silent_kind(snapshot: &snapshot::Snapshot) -> bool {
+    let mut kinds: collections::BTreeMap<&str, bool> = collections::BTreeMap::new();
+    for server in snapshot.servers.values() {
+        *kinds.entry(&server.kind).or_default() |= !server.reported_at.is_zero();
+    }
+    kinds.values().any(|is_heard| !is_heard)
+}
--- a/crates/mustardshedd/src/request/call/attempt.rs
+++ b/crates/mustardshedd/src/request/call/attempt.rs
@@ -69,7 +69,7 @@
         });
         failure::Failure::no_server(
             "no backend server may be given the call now",
-            none.any(route::exclusion::Exclusion::NoSteward) || self.is_changing,
+            none.is_passing() || self.is_changing,
         )
     }
 
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -45,10 +45,14 @@
             .recent(&self.cx.recent)
             .cached_prefix(self.cached_prefix(&snapshot, now));
         let plan = if gang::is_needed(&work) {
-            self.route_gang(gang::plan(&snapshot, &work, now))?
+            self.route_gang(gang::plan(&snapshot, &work, now))
         } else {
-            self.route_single(route::decide(&snapshot, &work, now), work.memory_tokens)?
+            self.route_single(route::decide(&snapshot, &work, now), work.memory_tokens)
         };
+        let plan = plan.map_err(|reason| {
+            let is_passing = route::is_passing(&snapshot, &work) || self.progress.is_changing;
+            self.not_routed(&reason, is_passing)
+        })?;
         admission::check_deadline(&plan.estimate, now, completion.job.deadline)
             .map_err(failure::Failure::stop)?;
         for engine in &plan.engines {
@@ -99,7 +103,7 @@
         &self,
         decision: Result<route::decision::Decision, route::decision::NoRoute>,
         memory_tokens: ids::Tokens,
-    ) -> Result<plan::Plan, failure::Failure> {
+    ) -> Result<plan::Plan, String> {
         let job = &self.completion.job;
         match decision {
             Ok(decision) => {
@@ -116,18 +120,14 @@
                 });
                 Ok(plan::Plan::single(decision, memory_tokens))
             }
-            Err(none) => {
-                let has_no_steward = none.any(route::exclusion::Exclusion::NoSteward);
-                Err(self.not_routed(&none.to_string(), has_no_steward))
-            }
+            Err(none) => Err(none.to_string()),
         }
     }
 
-    fn route_gang(&self, plan: Option<gang::Plan>) -> Result<plan::Plan, failure::Failure> {
+    fn route_gang(&self, plan: Option<gang::Plan>) -> Result<plan::Plan, String> {
         let job = &self.completion.job;
         let Some(plan) = plan.and_then(plan::Plan::gang) else {
-            let reason = "no data centre has enough engines for the prompt";
-            return Err(self.not_routed(reason, false));
+            return Err("no data centre has enough engines for the prompt".to_owned());
         };
         log::emit(&event::Event::GangRouted {
             request: &job.id,
@@ -147,7 +147,7 @@
         Ok(plan)
     }
 
-    fn not_routed(&self, reason: &str, has_no_steward: bool) -> failure::Failure {
+    fn not_routed(&self, reason: &str, is_passing: bool) -> failure::Failure {
         let job = &self.completion.job;
         log::emit(&event::Event::NotRouted {
             request: &job.id,
@@ -155,10 +155,7 @@
             service: &job.service,
             reason,
         });
-        failure::Failure::no_server(
-            "no backend server may be given the prompt now",
-            has_no_steward || self.progress.is_changing,
-        )
+        failure::Failure::no_server("no backend server may be given the prompt now", is_passing)
     }
 
     /// Takes the credits and then the reservations of a plan, all or nothing.
