State a load only once a read has told something

Cause: right after a change of stewards, and at the start, the new steward stated 'does not answer' before its first read had ended (log: E1002 for three engines 30 ms after E2004 warm at their stewards); entries then excluded servers that were well. It also explains the refusals right after an entry was killed. Ruled out: slow reads (the reports came in 1 ms), the relays of facts (the fact itself was wrong). Change: a steward states nothing of a server until a read has succeeded or enough have failed. Conclusion: a fact must come from an observation; a default is none.

--- a/crates/mustardshed-core/src/process/steward.rs
+++ b/crates/mustardshed-core/src/process/steward.rs
@@ -255,6 +255,11 @@
         self.serve(rules, fx);
     }
 
+    /// Returns whether anything is known of the server's load that may be stated.
+    pub const fn is_informed(&self) -> bool {
+        self.load.is_known()
+    }
+
     /// Returns the server's load as it is stated to other entries, its age not yet set.
     pub fn fact(&self) -> message::FactBody {
         let report = self.load.reachable_report().map(|report| {
--- a/crates/mustardshed-core/src/process/steward/load.rs
+++ b/crates/mustardshed-core/src/process/steward/load.rs
@@ -74,6 +74,11 @@
         self.failures < MAX_FAILURES
     }
 
+    /// Returns whether a read has told that the server answers, or that it does not.
+    pub(super) const fn is_known(&self) -> bool {
+        self.report.is_some() || !self.is_reachable()
+    }
+
     /// Returns the latest report.
     pub(super) const fn report(&self) -> Option<&backend_server::LoadReport> {
         self.report.as_ref()
--- a/crates/mustardshed-core/src/process/stewards.rs
+++ b/crates/mustardshed-core/src/process/stewards.rs
@@ -175,7 +175,7 @@
         now: ids::Timestamp,
     ) -> Vec<(u64, ids::Timestamp, message::FactBody)> {
         let mut due = Vec::new();
-        for (server, steward) in &self.stewards {
+        for (server, steward) in self.stewards.iter().filter(|(_, s)| s.is_informed()) {
             let body = steward.fact();
             let earlier = self.statements.get(server);
             if !earlier.is_none_or(|earlier| earlier.is_due(&body, is_mesh, now)) {
