--- a/crates/mustardshed-standins/src/service/faults_change.rs
+++ b/crates/mustardshed-standins/src/service/faults_change.rs
@@ -1,7 +1,7 @@
 //! A change of a plain service's faults, as it comes over HTTP.
 
 /// Faults to change; what is absent stays.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, Default, serde::Deserialize, Eq, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct FaultsChange {
     /// See [`crate::service::faults::Faults::dead`].
--- a/crates/mustardshedd/src/http/body.rs
+++ b/crates/mustardshedd/src/http/body.rs
@@ -32,15 +32,22 @@
 
 /// Reads a body of at most `limit` bytes, each part of which must come within `idle_timeout`.
 ///
+/// A body whose length is announced as greater is refused without waiting for it.
+///
 /// # Errors
 ///
 /// Returns [`error::ErrorKind::TooLarge`] if it is longer, and
 /// [`error::ErrorKind::InvalidRequest`] if it breaks off or stands still.
 pub async fn read(
     mut body: Body,
+    headers: &http::HeaderMap,
     limit: usize,
     idle_timeout: time::Duration,
 ) -> Result<Bytes, error::Error> {
+    if announced_length(headers).is_some_and(|length| length > limit as u64) {
+        discard(body, limit).await;
+        return Err(too_large(limit));
+    }
     let mut whole = BytesMut::new();
     loop {
         let Ok(next) = tokio::time::timeout(idle_timeout, body.next()).await else {
@@ -59,6 +66,11 @@
     }
 }
 
+fn announced_length(headers: &http::HeaderMap) -> Option<u64> {
+    let value = headers.get(http::header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Reads and drops the rest of a refused body, within bounds.
 pub async fn discard(mut body: Body, limit: usize) {
     let reading = async {
--- a/crates/mustardshedd/src/http/explain.rs
+++ b/crates/mustardshedd/src/http/explain.rs
@@ -12,7 +12,7 @@
 };
 
 /// What is to be explained.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq)]
 pub struct Query {
     /// Service that a model stands behind, or model.
     #[serde(alias = "model")]
--- a/crates/mustardshedd/src/http/generate.rs
+++ b/crates/mustardshedd/src/http/generate.rs
@@ -53,7 +53,14 @@
             return Err(err.into());
         }
     };
-    let buf = body::read(body, cx.limits.max_body_bytes, cx.limits.idle_timeout).await?;
+    let limits = &cx.limits;
+    let buf = body::read(
+        body,
+        request_headers,
+        limits.max_body_bytes,
+        limits.idle_timeout,
+    )
+    .await?;
     let identity = identity(api, request_headers, &buf)?;
     let asked = generate_request::GenerateRequest::parse(api, &buf)?;
     drop(buf);
--- a/crates/mustardshedd/src/http/operator_routes.rs
+++ b/crates/mustardshedd/src/http/operator_routes.rs
@@ -72,7 +72,7 @@
         body::discard(body, MAX_RECORD_BYTES).await;
         return Err(err);
     }
-    let buf = body::read(body, MAX_RECORD_BYTES, cx.limits.idle_timeout).await?;
+    let buf = body::read(body, headers, MAX_RECORD_BYTES, cx.limits.idle_timeout).await?;
     let record = record(&buf)?;
     let answer = match step {
         Step::Intent => cx.operator.intent(record).await?,
--- a/crates/mustardshedd/src/http/services.rs
+++ b/crates/mustardshedd/src/http/services.rs
@@ -45,7 +45,14 @@
             return Err(err.into());
         }
     };
-    let buf = body::read(body, cx.limits.max_body_bytes, cx.limits.idle_timeout).await?;
+    let limits = &cx.limits;
+    let buf = body::read(
+        body,
+        &arrived.headers,
+        limits.max_body_bytes,
+        limits.idle_timeout,
+    )
+    .await?;
     let ask = ask(arrived, buf)?;
     let (call, guards) = admit::call(&cx.requests, &snapshot, account, ask)?;
     let id = call.job.id.clone();
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     connection::backend_server as engine,
-    http::{cx, limits, server},
+    http::{cx, server},
     log::{self, entry, event, metrics},
     process::{clock as boot, control, operator, startup},
     request,
@@ -82,7 +82,7 @@
     let handle = control::spawn(parts, peer_listener).map_err(ServiceError::Runtime)?;
     let handle = sync::Arc::new(handle);
     let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
-    let limits = limits::Limits::from(&settings.limits);
+    let limits = settings.limits;
     let requests = request::cx::Cx::new(
         handle.clone() as sync::Arc<dyn border::Control>,
         servers,
