Log and count the end of a request in one place

Cause: both drivers held the same two log events and metrics, line for line. Change: request::report; the drivers say only what differs.

--- a/crates/mustardshedd/src/request.rs
+++ b/crates/mustardshedd/src/request.rs
@@ -16,6 +16,7 @@
 pub mod output;
 pub mod placement;
 pub mod refused;
+pub mod report;
 pub mod resolve;
 pub mod send_check;
 pub mod settlement;
--- a/crates/mustardshedd/src/request/call/driver.rs
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -8,10 +8,7 @@
 use mustardshed::core::{border::control, error, ids, outcome::Outcome, request::fate};
 use tokio::sync::oneshot;
 
-use crate::{
-    log::{self, event},
-    request::{attempts, call, cx, failure, settlement},
-};
+use crate::request::{attempts, call, cx, failure, report, settlement};
 
 /// Wait beyond the deadline for the fate of a call that may not be repeated.
 const FATE_WAIT: time::Duration = time::Duration::from_secs(60);
@@ -178,31 +175,19 @@
     }
 
     fn log_failure(&self, failure: &failure::Failure) {
-        log::emit(&event::Event::AttemptFailed {
-            request: &self.call.job.id,
-            servers: &self.given.join(","),
-            code: failure.error.kind.answer().code,
-            outcome: failure.error.outcome.as_str(),
-            next: failure.next.as_str(),
-            reason: &failure.error.message,
-        });
+        report::failed(&self.call.job, &self.given, failure);
     }
 
-    fn log_end(&self, outcome: Outcome, kind: Option<error::ErrorKind>) {
-        let job = &self.call.job;
-        let elapsed = self.cx.clock.now().saturating_sub(self.started_at);
-        self.cx.metrics.time("call.elapsed", elapsed);
-        self.cx.metrics.count(outcome.as_str());
-        log::emit(&event::Event::Ended {
-            request: &job.id,
-            account: &job.account,
-            service: &job.service,
-            outcome: outcome.as_str(),
-            code: kind.map_or("none", |kind| kind.answer().code),
-            servers: &self.given.join(","),
+    fn log_end(&self, outcome: Outcome, error: Option<error::ErrorKind>) {
+        let end = report::End {
+            outcome,
+            error,
+            servers: &self.given,
             tokens: 0,
-            elapsed_ms: elapsed.as_millis(),
-        });
+            started_at: self.started_at,
+            metric: "call.elapsed",
+        };
+        report::ended(&self.cx, &self.call.job, end);
     }
 }
 
--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -5,9 +5,8 @@
 use mustardshed::core::{border::control, error, ids, mutation, outcome::Outcome, request::fate};
 use tokio::sync::mpsc;
 
-use crate::{
-    log::{self, event},
-    request::{attempts, completion, completion::progress, cx, failure, output, settlement, whole},
+use crate::request::{
+    attempts, completion, completion::progress, cx, failure, output, report, settlement, whole,
 };
 
 /// Wait for the connection to take the final answer.
@@ -187,30 +186,18 @@
     }
 
     fn log_failure(&self, failure: &failure::Failure) {
-        log::emit(&event::Event::AttemptFailed {
-            request: &self.completion.job.id,
-            servers: &self.progress.given.join(","),
-            code: failure.error.kind.answer().code,
-            outcome: failure.error.outcome.as_str(),
-            next: failure.next.as_str(),
-            reason: &failure.error.message,
-        });
+        report::failed(&self.completion.job, &self.progress.given, failure);
     }
 
-    fn log_end(&self, outcome: Outcome, kind: Option<error::ErrorKind>) {
-        let job = &self.completion.job;
-        let elapsed = self.cx.clock.now().saturating_sub(self.started_at);
-        self.cx.metrics.time("request.elapsed", elapsed);
-        self.cx.metrics.count(outcome.as_str());
-        log::emit(&event::Event::Ended {
-            request: &job.id,
-            account: &job.account,
-            service: &job.service,
-            outcome: outcome.as_str(),
-            code: kind.map_or("none", |kind| kind.answer().code),
-            servers: &self.progress.given.join(","),
+    fn log_end(&self, outcome: Outcome, error: Option<error::ErrorKind>) {
+        let end = report::End {
+            outcome,
+            error,
+            servers: &self.progress.given,
             tokens: self.progress.assembly.next_offset(),
-            elapsed_ms: elapsed.as_millis(),
-        });
+            started_at: self.started_at,
+            metric: "request.elapsed",
+        };
+        report::ended(&self.cx, &self.completion.job, end);
     }
 }
--- /dev/null
+++ b/crates/mustardshedd/src/request/report.rs
@@ -0,0 +1,54 @@
+//! Log events and metrics that prompts and calls have in common.
+
+use mustardshed::core::{error, ids, outcome::Outcome};
+
+use crate::{
+    log::{self, event},
+    request::{cx, failure, job},
+};
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+pub struct End<'a> {
+    /// Outcome.
+    pub outcome: Outcome,
+    /// Kind of the error that ended it, if one did.
+    pub error: Option<error::ErrorKind>,
+    /// Backend servers that were given the request.
+    pub servers: &'a [ids::BackendServerId],
+    /// Output in tokens.
+    pub tokens: ids::Tokens,
+    /// Time at which it began.
+    pub started_at: ids::Timestamp,
+    /// Metric of its duration.
+    pub metric: &'static str,
+}
+
+/// Logs that an attempt failed, and what follows.
+pub fn failed(job: &job::Job, servers: &[ids::BackendServerId], failure: &failure::Failure) {
+    log::emit(&event::Event::AttemptFailed {
+        request: &job.id,
+        servers: &servers.join(","),
+        code: failure.error.kind.answer().code,
+        outcome: failure.error.outcome.as_str(),
+        next: failure.next.as_str(),
+        reason: &failure.error.message,
+    });
+}
+
+/// Logs and counts the end of a request.
+pub fn ended(cx: &cx::Cx, job: &job::Job, end: End<'_>) {
+    let elapsed = cx.clock.now().saturating_sub(end.started_at);
+    cx.metrics.time(end.metric, elapsed);
+    cx.metrics.count(end.outcome.as_str());
+    log::emit(&event::Event::Ended {
+        request: &job.id,
+        account: &job.account,
+        service: &job.service,
+        outcome: end.outcome.as_str(),
+        code: end.error.map_or("none", |kind| kind.answer().code),
+        servers: &end.servers.join(","),
+        tokens: end.tokens,
+        elapsed_ms: elapsed.as_millis(),
+    });
+}
