--- a/crates/mustardshed-standins/src/storm/checks/fates.rs
+++ b/crates/mustardshed-standins/src/storm/checks/fates.rs
@@ -12,7 +12,7 @@
 
 /// Checks every fate that another entry told.
 pub fn check(evidence: &evidence::Evidence) -> verdict::Verdict {
-    let ran = ran(evidence);
+    let ran = evidence.records.ran();
     let mut violations = Vec::new();
     let mut told: collections::BTreeMap<&str, u64> = collections::BTreeMap::new();
     for fate in &evidence.fates {
@@ -65,14 +65,3 @@
         _ => false,
     }
 }
-
-fn ran(evidence: &evidence::Evidence) -> collections::BTreeSet<&str> {
-    let engines = evidence.records.engines.values();
-    let accepted = engines
-        .flat_map(|records| &records.requests)
-        .filter(|req| req.refused.is_none())
-        .map(|req| req.id.as_str());
-    let executed = evidence.records.executions();
-    let executed = executed.map(|(_, execution)| execution.request_id.as_str());
-    accepted.chain(executed).collect()
-}
--- a/crates/mustardshed-standins/src/storm/checks/refusals.rs
+++ b/crates/mustardshed-standins/src/storm/checks/refusals.rs
@@ -6,7 +6,7 @@
 
 /// Checks that no request that was told `not_run` was accepted by an engine or executed by a service.
 pub fn check(evidence: &evidence::Evidence) -> verdict::Verdict {
-    let ran: collections::BTreeSet<&str> = ran(evidence);
+    let ran = evidence.records.ran();
     let mut violations = Vec::new();
     let mut told = 0_u64;
     for attempt in evidence.attempts().filter(|a| a.told() == Some("not_run")) {
@@ -40,18 +40,6 @@
     verdict::Verdict::new(6, violations, detail)
 }
 
-/// Returns the identifiers of the requests that an engine accepted or a service executed.
-fn ran(evidence: &evidence::Evidence) -> collections::BTreeSet<&str> {
-    let engines = evidence.records.engines.values();
-    let accepted = engines
-        .flat_map(|records| &records.requests)
-        .filter(|req| req.refused.is_none())
-        .map(|req| req.id.as_str());
-    let executed = evidence.records.executions();
-    let executed = executed.map(|(_, execution)| execution.request_id.as_str());
-    accepted.chain(executed).collect()
-}
-
 fn ended_not_run(charge: &note::Charge) -> bool {
     charge.attempts.last().is_some_and(is_not_run)
 }
--- a/crates/mustardshed-standins/src/storm/records.rs
+++ b/crates/mustardshed-standins/src/storm/records.rs
@@ -128,6 +128,19 @@
         })
     }
 
+    /// Returns the identifiers of the requests that an engine accepted or a service executed.
+    pub fn ran(&self) -> collections::BTreeSet<&str> {
+        let accepted = self
+            .engines
+            .values()
+            .flat_map(|records| &records.requests)
+            .filter(|req| req.refused.is_none())
+            .map(|req| req.id.as_str());
+        let executed = self.executions();
+        let executed = executed.map(|(_, execution)| execution.request_id.as_str());
+        accepted.chain(executed).collect()
+    }
+
     /// Returns the names of engines that accepted a request.
     pub fn engines_that_ran(&self, id: &str) -> Vec<&str> {
         let ran = |records: &EngineRecords| {
