Ask an owner that was not heard of yet, rather than take it for gone

Cause: a repeat of a claimed call asks the request's owner for its fate. An owner without an `Alive` fact at the asking entry was answered as gone, at once, so that a repeat soon after a start was told `fate_unknown` while the first call was still running at a live entry. A question lost with a link that was being made ended the same way after 1 s.

Ruled out: a second execution (the test's count was 1); a fate that the owner had forgotten (the call had just begun).

Change: an owner is gone only if its run is known to be over: dead by its facts, replaced by a later run, or not in the platform's list. Else the question waits for the owner and is sent again every 200 ms within its 1 s; without an answer the repeat is refused with `idempotency_key_in_progress`, outcome `unknown`, and when to come back. Before a gone owner's fate is said to be unknown, the claim is read once more, since the owner may have recorded it after the first look.

Before: question_to_an_entry_that_was_not_heard_of_yet_waits_for_it is answered OwnerGone at once by the old code's reading.

--- a/crates/mustardshed-core/src/process/action.rs
+++ b/crates/mustardshed-core/src/process/action.rs
@@ -77,8 +77,10 @@
     Known(fate::Fate),
     /// The owner lives and does not know the request.
     NoSuchRequest,
-    /// The owner is gone or did not answer.
+    /// The run of the process that owned the request is over.
     OwnerGone,
+    /// The owner is not known to be gone, and did not answer in time.
+    Unanswered,
 }
 
 /// A decision or change that is worth a log line.
--- a/crates/mustardshed-core/src/process/fates.rs
+++ b/crates/mustardshed-core/src/process/fates.rs
@@ -2,12 +2,18 @@
 
 use std::{collections, time};
 
-use crate::{ids, outcome, process::action, request::fate};
+use crate::{
+    ids, outcome,
+    process::action,
+    request::{fate, owner},
+};
 
 /// Fates that one process keeps, at most.
 pub const MAX_FATES: usize = 65_536;
 /// Longest wait for an owner's answer.
 pub const ANSWER_WITHIN: time::Duration = time::Duration::from_secs(1);
+/// Wait after which a question without an answer is sent again.
+const ASK_AGAIN_AFTER: time::Duration = time::Duration::from_millis(200);
 
 /// Fates of this entry's requests, the oldest ended ones forgotten first.
 #[derive(Debug, Default)]
@@ -20,8 +26,21 @@
 /// A question to the owner of a request.
 #[derive(Clone, Debug)]
 struct Question {
-    owner: ids::VmId,
+    request: ids::RequestId,
+    owner: owner::Owner,
     until: ids::Timestamp,
+    ask_at: ids::Timestamp,
+}
+
+/// A question that is to be sent now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ask {
+    /// Number of the question.
+    pub ticket: u64,
+    /// VM of the request's owner.
+    pub vm: ids::VmId,
+    /// Request.
+    pub request: ids::RequestId,
 }
 
 impl Fates {
@@ -46,10 +65,39 @@
         self.fates.get(request)
     }
 
-    /// Notes a question that was sent to the owner of a request.
-    pub fn asked(&mut self, ticket: u64, owner: ids::VmId, now: ids::Timestamp) {
-        let until = now + ANSWER_WITHIN;
-        self.questions.insert(ticket, Question { owner, until });
+    /// Notes a question to the owner of a request; [`Fates::take_due`] returns it at once.
+    pub fn ask(&mut self, ticket: u64, owner: owner::Owner, request: &str, now: ids::Timestamp) {
+        let question = Question {
+            request: request.to_owned(),
+            owner,
+            until: now + ANSWER_WITHIN,
+            ask_at: now,
+        };
+        self.questions.insert(ticket, question);
+    }
+
+    /// Returns the questions that are to be sent now, to owners that can be asked.
+    ///
+    /// A question whose owner was not heard of yet waits for it, and one that stays without an
+    /// answer is sent again, since a link that is being made loses what is sent.
+    pub fn take_due(
+        &mut self,
+        now: ids::Timestamp,
+        can_ask: impl Fn(&owner::Owner) -> bool,
+    ) -> Vec<Ask> {
+        let is_due = |question: &Question| now >= question.ask_at && can_ask(&question.owner);
+        let mut due = Vec::new();
+        for (ticket, question) in &mut self.questions {
+            if is_due(question) {
+                question.ask_at = now + ASK_AGAIN_AFTER;
+                due.push(Ask {
+                    ticket: *ticket,
+                    vm: question.owner.vm.clone(),
+                    request: question.request.clone(),
+                });
+            }
+        }
+        due
     }
 
     /// Takes an owner's answer; returns what the traffic thread is told, if it still waits.
@@ -59,7 +107,7 @@
         vm: &str,
         fate: Option<fate::Fate>,
     ) -> Option<action::FateAnswer> {
-        if self.questions.get(&ticket)?.owner != vm {
+        if self.questions.get(&ticket)?.owner.vm != vm {
             return None;
         }
         self.questions.remove(&ticket);
@@ -69,19 +117,22 @@
         })
     }
 
-    /// Takes out the questions that were not answered in time or whose owner is gone.
+    /// Takes out the questions that were not answered in time or whose owner is gone, and returns
+    /// their answers.
     pub fn take_unanswered(
         &mut self,
         now: ids::Timestamp,
-        is_gone: impl Fn(&str) -> bool,
-    ) -> Vec<u64> {
+        is_gone: impl Fn(&owner::Owner) -> bool,
+    ) -> Vec<(u64, action::FateAnswer)> {
         let mut unanswered = Vec::new();
         self.questions.retain(|ticket, question| {
-            let is_kept = now < question.until && !is_gone(&question.owner);
-            if !is_kept {
-                unanswered.push(*ticket);
-            }
-            is_kept
+            let answer = match is_gone(&question.owner) {
+                true => action::FateAnswer::OwnerGone,
+                false if now >= question.until => action::FateAnswer::Unanswered,
+                false => return true,
+            };
+            unanswered.push((*ticket, answer));
+            false
         });
         unanswered
     }
--- a/crates/mustardshed-core/src/process/members.rs
+++ b/crates/mustardshed-core/src/process/members.rs
@@ -182,6 +182,18 @@
             .is_some_and(|member| member.incarnation == incarnation && member.state != State::Dead)
     }
 
+    /// Returns whether this run of a process is known to be over.
+    ///
+    /// A run that was not heard of yet may be one that has just started, unless the platform's
+    /// list does not name its VM.
+    pub fn is_over(&self, vm: &str, incarnation: ids::Incarnation) -> bool {
+        match self.get(vm) {
+            Some(member) if member.incarnation == incarnation => member.state == State::Dead,
+            Some(member) => member.incarnation > incarnation,
+            None => self.is_listed_known && !self.listed.contains_key(vm),
+        }
+    }
+
     /// Returns everybody whose word counts in a majority: the listed and the alive.
     pub fn voters(&self) -> collections::BTreeSet<&ids::VmId> {
         self.listed
--- a/crates/mustardshed-core/src/process/node/answers.rs
+++ b/crates/mustardshed-core/src/process/node/answers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids,
-    process::{action, members, message, steward},
+    process::{action, message, steward},
     request::owner,
 };
 
@@ -27,17 +27,24 @@
             out.push(fate_is(ticket, result));
             return;
         }
-        let is_alive = self.world.members.is_alive(&owner.vm, owner.incarnation);
-        if is_own_vm || !is_alive {
+        if is_own_vm || self.world.members.is_over(&owner.vm, owner.incarnation) {
             out.push(fate_is(ticket, action::FateAnswer::OwnerGone));
             return;
         }
-        let message = message::Message::WantFate {
-            ticket,
-            request: request.to_owned(),
-        };
-        self.fates.asked(ticket, owner.vm.clone(), now);
-        self.send(&owner.vm, message, now, out);
+        self.fates.ask(ticket, owner, request, now);
+        self.send_questions(now, out);
+    }
+
+    fn send_questions(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let members = &self.world.members;
+        let can_ask = |owner: &owner::Owner| members.is_alive(&owner.vm, owner.incarnation);
+        for ask in self.fates.take_due(now, can_ask) {
+            let message = message::Message::WantFate {
+                ticket: ask.ticket,
+                request: ask.request,
+            };
+            self.send(&ask.vm, message, now, out);
+        }
     }
 
     /// Answers a peer's question for the fate of a request of this run.
@@ -63,13 +70,11 @@
 
     pub(super) fn expire_questions(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         let members = &self.world.members;
-        let is_gone = |vm: &str| {
-            let member = members.get(vm);
-            member.is_none_or(|member| member.state == members::State::Dead)
-        };
-        for ticket in self.fates.take_unanswered(now, is_gone) {
-            out.push(fate_is(ticket, action::FateAnswer::OwnerGone));
+        let is_gone = |owner: &owner::Owner| members.is_over(&owner.vm, owner.incarnation);
+        for (ticket, answer) in self.fates.take_unanswered(now, is_gone) {
+            out.push(fate_is(ticket, answer));
         }
+        self.send_questions(now, out);
         let stewards = &self.stewards;
         let world = &self.world;
         let is_steward = |server: &str, vm: &str| {
--- a/crates/mustardshed-core/src/request/claim.rs
+++ b/crates/mustardshed-core/src/request/claim.rs
@@ -9,7 +9,8 @@
 //! - If it cannot be read back, the call is not sent. The object may still appear; it is renounced
 //!   later, and until then this entry says of its request that it did not run.
 //! - A claim whose request did not run, by its live owner's word, is taken over by a conditional
-//!   update. A claim whose owner is gone is never taken over: its fate is unknown.
+//!   update. A claim whose owner is gone is read once more and never taken over: its fate is
+//!   unknown if none is recorded. One whose owner only does not answer may be asked for later.
 //! - Keys are remembered for [`WINDOW`]; an older one counts as new.
 
 use std::time;
@@ -91,6 +92,8 @@
     holder: Option<(ids::ObjectVersion, ids::RequestId)>,
     unanswered: u32,
     is_doubtful: bool,
+    /// Request that held the claim and that nobody could be asked for.
+    without_owner: Option<ids::RequestId>,
 }
 
 impl Claiming {
@@ -113,6 +116,7 @@
             holder: None,
             unanswered: 0,
             is_doubtful: false,
+            without_owner: None,
         };
         let step = claiming.put_at(0);
         (claiming, step)
@@ -156,16 +160,23 @@
         let Some((version, request)) = self.holder.take() else {
             return self.give_up("no claim was read");
         };
-        let fate = match answer {
-            action::FateAnswer::Known(fate) => fate,
+        match answer {
+            action::FateAnswer::Known(fate) => self.conclude(version, fate),
+            action::FateAnswer::Unanswered => Step::Done(Ended::Refused(unanswered())),
             action::FateAnswer::OwnerGone if mutation::on("gone_owner_taken_over") => {
-                return self.put_at(version);
+                self.put_at(version)
             }
             action::FateAnswer::NoSuchRequest | action::FateAnswer::OwnerGone => {
-                return Step::Done(Ended::Earlier(self.unknown(request)));
+                self.look_again(request)
             }
-        };
-        self.conclude(version, fate)
+        }
+    }
+
+    /// Reads the object once more for a request that nobody can be asked for: its owner may have
+    /// recorded the fate after the first look, and ended then.
+    fn look_again(&mut self, request: ids::RequestId) -> Step {
+        self.without_owner = Some(request);
+        Step::Get
     }
 
     /// Returns whether an unused claim may be left behind, to be given back by
@@ -192,6 +203,9 @@
         if let Some(fate) = held.fate {
             return self.conclude(version, fate);
         }
+        if self.without_owner.as_ref() == Some(&held.request) {
+            return Step::Done(Ended::Earlier(self.unknown(held.request)));
+        }
         self.holder = Some((version, held.request.clone()));
         Step::WantFate {
             request: held.request,
@@ -261,6 +275,14 @@
     )
 }
 
+/// Returns the refusal of a repeat whose first request cannot be asked for at present.
+fn unanswered() -> error::Error {
+    error::Error::unknown(
+        error::ErrorKind::KeyInProgress,
+        "the entry that carries the request with this idempotency key did not answer",
+    )
+}
+
 /// Returns the refusal of a repeat whose first request still runs.
 fn in_progress() -> error::Error {
     let mut refusal = error::Error::not_run(
--- a/crates/mustardshed-core/tests/claims.rs
+++ b/crates/mustardshed-core/tests/claims.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use mustardshed_core::{
     border::{control, platform},
-    outcome,
+    error, outcome,
     process::action,
     request::{claim, fate},
 };
@@ -221,9 +221,16 @@
                 let mut answered = claiming.clone();
                 let step = answered.fate(self.truth(&request));
                 worlds.push(self.clone().go_on(index, answered, step));
-                if let Some(next) = self.with_fault() {
-                    let mut unreached = claiming;
-                    let step = unreached.fate(action::FateAnswer::OwnerGone);
+                let unreached = [
+                    action::FateAnswer::OwnerGone,
+                    action::FateAnswer::Unanswered,
+                ];
+                for answer in unreached {
+                    let Some(next) = self.with_fault() else {
+                        continue;
+                    };
+                    let mut unreached = claiming.clone();
+                    let step = unreached.fate(answer);
                     worlds.push(next.go_on(index, unreached, step));
                 }
             }
@@ -322,6 +329,60 @@
     expect_that!(refusal.kind.answer().code, eq("idempotency_key_reused"));
 }
 
+/// Returns a claim by another request of the same call, as the platform keeps it.
+fn held(fate: Option<fate::Fate>) -> claim::Value {
+    claim::Value {
+        request: id(0),
+        body_digest: [1; 32],
+        created_at: NOW,
+        fate,
+    }
+}
+
+#[gtest]
+fn fate_recorded_just_before_its_owner_ended_is_found() {
+    let (mut claiming, _) = claim::Claiming::begin(claim_request(1), NOW, DEADLINE);
+    let completed = fate_of(0, outcome::Outcome::Completed);
+
+    claiming.got(Ok(Some((1, held(None)))), NOW);
+    let look = claiming.fate(action::FateAnswer::OwnerGone);
+    let end = claiming.got(Ok(Some((2, held(Some(completed.clone()))))), NOW);
+
+    expect_that!(look, eq(&claim::Step::Get));
+    expect_that!(
+        end,
+        eq(&claim::Step::Done(claim::Ended::Earlier(completed)))
+    );
+}
+
+#[gtest]
+fn fate_that_a_gone_owner_did_not_record_is_unknown() {
+    let (mut claiming, _) = claim::Claiming::begin(claim_request(1), NOW, DEADLINE);
+
+    claiming.got(Ok(Some((1, held(None)))), NOW);
+    claiming.fate(action::FateAnswer::OwnerGone);
+    let end = claiming.got(Ok(Some((1, held(None)))), NOW);
+
+    let claim::Step::Done(claim::Ended::Earlier(fate)) = end else {
+        panic!("{end:?}");
+    };
+    expect_that!(fate.outcome, eq(outcome::Outcome::Unknown));
+}
+
+#[gtest]
+fn repeat_whose_owner_does_not_answer_is_told_to_come_back() {
+    let (mut claiming, _) = claim::Claiming::begin(claim_request(1), NOW, DEADLINE);
+
+    claiming.got(Ok(Some((1, held(None)))), NOW);
+    let end = claiming.fate(action::FateAnswer::Unanswered);
+
+    let claim::Step::Done(claim::Ended::Refused(refusal)) = end else {
+        panic!("{end:?}");
+    };
+    expect_that!(refusal.kind, eq(error::ErrorKind::KeyInProgress));
+    expect_that!(refusal.outcome, eq(outcome::Outcome::Unknown));
+}
+
 #[gtest]
 fn key_counts_as_new_after_its_window() {
     let wall_now = NOW + claim::WINDOW;
--- a/crates/mustardshed-core/tests/node.rs
+++ b/crates/mustardshed-core/tests/node.rs
@@ -6,7 +6,7 @@
 use mustardshed_core::{
     border::{backend_server, control, platform},
     error, ids,
-    process::{action, event, message, node},
+    process::{action, event, fates, message, node},
     version::record,
 };
 
@@ -272,3 +272,96 @@
     expect_that!(earlier, eq(false));
     expect_that!(present, eq(true));
 }
+
+/// Returns what a node does about a question for the fate of a request: whether it sends it, and
+/// what it answers.
+fn about_question(actions: Vec<action::Action>) -> (bool, Option<action::FateAnswer>) {
+    let mut is_sent = false;
+    let mut answer = None;
+    for action in actions {
+        match action {
+            action::Action::Send { message, .. } => {
+                is_sent |= matches!(message, message::Message::WantFate { .. });
+            }
+            action::Action::FateIs { result, .. } => answer = Some(result),
+            _ => {}
+        }
+    }
+    (is_sent, answer)
+}
+
+fn want_fate(request: &str) -> event::Event {
+    event::Event::WantFate {
+        ticket: 1,
+        request: request.into(),
+    }
+}
+
+fn alive(vm: &str) -> event::Event {
+    let body = message::FactBody::Alive {
+        address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+        data_centre: "a".into(),
+        leaving: false,
+        generation: 1,
+    };
+    let fact = message::Fact {
+        author: vm.into(),
+        incarnation: 1,
+        version: 1,
+        age: time::Duration::ZERO,
+        body,
+    };
+    let heartbeat = message::Heartbeat {
+        sent_at: at_ms(0),
+        generation: 1,
+        facts: vec![fact],
+    };
+    event::Event::Peer {
+        vm: vm.into(),
+        incarnation: 1,
+        message: message::Message::Heartbeat(heartbeat),
+    }
+}
+
+#[gtest]
+fn question_to_an_entry_that_was_not_heard_of_yet_waits_for_it() {
+    let (mut node, now) = ready_node_among(backend_server::Warmth::Warm, &["e2"]);
+
+    let asked = about_question(node.handle(want_fate("e2.1.7"), now));
+    node.handle(alive("e2"), now);
+    let later = about_question(node.handle(event::Event::Tick, now + node::TICK));
+
+    expect_that!(asked, eq(&(false, None)));
+    expect_that!(later, eq(&(true, None)));
+}
+
+#[gtest]
+fn question_without_an_answer_ends_and_says_so() {
+    let (mut node, mut now) = ready_node_among(backend_server::Warmth::Warm, &["e2"]);
+    node.handle(alive("e2"), now);
+    let until = now + fates::ANSWER_WITHIN;
+    let asked = about_question(node.handle(want_fate("e2.1.7"), now));
+
+    let mut answer = None;
+    while now < until {
+        now += node::TICK;
+        answer = about_question(node.handle(event::Event::Tick, now)).1;
+    }
+
+    expect_that!(asked, eq(&(true, None)));
+    expect_that!(answer, some(eq(&action::FateAnswer::Unanswered)));
+}
+
+#[gtest]
+fn owner_that_is_not_listed_or_was_replaced_is_gone() {
+    let (mut node, now) = ready_node_among(backend_server::Warmth::Warm, &["e2"]);
+    node.handle(alive("e2"), now);
+
+    let unlisted = about_question(node.handle(want_fate("e9.1.7"), now));
+    let replaced = about_question(node.handle(want_fate("e2.0.7"), now));
+
+    let gone = (false, Some(action::FateAnswer::OwnerGone));
+    expect_that!(unlisted, eq(&gone));
+    expect_that!(replaced, eq(&gone));
+}
--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -150,7 +150,7 @@
         let _ = self.commands_tx.send(Command::WantFate(request, tx));
         handle::answered(rx, handle::FATE_PATIENCE)
             .await
-            .unwrap_or(action::FateAnswer::OwnerGone)
+            .unwrap_or(action::FateAnswer::Unanswered)
     }
 
     /// Gives back a claim whose request never sent its call and never will.
--- a/crates/mustardshedd/src/process/control/border.rs
+++ b/crates/mustardshedd/src/process/control/border.rs
@@ -64,7 +64,9 @@
         match handle::answered(rx, handle::FATE_PATIENCE).await? {
             action::FateAnswer::Known(fate) => Ok(fate),
             action::FateAnswer::NoSuchRequest => Err(no_such_request()),
-            action::FateAnswer::OwnerGone => self.claims.fate(id).await,
+            action::FateAnswer::OwnerGone | action::FateAnswer::Unanswered => {
+                self.claims.fate(id).await
+            }
         }
     }
 }
