Record a claimed request as running before it claims its key

A repeat that found the claim in between asked the owner, which did not know the request yet, and was told `fate_unknown` while the first call was about to run.

Change: the record is made before the claim, in the one place where claims are taken. So every repeat gets a fate of its own as well: `not_run`, even if what it is told is the outcome of the earlier request. Before, a repeat refused as `in progress` was itself kept as running for ever.

--- a/crates/mustardshedd/src/request/call/driver.rs
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -66,11 +66,12 @@
         let ended = self.drive(&mut caller).await;
         let (outcome, kind, answer) = match &ended {
             call::Ended::Earlier(_) => {
+                settlement::repeated(&self.cx, &self.call.job);
                 caller.tell(ended);
                 return;
             }
             call::Ended::Answered(answer) => (Outcome::Completed, None, Some(answer.clone())),
-            call::Ended::Failed(err) => (err.outcome, Some(err.kind), None),
+            call::Ended::Failed(err) => (self.own_outcome(err), Some(err.kind), None),
         };
         self.log_end(outcome, kind);
         let kept = answer.filter(|_| self.call.job.claim.is_some());
@@ -112,15 +113,13 @@
     }
 
     async fn claim_and_attempt(&mut self) -> call::Ended {
-        if let Some(claim) = self.call.job.claim.clone() {
-            match settlement::claim(&self.cx, claim).await {
-                Ok(control::Claim::Granted) => {}
-                Ok(control::Claim::Earlier(fate)) => return call::Ended::Earlier(Box::new(fate)),
-                Err(err) => {
-                    // A claim that is not held has no end to be recorded.
-                    self.call.job.claim = None;
-                    return call::Ended::Failed(err);
-                }
+        match settlement::claim(&self.cx, &self.call.job).await {
+            Ok(control::Claim::Granted) => {}
+            Ok(control::Claim::Earlier(fate)) => return call::Ended::Earlier(Box::new(fate)),
+            Err(err) => {
+                // A claim that is not held has no end to be recorded.
+                self.call.job.claim = None;
+                return call::Ended::Failed(err);
             }
         }
         match self.attempt_until_end().await {
@@ -158,6 +157,14 @@
         err
     }
 
+    /// Returns the outcome of this call; what a repeat is told is the earlier request's.
+    fn own_outcome(&self, err: &error::Error) -> Outcome {
+        if self.may_have_run.load(atomic::Ordering::SeqCst) {
+            return err.outcome;
+        }
+        Outcome::NotRun
+    }
+
     fn fate(
         &self,
         outcome: Outcome,
--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -61,6 +61,7 @@
             Stop::Ended(Ok(())) => self.complete().await,
             Stop::Ended(Err(err)) => self.fail(err).await,
             Stop::Earlier(fate) => {
+                settlement::repeated(&self.cx, &self.completion.job);
                 self.send_final(output::Output::Earlier(Box::new(fate)))
                     .await
             }
@@ -93,7 +94,7 @@
     }
 
     async fn claim_and_attempt(&mut self) -> Stop {
-        match self.claim().await {
+        match settlement::claim(&self.cx, &self.completion.job).await {
             Ok(control::Claim::Granted) => Stop::Ended(self.attempt_until_end().await),
             Ok(control::Claim::Earlier(fate)) => Stop::Earlier(fate),
             Err(err) => {
@@ -104,13 +105,6 @@
         }
     }
 
-    async fn claim(&self) -> Result<control::Claim, error::Error> {
-        let Some(claim) = self.completion.job.claim.clone() else {
-            return Ok(control::Claim::Granted);
-        };
-        settlement::claim(&self.cx, claim).await
-    }
-
     async fn attempt_until_end(&mut self) -> Result<(), error::Error> {
         loop {
             self.progress.attempts += 1;
@@ -146,8 +140,14 @@
                 err.kind = error::ErrorKind::BackendServerFailed;
             }
         }
-        self.log_end(err.outcome, Some(err.kind));
-        let fate = self.fate(err.outcome, Some(err.kind), None);
+        // What a repeat is told is the earlier request's outcome, not its own.
+        let outcome = if self.progress.may_have_run {
+            err.outcome
+        } else {
+            Outcome::NotRun
+        };
+        self.log_end(outcome, Some(err.kind));
+        let fate = self.fate(outcome, Some(err.kind), None);
         self.send_final(output::Output::Failed(err)).await;
         settlement::conclude(&self.cx, &self.completion.job, fate).await;
     }
--- a/crates/mustardshedd/src/request/settlement.rs
+++ b/crates/mustardshedd/src/request/settlement.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use mustardshed::core::{border::control, error, request::fate};
+use mustardshed::core::{border::control, error, outcome::Outcome, request::fate};
 
 use crate::{
     log::{self, event},
@@ -12,30 +12,41 @@
 /// Wait for the record of a claimed request's fate before its caller is answered, at most.
 const SETTLE_WAIT: time::Duration = time::Duration::from_secs(1);
 
-/// Takes a claim and logs who holds it.
+/// Takes the claim of a request and logs who holds it; a request without a claim needs none.
+///
+/// The request is recorded as running first, so that a repeat which finds the claim, and asks this
+/// entry, learns that.
 ///
 /// # Errors
 ///
 /// Returns the control thread's refusal; nothing has run then.
-pub async fn claim(
-    cx: &cx::Cx,
-    claim: control::ClaimRequest,
-) -> Result<control::Claim, error::Error> {
-    let (request, account) = (claim.request.clone(), claim.account.clone());
+pub async fn claim(cx: &cx::Cx, job: &job::Job) -> Result<control::Claim, error::Error> {
+    let Some(claim) = job.claim.clone() else {
+        return Ok(control::Claim::Granted);
+    };
+    cx.control
+        .record(job.fate(Outcome::Running, None, &[], None));
     let answer = cx.control.claim(claim).await?;
     let holder = match &answer {
-        control::Claim::Granted => &request,
+        control::Claim::Granted => &job.id,
         control::Claim::Earlier(fate) => &fate.request,
     };
     log::emit(&event::Event::Claimed {
-        request: &request,
-        account: &account,
+        request: &job.id,
+        account: &job.account,
         granted: answer == control::Claim::Granted,
         holder,
     });
     Ok(answer)
 }
 
+/// Records that a repeat did not run, since an earlier request with its key holds the claim.
+pub fn repeated(cx: &cx::Cx, job: &job::Job) {
+    let kind = error::ErrorKind::KeyInProgress;
+    cx.control
+        .record(job.fate(Outcome::NotRun, Some(kind), &[], None));
+}
+
 /// Records the final fate of a request, and settles its claim if it has one.
 ///
 /// The caller of a claimed request is answered when this returns, so that a repeat right after the
--- a/crates/mustardshedd/tests/traffic/calls.rs
+++ b/crates/mustardshedd/tests/traffic/calls.rs
@@ -176,6 +176,32 @@
     verify_that!(world.servers.count("call"), eq(1))
 }
 
+#[gtest]
+#[tokio::test]
+async fn repeat_has_a_fate_of_its_own_and_is_known_before_it_claims() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Answer(201, "charged"));
+
+    charge(&world, Some("deposit-1")).await;
+    charge(&world, Some("deposit-1")).await;
+
+    world.assert_balanced().await;
+    let records = world.control.seen(|seen| seen.records.clone());
+    let outcomes: Vec<Outcome> = records.iter().map(|fate| fate.outcome).collect();
+    verify_that!(
+        outcomes,
+        elements_are![
+            eq(&Outcome::Running),
+            eq(&Outcome::Running),
+            eq(&Outcome::Completed),
+            eq(&Outcome::Running),
+            eq(&Outcome::NotRun)
+        ]
+    )?;
+    let unrecorded = world.control.seen(|seen| seen.claimed_unrecorded.clone());
+    verify_that!(unrecorded, is_empty())
+}
+
 async fn charge(world: &world::World, key: Option<&str>) -> world::Answer {
     let mut req = world.request("POST", "/services/ledger/charge");
     if let Some(key) = key {
--- a/crates/mustardshedd/tests/traffic/fakes/control.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/control.rs
@@ -24,6 +24,15 @@
     pub records: Vec<fate::Fate>,
     pub settled: Vec<fate::Fate>,
     pub claims: collections::BTreeMap<String, ([u8; 32], fate::Fate)>,
+    /// Requests of which nothing was recorded when they claimed their key.
+    pub claimed_unrecorded: Vec<ids::RequestId>,
+}
+
+impl Seen {
+    /// Returns the latest record of a request.
+    fn record_of(&self, id: &str) -> Option<&fate::Fate> {
+        self.records.iter().rev().find(|fate| fate.request == id)
+    }
 }
 
 /// What is done right after a credit was granted.
@@ -132,6 +141,9 @@
 
     async fn claim(&self, req: control::ClaimRequest) -> Result<control::Claim, error::Error> {
         let mut seen = self.seen.lock().unwrap();
+        if seen.record_of(&req.request).is_none() {
+            seen.claimed_unrecorded.push(req.request.clone());
+        }
         if let Some((digest, fate)) = seen.claims.get(&req.key) {
             if *digest != req.body_digest {
                 return Err(error::Error::not_run(
@@ -169,13 +181,7 @@
     }
 
     async fn fate(&self, id: &ids::RequestId) -> Result<fate::Fate, error::Error> {
-        let found = self.seen(|seen| {
-            seen.records
-                .iter()
-                .rev()
-                .find(|f| f.request == *id)
-                .cloned()
-        });
+        let found = self.seen(|seen| seen.record_of(id).cloned());
         found.ok_or_else(|| error::Error::not_run(error::ErrorKind::UnknownRequest, "unknown"))
     }
 }
