Let a fleet's entries listen before the first configuration is applied

Cause: the fixture applied the text as soon as its entries were spawned. On a machine with 16 busy loops one start in 42 ended with "not confirmed: ... tcp connect error", since an entry did not listen yet. Ruled out: a fault of `mustardshedctl`, which says rightly that an entry was not told. Change: wait until each entry answers `/healthz`.

--- a/crates/mustardshed-standins/src/fleet.rs
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -97,6 +97,7 @@
         for i in 0..spec.entries {
             fleet.add_entry(spec.entry_data_centre(i)).await?;
         }
+        fleet.wait_for("healthz").await?;
         let text = fleet.files.text_file.clone();
         fleet
             .ctl(&["apply", &text.display().to_string(), "--wait"])
@@ -203,9 +204,14 @@
     ///
     /// Returns an error if one is not ready in time.
     pub async fn wait_ready(&self) -> Result<(), FleetError> {
+        self.wait_for("readyz").await
+    }
+
+    /// Waits until every entry answers `path` with 200.
+    async fn wait_for(&self, path: &str) -> Result<(), FleetError> {
         let begun = time::Instant::now();
         for entry in &self.entries {
-            while !self.is_ready(entry).await {
+            while !self.answers(entry, path).await {
                 if begun.elapsed() > READY_TIMEOUT {
                     return Err(FleetError::NotReady(entry.vm_id.clone()));
                 }
@@ -215,8 +221,8 @@
         Ok(())
     }
 
-    async fn is_ready(&self, entry: &entry::Entry) -> bool {
-        let url = format!("{}/readyz", entry.url());
+    async fn answers(&self, entry: &entry::Entry, path: &str) -> bool {
+        let url = format!("{}/{path}", entry.url());
         let answer = call(&url, self.client.get(&url)).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
