Look for a fate in the claim whenever its owner cannot tell it

Ruled out: wrong answers to other accounts, which are filtered by the account as before.

Change: any answer but the fate itself is followed by a look into the claim; without a claim the reason is named as it is: not known, gone, or no answer. A process test kills the owner after its call and asks at once, 5 s later and by a repeat.

Not shown failing first: with the owner killed the old code found the fate as well; a forgotten request needs 65,536 others.

--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -95,31 +95,31 @@
         ))
     }
 
-    /// Finds the fate of a claimed request whose owner is gone.
+    /// Reads the fate of a request from its claim; nothing if it holds none.
     ///
     /// # Errors
     ///
-    /// Returns an error with the outcome `unknown` if it cannot be told.
-    pub async fn fate(&self, id: &ids::RequestId) -> Result<fate::Fate, error::Error> {
+    /// Returns an error with the outcome `unknown` if the platform does not answer.
+    pub async fn fate(&self, id: &ids::RequestId) -> Result<Option<fate::Fate>, error::Error> {
         let Some((name, account)) = claim_of(id) else {
-            return Err(owner_gone(id));
+            return Ok(None);
         };
         let held = match self.objects.get(name).await {
             Ok(Some((_, held))) if held.request == *id => held,
-            Ok(_) => return Err(owner_gone(id)),
+            Ok(_) => return Ok(None),
             Err(e) => {
                 let kind = error::ErrorKind::PlatformUnavailable;
                 return Err(error::Error::unknown(kind, e.to_string()));
             }
         };
-        Ok(held.fate.unwrap_or_else(|| fate::Fate {
+        Ok(Some(held.fate.unwrap_or_else(|| fate::Fate {
             request: id.clone(),
             account: account.to_owned(),
             outcome: Outcome::Unknown,
             error: Some(error::ErrorKind::FateUnknown),
             servers: Vec::new(),
             answer: None,
-        }))
+        })))
     }
 
     /// Makes a claim; also returns whether an unused one may be left behind.
@@ -209,13 +209,6 @@
     Some((name, account))
 }
 
-fn owner_gone(id: &ids::RequestId) -> error::Error {
-    error::Error::unknown(
-        error::ErrorKind::FateUnknown,
-        format!("the entry that carried {id} is gone"),
-    )
-}
-
 /// Returns the time since the Unix epoch.
 fn wall_now() -> time::Duration {
     time::SystemTime::now()
--- a/crates/mustardshedd/src/process/control/border.rs
+++ b/crates/mustardshedd/src/process/control/border.rs
@@ -61,16 +61,24 @@
     async fn fate(&self, id: &ids::RequestId) -> Result<fate::Fate, error::Error> {
         let (tx, rx) = oneshot::channel();
         self.send(Command::WantFate(id.clone(), tx));
-        match handle::answered(rx, handle::FATE_PATIENCE).await? {
-            action::FateAnswer::Known(fate) => Ok(fate),
-            action::FateAnswer::NoSuchRequest => Err(no_such_request()),
-            action::FateAnswer::OwnerGone | action::FateAnswer::Unanswered => {
-                self.claims.fate(id).await
-            }
-        }
+        let unknown = match handle::answered(rx, handle::FATE_PATIENCE).await? {
+            action::FateAnswer::Known(fate) => return Ok(fate),
+            action::FateAnswer::NoSuchRequest => no_such_request(),
+            action::FateAnswer::OwnerGone => owner_unheard(id, "is gone"),
+            action::FateAnswer::Unanswered => owner_unheard(id, "did not answer"),
+        };
+        // The claim of a request outlives what its owner remembers.
+        self.claims.fate(id).await?.ok_or(unknown)
     }
 }
 
+fn owner_unheard(id: &ids::RequestId, what: &str) -> error::Error {
+    error::Error::unknown(
+        error::ErrorKind::FateUnknown,
+        format!("the entry that carried {id} {what}"),
+    )
+}
+
 fn no_such_request() -> error::Error {
     error::Error::not_run(
         error::ErrorKind::UnknownRequest,
--- a/crates/mustardshedd/tests/processes.rs
+++ b/crates/mustardshedd/tests/processes.rs
@@ -187,6 +187,23 @@
     assert_that!(f.executions().await, le(1), "{second:?}");
 }
 
+#[tokio::test]
+async fn fate_of_a_call_is_told_after_its_entry_was_killed() {
+    let mut f = fixture(1).await;
+    let charge = f.charge(0, "deposit").await.unwrap();
+
+    f.fleet.entries[0].process.kill();
+    let at_once = f.callers[1].fate(&charge.request_id).await.unwrap();
+    tokio::time::sleep(SECONDS).await;
+    let later = f.callers[2].fate(&charge.request_id).await.unwrap();
+    let again = f.charge(2, "deposit").await.unwrap();
+
+    assert_that!(at_once.outcome, eq("completed"));
+    assert_that!(later.outcome, eq("completed"));
+    assert_that!(again.answer, eq(&charge.answer));
+    assert_that!(f.executions().await, eq(1));
+}
+
 #[tokio::test]
 async fn outage_of_the_platform_refuses_calls_as_not_run_and_serves_prompts() {
     let f = fixture(3).await;
