Choose the steward of a server among the entries of its data centre

Cause: a steward was any entry of the fleet. A credit for a server next door cost a round trip to another data centre in two of three cases (1.5 ms one way for the bindery, 0.5 ms for the haulers), the servers of a data centre that is cut off had their stewards elsewhere, and each change of a member made every entry weigh every entry for every server.

Ruled out: a steward near its server but in another data centre; distances are measured by each entry for itself, and stewards must be the same in everybody's view.

Change: candidates are the entries of the server's data centre that are alive and do not leave, or all if it has none.

Processor time was not compared, the machine was busy. The tests of the core pass, every promise's among them. What it saves in time to first token with delays between data centres was not measured yet.

--- a/crates/mustardshed-core/src/process/stewards.rs
+++ b/crates/mustardshed-core/src/process/stewards.rs
@@ -1,4 +1,7 @@
 //! Which entry is steward of which backend server, and the stewardships of this one.
+//!
+//! A steward is an entry of its server's data centre if there is one: credits for a server nearby
+//! are then granted nearby, and a data centre that is cut off has the stewards of its servers.
 
 use std::{collections, time};
 
@@ -8,6 +11,7 @@
     process::{action, members, message, steward},
 };
 
+mod candidates;
 mod change;
 
 /// Time for which credits granted by an ended stewardship are remembered.
@@ -72,7 +76,7 @@
         now: ids::Timestamp,
         out: &mut Vec<action::Action>,
     ) -> Vec<steward::Decision> {
-        let candidates = candidates(members);
+        let candidates = candidates::Candidates::of(members);
         let mut refusals = Vec::new();
         let gone: Vec<_> = self
             .chosen
@@ -84,6 +88,7 @@
             self.set(&server, None, None, now, &mut refusals, out);
         }
         for (server, vm) in vms {
+            let candidates = candidates.near(&vm.data_centre);
             let chosen = steward::choose(server, candidates.iter().copied()).cloned();
             self.set(server, chosen, Some(vm), now, &mut refusals, out);
         }
@@ -193,16 +198,3 @@
         due
     }
 }
-
-/// Returns those that may be stewards: the alive that do not leave, or all if all leave.
-fn candidates(members: &members::Members) -> Vec<&ids::VmId> {
-    let staying: Vec<_> = members
-        .alive()
-        .filter(|(_, member)| !member.leaving)
-        .map(|(vm, _)| vm)
-        .collect();
-    if staying.is_empty() {
-        return members.alive().map(|(vm, _)| vm).collect();
-    }
-    staying
-}
--- a/crates/mustardshed-core/tests/node.rs
+++ b/crates/mustardshed-core/tests/node.rs
@@ -298,10 +298,14 @@
 }
 
 fn alive(vm: &str) -> event::Event {
+    alive_in(vm, "a")
+}
+
+fn alive_in(vm: &str, data_centre: &str) -> event::Event {
     let body = message::FactBody::Alive {
         address: "127.0.0.1:1".into(),
         peer_address: "127.0.0.1:2".into(),
-        data_centre: "a".into(),
+        data_centre: data_centre.into(),
         leaving: false,
         generation: 1,
     };
@@ -365,3 +369,35 @@
     expect_that!(unlisted, eq(&gone));
     expect_that!(replaced, eq(&gone));
 }
+
+/// Returns the stewards that a node names for each of 20 servers of a data centre.
+fn stewards_in(data_centre: &str) -> collections::BTreeSet<ids::VmId> {
+    let (mut node, now) = ready_node(backend_server::Warmth::Warm);
+    for (vm, home) in [("e2", "b"), ("e3", "b"), ("e4", "c")] {
+        node.handle(alive_in(vm, home), now);
+    }
+    let server = |i: usize| platform::Vm {
+        id: format!("{data_centre}-{i}"),
+        role: platform::VmRole::BackendServer { kind: "k".into() },
+        address: "127.0.0.1:9".into(),
+        peer_address: String::new(),
+        data_centre: data_centre.into(),
+        state: platform::VmState::Live,
+    };
+    let result = Ok((0..20).map(server).collect());
+    let actions = node.handle(event::Event::VmsRead { result }, now);
+    let named = actions.into_iter().filter_map(|action| match action {
+        action::Action::Log(action::Entry::StewardChanged { steward, .. }) => steward,
+        _ => None,
+    });
+    named.collect()
+}
+
+#[gtest]
+fn stewards_are_entries_of_the_data_centre_of_their_servers() {
+    let near = stewards_in("b");
+    let elsewhere = stewards_in("no-entry-here");
+
+    expect_that!(near, unordered_elements_are![eq("e2"), eq("e3")]);
+    expect_that!(elsewhere.len(), eq(4));
+}
