Wait at a planned stop until the fates of claimed requests are recorded

Cause: settling runs in a task of its own once it takes longer than 1 s, and a claim that its caller gave up is given back in another; the drain waited for requests in flight alone, so that the process could end between the answer and its record. A repeat was then told fate_unknown of a call that completed.

Ruled out: to keep the request in flight until it is settled (a driver of a claimed call would hold its client account's place for over a minute in an outage); to wait for ever (an outage would keep a VM that is to be replaced).

Change: both kinds of task are tracked; the drain waits for them for at most 120 s once no request runs, and logs event 1106 with their numbers if it gives up.

--- a/crates/mustardshedd/src/http/server.rs
+++ b/crates/mustardshedd/src/http/server.rs
@@ -16,6 +16,8 @@
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Headers of one request at most.
 const MAX_HEADERS: usize = 64;
+/// Wait between looks at whether all requests have ended.
+const IDLE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// A running listener; dropping it closes the socket but ends no connection.
 #[derive(Debug)]
@@ -76,6 +78,19 @@
         self.cx.requests.in_flight()
     }
 
+    /// Waits until every request has ended.
+    pub async fn idle(&self) {
+        while self.in_flight() > 0 {
+            tokio::time::sleep(IDLE_INTERVAL).await;
+        }
+    }
+
+    /// Waits, for at most `patience`, until the fates of all claimed requests that have ended are
+    /// recorded; returns how many are not.
+    pub async fn settled(&self, patience: time::Duration) -> usize {
+        self.cx.requests.settled(patience).await
+    }
+
     /// Accepts no more connections and waits until those there are have ended.
     ///
     /// A connection ends when its present request does.
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -106,6 +106,11 @@
         vm: &'a str,
         incarnation: ids::Incarnation,
     }
+    /// The process ends although records of claimed requests are not written.
+    1106 Error "records_given_up" RecordsGivenUp {
+        fates: usize,
+        claims: usize,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -16,6 +16,7 @@
     request::{claim, fate},
 };
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::task;
 
 use crate::process::control::{self, Command, handle};
 
@@ -32,6 +33,7 @@
     objects: objects::Objects,
     clock: sync::Arc<dyn clock::Clock>,
     commands_tx: mpsc::UnboundedSender<Command>,
+    making: task::TaskTracker,
 }
 
 impl Claims {
@@ -41,6 +43,7 @@
             objects: objects::Objects::new(sync::Arc::clone(&parts.platform)),
             clock: sync::Arc::clone(&parts.clock),
             commands_tx,
+            making: task::TaskTracker::new(),
         }
     }
 
@@ -52,7 +55,7 @@
     pub async fn claim(&self, req: border::ClaimRequest) -> Result<border::Claim, error::Error> {
         let (tx, rx) = oneshot::channel();
         let claims = self.clone();
-        tokio::spawn(async move {
+        self.making.spawn(async move {
             let request = req.request.clone();
             let name = claim::object_name(&req.account, &req.key);
             let (ended, is_doubtful) = claims.make(req, &name).await;
@@ -73,6 +76,14 @@
         }
     }
 
+    /// Waits, for at most `patience`, until no claim is being made or given back; returns how many
+    /// still are.
+    pub async fn idle(&self, patience: time::Duration) -> usize {
+        self.making.close();
+        drop(tokio::time::timeout(patience, self.making.wait()).await);
+        self.making.len()
+    }
+
     /// Records the final fate of a claimed call so that repeats find it.
     ///
     /// # Errors
--- a/crates/mustardshedd/src/process/control/handle.rs
+++ b/crates/mustardshedd/src/process/control/handle.rs
@@ -50,6 +50,12 @@
         self.send(Command::Leave);
     }
 
+    /// Waits, for at most `patience`, until no claim is being made or given back; returns how many
+    /// still are.
+    pub async fn claims_idle(&self, patience: time::Duration) -> usize {
+        self.claims.idle(patience).await
+    }
+
     /// Hands an operator's intended configuration to the control thread.
     ///
     /// # Errors
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -26,7 +26,10 @@
 /// Time for which a leaving entry still accepts: the life of an `/v1/entries` answer and the time
 /// until every entry knows that this one leaves.
 const ACCEPT_WHILE_LEAVING: time::Duration = time::Duration::from_secs(13);
-/// Wait between looks at whether to leave and whether all work is done.
+/// Longest wait for the records of claimed requests once all requests have ended; writing one is
+/// given up sooner.
+const RECORD_PATIENCE: time::Duration = time::Duration::from_secs(120);
+/// Wait between looks at whether to leave.
 const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Why the daemon could not run.
@@ -102,7 +105,7 @@
         data_centre: &identity.data_centre,
     });
     wait_for_leave(&handle).await?;
-    drain(server).await;
+    drain(server, &handle).await;
     log::emit(&event::Event::Stopped {
         vm: &identity.vm,
         incarnation: identity.incarnation,
@@ -164,11 +167,16 @@
 }
 
 /// Accepts until no caller names this entry any more, then finishes what it carries.
-async fn drain(server: server::Server) {
+async fn drain(server: server::Server, handle: &control::Handle) {
     tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
     server.begin_drain();
-    while server.in_flight() > 0 {
-        tokio::time::sleep(WATCH_INTERVAL).await;
+    server.idle().await;
+    let (fates, claims) = tokio::join!(
+        server.settled(RECORD_PATIENCE),
+        handle.claims_idle(RECORD_PATIENCE)
+    );
+    if fates + claims > 0 {
+        log::emit(&event::Event::RecordsGivenUp { fates, claims });
     }
     server.shutdown().await;
 }
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -1,6 +1,9 @@
 //! What all requests of an entry share.
 
-use std::sync::{self, atomic};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use mustardshed::{
     config::settings,
@@ -10,6 +13,7 @@
         request::{prefix, retry, route::recent},
     },
 };
+use tokio_util::task;
 
 use crate::{
     log::metrics,
@@ -42,6 +46,8 @@
     pub metrics: metrics::Metrics,
     /// Policy by which backend servers are chosen.
     pub routing: settings::Routing,
+    /// Records of the fates of claimed requests that are being written.
+    pub settlements: task::TaskTracker,
     draws: atomic::AtomicU64,
     draining: atomic::AtomicBool,
     in_flight: atomic::AtomicUsize,
@@ -70,6 +76,7 @@
             accounts: accounts::Accounts::default(),
             metrics,
             routing: settings::Routing::default(),
+            settlements: task::TaskTracker::new(),
             draws: atomic::AtomicU64::new(seed),
             draining: atomic::AtomicBool::new(false),
             in_flight: atomic::AtomicUsize::new(0),
@@ -115,6 +122,14 @@
         self.in_flight.load(atomic::Ordering::SeqCst)
     }
 
+    /// Waits, for at most `patience`, until the fates of all claimed requests that have ended are
+    /// recorded; returns how many are not.
+    pub async fn settled(&self, patience: time::Duration) -> usize {
+        self.settlements.close();
+        drop(tokio::time::timeout(patience, self.settlements.wait()).await);
+        self.settlements.len()
+    }
+
     /// Counts one more request until the guard is dropped.
     ///
     /// # Errors
--- a/crates/mustardshedd/src/request/settlement.rs
+++ b/crates/mustardshedd/src/request/settlement.rs
@@ -40,17 +40,17 @@
 ///
 /// The caller of a claimed request is answered when this returns, so that a repeat right after the
 /// answer finds it; settling that takes longer, or beyond the deadline, goes on in a task of its
-/// own.
+/// own, for which a planned stop waits.
 pub async fn conclude(cx: &sync::Arc<cx::Cx>, job: &job::Job, fate: fate::Fate) {
     cx.control.record(fate.clone());
     let Some(claim) = job.claim.clone() else {
         return;
     };
     let left = job.deadline.saturating_sub(cx.clock.now());
-    let cx = sync::Arc::clone(cx);
-    let settling = tokio::spawn(async move {
+    let settling_cx = sync::Arc::clone(cx);
+    let settling = cx.settlements.spawn(async move {
         let request = claim.request.clone();
-        if let Err(err) = cx.control.settle(claim, fate).await {
+        if let Err(err) = settling_cx.control.settle(claim, fate).await {
             log::emit(&event::Event::NotSettled {
                 request: &request,
                 reason: &err.to_string(),
--- a/crates/mustardshedd/tests/traffic/calls.rs
+++ b/crates/mustardshedd/tests/traffic/calls.rs
@@ -176,6 +176,40 @@
     verify_that!(world.servers.count("call"), eq(1))
 }
 
+#[gtest]
+#[tokio::test]
+async fn planned_stop_waits_for_the_record_of_a_fate() -> Result<()> {
+    let world = world::World::start().await;
+    world
+        .control
+        .settle_after(time::Duration::from_millis(1_500));
+
+    let answer = charge(&world, Some("deposit-1")).await;
+    world.server.begin_drain();
+    world.server.idle().await;
+    let unrecorded = world.server.settled(time::Duration::from_secs(60)).await;
+
+    verify_that!(answer.status, eq(200))?;
+    verify_that!(unrecorded, eq(0))?;
+    let settled = world.control.seen(|seen| seen.settled.len());
+    verify_that!(settled, eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn planned_stop_does_not_wait_for_ever_for_a_record() -> Result<()> {
+    let world = world::World::start().await;
+    world.control.settle_after(time::Duration::from_secs(3_600));
+
+    let answer = charge(&world, Some("deposit-1")).await;
+    world.server.begin_drain();
+    world.server.idle().await;
+    let unrecorded = world.server.settled(time::Duration::from_millis(50)).await;
+
+    verify_that!(answer.status, eq(200))?;
+    verify_that!(unrecorded, eq(1))
+}
+
 async fn charge(world: &world::World, key: Option<&str>) -> world::Answer {
     let mut req = world.request("POST", "/services/ledger/charge");
     if let Some(key) = key {
--- a/crates/mustardshedd/tests/traffic/fakes/control.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/control.rs
@@ -43,6 +43,7 @@
     seen: sync::Mutex<Seen>,
     refusals: sync::Mutex<collections::VecDeque<error::Error>>,
     after_credit: sync::Mutex<Option<AfterCredit>>,
+    settle_delay: sync::Mutex<time::Duration>,
     next: sync::atomic::AtomicU64,
 }
 
@@ -54,6 +55,7 @@
             seen: sync::Mutex::default(),
             refusals: sync::Mutex::default(),
             after_credit: sync::Mutex::new(None),
+            settle_delay: sync::Mutex::default(),
             next: sync::atomic::AtomicU64::new(1),
         }
     }
@@ -81,6 +83,11 @@
         self.after_next_credit(move |control| control.clock.advance(time));
     }
 
+    /// Makes the platform take this long to record a fate.
+    pub fn settle_after(&self, delay: time::Duration) {
+        *self.settle_delay.lock().unwrap() = delay;
+    }
+
     /// Looks at what was seen.
     pub fn seen<T>(&self, look: impl FnOnce(&Seen) -> T) -> T {
         look(&self.seen.lock().unwrap())
@@ -158,6 +165,8 @@
         req: control::ClaimRequest,
         fate: fate::Fate,
     ) -> Result<(), error::Error> {
+        let delay = *self.settle_delay.lock().unwrap();
+        tokio::time::sleep(delay).await;
         let mut seen = self.seen.lock().unwrap();
         seen.settled.push(fate.clone());
         seen.claims.insert(req.key, (req.body_digest, fate));
