Do not call a declined call completed

Cause: any answer of a plain service ended its call as completed. A 429 or 503 to a call that may not be repeated was kept as the answer for its key for 24 h, with a fate that says completed of a call that most likely did not run.

Change: the answer is handed on with X-Outcome: unknown, the fate is unknown and holds the answer, the claim stays, and a repeat is told fate_unknown. The rule stands in core (KeptAnswer::outcome).

The new tests were not run against the old code.

--- a/crates/mustardshed-core/src/request/fate.rs
+++ b/crates/mustardshed-core/src/request/fate.rs
@@ -4,6 +4,11 @@
 
 use crate::{error, ids, outcome};
 
+/// HTTP status of a service that takes no more calls from this client for now.
+const TOO_MANY_REQUESTS: u16 = 429;
+/// HTTP status of a service that takes no calls for now.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// Whole answer of a plain service, or of a completion that was claimed, kept for repeats.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KeptAnswer {
@@ -15,6 +20,19 @@
     pub body: Bytes,
 }
 
+impl KeptAnswer {
+    /// Returns the outcome of a call that may not be repeated and was answered so.
+    ///
+    /// A service that answers 429 or 503 says that it did not take the call. That is no proof: a
+    /// proxy before the service, or a part of it, may say so after another part has done the work.
+    pub const fn outcome(&self) -> outcome::Outcome {
+        match self.status {
+            TOO_MANY_REQUESTS | SERVICE_UNAVAILABLE => outcome::Outcome::Unknown,
+            _ => outcome::Outcome::Completed,
+        }
+    }
+}
+
 /// What is known of one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Fate {
--- a/crates/mustardshedd/src/http/reply.rs
+++ b/crates/mustardshedd/src/http/reply.rs
@@ -3,13 +3,15 @@
 use std::time;
 
 use http::header;
-use mustardshed::core::{error, ids, request::fate};
+use mustardshed::core::{error, ids, outcome, request::fate};
 use warp::{Reply, reply};
 
 use crate::http::message;
 
 /// Header that names the request.
 pub const REQUEST_ID: &str = "x-request-id";
+/// Header that tells the outcome of a call whose answer is the service's own.
+pub const OUTCOME: &str = "x-outcome";
 /// Content type of JSON.
 pub const JSON: &str = "application/json";
 
@@ -44,6 +46,14 @@
     response
 }
 
+/// Adds the header that tells the outcome where the body is a service's own.
+#[must_use]
+pub fn with_outcome(mut response: reply::Response, outcome: outcome::Outcome) -> reply::Response {
+    let value = http::HeaderValue::from_static(outcome.as_str());
+    response.headers_mut().insert(OUTCOME, value);
+    response
+}
+
 /// Makes the answer for an error.
 pub fn error(err: &error::Error) -> reply::Response {
     let status = http::StatusCode::from_u16(err.kind.answer().status)
--- a/crates/mustardshedd/src/http/services.rs
+++ b/crates/mustardshedd/src/http/services.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use http::header;
-use mustardshed::core::{error, ids};
+use mustardshed::core::{error, ids, outcome::Outcome};
 use warp::reply::Response;
 
 use crate::{
@@ -122,6 +122,9 @@
 fn answer(ended: Option<call::Ended>, id: &ids::RequestId) -> Response {
     let response = match ended {
         Some(call::Ended::Answered(answer)) => reply::kept(&answer),
+        Some(call::Ended::Declined(answer)) => {
+            reply::with_outcome(reply::kept(&answer), Outcome::Unknown)
+        }
         Some(call::Ended::Earlier(fate)) => return replay::reply(&fate),
         Some(call::Ended::Failed(err)) => reply::error(&err),
         None => reply::error(&error::Error::unknown(
--- a/crates/mustardshedd/src/request/call.rs
+++ b/crates/mustardshedd/src/request/call.rs
@@ -27,6 +27,8 @@
 pub enum Ended {
     /// The service answered.
     Answered(fate::KeptAnswer),
+    /// The service said that it did not take a call that may not be repeated; that proves nothing.
+    Declined(fate::KeptAnswer),
     /// An earlier request with the same key holds or held the claim.
     Earlier(Box<fate::Fate>),
     /// The call ended with an error.
--- a/crates/mustardshedd/src/request/call/driver.rs
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -70,12 +70,18 @@
                 return;
             }
             call::Ended::Answered(answer) => (Outcome::Completed, None, Some(answer.clone())),
+            call::Ended::Declined(answer) => (
+                Outcome::Unknown,
+                Some(error::ErrorKind::FateUnknown),
+                Some(answer.clone()),
+            ),
             call::Ended::Failed(err) => (err.outcome, Some(err.kind), None),
         };
         self.log_end(outcome, kind);
+        let is_answered = answer.is_some();
         let kept = answer.filter(|_| self.call.job.claim.is_some());
         let fate = self.fate(outcome, kind, kept);
-        if outcome == Outcome::Completed {
+        if is_answered {
             settlement::conclude(&self.cx, &self.call.job, fate).await;
             caller.tell(ended);
         } else {
@@ -124,6 +130,7 @@
             }
         }
         match self.attempt_until_end().await {
+            Ok(answer) if self.is_declined(&answer) => call::Ended::Declined(answer),
             Ok(answer) => call::Ended::Answered(answer),
             Err(err) => call::Ended::Failed(self.with_true_outcome(err)),
         }
@@ -143,6 +150,10 @@
         }
     }
 
+    fn is_declined(&self, answer: &fate::KeptAnswer) -> bool {
+        !self.call.is_repeatable && answer.outcome() == Outcome::Unknown
+    }
+
     /// Sets the outcome of an error by what the servers were given.
     ///
     /// A service cannot be told to stop, so that a call which it may have begun has an unknown end.
--- a/crates/mustardshedd/tests/traffic/calls.rs
+++ b/crates/mustardshedd/tests/traffic/calls.rs
@@ -74,6 +74,52 @@
     verify_that!(world.servers.count("call"), eq(1))
 }
 
+#[gtest]
+#[tokio::test]
+async fn call_that_the_service_declines_is_not_sent_again_and_not_called_completed() -> Result<()> {
+    for status in [429, 503] {
+        let world = world::World::start().await;
+        world.servers.then(Step::Answer(status, "come back later"));
+
+        let first = charge(&world, Some("deposit-1")).await;
+        let repeat = charge(&world, Some("deposit-1")).await;
+        let id = first.headers["x-request-id"].to_str().unwrap();
+        let path = format!("/v1/requests/{id}");
+        let fate = world.send(world.request("GET", &path), "").await;
+
+        world.assert_balanced().await;
+        verify_that!(first.status, eq(status))?;
+        verify_that!(first.body, eq("come back later"))?;
+        verify_that!(first.headers["x-outcome"].to_str().unwrap(), eq("unknown"))?;
+        verify_that!(repeat.status, eq(502))?;
+        verify_that!(repeat.code(), eq("fate_unknown"))?;
+        verify_that!(repeat.outcome(), eq("unknown"))?;
+        verify_that!(fate.outcome(), eq("unknown"))?;
+        verify_that!(
+            fate.json()["answer"]["status"].as_u64(),
+            some(eq(u64::from(status)))
+        )?;
+        verify_that!(world.servers.count("call"), eq(1))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn repeatable_call_that_the_service_declines_gets_its_answer() -> Result<()> {
+    let world = world::World::start().await;
+    world.servers.then(Step::Answer(503, "come back later"));
+
+    let answer = world
+        .send(world.request("GET", "/services/ledger/balance"), "")
+        .await;
+
+    world.assert_balanced().await;
+    verify_that!(answer.status, eq(503))?;
+    verify_that!(answer.body, eq("come back later"))?;
+    verify_that!(answer.headers.contains_key("x-outcome"), eq(false))
+}
+
 #[gtest]
 #[tokio::test]
 async fn fate_after_the_deadline_is_learned_and_told_later() -> Result<()> {
