Delete claims that are out of date

Cause: claim::expired had no caller; nobody deleted a claim, and the platform's store grew by one object a claimed call for ever.

Ruled out: one sweeper under a lease (costs a steady call, and two sweepers do no harm); one list of all claims (too long at the size to design for); deletion at settling (a repeat would run again).

--- a/crates/mustardshed-core/src/border/platform.rs
+++ b/crates/mustardshed-core/src/border/platform.rs
@@ -39,6 +39,8 @@
     Configuration,
     /// Claims of non-idempotent calls.
     Claim,
+    /// Deletion of claims that are out of date.
+    ClaimSweep,
     /// Leases of singleton roles.
     Lease,
     /// The list of live and leaving VMs.
@@ -51,6 +53,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::Claim => "claim",
+            Self::ClaimSweep => "claim_sweep",
             Self::Lease => "lease",
             Self::Members => "members",
         }
--- a/crates/mustardshed-core/src/request/claim.rs
+++ b/crates/mustardshed-core/src/request/claim.rs
@@ -25,6 +25,7 @@
 };
 
 pub mod settling;
+pub mod sweep;
 mod value;
 
 pub use settling::Settling;
--- a/crates/mustardshed-platform/src/call_counter.rs
+++ b/crates/mustardshed-platform/src/call_counter.rs
@@ -11,6 +11,7 @@
 pub struct CallCounter {
     configuration: atomic::AtomicU64,
     claim: atomic::AtomicU64,
+    claim_sweep: atomic::AtomicU64,
     lease: atomic::AtomicU64,
     members: atomic::AtomicU64,
 }
@@ -21,6 +22,7 @@
         let counter = match purpose {
             platform::Purpose::Configuration => &self.configuration,
             platform::Purpose::Claim => &self.claim,
+            platform::Purpose::ClaimSweep => &self.claim_sweep,
             platform::Purpose::Lease => &self.lease,
             platform::Purpose::Members => &self.members,
         };
@@ -32,6 +34,7 @@
         call_counts::CallCounts {
             configuration: self.configuration.load(atomic::Ordering::Relaxed),
             claim: self.claim.load(atomic::Ordering::Relaxed),
+            claim_sweep: self.claim_sweep.load(atomic::Ordering::Relaxed),
             lease: self.lease.load(atomic::Ordering::Relaxed),
             members: self.members.load(atomic::Ordering::Relaxed),
         }
--- a/crates/mustardshed-platform/src/call_counts.rs
+++ b/crates/mustardshed-platform/src/call_counts.rs
@@ -7,6 +7,8 @@
     pub configuration: u64,
     /// Calls about claims of non-idempotent calls.
     pub claim: u64,
+    /// Calls about claims that are out of date.
+    pub claim_sweep: u64,
     /// Calls about leases of singleton roles.
     pub lease: u64,
     /// Calls about the list of VMs.
@@ -16,6 +18,6 @@
 impl CallCounts {
     /// Returns the number of calls of all purposes.
     pub const fn total(&self) -> u64 {
-        self.configuration + self.claim + self.lease + self.members
+        self.configuration + self.claim + self.claim_sweep + self.lease + self.members
     }
 }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -111,6 +111,14 @@
         fates: usize,
         claims: usize,
     }
+    /// Claims that are out of date were looked for and deleted.
+    1107 Info "claims_swept" ClaimsSwept {
+        accounts: usize,
+        listed: u64,
+        deleted: u64,
+        failed: u64,
+        given_up: bool,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -5,11 +5,12 @@
 //! behind that nobody gives back.
 
 mod objects;
+pub mod sweeper;
 
 use std::{sync, time};
 
 use mustardshed::core::{
-    border::{clock, control as border},
+    border::{clock, control as border, platform},
     error, ids,
     outcome::Outcome,
     process::action,
@@ -204,7 +205,8 @@
                     settling.written(result.map(|_| ()))
                 }
                 Step::Delete { expected } => {
-                    settling.written(self.objects.delete(name, expected).await)
+                    let purpose = platform::Purpose::Claim;
+                    settling.written(self.objects.delete(purpose, name, expected).await)
                 }
                 Step::Get => settling.got(self.objects.get(name).await),
                 Step::Done(is_recorded) => return is_recorded,
--- a/crates/mustardshedd/src/process/claims/objects.rs
+++ b/crates/mustardshedd/src/process/claims/objects.rs
@@ -53,18 +53,29 @@
 
     pub(super) async fn delete(
         &self,
+        purpose: platform::Purpose,
         name: &str,
         expected: ids::ObjectVersion,
     ) -> Result<(), platform::PlatformError> {
         self.platform
-            .delete(
-                platform::Purpose::Claim,
-                platform::ObjectKind::Claim,
-                name,
-                expected,
-            )
+            .delete(purpose, platform::ObjectKind::Claim, name, expected)
             .await
     }
+
+    /// Lists the claims whose names start with `prefix`; what is not understood is left out.
+    pub(super) async fn list(
+        &self,
+        prefix: &str,
+    ) -> Result<Vec<(String, ids::ObjectVersion, claim::Value)>, platform::PlatformError> {
+        let purpose = platform::Purpose::ClaimSweep;
+        let kind = platform::ObjectKind::Claim;
+        let objects = self.platform.list(purpose, kind, prefix).await?;
+        let understood = |object: platform::Object| {
+            let value = wire::claim::decode(&object.value).ok()?;
+            Some((object.name, object.version, value))
+        };
+        Ok(objects.into_iter().filter_map(understood).collect())
+    }
 }
 
 fn refused(e: wire::claim::ClaimError) -> platform::PlatformError {
--- /dev/null
+++ b/crates/mustardshedd/src/process/claims/sweeper.rs
@@ -0,0 +1,80 @@
+//! Deletes claims that are out of date, a share of the client accounts at each entry.
+
+use std::{collections, sync, time};
+
+use mustardshed::core::{
+    border::{control as border, platform},
+    ids,
+    process::snapshot,
+    request::claim::sweep,
+};
+
+use super::{objects, wall_now};
+use crate::{
+    log::{self, event},
+    process::control,
+};
+
+/// Time between two sweeps.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(6 * 60 * 60);
+/// Time after the start within which the first sweep begins, at a random moment.
+const FIRST_SWEEP_WITHIN: time::Duration = time::Duration::from_secs(10 * 60);
+
+/// Starts the sweeps of an entry on the current runtime.
+pub fn spawn(handle: &sync::Arc<control::Handle>, platform: sync::Arc<dyn platform::Platform>) {
+    let handle = sync::Arc::clone(handle);
+    tokio::spawn(async move {
+        tokio::time::sleep(FIRST_SWEEP_WITHIN.mul_f64(rand::random())).await;
+        loop {
+            let snapshot = border::Control::snapshot(handle.as_ref());
+            sweep_share(&snapshot, &platform).await;
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+        }
+    });
+}
+
+async fn sweep_share(snapshot: &snapshot::Snapshot, platform: &sync::Arc<dyn platform::Platform>) {
+    let live = live(snapshot);
+    let accounts = sweep::share(&snapshot.vm, &live, snapshot.text.client_accounts.keys());
+    if accounts.is_empty() {
+        return;
+    }
+    let pause = sweep::pause(live.len());
+    let swept = sweep(platform, &accounts, wall_now(), pause).await;
+    log::emit(&event::Event::ClaimsSwept {
+        accounts: accounts.len(),
+        listed: swept.listed,
+        deleted: swept.deleted,
+        failed: swept.failed,
+        given_up: swept.is_given_up,
+    });
+}
+
+/// Sweeps the claims of these client accounts at `wall_now` since the Unix epoch, with a pause
+/// after each call on the platform.
+pub async fn sweep(
+    platform: &sync::Arc<dyn platform::Platform>,
+    accounts: &[&ids::ClientAccountId],
+    wall_now: time::Duration,
+    pause: time::Duration,
+) -> sweep::Swept {
+    let objects = objects::Objects::new(sync::Arc::clone(platform));
+    let (mut sweep, mut step) = sweep::Sweep::begin(accounts.iter().copied());
+    loop {
+        step = match step {
+            sweep::Step::List { prefix } => sweep.listed(objects.list(&prefix).await, wall_now),
+            sweep::Step::Delete { name, expected } => {
+                let purpose = platform::Purpose::ClaimSweep;
+                sweep.deleted(objects.delete(purpose, &name, expected).await)
+            }
+            sweep::Step::Done(swept) => return swept,
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn live(snapshot: &snapshot::Snapshot) -> collections::BTreeSet<&ids::VmId> {
+    let members = snapshot.members.values();
+    let live = members.filter(|member| member.live && !member.leaving);
+    live.map(|member| &member.vm).collect()
+}
--- a/crates/mustardshedd/src/process/operator.rs
+++ b/crates/mustardshedd/src/process/operator.rs
@@ -58,6 +58,7 @@
         [
             ("configuration", calls.configuration),
             ("claim", calls.claim),
+            ("claim_sweep", calls.claim_sweep),
             ("lease", calls.lease),
             ("members", calls.members),
         ]
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -17,7 +17,7 @@
     connection::backend_server as engine,
     http::{cx, server},
     log::{self, entry, event, metrics},
-    process::{clock as boot, control, operator, startup},
+    process::{claims::sweeper, clock as boot, control, operator, startup},
     request,
 };
 
@@ -84,6 +84,7 @@
     let peer_listener = listen(settings.peer_listen)?;
     let handle = control::spawn(parts, peer_listener).map_err(ServiceError::Runtime)?;
     let handle = sync::Arc::new(handle);
+    let swept_platform = sync::Arc::clone(&platform);
     let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
     let limits = settings.limits;
     let requests = request::cx::Cx::new(
@@ -99,6 +100,7 @@
     let server = server::bind(settings.listen, sync::Arc::new(cx))
         .await
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
+    sweeper::spawn(&handle, swept_platform);
     log::emit(&event::Event::Started {
         vm: &identity.vm,
         incarnation: identity.incarnation,
--- a/crates/mustardshedd/tests/traffic/fakes.rs
+++ b/crates/mustardshedd/tests/traffic/fakes.rs
@@ -3,5 +3,6 @@
 pub mod clock;
 pub mod control;
 pub mod operator;
+pub mod platform;
 pub mod servers;
 pub mod world;
--- a/crates/mustardshedd/tests/traffic/fakes/control.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/control.rs
@@ -166,7 +166,9 @@
         fate: fate::Fate,
     ) -> Result<(), error::Error> {
         let delay = *self.settle_delay.lock().unwrap();
-        tokio::time::sleep(delay).await;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         let mut seen = self.seen.lock().unwrap();
         seen.settled.push(fate.clone());
         seen.claims.insert(req.key, (req.body_digest, fate));
--- a/crates/mustardshedd/tests/traffic/fakes/world.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/world.rs
@@ -133,7 +133,8 @@
         self.send(req, body).await
     }
 
-    /// Waits until every credit came back, and fails if one came back twice or never.
+    /// Waits until every credit came back and every fate is recorded, and fails if a credit came
+    /// back twice or never, or a fate is not recorded.
     pub async fn assert_balanced(&self) {
         for _ in 0..500 {
             if self.server.in_flight() == 0 && self.control.is_balanced() {
@@ -141,6 +142,7 @@
             }
             tokio::time::sleep(time::Duration::from_millis(10)).await;
         }
+        assert_eq!(self.server.settled(ANSWER_TIME).await, 0);
         assert!(
             self.control.is_balanced(),
             "{:?}",
--- a/crates/mustardshedd/tests/traffic/main.rs
+++ b/crates/mustardshedd/tests/traffic/main.rs
@@ -8,6 +8,7 @@
 
 mod calls;
 mod catalogues;
+mod claims;
 mod completions;
 mod fakes;
 mod gangs;
