Bound the time between the intents of a change and its update

Cause: mustardshedctl waited for every entry's word for up to 3 s, and repeated a lost update for up to 10 s, on intents of any age, while an entry may count as a witness 2 s after its start. A client that was frozen in between wrote on intents that restarted entries had forgotten.

Ruled out: to announce the same record again after any time (an entry acknowledges an intent that it has given up without holding it); to bound only the first update (the repeated one has the same fault).

Change: an entry is waited for 1.5 s; the age is checked on a clock that counts suspension right before the send; too old intents make the client begin anew with a new record, three times at most; a lost update is announced again before it is repeated, within 30 s of the first intent, and else left as unknown.

--- a/crates/mustardshedctl/src/apply.rs
+++ b/crates/mustardshedctl/src/apply.rs
@@ -1,5 +1,8 @@
 //! Writing a configuration in three steps: intent, conditional update, commit.
 //!
+//! The update is sent within [`INTENT_LIFE`] of the intents, since an entry that restarts forgets them. A client that was
+//! frozen meanwhile begins anew; one that repeats an update whose answer was lost announces it again first.
+//!
 //! A lost answer to the update is settled by reading back and comparing the nonce. The same update may be sent again
 //! only after a read has shown the version that it was based on; it carries that version and the same nonce, so at
 //! most one of its copies takes effect.
@@ -16,7 +19,11 @@
 use std::time;
 
 use mustardshed::{
-    core::{border::platform, ids, version::record},
+    core::{
+        border::{clock::Clock, platform},
+        ids,
+        version::record,
+    },
     wire::configuration,
 };
 
@@ -27,13 +34,18 @@
 pub use read_error::ReadError;
 pub use receipt::{Receipt, Warning};
 
-use crate::entries;
+use crate::{clock, entries};
 
 /// Name of the platform object that holds the configuration in force.
 pub const CURRENT: &str = "current";
 /// Size of the largest record, in bytes; the platform's values are not larger.
 pub const MAX_RECORD_BYTES: usize = 1024 * 1024;
 
+/// Time after the first intent is sent within which the update must be.
+pub const INTENT_LIFE: time::Duration = time::Duration::from_secs(2);
+
+/// Times that a change is begun anew because its intents had grown too old.
+const MAX_STARTS: u32 = 3;
 /// Time after which a lost answer is no longer waited out.
 const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// Pause between two reads of the configuration.
@@ -45,6 +57,7 @@
     platform: &'a dyn platform::Platform,
     entries: &'a dyn entries::Entries,
     author: String,
+    clock: &'a dyn Clock,
     settle_limit: time::Duration,
     settle_pause: time::Duration,
 }
@@ -60,11 +73,19 @@
             platform,
             entries,
             author: author.into(),
+            clock: &clock::SystemClock,
             settle_limit: SETTLE_LIMIT,
             settle_pause: SETTLE_PAUSE,
         }
     }
 
+    /// Sets the clock by which the age of intents is told.
+    #[must_use]
+    pub const fn clock(mut self, clock: &'a dyn Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// Sets the time after which a lost answer is no longer waited out.
     #[must_use]
     pub const fn settle_limit(mut self, limit: time::Duration) -> Self {
@@ -90,13 +111,28 @@
         &self,
         edit: &Edit,
         expected: Option<ids::Generation>,
+    ) -> Result<Receipt, ApplyError> {
+        for _ in 1..MAX_STARTS {
+            match self.write_once(edit, expected).await {
+                Err(ApplyError::IntentsTooOld) => {}
+                ended => return ended,
+            }
+        }
+        self.write_once(edit, expected).await
+    }
+
+    async fn write_once(
+        &self,
+        edit: &Edit,
+        expected: Option<ids::Generation>,
     ) -> Result<Receipt, ApplyError> {
         let base = Current::read(self.platform).await?;
         self.check_expected(&base, expected).await?;
         let record = edit.apply(&base, &self.author)?;
         let value = encode(&record)?;
-        let announcement = self.announce(&base, &record).await?;
-        self.update(&base, &record, &value).await?;
+        let mut announcement = self.announce(&base, &record).await?;
+        self.update(&base, &record, &value, &mut announcement)
+            .await?;
         let untold = announcement.commit(self.entries, &record).await;
         let history = history::keep(self.platform, &base, &record, &value).await;
         Ok(Receipt::new(record, &announcement, untold, history.err()))
@@ -127,7 +163,9 @@
         record: &record::Record,
     ) -> Result<announcement::Announcement, ApplyError> {
         let vms = self.platform.vms().await?;
-        let announcement = announcement::Announcement::send(self.entries, &vms, record).await;
+        let begun_at = self.clock.now();
+        let sending = announcement::Announcement::send(self.entries, &vms, record, begun_at);
+        let announcement = sending.await;
         if announcement.has_majority() {
             return Ok(announcement);
         }
--- a/crates/mustardshedctl/src/apply/announcement.rs
+++ b/crates/mustardshedctl/src/apply/announcement.rs
@@ -1,14 +1,23 @@
 //! Telling all entries at once.
 
+use std::time;
+
 use futures_util::future;
-use mustardshed::core::{border::platform, version::record};
+use mustardshed::core::{border::platform, ids, version::record};
 
-use super::error::{ApplyError, Refusal};
+use super::{
+    INTENT_LIFE,
+    error::{ApplyError, Refusal},
+};
 use crate::entries;
 
+/// Longest wait for an entry to acknowledge an intent; it leaves time for the update.
+const INTENT_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+
 /// An intent that was sent to every entry on the platform's list.
 #[derive(Clone, Debug)]
 pub(super) struct Announcement {
+    begun_at: ids::Timestamp,
     addresses: Vec<String>,
     live: usize,
     acknowledged: usize,
@@ -16,17 +25,19 @@
 }
 
 impl Announcement {
-    /// Sends the intent to every listed entry; those that are leaving do not count for the majority.
+    /// Sends the intent to every listed entry from `begun_at` on; those that are leaving do not count for the majority.
     pub(super) async fn send(
         entries: &dyn entries::Entries,
         vms: &[platform::Vm],
         record: &record::Record,
+        begun_at: ids::Timestamp,
     ) -> Self {
         let listed = vms.iter().filter(|vm| vm.role == platform::VmRole::Entry);
         let listed: Vec<&platform::Vm> = listed.collect();
-        let answers = listed.iter().map(|vm| entries.intent(&vm.address, record));
+        let answers = listed.iter().map(|vm| intent(entries, &vm.address, record));
         let answers = future::join_all(answers).await;
         let mut announcement = Self {
+            begun_at,
             addresses: listed.iter().map(|vm| vm.address.clone()).collect(),
             live: 0,
             acknowledged: 0,
@@ -57,6 +68,16 @@
             .collect()
     }
 
+    /// Returns when the first intent was sent, at the earliest.
+    pub(super) const fn begun_at(&self) -> ids::Timestamp {
+        self.begun_at
+    }
+
+    /// Whether the update may still be sent on its strength.
+    pub(super) fn is_fresh(&self, now: ids::Timestamp) -> bool {
+        now < self.begun_at + INTENT_LIFE
+    }
+
     /// Whether more than half of the live entries acknowledged it, or there is none.
     pub(super) const fn has_majority(&self) -> bool {
         self.live == 0 || self.acknowledged * 2 > self.live
@@ -97,6 +118,18 @@
     }
 }
 
+async fn intent(
+    entries: &dyn entries::Entries,
+    address: &str,
+    record: &record::Record,
+) -> Result<(), entries::EntryError> {
+    let answer = tokio::time::timeout(INTENT_PATIENCE, entries.intent(address, record)).await;
+    answer.unwrap_or_else(|_| {
+        let reason = format!("not within {INTENT_PATIENCE:?}");
+        Err(entries::EntryError::Unanswered(reason))
+    })
+}
+
 fn refusal(address: &str, answer: Result<(), entries::EntryError>) -> Option<Refusal> {
     answer.err().map(|reason| Refusal {
         address: address.to_owned(),
--- a/crates/mustardshedctl/src/apply/error.rs
+++ b/crates/mustardshedctl/src/apply/error.rs
@@ -33,6 +33,8 @@
         /// What the others answered, by address.
         refusals: Vec<Refusal>,
     },
+    /// nothing was written: the intents were older than 2 s when the record was to be written
+    IntentsTooOld,
     /// nothing was written: the configuration is no longer of generation {expected}
     Conflict {
         /// Generation on which the change was based.
@@ -98,7 +100,8 @@
             Self::Unwritable(_)
             | Self::Platform(_)
             | Self::Read(_)
-            | Self::IntentRefused { .. } => exit::ExitStatus::Failed,
+            | Self::IntentRefused { .. }
+            | Self::IntentsTooOld => exit::ExitStatus::Failed,
         }
     }
 }
--- a/crates/mustardshedctl/src/apply/settlement.rs
+++ b/crates/mustardshedctl/src/apply/settlement.rs
@@ -4,7 +4,13 @@
 
 use mustardshed::core::{border::platform, ids, version::record};
 
-use super::{ApplyError, CURRENT, Current, Writer, history};
+use super::{ApplyError, CURRENT, Current, Writer, announcement, history};
+
+/// Time after its first intent within which an update may be announced again; entries that hold
+/// the intent keep it for longer.
+const REPEAT_LIMIT: time::Duration = time::Duration::from_secs(30);
+/// Times that an update is announced again before one repetition.
+const MAX_RENEWALS: u32 = 3;
 
 /// What the last attempt at the update showed.
 #[derive(Debug)]
@@ -24,11 +30,17 @@
         base: &Current,
         record: &record::Record,
         value: &[u8],
+        announcement: &mut announcement::Announcement,
     ) -> Result<(), ApplyError> {
         let deadline = time::Instant::now() + self.settle_limit;
+        let repeat_until = announcement.begun_at() + REPEAT_LIMIT;
         let mut may_be_written = false;
         loop {
-            let reason = match self.attempt(base, value).await {
+            if may_be_written {
+                // One that cannot be renewed is found out by the attempt.
+                self.renew(announcement, base, record, repeat_until).await;
+            }
+            let reason = match self.attempt(base, value, announcement).await {
                 Ok(Attempt::Written) => return Ok(()),
                 Ok(Attempt::Superseded) => "the object is at another version".to_owned(),
                 Ok(Attempt::Lost(reason)) => {
@@ -51,11 +63,39 @@
         }
     }
 
-    async fn attempt(&self, base: &Current, value: &[u8]) -> Result<Attempt, ApplyError> {
+    /// Announces an update again whose answer was lost, unless its intents are still young.
+    async fn renew(
+        &self,
+        announcement: &mut announcement::Announcement,
+        base: &Current,
+        record: &record::Record,
+        repeat_until: ids::Timestamp,
+    ) {
+        for _ in 0..MAX_RENEWALS {
+            let now = self.clock.now();
+            if announcement.is_fresh(now) || now >= repeat_until {
+                return;
+            }
+            match self.announce(base, record).await {
+                Ok(renewed) => *announcement = renewed,
+                Err(_) => return,
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        base: &Current,
+        value: &[u8],
+        announcement: &announcement::Announcement,
+    ) -> Result<Attempt, ApplyError> {
         let purpose = platform::Purpose::Configuration;
         let kind = platform::ObjectKind::Configuration;
         let value = value.to_vec();
         let platform = self.platform;
+        if !announcement.is_fresh(self.clock.now()) {
+            return Err(ApplyError::IntentsTooOld);
+        }
         let put = platform.put(purpose, kind, CURRENT, base.version, value);
         match put.await {
             Ok(_) => Ok(Attempt::Written),
--- a/crates/mustardshedctl/src/lib.rs
+++ b/crates/mustardshedctl/src/lib.rs
@@ -1,6 +1,7 @@
 //! Operators' client of mustardshed, as a library for its program and its tests.
 
 pub mod apply;
+pub mod clock;
 pub mod commands;
 pub mod entries;
 pub mod exit;
--- a/crates/mustardshedctl/tests/operator/fakes.rs
+++ b/crates/mustardshedctl/tests/operator/fakes.rs
@@ -4,7 +4,11 @@
 
 use async_trait::async_trait;
 use mustardshed::{
-    core::{border::platform, ids, version::record},
+    core::{
+        border::{clock, platform},
+        ids,
+        version::record,
+    },
     wire::{configuration, operator},
 };
 use mustardshedctl::{apply, entries};
@@ -30,12 +34,29 @@
     LostBeforeRaced(record::Record),
 }
 
+/// A clock that the fakes set forward.
+#[derive(Clone, Debug, Default)]
+pub struct Clock(sync::Arc<sync::Mutex<time::Duration>>);
+
+impl Clock {
+    pub fn advance(&self, by: time::Duration) {
+        *self.0.lock().unwrap_or_else(sync::PoisonError::into_inner) += by;
+    }
+}
+
+impl clock::Clock for Clock {
+    fn now(&self) -> ids::Timestamp {
+        *self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     objects: collections::BTreeMap<(&'static str, String), platform::Object>,
     version: ids::ObjectVersion,
     faults: collections::VecDeque<Fault>,
     failing_reads: usize,
+    slow_updates: Option<(Clock, time::Duration)>,
     vms: Vec<platform::Vm>,
 }
 
@@ -106,6 +127,12 @@
         self
     }
 
+    /// Lets each update take this long on `clock`.
+    pub fn with_slow_updates(self, clock: &Clock, time: time::Duration) -> Self {
+        self.lock().slow_updates = Some((clock.clone(), time));
+        self
+    }
+
     pub fn record(&self, kind: platform::ObjectKind, name: &str) -> Option<record::Record> {
         let state = self.lock();
         let object = state.objects.get(&(kind.as_str(), name.to_owned()))?;
@@ -160,6 +187,9 @@
     ) -> Result<ids::ObjectVersion, platform::PlatformError> {
         self.log(format!("put {}/{name} at {expected}", kind.as_str()));
         let mut state = self.lock();
+        if let Some((clock, time)) = &state.slow_updates {
+            clock.advance(*time);
+        }
         let fault = match kind {
             platform::ObjectKind::Configuration => state.faults.pop_front(),
             _ => None,
@@ -237,6 +267,8 @@
 #[derive(Debug, Default)]
 pub struct Entries {
     silent: Vec<&'static str>,
+    freezes: sync::Mutex<collections::VecDeque<time::Duration>>,
+    clock: Clock,
     generations: sync::Mutex<collections::BTreeMap<String, ids::Generation>>,
     log: Log,
 }
@@ -254,6 +286,21 @@
         self
     }
 
+    /// Freezes the client on `clock` for these times, one after each acknowledged intent.
+    pub fn with_freezes(mut self, clock: &Clock, freezes: &[time::Duration]) -> Self {
+        self.clock = clock.clone();
+        self.freezes = sync::Mutex::new(freezes.iter().copied().collect());
+        self
+    }
+
+    fn freeze(&self) {
+        let mut freezes = self
+            .freezes
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        self.clock.advance(freezes.pop_front().unwrap_or_default());
+    }
+
     fn answer(&self, address: &str) -> Result<(), entries::EntryError> {
         if self.silent.contains(&address) {
             return Err(entries::EntryError::Unanswered("timed out".to_owned()));
@@ -279,6 +326,7 @@
             &self.log,
             format!("intent {} to {address}", record.generation),
         );
+        self.freeze();
         self.answer(address)
     }
 
--- a/crates/mustardshedctl/tests/operator/main.rs
+++ b/crates/mustardshedctl/tests/operator/main.rs
@@ -3,3 +3,4 @@
 mod apply;
 mod commands;
 mod fakes;
+mod intents;
