Count bytes to peers and to the platform, and print what an entry costs

Cause: the cost of a whole daemon at today's size could not be told: calls on the platform were counted by purpose, bytes nowhere.

Ruled out: a connector that counts at the socket (needs tower-service as a direct dependency); counting from outside (connections that end meanwhile are lost).

Change: ByteCounter counts HTTP messages to the platform and WebSocket frames to peers; the status shows both, and metrics get them with the calls by purpose as gauges every 10 s. examples/entry_cost starts a fleet of a deployment's size and prints processor share, that of the control thread, memory, bytes and calls, idle and under load.

--- a/crates/mustardshed-platform/src/client.rs
+++ b/crates/mustardshed-platform/src/client.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use mustardshed_core::{border::platform, ids};
 
-use crate::{call_counter, call_counts, transport, wire};
+use crate::{byte_counts, call_counter, call_counts, transport, wire};
 
 /// Size of the largest value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_024 * 1_024;
@@ -67,6 +67,11 @@
         self.calls.counts()
     }
 
+    /// Returns the bytes of requests sent and answers received so far.
+    pub fn bytes(&self) -> byte_counts::ByteCounts {
+        self.transport.bytes().counts()
+    }
+
     async fn call(
         &self,
         purpose: platform::Purpose,
--- a/crates/mustardshed-platform/src/lib.rs
+++ b/crates/mustardshed-platform/src/lib.rs
@@ -13,8 +13,11 @@
 //! # }
 //! ```
 
+pub mod byte_counter;
+pub mod byte_counts;
 pub mod call_counter;
 pub mod call_counts;
 pub mod client;
+mod message_size;
 mod transport;
 mod wire;
--- /dev/null
+++ b/crates/mustardshed-platform/src/message_size.rs
@@ -0,0 +1,41 @@
+//! Sizes of HTTP/1.1 messages as they go over a connection.
+
+use hyper::body::Body;
+
+/// Bytes of a request line beside method and path: two spaces, version, line end.
+const REQUEST_LINE_BYTES: usize = " ".len() + " HTTP/1.1\r\n".len();
+/// Bytes of a status line beside the reason.
+const STATUS_LINE_BYTES: usize = "HTTP/1.1 200 \r\n".len();
+/// Bytes of a header line beside name and value.
+const HEADER_LINE_BYTES: usize = ": \r\n".len();
+/// Name of the header that the client adds to every request.
+const HOST: &str = "host";
+
+/// Returns the size of a request, in bytes.
+pub(crate) fn of_request<B: Body>(req: &http::Request<B>) -> usize {
+    let uri = req.uri();
+    let path = uri.path_and_query().map_or(1, |path| path.as_str().len());
+    let host = uri.authority().map_or(0, |host| host.as_str().len());
+    let body = req.body().size_hint().lower();
+    req.method().as_str().len()
+        + path
+        + REQUEST_LINE_BYTES
+        + HOST.len()
+        + host
+        + HEADER_LINE_BYTES
+        + of_headers(req.headers())
+        + usize::try_from(body).unwrap_or(usize::MAX)
+}
+
+/// Returns the size of an answer's head, in bytes.
+pub(crate) fn of_answer_head(status: http::StatusCode, headers: &http::HeaderMap) -> usize {
+    let reason = status.canonical_reason().map_or(0, str::len);
+    STATUS_LINE_BYTES + reason + of_headers(headers)
+}
+
+/// Returns the size of headers with the empty line after them, in bytes.
+fn of_headers(headers: &http::HeaderMap) -> usize {
+    let lines = headers.iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES);
+    lines.sum::<usize>() + "\r\n".len()
+}
--- a/crates/mustardshed-platform/src/transport.rs
+++ b/crates/mustardshed-platform/src/transport.rs
@@ -7,6 +7,8 @@
 use hyper_util::{client::legacy, rt};
 use mustardshed_core::border::platform;
 
+use crate::{byte_counter, message_size};
+
 /// Idle connections that are kept to the platform.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 /// Time for which an idle connection is kept.
@@ -28,9 +30,10 @@
 }
 
 /// Connections to the platform.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Transport {
     http: HttpClient,
+    bytes: byte_counter::ByteCounter,
 }
 
 impl Transport {
@@ -44,7 +47,15 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
             .build(connector);
-        Self { http }
+        Self {
+            http,
+            bytes: byte_counter::ByteCounter::default(),
+        }
+    }
+
+    /// Returns the counter of its bytes.
+    pub(crate) const fn bytes(&self) -> &byte_counter::ByteCounter {
+        &self.bytes
     }
 
     /// Makes a call and reads its whole answer.
@@ -65,14 +76,18 @@
     }
 
     async fn exchange(&self, req: http::Request<Body>) -> Result<Answer, platform::PlatformError> {
+        self.bytes.add_sent(message_size::of_request(&req));
         let res = self.http.request(req).await.map_err(send_error)?;
         let (parts, body) = res.into_parts();
+        let head = message_size::of_answer_head(parts.status, &parts.headers);
+        self.bytes.add_received(head);
         let body = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(unanswered)?;
+        let body = body.collect().await.map_err(unanswered)?.to_bytes();
+        self.bytes.add_received(body.len());
         Ok(Answer {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body,
         })
     }
 }
--- /dev/null
+++ b/crates/mustardshed-platform/tests/bytes.rs
@@ -0,0 +1,58 @@
+//! The bytes that a client counts are those that go over its connection.
+
+#![expect(clippy::unwrap_used, reason = "a fixture that fails ends its test")]
+
+use std::{
+    io::{Read, Write},
+    net, thread, time,
+};
+
+use googletest::prelude::*;
+use mustardshed_core::border::platform::{ObjectKind, Platform, Purpose};
+use mustardshed_platform::client;
+
+const TIMEOUT: time::Duration = time::Duration::from_secs(20);
+const SHOWN: &str = "HTTP/1.1 200 OK\r\nx-version: 7\r\ncontent-length: 5\r\n\r\nvalue";
+const WRITTEN: &str = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"version\":8}";
+
+/// Answers one connection with these answers in turn; returns the number of bytes that it read.
+fn serve(listener: net::TcpListener, answers: [(&'static str, &'static str); 2]) -> usize {
+    let (mut stream, _) = listener.accept().unwrap();
+    let mut received = 0;
+    for (end, answer) in answers {
+        let mut req = Vec::new();
+        while !req.ends_with(end.as_bytes()) {
+            let mut buf = [0; 1];
+            stream.read_exact(&mut buf).unwrap();
+            req.extend_from_slice(&buf);
+        }
+        received += req.len();
+        stream.write_all(answer.as_bytes()).unwrap();
+    }
+    received
+}
+
+#[gtest]
+#[tokio::test]
+async fn counted_bytes_are_those_on_the_connection() -> Result<()> {
+    let listener = net::TcpListener::bind("127.0.0.1:0")?;
+    let url = format!("http://{}", listener.local_addr()?);
+    let client = client::Client::open(&url, "entry-1", TIMEOUT).unwrap();
+    let answers = [("\r\n\r\n", SHOWN), ("the value", WRITTEN)];
+    let server = thread::spawn(move || serve(listener, answers));
+
+    let shown = client
+        .get(Purpose::Configuration, ObjectKind::Configuration, "current")
+        .await;
+    let value = b"the value".to_vec();
+    let written = client
+        .put(Purpose::Claim, ObjectKind::Claim, "a.b", 7, value)
+        .await;
+
+    let received = server.join().unwrap() as u64;
+    verify_that!(shown, ok(some(anything())))?;
+    verify_that!(written, ok(eq(&8)))?;
+    verify_that!(client.bytes().sent, eq(received))?;
+    let answered = (SHOWN.len() + WRITTEN.len()) as u64;
+    verify_that!(client.bytes().received, eq(answered))
+}
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod capacity;
 pub mod demo;
 pub mod engine;
+pub mod entry_cost;
 pub mod experiment;
 pub mod fleet;
 pub mod hostile;
--- a/crates/mustardshed-standins/src/load.rs
+++ b/crates/mustardshed-standins/src/load.rs
@@ -28,7 +28,7 @@
 pub mod run;
 
 mod call;
-mod cpu;
+pub(crate) mod cpu;
 mod directory;
 mod measures;
 mod prompt_text;
--- a/crates/mustardshed-wire/src/operator/status.rs
+++ b/crates/mustardshed-wire/src/operator/status.rs
@@ -28,4 +28,7 @@
     /// Calls on the platform since its start, by purpose.
     #[serde(default)]
     pub platform_calls: collections::BTreeMap<String, u64>,
+    /// Bytes since its start, by kind of connection and direction; without what TCP and IP add.
+    #[serde(default)]
+    pub bytes: collections::BTreeMap<String, u64>,
 }
--- a/crates/mustardshedctl/tests/operator/fakes.rs
+++ b/crates/mustardshedctl/tests/operator/fakes.rs
@@ -420,5 +420,6 @@
         members: Vec::new(),
         servers: Vec::new(),
         platform_calls: collections::BTreeMap::new(),
+        bytes: collections::BTreeMap::new(),
     }
 }
--- a/crates/mustardshedd/src/http/operator.rs
+++ b/crates/mustardshedd/src/http/operator.rs
@@ -25,6 +25,9 @@
     /// Returns the calls of the platform so far, by purpose.
     fn platform_calls(&self) -> collections::BTreeMap<String, u64>;
 
+    /// Returns the bytes sent and received so far, by kind of connection and direction.
+    fn bytes(&self) -> collections::BTreeMap<String, u64>;
+
     /// Returns whether `key` is the operators' key; takes the same time for any key.
     fn is_operator_key(&self, key: &[u8]) -> bool;
 }
--- a/crates/mustardshedd/src/http/status.rs
+++ b/crates/mustardshedd/src/http/status.rs
@@ -22,6 +22,7 @@
         members: snapshot.members.values().map(member).collect(),
         servers: snapshot.servers.values().map(server).collect(),
         platform_calls: cx.operator.platform_calls(),
+        bytes: cx.operator.bytes(),
     }
 }
 
--- a/crates/mustardshedd/src/log/metrics.rs
+++ b/crates/mustardshedd/src/log/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, io, net, sync, time};
 
-use cadence::{CountedExt, Timed};
+use cadence::{CountedExt, Gauged, Timed};
 
 /// Prefix of every metric.
 const PREFIX: &str = "mustardshed";
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Sets `name` to a value.
+    pub fn set(&self, name: &str, value: u64) {
+        if let Some(client) = &self.client {
+            drop(client.gauge(name, value));
+        }
+    }
+
     /// Records a duration under `name`, in milliseconds.
     pub fn time(&self, name: &str, duration: time::Duration) {
         if let Some(client) = &self.client {
--- a/crates/mustardshedd/src/process.rs
+++ b/crates/mustardshedd/src/process.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod clock;
 pub mod control;
+pub mod gauges;
 pub mod handshake;
 pub mod inbound;
 pub mod links;
--- a/crates/mustardshedd/src/process/control.rs
+++ b/crates/mustardshedd/src/process/control.rs
@@ -3,16 +3,19 @@
 use std::{fmt, io, sync, thread};
 
 use arc_swap::ArcSwap;
-use mustardshed::core::{
-    border::{backend_server, clock, control, platform},
-    error, ids,
-    process::{action, event, node, snapshot},
-    request::fate,
-    version::record,
+use mustardshed::{
+    core::{
+        border::{backend_server, clock, control, platform},
+        error, ids,
+        process::{action, event, node, snapshot},
+        request::fate,
+        version::record,
+    },
+    platform::byte_counter,
 };
 use tokio::{runtime, sync::mpsc, sync::oneshot, time};
 
-use crate::process::{links, pending, pollers};
+use crate::process::{inbound, links, pending, pollers};
 
 mod border;
 pub(crate) mod handle;
@@ -81,7 +84,7 @@
     let node = node::Node::new(parts.identity.clone(), parts.seed, now);
     let published = sync::Arc::new(ArcSwap::from(node.snapshot(now)));
     let handle = Handle::new(&parts, sync::Arc::clone(&published), commands_tx);
-    let links = links::Links::new(&parts);
+    let links = links::Links::new(&parts, sync::Arc::clone(&handle.peer_bytes));
     let thread = Thread {
         parts,
         node,
@@ -89,6 +92,7 @@
         links,
         events_tx,
         published,
+        peer_bytes: sync::Arc::clone(&handle.peer_bytes),
     };
     thread::Builder::new()
         .name("control".to_owned())
@@ -104,6 +108,7 @@
     links: links::Links,
     events_tx: mpsc::Sender<event::Event>,
     published: sync::Arc<ArcSwap<snapshot::Snapshot>>,
+    peer_bytes: sync::Arc<byte_counter::ByteCounter>,
 }
 
 impl fmt::Debug for Thread {
@@ -121,7 +126,9 @@
         mut commands_rx: mpsc::UnboundedReceiver<Command>,
         mut events_rx: mpsc::Receiver<event::Event>,
     ) {
-        crate::process::inbound::spawn(&self.parts, peer_listener, self.events_tx.clone());
+        let events_tx = self.events_tx.clone();
+        let peer_bytes = sync::Arc::clone(&self.peer_bytes);
+        inbound::spawn(&self.parts, peer_listener, events_tx, peer_bytes);
         pollers::spawn(&self.parts, &self.events_tx);
         let mut ticks = time::interval(node::TICK);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
--- a/crates/mustardshedd/src/process/control/handle.rs
+++ b/crates/mustardshedd/src/process/control/handle.rs
@@ -6,7 +6,10 @@
 };
 
 use arc_swap::ArcSwap;
-use mustardshed::core::{border::clock, error, ids, process::snapshot, version::record};
+use mustardshed::{
+    core::{border::clock, error, ids, process::snapshot, version::record},
+    platform::{byte_counter, byte_counts},
+};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Command, Parts};
@@ -25,6 +28,7 @@
     pub(super) published: sync::Arc<ArcSwap<snapshot::Snapshot>>,
     pub(super) claims: claims::Claims,
     pub(super) clock: sync::Arc<dyn clock::Clock>,
+    pub(super) peer_bytes: sync::Arc<byte_counter::ByteCounter>,
     commands_tx: mpsc::UnboundedSender<Command>,
 }
 
@@ -41,10 +45,16 @@
             published,
             claims: claims::Claims::new(parts, commands_tx.clone()),
             clock: sync::Arc::clone(&parts.clock),
+            peer_bytes: sync::Arc::default(),
             commands_tx,
         }
     }
 
+    /// Returns the bytes of frames sent to and received from peers so far.
+    pub fn peer_bytes(&self) -> byte_counts::ByteCounts {
+        self.peer_bytes.counts()
+    }
+
     /// Begins to leave: peers and callers are told, work in flight goes on.
     pub fn leave(&self) {
         self.send(Command::Leave);
--- a/crates/mustardshedd/src/process/handshake.rs
+++ b/crates/mustardshedd/src/process/handshake.rs
@@ -95,6 +95,19 @@
         .max_write_buffer_size(2 * peer::MAX_FRAME_BYTES)
 }
 
+/// Returns the size of a binary frame with its header, in bytes.
+///
+/// Whoever sends over a link is its client, whose frames are masked.
+pub const fn frame_bytes(payload: usize) -> usize {
+    const MASK_BYTES: usize = 4;
+    let header = match payload {
+        0..=125 => 2,
+        126..=0xffff => 4,
+        _ => 10,
+    };
+    header + MASK_BYTES + payload
+}
+
 async fn exchange<S>(
     socket: &mut Socket<S>,
     identity: &node::Identity,
--- a/crates/mustardshedd/src/process/inbound.rs
+++ b/crates/mustardshedd/src/process/inbound.rs
@@ -5,6 +5,7 @@
 use futures_util::StreamExt;
 use mustardshed::{
     core::{ids, process::event, process::node},
+    platform::byte_counter,
     wire::peer,
 };
 use tokio::{net, sync as tokio_sync, sync::mpsc};
@@ -19,16 +20,18 @@
 /// Longest silence on an incoming connection; peers send heartbeats far more often.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
-/// Starts to accept peers on the current runtime.
+/// Starts to accept peers on the current runtime; the bytes of their links are counted.
 pub fn spawn(
     parts: &control::Parts,
     listener: std_net::TcpListener,
     events_tx: mpsc::Sender<event::Event>,
+    bytes: sync::Arc<byte_counter::ByteCounter>,
 ) {
     let accept = Acceptor {
         identity: parts.identity.clone(),
         key: sync::Arc::clone(&parts.peer_key),
         events_tx,
+        bytes,
         slots: sync::Arc::new(tokio_sync::Semaphore::new(MAX_CONNECTIONS)),
     };
     tokio::spawn(accept.run(listener));
@@ -39,6 +42,7 @@
     identity: node::Identity,
     key: sync::Arc<[u8]>,
     events_tx: mpsc::Sender<event::Event>,
+    bytes: sync::Arc<byte_counter::ByteCounter>,
     slots: sync::Arc<tokio_sync::Semaphore>,
 }
 
@@ -89,6 +93,7 @@
             tungstenite::Message::Ping(_) | tungstenite::Message::Pong(_) => return true,
             _ => return false,
         };
+        self.bytes.add_received(handshake::frame_bytes(buf.len()));
         let Ok(message) = peer::decode(&buf) else {
             return false;
         };
--- a/crates/mustardshedd/src/process/links.rs
+++ b/crates/mustardshedd/src/process/links.rs
@@ -5,6 +5,7 @@
 use futures_util::SinkExt;
 use mustardshed::{
     core::{ids, process::message, process::node},
+    platform::byte_counter,
     wire::peer,
 };
 use tokio::{net, sync::mpsc, task};
@@ -25,6 +26,7 @@
 pub struct Links {
     identity: node::Identity,
     key: sync::Arc<[u8]>,
+    bytes: sync::Arc<byte_counter::ByteCounter>,
     links: collections::HashMap<ids::VmId, Link>,
 }
 
@@ -43,11 +45,12 @@
 }
 
 impl Links {
-    /// Makes the set of links of an entry, empty at first.
-    pub fn new(parts: &control::Parts) -> Self {
+    /// Makes the set of links of an entry, empty at first, whose bytes are counted.
+    pub fn new(parts: &control::Parts, bytes: sync::Arc<byte_counter::ByteCounter>) -> Self {
         Self {
             identity: parts.identity.clone(),
             key: sync::Arc::clone(&parts.peer_key),
+            bytes,
             links: collections::HashMap::new(),
         }
     }
@@ -68,6 +71,7 @@
             sync::Arc::clone(&self.key),
             vm.clone(),
             peer_address.clone(),
+            sync::Arc::clone(&self.bytes),
             rx,
         ));
         let link = Link {
@@ -99,12 +103,13 @@
     key: sync::Arc<[u8]>,
     vm: ids::VmId,
     peer_address: String,
+    bytes: sync::Arc<byte_counter::ByteCounter>,
     mut rx: mpsc::Receiver<message::Message>,
 ) {
     loop {
         let connecting = handshake::connect(&identity, &key, &vm, &peer_address);
         if let Ok(Ok(mut socket)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await
-            && forward(&mut socket, &mut rx).await == Ended::QueueClosed
+            && forward(&mut socket, &bytes, &mut rx).await == Ended::QueueClosed
         {
             return;
         }
@@ -122,12 +127,14 @@
 
 async fn forward(
     socket: &mut handshake::Socket<net::TcpStream>,
+    bytes: &byte_counter::ByteCounter,
     rx: &mut mpsc::Receiver<message::Message>,
 ) -> Ended {
     while let Some(message) = rx.recv().await {
         let Ok(buf) = peer::encode(&message) else {
             continue;
         };
+        bytes.add_sent(handshake::frame_bytes(buf.len()));
         let sending = socket.send(tungstenite::Message::binary(buf));
         match tokio::time::timeout(SEND_TIMEOUT, sending).await {
             Ok(Ok(())) => {}
--- a/crates/mustardshedd/src/process/operator.rs
+++ b/crates/mustardshedd/src/process/operator.rs
@@ -66,6 +66,19 @@
         .into()
     }
 
+    fn bytes(&self) -> collections::BTreeMap<String, u64> {
+        let peers = self.control.peer_bytes();
+        let platform = self.platform.bytes();
+        [
+            ("peers_sent", peers.sent),
+            ("peers_received", peers.received),
+            ("platform_sent", platform.sent),
+            ("platform_received", platform.received),
+        ]
+        .map(|(name, bytes)| (name.to_owned(), bytes))
+        .into()
+    }
+
     fn is_operator_key(&self, key: &[u8]) -> bool {
         let digest: [u8; 32] = sha2::Sha256::digest(key).into();
         bool::from(digest.ct_eq(&self.key_digest))
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -17,7 +17,7 @@
     connection::backend_server as engine,
     http::{cx, server},
     log::{self, entry, event, metrics},
-    process::{claims::sweeper, clock as boot, control, operator, startup},
+    process::{claims::sweeper, clock as boot, control, gauges, operator, startup},
     request,
 };
 
@@ -86,17 +86,20 @@
     let handle = sync::Arc::new(handle);
     let swept_platform = sync::Arc::clone(&platform);
     let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
+    let operator = sync::Arc::new(operator);
+    let metrics = metrics(settings)?;
+    gauges::spawn(metrics.clone(), operator.clone());
     let limits = settings.limits;
     let requests = request::cx::Cx::new(
         handle.clone() as sync::Arc<dyn border::Control>,
         servers,
         clock,
-        metrics(settings)?,
+        metrics,
         limits.max_in_flight,
         rand::random(),
     );
     let requests = requests.routing(settings.routing);
-    let cx = cx::Cx::new(requests, sync::Arc::new(operator), limits);
+    let cx = cx::Cx::new(requests, operator, limits);
     let server = server::bind(settings.listen, sync::Arc::new(cx))
         .await
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
--- a/crates/mustardshedd/tests/traffic/fakes/operator.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/operator.rs
@@ -27,6 +27,10 @@
         collections::BTreeMap::from([("watch".to_owned(), 1)])
     }
 
+    fn bytes(&self) -> collections::BTreeMap<String, u64> {
+        collections::BTreeMap::from([("peers_sent".to_owned(), 7)])
+    }
+
     fn is_operator_key(&self, key: &[u8]) -> bool {
         key == OPERATOR_KEY.as_bytes()
     }
--- a/crates/mustardshedd/tests/traffic/listener.rs
+++ b/crates/mustardshedd/tests/traffic/listener.rs
@@ -45,7 +45,8 @@
     verify_that!(operator.status, eq(200))?;
     let body = operator.json();
     verify_that!(body["servers"].as_array().map(Vec::len), some(eq(5)))?;
-    verify_that!(body["platform_calls"]["watch"].as_u64(), some(eq(1)))
+    verify_that!(body["platform_calls"]["watch"].as_u64(), some(eq(1)))?;
+    verify_that!(body["bytes"]["peers_sent"].as_u64(), some(eq(7)))
 }
 
 #[gtest]
--- a/crates/mustardshedd/tests/traffic/main.rs
+++ b/crates/mustardshedd/tests/traffic/main.rs
@@ -11,6 +11,7 @@
 mod claims;
 mod completions;
 mod fakes;
+mod frames;
 mod gangs;
 mod hostile;
 mod listener;
