--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -106,6 +106,19 @@
         vm: &'a str,
         incarnation: ids::Incarnation,
     }
+    /// The process ends although records of claimed requests are not written.
+    1106 Error "records_given_up" RecordsGivenUp {
+        fates: usize,
+        claims: usize,
+    }
+    /// Claims that are out of date were looked for and deleted.
+    1107 Info "claims_swept" ClaimsSwept {
+        accounts: usize,
+        listed: u64,
+        deleted: u64,
+        failed: u64,
+        given_up: bool,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -5,17 +5,19 @@
 //! behind that nobody gives back.
 
 mod objects;
+pub mod sweeper;
 
 use std::{sync, time};
 
 use mustardshed::core::{
-    border::{clock, control as border},
+    border::{clock, control as border, platform},
     error, ids,
     outcome::Outcome,
     process::action,
     request::{claim, fate},
 };
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::task;
 
 use crate::process::control::{self, Command, handle};
 
@@ -32,6 +34,7 @@
     objects: objects::Objects,
     clock: sync::Arc<dyn clock::Clock>,
     commands_tx: mpsc::UnboundedSender<Command>,
+    making: task::TaskTracker,
 }
 
 impl Claims {
@@ -41,6 +44,7 @@
             objects: objects::Objects::new(sync::Arc::clone(&parts.platform)),
             clock: sync::Arc::clone(&parts.clock),
             commands_tx,
+            making: task::TaskTracker::new(),
         }
     }
 
@@ -52,7 +56,7 @@
     pub async fn claim(&self, req: border::ClaimRequest) -> Result<border::Claim, error::Error> {
         let (tx, rx) = oneshot::channel();
         let claims = self.clone();
-        tokio::spawn(async move {
+        self.making.spawn(async move {
             let request = req.request.clone();
             let name = claim::object_name(&req.account, &req.key);
             let (ended, is_doubtful) = claims.make(req, &name).await;
@@ -73,6 +77,14 @@
         }
     }
 
+    /// Waits, for at most `patience`, until no claim is being made or given back; returns how many
+    /// still are.
+    pub async fn idle(&self, patience: time::Duration) -> usize {
+        self.making.close();
+        drop(tokio::time::timeout(patience, self.making.wait()).await);
+        self.making.len()
+    }
+
     /// Records the final fate of a claimed call so that repeats find it.
     ///
     /// # Errors
@@ -193,7 +205,8 @@
                     settling.written(result.map(|_| ()))
                 }
                 Step::Delete { expected } => {
-                    settling.written(self.objects.delete(name, expected).await)
+                    let purpose = platform::Purpose::Claim;
+                    settling.written(self.objects.delete(purpose, name, expected).await)
                 }
                 Step::Get => settling.got(self.objects.get(name).await),
                 Step::Done(is_recorded) => return is_recorded,
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -17,7 +17,7 @@
     connection::backend_server as engine,
     http::{cx, server},
     log::{self, entry, event, metrics},
-    process::{clock as boot, control, operator, startup},
+    process::{claims::sweeper, clock as boot, control, gauges, operator, startup},
     request,
 };
 
@@ -26,7 +26,10 @@
 /// Time for which a leaving entry still accepts: the life of an `/v1/entries` answer and the time
 /// until every entry knows that this one leaves.
 const ACCEPT_WHILE_LEAVING: time::Duration = time::Duration::from_secs(13);
-/// Wait between looks at whether to leave and whether all work is done.
+/// Longest wait for the records of claimed requests once all requests have ended; writing one is
+/// given up sooner.
+const RECORD_PATIENCE: time::Duration = time::Duration::from_secs(120);
+/// Wait between looks at whether to leave.
 const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Why the daemon could not run.
@@ -81,28 +84,33 @@
     let peer_listener = listen(settings.peer_listen)?;
     let handle = control::spawn(parts, peer_listener).map_err(ServiceError::Runtime)?;
     let handle = sync::Arc::new(handle);
+    let swept_platform = sync::Arc::clone(&platform);
     let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
+    let operator = sync::Arc::new(operator);
+    let metrics = metrics(settings)?;
+    gauges::spawn(metrics.clone(), operator.clone());
     let limits = settings.limits;
     let requests = request::cx::Cx::new(
         handle.clone() as sync::Arc<dyn border::Control>,
         servers,
         clock,
-        metrics(settings)?,
+        metrics,
         limits.max_in_flight,
         rand::random(),
     );
     let requests = requests.routing(settings.routing);
-    let cx = cx::Cx::new(requests, sync::Arc::new(operator), limits);
+    let cx = cx::Cx::new(requests, operator, limits);
     let server = server::bind(settings.listen, sync::Arc::new(cx))
         .await
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
+    sweeper::spawn(&handle, swept_platform);
     log::emit(&event::Event::Started {
         vm: &identity.vm,
         incarnation: identity.incarnation,
         data_centre: &identity.data_centre,
     });
     wait_for_leave(&handle).await?;
-    drain(server).await;
+    drain(server, &handle).await;
     log::emit(&event::Event::Stopped {
         vm: &identity.vm,
         incarnation: identity.incarnation,
@@ -164,11 +172,16 @@
 }
 
 /// Accepts until no caller names this entry any more, then finishes what it carries.
-async fn drain(server: server::Server) {
+async fn drain(server: server::Server, handle: &control::Handle) {
     tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
     server.begin_drain();
-    while server.in_flight() > 0 {
-        tokio::time::sleep(WATCH_INTERVAL).await;
+    server.idle().await;
+    let (fates, claims) = tokio::join!(
+        server.settled(RECORD_PATIENCE),
+        handle.claims_idle(RECORD_PATIENCE)
+    );
+    if fates + claims > 0 {
+        log::emit(&event::Event::RecordsGivenUp { fates, claims });
     }
     server.shutdown().await;
 }
--- a/crates/mustardshedd/tests/traffic/main.rs
+++ b/crates/mustardshedd/tests/traffic/main.rs
@@ -8,8 +8,10 @@
 
 mod calls;
 mod catalogues;
+mod claims;
 mod completions;
 mod fakes;
+mod frames;
 mod gangs;
 mod hostile;
 mod listener;
