--- a/crates/mustardshed-core/src/border/backend_server.rs
+++ b/crates/mustardshed-core/src/border/backend_server.rs
@@ -140,6 +140,16 @@
     },
 }
 
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LoadModel { model, version } => write!(f, "load model {model} at {version}"),
+            Self::LoadAdapter { adapter } => write!(f, "load adapter {adapter}"),
+            Self::ChangeRole { role } => write!(f, "change role to {role}"),
+        }
+    }
+}
+
 /// A call on a plain service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServiceCall {
--- a/crates/mustardshed-core/src/process.rs
+++ b/crates/mustardshed-core/src/process.rs
@@ -12,6 +12,7 @@
 pub mod members;
 pub mod message;
 pub mod node;
+pub mod placement;
 pub mod queue;
 pub mod quorum;
 pub mod ramp;
--- a/crates/mustardshed-core/src/process/action.rs
+++ b/crates/mustardshed-core/src/process/action.rs
@@ -148,4 +148,33 @@
         /// Why.
         reason: String,
     },
+    /// This entry took or lost the lease of placement.
+    PlacementLease {
+        /// Fencing number; zero once it is lost.
+        fence: ids::FencingNumber,
+        /// `taken` or `lost`.
+        state: &'static str,
+    },
+    /// What an engine holds is to be changed.
+    PlacementDecided {
+        /// Engine.
+        server: ids::BackendServerId,
+        /// The change.
+        change: String,
+        /// Fencing number.
+        fence: ids::FencingNumber,
+        /// Why.
+        reason: &'static str,
+    },
+    /// An order was answered, or the change that it is for ended.
+    PlacementOrdered {
+        /// Engine.
+        server: ids::BackendServerId,
+        /// The change.
+        change: String,
+        /// Fencing number.
+        fence: ids::FencingNumber,
+        /// What came of it.
+        result: String,
+    },
 }
--- /dev/null
+++ b/crates/mustardshed-core/src/process/placement.rs
@@ -0,0 +1,369 @@
+//! Placement: which engine holds which model, version and adapter, by orders of one entry at a time.
+//!
+//! One entry holds the [`lease`] and compares what engines hold with what the operators' text and
+//! the [`demand`] want ([`plan`]). It changes engines within the limits of the weight store
+//! ([`loads`]). A change is recorded in the lease object, the engine's report is read under the
+//! lease, and only then the order is given. No request depends on any of this: without a holder
+//! engines keep what they hold.
+//!
+//! ```
+//! use std::time;
+//!
+//! use mustardshed_core::process::placement;
+//!
+//! let placement = placement::Placement::new("e1", 1, time::Duration::ZERO);
+//! assert!(placement.fence().is_none());
+//! ```
+
+use std::{collections, sync, time};
+
+use crate::{
+    border::backend_server,
+    ids,
+    process::{action as process, snapshot},
+};
+
+pub mod action;
+pub mod demand;
+pub mod engines;
+pub mod event;
+pub mod lease;
+pub mod loads;
+pub mod plan;
+pub mod rank;
+pub mod record;
+
+/// Longest time between two [`event::Event::Tick`]s.
+pub const TICK: time::Duration = time::Duration::from_millis(500);
+
+/// Entries, first by name, that wait for the lease: each wait costs reads of the platform.
+const CANDIDATES: usize = 3;
+/// Time for which an engine that refused an order, or did not load in time, is left alone.
+const AVOID_FOR: time::Duration = time::Duration::from_secs(30);
+
+/// Placement as one entry sees it.
+#[derive(Debug)]
+pub struct Placement {
+    own: ids::VmId,
+    lease: lease::Lease,
+    engines: engines::Engines,
+    demand: demand::Demand,
+    loads: loads::Loads,
+    avoided: collections::BTreeMap<ids::BackendServerId, ids::Timestamp>,
+    adapters:
+        collections::BTreeMap<ids::BackendServerId, (ids::Epoch, collections::BTreeSet<String>)>,
+    snapshot: Option<sync::Arc<snapshot::Snapshot>>,
+    fence: Option<ids::FencingNumber>,
+}
+
+impl Placement {
+    /// Makes the placement of an entry that just started.
+    pub fn new(vm: &str, incarnation: ids::Incarnation, now: ids::Timestamp) -> Self {
+        Self {
+            own: vm.to_owned(),
+            lease: lease::Lease::new(format!("{vm}.{incarnation}"), now),
+            engines: engines::Engines::default(),
+            demand: demand::Demand::default(),
+            loads: loads::Loads::default(),
+            avoided: collections::BTreeMap::new(),
+            adapters: collections::BTreeMap::new(),
+            snapshot: None,
+            fence: None,
+        }
+    }
+
+    /// Returns the fencing number if this entry holds the lease.
+    pub const fn fence(&self) -> Option<ids::FencingNumber> {
+        self.fence
+    }
+
+    /// Handles an event and returns what is to be done, in order.
+    pub fn handle(&mut self, event: event::Event, now: ids::Timestamp) -> Vec<action::Action> {
+        let mut out = Vec::new();
+        self.lease.tick(now);
+        match event {
+            event::Event::Tick(snapshot) => self.snapshot = Some(snapshot),
+            event::Event::LeaseRead { result } => self.lease.read_ended(result, now),
+            event::Event::LeaseWritten { nonce, result } => {
+                self.lease.write_ended(nonce, result, now);
+            }
+            event::Event::EngineRead {
+                ticket,
+                begun_at,
+                result,
+            } => self.engine_read(ticket, begun_at, result, now, &mut out),
+            event::Event::Ordered { ticket, end } => self.ordered(ticket, &end, now, &mut out),
+        }
+        self.settle(now, &mut out);
+        out
+    }
+
+    fn settle(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        self.note_holder(now, out);
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        if self.fence.is_some() {
+            self.engines.update(&snapshot, now);
+            self.demand.measure(&snapshot.text, &self.engines, now);
+            self.avoided.retain(|_, until| now < *until);
+            self.end_loads(&snapshot, now, out);
+            self.begin_loads(&snapshot, now, out);
+            self.look_at_loads(now, out);
+        }
+        let recorded = self.loads.recorded();
+        let is_candidate = self.is_candidate(&snapshot);
+        out.extend(self.lease.poll(is_candidate, &recorded, now));
+    }
+
+    /// Takes over the loads of the holder before, or forgets those of a lease that is lost.
+    fn note_holder(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let fence = self.lease.held().map(|held| held.fence);
+        if fence == self.fence {
+            return;
+        }
+        self.fence = fence;
+        self.loads.clear();
+        self.adapters.clear();
+        self.avoided.clear();
+        self.demand = demand::Demand::default();
+        let Some(held) = self.lease.held() else {
+            out.push(log_lease(0, "lost"));
+            return;
+        };
+        for load in &held.recorded {
+            self.loads.begin(load.clone(), Some(now), now);
+        }
+        out.push(log_lease(held.fence, "taken"));
+    }
+
+    fn is_candidate(&self, snapshot: &snapshot::Snapshot) -> bool {
+        let members = snapshot.members.values();
+        let before = members
+            .filter(|member| member.live && !member.leaving && member.vm < self.own)
+            .count();
+        !snapshot.leaving && before < CANDIDATES
+    }
+
+    /// Ends the loads that are over, and those not ordered yet that nobody wants any more.
+    fn end_loads(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let engines = &self.engines;
+        let over = self.loads.extract(|slot| {
+            let is_listed = snapshot.servers.contains_key(&slot.load.server);
+            let is_wanted = engines.get(&slot.load.server).is_some()
+                && is_wanted(&snapshot.text, &slot.load.order);
+            let is_calling = slot.stage == loads::Stage::Ordering;
+            !is_calling && (!is_listed || slot.is_over(now) || !(is_wanted || slot.is_ordered()))
+        });
+        for slot in over {
+            self.avoided
+                .insert(slot.load.server.clone(), now + AVOID_FOR);
+            out.push(self.log_order(&slot, "given up"));
+        }
+    }
+
+    fn begin_loads(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        if now < self.lease.orders_from() || !self.may_order(now) {
+            return;
+        }
+        while self.loads.has_room() {
+            let loads = self.loads.recorded();
+            let plan = plan::Plan {
+                text: &snapshot.text,
+                engines: &self.engines,
+                demand: &self.demand,
+                loads: &loads,
+                avoided: &self.avoided,
+                adapters: &self.adapters,
+            };
+            let Some(change) = plan.next() else {
+                return;
+            };
+            out.push(action::Action::Log(process::Entry::PlacementDecided {
+                server: change.load.server.clone(),
+                change: change.load.order.to_string(),
+                fence: self.fence.unwrap_or_default(),
+                reason: change.reason,
+            }));
+            self.loads.begin(change.load, None, now);
+        }
+    }
+
+    /// Reads the engines of recorded loads.
+    fn look_at_loads(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        for ticket in self.loads.due(now) {
+            let Some(slot) = self.loads.get(ticket) else {
+                continue;
+            };
+            let Some(address) = self.address(&slot.load.server) else {
+                continue;
+            };
+            if !self.is_recorded(&slot.load) {
+                continue;
+            }
+            if let Some(slot) = self.loads.get_mut(ticket) {
+                slot.stage = loads::Stage::Reading;
+                out.push(action::Action::ReadEngine { ticket, address });
+            }
+        }
+    }
+
+    fn engine_read(
+        &mut self,
+        ticket: u64,
+        begun_at: ids::Timestamp,
+        result: Result<backend_server::LoadReport, backend_server::BackendServerError>,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        let Some(slot) = self.loads.get_mut(ticket) else {
+            return;
+        };
+        let Ok(report) = result else {
+            slot.unread(now);
+            return;
+        };
+        match slot.reported(&report, now) {
+            loads::Next::Wait => {}
+            loads::Next::Done => self.done(ticket, "done", out),
+            loads::Next::Order => {
+                let measured_at = begun_at.saturating_sub(report.age);
+                let is_under_lease = measured_at >= self.lease.orders_from();
+                if is_under_lease && !report.leaving {
+                    self.order(ticket, now, out);
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, ticket: u64, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+        let (Some(slot), Some(fence)) = (self.loads.get(ticket), self.fence) else {
+            return;
+        };
+        let Some(address) = self.address(&slot.load.server) else {
+            return;
+        };
+        let text = self.snapshot.as_ref().map(|snapshot| &snapshot.text);
+        let is_staying = self.engines.get(&slot.load.server).is_some();
+        let is_wanted = is_staying && text.is_some_and(|text| is_wanted(text, &slot.load.order));
+        let is_free = self.loads.may_order(now) && !self.loads.is_calling(&slot.load.server);
+        let may_order = self.may_order(now) && self.is_recorded(&slot.load);
+        if !is_wanted || !is_free || !may_order {
+            return;
+        }
+        out.push(action::Action::Order {
+            ticket,
+            address,
+            fence,
+            order: slot.load.order.clone(),
+            send_by: self.lease.orders_until(),
+        });
+        self.loads.order(ticket, now);
+    }
+
+    fn ordered(
+        &mut self,
+        ticket: u64,
+        end: &event::OrderEnd,
+        now: ids::Timestamp,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.loads.ordered(ticket, now);
+        let Some(slot) = self.loads.get(ticket) else {
+            return;
+        };
+        match end {
+            event::OrderEnd::Accepted => {
+                out.push(self.log_order(slot, "accepted"));
+                if let backend_server::Order::LoadAdapter { adapter } = &slot.load.order {
+                    self.note_adapter(slot.load.server.clone(), adapter.clone());
+                    self.done(ticket, "done", out);
+                }
+            }
+            event::OrderEnd::TooLate => out.push(self.log_order(slot, "too late")),
+            event::OrderEnd::Failed(e) => {
+                out.push(self.log_order(slot, &e.to_string()));
+                let may_run = matches!(e, backend_server::BackendServerError::Broken(_));
+                if !may_run && slot.orders == 1 {
+                    let server = slot.load.server.clone();
+                    self.avoided.insert(server, now + AVOID_FOR);
+                    self.loads.end(ticket);
+                }
+            }
+        }
+    }
+
+    fn note_adapter(&mut self, server: ids::BackendServerId, adapter: String) {
+        let Some(engine) = self.engines.get(&server) else {
+            return;
+        };
+        let loaded = self.adapters.entry(server).or_default();
+        if loaded.0 != engine.epoch {
+            *loaded = (engine.epoch, collections::BTreeSet::new());
+        }
+        loaded.1.insert(adapter);
+    }
+
+    fn done(&mut self, ticket: u64, how: &str, out: &mut Vec<action::Action>) {
+        if let Some(slot) = self.loads.end(ticket) {
+            out.push(self.log_order(&slot, how));
+        }
+    }
+
+    /// Returns whether orders may be given: the lease is held, and the text is that in force.
+    fn may_order(&self, now: ids::Timestamp) -> bool {
+        let is_fresh = self
+            .snapshot
+            .as_ref()
+            .is_some_and(|snapshot| now < snapshot.may_place_until);
+        is_fresh && now < self.lease.orders_until()
+    }
+
+    fn is_recorded(&self, load: &record::Load) -> bool {
+        let held = self.lease.held();
+        held.is_some_and(|held| held.recorded.contains(load))
+    }
+
+    fn address(&self, server: &str) -> Option<String> {
+        let snapshot = self.snapshot.as_ref()?;
+        Some(snapshot.servers.get(server)?.address.clone())
+    }
+
+    fn log_order(&self, slot: &loads::Slot, result: &str) -> action::Action {
+        action::Action::Log(process::Entry::PlacementOrdered {
+            server: slot.load.server.clone(),
+            change: slot.load.order.to_string(),
+            fence: self.fence.unwrap_or_default(),
+            result: result.to_owned(),
+        })
+    }
+}
+
+/// Returns whether the text wants what an order loads.
+fn is_wanted(text: &mustardshed_config::text::Text, order: &backend_server::Order) -> bool {
+    match order {
+        backend_server::Order::LoadModel { model, version } => text
+            .models
+            .get(model)
+            .is_some_and(|model| model.version == *version),
+        backend_server::Order::LoadAdapter { adapter } => {
+            let mut models = text.models.values();
+            models.any(|model| model.adapters.contains(adapter))
+        }
+        backend_server::Order::ChangeRole { .. } => false,
+    }
+}
+
+fn log_lease(fence: ids::FencingNumber, state: &'static str) -> action::Action {
+    action::Action::Log(process::Entry::PlacementLease { fence, state })
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/placement/action.rs
@@ -0,0 +1,49 @@
+//! What placement wants done.
+
+use crate::{
+    border::backend_server,
+    ids, mutation,
+    process::{action, placement::record},
+};
+
+/// What placement wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Read the lease object.
+    ReadLease,
+    /// Write the lease object if it is at `expected`.
+    WriteLease {
+        /// Version that it must have.
+        expected: ids::ObjectVersion,
+        /// Content.
+        record: record::Record,
+    },
+    /// Read the load of an engine.
+    ReadEngine {
+        /// Number of the load.
+        ticket: u64,
+        /// `IP:PORT` of the engine.
+        address: String,
+    },
+    /// Give an order, unless [`is_in_time`] says at the send that it is too late; the call ends
+    /// within [`super::lease::ORDER_TIMEOUT`].
+    Order {
+        /// Number of the load.
+        ticket: u64,
+        /// `IP:PORT` of the engine.
+        address: String,
+        /// Fencing number.
+        fence: ids::FencingNumber,
+        /// Order.
+        order: backend_server::Order,
+        /// Time until which it may be sent.
+        send_by: ids::Timestamp,
+    },
+    /// Write a log event.
+    Log(action::Entry),
+}
+
+/// Returns whether an order may still be sent; asked with the clock read at the send.
+pub fn is_in_time(send_by: ids::Timestamp, now: ids::Timestamp) -> bool {
+    now < send_by || mutation::on("order_sent_late")
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/placement/engines.rs
@@ -0,0 +1,105 @@
+//! Engines as placement sees them.
+
+use std::{collections, time};
+
+use crate::{border::backend_server, ids, process::snapshot};
+
+/// Time of silence after which what an engine holds does not count any more.
+const GONE_AFTER: time::Duration = time::Duration::from_secs(10);
+
+/// An engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Name.
+    pub id: ids::BackendServerId,
+    /// `IP:PORT`.
+    pub address: String,
+    /// Engine kind.
+    pub kind: String,
+    /// Data centre.
+    pub data_centre: ids::DataCentreId,
+    /// Whether it is warm.
+    pub is_warm: bool,
+    /// Epoch.
+    pub epoch: ids::Epoch,
+    /// Models that are loaded, each with its version.
+    pub models: collections::BTreeMap<ids::ModelId, String>,
+    /// KV memory, in tokens.
+    pub memory_tokens: ids::Tokens,
+    /// KV memory held, and prompt tokens that wait for prefill.
+    pub busy_tokens: ids::Tokens,
+    /// Whether it answers.
+    pub is_reachable: bool,
+    /// Time at which it last answered.
+    pub answered_at: ids::Timestamp,
+}
+
+impl Engine {
+    /// Returns whether it has a model at a version.
+    pub fn holds(&self, model: &str, version: &str) -> bool {
+        self.models.get(model).is_some_and(|held| held == version)
+    }
+
+    fn new(view: &snapshot::ServerView, now: ids::Timestamp) -> Self {
+        Self {
+            id: view.id.clone(),
+            address: view.address.clone(),
+            kind: view.kind.clone(),
+            data_centre: view.data_centre.clone(),
+            is_warm: view.warmth == backend_server::Warmth::Warm,
+            epoch: view.epoch,
+            models: view.models.clone(),
+            memory_tokens: view.memory_tokens,
+            busy_tokens: view.used_tokens.saturating_add(view.queued_prefill_tokens),
+            is_reachable: true,
+            answered_at: now,
+        }
+    }
+}
+
+/// Engines that stay, in data centres in service.
+#[derive(Debug, Default)]
+pub struct Engines {
+    engines: collections::BTreeMap<ids::BackendServerId, Engine>,
+}
+
+impl Engines {
+    /// Takes over what the entry knows.
+    pub fn update(&mut self, snapshot: &snapshot::Snapshot, now: ids::Timestamp) {
+        let engines = &mut self.engines;
+        engines.retain(|id, _| {
+            let view = snapshot.servers.get(id);
+            view.is_some_and(|view| is_staying(snapshot, view))
+        });
+        for view in snapshot.servers.values() {
+            if !is_staying(snapshot, view) {
+                continue;
+            }
+            if view.reachable {
+                engines.insert(view.id.clone(), Engine::new(view, now));
+            } else if let Some(engine) = engines.get_mut(&view.id) {
+                engine.is_reachable = false;
+            }
+        }
+        engines.retain(|_, engine| now.saturating_sub(engine.answered_at) < GONE_AFTER);
+    }
+
+    /// Returns an engine.
+    pub fn get(&self, id: &str) -> Option<&Engine> {
+        self.engines.get(id)
+    }
+
+    /// Returns the engines of a kind.
+    pub fn of_kind<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = &'a Engine> + Clone {
+        self.engines
+            .values()
+            .filter(move |engine| engine.kind == kind)
+    }
+}
+
+/// Returns whether a server is an engine that is not leaving, in a data centre in service.
+fn is_staying(snapshot: &snapshot::Snapshot, view: &snapshot::ServerView) -> bool {
+    let is_engine = snapshot.text.engine_kinds.contains_key(&view.kind);
+    let is_out = snapshot.data_centres_out.contains(&view.data_centre);
+    is_engine && !view.leaving && !is_out
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/placement/lease.rs
@@ -0,0 +1,315 @@
+//! The lease of the one entry that gives orders to engines.
+//!
+//! It is one platform object, taken and renewed by conditional update. All times are those of the
+//! beginning of the holder's write, which lies before the moment from which others count.
+//!
+//! - Another entry takes the lease once it has seen the same version for [`LEASE`].
+//! - The holder sends orders until [`CLOCK_MARGIN`] before the end of its lease, and after a pause
+//!   of its process only once it has renewed.
+//! - A new holder waits for [`ORDER_TIMEOUT`], in which the last call of the one before it ends.
+//! - A lost answer to a write is settled by reading back: the holder and the number of the write
+//!   tell whether it took effect, and since when the lease counts.
+
+use std::{collections, time};
+
+use crate::{
+    border::platform,
+    ids, mutation,
+    process::placement::{action, record},
+};
+
+/// Time from the beginning of a write for which it holds the lease.
+pub const LEASE: time::Duration = time::Duration::from_secs(10);
+/// Longest time of the call of an order.
+pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Time before the end of its lease at which a holder stops, for clocks of unlike rates.
+const CLOCK_MARGIN: time::Duration = time::Duration::from_secs(2);
+/// Time between two renewals.
+const RENEW_INTERVAL: time::Duration = time::Duration::from_secs(3);
+/// Time between two reads of an entry that waits for the lease.
+const READ_INTERVAL: time::Duration = time::Duration::from_secs(3);
+/// Wait after a call that failed.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Time between two ticks beyond which the process was paused.
+const PAUSED_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// The lease object as it was last seen.
+#[derive(Clone, Debug)]
+struct Seen {
+    version: ids::ObjectVersion,
+    record: record::Record,
+    since: ids::Timestamp,
+}
+
+/// A write of this entry that may have taken effect.
+#[derive(Clone, Debug)]
+struct Write {
+    record: record::Record,
+    begun_at: ids::Timestamp,
+}
+
+/// The lease while this entry holds it.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Fencing number.
+    pub fence: ids::FencingNumber,
+    /// Time at which this entry learned that it holds the lease.
+    pub since: ids::Timestamp,
+    /// Loads that the object records.
+    pub recorded: Vec<record::Load>,
+    confirmed_at: ids::Timestamp,
+}
+
+/// The lease as one entry sees it.
+#[derive(Debug)]
+pub struct Lease {
+    own: String,
+    seen: Option<Seen>,
+    held: Option<Held>,
+    writes: collections::BTreeMap<u64, Write>,
+    nonce: u64,
+    greatest_fence: ids::FencingNumber,
+    is_calling: bool,
+    must_read: bool,
+    least_version: ids::ObjectVersion,
+    next_at: ids::Timestamp,
+    ticked_at: ids::Timestamp,
+    resumed_at: ids::Timestamp,
+}
+
+impl Lease {
+    /// Makes the lease as `own`, a `VM.INCARNATION`, sees it at its start.
+    pub const fn new(own: String, now: ids::Timestamp) -> Self {
+        Self {
+            own,
+            seen: None,
+            held: None,
+            writes: collections::BTreeMap::new(),
+            nonce: 0,
+            greatest_fence: 0,
+            is_calling: false,
+            must_read: true,
+            least_version: 0,
+            next_at: now,
+            ticked_at: now,
+            resumed_at: now,
+        }
+    }
+
+    /// Returns the lease if this entry holds it, also when it can't be sure of that any more.
+    pub const fn held(&self) -> Option<&Held> {
+        self.held.as_ref()
+    }
+
+    /// Returns the time until which orders may be sent.
+    pub fn orders_until(&self) -> ids::Timestamp {
+        let Some(held) = &self.held else {
+            return time::Duration::ZERO;
+        };
+        if held.confirmed_at < self.resumed_at && !mutation::on("pause_unnoticed") {
+            return time::Duration::ZERO;
+        }
+        if mutation::on("lease_without_end") {
+            return time::Duration::MAX;
+        }
+        held.confirmed_at + LEASE - CLOCK_MARGIN
+    }
+
+    /// Returns the time from which orders may be sent.
+    pub fn orders_from(&self) -> ids::Timestamp {
+        let Some(held) = &self.held else {
+            return time::Duration::MAX;
+        };
+        if mutation::on("last_call_not_awaited") {
+            return held.since;
+        }
+        held.since + ORDER_TIMEOUT
+    }
+
+    /// Notes that time went on.
+    pub fn tick(&mut self, now: ids::Timestamp) {
+        if now.saturating_sub(self.ticked_at) > PAUSED_AFTER {
+            self.resumed_at = now;
+            self.next_at = now;
+        }
+        self.ticked_at = now;
+    }
+
+    /// Returns the next call on the platform, if one is due; `loads` is what a holder has recorded.
+    pub fn poll(
+        &mut self,
+        is_candidate: bool,
+        loads: &[record::Load],
+        now: ids::Timestamp,
+    ) -> Option<action::Action> {
+        if !is_candidate {
+            self.held = None;
+            return None;
+        }
+        if self.is_calling {
+            return None;
+        }
+        let Some(seen) = self.seen.clone().filter(|_| !self.must_read) else {
+            return self.read(now);
+        };
+        let Some(held) = &self.held else {
+            if is_free(&seen, now) {
+                let fence = self.greatest_fence + 1;
+                return self.write(&seen, fence, seen.record.loads.clone(), now);
+            }
+            return self.read(now);
+        };
+        let is_due = now >= held.confirmed_at + RENEW_INTERVAL || held.recorded != loads;
+        let fence = held.fence;
+        is_due
+            .then(|| self.write(&seen, fence, loads.to_vec(), now))
+            .flatten()
+    }
+
+    /// Takes the end of a read.
+    pub fn read_ended(
+        &mut self,
+        result: Result<Option<(ids::ObjectVersion, record::Record)>, platform::PlatformError>,
+        now: ids::Timestamp,
+    ) {
+        self.is_calling = false;
+        let Ok(object) = result else {
+            self.next_at = now + RETRY_INTERVAL;
+            return;
+        };
+        let (version, record) = object.unwrap_or_default();
+        if version < self.least_version {
+            // A read of the past.
+            self.next_at = now + RETRY_INTERVAL;
+            return;
+        }
+        self.must_read = false;
+        self.observe(version, record, now);
+        self.next_at = if self.held.is_some() {
+            now
+        } else {
+            now + READ_INTERVAL
+        };
+    }
+
+    /// Takes the end of a write.
+    pub fn write_ended(
+        &mut self,
+        nonce: u64,
+        result: Result<ids::ObjectVersion, platform::PlatformError>,
+        now: ids::Timestamp,
+    ) {
+        self.is_calling = false;
+        self.next_at = now + RETRY_INTERVAL;
+        match result {
+            Ok(version) => self.hold(version, nonce, now),
+            Err(platform::PlatformError::Conflict(version)) => {
+                self.held = None;
+                self.least_version = self.least_version.max(version);
+                self.must_read = true;
+                self.next_at = now;
+            }
+            Err(platform::PlatformError::Refused(_)) => {
+                self.writes.remove(&nonce);
+            }
+            Err(platform::PlatformError::Unanswered(_)) => {
+                self.must_read = true;
+                if mutation::on("lost_renewal_is_done") {
+                    let version = self.seen.as_ref().map_or(0, |seen| seen.version);
+                    self.hold(version, nonce, now);
+                }
+            }
+        }
+    }
+
+    fn observe(
+        &mut self,
+        version: ids::ObjectVersion,
+        record: record::Record,
+        now: ids::Timestamp,
+    ) {
+        if self.seen.as_ref().map(|seen| seen.version) == Some(version) {
+            return;
+        }
+        self.greatest_fence = self.greatest_fence.max(record.fence);
+        if record.holder == self.own && self.writes.contains_key(&record.nonce) {
+            self.hold(version, record.nonce, now);
+            return;
+        }
+        self.held = None;
+        self.writes.clear();
+        self.least_version = self.least_version.max(version);
+        self.seen = Some(Seen {
+            version,
+            record,
+            since: now,
+        });
+    }
+
+    fn hold(&mut self, version: ids::ObjectVersion, nonce: u64, now: ids::Timestamp) {
+        let Some(write) = self.writes.remove(&nonce) else {
+            return;
+        };
+        // What else was to replace an earlier version can't take effect any more.
+        self.writes.clear();
+        self.least_version = self.least_version.max(version);
+        let fence = write.record.fence;
+        self.greatest_fence = self.greatest_fence.max(fence);
+        let before = self.held.as_ref().filter(|held| held.fence == fence);
+        self.held = Some(Held {
+            fence,
+            since: before.map_or(now, |held| held.since),
+            recorded: write.record.loads.clone(),
+            confirmed_at: write.begun_at,
+        });
+        self.seen = Some(Seen {
+            version,
+            record: write.record,
+            since: now,
+        });
+    }
+
+    fn read(&mut self, now: ids::Timestamp) -> Option<action::Action> {
+        if now < self.next_at {
+            return None;
+        }
+        self.is_calling = true;
+        Some(action::Action::ReadLease)
+    }
+
+    fn write(
+        &mut self,
+        seen: &Seen,
+        fence: ids::FencingNumber,
+        loads: Vec<record::Load>,
+        now: ids::Timestamp,
+    ) -> Option<action::Action> {
+        let is_taking = self.held.is_none();
+        if now < self.next_at && !is_taking {
+            return None;
+        }
+        self.nonce += 1;
+        let record = record::Record {
+            holder: self.own.clone(),
+            fence,
+            nonce: self.nonce,
+            loads,
+        };
+        let write = Write {
+            record: record.clone(),
+            begun_at: now,
+        };
+        self.writes.insert(self.nonce, write);
+        self.is_calling = true;
+        Some(action::Action::WriteLease {
+            expected: seen.version,
+            record,
+        })
+    }
+}
+
+/// Returns whether nobody can hold the lease any more.
+fn is_free(seen: &Seen, now: ids::Timestamp) -> bool {
+    seen.version == 0 || now >= seen.since + LEASE
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/placement/loads.rs
@@ -0,0 +1,219 @@
+//! Loads under way, each with its order.
+//!
+//! A load is recorded in the lease object before its order is sent, so that the next holder knows
+//! of it. It ends when a report of the engine shows what was ordered, not with the answer to the
+//! order. An order whose answer was lost, or that shows no effect, is given again: orders are
+//! declarative.
+
+use std::{collections, time};
+
+use crate::{border::backend_server, ids, mutation, process::placement::record};
+
+/// Loads under way at once that the weight store bears.
+pub const MAX_LOADS: usize = 4;
+/// Time between two orders, for the rate of the weight store.
+pub const ORDER_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Wait between two looks at an engine that loads.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time after which an order that shows no effect is given again.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(30);
+/// Longest time of a load.
+const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(600);
+/// Time for which an engine may be silent until its load counts as broken off.
+const SILENT_AFTER: time::Duration = time::Duration::from_secs(60);
+
+/// What a load waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// For a time.
+    Waiting(ids::Timestamp),
+    /// For a report of the engine.
+    Reading,
+    /// For the answer to its order.
+    Ordering,
+}
+
+/// A load under way.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// What is loaded where.
+    pub load: record::Load,
+    /// What it waits for.
+    pub stage: Stage,
+    /// Orders given for it, as far as is known.
+    pub orders: u32,
+    begun_at: ids::Timestamp,
+    answered_at: ids::Timestamp,
+    ordered_at: Option<ids::Timestamp>,
+}
+
+/// What follows from a report of an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// The load is done.
+    Done,
+    /// The order is to be given.
+    Order,
+    /// The engine is to be looked at again.
+    Wait,
+}
+
+/// Loads under way.
+#[derive(Debug, Default)]
+pub struct Loads {
+    slots: collections::BTreeMap<u64, Slot>,
+    calling: collections::BTreeSet<ids::BackendServerId>,
+    calls: collections::BTreeMap<u64, ids::BackendServerId>,
+    next_ticket: u64,
+    ordered_at: Option<ids::Timestamp>,
+}
+
+impl Loads {
+    /// Begins a load; `ordered_at` is set for one of an earlier holder.
+    pub fn begin(
+        &mut self,
+        load: record::Load,
+        ordered_at: Option<ids::Timestamp>,
+        now: ids::Timestamp,
+    ) {
+        self.next_ticket += 1;
+        let slot = Slot {
+            load,
+            stage: Stage::Waiting(now),
+            orders: u32::from(ordered_at.is_some()),
+            begun_at: now,
+            answered_at: now,
+            ordered_at,
+        };
+        self.slots.insert(self.next_ticket, slot);
+    }
+
+    /// Returns whether another load may begin.
+    pub fn has_room(&self) -> bool {
+        self.slots.len() < MAX_LOADS || mutation::on("weight_store_unlimited")
+    }
+
+    /// Returns whether the rate of the weight store allows an order.
+    pub fn may_order(&self, now: ids::Timestamp) -> bool {
+        self.ordered_at
+            .is_none_or(|at| now.saturating_sub(at) >= ORDER_INTERVAL)
+    }
+
+    /// Returns whether the call of an order to a server is under way, one of an earlier lease included.
+    pub fn is_calling(&self, server: &str) -> bool {
+        self.calling.contains(server)
+    }
+
+    /// Returns the loads as they are recorded.
+    pub fn recorded(&self) -> Vec<record::Load> {
+        self.slots.values().map(|slot| slot.load.clone()).collect()
+    }
+
+    /// Returns a load.
+    pub fn get(&self, ticket: u64) -> Option<&Slot> {
+        self.slots.get(&ticket)
+    }
+
+    /// Returns a load, to be changed.
+    pub fn get_mut(&mut self, ticket: u64) -> Option<&mut Slot> {
+        self.slots.get_mut(&ticket)
+    }
+
+    /// Returns the loads that are to be looked at now.
+    pub fn due(&self, now: ids::Timestamp) -> Vec<u64> {
+        let is_due = |slot: &Slot| matches!(slot.stage, Stage::Waiting(until) if now >= until);
+        let due = self.slots.iter().filter(|(_, slot)| is_due(slot));
+        due.map(|(ticket, _)| *ticket).collect()
+    }
+
+    /// Ends a load.
+    pub fn end(&mut self, ticket: u64) -> Option<Slot> {
+        self.slots.remove(&ticket)
+    }
+
+    /// Forgets all loads; calls under way stay known.
+    pub fn clear(&mut self) {
+        self.slots.clear();
+    }
+
+    /// Ends the loads for which `is_over` says so, and returns them.
+    pub fn extract(&mut self, is_over: impl Fn(&Slot) -> bool) -> Vec<Slot> {
+        let over: Vec<u64> = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| is_over(slot))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        over.iter().filter_map(|ticket| self.end(*ticket)).collect()
+    }
+
+    /// Notes that an order is given.
+    pub fn order(&mut self, ticket: u64, now: ids::Timestamp) {
+        let Some(slot) = self.slots.get_mut(&ticket) else {
+            return;
+        };
+        slot.stage = Stage::Ordering;
+        slot.ordered_at = Some(now);
+        slot.orders += 1;
+        let server = slot.load.server.clone();
+        self.ordered_at = Some(now);
+        self.calling.insert(server.clone());
+        self.calls.insert(ticket, server);
+    }
+
+    /// Notes that the call of an order ended.
+    pub fn ordered(&mut self, ticket: u64, now: ids::Timestamp) {
+        if let Some(server) = self.calls.remove(&ticket) {
+            self.calling.remove(&server);
+        }
+        let Some(slot) = self.slots.get_mut(&ticket) else {
+            return;
+        };
+        slot.stage = Stage::Waiting(now);
+    }
+}
+
+impl Slot {
+    /// Returns whether its order was given, as far as is known.
+    pub const fn is_ordered(&self) -> bool {
+        self.ordered_at.is_some()
+    }
+
+    /// Returns whether it took too long, or its engine is silent for too long.
+    pub fn is_over(&self, now: ids::Timestamp) -> bool {
+        let is_silent = now.saturating_sub(self.answered_at) >= SILENT_AFTER;
+        let is_late = now.saturating_sub(self.begun_at) >= LOAD_TIMEOUT;
+        self.stage != Stage::Ordering && (is_silent || is_late)
+    }
+
+    /// Takes a report of the engine and returns what follows.
+    pub fn reported(&mut self, report: &backend_server::LoadReport, now: ids::Timestamp) -> Next {
+        self.answered_at = now;
+        self.stage = Stage::Waiting(now + CHECK_INTERVAL);
+        if self.shows(report) {
+            return Next::Done;
+        }
+        let is_due = |at| now.saturating_sub(at) >= REPEAT_INTERVAL;
+        if self.ordered_at.is_none_or(is_due) {
+            Next::Order
+        } else {
+            Next::Wait
+        }
+    }
+
+    /// Notes that the engine could not be read.
+    pub fn unread(&mut self, now: ids::Timestamp) {
+        self.stage = Stage::Waiting(now + CHECK_INTERVAL);
+    }
+
+    /// Returns whether a report shows what was ordered; adapters and roles are in no report.
+    fn shows(&self, report: &backend_server::LoadReport) -> bool {
+        match &self.load.order {
+            backend_server::Order::LoadModel { model, version } => {
+                report.models.get(model) == Some(version)
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/placement/plan.rs
@@ -0,0 +1,249 @@
+//! Which engine is to be changed next, and how.
+
+use std::collections;
+
+use mustardshed_config::text;
+
+use crate::{
+    border::backend_server,
+    ids,
+    process::placement::{demand, engines, rank, record},
+};
+
+/// Part of the engines of a kind that may be changed at a time, as a divisor; one at least.
+const KIND_DIVISOR: usize = 4;
+/// Engines by which a model must fall short of its share of the demand before a working engine is
+/// changed.
+const SHARE_MARGIN: f64 = 1.5;
+/// Part of their memory that a model's engines must have in use before a working engine is changed.
+const BUSY_FROM: f64 = 0.5;
+
+/// A change of what one engine holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// What is to be loaded where.
+    pub load: record::Load,
+    /// Why.
+    pub reason: &'static str,
+}
+
+/// What a plan is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan<'a> {
+    /// Operators' text.
+    pub text: &'a text::Text,
+    /// Engines.
+    pub engines: &'a engines::Engines,
+    /// Demand.
+    pub demand: &'a demand::Demand,
+    /// Loads under way.
+    pub loads: &'a [record::Load],
+    /// Engines to be left alone for now.
+    pub avoided: &'a collections::BTreeMap<ids::BackendServerId, ids::Timestamp>,
+    /// Adapters that engines were ordered to load in their epoch.
+    pub adapters: &'a collections::BTreeMap<
+        ids::BackendServerId,
+        (ids::Epoch, collections::BTreeSet<String>),
+    >,
+}
+
+impl<'a> Plan<'a> {
+    /// Returns the change that comes next, if one is wanted and allowed.
+    pub fn next(&self) -> Option<Change> {
+        let models = rank::ranked(self.text);
+        let steps: [fn(&Self, &'a text::Model) -> Option<Change>; 5] = [
+            Self::missing,
+            Self::outdated,
+            Self::idle,
+            Self::short,
+            Self::adapter,
+        ];
+        steps
+            .iter()
+            .find_map(|step| models.iter().find_map(|model| step(self, model)))
+    }
+
+    /// A first engine for a model that has none.
+    fn missing(&self, model: &'a text::Model) -> Option<Change> {
+        if self.holders(model) > 0 {
+            return None;
+        }
+        let engine = self.best(model, |_| true)?;
+        Some(load(model, engine, "no engine holds it"))
+    }
+
+    /// The text's version for an engine that has another one.
+    fn outdated(&self, model: &'a text::Model) -> Option<Change> {
+        let engine = self.best(model, |engine| engine.models.contains_key(&model.name))?;
+        Some(load(model, engine, "the engine holds another version"))
+    }
+
+    /// A model for an engine that holds none, if it is this one that falls short the most.
+    fn idle(&self, model: &'a text::Model) -> Option<Change> {
+        let shortest = self.of_kind(&model.engine_kind).max_by(|a, b| {
+            let by_shortage = self.shortage(a).total_cmp(&self.shortage(b));
+            by_shortage.then_with(|| b.name.cmp(&a.name))
+        })?;
+        if shortest.name != model.name {
+            return None;
+        }
+        let engine = self.best(model, |engine| !self.works(engine))?;
+        Some(load(model, engine, "the engine holds no model of the text"))
+    }
+
+    /// A further engine for a model whose engines are busy and fewer than its share.
+    fn short(&self, model: &'a text::Model) -> Option<Change> {
+        if self.shortage(model) < SHARE_MARGIN || !self.is_busy(model) {
+            return None;
+        }
+        let engine = self.best(model, |_| true)?;
+        Some(load(model, engine, "its engines are fewer than its demand"))
+    }
+
+    /// An adapter for an engine that holds its model.
+    fn adapter(&self, model: &'a text::Model) -> Option<Change> {
+        model.adapters.iter().find_map(|adapter| {
+            let engine = self
+                .changeable(&model.engine_kind)
+                .filter(|engine| engine.holds(&model.name, &model.version))
+                .find(|engine| !self.has_adapter(engine, adapter))?;
+            let order = backend_server::Order::LoadAdapter {
+                adapter: adapter.clone(),
+            };
+            Some(change(engine, order, "not ordered yet under this lease"))
+        })
+    }
+
+    /// Returns the engine to which a model is best loaded: idle ones first, then those with
+    /// another version of it, then cold ones, then in the data centre that has the fewest, then the
+    /// least busy.
+    fn best(
+        &self,
+        model: &'a text::Model,
+        wanted: impl Fn(&engines::Engine) -> bool,
+    ) -> Option<&'a engines::Engine> {
+        self.changeable(&model.engine_kind)
+            .filter(|engine| !engine.holds(&model.name, &model.version))
+            .filter(|engine| wanted(engine) && !self.is_last(engine, &model.name))
+            .min_by_key(|engine| {
+                (
+                    self.works(engine),
+                    !engine.models.contains_key(&model.name),
+                    engine.is_warm,
+                    self.holders_in(model, &engine.data_centre),
+                    engine.busy_tokens,
+                    &engine.id,
+                )
+            })
+    }
+
+    /// Returns the engines of a kind that may be changed now.
+    fn changeable(&self, kind: &'a str) -> impl Iterator<Item = &'a engines::Engine> {
+        let engines = self.engines.of_kind(kind);
+        let count = engines.clone().count();
+        let changing = engines.clone().filter(|e| self.load_on(&e.id).is_some());
+        let is_full = changing.count() >= (count / KIND_DIVISOR).max(1);
+        engines
+            .filter(move |engine| !is_full && engine.is_reachable)
+            .filter(|engine| self.load_on(&engine.id).is_none())
+            .filter(|engine| !self.avoided.contains_key(&engine.id))
+    }
+
+    /// Returns whether an engine is the last that works for a model other than `except`.
+    fn is_last(&self, engine: &engines::Engine, except: &str) -> bool {
+        self.of_kind(&engine.kind)
+            .filter(|model| model.name != except && engine.holds(&model.name, &model.version))
+            .any(|model| {
+                !self.engines.of_kind(&engine.kind).any(|other| {
+                    other.id != engine.id
+                        && other.is_reachable
+                        && other.holds(&model.name, &model.version)
+                        && (other.is_warm || !engine.is_warm)
+                        && self.load_on(&other.id).is_none()
+                })
+            })
+    }
+
+    fn of_kind<'b>(&self, kind: &'b str) -> impl Iterator<Item = &'a text::Model> + use<'a, 'b> {
+        let models = self.text.models.values();
+        models.filter(move |model| model.engine_kind == kind)
+    }
+
+    fn load_on(&self, server: &str) -> Option<&'a record::Load> {
+        self.loads.iter().find(|load| load.server == server)
+    }
+
+    /// Returns whether an engine holds a model of the text, or is about to.
+    fn works(&self, engine: &engines::Engine) -> bool {
+        let mut models = self.of_kind(&engine.kind);
+        models.any(|model| self.counts(engine, model))
+    }
+
+    /// Returns whether an engine holds a model, or is about to.
+    fn counts(&self, engine: &engines::Engine, model: &text::Model) -> bool {
+        let is_loading = self
+            .load_on(&engine.id)
+            .is_some_and(|load| load.order == order(model));
+        is_loading || engine.holds(&model.name, &model.version)
+    }
+
+    fn holders(&self, model: &text::Model) -> usize {
+        let engines = self.engines.of_kind(&model.engine_kind);
+        engines.filter(|engine| self.counts(engine, model)).count()
+    }
+
+    fn holders_in(&self, model: &text::Model, data_centre: &str) -> usize {
+        let engines = self.engines.of_kind(&model.engine_kind);
+        engines
+            .filter(|engine| engine.data_centre == data_centre && self.counts(engine, model))
+            .count()
+    }
+
+    /// Returns by how many engines a model falls short of its share of the demand.
+    fn shortage(&self, model: &text::Model) -> f64 {
+        let kind = model.engine_kind.as_str();
+        let total: f64 = self.of_kind(kind).map(|m| self.demand.of(&m.name)).sum();
+        let part = if total > 0.0 {
+            self.demand.of(&model.name) / total
+        } else {
+            1.0 / self.of_kind(kind).count() as f64
+        };
+        let share = part * self.engines.of_kind(kind).count() as f64;
+        share - self.holders(model) as f64
+    }
+
+    fn is_busy(&self, model: &text::Model) -> bool {
+        let engines = self.engines.of_kind(&model.engine_kind);
+        let memory: ids::Tokens = engines
+            .filter(|engine| self.counts(engine, model))
+            .map(|engine| engine.memory_tokens)
+            .sum();
+        self.demand.of(&model.name) >= memory as f64 * BUSY_FROM
+    }
+
+    fn has_adapter(&self, engine: &engines::Engine, adapter: &str) -> bool {
+        self.adapters
+            .get(&engine.id)
+            .is_some_and(|(epoch, loaded)| *epoch == engine.epoch && loaded.contains(adapter))
+    }
+}
+
+/// Returns the order that loads a model at the text's version.
+pub fn order(model: &text::Model) -> backend_server::Order {
+    backend_server::Order::LoadModel {
+        model: model.name.clone(),
+        version: model.version.clone(),
+    }
+}
+
+fn load(model: &text::Model, engine: &engines::Engine, reason: &'static str) -> Change {
+    change(engine, order(model), reason)
+}
+
+fn change(engine: &engines::Engine, order: backend_server::Order, reason: &'static str) -> Change {
+    let load = record::Load {
+        server: engine.id.clone(),
+        order,
+    };
+    Change { load, reason }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/placement/rank.rs
@@ -0,0 +1,59 @@
+//! Order in which models are served first: what others depend on goes before them.
+
+use std::collections;
+
+use mustardshed_config::text;
+
+use crate::ids;
+
+/// Returns the models of a text, those first whose services others depend on, then by name.
+pub fn ranked(text: &text::Text) -> Vec<&text::Model> {
+    let mut depths = collections::BTreeMap::new();
+    for service in text.services.keys() {
+        depth(text, service, &mut depths);
+    }
+    let mut models: Vec<&text::Model> = text.models.values().collect();
+    models.sort_by_key(|model| (rank(text, &model.name, &depths), &model.name));
+    models
+}
+
+/// Returns the least depth of the services that a model stands behind.
+fn rank(
+    text: &text::Text,
+    model: &str,
+    depths: &collections::BTreeMap<ids::ServiceId, usize>,
+) -> usize {
+    text.services
+        .values()
+        .filter(|service| is_behind(model, service))
+        .filter_map(|service| depths.get(&service.name))
+        .min()
+        .copied()
+        .unwrap_or(usize::MAX)
+}
+
+fn is_behind(model: &str, service: &text::Service) -> bool {
+    matches!(&service.backing, text::Backing::Model { model: name } if name == model)
+}
+
+/// Returns the length of the longest chain of dependencies below a service; a checked text has no
+/// cycle.
+fn depth(
+    text: &text::Text,
+    service: &str,
+    depths: &mut collections::BTreeMap<ids::ServiceId, usize>,
+) -> usize {
+    if let Some(depth) = depths.get(service) {
+        return *depth;
+    }
+    depths.insert(service.to_owned(), 0);
+    let depends_on = text.services.get(service).map(|s| s.depends_on.as_slice());
+    let below = depends_on
+        .unwrap_or_default()
+        .iter()
+        .map(|other| depth(text, other, depths) + 1)
+        .max()
+        .unwrap_or(0);
+    depths.insert(service.to_owned(), below);
+    below
+}
--- a/crates/mustardshed-wire/src/lib.rs
+++ b/crates/mustardshed-wire/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod data_lines;
 pub mod operator;
 pub mod peer;
+pub mod placement;
--- a/crates/mustardshedd/src/log/entry.rs
+++ b/crates/mustardshedd/src/log/entry.rs
@@ -52,6 +52,32 @@
                 fresh: *fresh,
                 reason,
             },
+            Entry::PlacementLease { fence, state } => Self::PlacementLease {
+                fence: *fence,
+                state,
+            },
+            Entry::PlacementDecided {
+                server,
+                change,
+                fence,
+                reason,
+            } => Self::PlacementDecided {
+                server,
+                change,
+                fence: *fence,
+                reason,
+            },
+            Entry::PlacementOrdered {
+                server,
+                change,
+                fence,
+                result,
+            } => Self::PlacementOrdered {
+                server,
+                change,
+                fence: *fence,
+                result,
+            },
         }
     }
 }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -149,4 +149,23 @@
         generation: ids::Generation,
         reason: &'a str,
     }
+    /// This entry took or lost the lease of placement.
+    2009 Info "placement_lease" PlacementLease {
+        fence: ids::FencingNumber,
+        state: &'a str,
+    }
+    /// What an engine holds is to be changed.
+    2010 Info "placement_decided" PlacementDecided {
+        server: &'a str,
+        change: &'a str,
+        fence: ids::FencingNumber,
+        reason: &'a str,
+    }
+    /// An order was answered, or the change that it is for ended.
+    2011 Info "placement_ordered" PlacementOrdered {
+        server: &'a str,
+        change: &'a str,
+        fence: ids::FencingNumber,
+        result: &'a str,
+    }
 }
--- a/crates/mustardshedd/src/process.rs
+++ b/crates/mustardshedd/src/process.rs
@@ -8,6 +8,7 @@
 pub mod links;
 pub mod operator;
 pub mod pending;
+pub mod placement;
 pub mod pollers;
 pub mod service;
 pub mod startup;
--- a/crates/mustardshedd/src/process/control.rs
+++ b/crates/mustardshedd/src/process/control.rs
@@ -12,7 +12,7 @@
 };
 use tokio::{runtime, sync::mpsc, sync::oneshot, time};
 
-use crate::process::{links, pending, pollers};
+use crate::process::{links, pending, placement, pollers};
 
 mod border;
 pub(crate) mod handle;
@@ -123,6 +123,7 @@
     ) {
         crate::process::inbound::spawn(&self.parts, peer_listener, self.events_tx.clone());
         pollers::spawn(&self.parts, &self.events_tx);
+        placement::spawn(&self.parts, sync::Arc::clone(&self.published));
         let mut ticks = time::interval(node::TICK);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
--- /dev/null
+++ b/crates/mustardshedd/src/process/placement.rs
@@ -0,0 +1,165 @@
+//! Carries out placement: the lease object, reads of engines, orders.
+
+use std::sync;
+
+use arc_swap::ArcSwap;
+use mustardshed::{
+    core::{
+        border::{backend_server, platform},
+        ids,
+        process::{
+            placement::{self, action, event, lease, record},
+            snapshot,
+        },
+    },
+    wire::placement as wire,
+};
+use tokio::{sync::mpsc, time};
+
+use crate::process::control;
+
+/// Name of the lease object.
+pub const LEASE_NAME: &str = "placement";
+
+/// Ends of calls that may wait; each call has one, and there are few at once.
+const EVENT_QUEUE_LEN: usize = 256;
+
+/// Starts placement on the current runtime.
+pub fn spawn(parts: &control::Parts, published: sync::Arc<ArcSwap<snapshot::Snapshot>>) {
+    tokio::spawn(run(parts.clone(), published));
+}
+
+async fn run(parts: control::Parts, published: sync::Arc<ArcSwap<snapshot::Snapshot>>) {
+    let identity = &parts.identity;
+    let now = parts.clock.now();
+    let mut placement = placement::Placement::new(&identity.vm, identity.incarnation, now);
+    let (events_tx, mut events_rx) = mpsc::channel(EVENT_QUEUE_LEN);
+    let mut ticks = time::interval(placement::TICK);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        let event = tokio::select! {
+            Some(event) = events_rx.recv() => event,
+            _ = ticks.tick() => event::Event::Tick(published.load_full()),
+        };
+        for action in placement.handle(event, parts.clock.now()) {
+            carry_out(&parts, &events_tx, action);
+        }
+    }
+}
+
+fn carry_out(
+    parts: &control::Parts,
+    events_tx: &mpsc::Sender<event::Event>,
+    action: action::Action,
+) {
+    match action {
+        action::Action::ReadLease => report(events_tx, read_lease(parts.clone())),
+        action::Action::WriteLease { expected, record } => {
+            report(events_tx, write_lease(parts.clone(), expected, record));
+        }
+        action::Action::ReadEngine { ticket, address } => {
+            report(events_tx, read_engine(parts.clone(), ticket, address));
+        }
+        action::Action::Order {
+            ticket,
+            address,
+            fence,
+            order,
+            send_by,
+        } => {
+            let parts = parts.clone();
+            report(events_tx, async move {
+                let end = give_order(&parts, &address, fence, order, send_by).await;
+                event::Event::Ordered { ticket, end }
+            });
+        }
+        action::Action::Log(entry) => (parts.log)(&entry),
+    }
+}
+
+/// Starts a call whose end becomes an event.
+fn report(
+    events_tx: &mpsc::Sender<event::Event>,
+    call: impl Future<Output = event::Event> + Send + 'static,
+) {
+    let events_tx = events_tx.clone();
+    tokio::spawn(async move {
+        // The receiver ends only with the process.
+        let _ = events_tx.send(call.await).await;
+    });
+}
+
+async fn read_lease(parts: control::Parts) -> event::Event {
+    let read = parts.platform.get(
+        platform::Purpose::Lease,
+        platform::ObjectKind::Lease,
+        LEASE_NAME,
+    );
+    let result = read.await.and_then(decode);
+    event::Event::LeaseRead { result }
+}
+
+fn decode(
+    object: Option<platform::Object>,
+) -> Result<Option<(ids::ObjectVersion, record::Record)>, platform::PlatformError> {
+    let Some(object) = object else {
+        return Ok(None);
+    };
+    wire::decode(&object.value)
+        .map(|record| Some((object.version, record)))
+        .map_err(|e| platform::PlatformError::Refused(e.to_string()))
+}
+
+async fn write_lease(
+    parts: control::Parts,
+    expected: ids::ObjectVersion,
+    record: record::Record,
+) -> event::Event {
+    let nonce = record.nonce;
+    let result = match wire::encode(&record) {
+        Ok(value) => {
+            let write = parts.platform.put(
+                platform::Purpose::Lease,
+                platform::ObjectKind::Lease,
+                LEASE_NAME,
+                expected,
+                value,
+            );
+            write.await
+        }
+        Err(e) => Err(platform::PlatformError::Refused(e.to_string())),
+    };
+    event::Event::LeaseWritten { nonce, result }
+}
+
+async fn read_engine(parts: control::Parts, ticket: u64, address: String) -> event::Event {
+    let begun_at = parts.clock.now();
+    let result = parts.servers.load(&address).await;
+    event::Event::EngineRead {
+        ticket,
+        begun_at,
+        result,
+    }
+}
+
+/// Gives an order, unless it is too late for it by the clock read just before.
+async fn give_order(
+    parts: &control::Parts,
+    address: &str,
+    fence: ids::FencingNumber,
+    order: backend_server::Order,
+    send_by: ids::Timestamp,
+) -> event::OrderEnd {
+    if !action::is_in_time(send_by, parts.clock.now()) {
+        return event::OrderEnd::TooLate;
+    }
+    let call = parts.servers.order(address, fence, order);
+    match time::timeout(lease::ORDER_TIMEOUT, call).await {
+        Ok(Ok(())) => event::OrderEnd::Accepted,
+        Ok(Err(e)) => event::OrderEnd::Failed(e),
+        Err(_) => {
+            let reason = "no answer to an order in time".to_owned();
+            event::OrderEnd::Failed(backend_server::BackendServerError::Broken(reason))
+        }
+    }
+}
