Prove placement by a state machine in virtual time

Change: three real placements against a fake lease object and ten fake engines, of which four ignore fencing numbers. Storms kill and freeze holders, lose answers of lease writes, show the past, take the platform down, kill engines and change versions. A load that the text does not want any more ends after a minute: the storm found that one recorded by a dead holder kept its engine kind waiting for ten. The part of a kind under change limits only engines that work: a fleet without models was filled one engine at a time.

--- a/crates/mustardshed-core/src/process/placement.rs
+++ b/crates/mustardshed-core/src/process/placement.rs
@@ -157,8 +157,7 @@
             let is_listed = snapshot.servers.contains_key(&slot.load.server);
             let is_wanted = engines.get(&slot.load.server).is_some()
                 && is_wanted(&snapshot.text, &slot.load.order);
-            let is_calling = slot.stage == loads::Stage::Ordering;
-            !is_calling && (!is_listed || slot.is_over(now) || !(is_wanted || slot.is_ordered()))
+            !is_listed || slot.is_over(is_wanted, now)
         });
         for slot in over {
             self.avoided
--- a/crates/mustardshed-core/src/process/placement/lease.rs
+++ b/crates/mustardshed-core/src/process/placement/lease.rs
@@ -24,7 +24,7 @@
 pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// Time before the end of its lease at which a holder stops, for clocks of unlike rates.
-const CLOCK_MARGIN: time::Duration = time::Duration::from_secs(2);
+const CLOCK_MARGIN: time::Duration = time::Duration::from_secs(1);
 /// Time between two renewals.
 const RENEW_INTERVAL: time::Duration = time::Duration::from_secs(3);
 /// Time between two reads of an entry that waits for the lease.
--- a/crates/mustardshed-core/src/process/placement/loads.rs
+++ b/crates/mustardshed-core/src/process/placement/loads.rs
@@ -20,6 +20,9 @@
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(30);
 /// Longest time of a load.
 const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(600);
+/// Longest time of a load that the text does not want any more: nobody waits for it, and its engine
+/// is needed.
+const UNWANTED_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Time for which an engine may be silent until its load counts as broken off.
 const SILENT_AFTER: time::Duration = time::Duration::from_secs(60);
 
@@ -175,15 +178,16 @@
 }
 
 impl Slot {
-    /// Returns whether its order was given, as far as is known.
-    pub const fn is_ordered(&self) -> bool {
-        self.ordered_at.is_some()
-    }
-
-    /// Returns whether it took too long, or its engine is silent for too long.
-    pub fn is_over(&self, now: ids::Timestamp) -> bool {
+    /// Returns whether it took too long, or its engine is silent for too long; `is_wanted` says
+    /// whether the text still wants it there.
+    pub fn is_over(&self, is_wanted: bool, now: ids::Timestamp) -> bool {
+        let timeout = match (is_wanted, self.ordered_at) {
+            (true, _) => LOAD_TIMEOUT,
+            (false, Some(_)) => UNWANTED_TIMEOUT,
+            (false, None) => time::Duration::ZERO,
+        };
         let is_silent = now.saturating_sub(self.answered_at) >= SILENT_AFTER;
-        let is_late = now.saturating_sub(self.begun_at) >= LOAD_TIMEOUT;
+        let is_late = now.saturating_sub(self.begun_at) >= timeout;
         self.stage != Stage::Ordering && (is_silent || is_late)
     }
 
--- a/crates/mustardshed-core/src/process/placement/plan.rs
+++ b/crates/mustardshed-core/src/process/placement/plan.rs
@@ -10,7 +10,8 @@
     process::placement::{demand, engines, rank, record},
 };
 
-/// Part of the engines of a kind that may be changed at a time, as a divisor; one at least.
+/// Part of the engines of a kind that may be under change when one that works is to be changed, as
+/// a divisor; one at least.
 const KIND_DIVISOR: usize = 4;
 /// Engines by which a model must fall short of its share of the demand before a working engine is
 /// changed.
@@ -137,14 +138,14 @@
             })
     }
 
-    /// Returns the engines of a kind that may be changed now.
+    /// Returns the engines of a kind that may be changed now: of those that work, a part at a time.
     fn changeable(&self, kind: &'a str) -> impl Iterator<Item = &'a engines::Engine> {
         let engines = self.engines.of_kind(kind);
         let count = engines.clone().count();
         let changing = engines.clone().filter(|e| self.load_on(&e.id).is_some());
         let is_full = changing.count() >= (count / KIND_DIVISOR).max(1);
         engines
-            .filter(move |engine| !is_full && engine.is_reachable)
+            .filter(move |engine| engine.is_reachable && !(is_full && self.works(engine)))
             .filter(|engine| self.load_on(&engine.id).is_none())
             .filter(|engine| !self.avoided.contains_key(&engine.id))
     }
--- /dev/null
+++ b/crates/mustardshed-core/tests/placement/main.rs
@@ -0,0 +1,120 @@
+//! Placement in storms of faults, and in calm.
+//!
+//! `MUSTARDSHED_CASES` and `MUSTARDSHED_SEED` set the number of cases and the seed. With the
+//! feature `mutations`, `MUSTARDSHED_MUTATION` seeds a fault that the storm must catch.
+
+mod calm;
+mod engine;
+mod fleet;
+mod platform;
+mod step;
+mod texts;
+
+use std::{env, time};
+
+use proptest::{
+    strategy::{BoxedStrategy, Just, Strategy},
+    test_runner,
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+/// Cases unless `MUSTARDSHED_CASES` says otherwise.
+const CASES: u32 = 96;
+/// Seed unless `MUSTARDSHED_SEED` says otherwise.
+const SEED: u64 = 20_261_204;
+/// Steps of one case, at most.
+const MAX_STEPS: usize = 40;
+/// Time after the last fault in which every model is placed.
+const PLACED_WITHIN: time::Duration = time::Duration::from_secs(180);
+
+/// The reference: steps depend on nothing, and the oracle reads the fakes' own records.
+#[derive(Clone, Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = step::Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<step::Step> {
+        step::steps()
+    }
+
+    fn apply(_state: (), _step: &step::Step) {}
+}
+
+#[derive(Debug)]
+struct Storm;
+
+impl StateMachineTest for Storm {
+    type SystemUnderTest = fleet::Fleet;
+    type Reference = Steps;
+
+    fn init_test(_state: &()) -> fleet::Fleet {
+        fleet::Fleet::new(texts::engines())
+    }
+
+    fn apply(mut fleet: fleet::Fleet, _state: &(), step: step::Step) -> fleet::Fleet {
+        step.apply(&mut fleet);
+        fleet.advance(time::Duration::from_millis(100));
+        fleet
+    }
+
+    fn check_invariants(fleet: &fleet::Fleet, _state: &()) {
+        let violations: &[String] = &[];
+        assert_eq!(fleet.violations, violations);
+    }
+
+    fn teardown(mut fleet: fleet::Fleet, _state: ()) {
+        fleet.heal();
+        fleet.advance(PLACED_WITHIN);
+        Self::check_invariants(&fleet, &());
+        assert_eq!(unplaced(&fleet), Vec::<String>::new());
+    }
+}
+
+/// Returns the models that no engine holds, and the engines that hold no model of the text.
+fn unplaced(fleet: &fleet::Fleet) -> Vec<String> {
+    let holds = |engine: &engine::Engine, model: &mustardshed_config::text::Model| {
+        let is_held = engine.models.get(&model.name) == Some(&model.version);
+        engine.kind == model.engine_kind && is_held
+    };
+    let models = fleet.text.models.values();
+    let missing = models
+        .filter(|model| !fleet.engines.values().any(|engine| holds(engine, model)))
+        .map(|model| model.name.clone());
+    let idle = fleet
+        .engines
+        .iter()
+        .filter(|(_, engine)| !fleet.text.models.values().any(|model| holds(engine, model)))
+        .map(|(id, _)| id.clone());
+    missing.chain(idle).collect()
+}
+
+#[test]
+fn storm_of_faults_breaks_no_rule_and_every_model_is_placed_after_it() {
+    let config = test_runner::Config {
+        cases: setting("MUSTARDSHED_CASES").unwrap_or(CASES),
+        rng_seed: test_runner::RngSeed::Fixed(setting("MUSTARDSHED_SEED").unwrap_or(SEED)),
+        failure_persistence: None,
+        max_shrink_iters: 300,
+        ..test_runner::Config::default()
+    };
+    let mut runner = test_runner::TestRunner::new(config.clone());
+    let steps = Steps::sequential_strategy(1..MAX_STEPS);
+
+    let result = runner.run(&steps, |(state, steps, seen)| {
+        Storm::test_sequential(config.clone(), state, steps, seen);
+        Ok(())
+    });
+
+    let failure = result.err().map(|e| e.to_string()).unwrap_or_default();
+    assert!(failure.is_empty(), "{failure}");
+}
+
+fn setting<T: std::str::FromStr>(name: &str) -> Option<T> {
+    env::var(name).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/placement/platform.rs
@@ -0,0 +1,97 @@
+//! Small fake of the platform: one lease object, with outages, lost answers and reads of the past.
+
+use std::time;
+
+use mustardshed_core::{border::platform::PlatformError, ids, process::placement::record};
+
+/// Age of what a read of the past shows.
+const PAST: time::Duration = time::Duration::from_secs(3);
+/// Time after which a late write takes effect.
+const LATE: time::Duration = time::Duration::from_millis(700);
+
+type Object = Option<(ids::ObjectVersion, record::Record)>;
+
+/// What becomes of the next write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// It takes effect, and its answer is lost.
+    After,
+    /// It never arrives.
+    Before,
+    /// It takes effect later, and its answer is lost.
+    Late,
+}
+
+/// The platform.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    pub is_out: bool,
+    pub shows_past: bool,
+    pub loss: Option<Loss>,
+    version: u64,
+    history: Vec<(ids::Timestamp, record::Record, u64)>,
+    late: Vec<(ids::Timestamp, ids::ObjectVersion, record::Record)>,
+}
+
+impl Platform {
+    pub fn advance(&mut self, now: ids::Timestamp) {
+        let late = std::mem::take(&mut self.late);
+        for (at, expected, record) in late {
+            if now >= at {
+                let _ = self.put(expected, record, now);
+            } else {
+                self.late.push((at, expected, record));
+            }
+        }
+    }
+
+    pub fn read(&self, now: ids::Timestamp) -> Result<Object, PlatformError> {
+        if self.is_out {
+            return Err(PlatformError::Refused("outage".to_owned()));
+        }
+        let until = if self.shows_past {
+            now.saturating_sub(PAST)
+        } else {
+            now
+        };
+        let shown = self.history.iter().rfind(|(at, ..)| *at <= until);
+        Ok(shown.map(|(_, record, version)| (*version, record.clone())))
+    }
+
+    pub fn write(
+        &mut self,
+        expected: ids::ObjectVersion,
+        record: record::Record,
+        now: ids::Timestamp,
+    ) -> Result<ids::ObjectVersion, PlatformError> {
+        if self.is_out {
+            return Err(PlatformError::Refused("outage".to_owned()));
+        }
+        let Some(loss) = self.loss.take() else {
+            return self.put(expected, record, now);
+        };
+        match loss {
+            Loss::After => {
+                let _ = self.put(expected, record, now);
+            }
+            Loss::Before => {}
+            Loss::Late => self.late.push((now + LATE, expected, record)),
+        }
+        Err(PlatformError::Unanswered("lost".to_owned()))
+    }
+
+    fn put(
+        &mut self,
+        expected: ids::ObjectVersion,
+        record: record::Record,
+        now: ids::Timestamp,
+    ) -> Result<ids::ObjectVersion, PlatformError> {
+        let present = self.history.last().map_or(0, |(.., version)| *version);
+        if present != expected {
+            return Err(PlatformError::Conflict(present));
+        }
+        self.version += 1;
+        self.history.push((now, record, self.version));
+        Ok(self.version)
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/placement/step.rs
@@ -0,0 +1,116 @@
+//! What may happen in a storm.
+
+use std::time;
+
+use proptest::{
+    prelude::{Just, Strategy, any, prop_oneof},
+    strategy::BoxedStrategy,
+};
+
+use super::{fleet, platform};
+
+/// One step of a storm.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Wait(u64),
+    Kill(usize),
+    Start(usize),
+    KillHolder,
+    FreezeHolder(u64),
+    Freeze(usize, bool),
+    Outage(bool),
+    Past(bool),
+    LoseWrite(platform::Loss),
+    LoseOrder,
+    Slow(bool),
+    KillEngine(usize),
+    ReviveEngines,
+    LeaveEngine(usize, bool),
+    Out(bool),
+    Version(u8),
+}
+
+impl Step {
+    pub fn apply(&self, fleet: &mut fleet::Fleet) {
+        match *self {
+            Self::Wait(ms) => fleet.advance(time::Duration::from_millis(ms)),
+            Self::Kill(index) => fleet.kill(index),
+            Self::Start(index) => fleet.start(index),
+            Self::KillHolder => {
+                if let Some(index) = fleet.holder() {
+                    fleet.kill(index);
+                }
+            }
+            Self::FreezeHolder(ms) => {
+                let holder = fleet.holder().unwrap_or(0);
+                fleet.entries[holder].is_frozen = true;
+                fleet.advance(time::Duration::from_millis(ms));
+                fleet.entries[holder].is_frozen = false;
+            }
+            Self::Freeze(index, is_frozen) => fleet.entries[index].is_frozen = is_frozen,
+            Self::Outage(is_out) => fleet.platform.is_out = is_out,
+            Self::Past(shows_past) => fleet.platform.shows_past = shows_past,
+            Self::LoseWrite(loss) => fleet.platform.loss = Some(loss),
+            Self::LoseOrder => fleet.is_order_lost = true,
+            Self::Slow(is_slow) => {
+                for engine in fleet.engines.values_mut() {
+                    engine.is_slow = is_slow;
+                }
+            }
+            Self::KillEngine(index) => {
+                if let Some(engine) = fleet.engines.values_mut().nth(index) {
+                    engine.set_alive(false);
+                }
+            }
+            Self::ReviveEngines => {
+                for engine in fleet.engines.values_mut() {
+                    engine.set_alive(true);
+                }
+            }
+            Self::LeaveEngine(index, is_leaving) => {
+                if let Some(engine) = fleet.engines.values_mut().nth(index) {
+                    engine.is_leaving = is_leaving;
+                }
+            }
+            Self::Out(is_out) => {
+                fleet.data_centres_out.clear();
+                if is_out {
+                    fleet.data_centres_out.insert("b".to_owned());
+                }
+            }
+            Self::Version(version) => {
+                for model in fleet.text.models.values_mut() {
+                    model.version = version.to_string();
+                }
+            }
+        }
+    }
+}
+
+/// Returns what may happen.
+pub fn steps() -> BoxedStrategy<Step> {
+    let loss = prop_oneof![
+        Just(platform::Loss::After),
+        Just(platform::Loss::Before),
+        Just(platform::Loss::Late),
+    ];
+    prop_oneof![
+        6 => (50_u64..12_000).prop_map(Step::Wait),
+        1 => (0..fleet::ENTRIES).prop_map(Step::Kill),
+        2 => (0..fleet::ENTRIES).prop_map(Step::Start),
+        2 => Just(Step::KillHolder),
+        3 => (500_u64..14_000).prop_map(Step::FreezeHolder),
+        2 => (0..fleet::ENTRIES, any::<bool>()).prop_map(|(i, on)| Step::Freeze(i, on)),
+        2 => any::<bool>().prop_map(Step::Outage),
+        1 => any::<bool>().prop_map(Step::Past),
+        4 => loss.prop_map(Step::LoseWrite),
+        1 => Just(Step::LoseOrder),
+        2 => any::<bool>().prop_map(Step::Slow),
+        3 => (0_usize..10).prop_map(Step::KillEngine),
+        3 => Just(Step::ReviveEngines),
+        1 => (0_usize..10, any::<bool>()).prop_map(|(i, on)| Step::LeaveEngine(i, on)),
+        1 => any::<bool>().prop_map(Step::Out),
+        4 => (1_u8..6).prop_map(Step::Version),
+    ]
+    .boxed()
+}
