Name the faults that the proof of placement must catch

Change: an order must be sent within a second of its decision, so that a process that was paused longer renews first, also for an order that was decided before the pause. The oracle asks of each order sent: does the object name the sender, has every other call ended, and after a pause, was the lease written since.

--- a/crates/mustardshed-core/src/process/placement.rs
+++ b/crates/mustardshed-core/src/process/placement.rs
@@ -38,6 +38,9 @@
 
 /// Entries, first by name, that wait for the lease: each wait costs reads of the platform.
 const CANDIDATES: usize = 3;
+/// Time from the decision on an order to its send, at most; a process that was paused longer must
+/// renew its lease first.
+const SEND_WITHIN: time::Duration = time::Duration::from_secs(1);
 /// Time for which an engine that refused an order, or did not load in time, is left alone.
 const AVOID_FOR: time::Duration = time::Duration::from_secs(30);
 
@@ -265,7 +268,7 @@
             address,
             fence,
             order: slot.load.order.clone(),
-            send_by: self.lease.orders_until(),
+            send_by: self.lease.orders_until().min(now + SEND_WITHIN),
         });
         self.loads.order(ticket, now);
     }
--- a/crates/mustardshed-core/tests/placement/calm.rs
+++ b/crates/mustardshed-core/tests/placement/calm.rs
@@ -10,7 +10,7 @@
 const MINUTE: time::Duration = time::Duration::from_secs(60);
 
 /// Returns a fleet whose engines hold what the text wants, in equal parts.
-fn placed() -> fleet::Fleet {
+pub fn placed() -> fleet::Fleet {
     let mut engines = texts::engines();
     for (index, engine) in engines.values_mut().enumerate() {
         let model = match engine.kind {
--- a/crates/mustardshed-core/tests/placement/fleet.rs
+++ b/crates/mustardshed-core/tests/placement/fleet.rs
@@ -4,7 +4,7 @@
 
 use mustardshed_config::text;
 use mustardshed_core::{
-    border::backend_server,
+    border::{backend_server, platform::PlatformError},
     ids,
     process::{
         placement::{self, action, event, lease, loads},
@@ -18,8 +18,9 @@
 pub const ENTRIES: usize = 3;
 /// Step of the virtual time.
 const STEP: time::Duration = time::Duration::from_millis(50);
-/// Longest call of an order, on a slow engine.
-const SLOW_CALL: time::Duration = time::Duration::from_millis(2950);
+/// Longest call of an order, on a slow engine, of a process that was paused within its send.
+const SLOW_CALL: time::Duration =
+    time::Duration::from_millis(800).saturating_add(lease::ORDER_TIMEOUT);
 
 /// An entry.
 #[derive(Debug, Default)]
@@ -27,6 +28,8 @@
     placement: Option<placement::Placement>,
     incarnation: u64,
     pub is_frozen: bool,
+    thawed_at: ids::Timestamp,
+    wrote_at: ids::Timestamp,
     inbox: collections::VecDeque<event::Event>,
     outbox: collections::VecDeque<action::Action>,
 }
@@ -58,7 +61,6 @@
     /// Orders that were sent.
     pub orders: Vec<(String, backend_server::Order)>,
     calls: Vec<Call>,
-    greatest_fence: u64,
 }
 
 impl Fleet {
@@ -74,7 +76,6 @@
             violations: Vec::new(),
             orders: Vec::new(),
             calls: Vec::new(),
-            greatest_fence: 0,
         };
         for index in 0..ENTRIES {
             fleet.start(index);
@@ -113,6 +114,7 @@
         self.platform.is_out = false;
         self.platform.shows_past = false;
         self.platform.loss = None;
+        self.platform.cut = None;
         self.is_order_lost = false;
         self.data_centres_out.clear();
         for engine in self.engines.values_mut() {
@@ -167,20 +169,50 @@
 
     fn handle(&mut self, index: usize, event: event::Event) {
         let entry = &mut self.entries[index];
-        if let Some(placement) = &mut entry.placement {
-            entry.outbox.extend(placement.handle(event, self.now));
+        let Some(placement) = &mut entry.placement else {
+            return;
+        };
+        let actions = placement.handle(event, self.now);
+        let must_renew = entry.wrote_at < entry.thawed_at;
+        if must_renew && actions.iter().any(is_order) {
+            self.violations
+                .push(format!("e{index} woke and ordered without a renewal"));
+        }
+        entry.outbox.extend(actions);
+    }
+
+    /// Freezes an entry until it is thawed; a pause of less than two seconds does not count.
+    pub fn freeze(&mut self, index: usize, duration: time::Duration) {
+        self.entries[index].is_frozen = true;
+        self.advance(duration);
+        self.entries[index].is_frozen = false;
+        if duration > 2 * time::Duration::from_secs(1) {
+            self.entries[index].thawed_at = self.now;
+        }
+    }
+
+    /// Lets time go on until an entry is about to do what is waited for, at most for ten seconds.
+    pub fn advance_to(&mut self, is_waited_for: fn(&action::Action) -> bool) {
+        let end = self.now + time::Duration::from_secs(10);
+        let is_about_to = |entry: &Entry| entry.outbox.iter().any(is_waited_for);
+        while self.now < end && !self.entries.iter().any(is_about_to) {
+            self.advance(STEP);
         }
     }
 
     fn carry_out(&mut self, index: usize, action: action::Action) {
         let event = match action {
             action::Action::ReadLease => event::Event::LeaseRead {
-                result: self.platform.read(self.now),
-            },
-            action::Action::WriteLease { expected, record } => event::Event::LeaseWritten {
-                nonce: record.nonce,
-                result: self.platform.write(expected, record, self.now),
+                result: self.platform.read(index, self.now),
             },
+            action::Action::WriteLease { expected, record } => {
+                let nonce = record.nonce;
+                let result = self.platform.write(index, expected, record, self.now);
+                if matches!(result, Ok(_) | Err(PlatformError::Unanswered(_))) {
+                    self.entries[index].wrote_at = self.now;
+                }
+                event::Event::LeaseWritten { nonce, result }
+            }
             action::Action::ReadEngine { ticket, address } => event::Event::EngineRead {
                 ticket,
                 begun_at: self.now,
@@ -213,23 +245,27 @@
         fence: u64,
         order: backend_server::Order,
     ) {
-        if self.calls.iter().any(|call| call.engine == engine) {
+        let entry = &self.entries[index];
+        let own = format!("e{index}.{}", entry.incarnation);
+        if self.platform.holder() != own {
+            let holder = self.platform.holder();
             self.violations
-                .push(format!("orders overlap on {engine}: {order} under {fence}"));
+                .push(format!("{own} sent {order}, and {holder} holds the lease"));
         }
-        if fence < self.greatest_fence {
-            let newer = self.greatest_fence;
+        let overlaps = |call: &Call| {
+            let is_own = call.entry == index && call.incarnation == entry.incarnation;
+            !is_own || call.engine == engine
+        };
+        if self.calls.iter().any(overlaps) {
             self.violations
-                .push(format!("{order} under {fence} after one under {newer}"));
+                .push(format!("{own} sent {order} before another call ended"));
         }
-        self.greatest_fence = self.greatest_fence.max(fence);
         self.orders.push((engine.clone(), order.clone()));
         let lasts = if self.engines[&engine].is_slow {
             SLOW_CALL
         } else {
             STEP
         };
-        assert!(lasts < lease::ORDER_TIMEOUT);
         self.calls.push(Call {
             entry: index,
             incarnation: self.entries[index].incarnation,
@@ -287,3 +323,13 @@
         }
     }
 }
+
+/// Returns whether an action is an order.
+pub const fn is_order(action: &action::Action) -> bool {
+    matches!(action, action::Action::Order { .. })
+}
+
+/// Returns whether an action is a read of an engine.
+pub const fn is_read(action: &action::Action) -> bool {
+    matches!(action, action::Action::ReadEngine { .. })
+}
--- a/crates/mustardshed-core/tests/placement/main.rs
+++ b/crates/mustardshed-core/tests/placement/main.rs
@@ -6,6 +6,7 @@
 mod calm;
 mod engine;
 mod fleet;
+mod handover;
 mod platform;
 mod step;
 mod texts;
--- a/crates/mustardshed-core/tests/placement/platform.rs
+++ b/crates/mustardshed-core/tests/placement/platform.rs
@@ -27,6 +27,8 @@
 pub struct Platform {
     pub is_out: bool,
     pub shows_past: bool,
+    /// Entry that gets no answer.
+    pub cut: Option<usize>,
     pub loss: Option<Loss>,
     version: u64,
     history: Vec<(ids::Timestamp, record::Record, u64)>,
@@ -45,8 +47,14 @@
         }
     }
 
-    pub fn read(&self, now: ids::Timestamp) -> Result<Object, PlatformError> {
-        if self.is_out {
+    /// Returns whom the object names as holder.
+    pub fn holder(&self) -> &str {
+        let present = self.history.last();
+        present.map_or("", |(_, record, _)| record.holder.as_str())
+    }
+
+    pub fn read(&self, caller: usize, now: ids::Timestamp) -> Result<Object, PlatformError> {
+        if self.is_out || self.cut == Some(caller) {
             return Err(PlatformError::Refused("outage".to_owned()));
         }
         let until = if self.shows_past {
@@ -60,11 +68,12 @@
 
     pub fn write(
         &mut self,
+        caller: usize,
         expected: ids::ObjectVersion,
         record: record::Record,
         now: ids::Timestamp,
     ) -> Result<ids::ObjectVersion, PlatformError> {
-        if self.is_out {
+        if self.is_out || self.cut == Some(caller) {
             return Err(PlatformError::Refused("outage".to_owned()));
         }
         let Some(loss) = self.loss.take() else {
--- a/crates/mustardshed-core/tests/placement/step.rs
+++ b/crates/mustardshed-core/tests/placement/step.rs
@@ -17,7 +17,8 @@
     Start(usize),
     KillHolder,
     FreezeHolder(u64),
-    Freeze(usize, bool),
+    FreezeAtOrder(u8, u64),
+    CutHolder(u8, u64),
     Outage(bool),
     Past(bool),
     LoseWrite(platform::Loss),
@@ -43,11 +44,24 @@
             }
             Self::FreezeHolder(ms) => {
                 let holder = fleet.holder().unwrap_or(0);
-                fleet.entries[holder].is_frozen = true;
+                fleet.freeze(holder, time::Duration::from_millis(ms));
+            }
+            Self::FreezeAtOrder(version, ms) => {
+                Self::Version(version).apply(fleet);
+                fleet.advance_to(fleet::is_order);
+                Self::FreezeHolder(ms).apply(fleet);
+            }
+            Self::CutHolder(version, ms) => {
+                Self::Version(version).apply(fleet);
+                fleet.advance_to(fleet::is_order);
+                fleet.platform.cut = fleet.holder();
+                for engine in fleet.engines.values_mut() {
+                    engine.set_alive(false);
+                    engine.set_alive(true);
+                }
                 fleet.advance(time::Duration::from_millis(ms));
-                fleet.entries[holder].is_frozen = false;
+                fleet.platform.cut = None;
             }
-            Self::Freeze(index, is_frozen) => fleet.entries[index].is_frozen = is_frozen,
             Self::Outage(is_out) => fleet.platform.is_out = is_out,
             Self::Past(shows_past) => fleet.platform.shows_past = shows_past,
             Self::LoseWrite(loss) => fleet.platform.loss = Some(loss),
@@ -100,7 +114,8 @@
         2 => (0..fleet::ENTRIES).prop_map(Step::Start),
         2 => Just(Step::KillHolder),
         3 => (500_u64..14_000).prop_map(Step::FreezeHolder),
-        2 => (0..fleet::ENTRIES, any::<bool>()).prop_map(|(i, on)| Step::Freeze(i, on)),
+        2 => (1_u8..6, 1000_u64..14_000).prop_map(|(v, ms)| Step::FreezeAtOrder(v, ms)),
+        2 => (1_u8..6, 5000_u64..60_000).prop_map(|(v, ms)| Step::CutHolder(v, ms)),
         2 => any::<bool>().prop_map(Step::Outage),
         1 => any::<bool>().prop_map(Step::Past),
         4 => loss.prop_map(Step::LoseWrite),
