--- a/crates/mustardshed-core/src/process/placement.rs
+++ b/crates/mustardshed-core/src/process/placement.rs
@@ -85,7 +85,7 @@
         let mut out = Vec::new();
         self.lease.tick(now);
         match event {
-            event::Event::Tick(snapshot) => self.snapshot = Some(snapshot),
+            event::Event::Tick(snapshot) => self.look(snapshot, now),
             event::Event::LeaseRead { result } => self.lease.read_ended(result, now),
             event::Event::LeaseWritten { nonce, result } => {
                 self.lease.write_ended(nonce, result, now);
@@ -107,8 +107,6 @@
             return;
         };
         if self.fence.is_some() {
-            self.engines.update(&snapshot, now);
-            self.demand.measure(&snapshot.text, &self.engines, now);
             self.avoided.retain(|_, until| now < *until);
             self.end_loads(&snapshot, now, out);
             self.begin_loads(&snapshot, now, out);
@@ -119,6 +117,15 @@
         out.extend(self.lease.poll(is_candidate, &recorded, now));
     }
 
+    /// Takes over what the entry knows.
+    fn look(&mut self, snapshot: sync::Arc<snapshot::Snapshot>, now: ids::Timestamp) {
+        if self.fence.is_some() {
+            self.engines.update(&snapshot, now);
+            self.demand.measure(&snapshot.text, &self.engines, now);
+        }
+        self.snapshot = Some(snapshot);
+    }
+
     /// Takes over the loads of the holder before, or forgets those of a lease that is lost.
     fn note_holder(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         let fence = self.lease.held().map(|held| held.fence);
@@ -130,6 +137,7 @@
         self.adapters.clear();
         self.avoided.clear();
         self.demand = demand::Demand::default();
+        self.engines = engines::Engines::default();
         let Some(held) = self.lease.held() else {
             out.push(log_lease(0, "lost"));
             return;
--- a/crates/mustardshed-core/src/process/placement/plan.rs
+++ b/crates/mustardshed-core/src/process/placement/plan.rs
@@ -123,15 +123,17 @@
         model: &'a text::Model,
         wanted: impl Fn(&engines::Engine) -> bool,
     ) -> Option<&'a engines::Engine> {
+        let mut holders_in = None;
         self.changeable(&model.engine_kind)
             .filter(|engine| !engine.holds(&model.name, &model.version))
             .filter(|engine| wanted(engine) && !self.is_last(engine, &model.name))
             .min_by_key(|engine| {
+                let holders_in = holders_in.get_or_insert_with(|| self.holders_in(model));
                 (
                     self.works(engine),
                     !engine.models.contains_key(&model.name),
                     engine.is_warm,
-                    self.holders_in(model, &engine.data_centre),
+                    holders_in.get(engine.data_centre.as_str()).copied(),
                     engine.busy_tokens,
                     &engine.id,
                 )
@@ -193,11 +195,15 @@
         engines.filter(|engine| self.counts(engine, model)).count()
     }
 
-    fn holders_in(&self, model: &text::Model, data_centre: &str) -> usize {
-        let engines = self.engines.of_kind(&model.engine_kind);
-        engines
-            .filter(|engine| engine.data_centre == data_centre && self.counts(engine, model))
-            .count()
+    /// Returns the engines that hold a model, counted by data centre; none is less than any number.
+    fn holders_in(&self, model: &'a text::Model) -> collections::BTreeMap<&'a str, usize> {
+        let mut counts = collections::BTreeMap::new();
+        for engine in self.engines.of_kind(&model.engine_kind) {
+            if self.counts(engine, model) {
+                *counts.entry(engine.data_centre.as_str()).or_default() += 1;
+            }
+        }
+        counts
     }
 
     /// Returns by how many engines a model falls short of its share of the demand.
