--- a/crates/mustardshed-wire/src/placement.rs
+++ b/crates/mustardshed-wire/src/placement.rs
@@ -3,6 +3,9 @@
 use displaydoc::Display;
 use mustardshed_core::{border::backend_server, process::placement::record};
 
+/// Name of the lease object.
+pub const LEASE_NAME: &str = "placement";
+
 /// The lease object as JSON.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct Record {
--- a/crates/mustardshedctl/src/commands/status.rs
+++ b/crates/mustardshedctl/src/commands/status.rs
@@ -1,7 +1,12 @@
 //! `status`: what is in force where, and which backend servers are known.
 
+mod placement;
+
 use futures_util::future;
-use mustardshed::{core::ids, wire::operator};
+use mustardshed::{
+    core::{ids, process::placement::record},
+    wire::{operator, placement as wire},
+};
 
 use crate::{
     apply, commands,
@@ -26,11 +31,13 @@
     let statuses = addresses.iter().map(|address| entries.status(address));
     let statuses = future::join_all(statuses).await;
     let answers: Vec<Answer> = addresses.into_iter().zip(statuses).collect();
+    let lease = placement::read(cx).await;
     let json = serde_json::json!({
         "accepted_generation": accepted.as_ref().ok(),
+        "placement": lease.clone().map(wire::Record::from),
         "entries": answers.iter().map(answer_json).collect::<Vec<_>>(),
     });
-    let mut output = output::Output::done(text(&accepted, &answers), json);
+    let mut output = output::Output::done(text(&accepted, &answers, lease.as_ref()), json);
     output.notes = answers.iter().filter_map(silence).collect();
     if output.notes.len() == answers.len() {
         output.status = exit::ExitStatus::Failed;
@@ -44,12 +51,17 @@
     Some(format!("{address}: {err}"))
 }
 
-fn text(accepted: &Result<ids::Generation, failure::Failure>, answers: &[Answer]) -> String {
+fn text(
+    accepted: &Result<ids::Generation, failure::Failure>,
+    answers: &[Answer],
+    lease: Option<&record::Record>,
+) -> String {
     let accepted = match accepted {
         Ok(generation) => format!("generation {generation}"),
         Err(err) => format!("cannot be told: {err}"),
     };
-    let mut text = format!("accepted: {accepted}\n\n{}", entries_table(answers));
+    let lease = placement::text(lease);
+    let mut text = format!("accepted: {accepted}\n{lease}\n{}", entries_table(answers));
     if let Some(status) = answers.iter().find_map(|(_, answer)| answer.as_ref().ok()) {
         text.push_str(&format!("\nbackend servers as seen by {}:\n", status.vm));
         text.push_str(&servers_table(status).to_string());
--- a/crates/mustardshedctl/tests/operator/commands.rs
+++ b/crates/mustardshedctl/tests/operator/commands.rs
@@ -3,7 +3,14 @@
 use std::time;
 
 use googletest::prelude::*;
-use mustardshed::core::{border::platform, version::record};
+use mustardshed::{
+    core::{
+        border::{backend_server, platform},
+        process::placement::record as lease,
+        version::record,
+    },
+    wire::placement as wire,
+};
 use mustardshedctl::{apply, commands, commands::context, entries, exit, failure};
 
 use crate::fakes;
@@ -118,6 +125,37 @@
     Ok(())
 }
 
+#[googletest::test]
+#[tokio::test]
+async fn status_shows_who_orders_what_engines_load() -> Result<()> {
+    let cx = fleet(&[]);
+    let lease = lease::Record {
+        holder: "entry-1.7".to_owned(),
+        fence: 3,
+        nonce: 1,
+        loads: vec![lease::Load {
+            server: "runner-2".to_owned(),
+            order: backend_server::Order::LoadModel {
+                model: "hymnal".to_owned(),
+                version: "2".to_owned(),
+            },
+        }],
+    };
+    let kind = platform::ObjectKind::Lease;
+    let value = wire::encode(&lease).or_fail()?;
+    let platform = cx.platform().or_fail()?;
+    let put = platform.put(platform::Purpose::Lease, kind, wire::LEASE_NAME, 0, value);
+    put.await.or_fail()?;
+
+    let status = commands::status::run(&cx).await.or_fail()?;
+
+    let held = "placement: last held by entry-1.7, fencing number 3";
+    expect_that!(status.text, contains_substring(held));
+    let load = "runner-2: load model hymnal at 2";
+    expect_that!(status.text, contains_substring(load));
+    Ok(())
+}
+
 #[googletest::test]
 #[tokio::test]
 async fn questions_go_to_the_next_entry_on_silence_but_not_on_a_refusal() -> Result<()> {
--- a/crates/mustardshedd/src/process/placement.rs
+++ b/crates/mustardshedd/src/process/placement.rs
@@ -18,9 +18,6 @@
 
 use crate::process::control;
 
-/// Name of the lease object.
-pub const LEASE_NAME: &str = "placement";
-
 /// Ends of calls that may wait; each call has one, and there are few at once.
 const EVENT_QUEUE_LEN: usize = 256;
 
@@ -93,7 +90,7 @@
     let read = parts.platform.get(
         platform::Purpose::Lease,
         platform::ObjectKind::Lease,
-        LEASE_NAME,
+        wire::LEASE_NAME,
     );
     let result = read.await.and_then(decode);
     event::Event::LeaseRead { result }
@@ -121,7 +118,7 @@
             let write = parts.platform.put(
                 platform::Purpose::Lease,
                 platform::ObjectKind::Lease,
-                LEASE_NAME,
+                wire::LEASE_NAME,
                 expected,
                 value,
             );
