--- a/crates/mustardshed-core/tests/placement/platform.rs
+++ b/crates/mustardshed-core/tests/placement/platform.rs
@@ -27,7 +27,7 @@
 pub struct Platform {
     pub is_out: bool,
     pub shows_past: bool,
-    /// Entry that gets no answer.
+    /// Entry that gets no answer, and whose writes have no effect.
     pub cut: Option<usize>,
     pub loss: Option<Loss>,
     version: u64,
@@ -73,9 +73,12 @@
         record: record::Record,
         now: ids::Timestamp,
     ) -> Result<ids::ObjectVersion, PlatformError> {
-        if self.is_out || self.cut == Some(caller) {
+        if self.is_out {
             return Err(PlatformError::Refused("outage".to_owned()));
         }
+        if self.cut == Some(caller) {
+            return Err(PlatformError::Unanswered("silence".to_owned()));
+        }
         let Some(loss) = self.loss.take() else {
             return self.put(expected, record, now);
         };
