--- a/crates/mustardshed-core/tests/placement/main.rs
+++ b/crates/mustardshed-core/tests/placement/main.rs
@@ -3,6 +3,12 @@
 //! `MUSTARDSHED_CASES` and `MUSTARDSHED_SEED` set the number of cases and the seed. With the
 //! feature `mutations`, `MUSTARDSHED_MUTATION` seeds a fault that the storm must catch.
 
+#![expect(
+    clippy::expect_used,
+    clippy::unwrap_used,
+    reason = "a fixture that fails ends its test"
+)]
+
 mod calm;
 mod engine;
 mod fleet;
