--- a/crates/mustardshedd/src/process/control.rs
+++ b/crates/mustardshedd/src/process/control.rs
@@ -15,7 +15,7 @@
 };
 use tokio::{runtime, sync::mpsc, sync::oneshot, time};
 
-use crate::process::{inbound, links, pending, pollers};
+use crate::process::{inbound, links, pending, placement, pollers};
 
 mod border;
 pub(crate) mod handle;
@@ -130,6 +130,7 @@
         let peer_bytes = sync::Arc::clone(&self.peer_bytes);
         inbound::spawn(&self.parts, peer_listener, events_tx, peer_bytes);
         pollers::spawn(&self.parts, &self.events_tx);
+        placement::spawn(&self.parts, sync::Arc::clone(&self.published));
         let mut ticks = time::interval(node::TICK);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
