Stop an entry in an outage whose call was answered, and repeat the call elsewhere

A test of processes for the drain: the platform goes down after the claim and before the answer, the entry is told to end, and the platform comes back after an entry without records to write would have ended. The entry ends with 0, and a repeat with the key at another entry gets the first answer.

--- a/crates/mustardshedd/tests/processes.rs
+++ b/crates/mustardshedd/tests/processes.rs
@@ -23,6 +23,9 @@
 /// Time within which a change of the configuration or the loss of a process must have told.
 const SECONDS: time::Duration = time::Duration::from_secs(5);
 
+/// Longest wait for the end of an entry that was told to end.
+const STOP_PATIENCE: time::Duration = time::Duration::from_secs(60);
+
 /// Fleets run one at a time, since each is a dozen processes.
 static ONE_AT_A_TIME: sync::Mutex<()> = sync::Mutex::const_new(());
 
@@ -85,6 +88,16 @@
         self.callers[entry].charge(CHARGE, key, &body).await
     }
 
+    /// Waits for the end of an entry that was told to end, and returns its exit code.
+    async fn exit_code_of(&mut self, entry: usize) -> Option<i32> {
+        let process = &mut self.fleet.entries[entry].process;
+        let begun = time::Instant::now();
+        while process.is_running() && begun.elapsed() < STOP_PATIENCE {
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+        }
+        process.exit_code()
+    }
+
     async fn executions(&self) -> usize {
         let records = self.fleet.records(&self.fleet.services[0]).await.unwrap();
         records.as_array().unwrap().len()
@@ -270,14 +283,36 @@
         },
         running
     );
-    let begun = time::Instant::now();
-    let entry = &mut f.fleet.entries[0].process;
-    while entry.is_running() && begun.elapsed() < 6 * SECONDS {
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
-    }
+    let exit_code = f.exit_code_of(0).await;
 
     assert_that!(servers.len(), eq(1));
-    assert_that!(entry.exit_code(), some(eq(0)));
+    assert_that!(exit_code, some(eq(0)));
+}
+
+#[tokio::test]
+async fn planned_stop_in_an_outage_does_not_lose_the_fate_of_a_call() {
+    let mut f = fixture(1).await;
+    let slow = json!({ "slow_percent": 100_000 });
+    let service = &f.fleet.services[0];
+    f.fleet.set_faults(service, &slow).await.unwrap();
+
+    // The call is claimed before the outage and answered in it.
+    let (answered, ()) = tokio::join!(f.charge(0, "deposit"), async {
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        f.platform_faults(json!({ "outage": true })).await;
+    });
+    f.fleet.entries[0].process.terminate();
+    // Longer than an entry accepts while it leaves.
+    tokio::time::sleep(time::Duration::from_secs(18)).await;
+    f.platform_faults(json!({ "outage": false })).await;
+    let exit_code = f.exit_code_of(0).await;
+    tokio::time::sleep(SECONDS).await;
+    let repeated = f.charge(1, "deposit").await;
+
+    let answer = answered.unwrap().answer;
+    assert_that!(exit_code, some(eq(0)));
+    assert_that!(repeated.unwrap().answer, eq(&answer));
+    assert_that!(f.executions().await, eq(1));
 }
 
 #[tokio::test]
