--- a/crates/mustardshedd/tests/traffic/fakes/platform.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/platform.rs
@@ -98,12 +98,15 @@
     async fn put(
         &self,
         purpose: platform::Purpose,
-        _kind: platform::ObjectKind,
+        kind: platform::ObjectKind,
         name: &str,
         expected: ids::ObjectVersion,
         value: Vec<u8>,
     ) -> Result<ids::ObjectVersion, platform::PlatformError> {
         self.count(purpose);
+        if kind != platform::ObjectKind::Claim {
+            return Err(platform::PlatformError::Refused("claims only".to_owned()));
+        }
         let version = self.next_version();
         let written = {
             let mut claims = self.claims.lock().unwrap();
