Weigh entries for callers by nearness and free places

Cause: GET /v1/entries gave every live entry the weight 100, so a caller was as likely sent to another region as to its own, and to a full entry as to an idle one.

Ruled out: the busy level within the Alive fact (told twice a second whether it changed or not, since a relay cannot know which level its neighbour had last); weights by the delay itself (differences of parts of a millisecond on a busy machine make equally near entries unequal); leaving out full or far entries (all callers would move at once and back).

Change: process/entry_weights weighs entries from 1 to 100: halved with each doubling of the delay beyond 1 ms, times the free share of the entry's places. Callers may name their data centre. process/busy turns requests in flight into a level of 0 to 10 with half a level of hysteresis; it spreads as a fact of its own when it changes and every 20 s while not zero. The protocol between entries is version 3, since an older entry does not know the fact. Event 1106 logs each answer.

Bytes between entries were not measured: nothing is told at rest.

The effect on a fleet under load was not measured.

--- a/crates/mustardshed-core/src/ids.rs
+++ b/crates/mustardshed-core/src/ids.rs
@@ -28,6 +28,8 @@
 pub type Epoch = u64;
 /// Version of a platform object; zero stands for an object that does not exist.
 pub type ObjectVersion = u64;
+/// Share of an entry's places for requests that are taken, in tenths.
+pub type BusyLevel = u8;
 /// Amount of prompt, output or KV memory in tokens.
 pub type Tokens = u64;
 
--- a/crates/mustardshed-core/src/process.rs
+++ b/crates/mustardshed-core/src/process.rs
@@ -1,8 +1,10 @@
 //! What lives as long as an entry process.
 
 pub mod action;
+pub mod busy;
 pub mod credits;
 pub mod distances;
+pub mod entry_weights;
 pub mod event;
 pub mod fates;
 pub mod gossip;
--- /dev/null
+++ b/crates/mustardshed-core/src/process/busy.rs
@@ -0,0 +1,46 @@
+//! How busy this entry is, in coarse levels.
+//!
+//! The level rises as soon as a further tenth of the places for requests is taken, and falls only
+//! half a tenth below that, so that a load at the border between two levels is told once.
+
+use std::time;
+
+use crate::ids;
+
+/// Level of an entry that has no place left.
+pub const BUSIEST: ids::BusyLevel = 10;
+/// Age at which a level other than zero is stated again; facts are forgotten some time after.
+const RESTATE_AFTER: time::Duration = time::Duration::from_secs(20);
+
+/// How busy this entry is, and what the others were told of it.
+#[derive(Debug, Default)]
+pub struct Busy {
+    level: ids::BusyLevel,
+    stated: ids::BusyLevel,
+    stated_at: ids::Timestamp,
+}
+
+impl Busy {
+    /// Takes the number of requests in flight and the number of places for them.
+    pub fn observe(&mut self, requests: usize, places: usize) {
+        let halves = requests.saturating_mul(2 * usize::from(BUSIEST)) / places.max(1);
+        let level = usize::from(self.level);
+        let is_within = halves < 2 * level + 2 && halves + 1 >= 2 * level;
+        if !is_within {
+            let latest = u8::try_from(halves / 2).unwrap_or(BUSIEST);
+            self.level = latest.min(BUSIEST);
+        }
+    }
+
+    /// Returns the level if it is to be stated now, and takes it as stated.
+    pub fn take_due(&mut self, now: ids::Timestamp) -> Option<ids::BusyLevel> {
+        let is_old = now.saturating_sub(self.stated_at) >= RESTATE_AFTER;
+        let is_due = self.level != self.stated || (self.level > 0 && is_old);
+        if !is_due {
+            return None;
+        }
+        self.stated = self.level;
+        self.stated_at = now;
+        Some(self.level)
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/src/process/entry_weights.rs
@@ -0,0 +1,131 @@
+//! Which entries callers are to use, and with which weights.
+//!
+//! An entry that leaves or is not live is never named; one in a data centre that is out of service
+//! only if there is no other. The weight of the others halves with each doubling of the delay from
+//! the caller's data centre beyond [`NEAR`], and falls with the share of its places that are taken.
+//! No entry that may be used has less than [`LEAST_WEIGHT`], so that callers never all go to one.
+//!
+//! ```
+//! use std::time;
+//!
+//! use mustardshed_core::process::{entry_weights, event, node};
+//!
+//! let identity = node::Identity {
+//!     vm: "e1".into(),
+//!     incarnation: 1,
+//!     data_centre: "a".into(),
+//!     address: "127.0.0.1:1".into(),
+//!     peer_address: "127.0.0.1:2".into(),
+//! };
+//! let mut node = node::Node::new(identity, 7, time::Duration::ZERO);
+//! node.handle(event::Event::Tick, node::TICK);
+//! let snapshot = node.snapshot(node::TICK);
+//! let weighed = entry_weights::weigh(&snapshot, None);
+//! assert_eq!(weighed[0].weight, entry_weights::FULL_WEIGHT);
+//! ```
+
+use std::time;
+
+use crate::{
+    ids,
+    process::{busy, snapshot},
+};
+
+/// Weight of an entry that is near and idle.
+pub const FULL_WEIGHT: u32 = 100;
+/// Weight of an entry that is named at all.
+pub const LEAST_WEIGHT: u32 = 1;
+/// One-way delay below which data centres are equally near.
+pub const NEAR: time::Duration = time::Duration::from_millis(1);
+
+/// An entry that callers may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Weighted<'a> {
+    /// The entry.
+    pub member: &'a snapshot::MemberView,
+    /// Its weight among those named with it.
+    pub weight: u32,
+}
+
+/// Returns the entries that a caller in the data centre `origin` is to use.
+///
+/// A caller that names none, or one that the operators' text does not, counts as being where the
+/// entry that it asks is.
+pub fn weigh<'a>(snapshot: &'a snapshot::Snapshot, origin: Option<&str>) -> Vec<Weighted<'a>> {
+    let origin = known_origin(snapshot, origin);
+    usable(snapshot)
+        .map(|member| Weighted {
+            member,
+            weight: weight(delay(snapshot, origin, &member.data_centre), member.busy),
+        })
+        .collect()
+}
+
+/// Returns the data centre from which a caller's distances are taken.
+pub fn known_origin<'a>(
+    snapshot: &'a snapshot::Snapshot,
+    origin: Option<&str>,
+) -> &'a ids::DataCentreId {
+    let named = origin.and_then(|name| snapshot.text.data_centres.get_key_value(name));
+    named.map_or(&snapshot.data_centre, |(name, _)| name)
+}
+
+fn usable(snapshot: &snapshot::Snapshot) -> impl Iterator<Item = &snapshot::MemberView> {
+    let is_out =
+        |member: &snapshot::MemberView| snapshot.data_centres_out.contains(&member.data_centre);
+    let is_live = |member: &&snapshot::MemberView| member.live && !member.leaving;
+    let live: Vec<_> = snapshot.members.values().filter(is_live).collect();
+    let has_others = live.iter().any(|member| !is_out(member));
+    live.into_iter()
+        .filter(move |member| !has_others || !is_out(member))
+}
+
+fn weight(delay: time::Duration, busy: ids::BusyLevel) -> u32 {
+    let near = FULL_WEIGHT.checked_shr(doublings(delay)).unwrap_or(0);
+    let free = u32::from(busy::BUSIEST.saturating_sub(busy));
+    (near * free / u32::from(busy::BUSIEST)).max(LEAST_WEIGHT)
+}
+
+/// Returns how often [`NEAR`] has to be doubled to exceed a delay.
+const fn doublings(delay: time::Duration) -> u32 {
+    let ratio = delay.as_micros() / NEAR.as_micros();
+    u128::BITS - ratio.leading_zeros()
+}
+
+/// Returns the one-way delay between two data centres, as far as this entry can know it.
+fn delay(snapshot: &snapshot::Snapshot, origin: &str, to: &str) -> time::Duration {
+    let own = &snapshot.data_centre;
+    if origin == to {
+        time::Duration::ZERO
+    } else if origin == own {
+        learned(snapshot, to)
+    } else if to == own {
+        learned(snapshot, origin)
+    } else if is_one_region(snapshot, origin, to) && !is_one_region(snapshot, origin, own) {
+        delay_within_region(snapshot)
+    } else {
+        learned(snapshot, origin).max(learned(snapshot, to))
+    }
+}
+
+/// Returns the delay to another data centre; none counts as near until it was learned.
+fn learned(snapshot: &snapshot::Snapshot, to: &str) -> time::Duration {
+    snapshot.distances.get(to).copied().unwrap_or_default()
+}
+
+/// Returns the longest delay within this entry's region, which stands for that of any region.
+fn delay_within_region(snapshot: &snapshot::Snapshot) -> time::Duration {
+    let own = &snapshot.data_centre;
+    snapshot
+        .distances
+        .iter()
+        .filter(|(name, _)| *name != own && is_one_region(snapshot, name, own))
+        .map(|(_, delay)| *delay)
+        .max()
+        .unwrap_or_default()
+}
+
+fn is_one_region(snapshot: &snapshot::Snapshot, a: &str, b: &str) -> bool {
+    let region = |name| snapshot.text.data_centres.get(name).map(|dc| &dc.region);
+    region(a).is_some() && region(a) == region(b)
+}
--- a/crates/mustardshed-core/src/process/event.rs
+++ b/crates/mustardshed-core/src/process/event.rs
@@ -43,6 +43,13 @@
         /// The report.
         result: Result<backend_server::LoadReport, backend_server::BackendServerError>,
     },
+    /// Traffic threads count their requests.
+    InFlight {
+        /// Requests that are being carried.
+        requests: usize,
+        /// Requests that may be carried at once.
+        places: usize,
+    },
     /// A traffic thread wants a credit.
     Acquire {
         /// Number by which the answer finds its caller.
--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -29,6 +29,8 @@
 pub enum Subject {
     /// The author itself.
     Alive,
+    /// How busy the author is.
+    Busy,
     /// A backend server.
     Load(ids::BackendServerId),
 }
@@ -208,6 +210,19 @@
         self.facts.get(&key).map(|known| aged(known, false, now))
     }
 
+    /// Returns how busy a run of an entry said it is.
+    pub fn busy(&self, vm: &str, incarnation: ids::Incarnation) -> ids::BusyLevel {
+        let known = self.facts.get(&(vm.to_owned(), Subject::Busy));
+        match known.map(|known| &known.fact) {
+            Some(message::Fact {
+                incarnation: stated_by,
+                body: message::FactBody::Busy { level },
+                ..
+            }) if *stated_by == incarnation => *level,
+            _ => 0,
+        }
+    }
+
     /// Returns all facts on the load of backend servers.
     pub fn loads(&self) -> impl Iterator<Item = &Known> {
         self.facts
@@ -245,7 +260,7 @@
     stewards: &collections::BTreeMap<ids::BackendServerId, ids::VmId>,
 ) -> bool {
     match subject {
-        Subject::Alive => true,
+        Subject::Alive | Subject::Busy => true,
         Subject::Load(server) => stewards.get(server) == Some(author),
     }
 }
@@ -274,6 +289,7 @@
 fn key_of(fact: &message::Fact) -> Key {
     let subject = match &fact.body {
         message::FactBody::Alive { .. } | message::FactBody::StillAlive { .. } => Subject::Alive,
+        message::FactBody::Busy { .. } => Subject::Busy,
         message::FactBody::Load { server, .. } => Subject::Load(server.clone()),
     };
     (fact.author.clone(), subject)
--- a/crates/mustardshed-core/src/process/message.rs
+++ b/crates/mustardshed-core/src/process/message.rs
@@ -50,6 +50,11 @@
         /// Generation in force.
         generation: ids::Generation,
     },
+    /// How busy the author is; left untold, it is idle.
+    Busy {
+        /// Its level.
+        level: ids::BusyLevel,
+    },
     /// The author is steward of a backend server and read its load.
     Load {
         /// Backend server.
--- a/crates/mustardshed-core/src/process/node.rs
+++ b/crates/mustardshed-core/src/process/node.rs
@@ -27,7 +27,7 @@
     border::platform,
     ids,
     process::{
-        action, distances, event, fates, gossip, holder, links, members, servers, snapshot,
+        action, busy, distances, event, fates, gossip, holder, links, members, servers, snapshot,
         stewards, world,
     },
 };
@@ -70,6 +70,7 @@
     links: links::Links,
     fates: fates::Fates,
     distances: distances::Distances,
+    busy: busy::Busy,
     is_leaving: bool,
     is_fresh: bool,
     version: u64,
@@ -92,6 +93,7 @@
             links: links::Links::default(),
             fates: fates::Fates::default(),
             distances: distances::Distances::default(),
+            busy: busy::Busy::default(),
             is_leaving: false,
             is_fresh: false,
             version: 0,
@@ -144,6 +146,7 @@
                 begun_at,
                 result,
             } => self.load_read(&server, begun_at, result, now, out),
+            event::Event::InFlight { requests, places } => self.busy.observe(requests, places),
             event::Event::Acquire { ticket, req } => self.acquire(ticket, req, now, out),
             event::Event::Release { credit, feedback } => {
                 self.release(&credit, feedback, now, out);
--- a/crates/mustardshed-core/src/process/node/periodic.rs
+++ b/crates/mustardshed-core/src/process/node/periodic.rs
@@ -38,6 +38,7 @@
 
     fn send_heartbeats(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         self.state_alive(now);
+        self.state_busy(now);
         self.state_loads(now);
         let neighbours = self.links.neighbours();
         for vm in &neighbours {
@@ -89,6 +90,13 @@
         self.state(self.version, body, now);
     }
 
+    fn state_busy(&mut self, now: ids::Timestamp) {
+        if let Some(level) = self.busy.take_due(now) {
+            self.version += 1;
+            self.state(self.version, message::FactBody::Busy { level }, now);
+        }
+    }
+
     fn state_loads(&mut self, now: ids::Timestamp) {
         let others = self.world.members.reachable().len();
         let is_mesh = others < topology::MESH_LIMIT;
--- a/crates/mustardshed-core/src/process/node/view.rs
+++ b/crates/mustardshed-core/src/process/node/view.rs
@@ -99,6 +99,7 @@
                     } else {
                         member.generation
                     },
+                    busy: self.gossip.busy(vm, member.incarnation),
                 };
                 (vm.clone(), view)
             })
--- a/crates/mustardshed-core/src/process/snapshot.rs
+++ b/crates/mustardshed-core/src/process/snapshot.rs
@@ -60,6 +60,8 @@
     pub live: bool,
     /// Newest generation that it has in force.
     pub generation: ids::Generation,
+    /// How busy it is.
+    pub busy: ids::BusyLevel,
 }
 
 /// What an entry knows at one moment.
--- a/crates/mustardshed-core/tests/request/admission.rs
+++ b/crates/mustardshed-core/tests/request/admission.rs
@@ -134,6 +134,7 @@
             leaving: false,
             live: *live,
             generation: 1,
+            busy: 0,
         };
         (vm, view)
     };
--- a/crates/mustardshed-standins/src/capacity/breakdown.rs
+++ b/crates/mustardshed-standins/src/capacity/breakdown.rs
@@ -115,6 +115,8 @@
         (message::FactBody::Alive { .. }, false) => "fact alive, relayed",
         (message::FactBody::StillAlive { .. }, true) => "fact still alive, own",
         (message::FactBody::StillAlive { .. }, false) => "fact still alive, relayed",
+        (message::FactBody::Busy { .. }, true) => "fact busy, own",
+        (message::FactBody::Busy { .. }, false) => "fact busy, relayed",
         (message::FactBody::Load { .. }, true) => "fact load, own",
         (message::FactBody::Load { .. }, false) => "fact load, relayed",
     }
--- a/crates/mustardshed-wire/src/peer.rs
+++ b/crates/mustardshed-wire/src/peer.rs
@@ -32,7 +32,7 @@
 pub use wire_message::Message;
 
 /// Version of the protocol between entry processes.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 /// Largest frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
--- a/crates/mustardshed-wire/src/peer/fact.rs
+++ b/crates/mustardshed-wire/src/peer/fact.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use mustardshed_core::process::message;
+use mustardshed_core::process::{busy, message};
 
 use super::{error, field, load};
 
@@ -60,6 +60,13 @@
         #[serde(rename = "g")]
         generation: u64,
     },
+    /// How busy the author is.
+    #[serde(rename = "b")]
+    Busy {
+        /// Its level.
+        #[serde(rename = "l")]
+        level: u8,
+    },
     /// The author is steward of a backend server and read its load.
     #[serde(rename = "l")]
     Load {
@@ -173,6 +180,7 @@
                 leaving,
                 generation,
             },
+            message::FactBody::Busy { level } => Self::Busy { level },
             message::FactBody::Load {
                 server,
                 report,
@@ -215,6 +223,9 @@
                 leaving,
                 generation,
             },
+            FactBody::Busy { level } => Self::Busy {
+                level: busy_level(level)?,
+            },
             FactBody::Load {
                 server,
                 report,
@@ -232,6 +243,14 @@
     }
 }
 
+fn busy_level(level: u8) -> Result<u8, error::Error> {
+    if level <= busy::BUSIEST {
+        Ok(level)
+    } else {
+        Err(error::Error::OutOfBounds("level"))
+    }
+}
+
 fn speed(value: f64) -> Result<f64, error::Error> {
     if value.is_finite() && value >= 0.0 {
         Ok(value)
--- a/crates/mustardshed-wire/tests/peer.rs
+++ b/crates/mustardshed-wire/tests/peer.rs
@@ -78,6 +78,7 @@
             generation,
         }
     });
+    let busy = (0..=10_u8).prop_map(|level| message::FactBody::Busy { level });
     let load = (
         name(),
         proptest::option::of(report()),
@@ -99,7 +100,7 @@
         any::<u64>(),
         any::<u64>(),
         duration(),
-        prop_oneof![alive, still_alive, load],
+        prop_oneof![alive, still_alive, busy, load],
     )
         .prop_map(|(author, incarnation, version, age, body)| message::Fact {
             author,
@@ -343,6 +344,27 @@
     expect_that!(result, err(eq(&peer::Error::OutOfBounds("facts"))));
 }
 
+#[gtest]
+fn busy_level_beyond_the_highest_is_refused() {
+    let fact = message::Fact {
+        author: "a".into(),
+        incarnation: 1,
+        version: 1,
+        age: time::Duration::ZERO,
+        body: message::FactBody::Busy { level: 11 },
+    };
+    let heartbeat = message::Heartbeat {
+        sent_at: time::Duration::ZERO,
+        generation: 1,
+        facts: vec![fact],
+    };
+    let buf = peer::encode(&message::Message::Heartbeat(heartbeat)).unwrap();
+
+    let result = peer::decode(&buf);
+
+    expect_that!(result, err(eq(&peer::Error::OutOfBounds("level"))));
+}
+
 #[gtest]
 fn proof_holds_for_one_key_direction_and_link() {
     let a = peer::Hello::new("a".into(), 1, [1; 32]);
--- a/crates/mustardshedd/src/http/entries.rs
+++ b/crates/mustardshedd/src/http/entries.rs
@@ -2,45 +2,74 @@
 
 use std::time;
 
-use mustardshed::core::process::snapshot;
+use mustardshed::core::{
+    ids,
+    process::{entry_weights, snapshot},
+};
 use warp::reply::Response;
 
-use crate::http::{auth, cx, message, reply};
+use crate::{
+    http::{auth, cx, message, reply},
+    log::{self, event},
+};
 
 /// Time for which callers may keep the answer.
 pub const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(10);
-/// Weight of an entry.
-const WEIGHT: u32 = 100;
+
+/// Where the caller says it is.
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq)]
+pub struct Query {
+    /// Data centre that the caller is in or next to.
+    data_centre: Option<ids::DataCentreId>,
+}
 
 /// Answers `GET /v1/entries`.
-pub fn handle(cx: &cx::Cx, headers: &http::HeaderMap) -> Response {
+pub fn handle(cx: &cx::Cx, headers: &http::HeaderMap, query: &Query) -> Response {
     let snapshot = cx.requests.control.snapshot();
-    if let Err(err) = auth::client_account(&snapshot, headers) {
-        return reply::error(&err);
-    }
+    let account = match auth::client_account(&snapshot, headers) {
+        Ok(account) => account,
+        Err(err) => return reply::error(&err),
+    };
+    let origin = query.data_centre.as_deref();
+    let weighed = entry_weights::weigh(&snapshot, origin);
+    log_told(&snapshot, &account.name, origin, &weighed);
     let list = message::EntryList {
-        entries: usable(&snapshot).map(body).collect(),
+        entries: weighed.iter().map(body).collect(),
         ttl_ms: reply::millis(TIME_TO_LIVE),
     };
     reply::json(http::StatusCode::OK, &list)
 }
 
-/// Returns live entries that do not leave; those in data centres out of service only if there are
-/// no others.
-fn usable(snapshot: &snapshot::Snapshot) -> impl Iterator<Item = &snapshot::MemberView> {
-    let is_out =
-        |member: &snapshot::MemberView| snapshot.data_centres_out.contains(&member.data_centre);
-    let is_live = |member: &&snapshot::MemberView| member.live && !member.leaving;
-    let live: Vec<_> = snapshot.members.values().filter(is_live).collect();
-    let has_others = live.iter().any(|member| !is_out(member));
-    live.into_iter()
-        .filter(move |member| !has_others || !is_out(member))
-}
-
-fn body(member: &snapshot::MemberView) -> message::EntryBody {
+fn body(entry: &entry_weights::Weighted<'_>) -> message::EntryBody {
     message::EntryBody {
-        url: format!("http://{}", member.address),
-        weight: WEIGHT,
-        data_centre: member.data_centre.clone(),
+        url: format!("http://{}", entry.member.address),
+        weight: entry.weight,
+        data_centre: entry.member.data_centre.clone(),
     }
 }
+
+fn log_told(
+    snapshot: &snapshot::Snapshot,
+    account: &str,
+    origin: Option<&str>,
+    weighed: &[entry_weights::Weighted<'_>],
+) {
+    let heaviest = weighed.iter().max_by_key(|entry| entry.weight);
+    let lightest = weighed.iter().min_by_key(|entry| entry.weight);
+    log::emit(&event::Event::EntriesTold {
+        account,
+        data_centre: entry_weights::known_origin(snapshot, origin),
+        entries: weighed.len(),
+        left_out: snapshot.members.len() - weighed.len(),
+        heaviest: &described(heaviest),
+        lightest: &described(lightest),
+    });
+}
+
+/// Returns an entry and its weight as `VM:WEIGHT`.
+fn described(entry: Option<&entry_weights::Weighted<'_>>) -> String {
+    entry.map_or_else(
+        || "none".to_owned(),
+        |entry| format!("{}:{}", entry.member.vm, entry.weight),
+    )
+}
--- a/crates/mustardshedd/src/http/routes.rs
+++ b/crates/mustardshedd/src/http/routes.rs
@@ -89,7 +89,8 @@
         .and(warp::get())
         .and(cx.clone())
         .and(warp::header::headers_cloned())
-        .map(|cx: sync::Arc<cx::Cx>, headers| entries::handle(&cx, &headers));
+        .and(warp::query::<entries::Query>())
+        .map(|cx: sync::Arc<cx::Cx>, headers, query| entries::handle(&cx, &headers, &query));
     let live = warp::path!("healthz").and(warp::get()).map(health::live);
     let ready = warp::path!("readyz")
         .and(warp::get())
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -106,6 +106,15 @@
         vm: &'a str,
         incarnation: ids::Incarnation,
     }
+    /// A caller was told which entries to use.
+    1106 Info "entries_told" EntriesTold {
+        account: &'a str,
+        data_centre: &'a str,
+        entries: usize,
+        left_out: usize,
+        heaviest: &'a str,
+        lightest: &'a str,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
--- a/crates/mustardshedd/src/process/control.rs
+++ b/crates/mustardshedd/src/process/control.rs
@@ -43,6 +43,10 @@
         record::Record,
         oneshot::Sender<Result<ids::Generation, error::Error>>,
     ),
+    InFlight {
+        requests: usize,
+        places: usize,
+    },
     Leave,
 }
 
@@ -159,6 +163,7 @@
                 ticket: self.pending.acknowledgement(tx),
                 record,
             },
+            Command::InFlight { requests, places } => event::Event::InFlight { requests, places },
             Command::Leave => event::Event::Leave,
         }
     }
--- a/crates/mustardshedd/src/process/control/handle.rs
+++ b/crates/mustardshedd/src/process/control/handle.rs
@@ -50,6 +50,11 @@
         self.send(Command::Leave);
     }
 
+    /// Says how many requests are being carried, and how many may be.
+    pub fn in_flight(&self, requests: usize, places: usize) {
+        self.send(Command::InFlight { requests, places });
+    }
+
     /// Hands an operator's intended configuration to the control thread.
     ///
     /// # Errors
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -93,9 +93,11 @@
     );
     let requests = requests.routing(settings.routing);
     let cx = cx::Cx::new(requests, sync::Arc::new(operator), limits);
+    let requests = sync::Arc::clone(&cx.requests);
     let server = server::bind(settings.listen, sync::Arc::new(cx))
         .await
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
+    tokio::spawn(tell_in_flight(handle.clone(), requests));
     log::emit(&event::Event::Started {
         vm: &identity.vm,
         incarnation: identity.incarnation,
@@ -163,6 +165,14 @@
     }
 }
 
+/// Tells the control thread how many requests are in flight, for as long as the process runs.
+async fn tell_in_flight(handle: sync::Arc<control::Handle>, requests: sync::Arc<request::cx::Cx>) {
+    loop {
+        handle.in_flight(requests.in_flight(), requests.max_in_flight());
+        tokio::time::sleep(node::HEARTBEAT_INTERVAL).await;
+    }
+}
+
 /// Accepts until no caller names this entry any more, then finishes what it carries.
 async fn drain(server: server::Server) {
     tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -115,6 +115,11 @@
         self.in_flight.load(atomic::Ordering::SeqCst)
     }
 
+    /// Returns the number of requests that may be carried at once.
+    pub const fn max_in_flight(&self) -> usize {
+        self.max_in_flight
+    }
+
     /// Counts one more request until the guard is dropped.
     ///
     /// # Errors
--- a/crates/mustardshedd/tests/traffic/fakes/world.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/world.rs
@@ -172,6 +172,7 @@
         leaving: false,
         live: true,
         generation: 1,
+        busy: 0,
     };
     snapshot::Snapshot {
         taken_at: time::Duration::ZERO,
--- a/crates/mustardshedd/tests/traffic/listener.rs
+++ b/crates/mustardshedd/tests/traffic/listener.rs
@@ -1,6 +1,6 @@
 //! The listener: who may see what, and what a drained entry still does.
 
-use std::sync;
+use std::{sync, time};
 
 use googletest::prelude::*;
 
@@ -124,6 +124,37 @@
     verify_that!(entries["ttl_ms"].as_u64(), some(eq(10_000)))
 }
 
+#[gtest]
+#[tokio::test]
+async fn entries_are_weighed_from_the_callers_data_centre() -> Result<()> {
+    let world = world::World::start().await;
+    world.control.change(|s| {
+        let mut west = s.members["entry-1"].clone();
+        west.vm = "entry-2".to_owned();
+        west.data_centre = "west".to_owned();
+        s.members.insert(west.vm.clone(), west);
+        s.distances
+            .insert("west".to_owned(), time::Duration::from_millis(5));
+        let mut text = mustardshed::config::text::Text::clone(&s.text);
+        let west = mustardshed::config::text::DataCentre {
+            name: "west".to_owned(),
+            region: "r".to_owned(),
+        };
+        text.data_centres.insert(west.name.clone(), west);
+        s.text = sync::Arc::new(text);
+    });
+
+    let mut seen = Vec::new();
+    for path in ["/v1/entries", "/v1/entries?data_centre=west"] {
+        let list = world.send(world.request("GET", path), "").await.json();
+        let weight = |i: usize| list["entries"][i]["weight"].as_u64();
+        seen.push((weight(0), weight(1)));
+    }
+
+    verify_that!(seen[0], eq((Some(100), Some(12))))?;
+    verify_that!(seen[1], eq((Some(12), Some(100))))
+}
+
 #[gtest]
 #[tokio::test]
 async fn overloaded_dependency_sheds_at_the_top() -> Result<()> {
