--- a/crates/mustardshed-standins/examples/engine.rs
+++ b/crates/mustardshed-standins/examples/engine.rs
@@ -3,7 +3,12 @@
 // The flags macro takes no paths as types.
 use std::{error, net::SocketAddr};
 
-use mustardshed_standins::engine::{server, settings};
+use mustardshed_standins::{
+    delay,
+    engine::{server, settings},
+};
+
+type Delay = delay::Flag;
 
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn error::Error>> {
@@ -44,6 +49,8 @@
         optional --start-cold
         /// Seconds of the engine's clock in a second of the wall clock
         optional --time-scale factor: f64
+        /// One-way delay to an entry in microseconds, as VM=MICROSECONDS
+        repeated --delay delay: Delay
     };
     let base = settings::Settings::default();
     Ok(settings::Settings {
@@ -65,6 +72,7 @@
             .collect::<Result<_, _>>()?,
         start_cold: flags.start_cold,
         time_scale: flags.time_scale.unwrap_or(base.time_scale),
+        delays: flags.delay.into(),
     })
 }
 
--- a/crates/mustardshed-standins/examples/experiment.rs
+++ b/crates/mustardshed-standins/examples/experiment.rs
@@ -27,6 +27,8 @@
         optional --time-scale factor: f64
         /// Leave the baselines out
         optional --no-baselines
+        /// Leave out the delays between data centres and to callers
+        optional --no-delays
         /// Folder for the plots, docs/plots by default
         optional --plots folder: PathBuf
     };
@@ -35,6 +37,11 @@
         Some("haulers") => deployment::HAULERS,
         Some(other) => return Err(format!("--deployment {other}: no such deployment").into()),
     };
+    let deployment = if flags.no_delays {
+        deployment.without_delays()
+    } else {
+        deployment
+    };
     let folder = flags.plots.unwrap_or_else(|| PathBuf::from("docs/plots"));
     fs::create_dir_all(&folder)?;
     let mut all: Vec<Done> = Vec::new();
--- a/crates/mustardshed-standins/examples/load.rs
+++ b/crates/mustardshed-standins/examples/load.rs
@@ -52,6 +52,8 @@
         optional --output-tokens tokens: u64
         /// Deadline of every request in milliseconds
         optional --deadline-ms ms: u64
+        /// One-way delay between callers and entries in microseconds
+        optional --caller-delay-us us: u64
         /// Process whose CPU time is measured
         repeated --cpu-pid pid: u32
         /// File for the report as JSON
@@ -76,6 +78,9 @@
         deadline: flags
             .deadline_ms
             .map_or(base.deadline, time::Duration::from_millis),
+        caller_delay: flags
+            .caller_delay_us
+            .map_or(base.caller_delay, time::Duration::from_micros),
         cpu_pids: flags.cpu_pid,
     };
     Ok(Flags {
--- a/crates/mustardshed-standins/examples/service.rs
+++ b/crates/mustardshed-standins/examples/service.rs
@@ -2,10 +2,14 @@
 
 use std::{io, net, time};
 
-use mustardshed_standins::service::{self, call_pattern, settings};
+use mustardshed_standins::{
+    delay,
+    service::{self, call_pattern, settings},
+};
 
 type Address = net::SocketAddr;
 type Pattern = call_pattern::CallPattern;
+type Delay = delay::Flag;
 
 #[tokio::main]
 async fn main() -> io::Result<()> {
@@ -28,9 +32,12 @@
         optional --warm-after calls: u64
         /// Start cold.
         optional --start-cold
+        /// One-way delay to an entry, as VM=MICROSECONDS.
+        repeated --delay delay: Delay
     };
     let mut settings = settings::Settings::new(flags.name, flags.data_centre)
         .non_repeatable(flags.non_repeatable)
+        .delays(flags.delay.into())
         .start_cold(flags.start_cold);
     if let Some(ms) = flags.work_ms {
         settings = settings.work(time::Duration::from_millis(ms));
--- a/crates/mustardshed-standins/src/engine/http.rs
+++ b/crates/mustardshed-standins/src/engine/http.rs
@@ -8,7 +8,10 @@
 use hyper::body;
 use serde::{Serialize, de};
 
-use crate::engine::{faults, gang, job, refusal, scheduler, shared, stream, wire};
+use crate::{
+    delay::{self, timer},
+    engine::{faults, gang, job, refusal, scheduler, shared, stream, wire},
+};
 
 /// Largest body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -25,15 +28,31 @@
 pub(super) struct Service {
     pub(super) shared: sync::Arc<shared::Shared>,
     pub(super) leader: gang::Leader,
+    pub(super) delays: sync::Arc<delay::Delays>,
+    pub(super) timer: timer::Timer,
 }
 
 impl Service {
-    /// Answers a call.
+    /// Answers a call, both ways later if its caller is far.
     ///
     /// # Errors
     ///
     /// If the engine is dead, so that the connection is closed without an answer.
     pub(super) async fn answer(self, req: http::Request<body::Incoming>) -> io::Result<Response> {
+        let delay = self.delays.of_request(&caller_id(&req));
+        if delay.is_zero() {
+            return self.answer_here(req).await;
+        }
+        let timer = self.timer.clone();
+        timer.wait(delay).await;
+        let (parts, body) = self.answer_here(req).await?.into_parts();
+        let chunks = delay::delayed(&timer, delay, body.into_data_stream());
+        timer.wait(delay).await;
+        Ok(Response::from_parts(parts, streamed(chunks)))
+    }
+
+    /// Answers a call at once.
+    async fn answer_here(self, req: http::Request<body::Incoming>) -> io::Result<Response> {
         let admin = req.uri().path().starts_with("/admin/");
         if !admin && self.shared.read(|e| e.faults().dead) {
             return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
@@ -198,6 +217,16 @@
     text.ok_or(refusal::Refusal::BadRequest)
 }
 
+/// Returns the request that a call is about, if it comes from an entry and names one.
+fn caller_id(req: &http::Request<body::Incoming>) -> String {
+    let parts: Vec<&str> = req.uri().path().split('/').skip(1).collect();
+    match parts.as_slice() {
+        ["v1", "gang"] => String::new(),
+        ["v1", "requests" | "reservations", id, ..] => (*id).to_owned(),
+        _ => request_id(req).unwrap_or_default(),
+    }
+}
+
 fn number_of(query: Option<&str>, prefix: &str) -> Result<u64, refusal::Refusal> {
     let Some(text) = query.and_then(|q| q.strip_prefix(prefix)) else {
         return Ok(0);
--- a/crates/mustardshed-standins/src/engine/server.rs
+++ b/crates/mustardshed-standins/src/engine/server.rs
@@ -6,7 +6,10 @@
 use hyper_util::rt;
 use tokio::{net as tokio_net, task};
 
-use crate::engine::{gang, http, settings, shared};
+use crate::{
+    delay::timer,
+    engine::{gang, http, settings, shared},
+};
 
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
@@ -27,13 +30,20 @@
     pub async fn bind(settings: settings::Settings) -> io::Result<Self> {
         let listener = tokio_net::TcpListener::bind(settings.listen).await?;
         let address = listener.local_addr()?;
+        let delays = settings.delays.scaled(settings.time_scale);
         let shared = sync::Arc::new(shared::Shared::new(settings));
         let mut tasks = task::JoinSet::new();
         let driven = sync::Arc::clone(&shared);
         tasks.spawn(async move { driven.drive().await });
         let (leader, followed) = gang::open(sync::Arc::clone(&shared));
         tasks.spawn(followed);
-        tasks.spawn(serve(listener, http::Service { shared, leader }));
+        let service = http::Service {
+            shared,
+            leader,
+            delays: sync::Arc::new(delays),
+            timer: timer::Timer::spawn(),
+        };
+        tasks.spawn(serve(listener, service));
         Ok(Self { address, tasks })
     }
 
--- a/crates/mustardshed-standins/src/engine/settings.rs
+++ b/crates/mustardshed-standins/src/engine/settings.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, net, time};
 
+use crate::delay;
+
 /// Whether an engine checks the fencing numbers of orders.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fencing {
@@ -42,6 +44,8 @@
     pub start_cold: bool,
     /// Seconds of the engine's clock in a second of the wall clock.
     pub time_scale: f64,
+    /// Delays to entries, on the engine's clock.
+    pub delays: delay::Delays,
 }
 
 impl Default for Settings {
@@ -61,6 +65,7 @@
             models: collections::BTreeMap::from([(String::from("draft"), String::from("1"))]),
             start_cold: false,
             time_scale: 1.0,
+            delays: delay::Delays::default(),
         }
     }
 }
--- a/crates/mustardshed-standins/src/experiment.rs
+++ b/crates/mustardshed-standins/src/experiment.rs
@@ -105,6 +105,7 @@
             short_only: self.scenario.is_short_only(),
             output_tokens: 64,
             deadline: self.scenario.deadline(),
+            caller_delay: self.deployment.caller_delay,
             ..plan::Plan::default()
         };
         let rate = self.deployment.capacity(mean_tokens(&plan)) * self.scenario.load();
--- a/crates/mustardshed-standins/src/experiment/deployment.rs
+++ b/crates/mustardshed-standins/src/experiment/deployment.rs
@@ -1,5 +1,7 @@
 //! Deployments at their size of today.
 
+use std::time;
+
 use crate::fleet::spec;
 
 /// KV memory of one engine, in tokens.
@@ -24,6 +26,10 @@
     pub entries: usize,
     /// Model that is loaded.
     pub model: &'static str,
+    /// One-way delay between data centres.
+    pub delay_between: time::Duration,
+    /// One-way delay to callers.
+    pub caller_delay: time::Duration,
 }
 
 /// The bindery: 16 drafting and 3 ledger runners, 8 entries.
@@ -33,6 +39,8 @@
     other_engines: 3,
     entries: 8,
     model: "drafting-model",
+    delay_between: time::Duration::from_micros(1_500),
+    caller_delay: time::Duration::from_millis(1),
 };
 
 /// The haulers: 23 assistant and 3 dispatch runners, 8 entries.
@@ -42,6 +50,8 @@
     other_engines: 3,
     entries: 8,
     model: "assistant-model",
+    delay_between: time::Duration::from_micros(500),
+    caller_delay: time::Duration::from_millis(3),
 };
 
 impl Deployment {
@@ -69,9 +79,18 @@
         spec.accounts = accounts();
         spec.routing = routing;
         spec.time_scale = time_scale;
+        spec.delay_between = self.delay_between;
         spec
     }
 
+    /// Returns the same deployment without delays.
+    #[must_use]
+    pub const fn without_delays(mut self) -> Self {
+        self.delay_between = time::Duration::ZERO;
+        self.caller_delay = time::Duration::ZERO;
+        self
+    }
+
     /// Returns the nominal capacity in requests a second for prompts of this mean length.
     pub fn capacity(&self, mean_tokens: f64) -> f64 {
         self.engines as f64 * f64::from(PREFILL_TPS) / mean_tokens
--- a/crates/mustardshed-standins/src/fleet.rs
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -81,16 +81,14 @@
             spec: spec.clone(),
         };
         for engine in &spec.engines {
-            let process = fleet
-                .files
-                .spawn_example("engine", &engine.name, &engine.args())?;
+            let args = [engine.args(), spec.delay_args(&engine.data_centre)].concat();
+            let process = fleet.files.spawn_example("engine", &engine.name, &args)?;
             fleet.register(&engine.vm(&process.address)).await?;
             fleet.engines.push(process);
         }
         for service in &spec.services {
-            let process = fleet
-                .files
-                .spawn_example("service", &service.name, &service.args())?;
+            let args = [service.args(), spec.delay_args(&service.data_centre)].concat();
+            let process = fleet.files.spawn_example("service", &service.name, &args)?;
             fleet.register(&service.vm(&process.address)).await?;
             fleet.services.push(process);
         }
--- a/crates/mustardshed-standins/src/fleet/spec.rs
+++ b/crates/mustardshed-standins/src/fleet/spec.rs
@@ -1,5 +1,7 @@
 //! What a fleet consists of.
 
+use std::time;
+
 use super::{files, key_of};
 
 /// Requests that a cold engine must finish before it is warm.
@@ -115,6 +117,8 @@
     pub time_scale: f64,
     /// Policy by which entries choose engines, as in their settings.
     pub routing: &'static str,
+    /// One-way delay between data centres, which backend servers add to calls of entries.
+    pub delay_between: time::Duration,
 }
 
 impl Spec {
@@ -146,6 +150,7 @@
             accounts: vec![("st-marks".to_owned(), 1), ("grace".to_owned(), 1)],
             time_scale: 10.0,
             routing: "estimate",
+            delay_between: time::Duration::ZERO,
             data_centres,
         }
     }
@@ -155,6 +160,18 @@
         &self.data_centres[i % self.data_centres.len()]
     }
 
+    /// Returns the arguments by which a backend server in a data centre learns its delays.
+    pub fn delay_args(&self, data_centre: &str) -> Vec<String> {
+        if self.delay_between.is_zero() {
+            return Vec::new();
+        }
+        let us = self.delay_between.as_micros();
+        (0..self.entries)
+            .filter(|i| self.entry_data_centre(*i) != data_centre)
+            .flat_map(|i| ["--delay".to_owned(), format!("entry-{i}={us}")])
+            .collect()
+    }
+
     /// Returns the operators' text for this fleet.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/mustardshed-standins/src/lib.rs
+++ b/crates/mustardshed-standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod capacity;
+pub mod delay;
 pub mod demo;
 pub mod engine;
 pub mod experiment;
--- a/crates/mustardshed-standins/src/load/call.rs
+++ b/crates/mustardshed-standins/src/load/call.rs
@@ -100,14 +100,15 @@
         let limit = self.plan.wall(self.plan.deadline) + GRACE;
         let outcome = tokio::time::timeout(limit, exchange).await;
         let scaled = |wall| self.plan.scaled(wall);
+        let seen = |wall| scaled(wall) + self.plan.caller_delay;
         sample::Sample {
             arrival,
             via,
             outcome: outcome.unwrap_or(outcome::Outcome::NeverTold),
             refused_connections,
-            first_token: reading.first_token.map(scaled),
+            first_token: reading.first_token.map(seen),
             between_tokens: reading.between_tokens.into_iter().map(scaled).collect(),
-            total: scaled(start.elapsed()),
+            total: seen(start.elapsed()),
         }
     }
 
--- a/crates/mustardshed-standins/src/load/plan.rs
+++ b/crates/mustardshed-standins/src/load/plan.rs
@@ -45,6 +45,8 @@
     pub output_tokens: u64,
     /// Deadline of every request.
     pub deadline: time::Duration,
+    /// One-way delay between callers and entries.
+    pub caller_delay: time::Duration,
     /// Processes whose CPU time is measured.
     pub cpu_pids: Vec<u32>,
 }
@@ -66,6 +68,7 @@
             prompt_tokens: None,
             output_tokens: 32,
             deadline: time::Duration::from_secs(600),
+            caller_delay: time::Duration::ZERO,
             cpu_pids: Vec::new(),
         }
     }
--- a/crates/mustardshed-standins/src/load/run.rs
+++ b/crates/mustardshed-standins/src/load/run.rs
@@ -108,7 +108,7 @@
     let pacer = sync::Arc::clone(plan);
     thread::spawn(move || {
         for prepared in prepared_rx {
-            let at = start + pacer.wall(prepared.arrival.at);
+            let at = start + pacer.wall(prepared.arrival.at + pacer.caller_delay);
             thread::sleep(at.saturating_duration_since(time::Instant::now()));
             if due_tx.blocking_send(prepared).is_err() {
                 return;
--- a/crates/mustardshed-standins/src/service/call_routes.rs
+++ b/crates/mustardshed-standins/src/service/call_routes.rs
@@ -59,11 +59,14 @@
 }
 
 async fn executed(state: &state::State, call: &call::Call) -> reply::Response {
-    match state.execute(call).await {
+    state.wait_one_way(call).await;
+    let res = match state.execute(call).await {
         Ok(Some(execution)) => answered(state, call, execution),
         Ok(None) => http::cut(),
         Err(refusal) => refused(refusal),
-    }
+    };
+    state.wait_one_way(call).await;
+    res
 }
 
 fn answered(state: &state::State, call: &call::Call, execution: u64) -> reply::Response {
--- a/crates/mustardshed-standins/src/service/settings.rs
+++ b/crates/mustardshed-standins/src/service/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::service::call_pattern;
+use crate::{delay, service::call_pattern};
 
 /// Settings of a plain service.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -23,6 +23,8 @@
     pub warm_after: u64,
     /// Whether the service starts cold.
     pub start_cold: bool,
+    /// Delays to entries.
+    pub delays: delay::Delays,
 }
 
 impl Settings {
@@ -37,6 +39,7 @@
             cold_limit: 2,
             warm_after: 10,
             start_cold: false,
+            delays: delay::Delays::default(),
         }
     }
 
@@ -75,6 +78,13 @@
         self
     }
 
+    /// Sets the delays to entries.
+    #[must_use]
+    pub fn delays(mut self, delays: delay::Delays) -> Self {
+        self.delays = delays;
+        self
+    }
+
     /// Sets whether the service starts cold.
     #[must_use]
     pub const fn start_cold(mut self, cold: bool) -> Self {
--- a/crates/mustardshed-standins/src/service/state.rs
+++ b/crates/mustardshed-standins/src/service/state.rs
@@ -5,6 +5,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    delay::{self, timer},
     service::{
         call, counts, execution, faults, faults_change, load_history, load_report, machine,
         refusal, settings,
@@ -16,6 +17,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     started_at: tokio::time::Instant,
+    delays: delay::Delays,
+    timer: timer::Timer,
     inner: sync::Mutex<Inner>,
     changes: watch::Sender<u64>,
 }
@@ -31,6 +34,8 @@
     pub(super) fn new(settings: settings::Settings) -> Self {
         Self {
             started_at: tokio::time::Instant::now(),
+            delays: settings.delays.clone(),
+            timer: timer::Timer::spawn(),
             inner: sync::Mutex::new(Inner {
                 machine: machine::Machine::new(settings, unix_time::now_ms()),
                 history: load_history::LoadHistory::default(),
@@ -58,6 +63,12 @@
         Ok(answered.then_some(started.execution))
     }
 
+    /// Waits for as long as one way of a call takes.
+    pub(super) async fn wait_one_way(&self, call: &call::Call) {
+        let delay = self.delays.of_request(&call.request_id);
+        self.timer.wait(delay).await;
+    }
+
     /// Returns the name of the service.
     pub(super) fn name(&self) -> String {
         self.read(|machine| machine.settings().name.clone())
