Add a scenario with one slow engine to the experiment

Cause: what hedges bring was to be measured with one engine that is ten times as slow for a third of the time, and there was no such scenario.

--- a/crates/mustardshed-standins/examples/experiment.rs
+++ b/crates/mustardshed-standins/examples/experiment.rs
@@ -17,7 +17,7 @@
     let flags = xflags::parse_or_exit! {
         /// Deployment: bindery (default) or haulers
         optional --deployment name: String
-        /// Scenario: all (default), mixed, short, data-centre, flood, overload
+        /// Scenario: all (default), mixed, short, data-centre, slow-engine, flood, overload
         optional --scenario name: String
         /// Seeds, 3 by default
         optional --seeds count: u64
@@ -79,12 +79,14 @@
         "mixed" => mixed,
         "short" => vec![Scenario::Mixed(0.8), Scenario::ShortOnly(0.8)],
         "data-centre" => vec![Scenario::DataCentreOut(0.7)],
+        "slow-engine" => vec![Scenario::SlowEngine(0.5)],
         "flood" => vec![Scenario::Mixed(0.5), Scenario::Flood(0.5)],
         "overload" => vec![Scenario::Overload],
         _ => {
             let others = [
                 Scenario::ShortOnly(0.8),
                 Scenario::DataCentreOut(0.7),
+                Scenario::SlowEngine(0.5),
                 Scenario::Flood(0.5),
                 Scenario::Overload,
             ];
--- a/crates/mustardshed-standins/src/experiment/scenario.rs
+++ b/crates/mustardshed-standins/src/experiment/scenario.rs
@@ -14,6 +14,8 @@
 const FLOOD: u32 = 10;
 /// Data centre that is taken out and back.
 const DATA_CENTRE: &str = "mid";
+/// Hundredths by which the steps of a slow engine last longer.
+const SLOW_PERCENT: u32 = 900;
 
 /// What is offered, and what changes meanwhile; loads are shares of the nominal capacity.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,6 +26,8 @@
     ShortOnly(f64),
     /// A data centre is taken out after a third of the time, and back after two.
     DataCentreOut(f64),
+    /// One engine takes ten times as long a step in the second third of the time.
+    SlowEngine(f64),
     /// One small account sends ten times what the others do.
     Flood(f64),
     /// Three times the capacity, with deadlines of 30 s.
@@ -37,6 +41,7 @@
             Self::Mixed(load)
             | Self::ShortOnly(load)
             | Self::DataCentreOut(load)
+            | Self::SlowEngine(load)
             | Self::Flood(load) => load,
             Self::Overload => 3.0,
         }
@@ -81,18 +86,35 @@
     ///
     /// Returns an error if an operator's command fails.
     pub async fn change(self, fleet: &fleet::Fleet, run: &Run) -> Result<(), ExperimentError> {
-        if !matches!(self, Self::DataCentreOut(_)) {
-            return Ok(());
-        }
         let third = run.duration.div_f64(3.0 * run.time_scale);
-        tokio::time::sleep(third).await;
-        fleet.ctl(&["data-centre", "out", DATA_CENTRE]).await?;
-        tokio::time::sleep(third).await;
-        fleet.ctl(&["data-centre", "in", DATA_CENTRE]).await?;
+        match self {
+            Self::DataCentreOut(_) => {
+                tokio::time::sleep(third).await;
+                fleet.ctl(&["data-centre", "out", DATA_CENTRE]).await?;
+                tokio::time::sleep(third).await;
+                fleet.ctl(&["data-centre", "in", DATA_CENTRE]).await?;
+            }
+            Self::SlowEngine(_) => {
+                tokio::time::sleep(third).await;
+                slow_down(fleet, SLOW_PERCENT).await?;
+                tokio::time::sleep(third).await;
+                slow_down(fleet, 0).await?;
+            }
+            _ => {}
+        }
         Ok(())
     }
 }
 
+/// Lets the steps of the first engine last longer by so many hundredths.
+async fn slow_down(fleet: &fleet::Fleet, percent: u32) -> Result<(), ExperimentError> {
+    if let Some(engine) = fleet.engines.first() {
+        let faults = serde_json::json!({ "slow_percent": percent });
+        fleet.set_faults(engine, &faults).await?;
+    }
+    Ok(())
+}
+
 impl fmt::Display for Scenario {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let percent = self.load() * 100.0;
@@ -100,6 +122,7 @@
             Self::Mixed(_) => write!(f, "mixed at {percent:.0}%"),
             Self::ShortOnly(_) => write!(f, "short only at {percent:.0}%"),
             Self::DataCentreOut(_) => write!(f, "data centre out and back at {percent:.0}%"),
+            Self::SlowEngine(_) => write!(f, "one engine slow at {percent:.0}%"),
             Self::Flood(_) => write!(f, "one account floods at {percent:.0}%"),
             Self::Overload => write!(f, "overload at {percent:.0}%"),
         }
