--- a/crates/mustardshedd/src/request/completion.rs
+++ b/crates/mustardshedd/src/request/completion.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 pub mod driver;
+mod hedge;
 pub mod plan;
 pub mod progress;
 pub mod reading;
--- a/crates/mustardshedd/tests/traffic/main.rs
+++ b/crates/mustardshedd/tests/traffic/main.rs
@@ -11,6 +11,7 @@
 mod completions;
 mod fakes;
 mod gangs;
+mod hedges;
 mod hostile;
 mod listener;
 mod storm;
