--- a/crates/mustardshed-core/src/border/control.rs
+++ b/crates/mustardshed-core/src/border/control.rs
@@ -51,7 +51,7 @@
     pub server: ids::BackendServerId,
     /// Prompt tokens that were prefilled.
     pub prefill_tokens: ids::Tokens,
-    /// Time from the send to the first token, once there was one, or to a hedge's that was sooner.
+    /// Time from the send to the first token, once there was one.
     pub first_token: Option<std::time::Duration>,
     /// Epoch that the server's last frame carried.
     pub epoch: Option<ids::Epoch>,
--- a/crates/mustardshed-core/src/request.rs
+++ b/crates/mustardshed-core/src/request.rs
@@ -5,7 +5,6 @@
 pub mod claim;
 pub mod fate;
 pub mod gang;
-pub mod hedge;
 pub mod lane;
 pub mod owner;
 pub mod prefix;
--- a/crates/mustardshed-core/src/request/retry.rs
+++ b/crates/mustardshed-core/src/request/retry.rs
@@ -50,12 +50,6 @@
         self.update(|units| (units >= UNITS_PER_RETRY).then_some(units - UNITS_PER_RETRY))
     }
 
-    /// Gives a withdrawn hedge back that was not made.
-    pub fn refund(&self) {
-        let most = MAX_RETRIES * UNITS_PER_RETRY;
-        self.update(|units| Some((units + UNITS_PER_RETRY).min(most)));
-    }
-
     fn update(&self, change: impl FnMut(i64) -> Option<i64>) -> bool {
         self.units
             .try_update(atomic::Ordering::Relaxed, atomic::Ordering::Relaxed, change)
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -83,20 +83,6 @@
         request: &'a str,
         reason: &'a str,
     }
-    /// A second engine was given a prompt.
-    1010 Info "hedged" Hedged {
-        request: &'a str,
-        server: &'a str,
-        estimate_ms: u128,
-        reason: &'a str,
-    }
-    /// A hedge was left out, or one engine of two is read on and the other one cancelled.
-    1011 Info "hedge_ended" HedgeEnded {
-        request: &'a str,
-        server: &'a str,
-        cancelled: &'a str,
-        reason: &'a str,
-    }
     /// The listener for callers accepts connections.
     1101 Info "listening" Listening {
         address: &'a str,
--- a/crates/mustardshedd/src/request/attempts.rs
+++ b/crates/mustardshedd/src/request/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use mustardshed::core::{error, ids, mutation, request::retry};
+use mustardshed::core::{error, ids, request::retry};
 
 use crate::request::{cx, failure, job};
 
@@ -52,16 +52,6 @@
         self.wait_until
     }
 
-    /// Withdraws a hedge from the budget of retries; returns whether there was one.
-    pub fn withdraw_hedge(&self) -> bool {
-        mutation::on("hedge_unbudgeted") || self.budget.withdraw()
-    }
-
-    /// Gives a hedge back that was not made.
-    pub fn refund_hedge(&self) {
-        self.budget.refund();
-    }
-
     /// Decides what follows a failure; returns when another attempt may be made.
     ///
     /// # Errors
--- a/crates/mustardshedd/src/request/completion.rs
+++ b/crates/mustardshedd/src/request/completion.rs
@@ -2,7 +2,6 @@
 
 pub mod attempt;
 pub mod driver;
-mod hedge;
 pub mod plan;
 pub mod progress;
 pub mod reading;
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -14,10 +14,7 @@
 
 use crate::{
     log::{self, event},
-    request::{
-        completion::{driver, hedge, plan},
-        failure, held_credit, placement, send_check,
-    },
+    request::{completion::driver, completion::plan, failure, held_credit, placement, send_check},
 };
 
 impl driver::Driver {
@@ -29,7 +26,7 @@
         self.send(&plan, &mut placement).await
     }
 
-    pub(super) fn route(&mut self) -> Result<plan::Plan, failure::Failure> {
+    fn route(&mut self) -> Result<plan::Plan, failure::Failure> {
         let snapshot = self.cx.control.snapshot();
         let now = self.cx.clock.now();
         self.mark_prefixes(&snapshot.text);
@@ -198,11 +195,7 @@
         Ok(())
     }
 
-    pub(super) fn credit_request(
-        &self,
-        plan: &plan::Plan,
-        engine: &gang::Engine,
-    ) -> control::CreditRequest {
+    fn credit_request(&self, plan: &plan::Plan, engine: &gang::Engine) -> control::CreditRequest {
         let job = &self.completion.job;
         let latest = job.deadline.saturating_sub(plan.estimate.prefill);
         control::CreditRequest {
@@ -238,10 +231,7 @@
         self.record_running();
         let sent_at = cx.clock.now();
         match cx.servers.generate(&plan.lead.address, req).await {
-            Ok(stream) => match self.lead(stream, plan, sent_at).await {
-                hedge::Lead::First(stream) => self.read(stream, plan, placement, sent_at).await,
-                hedge::Lead::Second(second) => self.read_second(*second, placement, sent_at).await,
-            },
+            Ok(stream) => self.read(stream, plan, placement, sent_at).await,
             Err(err) if failure::is_not_run(&err) => {
                 placement.end();
                 placement.fail(&err);
@@ -256,33 +246,11 @@
         }
     }
 
-    /// Reads the output of a second engine; the first one's work is cancelled.
-    async fn read_second(
-        &mut self,
-        second: hedge::Second,
-        placement: &mut placement::Placement,
-        first_sent_at: ids::Timestamp,
-    ) -> Result<(), failure::Failure> {
-        // The first engine's token would have come later still, which tells of its speed.
-        let waited = self.cx.clock.now().saturating_sub(first_sent_at);
-        for credit in placement.credits_mut() {
-            credit.set_first_token(waited);
-        }
-        let hedge::Second {
-            stream,
-            plan,
-            placement: won,
-            sent_at,
-        } = second;
-        *placement = won;
-        self.read(stream, &plan, placement, sent_at).await
-    }
-
     /// Makes the prompt's request for an engine.
     ///
     /// Engines are deterministic by their contract: the same prompt gives the same tokens on every
     /// engine, so that an output may be continued on another one at the number of tokens delivered.
-    pub(super) fn engine_request(&self, plan: &plan::Plan) -> backend_server::EngineRequest {
+    fn engine_request(&self, plan: &plan::Plan) -> backend_server::EngineRequest {
         let completion = &self.completion;
         backend_server::EngineRequest {
             id: completion.job.id.clone(),
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -1,16 +1,13 @@
 //! What all requests of an entry share.
 
-use std::{
-    sync::{self, atomic},
-    time,
-};
+use std::sync::{self, atomic};
 
 use mustardshed::{
     config::settings,
     core::{
         border::{backend_server, clock, control},
         error, ids,
-        request::{hedge, prefix, retry, route::recent},
+        request::{prefix, retry, route::recent},
     },
 };
 
@@ -45,8 +42,6 @@
     pub metrics: metrics::Metrics,
     /// Policy by which backend servers are chosen.
     pub routing: settings::Routing,
-    /// Time beyond twice the estimate after which a first token is late; no hedges without.
-    pub hedge_allowance: Option<time::Duration>,
     draws: atomic::AtomicU64,
     draining: atomic::AtomicBool,
     in_flight: atomic::AtomicUsize,
@@ -75,7 +70,6 @@
             accounts: accounts::Accounts::default(),
             metrics,
             routing: settings::Routing::default(),
-            hedge_allowance: Some(hedge::ALLOWANCE),
             draws: atomic::AtomicU64::new(seed),
             draining: atomic::AtomicBool::new(false),
             in_flight: atomic::AtomicUsize::new(0),
@@ -90,13 +84,6 @@
         self
     }
 
-    /// Sets the time after which a first token is late; without one no hedge is made.
-    #[must_use]
-    pub const fn hedge_allowance(mut self, allowance: Option<time::Duration>) -> Self {
-        self.hedge_allowance = allowance;
-        self
-    }
-
     /// Returns the seed of the next random draw.
     pub fn next_seed(&self) -> u64 {
         self.draws.fetch_add(1, atomic::Ordering::Relaxed)
