Test the delays of the stand-ins by order, not by the clock

Cause: two tests of the delays asserted a least elapsed time, while tests here assert no wall-clock times.

Change: an endless delay stands for a far entry: its call or part must not be there once the near ones are. As strict: a delay that is not kept lets the furthest entry be answered first.

--- a/crates/mustardshed-standins/tests/delay.rs
+++ b/crates/mustardshed-standins/tests/delay.rs
@@ -1,10 +1,10 @@
-//! Delays that stand-ins add: who is far, and that nothing comes earlier than one way later.
+//! Delays that stand-ins add: who is far, that far is later than near, and that nothing is changed.
 
 #![expect(clippy::unwrap_used, reason = "fixtures of tests")]
 
 use std::time;
 
-use futures_util::{StreamExt, stream};
+use futures_util::{FutureExt, StreamExt, stream};
 use googletest::prelude::*;
 use mustardshed_standins::{
     delay::{self, timer},
@@ -13,47 +13,52 @@
     json_client,
 };
 
-const ONE_WAY: time::Duration = time::Duration::from_millis(20);
+const SHORT: time::Duration = time::Duration::from_millis(1);
+/// Longer than any test runs.
+const ENDLESS: time::Duration = time::Duration::from_secs(1_000_000);
 
-/// Runs a prompt whose identifier begins with `vm` on an engine that is far from `entry-1`.
-async fn run(vm: &str) -> (time::Duration, json_client::Answer) {
+/// Returns an engine that is far from `entry-1` and further from `entry-2`.
+async fn engine() -> server::Engine {
+    let delays = [("entry-1", SHORT), ("entry-2", ENDLESS)];
     let settings = settings::Settings {
-        delays: delay::Delays::new([("entry-1".to_owned(), 100 * ONE_WAY)]),
-        time_scale: 100.0,
+        delays: delay::Delays::new(delays.map(|(vm, delay)| (vm.to_owned(), delay))),
         ..settings::Settings::default()
     };
-    let engine = server::Engine::bind(settings).await.unwrap();
+    server::Engine::bind(settings).await.unwrap()
+}
+
+/// Runs a prompt whose identifier begins with `vm`.
+async fn run(engine: &server::Engine, vm: &str) -> json_client::Answer {
     let body = r#"{"model":"draft","prompt":"word","max_tokens":3}"#;
     let req = http::Request::post(format!("http://{}/v1/completions", engine.address()))
         .header("x-request-id", format!("{vm}.7.1"))
         .body(json_client::Body::from(body));
-    let begun = time::Instant::now();
-    let client = json_client::JsonClient::open();
-    let answer = client.send(req).await.unwrap();
-    (begun.elapsed(), answer)
+    json_client::JsonClient::open().send(req).await.unwrap()
 }
 
 #[tokio::test]
-async fn answer_to_a_far_entry_comes_both_ways_later_and_is_the_same() -> Result<()> {
-    let (_, near) = run("entry-2").await;
+async fn answer_to_a_far_entry_comes_after_one_to_a_near_entry_and_is_the_same() -> Result<()> {
+    let engine = engine().await;
 
-    let (elapsed, far) = run("entry-1").await;
+    let (near, far) = tokio::select! {
+        answers = async { (run(&engine, "entry-3").await, run(&engine, "entry-1").await) } => answers,
+        _ = run(&engine, "entry-2") => return fail!("the furthest entry was answered"),
+    };
 
-    verify_that!(elapsed, ge(2 * ONE_WAY))?;
-    verify_that!(far.status, eq(200))?;
+    verify_that!((near.status, far.status), eq((200, 200)))?;
     verify_that!(far.body, eq(&near.body))
 }
 
 #[tokio::test]
-async fn parts_keep_their_order_and_come_late() -> Result<()> {
+async fn parts_keep_their_order_and_wait_for_their_time() -> Result<()> {
     let timer = timer::Timer::spawn();
-    let begun = time::Instant::now();
+    let near = delay::delayed(&timer, SHORT, stream::iter(0..100));
+    let mut far = Box::pin(delay::delayed(&timer, ENDLESS, stream::iter(0..100)));
 
-    let parts = delay::delayed(&timer, ONE_WAY, stream::iter(0..100));
-    let seen: Vec<i32> = parts.collect().await;
+    let seen: Vec<i32> = near.collect().await;
 
-    verify_that!(begun.elapsed(), ge(ONE_WAY))?;
-    verify_that!(seen, eq(&(0..100).collect::<Vec<_>>()))
+    verify_that!(seen, eq(&(0..100).collect::<Vec<_>>()))?;
+    verify_that!(far.next().now_or_never(), none())
 }
 
 #[test]
