--- a/crates/mustardshed-standins/examples/experiment.rs
+++ b/crates/mustardshed-standins/examples/experiment.rs
@@ -17,7 +17,7 @@
     let flags = xflags::parse_or_exit! {
         /// Deployment: bindery (default) or haulers
         optional --deployment name: String
-        /// Scenario: all (default), mixed, short, data-centre, flood, overload
+        /// Scenario: all (default), mixed, short, data-centre, slow-engine, flood, overload
         optional --scenario name: String
         /// Seeds, 3 by default
         optional --seeds count: u64
@@ -27,6 +27,8 @@
         optional --time-scale factor: f64
         /// Leave the baselines out
         optional --no-baselines
+        /// Leave out the delays between data centres and to callers
+        optional --no-delays
         /// Folder for the plots, docs/plots by default
         optional --plots folder: PathBuf
     };
@@ -35,6 +37,11 @@
         Some("haulers") => deployment::HAULERS,
         Some(other) => return Err(format!("--deployment {other}: no such deployment").into()),
     };
+    let deployment = if flags.no_delays {
+        deployment.without_delays()
+    } else {
+        deployment
+    };
     let folder = flags.plots.unwrap_or_else(|| PathBuf::from("docs/plots"));
     fs::create_dir_all(&folder)?;
     let mut all: Vec<Done> = Vec::new();
@@ -72,12 +79,14 @@
         "mixed" => mixed,
         "short" => vec![Scenario::Mixed(0.8), Scenario::ShortOnly(0.8)],
         "data-centre" => vec![Scenario::DataCentreOut(0.7)],
+        "slow-engine" => vec![Scenario::SlowEngine(0.5)],
         "flood" => vec![Scenario::Mixed(0.5), Scenario::Flood(0.5)],
         "overload" => vec![Scenario::Overload],
         _ => {
             let others = [
                 Scenario::ShortOnly(0.8),
                 Scenario::DataCentreOut(0.7),
+                Scenario::SlowEngine(0.5),
                 Scenario::Flood(0.5),
                 Scenario::Overload,
             ];
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -119,6 +119,15 @@
         failed: u64,
         given_up: bool,
     }
+    /// A caller was told which entries to use.
+    1108 Info "entries_told" EntriesTold {
+        account: &'a str,
+        data_centre: &'a str,
+        entries: usize,
+        left_out: usize,
+        heaviest: &'a str,
+        lightest: &'a str,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
