Test the timer of a wait that begins anew

Cause: the timer that streams wait on was tested only through the engine's faults.

Change: four tests; an arrival goes before the end, a wait ends, a restart prolongs it and shortens it. They assert no time.

--- /dev/null
+++ b/crates/mustardshedd/tests/idle_timer.rs
@@ -0,0 +1,47 @@
+//! The timer of a wait that begins anew with every arrival.
+
+use std::{future, time};
+
+use googletest::prelude::*;
+use mustardshedd::connection::idle_timer;
+
+const LONG: time::Duration = time::Duration::from_secs(3_600);
+const SHORT: time::Duration = time::Duration::from_millis(20);
+
+#[tokio::test]
+async fn an_arrival_goes_before_the_end_of_the_wait() {
+    let mut timer = idle_timer::IdleTimer::new(time::Duration::ZERO);
+
+    let arrived = timer.bound(future::ready(7)).await;
+
+    assert_that!(arrived, some(eq(7)));
+}
+
+#[tokio::test]
+async fn a_wait_ends_without_an_arrival() {
+    let mut timer = idle_timer::IdleTimer::new(SHORT);
+
+    let arrived = timer.bound(future::pending::<()>()).await;
+
+    assert_that!(arrived, none());
+}
+
+#[tokio::test]
+async fn a_restart_prolongs_the_wait() {
+    let mut timer = idle_timer::IdleTimer::new(SHORT);
+    timer.restart(LONG);
+
+    let arrived = timer.bound(tokio::time::sleep(SHORT * 3)).await;
+
+    assert_that!(arrived, some(eq(())));
+}
+
+#[tokio::test]
+async fn a_restart_shortens_the_wait() {
+    let mut timer = idle_timer::IdleTimer::new(LONG);
+    timer.restart(SHORT);
+
+    let arrived = timer.bound(future::pending::<()>()).await;
+
+    assert_that!(arrived, none());
+}
