Attack planned stops by storms, and decide them in the core

Cause: promise 9 had no mutation and no state machine of its own. How long a leaving entry accepts and when it may end was decided in the daemon's `process/service.rs`, which entries callers are told in `http/entries.rs`, so that no fuzzing of the core met either.

Entries of the storms now end by it, after the work that they carry, instead of a fixed 12 s later. New: `planned_stop`, with a caller that keeps its list and comes in the list's last second, lists taken from entries that are cut off from the leaving one or have just started, kills, broken servers and outages. The oracle: the traffic threads' own records hold no request when a process ends by plan; no entry of a list that holds is stopped or closed; no other entry cancels the work of one that leaves while no link was ever cut and no process frozen.

Mutations, each failing the new storms: `leaving_listed`, `kept_lists_forgotten`, `in_flight_ignored`, `leaving_is_over`. A first form of the last, in the reaper alone, was not noticed: the reaper looks only at work that no credit stands for, so that the fault showed nowhere. It now sits where reaper and steward ask whether a run was replaced.

--- a/crates/mustardshed-core/src/process.rs
+++ b/crates/mustardshed-core/src/process.rs
@@ -3,6 +3,7 @@
 pub mod action;
 pub mod credits;
 pub mod distances;
+pub mod drain;
 pub mod event;
 pub mod fates;
 pub mod gossip;
--- a/crates/mustardshed-core/src/process/members/member.rs
+++ b/crates/mustardshed-core/src/process/members/member.rs
@@ -1,7 +1,7 @@
 //! One entry as another one knows it.
 
 use crate::{
-    ids,
+    ids, mutation,
     process::{message, node},
 };
 
@@ -82,6 +82,12 @@
         })
     }
 
+    /// Returns whether this is a later run than another one of the same VM.
+    pub fn has_replaced(&self, incarnation: ids::Incarnation) -> bool {
+        let is_taken_for_over = self.leaving && mutation::on("leaving_is_over");
+        self.incarnation > incarnation || is_taken_for_over
+    }
+
     /// Takes a later fact; returns the change if others are to act upon it.
     pub(super) fn hear(&mut self, fact: &message::Fact, now: ids::Timestamp) -> Option<Change> {
         if (fact.incarnation, fact.version) <= (self.incarnation, self.version) {
--- a/crates/mustardshed-core/src/process/reaper.rs
+++ b/crates/mustardshed-core/src/process/reaper.rs
@@ -112,7 +112,7 @@
     let Some(member) = members.get(&owner.vm) else {
         return Standing::Unknown;
     };
-    if member.incarnation > owner.incarnation {
+    if member.has_replaced(owner.incarnation) {
         return Standing::Over;
     }
     if member.incarnation < owner.incarnation {
--- a/crates/mustardshed-core/src/process/snapshot.rs
+++ b/crates/mustardshed-core/src/process/snapshot.rs
@@ -4,7 +4,7 @@
 
 use mustardshed_config::text;
 
-use crate::{border::backend_server, ids};
+use crate::{border::backend_server, ids, mutation};
 
 /// A backend server as an entry sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -90,3 +90,21 @@
     /// One-way delay to each data centre, where it is known.
     pub distances: collections::BTreeMap<ids::DataCentreId, time::Duration>,
 }
+
+impl Snapshot {
+    /// Returns the entries that callers are told to use.
+    ///
+    /// They are live and do not leave. Those in data centres out of service are among them only if
+    /// there are no others.
+    pub fn entries_for_callers(&self) -> impl Iterator<Item = &MemberView> {
+        let is_out = |member: &MemberView| self.data_centres_out.contains(&member.data_centre);
+        let is_usable = |member: &&MemberView| {
+            member.live && (!member.leaving || mutation::on("leaving_listed"))
+        };
+        let usable: Vec<_> = self.members.values().filter(is_usable).collect();
+        let has_others = usable.iter().any(|member| !is_out(member));
+        usable
+            .into_iter()
+            .filter(move |member| !has_others || !is_out(member))
+    }
+}
--- a/crates/mustardshed-core/tests/promises/fleet.rs
+++ b/crates/mustardshed-core/tests/promises/fleet.rs
@@ -5,12 +5,13 @@
 use mustardshed_core::{
     border::{backend_server, platform as border},
     ids,
-    process::{action, event, node},
+    process::{action, drain, event, node},
     version::record,
 };
 
 use super::{engine, network, platform};
 
+mod callers;
 mod faults;
 mod operators;
 mod traffic;
@@ -52,8 +53,8 @@
 const CALL_TIME: time::Duration = time::Duration::from_millis(2);
 /// Patience of requests, by turns.
 const PATIENCE: [time::Duration; 2] = [time::Duration::from_secs(2), time::Duration::from_secs(10)];
-/// Time from the beginning to the end of an entry's leaving.
-pub const DRAIN: time::Duration = time::Duration::from_secs(12);
+/// Time from the beginning to the end of an idle entry's leaving.
+pub const DRAIN: time::Duration = time::Duration::from_secs(15);
 
 /// Something that happens at a time.
 #[derive(Clone, Debug)]
@@ -63,7 +64,8 @@
     PollConfiguration,
     PollVms,
     Send(ids::RequestId),
-    Exit,
+    Leave,
+    WatchStop,
 }
 
 /// A run of a process.
@@ -75,6 +77,8 @@
     pub node: node::Node,
     pub incarnation: ids::Incarnation,
     pub is_frozen: bool,
+    thawed_at: Option<ids::Timestamp>,
+    drain: Option<drain::Drain>,
     links: collections::BTreeSet<ids::VmId>,
     backlog: Vec<Item>,
     jobs: collections::BTreeMap<ids::RequestId, Job>,
@@ -94,6 +98,7 @@
     pub fell_over: Vec<FellOver>,
     pub granted: Vec<Sent>,
     pub reverted: Vec<String>,
+    pub callers: callers::Callers,
     items: collections::BTreeMap<(ids::Timestamp, u64), (Run, Item)>,
     ends: collections::BTreeMap<(ids::Timestamp, u64), (ids::BackendServerId, ids::RequestId)>,
     signs: collections::BTreeMap<ids::BackendServerId, (ids::Epoch, ids::Timestamp)>,
@@ -149,6 +154,7 @@
             fell_over: Vec::new(),
             granted: Vec::new(),
             reverted: Vec::new(),
+            callers: callers::Callers::default(),
             items: collections::BTreeMap::new(),
             ends: collections::BTreeMap::new(),
             signs: collections::BTreeMap::new(),
@@ -230,6 +236,8 @@
             node: node::Node::new(identity, self.counter * 131, self.now),
             incarnation,
             is_frozen: false,
+            thawed_at: None,
+            drain: None,
             links: collections::BTreeSet::new(),
             backlog: Vec::new(),
             jobs: collections::BTreeMap::new(),
@@ -237,6 +245,7 @@
             sequence: 0,
         };
         self.processes.insert(vm.into(), process);
+        self.note_started(vm);
         let run = (vm.to_owned(), incarnation);
         for item in [Item::Tick, Item::PollConfiguration, Item::PollVms] {
             self.at(self.now, run.clone(), item);
@@ -275,7 +284,8 @@
             Item::PollConfiguration => self.poll_configuration(run),
             Item::PollVms => self.poll_vms(run),
             Item::Send(request) => self.send_work(run, &request),
-            Item::Exit => self.kill(&run.0),
+            Item::Leave => self.begin_stop(run),
+            Item::WatchStop => self.watch_stop(run),
         }
     }
 
@@ -340,6 +350,7 @@
             action::Action::ReadLoad { server, .. } => self.read_load(run, server),
             action::Action::Cancel { address, request }
             | action::Action::ReleaseReservation { address, request } => {
+                self.note_cancel(&request);
                 self.cancel(&address, &request);
             }
             action::Action::Acquired { ticket, result } => {
--- a/crates/mustardshed-core/tests/promises/fleet/faults.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/faults.rs
@@ -2,9 +2,9 @@
 
 use std::time;
 
-use mustardshed_core::{border::platform as border, process::event};
+use mustardshed_core::border::platform as border;
 
-use super::{DRAIN, ENTRIES, Fleet, Item, SERVERS, entry, server};
+use super::{ENTRIES, Fleet, SERVERS, entry, server};
 
 impl Fleet {
     /// Kills a process.
@@ -14,6 +14,7 @@
 
     /// Stops a process without its knowledge.
     pub fn freeze(&mut self, vm: &str) {
+        self.disturb();
         if let Some(process) = self.processes.get_mut(vm) {
             process.is_frozen = true;
         }
@@ -24,6 +25,7 @@
         let Some(process) = self.processes.get_mut(vm) else {
             return;
         };
+        process.thawed_at = process.is_frozen.then_some(self.now).or(process.thawed_at);
         process.is_frozen = false;
         let run = (vm.to_owned(), process.incarnation);
         for item in std::mem::take(&mut process.backlog) {
@@ -31,16 +33,6 @@
         }
     }
 
-    /// Lets an entry leave; it exits later.
-    pub fn leave(&mut self, vm: &str) {
-        let Some(process) = self.processes.get(vm) else {
-            return;
-        };
-        let run = (vm.to_owned(), process.incarnation);
-        self.at(self.now, run.clone(), Item::Handle(event::Event::Leave));
-        self.at(self.now + DRAIN, run, Item::Exit);
-    }
-
     /// Lets a backend server say that it leaves, in its reports and on the list.
     pub fn leave_server(&mut self, server: &str, is_leaving: bool) {
         if let Some(engine) = self.engines.get_mut(server) {
--- a/crates/mustardshed-core/tests/promises/fleet/traffic.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/traffic.rs
@@ -51,6 +51,9 @@
     /// Begins a request.
     pub fn submit(&mut self, vm: &str, server: &str, work: engine::Work, lasts: time::Duration) {
         let now = self.now;
+        if self.is_closed(vm) {
+            return;
+        }
         let Some(process) = self.processes.get_mut(vm) else {
             return;
         };
--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod fleet;
 mod network;
+mod planned_stop;
 mod platform;
 mod script;
 mod step;
--- a/crates/mustardshed-core/tests/promises/network.rs
+++ b/crates/mustardshed-core/tests/promises/network.rs
@@ -17,16 +17,19 @@
     slow: collections::BTreeMap<String, time::Duration>,
     last_arrival: collections::BTreeMap<(String, String), ids::Timestamp>,
     sent: u64,
+    was_disturbed: bool,
 }
 
 impl Network {
     /// Cuts the link from `a` to `b`, one way.
     pub fn cut(&mut self, a: &str, b: &str) {
+        self.was_disturbed = true;
         self.cuts.insert((a.to_owned(), b.to_owned()));
     }
 
     /// Lets all that peers send to `b` arrive late.
     pub fn slow(&mut self, b: &str, by: time::Duration) {
+        self.was_disturbed = true;
         self.slow.insert(b.to_owned(), by);
     }
 
@@ -40,6 +43,11 @@
         self.slow.clear();
     }
 
+    /// Returns whether a link was ever cut or slow.
+    pub const fn was_disturbed(&self) -> bool {
+        self.was_disturbed
+    }
+
     /// Returns whether the link from `a` to `b` is cut.
     pub fn is_cut(&self, a: &str, b: &str) -> bool {
         self.cuts.contains(&(a.to_owned(), b.to_owned()))
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -40,6 +40,8 @@
     Slow(usize, u64),
     Steward(usize, Fault),
     CutOperator(usize),
+    AskForEntries(usize),
+    CallListed(Load),
     Script(Vec<Step>),
 }
 
@@ -113,6 +115,8 @@
                 }
             }
             Self::CutOperator(index) => fleet.network.cut(network::OPERATOR, &entry(index)),
+            Self::AskForEntries(index) => fleet.ask_for_entries(&entry(index)),
+            Self::CallListed(load) => load.call_listed(fleet),
             Self::Script(steps) => {
                 for step in steps {
                     step.apply(fleet);
@@ -126,14 +130,25 @@
     fn submit(&self, fleet: &mut fleet::Fleet) {
         for index in 0..self.count {
             let entry = fleet::entry((self.first_entry + index) % ENTRIES);
-            let work = engine::Work {
-                tokens: self.tokens,
-                is_reservation: self.is_reservation,
-            };
-            let lasts = time::Duration::from_millis(self.lasts_ms);
-            fleet.submit(&entry, &fleet::server(self.server), work, lasts);
+            let server = fleet::server(self.server);
+            fleet.submit(&entry, &server, self.work(), self.lasts());
         }
     }
+
+    fn call_listed(&self, fleet: &mut fleet::Fleet) {
+        fleet.call_listed(&fleet::server(self.server), &self.work(), self.lasts());
+    }
+
+    const fn work(&self) -> engine::Work {
+        engine::Work {
+            tokens: self.tokens,
+            is_reservation: self.is_reservation,
+        }
+    }
+
+    const fn lasts(&self) -> time::Duration {
+        time::Duration::from_millis(self.lasts_ms)
+    }
 }
 
 /// Cuts an entry off from the platform, operators and all other entries.
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -7,7 +7,7 @@
     config::settings,
     core::{
         border::{backend_server, clock, control as border},
-        process::node,
+        process::{drain, node},
     },
     platform::client,
 };
@@ -23,9 +23,6 @@
 
 /// Longest wait for an answer of the platform.
 const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// Time for which a leaving entry still accepts: the life of an `/v1/entries` answer and the time
-/// until every entry knows that this one leaves.
-const ACCEPT_WHILE_LEAVING: time::Duration = time::Duration::from_secs(13);
 /// Wait between looks at whether to leave and whether all work is done.
 const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
@@ -86,7 +83,7 @@
     let requests = request::cx::Cx::new(
         handle.clone() as sync::Arc<dyn border::Control>,
         servers,
-        clock,
+        sync::Arc::clone(&clock),
         metrics(settings)?,
         limits.max_in_flight,
         rand::random(),
@@ -102,7 +99,7 @@
         data_centre: &identity.data_centre,
     });
     wait_for_leave(&handle).await?;
-    drain(server).await;
+    stop(server, clock.as_ref()).await;
     log::emit(&event::Event::Stopped {
         vm: &identity.vm,
         incarnation: identity.incarnation,
@@ -164,10 +161,13 @@
 }
 
 /// Accepts until no caller names this entry any more, then finishes what it carries.
-async fn drain(server: server::Server) {
-    tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
+async fn stop(server: server::Server, clock: &dyn clock::Clock) {
+    let drain = drain::Drain::begin(clock.now());
+    while drain.accepts(clock.now()) {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
     server.begin_drain();
-    while server.in_flight() > 0 {
+    while !drain.is_over(clock.now(), server.in_flight()) {
         tokio::time::sleep(WATCH_INTERVAL).await;
     }
     server.shutdown().await;
