Reserve each engine of a gang as soon as its credit is granted

Cause: a gang took the credits of all its engines first and reserved memory afterwards. A credit must be used within 2 s, and the second engine may let the gang wait for as long as its longest work lasts. The first credit then was out of date at the check before the send, all were given back, and the gang began again at the end of every queue; after four such attempts it was refused although it had patience left.

Ruled out: a circle of gangs that wait for each other. Engines are taken in the order of their names by all; without that order (`gang_unordered`) two gangs did hold each other up until both were refused after 300 s.

Change: `gang::takes` decides the order: credit and reservation engine by engine. The daemon's driver follows it, makes the check before each reservation as well, and a credit that stands behind a reservation is no longer out of date by its time; data centre, leaving, epoch and deadline are checked as before, also at the last send. Memory reserved early is held while the gang waits for its other engines.

Proofs: `promise_2_gangs_get_their_engines`: gangs of two and three engines from four entries on six engines, among small work and work for whole engines, on the real plans; all must get their engines, none may be refused, nothing may stay held. In the driver's tests `wait_for_one_engine_does_not_cost_the_credit_of_another`; with the former order it fails.

--- a/crates/mustardshed-core/src/request/gang.rs
+++ b/crates/mustardshed-core/src/request/gang.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use crate::{
-    ids,
+    ids, mutation,
     process::snapshot,
     request::route::{estimate, exclusion, work},
 };
@@ -35,6 +35,31 @@
     pub estimate: estimate::Estimate,
 }
 
+/// One step of taking the engines of a gang, each named by its place in the plan.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Take {
+    /// A credit is asked for.
+    Credit(usize),
+    /// Memory is reserved on the strength of the credit.
+    Reserve(usize),
+}
+
+/// Returns the steps in which the engines of a plan are taken.
+///
+/// Memory is reserved as soon as its credit is granted: a credit must be used within
+/// [`crate::process::credits::USE_WITHIN`], and the next engine may let the gang wait for much longer.
+pub fn takes(engines: usize) -> Vec<Take> {
+    let credits = (0..engines).map(Take::Credit);
+    let reservations = (0..engines).map(Take::Reserve);
+    if mutation::on("gang_reserved_last") {
+        return credits.chain(reservations).collect();
+    }
+    credits
+        .zip(reservations)
+        .flat_map(|(credit, reservation)| [credit, reservation])
+        .collect()
+}
+
 /// Returns whether the work exceeds the memory of one engine of its kind.
 pub fn is_needed(work: &work::Work<'_>) -> bool {
     match work.target {
@@ -111,7 +136,9 @@
             address: server.address.clone(),
         })
         .collect();
-    engines.sort_by(|a, b| a.server.cmp(&b.server));
+    if !mutation::on("gang_unordered") {
+        engines.sort_by(|a, b| a.server.cmp(&b.server));
+    }
     Some(Plan {
         data_centre: data_centre.to_owned(),
         engines,
--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod fates;
 mod fleet;
+mod gangs;
 mod network;
 mod planned_stop;
 mod platform;
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -40,6 +40,8 @@
     Slow(usize, u64),
     Steward(usize, Fault),
     CutOperator(usize),
+    /// Entry, tokens, time that the work lasts, and patience.
+    SubmitGang(usize, u64, u64, u64),
     AskForEntries(usize),
     AskFate(usize, usize),
     CallListed(Load),
@@ -116,6 +118,14 @@
                 }
             }
             Self::CutOperator(index) => fleet.network.cut(network::OPERATOR, &entry(index)),
+            Self::SubmitGang(index, tokens, lasts_ms, patience_ms) => {
+                let prompt = fleet::Prompt {
+                    tokens,
+                    lasts: time::Duration::from_millis(lasts_ms),
+                    patience: time::Duration::from_millis(patience_ms),
+                };
+                fleet.submit_gang(&entry(index), &prompt);
+            }
             Self::AskForEntries(index) => fleet.ask_for_entries(&entry(index)),
             Self::AskFate(index, back) => fleet.ask_fate(&entry(index), back),
             Self::CallListed(load) => load.call_listed(fleet),
--- a/crates/mustardshed-core/tests/promises/storm.rs
+++ b/crates/mustardshed-core/tests/promises/storm.rs
@@ -19,6 +19,11 @@
     /// Returns what may happen.
     fn steps() -> strategy::BoxedStrategy<step::Step>;
 
+    /// Makes the fleet at the beginning.
+    fn fleet() -> fleet::Fleet {
+        fleet::Fleet::new()
+    }
+
     /// Checks the promise after a step.
     fn check(fleet: &fleet::Fleet);
 
@@ -53,7 +58,7 @@
     type Reference = Steps<P>;
 
     fn init_test(_state: &()) -> fleet::Fleet {
-        fleet::Fleet::new()
+        P::fleet()
     }
 
     fn apply(mut fleet: fleet::Fleet, _state: &(), step: step::Step) -> fleet::Fleet {
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -158,41 +158,58 @@
         failure::Failure::no_server("no backend server may be given the prompt now", is_passing)
     }
 
-    /// Takes the credits and then the reservations of a plan, all or nothing.
+    /// Takes the credits and reservations of a plan, all or nothing.
     async fn place(&mut self, plan: &plan::Plan) -> Result<placement::Placement, failure::Failure> {
-        let job = &self.completion.job;
-        let mut placement = placement::Placement::new(&self.cx, job.id.clone());
-        for engine in &plan.engines {
-            let req = self.credit_request(plan, engine);
-            match held_credit::HeldCredit::acquire(&self.cx, req).await {
-                Ok(credit) => placement.add_credit(credit),
-                Err(err) => {
-                    self.progress.denied.push(engine.server.clone());
-                    self.progress.is_changing = err.kind == error::ErrorKind::NoBackendServer;
-                    return Err(failure::Failure::again(err));
+        let id = self.completion.job.id.clone();
+        let mut placement = placement::Placement::new(&self.cx, id);
+        for take in plan.takes() {
+            match take {
+                gang::Take::Credit(index) => {
+                    self.take_credit(plan, &plan.engines[index], &mut placement)
+                        .await?;
+                }
+                gang::Take::Reserve(index) => {
+                    self.reserve(plan, &plan.engines[index], &mut placement)
+                        .await?;
                 }
             }
         }
-        if plan.is_gang() {
-            self.reserve(plan, &mut placement).await?;
-        }
         Ok(placement)
     }
 
-    async fn reserve(
+    async fn take_credit(
         &mut self,
         plan: &plan::Plan,
+        engine: &gang::Engine,
         placement: &mut placement::Placement,
     ) -> Result<(), failure::Failure> {
-        for engine in &plan.engines {
-            let Err(err) = placement.reserve(engine, plan.tokens_each).await else {
-                continue;
-            };
-            placement.fail(&err);
-            self.progress.tried.push(engine.server.clone());
-            return Err(failure::Failure::not_run(&err));
+        let req = self.credit_request(plan, engine);
+        match held_credit::HeldCredit::acquire(&self.cx, req).await {
+            Ok(credit) => {
+                placement.add_credit(credit);
+                Ok(())
+            }
+            Err(err) => {
+                self.progress.denied.push(engine.server.clone());
+                self.progress.is_changing = err.kind == error::ErrorKind::NoBackendServer;
+                Err(failure::Failure::again(err))
+            }
         }
-        Ok(())
+    }
+
+    async fn reserve(
+        &mut self,
+        plan: &plan::Plan,
+        engine: &gang::Engine,
+        placement: &mut placement::Placement,
+    ) -> Result<(), failure::Failure> {
+        send_check::check(&self.cx, placement, self.completion.job.deadline)?;
+        let Err(err) = placement.reserve(engine, plan.tokens_each).await else {
+            return Ok(());
+        };
+        placement.fail(&err);
+        self.progress.tried.push(engine.server.clone());
+        Err(failure::Failure::not_run(&err))
     }
 
     fn credit_request(&self, plan: &plan::Plan, engine: &gang::Engine) -> control::CreditRequest {
--- a/crates/mustardshedd/src/request/completion/plan.rs
+++ b/crates/mustardshedd/src/request/completion/plan.rs
@@ -60,6 +60,14 @@
         self.engines.len() > 1
     }
 
+    /// Returns the steps in which the engines are taken.
+    pub fn takes(&self) -> Vec<gang::Take> {
+        if self.is_gang() {
+            return gang::takes(self.engines.len());
+        }
+        vec![gang::Take::Credit(0)]
+    }
+
     /// Returns the addresses of a gang, the lead's first; nothing for a single engine.
     pub fn gang_addresses(&self) -> Vec<String> {
         if !self.is_gang() {
--- a/crates/mustardshedd/src/request/held_credit.rs
+++ b/crates/mustardshedd/src/request/held_credit.rs
@@ -15,6 +15,7 @@
 pub struct HeldCredit {
     cx: sync::Arc<cx::Cx>,
     credit: Option<control::Credit>,
+    is_used: bool,
     feedback: control::Feedback,
 }
 
@@ -59,6 +60,7 @@
         Self {
             cx,
             credit: Some(credit),
+            is_used: false,
             feedback,
         }
     }
@@ -68,6 +70,22 @@
         self.credit.as_ref()
     }
 
+    /// Returns whether the credit is one on this server.
+    pub fn is_for(&self, server: &str) -> bool {
+        let credit = self.credit.as_ref();
+        credit.is_some_and(|credit| credit.server == server)
+    }
+
+    /// Returns whether the server holds memory on the strength of the credit.
+    pub const fn is_used(&self) -> bool {
+        self.is_used
+    }
+
+    /// Notes that the server holds memory on the strength of the credit.
+    pub const fn set_used(&mut self) {
+        self.is_used = true;
+    }
+
     /// Returns whether the time to the first token is known.
     pub const fn has_first_token(&self) -> bool {
         self.feedback.first_token.is_some()
--- a/crates/mustardshedd/src/request/placement.rs
+++ b/crates/mustardshedd/src/request/placement.rs
@@ -53,7 +53,14 @@
     ) -> Result<(), backend_server::BackendServerError> {
         self.reserved.push(engine.address.clone());
         let cx = sync::Arc::clone(&self.cx);
-        cx.servers.reserve(&engine.address, &self.id, tokens).await
+        cx.servers
+            .reserve(&engine.address, &self.id, tokens)
+            .await?;
+        let mut credits = self.credits.iter_mut();
+        if let Some(credit) = credits.find(|held| held.is_for(&engine.server)) {
+            credit.set_used();
+        }
+        Ok(())
     }
 
     /// Returns the credits.
--- a/crates/mustardshedd/src/request/send_check.rs
+++ b/crates/mustardshedd/src/request/send_check.rs
@@ -33,7 +33,7 @@
         let Some(credit) = held.credit() else {
             continue;
         };
-        if now >= credit.use_by {
+        if now >= credit.use_by && !held.is_used() {
             return Err(out_of_date("the credit was not used in time"));
         }
         check_server(&snapshot, &credit.server, credit.epoch)?;
--- a/crates/mustardshedd/tests/traffic/fakes/control.rs
+++ b/crates/mustardshedd/tests/traffic/fakes/control.rs
@@ -81,6 +81,14 @@
         self.after_next_credit(move |control| control.clock.advance(time));
     }
 
+    /// Sets the clock forward right after each of the next two credits was granted.
+    pub fn freeze_after_two_credits(&self, time: time::Duration) {
+        self.after_next_credit(move |control| {
+            control.clock.advance(time);
+            control.freeze_after_next_credit(time);
+        });
+    }
+
     /// Looks at what was seen.
     pub fn seen<T>(&self, look: impl FnOnce(&Seen) -> T) -> T {
         look(&self.seen.lock().unwrap())
--- a/crates/mustardshedd/tests/traffic/gangs.rs
+++ b/crates/mustardshedd/tests/traffic/gangs.rs
@@ -1,5 +1,7 @@
 //! Prompts that exceed one engine's memory: all engines or none.
 
+use std::time;
+
 use googletest::prelude::*;
 
 use crate::fakes::{
@@ -24,6 +26,21 @@
     verify_that!(world.servers.count("cancel"), eq(0))
 }
 
+#[gtest]
+#[tokio::test]
+async fn wait_for_one_engine_does_not_cost_the_credit_of_another() -> Result<()> {
+    let world = world::World::start().await;
+    let more_than_half = time::Duration::from_millis(1200);
+    world.control.freeze_after_two_credits(more_than_half);
+
+    let answer = world.complete(&long_prompt(), 5_000).await;
+
+    world.servers.wait_for("release r2").await;
+    world.assert_balanced().await;
+    verify_that!(answer.status, eq(200))?;
+    verify_that!(world.control.seen(|seen| seen.granted.len()), eq(2))
+}
+
 #[gtest]
 #[tokio::test]
 async fn failed_reservation_gives_everything_back() -> Result<()> {
