Let gangs take part in the storms that check for lost memory

Gangs of two engines, with their credits, reservations and retries, are steps of `promise_2_memory_returns` now, among the faults of entries and servers.

--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -38,6 +38,7 @@
         prop_oneof![
             3 => step::wait(),
             4 => step::submit(),
+            1 => step::submit_gang(),
             2 => step::entry_fault(),
             1 => step::server_fault(),
         ]
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -224,6 +224,13 @@
         .boxed()
 }
 
+/// Prompts that exceed one engine's memory.
+pub fn submit_gang() -> BoxedStrategy<Step> {
+    (0..ENTRIES, 1001_u64..=2000, 500_u64..10_000)
+        .prop_map(|(entry, tokens, lasts_ms)| Step::SubmitGang(entry, tokens, lasts_ms, 40_000))
+        .boxed()
+}
+
 /// Faults of entries and their links.
 pub fn entry_fault() -> BoxedStrategy<Step> {
     let entry = || 0..ENTRIES;
