Show a replaced steward that grants beside its later run, not mended

Cause: a steward that is frozen, replaced by a later run on its VM, and thawed before it notices a freeze (1 s), reaches a majority by its last acknowledgements for up to 1.5 s and grants on cold servers; what it grants may be used for 2 s more. The later run waits for 2 s from its own start (`World::new`, `is_quiet`), since it takes the earlier one to be over.

Its shrunk case is `promise_3_replaced_steward_is_waited_for`: replaced at 120.921 s, the earlier run granted at 121.823 s, the later one at 122.921 s, and the server that bears two was given three.

Tried and taken back: waiting for 4 s (heartbeat, reach, use) after an own start and after a restart that is heard of.

The fakes can now carry a replaced run beside its later one.

--- a/crates/mustardshed-core/tests/promises/fleet.rs
+++ b/crates/mustardshed-core/tests/promises/fleet.rs
@@ -16,6 +16,7 @@
 mod faults;
 mod gangs;
 mod operators;
+mod runs;
 mod traffic;
 
 pub use gangs::{GangEnd, Prompt};
@@ -104,6 +105,7 @@
 pub struct Fleet {
     pub now: ids::Timestamp,
     pub processes: collections::BTreeMap<ids::VmId, Process>,
+    replaced: collections::BTreeMap<Run, Process>,
     pub engines: collections::BTreeMap<ids::BackendServerId, engine::Engine>,
     pub network: network::Network,
     pub platform: platform::Platform,
@@ -168,6 +170,7 @@
         let mut fleet = Self {
             now: time::Duration::from_secs(100),
             processes: collections::BTreeMap::new(),
+            replaced: collections::BTreeMap::new(),
             engines: collections::BTreeMap::new(),
             network: network::Network::default(),
             platform: platform::Platform::default(),
@@ -234,65 +237,15 @@
         self.now = until;
     }
 
-    /// Starts a process, as a later run if there was one.
-    pub fn start(&mut self, vm: &str) {
-        if self.processes.contains_key(vm) {
-            return;
-        }
-        self.counter += 1;
-        let incarnation = self.counter;
-        let listed = self.platform.listed();
-        let Some(listed) = listed.iter().find(|listed| listed.id == vm) else {
-            return;
-        };
-        let identity = node::Identity {
-            vm: vm.into(),
-            incarnation,
-            data_centre: listed.data_centre.clone(),
-            address: format!("{vm}:1"),
-            peer_address: format!("{vm}:2"),
-        };
-        let process = Process {
-            node: node::Node::new(identity, self.counter * 131, self.now),
-            incarnation,
-            is_frozen: false,
-            started_at: self.now,
-            thawed_at: None,
-            drain: None,
-            links: collections::BTreeSet::new(),
-            backlog: Vec::new(),
-            jobs: collections::BTreeMap::new(),
-            gangs: collections::BTreeMap::new(),
-            tickets: collections::BTreeMap::new(),
-            sequence: 0,
-        };
-        self.processes.insert(vm.into(), process);
-        self.note_started(vm);
-        let run = (vm.to_owned(), incarnation);
-        for item in [Item::Tick, Item::PollConfiguration, Item::PollVms] {
-            self.at(self.now, run.clone(), item);
-        }
-    }
-
-    /// Returns the runs that are going on.
-    pub fn runs(&self) -> Vec<Run> {
-        let runs = self.processes.iter();
-        runs.map(|(vm, process)| (vm.clone(), process.incarnation))
-            .collect()
-    }
-
     fn at(&mut self, at: ids::Timestamp, run: Run, item: Item) {
         self.counter += 1;
         self.items.insert((at, self.counter), (run, item));
     }
 
     fn happen(&mut self, run: &Run, item: Item) {
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
-        if process.incarnation != run.1 {
-            return;
-        }
         if process.is_frozen {
             process.backlog.push(item);
             return;
@@ -343,7 +296,7 @@
     fn handle(&mut self, run: &Run, event: event::Event) {
         let now = self.now;
         self.note_sign(&event);
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
         let actions = process.node.handle(event, now);
@@ -362,12 +315,12 @@
         match action {
             action::Action::Send { vm, message } => self.deliver(run, &vm, message),
             action::Action::Connect { vm, .. } => {
-                if let Some(process) = self.processes.get_mut(&run.0) {
+                if let Some(process) = self.process_mut(run) {
                     process.links.insert(vm);
                 }
             }
             action::Action::Disconnect { vm } => {
-                if let Some(process) = self.processes.get_mut(&run.0) {
+                if let Some(process) = self.process_mut(run) {
                     process.links.remove(&vm);
                 }
             }
@@ -404,8 +357,7 @@
         message: mustardshed_core::process::message::Message,
     ) {
         let is_linked = self
-            .processes
-            .get(&run.0)
+            .process(run)
             .is_some_and(|process| process.links.contains(vm));
         let Some(receiver) = self.processes.get(vm).filter(|_| is_linked) else {
             return;
--- a/crates/mustardshed-core/tests/promises/fleet/callers.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/callers.rs
@@ -48,7 +48,7 @@
     pub(super) fn begin_stop(&mut self, run: &Run) {
         let now = self.now;
         self.handle(run, event::Event::Leave);
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
         if process.drain.is_none() {
@@ -60,7 +60,7 @@
     /// Ends a process whose planned stop is over.
     pub(super) fn watch_stop(&mut self, run: &Run) {
         let now = self.now;
-        let Some(process) = self.processes.get(&run.0) else {
+        let Some(process) = self.process(run) else {
             return;
         };
         let in_flight = process.jobs.len() + process.gangs.len();
@@ -73,8 +73,9 @@
         }
         let lost = process.jobs.keys().chain(process.gangs.keys());
         let lost = lost.map(|request| format!("{request} by its entry's end at {now:?}"));
+        let lost: Vec<_> = lost.collect();
         self.callers.cut_off.extend(lost);
-        self.kill(&run.0);
+        self.end_run(run);
         self.callers.stopped.insert(run.0.clone());
     }
 
--- a/crates/mustardshed-core/tests/promises/fleet/faults.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/faults.rs
@@ -4,7 +4,7 @@
 
 use mustardshed_core::border::platform as border;
 
-use super::{ENTRIES, Fleet, SERVERS, entry, server};
+use super::{ENTRIES, Fleet, Run, SERVERS, entry, server};
 
 impl Fleet {
     /// Kills a process.
@@ -22,15 +22,22 @@
 
     /// Lets a stopped process go on with all that waited for it, in the order in which it came.
     pub fn thaw(&mut self, vm: &str) {
+        if let Some(process) = self.processes.get(vm) {
+            let run = (vm.to_owned(), process.incarnation);
+            self.thaw_run(&run);
+        }
+    }
+
+    pub(super) fn thaw_run(&mut self, run: &Run) {
         self.advance(time::Duration::ZERO);
-        let Some(process) = self.processes.get_mut(vm) else {
+        let now = self.now;
+        let Some(process) = self.process_mut(run) else {
             return;
         };
-        process.thawed_at = process.is_frozen.then_some(self.now).or(process.thawed_at);
+        process.thawed_at = process.is_frozen.then_some(now).or(process.thawed_at);
         process.is_frozen = false;
-        let run = (vm.to_owned(), process.incarnation);
         for item in std::mem::take(&mut process.backlog) {
-            self.at(self.now, run.clone(), item);
+            self.at(now, run.clone(), item);
         }
     }
 
@@ -52,6 +59,7 @@
 
     /// Ends all faults and starts all processes.
     pub fn heal(&mut self) {
+        self.end_replaced();
         self.network.mend_all();
         self.platform.is_out = false;
         self.platform.staleness = time::Duration::ZERO;
--- a/crates/mustardshed-core/tests/promises/fleet/gangs.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/gangs.rs
@@ -92,7 +92,7 @@
     }
 
     fn gang_mut(&mut self, run: &Run, request: &str) -> Option<&mut Gang> {
-        let process = self.processes.get_mut(&run.0)?;
+        let process = self.process_mut(run)?;
         process.gangs.get_mut(request)
     }
 
@@ -114,7 +114,7 @@
     /// Plans a gang that has no plan; returns whether it has one now.
     fn plan_gang(&mut self, run: &Run, request: &str) -> bool {
         let now = self.now;
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return false;
         };
         let snapshot = process.node.snapshot(now);
@@ -153,7 +153,7 @@
 
     fn ask_for_gang(&mut self, run: &Run, request: &str, index: usize) {
         let now = self.now;
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
         let Some(gang) = process.gangs.get(request) else {
@@ -205,7 +205,7 @@
 
     /// Returns whether the credits that stand behind no reservation may be used.
     fn may_use_credits(&self, run: &Run, request: &str) -> bool {
-        let Some(process) = self.processes.get(&run.0) else {
+        let Some(process) = self.process(run) else {
             return false;
         };
         let snapshot = process.node.snapshot(self.now);
@@ -315,7 +315,7 @@
     pub(super) fn end_gang(&mut self, run: &Run, request: &str, end: GangEnd) {
         let now = self.now;
         self.give_back(run, request);
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
         if let Some(gang) = process.gangs.remove(request) {
--- a/crates/mustardshed-core/tests/promises/fleet/traffic.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/traffic.rs
@@ -129,7 +129,7 @@
         result: Result<control::Credit, error::Error>,
     ) {
         let now = self.now;
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
         let Some(request) = process.tickets.remove(&ticket) else {
@@ -155,7 +155,7 @@
     /// Sends work to its engine, after the checks that traffic threads make at the send.
     pub(super) fn send_work(&mut self, run: &Run, request: &str) {
         let now = self.now;
-        let Some(process) = self.processes.get(&run.0) else {
+        let Some(process) = self.process(run) else {
             return;
         };
         let Some(job) = process.jobs.get(request).cloned() else {
@@ -246,13 +246,12 @@
         let Some(owner) = owner::of(request) else {
             return;
         };
-        let process = self.processes.get_mut(&owner.vm);
-        let process = process.filter(|process| process.incarnation == owner.incarnation);
-        let Some(process) = process else {
+        let run = (owner.vm, owner.incarnation);
+        let Some(process) = self.process_mut(&run) else {
             return;
         };
         if process.gangs.contains_key(request) {
-            self.gang_lost(&(owner.vm, owner.incarnation), request);
+            self.gang_lost(&run, request);
             return;
         }
         let job = process.jobs.remove(request);
@@ -268,7 +267,6 @@
             },
             ..feedback(&credit)
         };
-        let run = (owner.vm, owner.incarnation);
         self.note_ended(&run, request, outcome);
         let event = event::Event::Release { credit, feedback };
         self.at(self.now, run, Item::Handle(event));
--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -10,6 +10,7 @@
 mod network;
 mod planned_stop;
 mod platform;
+mod replaced;
 mod script;
 mod step;
 mod storm;
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -22,6 +22,8 @@
     Start(usize),
     Freeze(usize),
     Thaw(usize),
+    Replace(usize),
+    ThawReplaced(usize),
     Leave(usize),
     Cut(usize, usize, bool),
     Isolate(usize),
@@ -81,6 +83,8 @@
             Self::Start(index) => fleet.start(&entry(index)),
             Self::Freeze(index) => fleet.freeze(&entry(index)),
             Self::Thaw(index) => fleet.thaw(&entry(index)),
+            Self::Replace(index) => fleet.replace(&entry(index)),
+            Self::ThawReplaced(index) => fleet.thaw_replaced(&entry(index)),
             Self::Leave(index) => fleet.leave(&entry(index)),
             Self::Cut(a, b, is_both_ways) => {
                 fleet.network.cut(&entry(a), &entry(b));
