Merge the storms of planned stops, fates, gangs and replaced stewards

Cause: promise 9 and the fates had no proof in the core, gangs and replaced runs were not in the storms.

--- a/crates/mustardshed-core/src/process.rs
+++ b/crates/mustardshed-core/src/process.rs
@@ -4,6 +4,7 @@
 pub mod busy;
 pub mod credits;
 pub mod distances;
+pub mod drain;
 pub mod entry_weights;
 pub mod event;
 pub mod fates;
--- a/crates/mustardshed-core/src/process/entry_weights.rs
+++ b/crates/mustardshed-core/src/process/entry_weights.rs
@@ -53,7 +53,8 @@
 /// entry that it asks is.
 pub fn weigh<'a>(snapshot: &'a snapshot::Snapshot, origin: Option<&str>) -> Vec<Weighted<'a>> {
     let origin = known_origin(snapshot, origin);
-    usable(snapshot)
+    snapshot
+        .entries_for_callers()
         .map(|member| Weighted {
             member,
             weight: weight(delay(snapshot, origin, &member.data_centre), member.busy),
@@ -70,16 +71,6 @@
     named.map_or(&snapshot.data_centre, |(name, _)| name)
 }
 
-fn usable(snapshot: &snapshot::Snapshot) -> impl Iterator<Item = &snapshot::MemberView> {
-    let is_out =
-        |member: &snapshot::MemberView| snapshot.data_centres_out.contains(&member.data_centre);
-    let is_live = |member: &&snapshot::MemberView| member.live && !member.leaving;
-    let live: Vec<_> = snapshot.members.values().filter(is_live).collect();
-    let has_others = live.iter().any(|member| !is_out(member));
-    live.into_iter()
-        .filter(move |member| !has_others || !is_out(member))
-}
-
 fn weight(delay: time::Duration, busy: ids::BusyLevel) -> u32 {
     let near = FULL_WEIGHT.checked_shr(doublings(delay)).unwrap_or(0);
     let free = u32::from(busy::BUSIEST.saturating_sub(busy));
--- a/crates/mustardshed-core/tests/promises/fleet.rs
+++ b/crates/mustardshed-core/tests/promises/fleet.rs
@@ -5,16 +5,21 @@
 use mustardshed_core::{
     border::{backend_server, platform as border},
     ids,
-    process::{action, event, node},
+    process::{action, drain, event, node},
     version::record,
 };
 
 use super::{engine, network, platform};
 
+mod callers;
+mod fates;
 mod faults;
+mod gangs;
 mod operators;
+mod runs;
 mod traffic;
 
+pub use gangs::{GangEnd, Prompt};
 pub use operators::Change;
 use traffic::{FellOver, Job, Sent};
 
@@ -45,6 +50,12 @@
 warm_after = 3
 prefill_tokens_per_second = 100000
 fencing = "checked"
+
+[[model]]
+name = "m"
+engine_kind = "k"
+version = "1"
+context_tokens = 8000
 "#;
 
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(600);
@@ -52,8 +63,8 @@
 const CALL_TIME: time::Duration = time::Duration::from_millis(2);
 /// Patience of requests, by turns.
 const PATIENCE: [time::Duration; 2] = [time::Duration::from_secs(2), time::Duration::from_secs(10)];
-/// Time from the beginning to the end of an entry's leaving.
-pub const DRAIN: time::Duration = time::Duration::from_secs(12);
+/// Time from the beginning to the end of an idle entry's leaving.
+pub const DRAIN: time::Duration = time::Duration::from_secs(15);
 
 /// Something that happens at a time.
 #[derive(Clone, Debug)]
@@ -63,7 +74,10 @@
     PollConfiguration,
     PollVms,
     Send(ids::RequestId),
-    Exit,
+    TakeGang(ids::RequestId),
+    EndGang(ids::RequestId),
+    Leave,
+    WatchStop,
 }
 
 /// A run of a process.
@@ -75,9 +89,13 @@
     pub node: node::Node,
     pub incarnation: ids::Incarnation,
     pub is_frozen: bool,
+    started_at: ids::Timestamp,
+    thawed_at: Option<ids::Timestamp>,
+    drain: Option<drain::Drain>,
     links: collections::BTreeSet<ids::VmId>,
     backlog: Vec<Item>,
     jobs: collections::BTreeMap<ids::RequestId, Job>,
+    gangs: collections::BTreeMap<ids::RequestId, gangs::Gang>,
     tickets: collections::BTreeMap<u64, ids::RequestId>,
     sequence: u64,
 }
@@ -87,6 +105,7 @@
 pub struct Fleet {
     pub now: ids::Timestamp,
     pub processes: collections::BTreeMap<ids::VmId, Process>,
+    replaced: collections::BTreeMap<Run, Process>,
     pub engines: collections::BTreeMap<ids::BackendServerId, engine::Engine>,
     pub network: network::Network,
     pub platform: platform::Platform,
@@ -94,6 +113,10 @@
     pub fell_over: Vec<FellOver>,
     pub granted: Vec<Sent>,
     pub reverted: Vec<String>,
+    pub callers: callers::Callers,
+    pub fates: fates::Fates,
+    /// Ends of gangs, each with the time that it took to get all engines.
+    pub gang_ends: Vec<(ids::RequestId, GangEnd, time::Duration)>,
     items: collections::BTreeMap<(ids::Timestamp, u64), (Run, Item)>,
     ends: collections::BTreeMap<(ids::Timestamp, u64), (ids::BackendServerId, ids::RequestId)>,
     signs: collections::BTreeMap<ids::BackendServerId, (ids::Epoch, ids::Timestamp)>,
@@ -139,9 +162,15 @@
 
     /// Makes a fleet of so many entries.
     pub fn of(entries: usize) -> Self {
+        Self::sized(entries, SERVERS, WARM_SERVERS)
+    }
+
+    /// Makes a fleet of so many entries and servers, the first of which are warm.
+    pub fn sized(entries: usize, servers: usize, warm: usize) -> Self {
         let mut fleet = Self {
             now: time::Duration::from_secs(100),
             processes: collections::BTreeMap::new(),
+            replaced: collections::BTreeMap::new(),
             engines: collections::BTreeMap::new(),
             network: network::Network::default(),
             platform: platform::Platform::default(),
@@ -149,6 +178,9 @@
             fell_over: Vec::new(),
             granted: Vec::new(),
             reverted: Vec::new(),
+            callers: callers::Callers::default(),
+            fates: fates::Fates::default(),
+            gang_ends: Vec::new(),
             items: collections::BTreeMap::new(),
             ends: collections::BTreeMap::new(),
             signs: collections::BTreeMap::new(),
@@ -161,15 +193,11 @@
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
             vms.push(listed(&entry(index), border::VmRole::Entry, data_centre));
         }
-        for index in 0..SERVERS {
+        for index in 0..servers {
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
             let role = border::VmRole::BackendServer { kind: "k".into() };
             let vm = listed(&server(index), role, data_centre);
-            let engine = engine::Engine::new(
-                vm.address.clone(),
-                data_centre.into(),
-                index >= WARM_SERVERS,
-            );
+            let engine = engine::Engine::new(vm.address.clone(), data_centre.into(), index >= warm);
             fleet.engines.insert(server(index), engine);
             vms.push(vm);
         }
@@ -186,6 +214,7 @@
 
     /// Lets time go on.
     pub fn advance(&mut self, by: time::Duration) {
+        self.note_trouble();
         let until = self.now + by;
         loop {
             let next_item = self.items.keys().next().copied();
@@ -208,60 +237,15 @@
         self.now = until;
     }
 
-    /// Starts a process, as a later run if there was one.
-    pub fn start(&mut self, vm: &str) {
-        if self.processes.contains_key(vm) {
-            return;
-        }
-        self.counter += 1;
-        let incarnation = self.counter;
-        let listed = self.platform.listed();
-        let Some(listed) = listed.iter().find(|listed| listed.id == vm) else {
-            return;
-        };
-        let identity = node::Identity {
-            vm: vm.into(),
-            incarnation,
-            data_centre: listed.data_centre.clone(),
-            address: format!("{vm}:1"),
-            peer_address: format!("{vm}:2"),
-        };
-        let process = Process {
-            node: node::Node::new(identity, self.counter * 131, self.now),
-            incarnation,
-            is_frozen: false,
-            links: collections::BTreeSet::new(),
-            backlog: Vec::new(),
-            jobs: collections::BTreeMap::new(),
-            tickets: collections::BTreeMap::new(),
-            sequence: 0,
-        };
-        self.processes.insert(vm.into(), process);
-        let run = (vm.to_owned(), incarnation);
-        for item in [Item::Tick, Item::PollConfiguration, Item::PollVms] {
-            self.at(self.now, run.clone(), item);
-        }
-    }
-
-    /// Returns the runs that are going on.
-    pub fn runs(&self) -> Vec<Run> {
-        let runs = self.processes.iter();
-        runs.map(|(vm, process)| (vm.clone(), process.incarnation))
-            .collect()
-    }
-
     fn at(&mut self, at: ids::Timestamp, run: Run, item: Item) {
         self.counter += 1;
         self.items.insert((at, self.counter), (run, item));
     }
 
     fn happen(&mut self, run: &Run, item: Item) {
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
-        if process.incarnation != run.1 {
-            return;
-        }
         if process.is_frozen {
             process.backlog.push(item);
             return;
@@ -275,7 +259,10 @@
             Item::PollConfiguration => self.poll_configuration(run),
             Item::PollVms => self.poll_vms(run),
             Item::Send(request) => self.send_work(run, &request),
-            Item::Exit => self.kill(&run.0),
+            Item::TakeGang(request) => self.take_gang(run, &request),
+            Item::EndGang(request) => self.end_gang(run, &request, GangEnd::Completed),
+            Item::Leave => self.begin_stop(run),
+            Item::WatchStop => self.watch_stop(run),
         }
     }
 
@@ -309,7 +296,7 @@
     fn handle(&mut self, run: &Run, event: event::Event) {
         let now = self.now;
         self.note_sign(&event);
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
         let actions = process.node.handle(event, now);
@@ -328,22 +315,23 @@
         match action {
             action::Action::Send { vm, message } => self.deliver(run, &vm, message),
             action::Action::Connect { vm, .. } => {
-                if let Some(process) = self.processes.get_mut(&run.0) {
+                if let Some(process) = self.process_mut(run) {
                     process.links.insert(vm);
                 }
             }
             action::Action::Disconnect { vm } => {
-                if let Some(process) = self.processes.get_mut(&run.0) {
+                if let Some(process) = self.process_mut(run) {
                     process.links.remove(&vm);
                 }
             }
             action::Action::ReadLoad { server, .. } => self.read_load(run, server),
             action::Action::Cancel { address, request }
             | action::Action::ReleaseReservation { address, request } => {
+                self.note_cancel(&request);
                 self.cancel(&address, &request);
             }
             action::Action::Acquired { ticket, result } => {
-                self.acquired(run, ticket, result.ok());
+                self.acquired(run, ticket, result);
             }
             action::Action::Acknowledge { ticket, result } => {
                 if result.is_ok() {
@@ -357,7 +345,8 @@
                 granted: true,
                 ..
             }) => self.granted.extend(self.place(&request, &server)),
-            action::Action::FateIs { .. } | action::Action::Log(_) => {}
+            action::Action::FateIs { ticket, result } => self.fate_told(ticket, &result),
+            action::Action::Log(_) => {}
         }
     }
 
@@ -368,8 +357,7 @@
         message: mustardshed_core::process::message::Message,
     ) {
         let is_linked = self
-            .processes
-            .get(&run.0)
+            .process(run)
             .is_some_and(|process| process.links.contains(vm));
         let Some(receiver) = self.processes.get(vm).filter(|_| is_linked) else {
             return;
--- a/crates/mustardshed-core/tests/promises/fleet/faults.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/faults.rs
@@ -2,9 +2,9 @@
 
 use std::time;
 
-use mustardshed_core::{border::platform as border, process::event};
+use mustardshed_core::border::platform as border;
 
-use super::{DRAIN, ENTRIES, Fleet, Item, SERVERS, entry, server};
+use super::{ENTRIES, Fleet, Run, SERVERS, entry, server};
 
 impl Fleet {
     /// Kills a process.
@@ -14,31 +14,31 @@
 
     /// Stops a process without its knowledge.
     pub fn freeze(&mut self, vm: &str) {
+        self.disturb();
         if let Some(process) = self.processes.get_mut(vm) {
             process.is_frozen = true;
         }
     }
 
-    /// Lets a stopped process go on with all that waited for it.
+    /// Lets a stopped process go on with all that waited for it, in the order in which it came.
     pub fn thaw(&mut self, vm: &str) {
-        let Some(process) = self.processes.get_mut(vm) else {
-            return;
-        };
-        process.is_frozen = false;
-        let run = (vm.to_owned(), process.incarnation);
-        for item in std::mem::take(&mut process.backlog) {
-            self.at(self.now, run.clone(), item);
+        if let Some(process) = self.processes.get(vm) {
+            let run = (vm.to_owned(), process.incarnation);
+            self.thaw_run(&run);
         }
     }
 
-    /// Lets an entry leave; it exits later.
-    pub fn leave(&mut self, vm: &str) {
-        let Some(process) = self.processes.get(vm) else {
+    pub(super) fn thaw_run(&mut self, run: &Run) {
+        self.advance(time::Duration::ZERO);
+        let now = self.now;
+        let Some(process) = self.process_mut(run) else {
             return;
         };
-        let run = (vm.to_owned(), process.incarnation);
-        self.at(self.now, run.clone(), Item::Handle(event::Event::Leave));
-        self.at(self.now + DRAIN, run, Item::Exit);
+        process.thawed_at = process.is_frozen.then_some(now).or(process.thawed_at);
+        process.is_frozen = false;
+        for item in std::mem::take(&mut process.backlog) {
+            self.at(now, run.clone(), item);
+        }
     }
 
     /// Lets a backend server say that it leaves, in its reports and on the list.
@@ -59,6 +59,7 @@
 
     /// Ends all faults and starts all processes.
     pub fn heal(&mut self) {
+        self.end_replaced();
         self.network.mend_all();
         self.platform.is_out = false;
         self.platform.staleness = time::Duration::ZERO;
--- a/crates/mustardshed-core/tests/promises/fleet/traffic.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/traffic.rs
@@ -4,7 +4,7 @@
 
 use mustardshed_core::{
     border::{backend_server, control},
-    ids,
+    error, ids, outcome,
     process::event,
     request::owner,
 };
@@ -29,6 +29,17 @@
     Failed(backend_server::BackendServerError),
 }
 
+impl End {
+    const fn outcome(&self) -> outcome::Outcome {
+        use backend_server::BackendServerError::{Refused, Unreachable};
+        match self {
+            Self::Unsent | Self::Failed(Refused(_) | Unreachable(_)) => outcome::Outcome::NotRun,
+            Self::Finished => outcome::Outcome::Completed,
+            Self::Failed(_) => outcome::Outcome::Failed,
+        }
+    }
+}
+
 /// Work that was granted on, or sent to, an engine.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -51,6 +62,9 @@
     /// Begins a request.
     pub fn submit(&mut self, vm: &str, server: &str, work: engine::Work, lasts: time::Duration) {
         let now = self.now;
+        if self.is_closed(vm) {
+            return;
+        }
         let Some(process) = self.processes.get_mut(vm) else {
             return;
         };
@@ -75,8 +89,9 @@
             credit: None,
         };
         process.jobs.insert(request.clone(), job);
-        process.tickets.insert(ticket, request);
+        process.tickets.insert(ticket, request.clone());
         let run = (vm.to_owned(), process.incarnation);
+        self.note_begun(&run, &request);
         let event = event::Event::Acquire { ticket, req };
         self.at(now, run, Item::Handle(event));
     }
@@ -107,16 +122,26 @@
         }
     }
 
-    pub(super) fn acquired(&mut self, run: &Run, ticket: u64, credit: Option<control::Credit>) {
+    pub(super) fn acquired(
+        &mut self,
+        run: &Run,
+        ticket: u64,
+        result: Result<control::Credit, error::Error>,
+    ) {
         let now = self.now;
-        let Some(process) = self.processes.get_mut(&run.0) else {
+        let Some(process) = self.process_mut(run) else {
             return;
         };
         let Some(request) = process.tickets.remove(&ticket) else {
             return;
         };
-        let Some(credit) = credit else {
+        if process.gangs.contains_key(&request) {
+            self.gang_credited(run, &request, result);
+            return;
+        }
+        let Ok(credit) = result else {
             process.jobs.remove(&request);
+            self.note_ended(run, &request, outcome::Outcome::NotRun);
             return;
         };
         let Some(job) = process.jobs.get_mut(&request) else {
@@ -130,7 +155,7 @@
     /// Sends work to its engine, after the checks that traffic threads make at the send.
     pub(super) fn send_work(&mut self, run: &Run, request: &str) {
         let now = self.now;
-        let Some(process) = self.processes.get(&run.0) else {
+        let Some(process) = self.process(run) else {
             return;
         };
         let Some(job) = process.jobs.get(request).cloned() else {
@@ -168,6 +193,7 @@
         let held: Vec<_> = engine.held.keys().cloned().collect();
         match engine.arrive(request, job.work, now) {
             engine::Arrival::Taken => {
+                self.note_taken(request);
                 self.counter += 1;
                 let end = (now + job.lasts, self.counter);
                 self.ends.insert(end, (job.server, request.to_owned()));
@@ -181,6 +207,7 @@
                     cold_for,
                     seen_for,
                 });
+                self.note_taken(request);
                 self.ends.retain(|_, (server, _)| *server != job.server);
                 for lost in held.iter().map(String::as_str).chain([request]) {
                     self.tell_owner(&job.server, lost, End::Failed(broken()));
@@ -195,6 +222,9 @@
             .get_mut(server)
             .is_some_and(|engine| engine.end(request));
         if is_held {
+            if matches!(end, End::Finished) {
+                self.note_finished(request);
+            }
             self.tell_owner(server, request, end);
         }
     }
@@ -216,35 +246,39 @@
         let Some(owner) = owner::of(request) else {
             return;
         };
-        let process = self.processes.get_mut(&owner.vm);
-        let process = process.filter(|process| process.incarnation == owner.incarnation);
-        let Some(process) = process else {
+        let run = (owner.vm, owner.incarnation);
+        let Some(process) = self.process_mut(&run) else {
             return;
         };
+        if process.gangs.contains_key(request) {
+            self.gang_lost(&run, request);
+            return;
+        }
         let job = process.jobs.remove(request);
         let Some(credit) = job.and_then(|job| job.credit) else {
             return;
         };
+        let outcome = end.outcome();
         let feedback = control::Feedback {
-            request: request.into(),
-            server: server.into(),
-            prefill_tokens: 0,
-            first_token: None,
             epoch: epoch.filter(|_| matches!(end, End::Finished)),
             failure: match end {
                 End::Failed(failure) => Some(failure),
                 End::Unsent | End::Finished => None,
             },
+            ..feedback(&credit)
         };
+        self.note_ended(&run, request, outcome);
         let event = event::Event::Release { credit, feedback };
-        self.at(self.now, (owner.vm, owner.incarnation), Item::Handle(event));
+        self.at(self.now, run, Item::Handle(event));
     }
 
     /// Returns whether a request is being worked on for a process that runs.
     pub fn is_needed(&self, request: &str) -> bool {
         owner::of(request).is_some_and(|owner| {
             self.processes.get(&owner.vm).is_some_and(|process| {
-                process.incarnation == owner.incarnation && process.jobs.contains_key(request)
+                let is_carried =
+                    process.jobs.contains_key(request) || process.gangs.contains_key(request);
+                process.incarnation == owner.incarnation && is_carried
             })
         })
     }
@@ -286,6 +320,18 @@
     }
 }
 
+/// Returns the feedback for work of which nothing was learnt.
+pub(super) fn feedback(credit: &control::Credit) -> control::Feedback {
+    control::Feedback {
+        request: credit.request.clone(),
+        server: credit.server.clone(),
+        prefill_tokens: 0,
+        first_token: None,
+        epoch: None,
+        failure: None,
+    }
+}
+
 fn refused() -> backend_server::BackendServerError {
     backend_server::BackendServerError::Refused("full".into())
 }
--- a/crates/mustardshed-core/tests/promises/main.rs
+++ b/crates/mustardshed-core/tests/promises/main.rs
@@ -4,9 +4,13 @@
 //! feature `mutations`, `MUSTARDSHED_MUTATION` seeds a fault that a proof must catch.
 
 mod engine;
+mod fates;
 mod fleet;
+mod gangs;
 mod network;
+mod planned_stop;
 mod platform;
+mod replaced;
 mod script;
 mod step;
 mod storm;
@@ -35,6 +39,7 @@
         prop_oneof![
             3 => step::wait(),
             4 => step::submit(),
+            1 => step::submit_gang(),
             2 => step::entry_fault(),
             1 => step::server_fault(),
         ]
--- a/crates/mustardshed-core/tests/promises/step.rs
+++ b/crates/mustardshed-core/tests/promises/step.rs
@@ -22,6 +22,8 @@
     Start(usize),
     Freeze(usize),
     Thaw(usize),
+    Replace(usize),
+    ThawReplaced(usize),
     Leave(usize),
     Cut(usize, usize, bool),
     Isolate(usize),
@@ -40,6 +42,11 @@
     Slow(usize, u64),
     Steward(usize, Fault),
     CutOperator(usize),
+    /// Entry, tokens, time that the work lasts, and patience.
+    SubmitGang(usize, u64, u64, u64),
+    AskForEntries(usize),
+    AskFate(usize, usize),
+    CallListed(Load),
     Script(Vec<Step>),
 }
 
@@ -76,6 +83,8 @@
             Self::Start(index) => fleet.start(&entry(index)),
             Self::Freeze(index) => fleet.freeze(&entry(index)),
             Self::Thaw(index) => fleet.thaw(&entry(index)),
+            Self::Replace(index) => fleet.replace(&entry(index)),
+            Self::ThawReplaced(index) => fleet.thaw_replaced(&entry(index)),
             Self::Leave(index) => fleet.leave(&entry(index)),
             Self::Cut(a, b, is_both_ways) => {
                 fleet.network.cut(&entry(a), &entry(b));
@@ -113,6 +122,17 @@
                 }
             }
             Self::CutOperator(index) => fleet.network.cut(network::OPERATOR, &entry(index)),
+            Self::SubmitGang(index, tokens, lasts_ms, patience_ms) => {
+                let prompt = fleet::Prompt {
+                    tokens,
+                    lasts: time::Duration::from_millis(lasts_ms),
+                    patience: time::Duration::from_millis(patience_ms),
+                };
+                fleet.submit_gang(&entry(index), &prompt);
+            }
+            Self::AskForEntries(index) => fleet.ask_for_entries(&entry(index)),
+            Self::AskFate(index, back) => fleet.ask_fate(&entry(index), back),
+            Self::CallListed(load) => load.call_listed(fleet),
             Self::Script(steps) => {
                 for step in steps {
                     step.apply(fleet);
@@ -126,14 +146,25 @@
     fn submit(&self, fleet: &mut fleet::Fleet) {
         for index in 0..self.count {
             let entry = fleet::entry((self.first_entry + index) % ENTRIES);
-            let work = engine::Work {
-                tokens: self.tokens,
-                is_reservation: self.is_reservation,
-            };
-            let lasts = time::Duration::from_millis(self.lasts_ms);
-            fleet.submit(&entry, &fleet::server(self.server), work, lasts);
+            let server = fleet::server(self.server);
+            fleet.submit(&entry, &server, self.work(), self.lasts());
+        }
+    }
+
+    fn call_listed(&self, fleet: &mut fleet::Fleet) {
+        fleet.call_listed(&fleet::server(self.server), &self.work(), self.lasts());
+    }
+
+    const fn work(&self) -> engine::Work {
+        engine::Work {
+            tokens: self.tokens,
+            is_reservation: self.is_reservation,
         }
     }
+
+    const fn lasts(&self) -> time::Duration {
+        time::Duration::from_millis(self.lasts_ms)
+    }
 }
 
 /// Cuts an entry off from the platform, operators and all other entries.
@@ -197,6 +228,13 @@
         .boxed()
 }
 
+/// Prompts that exceed one engine's memory.
+pub fn submit_gang() -> BoxedStrategy<Step> {
+    (0..ENTRIES, 1001_u64..=2000, 500_u64..10_000)
+        .prop_map(|(entry, tokens, lasts_ms)| Step::SubmitGang(entry, tokens, lasts_ms, 40_000))
+        .boxed()
+}
+
 /// Faults of entries and their links.
 pub fn entry_fault() -> BoxedStrategy<Step> {
     let entry = || 0..ENTRIES;
--- a/crates/mustardshedd/src/http/entries.rs
+++ b/crates/mustardshedd/src/http/entries.rs
@@ -1,10 +1,8 @@
 //! `GET /v1/entries`: which addresses callers are to use.
 
-use std::time;
-
 use mustardshed::core::{
     ids,
-    process::{entry_weights, snapshot},
+    process::{drain, entry_weights, snapshot},
 };
 use warp::reply::Response;
 
@@ -13,9 +11,6 @@
     log::{self, event},
 };
 
-/// Time for which callers may keep the answer.
-pub const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(10);
-
 /// Where the caller says it is.
 #[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq)]
 pub struct Query {
@@ -35,7 +30,7 @@
     log_told(&snapshot, &account.name, origin, &weighed);
     let list = message::EntryList {
         entries: weighed.iter().map(body).collect(),
-        ttl_ms: reply::millis(TIME_TO_LIVE),
+        ttl_ms: reply::millis(drain::LIST_TTL),
     };
     reply::json(http::StatusCode::OK, &list)
 }
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -7,7 +7,7 @@
     config::settings,
     core::{
         border::{backend_server, clock, control as border},
-        process::node,
+        process::{drain, node},
     },
     platform::client,
 };
@@ -23,13 +23,10 @@
 
 /// Longest wait for an answer of the platform.
 const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// Time for which a leaving entry still accepts: the life of an `/v1/entries` answer and the time
-/// until every entry knows that this one leaves.
-const ACCEPT_WHILE_LEAVING: time::Duration = time::Duration::from_secs(13);
 /// Longest wait for the records of claimed requests once all requests have ended; writing one is
 /// given up sooner.
 const RECORD_PATIENCE: time::Duration = time::Duration::from_secs(120);
-/// Wait between looks at whether to leave.
+/// Wait between looks at whether to leave and whether all work is done.
 const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Why the daemon could not run.
@@ -93,7 +90,7 @@
     let requests = request::cx::Cx::new(
         handle.clone() as sync::Arc<dyn border::Control>,
         servers,
-        clock,
+        sync::Arc::clone(&clock),
         metrics,
         limits.max_in_flight,
         rand::random(),
@@ -112,7 +109,7 @@
         data_centre: &identity.data_centre,
     });
     wait_for_leave(&handle).await?;
-    drain(server, &handle).await;
+    stop(server, clock.as_ref(), &handle).await;
     log::emit(&event::Event::Stopped {
         vm: &identity.vm,
         incarnation: identity.incarnation,
@@ -182,10 +179,15 @@
 }
 
 /// Accepts until no caller names this entry any more, then finishes what it carries.
-async fn drain(server: server::Server, handle: &control::Handle) {
-    tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
+async fn stop(server: server::Server, clock: &dyn clock::Clock, handle: &control::Handle) {
+    let drain = drain::Drain::begin(clock.now());
+    while drain.accepts(clock.now()) {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
     server.begin_drain();
-    server.idle().await;
+    while !drain.is_over(clock.now(), server.in_flight()) {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
     let (fates, claims) = tokio::join!(
         server.settled(RECORD_PATIENCE),
         handle.claims_idle(RECORD_PATIENCE)
