Let a steward wait for an earlier run of its VM once a majority knows it

Cause: a steward that was frozen for less than 1 s, and replaced meanwhile by a later run on its VM, goes on to take itself for reaching a majority for 1.5 s after the last acknowledgement, and its credits may be used for 2 s more.

Ruled out: dropped credits alone (found with the test); a longer wait from the start of the later run, which is not enough if its links take long: what ends the earlier run's reach is that a majority knows the later one, and that shows when the later one reaches a majority itself.

Change: when a majority is reached, again or for the first time, nobody is taken to be quiet for the 1.5 s of that reach and the 2 s of a credit's use. Cold servers of an entry that has just started get work after 3.5 s in place of 2 s; warm ones as before.

The fixture of tests/node.rs asks its node after 4 s in place of 3 s, since the wait belongs to a start; what it asserts of the cold limit is unchanged.

--- a/crates/mustardshed-core/src/process/world.rs
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -24,7 +24,7 @@
     pub quorum: quorum::Quorum,
     own: ids::VmId,
     data_centres_out: collections::BTreeSet<ids::DataCentreId>,
-    restless_at: ids::Timestamp,
+    quiet_from: ids::Timestamp,
     has_majority: bool,
     counted_at: Option<ids::Timestamp>,
 }
@@ -39,7 +39,7 @@
             quorum: quorum::Quorum::default(),
             own: identity.vm.clone(),
             data_centres_out: collections::BTreeSet::new(),
-            restless_at: now,
+            quiet_from: now + credits::USE_WITHIN,
             has_majority: false,
             counted_at: None,
         }
@@ -54,7 +54,7 @@
             data_centres_out: &self.data_centres_out,
             may_place: now < self.may_place_until(),
             has_majority: self.has_majority,
-            is_quiet: now >= self.restless_at + credits::USE_WITHIN,
+            is_quiet: now >= self.quiet_from,
         }
     }
 
@@ -91,8 +91,20 @@
 
     /// Notes that a run of an entry ended, or that this one did not run for a while: credits that
     /// nobody states may still be used.
-    pub const fn disturb(&mut self, now: ids::Timestamp) {
-        self.restless_at = now;
+    pub fn disturb(&mut self, now: ids::Timestamp) {
+        self.wait_until(now + credits::USE_WITHIN);
+    }
+
+    /// Notes that a majority is reached from now on, which therefore knows this run.
+    ///
+    /// An earlier run on the same VM that goes on unaware takes itself to reach a majority for
+    /// [`quorum::REACHED_WITHIN`] more, and what it grants then may be used later still.
+    fn introduce(&mut self, now: ids::Timestamp) {
+        self.wait_until(now + quorum::REACHED_WITHIN + credits::USE_WITHIN);
+    }
+
+    fn wait_until(&mut self, time: ids::Timestamp) {
+        self.quiet_from = self.quiet_from.max(time);
     }
 
     /// Counts the votes for the configuration and the reach of a majority, unless that was done
@@ -106,6 +118,10 @@
         self.freshness.count_votes(&self.members, &self.own, now);
         let had_majority = self.has_majority;
         self.has_majority = self.quorum.holds(&self.members, &self.own, now);
-        self.has_majority && !had_majority
+        let is_reached_again = self.has_majority && !had_majority;
+        if is_reached_again {
+            self.introduce(now);
+        }
+        is_reached_again
     }
 }
--- a/crates/mustardshed-core/tests/node.rs
+++ b/crates/mustardshed-core/tests/node.rs
@@ -115,7 +115,10 @@
     }
 }
 
-/// Returns a node with a confirmed configuration and a report of its one server, at 3 s.
+/// Time after which an earlier run on the same VM can have nothing under way.
+const QUIET: time::Duration = time::Duration::from_secs(4);
+
+/// Returns a node with a confirmed configuration and a report of its one server, at [`QUIET`].
 fn ready_node(warmth: backend_server::Warmth) -> (node::Node, ids::Timestamp) {
     ready_node_among(warmth, &[])
 }
@@ -127,7 +130,7 @@
 ) -> (node::Node, ids::Timestamp) {
     let mut node = node::Node::new(identity(), 1, at_ms(0));
     let mut now = at_ms(0);
-    while now < at_ms(3000) {
+    while now < QUIET {
         now += node::TICK;
         let read = event::Event::ConfigurationRead {
             begun_at: now,
