Wait for an earlier run once, at a start, and show the wait by a mutation

Cause: the wait for an earlier run began with every majority reached again. That hid what `minority_states` seeds, and delays cold servers after each short loss of a majority, when no earlier run is in question. And the script of promise_3_replaced_steward_is_waited_for named an entry that is no longer the steward of its cold server since stewards are of the server's data centre: the test passed without the wait (seen by the new mutation, which was not noticed).

Change: the wait begins with the first majority of the listed; before the list is known, with each. The script runs for every entry and both cold servers. `earlier_run_forgotten` leaves the wait out.

Also: the text may promise no prompt that a gang of the most engines cannot hold. The text allowed 16 engines, gangs have at most 8; the tests of that bound move from 17 over 16 to 9 over 8. Comments no longer speak of hedges.

--- a/crates/mustardshed-config/src/text.rs
+++ b/crates/mustardshed-config/src/text.rs
@@ -26,7 +26,7 @@
 pub const MAX_TEXT_BYTES: usize = 900 * 1024;
 
 /// Most engines that can share one prompt.
-pub const MAX_GANG_SERVERS: u64 = 16;
+pub const MAX_GANG_SERVERS: u64 = 8;
 
 /// The operators' text, checked.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/crates/mustardshed-config/src/text/service.rs
+++ b/crates/mustardshed-config/src/text/service.rs
@@ -14,9 +14,9 @@
 const MAX_DEADLINE_MS: u64 = 600_000;
 /// Longest deadline that the text may allow, in milliseconds: a day.
 const GREATEST_DEADLINE_MS: u64 = 86_400_000;
-/// Retries and hedges for each 100 first sends unless the text says otherwise.
+/// Retries for each 100 first sends unless the text says otherwise.
 const RETRY_PERCENT: u32 = 10;
-/// Greatest number of retries and hedges for each 100 first sends.
+/// Greatest number of retries for each 100 first sends.
 const MAX_RETRY_PERCENT: u32 = 100;
 
 /// A service.
@@ -32,7 +32,7 @@
     pub default_deadline: time::Duration,
     /// Longest deadline that a request may name.
     pub max_deadline: time::Duration,
-    /// Retries and hedges for each 100 first sends, at most.
+    /// Retries for each 100 first sends, at most.
     pub retry_percent: u32,
 }
 
--- a/crates/mustardshed-config/tests/text.rs
+++ b/crates/mustardshed-config/tests/text.rs
@@ -146,7 +146,7 @@
             "default_deadline_ms = 'x'\ndepends_on = ['collation']",
         )
         .replace("version = \"3\"", "version = 3")
-        .replace("1_100_000", "6_400_001")
+        .replace("1_100_000", "3_200_001")
         .replace(
             "services = [\"collation\"]",
             "services = [1, \"none\"]\nweight = 0",
@@ -156,7 +156,7 @@
         shown(&source),
         elements_are![
             contains_substring("model[0].version = 3: must be a string"),
-            contains_substring("model[0].context_tokens = 6_400_001: needs 17 engines"),
+            contains_substring("model[0].context_tokens = 3_200_001: needs 9 engines"),
             contains_substring("service[1].default_deadline_ms = 'x': must be an integer"),
             contains_substring("cycle: collation -> deposits -> collation"),
             contains_substring("client_account[0].services[0] = 1: must be a string"),
@@ -201,7 +201,7 @@
 fn impossible_limits_are_refused() {
     let cold = reasons(&valid().replace("cold_limit = 2\nwarm", "cold_limit = 0\nwarm"));
     let deadline = reasons(&valid().replace("deadline_ms = 5000", "deadline_ms = 600001"));
-    let context = reasons(&valid().replace("1_100_000", "6_400_001"));
+    let context = reasons(&valid().replace("1_100_000", "3_200_001"));
 
     expect_that!(
         cold,
@@ -214,9 +214,9 @@
     expect_that!(
         context,
         elements_are![eq(&problem::Reason::NotServable {
-            needed: 17,
+            needed: 9,
             kind: "ledger".to_owned(),
-            greatest: 16
+            greatest: 8
         })]
     );
 }
--- a/crates/mustardshed-core/src/process/world.rs
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -26,6 +26,8 @@
     data_centres_out: collections::BTreeSet<ids::DataCentreId>,
     quiet_from: ids::Timestamp,
     has_majority: bool,
+    /// Whether a majority of the listed was ever reached.
+    is_introduced: bool,
     counted_at: Option<ids::Timestamp>,
 }
 
@@ -41,6 +43,7 @@
             data_centres_out: collections::BTreeSet::new(),
             quiet_from: now + credits::USE_WITHIN,
             has_majority: false,
+            is_introduced: false,
             counted_at: None,
         }
     }
@@ -95,11 +98,14 @@
         self.wait_until(now + credits::USE_WITHIN);
     }
 
-    /// Notes that a majority is reached from now on, which therefore knows this run.
+    /// Notes that a majority is reached for the first time, which therefore knows this run.
     ///
     /// An earlier run on the same VM that goes on unaware takes itself to reach a majority for
     /// [`quorum::REACHED_WITHIN`] more, and what it grants then may be used later still.
     fn introduce(&mut self, now: ids::Timestamp) {
+        if mutation::on("earlier_run_forgotten") {
+            return;
+        }
         self.wait_until(now + quorum::REACHED_WITHIN + credits::USE_WITHIN);
     }
 
@@ -119,8 +125,10 @@
         let had_majority = self.has_majority;
         self.has_majority = self.quorum.holds(&self.members, &self.own, now);
         let is_reached_again = self.has_majority && !had_majority;
-        if is_reached_again {
+        let is_listed_known = self.members.is_listed_known();
+        if self.has_majority && !self.is_introduced && (is_reached_again || is_listed_known) {
             self.introduce(now);
+            self.is_introduced = is_listed_known;
         }
         is_reached_again
     }
--- a/crates/mustardshed-core/src/request/gang.rs
+++ b/crates/mustardshed-core/src/request/gang.rs
@@ -2,6 +2,8 @@
 
 use std::collections;
 
+use mustardshed_config::text;
+
 use crate::{
     ids, mutation,
     process::snapshot,
@@ -9,7 +11,7 @@
 };
 
 /// Engines of one gang at most.
-pub const MAX_ENGINES: u64 = 8;
+pub const MAX_ENGINES: u64 = text::MAX_GANG_SERVERS;
 
 /// One engine of a gang.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/mustardshed-core/src/request/retry.rs
+++ b/crates/mustardshed-core/src/request/retry.rs
@@ -1,4 +1,4 @@
-//! One budget for each service from which retries and hedges are paid.
+//! One budget for each service from which retries are paid.
 
 use std::sync::atomic;
 
@@ -9,9 +9,9 @@
 /// Retries in a new budget, so that a service with few calls can retry at all.
 const FIRST_RETRIES: i64 = 3;
 
-/// Budget of retries and hedges of one service.
+/// Budget of retries of one service.
 ///
-/// Each first send deposits a part of a retry; each retry or hedge withdraws one. A budget that is
+/// Each first send deposits a part of a retry; each retry withdraws one. A budget that is
 /// empty lets failures through, so that a fault cannot multiply the load.
 ///
 /// ```
@@ -45,7 +45,7 @@
         self.update(|units| Some((units + i64::from(percent)).min(most)));
     }
 
-    /// Withdraws one retry or hedge; returns whether there was one.
+    /// Withdraws one retry; returns whether there was one.
     pub fn withdraw(&self) -> bool {
         self.update(|units| (units >= UNITS_PER_RETRY).then_some(units - UNITS_PER_RETRY))
     }
--- a/crates/mustardshed-core/tests/promises/replaced.rs
+++ b/crates/mustardshed-core/tests/promises/replaced.rs
@@ -9,10 +9,8 @@
 
 /// Server that is warm.
 const WARM: usize = 0;
-/// Server that is cold, and whose steward is replaced.
-const COLD: usize = 2;
-/// Entry that is its steward.
-const STEWARD: usize = 1;
+/// Servers that are cold, one in each data centre.
+const COLD: [usize; 2] = [2, 3];
 
 /// Work on one server, two requests from each entry.
 fn everywhere(server: usize) -> Step {
@@ -40,37 +38,37 @@
     ]
 }
 
-/// The shrunk case of seed 432.
-#[test]
-fn promise_3_replaced_steward_is_waited_for() {
-    let mut fleet = fleet::Fleet::new();
+/// Returns the shrunk case of seed 432, with `entry` replaced, which may be the steward of `cold`.
+fn scripts(entry: usize, cold: usize) -> [Vec<Step>; 6] {
+    let before = (entry + fleet::ENTRIES - 1) % fleet::ENTRIES;
+    let after = (entry + 1) % fleet::ENTRIES;
     let few = Load {
-        first_entry: 0,
+        first_entry: before,
         count: 4,
         server: WARM,
         tokens: 1,
         lasts_ms: 50,
         is_reservation: false,
     };
-    let scripts = [
-        brief_return(0, 5095, 315),
-        brief_return(2, 5370, 87),
+    [
+        brief_return(before, 5095, 315),
+        brief_return(after, 5370, 87),
         vec![Step::Submit(few)],
         vec![
-            everywhere(COLD),
+            everywhere(cold),
             Step::Wait(973),
-            Step::BreakStreams(COLD),
-            everywhere(COLD),
+            Step::BreakStreams(cold),
+            everywhere(cold),
         ],
         vec![
-            everywhere(COLD),
+            everywhere(cold),
             Step::Wait(1),
-            Step::Replace(STEWARD),
+            Step::Replace(entry),
             Step::Wait(400),
-            everywhere(COLD),
-            Step::ThawReplaced(STEWARD),
+            everywhere(cold),
+            Step::ThawReplaced(entry),
             Step::Wait(400),
-            everywhere(COLD),
+            everywhere(cold),
         ],
         vec![
             everywhere(WARM),
@@ -78,12 +76,21 @@
             Step::Steward(WARM, Fault::Kill),
             Step::Wait(5000),
         ],
-    ];
+    ]
+}
 
-    for script in scripts {
-        Step::Script(script).apply(&mut fleet);
-        fleet.advance(time::Duration::from_millis(20));
-    }
+#[test]
+fn promise_3_replaced_steward_is_waited_for() {
+    for entry in 0..fleet::ENTRIES {
+        for cold in COLD {
+            let mut fleet = fleet::Fleet::new();
+            for script in scripts(entry, cold) {
+                Step::Script(script).apply(&mut fleet);
+                fleet.advance(time::Duration::from_millis(20));
+            }
 
-    assert!(fleet.fell_over.is_empty(), "{:?}", fleet.fell_over);
+            let fell_over = &fleet.fell_over;
+            assert!(fell_over.is_empty(), "{entry} {cold} {fell_over:?}");
+        }
+    }
 }
--- a/crates/mustardshedd/src/request/resolve.rs
+++ b/crates/mustardshedd/src/request/resolve.rs
@@ -34,7 +34,7 @@
     pub default_deadline: time::Duration,
     /// Longest deadline that a request may name.
     pub max_deadline: time::Duration,
-    /// Retries and hedges for each 100 first sends, at most.
+    /// Retries for each 100 first sends, at most.
     pub retry_percent: u32,
 }
 
