Name and describe the parts of placement in plain terms

Change: functions and constants are named by what they do, with unit or divisor in the name; each private function has a line of purpose; the set is gone, the map is asked. The map of accepted adapters has a type alias in place of two copies of its type. Three reasons in the log are whole phrases.

Conclusion: decisions are unchanged.

--- a/crates/mustardshed-core/src/process/placement.rs
+++ b/crates/mustardshed-core/src/process/placement.rs
@@ -1,4 +1,4 @@
-//! Placement: which engine holds which model, version and adapter, by orders of one entry at a time.
+//! Placement of models, versions and adapters on engines, by orders of one entry at a time.
 //!
 //! One entry holds the [`lease`] and compares what engines hold with what the operators' text and
 //! the [`demand`] want ([`plan`]). It changes engines within the limits of the weight store
@@ -36,12 +36,12 @@
 /// Longest time between two [`event::Event::Tick`]s.
 pub const TICK: time::Duration = time::Duration::from_millis(500);
 
-/// Entries, first by name, that wait for the lease: each wait costs reads of the platform.
-const CANDIDATES: usize = 3;
-/// Time from the decision on an order to its send, at most; a process that was paused longer must
-/// renew its lease first.
+/// Live entries, first by name, that compete for the lease; each of them costs platform reads.
+const MAX_CANDIDATES: usize = 3;
+/// Longest time from the decision on an order to its send; a process that was paused for longer
+/// must renew its lease first.
 const SEND_WITHIN: time::Duration = time::Duration::from_secs(1);
-/// Time for which an engine that refused an order, or did not load in time, is left alone.
+/// Time for which an engine that refused an order, or did not load in time, gets no other order.
 const AVOID_FOR: time::Duration = time::Duration::from_secs(30);
 
 /// Placement as one entry sees it.
@@ -53,8 +53,7 @@
     demand: demand::Demand,
     loads: loads::Loads,
     avoided: collections::BTreeMap<ids::BackendServerId, ids::Timestamp>,
-    adapters:
-        collections::BTreeMap<ids::BackendServerId, (ids::Epoch, collections::BTreeSet<String>)>,
+    adapters: plan::AcceptedAdapters,
     snapshot: Option<sync::Arc<snapshot::Snapshot>>,
     fence: Option<ids::FencingNumber>,
 }
@@ -85,7 +84,7 @@
         let mut out = Vec::new();
         self.lease.tick(now);
         match event {
-            event::Event::Tick(snapshot) => self.look(snapshot, now),
+            event::Event::Tick(snapshot) => self.observe(snapshot, now),
             event::Event::LeaseRead { result } => self.lease.read_ended(result, now),
             event::Event::LeaseWritten { nonce, result } => {
                 self.lease.write_ended(nonce, result, now);
@@ -97,11 +96,13 @@
             } => self.engine_read(ticket, begun_at, result, now, &mut out),
             event::Event::Ordered { ticket, end } => self.ordered(ticket, &end, now, &mut out),
         }
-        self.settle(now, &mut out);
+        self.advance(now, &mut out);
         out
     }
 
-    fn settle(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+    /// Does what the event allows: takes over or gives up the lease, ends and begins loads, and
+    /// makes the calls that are due.
+    fn advance(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         self.note_holder(now, out);
         let Some(snapshot) = self.snapshot.clone() else {
             return;
@@ -110,15 +111,15 @@
             self.avoided.retain(|_, until| now < *until);
             self.end_loads(&snapshot, now, out);
             self.begin_loads(&snapshot, now, out);
-            self.look_at_loads(now, out);
+            self.read_engines(now, out);
         }
         let recorded = self.loads.recorded();
         let is_candidate = self.is_candidate(&snapshot);
         out.extend(self.lease.poll(is_candidate, &recorded, now));
     }
 
-    /// Takes over what the entry knows.
-    fn look(&mut self, snapshot: sync::Arc<snapshot::Snapshot>, now: ids::Timestamp) {
+    /// Takes over a new snapshot; the holder also updates engines and demand from it.
+    fn observe(&mut self, snapshot: sync::Arc<snapshot::Snapshot>, now: ids::Timestamp) {
         if self.fence.is_some() {
             self.engines.update(&snapshot, now);
             self.demand.measure(&snapshot.text, &self.engines, now);
@@ -126,7 +127,7 @@
         self.snapshot = Some(snapshot);
     }
 
-    /// Takes over the loads of the holder before, or forgets those of a lease that is lost.
+    /// Takes over the loads of the previous holder, or forgets those of a lease that is lost.
     fn note_holder(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         let fence = self.lease.held().map(|held| held.fence);
         if fence == self.fence {
@@ -148,15 +149,17 @@
         out.push(log_lease(held.fence, "taken"));
     }
 
+    /// Returns whether this entry may compete for the lease.
     fn is_candidate(&self, snapshot: &snapshot::Snapshot) -> bool {
         let members = snapshot.members.values();
         let before = members
             .filter(|member| member.live && !member.leaving && member.vm < self.own)
             .count();
-        !snapshot.leaving && before < CANDIDATES
+        !snapshot.leaving && before < MAX_CANDIDATES
     }
 
-    /// Ends the loads that are over, and those not ordered yet that nobody wants any more.
+    /// Ends the loads that timed out or whose server is no longer listed, and those not ordered yet
+    /// that the text no longer wants.
     fn end_loads(
         &mut self,
         snapshot: &snapshot::Snapshot,
@@ -177,6 +180,7 @@
         }
     }
 
+    /// Begins the loads that the plan wants, as far as the weight store has room for them.
     fn begin_loads(
         &mut self,
         snapshot: &snapshot::Snapshot,
@@ -209,8 +213,8 @@
         }
     }
 
-    /// Reads the engines of recorded loads.
-    fn look_at_loads(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
+    /// Asks for a report of each engine whose load is recorded in the lease and due for a check.
+    fn read_engines(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         for ticket in self.loads.due(now) {
             let Some(slot) = self.loads.get(ticket) else {
                 continue;
@@ -228,6 +232,10 @@
         }
     }
 
+    /// Takes the report of an engine: ends its load, gives its order, or waits.
+    ///
+    /// An order needs a report that was measured under this lease, so that it can't rest on what
+    /// the engine held before the last order of the previous holder.
     fn engine_read(
         &mut self,
         ticket: u64,
@@ -245,7 +253,7 @@
         };
         match slot.reported(&report, now) {
             loads::Next::Wait => {}
-            loads::Next::Done => self.done(ticket, "done", out),
+            loads::Next::Done => self.finish(ticket, out),
             loads::Next::Order => {
                 let measured_at = begun_at.saturating_sub(report.age);
                 let is_under_lease = measured_at >= self.lease.orders_from();
@@ -256,6 +264,7 @@
         }
     }
 
+    /// Gives the order of a load, if lease, text and weight store allow it now.
     fn order(&mut self, ticket: u64, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         let (Some(slot), Some(fence)) = (self.loads.get(ticket), self.fence) else {
             return;
@@ -281,6 +290,10 @@
         self.loads.order(ticket, now);
     }
 
+    /// Takes the end of an order's call.
+    ///
+    /// A load ends here if its first order certainly did not take effect. Otherwise its engine's
+    /// next report decides, but for an adapter, which is in no report.
     fn ordered(
         &mut self,
         ticket: u64,
@@ -297,7 +310,7 @@
                 out.push(self.log_order(slot, "accepted"));
                 if let backend_server::Order::LoadAdapter { adapter } = &slot.load.order {
                     self.note_adapter(slot.load.server.clone(), adapter.clone());
-                    self.done(ticket, "done", out);
+                    self.finish(ticket, out);
                 }
             }
             event::OrderEnd::TooLate => out.push(self.log_order(slot, "too late")),
@@ -313,20 +326,23 @@
         }
     }
 
+    /// Notes that an engine accepted an adapter in its present epoch.
     fn note_adapter(&mut self, server: ids::BackendServerId, adapter: String) {
         let Some(engine) = self.engines.get(&server) else {
             return;
         };
-        let loaded = self.adapters.entry(server).or_default();
-        if loaded.0 != engine.epoch {
-            *loaded = (engine.epoch, collections::BTreeSet::new());
+        let (epoch, accepted) = self.adapters.entry(server).or_default();
+        if *epoch != engine.epoch {
+            *epoch = engine.epoch;
+            accepted.clear();
         }
-        loaded.1.insert(adapter);
+        accepted.insert(adapter);
     }
 
-    fn done(&mut self, ticket: u64, how: &str, out: &mut Vec<action::Action>) {
+    /// Ends a load that is done.
+    fn finish(&mut self, ticket: u64, out: &mut Vec<action::Action>) {
         if let Some(slot) = self.loads.end(ticket) {
-            out.push(self.log_order(&slot, how));
+            out.push(self.log_order(&slot, "done"));
         }
     }
 
--- a/crates/mustardshed-core/src/process/placement/action.rs
+++ b/crates/mustardshed-core/src/process/placement/action.rs
@@ -1,4 +1,4 @@
-//! What placement wants done.
+//! Actions that placement returns to its caller.
 
 use crate::{
     border::backend_server,
@@ -6,7 +6,7 @@
     process::{action, placement::record},
 };
 
-/// What placement wants done.
+/// What the caller of placement must carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
     /// Read the lease object.
@@ -18,9 +18,9 @@
         /// Content.
         record: record::Record,
     },
-    /// Read the load of an engine.
+    /// Read the load report of an engine.
     ReadEngine {
-        /// Number of the load.
+        /// Number of the weight load that it is for.
         ticket: u64,
         /// `IP:PORT` of the engine.
         address: String,
@@ -28,7 +28,7 @@
     /// Give an order, unless [`is_in_time`] says at the send that it is too late; the call ends
     /// within [`super::lease::ORDER_TIMEOUT`].
     Order {
-        /// Number of the load.
+        /// Number of the weight load that it is for.
         ticket: u64,
         /// `IP:PORT` of the engine.
         address: String,
--- a/crates/mustardshed-core/src/process/placement/demand.rs
+++ b/crates/mustardshed-core/src/process/placement/demand.rs
@@ -6,11 +6,13 @@
 
 use crate::{ids, process::placement::engines};
 
-/// Time in which a change of the demand counts for two thirds.
-const SMOOTHING: time::Duration = time::Duration::from_secs(30);
+/// Time constant of the smoothing: after it, a step of the demand counts for about 63 %.
+const TIME_CONSTANT: time::Duration = time::Duration::from_secs(30);
 
-/// Demand for each model: KV memory and waiting prompt tokens on the engines that hold it. An
-/// engine that holds several models counts for each with an equal part.
+/// Demand for each model, in tokens, smoothed exponentially.
+///
+/// It is the KV memory in use, and the prompt tokens that wait for prefill, on the engines that
+/// hold the model. An engine that holds several models counts for each with an equal part.
 #[derive(Debug, Default)]
 pub struct Demand {
     tokens: collections::BTreeMap<ids::ModelId, f64>,
@@ -18,13 +20,13 @@
 }
 
 impl Demand {
-    /// Takes over the present load.
+    /// Moves the smoothed demand towards what the engines show at `now`.
     pub fn measure(&mut self, text: &text::Text, engines: &engines::Engines, now: ids::Timestamp) {
         let elapsed = self
             .measured_at
             .map_or(time::Duration::ZERO, |at| now.saturating_sub(at));
         self.measured_at = Some(now);
-        let weight = 1.0 - (-elapsed.as_secs_f64() / SMOOTHING.as_secs_f64()).exp();
+        let weight = 1.0 - (-elapsed.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp();
         let before = std::mem::take(&mut self.tokens);
         for model in text.models.values() {
             let smooth = before.get(&model.name).copied().unwrap_or(0.0);
@@ -40,6 +42,7 @@
     }
 }
 
+/// Returns the present demand for a model, in tokens.
 fn present(text: &text::Text, model: &text::Model, engines: &engines::Engines) -> f64 {
     engines
         .of_kind(&model.engine_kind)
@@ -48,6 +51,7 @@
         .sum()
 }
 
+/// Returns how many models of the text an engine holds; one at least.
 fn count_held(text: &text::Text, engine: &engines::Engine) -> usize {
     let models = text.models.values();
     models
--- a/crates/mustardshed-core/src/process/placement/engines.rs
+++ b/crates/mustardshed-core/src/process/placement/engines.rs
@@ -4,7 +4,7 @@
 
 use crate::{border::backend_server, ids, process::snapshot};
 
-/// Time of silence after which what an engine holds does not count any more.
+/// Time without an answer after which an engine is no longer counted.
 const GONE_AFTER: time::Duration = time::Duration::from_secs(10);
 
 /// An engine.
@@ -20,13 +20,13 @@
     pub data_centre: ids::DataCentreId,
     /// Whether it is warm.
     pub is_warm: bool,
-    /// Epoch.
+    /// Number of its warm period.
     pub epoch: ids::Epoch,
     /// Models that are loaded, each with its version.
     pub models: collections::BTreeMap<ids::ModelId, String>,
     /// KV memory, in tokens.
     pub memory_tokens: ids::Tokens,
-    /// KV memory held, and prompt tokens that wait for prefill.
+    /// KV memory in use plus prompt tokens that wait for prefill, in tokens.
     pub busy_tokens: ids::Tokens,
     /// Whether it answers.
     pub is_reachable: bool,
@@ -35,7 +35,7 @@
 }
 
 impl Engine {
-    /// Returns whether it has a model at a version.
+    /// Returns whether it has loaded a model at a version.
     pub fn holds(&self, model: &str, version: &str) -> bool {
         self.models.get(model).is_some_and(|held| held == version)
     }
@@ -57,14 +57,14 @@
     }
 }
 
-/// Engines that stay, in data centres in service.
+/// Engines that are not leaving, in data centres in service.
 #[derive(Debug, Default)]
 pub struct Engines {
     engines: collections::BTreeMap<ids::BackendServerId, Engine>,
 }
 
 impl Engines {
-    /// Takes over what the entry knows.
+    /// Takes over a snapshot; an engine that does not answer is kept as it was for a while.
     pub fn update(&mut self, snapshot: &snapshot::Snapshot, now: ids::Timestamp) {
         let engines = &mut self.engines;
         engines.retain(|id, _| {
--- a/crates/mustardshed-core/src/process/placement/event.rs
+++ b/crates/mustardshed-core/src/process/placement/event.rs
@@ -1,4 +1,4 @@
-//! What happens to placement.
+//! Events that placement handles.
 
 use std::sync;
 
@@ -13,13 +13,13 @@
 pub enum OrderEnd {
     /// The engine accepted it.
     Accepted,
-    /// It was not sent, as it was too late for it.
+    /// It was not sent, since its time had passed.
     TooLate,
     /// The call failed.
     Failed(backend_server::BackendServerError),
 }
 
-/// What happens to placement.
+/// What the caller of placement tells it.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// Time went on; at least every [`super::TICK`].
@@ -36,9 +36,9 @@
         /// New version.
         result: Result<ids::ObjectVersion, platform::PlatformError>,
     },
-    /// A read of an engine's load ended.
+    /// A read of an engine's load report ended.
     EngineRead {
-        /// Number of the load.
+        /// Number of the weight load that it is for.
         ticket: u64,
         /// Time at which the call began.
         begun_at: ids::Timestamp,
@@ -47,7 +47,7 @@
     },
     /// The call of an order ended.
     Ordered {
-        /// Number of the load.
+        /// Number of the weight load that it is for.
         ticket: u64,
         /// How it ended.
         end: OrderEnd,
--- a/crates/mustardshed-core/src/process/placement/lease.rs
+++ b/crates/mustardshed-core/src/process/placement/lease.rs
@@ -18,20 +18,20 @@
     process::placement::{action, record},
 };
 
-/// Time from the beginning of a write for which it holds the lease.
+/// Term of the lease, from the beginning of the write that took or renewed it.
 pub const LEASE: time::Duration = time::Duration::from_secs(10);
 /// Longest time of the call of an order.
 pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
-/// Time before the end of its lease at which a holder stops, for clocks of unlike rates.
+/// Time before the end of its term at which a holder stops, for clocks that run at unlike rates.
 const CLOCK_MARGIN: time::Duration = time::Duration::from_secs(1);
 /// Time between two renewals.
 const RENEW_INTERVAL: time::Duration = time::Duration::from_secs(3);
-/// Time between two reads of an entry that waits for the lease.
+/// Time between two reads by an entry that waits for the lease.
 const READ_INTERVAL: time::Duration = time::Duration::from_secs(3);
 /// Wait after a call that failed.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Time between two ticks beyond which the process was paused.
+/// Time between two ticks beyond which the process counts as paused.
 const PAUSED_AFTER: time::Duration = time::Duration::from_secs(1);
 
 /// The lease object as it was last seen.
@@ -71,10 +71,14 @@
     nonce: u64,
     greatest_fence: ids::FencingNumber,
     is_calling: bool,
+    /// Whether the object is to be read before it is written again.
     must_read: bool,
+    /// Least version that a read must show; an earlier one is stale.
     least_version: ids::ObjectVersion,
+    /// Time from which the next call on the platform may begin.
     next_at: ids::Timestamp,
     ticked_at: ids::Timestamp,
+    /// End of the last pause of the process; a lease confirmed before it must be renewed.
     resumed_at: ids::Timestamp,
 }
 
@@ -127,7 +131,7 @@
         held.since + ORDER_TIMEOUT
     }
 
-    /// Notes that time went on.
+    /// Notes the time, and whether the process was paused.
     pub fn tick(&mut self, now: ids::Timestamp) {
         if now.saturating_sub(self.ticked_at) > PAUSED_AFTER {
             self.resumed_at = now;
@@ -180,7 +184,7 @@
         };
         let (version, record) = object.unwrap_or_default();
         if version < self.least_version {
-            // A read of the past.
+            // A stale read.
             self.next_at = now + RETRY_INTERVAL;
             return;
         }
@@ -223,6 +227,8 @@
         }
     }
 
+    /// Takes a version of the object that was read; it may be a write of this entry whose answer
+    /// was lost.
     fn observe(
         &mut self,
         version: ids::ObjectVersion,
@@ -247,11 +253,12 @@
         });
     }
 
+    /// Notes that a write of this entry took effect.
     fn hold(&mut self, version: ids::ObjectVersion, nonce: u64, now: ids::Timestamp) {
         let Some(write) = self.writes.remove(&nonce) else {
             return;
         };
-        // What else was to replace an earlier version can't take effect any more.
+        // Other writes were conditional on earlier versions and can no longer take effect.
         self.writes.clear();
         self.least_version = self.least_version.max(version);
         let fence = write.record.fence;
--- a/crates/mustardshed-core/src/process/placement/loads.rs
+++ b/crates/mustardshed-core/src/process/placement/loads.rs
@@ -1,4 +1,4 @@
-//! Loads under way, each with its order.
+//! Weight loads in progress, each with its order.
 //!
 //! A load is recorded in the lease object before its order is sent, so that the next holder knows
 //! of it. It ends when a report of the engine shows what was ordered, not with the answer to the
@@ -9,12 +9,12 @@
 
 use crate::{border::backend_server, ids, mutation, process::placement::record};
 
-/// Loads under way at once that the weight store bears.
+/// Greatest number of concurrent loads, a limit of the weight store.
 pub const MAX_LOADS: usize = 4;
-/// Time between two orders, for the rate of the weight store.
+/// Least time between two orders, for the rate limit of the weight store.
 pub const ORDER_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Wait between two looks at an engine that loads.
+/// Wait between two reads of an engine that loads.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Time after which an order that shows no effect is given again.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(30);
@@ -23,13 +23,13 @@
 /// Longest time of a load that the text does not want any more: nobody waits for it, and its engine
 /// is needed.
 const UNWANTED_TIMEOUT: time::Duration = time::Duration::from_secs(60);
-/// Time for which an engine may be silent until its load counts as broken off.
+/// Time without an answer of the engine after which its load counts as broken off.
 const SILENT_AFTER: time::Duration = time::Duration::from_secs(60);
 
-/// What a load waits for.
+/// What a load waits for now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
-    /// For a time.
+    /// For the time of the next read of the engine.
     Waiting(ids::Timestamp),
     /// For a report of the engine.
     Reading,
@@ -37,7 +37,7 @@
     Ordering,
 }
 
-/// A load under way.
+/// A load in progress; each takes one of the places that the weight store allows.
 #[derive(Clone, Debug)]
 pub struct Slot {
     /// What is loaded where.
@@ -58,15 +58,14 @@
     Done,
     /// The order is to be given.
     Order,
-    /// The engine is to be looked at again.
+    /// The engine is to be read again later.
     Wait,
 }
 
-/// Loads under way.
+/// Loads in progress, and the calls of orders that have not ended.
 #[derive(Debug, Default)]
 pub struct Loads {
     slots: collections::BTreeMap<u64, Slot>,
-    calling: collections::BTreeSet<ids::BackendServerId>,
     calls: collections::BTreeMap<u64, ids::BackendServerId>,
     next_ticket: u64,
     ordered_at: Option<ids::Timestamp>,
@@ -103,9 +102,9 @@
             .is_none_or(|at| now.saturating_sub(at) >= ORDER_INTERVAL)
     }
 
-    /// Returns whether the call of an order to a server is under way, one of an earlier lease included.
+    /// Returns whether the call of an order to a server has not ended, be it of an earlier lease.
     pub fn is_calling(&self, server: &str) -> bool {
-        self.calling.contains(server)
+        self.calls.values().any(|called| called == server)
     }
 
     /// Returns the loads as they are recorded.
@@ -123,7 +122,7 @@
         self.slots.get_mut(&ticket)
     }
 
-    /// Returns the loads that are to be looked at now.
+    /// Returns the loads whose engines are to be read now.
     pub fn due(&self, now: ids::Timestamp) -> Vec<u64> {
         let is_due = |slot: &Slot| matches!(slot.stage, Stage::Waiting(until) if now >= until);
         let due = self.slots.iter().filter(|(_, slot)| is_due(slot));
@@ -135,7 +134,7 @@
         self.slots.remove(&ticket)
     }
 
-    /// Forgets all loads; calls under way stay known.
+    /// Forgets all loads, but not the calls of orders that have not ended.
     pub fn clear(&mut self) {
         self.slots.clear();
     }
@@ -161,15 +160,12 @@
         slot.orders += 1;
         let server = slot.load.server.clone();
         self.ordered_at = Some(now);
-        self.calling.insert(server.clone());
         self.calls.insert(ticket, server);
     }
 
     /// Notes that the call of an order ended.
     pub fn ordered(&mut self, ticket: u64, now: ids::Timestamp) {
-        if let Some(server) = self.calls.remove(&ticket) {
-            self.calling.remove(&server);
-        }
+        self.calls.remove(&ticket);
         let Some(slot) = self.slots.get_mut(&ticket) else {
             return;
         };
@@ -178,8 +174,10 @@
 }
 
 impl Slot {
-    /// Returns whether it took too long, or its engine is silent for too long; `is_wanted` says
-    /// whether the text still wants it there.
+    /// Returns whether the load took too long, or its engine did not answer for too long.
+    ///
+    /// `is_wanted` says whether the text still wants it there. A load whose order is being sent
+    /// is never over.
     pub fn is_over(&self, is_wanted: bool, now: ids::Timestamp) -> bool {
         let timeout = match (is_wanted, self.ordered_at) {
             (true, _) => LOAD_TIMEOUT,
--- a/crates/mustardshed-core/src/process/placement/plan.rs
+++ b/crates/mustardshed-core/src/process/placement/plan.rs
@@ -10,14 +10,18 @@
     process::placement::{demand, engines, rank, record},
 };
 
-/// Part of the engines of a kind that may be under change when one that works is to be changed, as
-/// a divisor; one at least.
-const KIND_DIVISOR: usize = 4;
-/// Engines by which a model must fall short of its share of the demand before a working engine is
-/// changed.
-const SHARE_MARGIN: f64 = 1.5;
-/// Part of their memory that a model's engines must have in use before a working engine is changed.
-const BUSY_FROM: f64 = 0.5;
+/// Divisor of a kind's engines: while that part of them, one at least, is loading, no engine that
+/// serves a model is given an order.
+const LOADING_DIVISOR: usize = 4;
+/// Shortage, in engines, from which a model is given an engine that serves another model.
+const MIN_SHORTAGE_ENGINES: f64 = 1.5;
+/// Fraction of its engines' memory that the demand for a model must reach before the model is given
+/// an engine that serves another model.
+const BUSY_FRACTION: f64 = 0.5;
+
+/// Adapters that each engine accepted, with the epoch in which it did.
+pub type AcceptedAdapters =
+    collections::BTreeMap<ids::BackendServerId, (ids::Epoch, collections::BTreeSet<String>)>;
 
 /// A change of what one engine holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -37,15 +41,12 @@
     pub engines: &'a engines::Engines,
     /// Demand.
     pub demand: &'a demand::Demand,
-    /// Loads under way.
+    /// Loads in progress.
     pub loads: &'a [record::Load],
-    /// Engines to be left alone for now.
+    /// Engines that get no order until the given time.
     pub avoided: &'a collections::BTreeMap<ids::BackendServerId, ids::Timestamp>,
-    /// Adapters that engines were ordered to load in their epoch.
-    pub adapters: &'a collections::BTreeMap<
-        ids::BackendServerId,
-        (ids::Epoch, collections::BTreeSet<String>),
-    >,
+    /// Adapters that engines accepted under this lease.
+    pub adapters: &'a AcceptedAdapters,
 }
 
 impl<'a> Plan<'a> {
@@ -64,22 +65,23 @@
             .find_map(|step| models.iter().find_map(|model| step(self, model)))
     }
 
-    /// A first engine for a model that has none.
+    /// Returns the load of a model that no engine holds.
     fn missing(&self, model: &'a text::Model) -> Option<Change> {
         if self.holders(model) > 0 {
             return None;
         }
         let engine = self.best(model, |_| true)?;
-        Some(load(model, engine, "no engine holds it"))
+        Some(load(model, engine, "no engine holds the model"))
     }
 
-    /// The text's version for an engine that has another one.
+    /// Returns the load of the text's version to an engine that holds another one.
     fn outdated(&self, model: &'a text::Model) -> Option<Change> {
         let engine = self.best(model, |engine| engine.models.contains_key(&model.name))?;
         Some(load(model, engine, "the engine holds another version"))
     }
 
-    /// A model for an engine that holds none, if it is this one that falls short the most.
+    /// Returns the load of a model to an engine that serves none, if no model of its kind has a
+    /// greater shortage.
     fn idle(&self, model: &'a text::Model) -> Option<Change> {
         let shortest = self.of_kind(&model.engine_kind).max_by(|a, b| {
             let by_shortage = self.shortage(a).total_cmp(&self.shortage(b));
@@ -88,20 +90,21 @@
         if shortest.name != model.name {
             return None;
         }
-        let engine = self.best(model, |engine| !self.works(engine))?;
+        let engine = self.best(model, |engine| !self.serves_any(engine))?;
         Some(load(model, engine, "the engine holds no model of the text"))
     }
 
-    /// A further engine for a model whose engines are busy and fewer than its share.
+    /// Returns the load of a model to a further engine, if its engines are busy and fewer than its
+    /// share.
     fn short(&self, model: &'a text::Model) -> Option<Change> {
-        if self.shortage(model) < SHARE_MARGIN || !self.is_busy(model) {
+        if self.shortage(model) < MIN_SHORTAGE_ENGINES || !self.is_busy(model) {
             return None;
         }
         let engine = self.best(model, |_| true)?;
-        Some(load(model, engine, "its engines are fewer than its demand"))
+        Some(load(model, engine, "too few engines for the demand"))
     }
 
-    /// An adapter for an engine that holds its model.
+    /// Returns the load of an adapter to an engine that holds its model but has not accepted it.
     fn adapter(&self, model: &'a text::Model) -> Option<Change> {
         model.adapters.iter().find_map(|adapter| {
             let engine = self
@@ -111,13 +114,14 @@
             let order = backend_server::Order::LoadAdapter {
                 adapter: adapter.clone(),
             };
-            Some(change(engine, order, "not ordered yet under this lease"))
+            Some(change(engine, order, "adapter not ordered in this lease"))
         })
     }
 
-    /// Returns the engine to which a model is best loaded: idle ones first, then those with
-    /// another version of it, then cold ones, then in the data centre that has the fewest, then the
-    /// least busy.
+    /// Returns the best engine to load a model to, of those that are `wanted`.
+    ///
+    /// Engines that serve no model come first, then those with another version of it, then cold
+    /// ones, then those in the data centre where the fewest hold it, then the least busy.
     fn best(
         &self,
         model: &'a text::Model,
@@ -130,7 +134,7 @@
             .min_by_key(|engine| {
                 let holders_in = holders_in.get_or_insert_with(|| self.holders_in(model));
                 (
-                    self.works(engine),
+                    self.serves_any(engine),
                     !engine.models.contains_key(&model.name),
                     engine.is_warm,
                     holders_in.get(engine.data_centre.as_str()).copied(),
@@ -140,19 +144,20 @@
             })
     }
 
-    /// Returns the engines of a kind that may be changed now: of those that work, a part at a time.
+    /// Returns the engines of a kind that may be given an order now; those that serve a model only
+    /// while few enough are loading.
     fn changeable(&self, kind: &'a str) -> impl Iterator<Item = &'a engines::Engine> {
         let engines = self.engines.of_kind(kind);
         let count = engines.clone().count();
         let changing = engines.clone().filter(|e| self.load_on(&e.id).is_some());
-        let is_full = changing.count() >= (count / KIND_DIVISOR).max(1);
+        let is_full = changing.count() >= (count / LOADING_DIVISOR).max(1);
         engines
-            .filter(move |engine| engine.is_reachable && !(is_full && self.works(engine)))
+            .filter(move |engine| engine.is_reachable && !(is_full && self.serves_any(engine)))
             .filter(|engine| self.load_on(&engine.id).is_none())
             .filter(|engine| !self.avoided.contains_key(&engine.id))
     }
 
-    /// Returns whether an engine is the last that works for a model other than `except`.
+    /// Returns whether an engine is the last that can serve some model other than `except`.
     fn is_last(&self, engine: &engines::Engine, except: &str) -> bool {
         self.of_kind(&engine.kind)
             .filter(|model| model.name != except && engine.holds(&model.name, &model.version))
@@ -167,6 +172,7 @@
             })
     }
 
+    /// Returns the models of the text for a kind of engine.
     fn of_kind<'b>(&self, kind: &'b str) -> impl Iterator<Item = &'a text::Model> + use<'a, 'b> {
         let models = self.text.models.values();
         models.filter(move |model| model.engine_kind == kind)
@@ -176,37 +182,39 @@
         self.loads.iter().find(|load| load.server == server)
     }
 
-    /// Returns whether an engine holds a model of the text, or is about to.
-    fn works(&self, engine: &engines::Engine) -> bool {
+    /// Returns whether an engine holds a model of the text at the text's version, or loads one.
+    fn serves_any(&self, engine: &engines::Engine) -> bool {
         let mut models = self.of_kind(&engine.kind);
-        models.any(|model| self.counts(engine, model))
+        models.any(|model| self.serves(engine, model))
     }
 
-    /// Returns whether an engine holds a model, or is about to.
-    fn counts(&self, engine: &engines::Engine, model: &text::Model) -> bool {
+    /// Returns whether an engine holds a model at the text's version, or is loading it.
+    fn serves(&self, engine: &engines::Engine, model: &text::Model) -> bool {
         let is_loading = self
             .load_on(&engine.id)
             .is_some_and(|load| load.order == order(model));
         is_loading || engine.holds(&model.name, &model.version)
     }
 
+    /// Returns how many engines serve a model.
     fn holders(&self, model: &text::Model) -> usize {
         let engines = self.engines.of_kind(&model.engine_kind);
-        engines.filter(|engine| self.counts(engine, model)).count()
+        engines.filter(|engine| self.serves(engine, model)).count()
     }
 
-    /// Returns the engines that hold a model, counted by data centre; none is less than any number.
+    /// Returns how many engines serve a model, by data centre; one without any is left out.
     fn holders_in(&self, model: &'a text::Model) -> collections::BTreeMap<&'a str, usize> {
         let mut counts = collections::BTreeMap::new();
         for engine in self.engines.of_kind(&model.engine_kind) {
-            if self.counts(engine, model) {
+            if self.serves(engine, model) {
                 *counts.entry(engine.data_centre.as_str()).or_default() += 1;
             }
         }
         counts
     }
 
-    /// Returns by how many engines a model falls short of its share of the demand.
+    /// Returns by how many engines a model falls short of its share of the demand; less than zero
+    /// if it has more.
     fn shortage(&self, model: &text::Model) -> f64 {
         let kind = model.engine_kind.as_str();
         let total: f64 = self.of_kind(kind).map(|m| self.demand.of(&m.name)).sum();
@@ -219,15 +227,17 @@
         share - self.holders(model) as f64
     }
 
+    /// Returns whether the demand for a model takes much of its engines' memory.
     fn is_busy(&self, model: &text::Model) -> bool {
         let engines = self.engines.of_kind(&model.engine_kind);
         let memory: ids::Tokens = engines
-            .filter(|engine| self.counts(engine, model))
+            .filter(|engine| self.serves(engine, model))
             .map(|engine| engine.memory_tokens)
             .sum();
-        self.demand.of(&model.name) >= memory as f64 * BUSY_FROM
+        self.demand.of(&model.name) >= memory as f64 * BUSY_FRACTION
     }
 
+    /// Returns whether an engine accepted an adapter in its present epoch.
     fn has_adapter(&self, engine: &engines::Engine, adapter: &str) -> bool {
         self.adapters
             .get(&engine.id)
--- a/crates/mustardshed-core/src/process/placement/rank.rs
+++ b/crates/mustardshed-core/src/process/placement/rank.rs
@@ -1,4 +1,4 @@
-//! Order in which models are served first: what others depend on goes before them.
+//! Rank of models: those that others depend on are loaded before them.
 
 use std::collections;
 
@@ -6,7 +6,8 @@
 
 use crate::ids;
 
-/// Returns the models of a text, those first whose services others depend on, then by name.
+/// Returns the models of a text by the depth of their services' dependencies, then by name, so that
+/// a model comes after those that its services depend on.
 pub fn ranked(text: &text::Text) -> Vec<&text::Model> {
     let mut depths = collections::BTreeMap::new();
     for service in text.services.keys() {
@@ -17,7 +18,7 @@
     models
 }
 
-/// Returns the least depth of the services that a model stands behind.
+/// Returns the least depth of the services that a model backs; `usize::MAX` if it backs none.
 fn rank(
     text: &text::Text,
     model: &str,
@@ -25,14 +26,15 @@
 ) -> usize {
     text.services
         .values()
-        .filter(|service| is_behind(model, service))
+        .filter(|service| backs(model, service))
         .filter_map(|service| depths.get(&service.name))
         .min()
         .copied()
         .unwrap_or(usize::MAX)
 }
 
-fn is_behind(model: &str, service: &text::Service) -> bool {
+/// Returns whether a model backs a service.
+fn backs(model: &str, service: &text::Service) -> bool {
     matches!(&service.backing, text::Backing::Model { model: name } if name == model)
 }
 
--- a/crates/mustardshed-core/src/process/placement/record.rs
+++ b/crates/mustardshed-core/src/process/placement/record.rs
@@ -2,7 +2,7 @@
 
 use crate::{border::backend_server, ids};
 
-/// A load of weights that a holder may have begun.
+/// A weight load that a holder may have ordered.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Load {
     /// Backend server.
