Make the unknown fate of a request in one place, and describe claims

Cause: the fate of a request of which nobody can say whether it ran was built in two places. A claim's limit of repeated steps was named and described as one of unanswered calls, though it counts other repeats too. The choice of a gang's engines stood within a long function.

Change: fate::Fate::unknown; MAX_RETRIES and MAX_ROUNDS with their counters and methods; a function of its own for a gang's candidates; comments on private functions; "state machine" for "machine"; "split" for "taken apart".

Conclusion: behaviour is unchanged.

--- a/crates/mustardshed-core/src/request/claim.rs
+++ b/crates/mustardshed-core/src/request/claim.rs
@@ -1,8 +1,8 @@
 //! The at-most-once claim of a call that may not be repeated.
 //!
 //! Before such a call is sent, its entry creates an object that names the request. The platform's
-//! conditional update grants it to one request only. [`Claiming`] is the machine for that: it
-//! returns a [`Step`], the process carries it out and hands the result back, until the step is
+//! conditional update grants it to one request only. [`Claiming`] is the state machine for that:
+//! it returns a [`Step`], the process carries it out and hands the result back, until the step is
 //! [`Step::Done`].
 //!
 //! - A lost answer is settled by reading back: the value names the request that wrote it.
@@ -31,9 +31,9 @@
 pub use settling::Settling;
 pub use value::{Value, WINDOW, expired};
 
-/// Calls on the platform that may stay unanswered before the claim is given up.
-const MAX_UNANSWERED: u32 = 3;
-/// Digits of the key's digest in an object's name.
+/// Steps that may be repeated before the claim is given up.
+const MAX_RETRIES: u32 = 3;
+/// Hexadecimal digits of the key's digest in an object's name.
 const DIGEST_DIGITS: usize = 40;
 
 /// Returns the name of the object for a client account's key.
@@ -90,8 +90,10 @@
     req: control::ClaimRequest,
     value: Value,
     deadline: ids::Timestamp,
+    /// Version of the object and the request that it names, while the fate of that is asked for.
     holder: Option<(ids::ObjectVersion, ids::RequestId)>,
-    unanswered: u32,
+    retries: u32,
+    /// Whether the object may name this request although the claim was not granted.
     is_doubtful: bool,
     /// Request that held the claim and that nobody could be asked for.
     without_owner: Option<ids::RequestId>,
@@ -115,7 +117,7 @@
             value,
             deadline,
             holder: None,
-            unanswered: 0,
+            retries: 0,
             is_doubtful: false,
             without_owner: None,
         };
@@ -138,7 +140,7 @@
                     return self.grant(0, now);
                 }
                 self.is_doubtful = true;
-                self.again(&reason, Step::Get)
+                self.retry(&reason, Step::Get)
             }
         }
     }
@@ -150,9 +152,9 @@
         now: ids::Timestamp,
     ) -> Step {
         match result {
-            Ok(None) => self.again("the claim is not there", self.put_at(0)),
+            Ok(None) => self.retry("the claim is not there", self.put_at(0)),
             Ok(Some((version, held))) => self.compare(version, held, now),
-            Err(e) => self.again(&e.to_string(), Step::Get),
+            Err(e) => self.retry(&e.to_string(), Step::Get),
         }
     }
 
@@ -194,12 +196,13 @@
         &self.req
     }
 
+    /// Compares what the object holds with this request's claim.
     fn compare(&mut self, version: ids::ObjectVersion, held: Value, now: ids::Timestamp) -> Step {
         if held.request == self.value.request {
             return self.grant(version, now);
         }
         if held.is_expired(self.value.created_at) {
-            return self.again("the claim is out of date", self.put_at(version));
+            return self.retry("the claim is out of date", self.put_at(version));
         }
         if held.body_digest != self.value.body_digest {
             return Step::Done(Ended::Refused(reused()));
@@ -219,12 +222,13 @@
     /// Draws the conclusion from the fate of the request that holds the claim.
     fn conclude(&mut self, version: ids::ObjectVersion, fate: fate::Fate) -> Step {
         match fate.outcome {
-            outcome::Outcome::NotRun => self.again("the claim was not used", self.put_at(version)),
+            outcome::Outcome::NotRun => self.retry("the claim was not used", self.put_at(version)),
             outcome::Outcome::Running => Step::Done(Ended::Refused(in_progress())),
             _ => Step::Done(Ended::Earlier(fate)),
         }
     }
 
+    /// Grants the claim, unless the deadline has passed.
     fn grant(&mut self, version: ids::ObjectVersion, now: ids::Timestamp) -> Step {
         if now >= self.deadline {
             self.is_doubtful = true;
@@ -237,10 +241,10 @@
         Step::Done(Ended::Granted { version })
     }
 
-    /// Goes on with `step` unless too much went wrong.
-    fn again(&mut self, reason: &str, step: Step) -> Step {
-        self.unanswered += 1;
-        if self.unanswered > MAX_UNANSWERED {
+    /// Returns `step` as a further try, or gives up for `reason` after [`MAX_RETRIES`] of them.
+    fn retry(&mut self, reason: &str, step: Step) -> Step {
+        self.retries += 1;
+        if self.retries > MAX_RETRIES {
             return self.give_up(reason);
         }
         step
@@ -261,17 +265,11 @@
     }
 
     fn unknown(&self, request: ids::RequestId) -> fate::Fate {
-        fate::Fate {
-            request,
-            account: self.req.account.clone(),
-            outcome: outcome::Outcome::Unknown,
-            error: Some(error::ErrorKind::FateUnknown),
-            servers: Vec::new(),
-            answer: None,
-        }
+        fate::Fate::unknown(request, self.req.account.clone())
     }
 }
 
+/// Returns the refusal of a call whose key was used with another body.
 fn reused() -> error::Error {
     error::Error::not_run(
         error::ErrorKind::KeyReused,
--- a/crates/mustardshed-core/src/request/claim/settling.rs
+++ b/crates/mustardshed-core/src/request/claim/settling.rs
@@ -4,8 +4,9 @@
 
 use super::Value;
 
-/// Calls on the platform after which the end of a claim is given up for now.
-const MAX_CALLS: u32 = 6;
+/// Greatest number of rounds, of a read and a write each, before the end of a claim is given up for
+/// now.
+const MAX_ROUNDS: u32 = 6;
 
 /// What is to be done next for the end of a claim.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,7 +34,7 @@
 pub struct Settling {
     request: ids::RequestId,
     fate: Option<fate::Fate>,
-    calls: u32,
+    rounds: u32,
 }
 
 impl Settling {
@@ -42,7 +43,7 @@
         let settling = Self {
             request,
             fate: Some(fate),
-            calls: 1,
+            rounds: 1,
         };
         (settling, Step::Get)
     }
@@ -52,7 +53,7 @@
         let settling = Self {
             request,
             fate: None,
-            calls: 1,
+            rounds: 1,
         };
         (settling, Step::Get)
     }
@@ -63,9 +64,9 @@
         result: Result<Option<(ids::ObjectVersion, Value)>, platform::PlatformError>,
     ) -> Step {
         let (version, held) = match result {
-            // A platform that answers nothing but refusals is asked again later.
+            // A platform that refuses is asked again by a later attempt, not at once.
             Err(platform::PlatformError::Refused(_)) => return Step::Done(false),
-            Err(_) => return self.again(),
+            Err(_) => return self.retry(),
             Ok(None) => return Step::Done(self.fate.is_none()),
             Ok(Some(found)) => found,
         };
@@ -92,13 +93,14 @@
         match result {
             Ok(()) => Step::Done(true),
             Err(platform::PlatformError::Refused(_)) => Step::Done(false),
-            Err(_) => self.again(),
+            Err(_) => self.retry(),
         }
     }
 
-    const fn again(&mut self) -> Step {
-        self.calls += 1;
-        if self.calls > MAX_CALLS {
+    /// Reads the object again, unless [`MAX_ROUNDS`] were made.
+    const fn retry(&mut self) -> Step {
+        self.rounds += 1;
+        if self.rounds > MAX_ROUNDS {
             return Step::Done(false);
         }
         Step::Get
--- a/crates/mustardshed-core/src/request/claim/sweep.rs
+++ b/crates/mustardshed-core/src/request/claim/sweep.rs
@@ -1,12 +1,12 @@
 //! Deletion of claims that are out of date.
 //!
-//! Each live entry sweeps the claims of its share of the client accounts. [`Sweep`] is the machine
-//! for that: it returns a [`Step`], the process carries it out and hands the result back, until
-//! the step is [`Step::Done`].
+//! Each live entry sweeps the claims of its share of the client accounts. [`Sweep`] is the state
+//! machine for that: it returns a [`Step`], the process carries it out and hands the result back,
+//! until the step is [`Step::Done`].
 //!
 //! - A claim is deleted only at the version that was listed, so that a key which was claimed anew
 //!   meanwhile stays claimed.
-//! - A list that is not answered may be too long: it is taken apart by the next digit of the names.
+//! - A list that is not answered may be too long: it is split by the next digit of the names.
 //! - After [`MAX_FAILURES`] failures in a row the sweep ends; the next one begins anew.
 
 use std::{collections, time};
@@ -21,9 +21,9 @@
 const GRACE: time::Duration = time::Duration::from_secs(60 * 60);
 /// Failed calls in a row after which a sweep ends.
 const MAX_FAILURES: u32 = 3;
-/// Digits of a name by which a list is taken apart, at most.
+/// Greatest number of a name's digits by which a list is split.
 const MAX_SPLIT_DIGITS: usize = 3;
-/// Digits of which names consist after the client account.
+/// Digits that a name may hold after the client account.
 const DIGITS: &str = "0123456789abcdef";
 
 /// What is to be done next for a sweep.
@@ -67,9 +67,11 @@
     swept: Swept,
 }
 
+/// A list that is still to be asked for.
 #[derive(Clone, Debug)]
 struct List {
     prefix: String,
+    /// Digits at the end of the prefix, one for each time that the list was split.
     digits: usize,
 }
 
@@ -140,6 +142,7 @@
         }
     }
 
+    /// Keeps the listed claims that are out of date, to be deleted next.
     fn keep_expired(
         &mut self,
         claims: &[(String, ids::ObjectVersion, Value)],
@@ -153,6 +156,7 @@
         self.expired = expired(claims, wall_now.saturating_sub(GRACE));
     }
 
+    /// Counts a list that failed, and splits it unless it was split too often.
     fn fail_list(&mut self, list: &List) {
         self.fail();
         if list.digits >= MAX_SPLIT_DIGITS {
@@ -165,6 +169,7 @@
         self.lists.extend(parts);
     }
 
+    /// Counts a call that failed.
     const fn fail(&mut self) {
         self.failures += 1;
         self.swept.failed += 1;
--- a/crates/mustardshed-core/src/request/fate.rs
+++ b/crates/mustardshed-core/src/request/fate.rs
@@ -49,3 +49,17 @@
     /// Answer for repeats.
     pub answer: Option<KeptAnswer>,
 }
+
+impl Fate {
+    /// Makes the fate of a request of which nobody can say whether it ran.
+    pub const fn unknown(request: ids::RequestId, account: ids::ClientAccountId) -> Self {
+        Self {
+            request,
+            account,
+            outcome: outcome::Outcome::Unknown,
+            error: Some(error::ErrorKind::FateUnknown),
+            servers: Vec::new(),
+            answer: None,
+        }
+    }
+}
--- a/crates/mustardshed-core/src/request/gang.rs
+++ b/crates/mustardshed-core/src/request/gang.rs
@@ -8,7 +8,7 @@
     request::route::{estimate, exclusion, work},
 };
 
-/// Engines of one gang at most.
+/// Greatest number of engines in one gang.
 pub const MAX_ENGINES: u64 = 8;
 
 /// One engine of a gang.
@@ -35,7 +35,7 @@
     pub estimate: estimate::Estimate,
 }
 
-/// One step of taking the engines of a gang, each named by its place in the plan.
+/// One step of taking the engines of a gang; each engine is named by its index in the plan.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Take {
     /// A credit is asked for.
@@ -47,7 +47,7 @@
 /// Returns the steps in which the engines of a plan are taken.
 ///
 /// Memory is reserved as soon as its credit is granted: a credit must be used within
-/// [`crate::process::credits::USE_WITHIN`], and the next engine may let the gang wait for much longer.
+/// [`crate::process::credits::USE_WITHIN`], and the next engine may let the gang wait for longer.
 pub fn takes(engines: usize) -> Vec<Take> {
     let credits = (0..engines).map(Take::Credit);
     let reservations = (0..engines).map(Take::Reserve);
@@ -85,17 +85,7 @@
         return None;
     }
     let part = part_of(work, count);
-    let mut by_data_centre: collections::BTreeMap<&str, Vec<&snapshot::ServerView>> =
-        collections::BTreeMap::new();
-    for server in snapshot.servers.values().filter(|s| work.wants_kind(s)) {
-        if exclusion::check(snapshot, &part, server).is_none() {
-            by_data_centre
-                .entry(&server.data_centre)
-                .or_default()
-                .push(server);
-        }
-    }
-    by_data_centre
+    candidates(snapshot, work, &part)
         .into_iter()
         .filter_map(|(data_centre, servers)| {
             plan_in(snapshot, &part, data_centre, servers, count as usize, now)
@@ -103,6 +93,23 @@
         .min_by_key(|plan| plan.estimate.total())
 }
 
+/// Returns the engines that may be given a part of the work, by data centre.
+fn candidates<'a>(
+    snapshot: &'a snapshot::Snapshot,
+    work: &work::Work<'_>,
+    part: &work::Work<'_>,
+) -> collections::BTreeMap<&'a str, Vec<&'a snapshot::ServerView>> {
+    let mut by_data_centre = collections::BTreeMap::<&str, Vec<_>>::new();
+    for server in snapshot.servers.values().filter(|s| work.wants_kind(s)) {
+        if exclusion::check(snapshot, part, server).is_none() {
+            let near = by_data_centre.entry(&server.data_centre);
+            near.or_default().push(server);
+        }
+    }
+    by_data_centre
+}
+
+/// Returns the part of the work that each of `count` engines does.
 fn part_of<'a>(work: &work::Work<'a>, count: u64) -> work::Work<'a> {
     let mut part = work.clone();
     part.prompt_tokens = work.prompt_tokens.div_ceil(count);
@@ -111,6 +118,7 @@
     part
 }
 
+/// Plans the gang with the least estimate in one data centre; nothing if it has too few engines.
 fn plan_in(
     snapshot: &snapshot::Snapshot,
     part: &work::Work<'_>,
@@ -128,7 +136,7 @@
         .collect();
     estimated.sort_by_key(|(estimate, server)| (estimate.total(), &server.id));
     estimated.truncate(count);
-    let worst = estimated.last().map(|(estimate, _)| *estimate)?;
+    let greatest = estimated.last().map(|(estimate, _)| *estimate)?;
     let mut engines: Vec<_> = estimated
         .into_iter()
         .map(|(_, server)| Engine {
@@ -144,6 +152,6 @@
         engines,
         tokens_each: part.memory_tokens,
         prefill_each: part.prompt_tokens,
-        estimate: worst,
+        estimate: greatest,
     })
 }
--- a/crates/mustardshedd/src/process/claims.rs
+++ b/crates/mustardshedd/src/process/claims.rs
@@ -23,9 +23,9 @@
 
 /// Longest time that making a claim may take.
 const CLAIM_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-/// Attempts to record the end of a claim.
+/// Greatest number of attempts to record the end of a claim.
 const END_ATTEMPTS: u32 = 8;
-/// Wait after the first failed attempt; it doubles.
+/// Wait after the first failed attempt; it doubles with each further one.
 const END_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// Claims of non-idempotent calls.
@@ -98,7 +98,7 @@
         let name = claim::object_name(&req.account, &req.key);
         let did_not_run = fate.outcome == Outcome::NotRun;
         let begin = || claim::Settling::settle(req.request.clone(), fate.clone());
-        if self.finish_often(begin, &name).await || did_not_run {
+        if self.finish_with_retries(begin, &name).await || did_not_run {
             return Ok(());
         }
         Err(error::Error::failed(
@@ -124,14 +124,8 @@
                 return Err(error::Error::unknown(kind, e.to_string()));
             }
         };
-        Ok(Some(held.fate.unwrap_or_else(|| fate::Fate {
-            request: id.clone(),
-            account: account.to_owned(),
-            outcome: Outcome::Unknown,
-            error: Some(error::ErrorKind::FateUnknown),
-            servers: Vec::new(),
-            answer: None,
-        })))
+        let unknown = || fate::Fate::unknown(id.clone(), account.to_owned());
+        Ok(Some(held.fate.unwrap_or_else(unknown)))
     }
 
     /// Makes a claim; also returns whether an unused one may be left behind.
@@ -156,6 +150,7 @@
         }
     }
 
+    /// Asks the owner of a request for its fate.
     async fn fate_of_owner(&self, request: ids::RequestId) -> action::FateAnswer {
         let (tx, rx) = oneshot::channel();
         // The control thread ends only with the process.
@@ -168,12 +163,12 @@
     /// Gives back a claim whose request never sent its call and never will.
     async fn renounce(&self, request: ids::RequestId, name: &str) {
         let begin = || claim::Settling::renounce(request.clone());
-        self.finish_often(begin, name).await;
+        self.finish_with_retries(begin, name).await;
     }
 
-    /// Carries the end of a claim out, again and again while it fails; returns whether it is
+    /// Carries the end of a claim out, in up to [`END_ATTEMPTS`] attempts; returns whether it is
     /// recorded.
-    async fn finish_often(
+    async fn finish_with_retries(
         &self,
         begin: impl Fn() -> (claim::Settling, claim::settling::Step),
         name: &str,
--- a/crates/mustardshedd/src/process/claims/objects.rs
+++ b/crates/mustardshedd/src/process/claims/objects.rs
@@ -14,10 +14,12 @@
 }
 
 impl Objects {
+    /// Makes the claim objects of a platform.
     pub(super) fn new(platform: sync::Arc<dyn platform::Platform>) -> Self {
         Self { platform }
     }
 
+    /// Reads a claim; nothing if there is none.
     pub(super) async fn get(
         &self,
         name: &str,
@@ -33,6 +35,7 @@
         Ok(Some((object.version, value)))
     }
 
+    /// Writes a claim if it is at `expected`; returns its new version.
     pub(super) async fn put(
         &self,
         name: &str,
@@ -51,6 +54,7 @@
             .await
     }
 
+    /// Deletes a claim if it is at `expected`.
     pub(super) async fn delete(
         &self,
         purpose: platform::Purpose,
@@ -62,7 +66,7 @@
             .await
     }
 
-    /// Lists the claims whose names start with `prefix`; what is not understood is left out.
+    /// Lists the claims whose names start with `prefix`; those that cannot be decoded are left out.
     pub(super) async fn list(
         &self,
         prefix: &str,
@@ -70,11 +74,11 @@
         let purpose = platform::Purpose::ClaimSweep;
         let kind = platform::ObjectKind::Claim;
         let objects = self.platform.list(purpose, kind, prefix).await?;
-        let understood = |object: platform::Object| {
+        let decode = |object: platform::Object| {
             let value = wire::claim::decode(&object.value).ok()?;
             Some((object.name, object.version, value))
         };
-        Ok(objects.into_iter().filter_map(understood).collect())
+        Ok(objects.into_iter().filter_map(decode).collect())
     }
 }
 
