--- a/crates/mustardshedctl/src/apply.rs
+++ b/crates/mustardshedctl/src/apply.rs
@@ -1,11 +1,12 @@
 //! Writing a configuration in three steps: intent, conditional update, commit.
 //!
-//! The update is sent within [`INTENT_LIFE`] of the intents, since an entry that restarts forgets them. A client that was
-//! frozen meanwhile begins anew; one that repeats an update whose answer was lost announces it again first.
+//! The update is sent within [`INTENT_LIFE`] of the intents, since an entry that restarts forgets
+//! them. A writer that was suspended meanwhile begins anew; one that repeats an update whose answer
+//! was lost announces it again first.
 //!
-//! A lost answer to the update is settled by reading back and comparing the nonce. The same update may be sent again
-//! only after a read has shown the version that it was based on; it carries that version and the same nonce, so at
-//! most one of its copies takes effect.
+//! A lost answer to the update is settled by reading back and comparing the nonce. The same update
+//! may be sent again only after a read has shown the version that it was based on; it carries that
+//! version and the same nonce, so at most one of its copies takes effect.
 
 mod announcement;
 mod current;
@@ -44,9 +45,9 @@
 /// Time after the first intent is sent within which the update must be.
 pub const INTENT_LIFE: time::Duration = time::Duration::from_secs(2);
 
-/// Times that a change is begun anew because its intents had grown too old.
+/// Greatest number of times that a change is begun, if its intents get too old each time.
 const MAX_STARTS: u32 = 3;
-/// Time after which a lost answer is no longer waited out.
+/// Longest time for finding out whether an update whose answer was lost took effect.
 const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// Pause between two reads of the configuration.
 const SETTLE_PAUSE: time::Duration = time::Duration::from_millis(200);
@@ -86,7 +87,7 @@
         self
     }
 
-    /// Sets the time after which a lost answer is no longer waited out.
+    /// Sets the longest time for finding out whether an update whose answer was lost took effect.
     #[must_use]
     pub const fn settle_limit(mut self, limit: time::Duration) -> Self {
         self.settle_limit = limit;
@@ -138,6 +139,7 @@
         Ok(Receipt::new(record, &announcement, untold, history.err()))
     }
 
+    /// Checks that the present configuration has the expected generation, if one is given.
     async fn check_expected(
         &self,
         base: &Current,
@@ -157,6 +159,7 @@
         ))
     }
 
+    /// Sends the intent to all entries; an error if no majority acknowledges it.
     async fn announce(
         &self,
         base: &Current,
--- a/crates/mustardshedctl/src/apply/announcement.rs
+++ b/crates/mustardshedctl/src/apply/announcement.rs
@@ -1,4 +1,4 @@
-//! Telling all entries at once.
+//! Intents and commits, sent to all entries at once.
 
 use std::time;
 
@@ -25,7 +25,8 @@
 }
 
 impl Announcement {
-    /// Sends the intent to every listed entry from `begun_at` on; those that are leaving do not count for the majority.
+    /// Sends the intent to every listed entry from `begun_at` on; those that are leaving do not
+    /// count for the majority.
     pub(super) async fn send(
         entries: &dyn entries::Entries,
         vms: &[platform::Vm],
@@ -68,22 +69,22 @@
             .collect()
     }
 
-    /// Returns when the first intent was sent, at the earliest.
+    /// Returns a time before which no intent was sent.
     pub(super) const fn begun_at(&self) -> ids::Timestamp {
         self.begun_at
     }
 
-    /// Whether the update may still be sent on its strength.
+    /// Returns whether the update may still be sent on its strength.
     pub(super) fn is_fresh(&self, now: ids::Timestamp) -> bool {
         now < self.begun_at + INTENT_LIFE
     }
 
-    /// Whether more than half of the live entries acknowledged it, or there is none.
+    /// Returns whether more than half of the live entries acknowledged it, or there is none.
     pub(super) const fn has_majority(&self) -> bool {
         self.live == 0 || self.acknowledged * 2 > self.live
     }
 
-    /// Whether an entry knows of a later configuration.
+    /// Returns whether an entry knows of a later configuration.
     pub(super) fn is_conflict(&self) -> bool {
         self.refusals
             .iter()
--- a/crates/mustardshedctl/src/apply/current.rs
+++ b/crates/mustardshedctl/src/apply/current.rs
@@ -17,7 +17,7 @@
 }
 
 impl Current {
-    /// Reads it.
+    /// Reads the configuration that the platform holds.
     ///
     /// # Errors
     ///
@@ -44,7 +44,7 @@
         self.record.as_ref().map_or(0, |record| record.generation)
     }
 
-    /// Whether it is the record with this nonce.
+    /// Returns whether it is the record with this nonce.
     pub fn has_nonce(&self, nonce: &str) -> bool {
         let record = self.record.as_ref();
         record.is_some_and(|record| record.nonce == nonce)
--- a/crates/mustardshedctl/src/apply/history.rs
+++ b/crates/mustardshedctl/src/apply/history.rs
@@ -7,7 +7,9 @@
 
 use super::{Current, ReadError};
 
+/// Kind of the objects that keep earlier configurations.
 const KIND: platform::ObjectKind = platform::ObjectKind::History;
+/// Purpose under which calls on them are counted.
 const PURPOSE: platform::Purpose = platform::Purpose::Configuration;
 
 /// Returns the name of the object that keeps a generation; names sort by generation.
@@ -47,6 +49,7 @@
     create(platform, record.generation, value.to_vec()).await
 }
 
+/// Creates the object of a generation, unless it is there already.
 async fn create(
     platform: &dyn platform::Platform,
     generation: ids::Generation,
--- a/crates/mustardshedctl/src/apply/settlement.rs
+++ b/crates/mustardshedctl/src/apply/settlement.rs
@@ -1,4 +1,4 @@
-//! The conditional update, and settling its fate.
+//! The conditional update, and finding out whether it took effect.
 
 use std::time;
 
@@ -9,7 +9,7 @@
 /// Time after its first intent within which an update may be announced again; entries that hold
 /// the intent keep it for longer.
 const REPEAT_LIMIT: time::Duration = time::Duration::from_secs(30);
-/// Times that an update is announced again before one repetition.
+/// Greatest number of times that an update is announced again before one repetition.
 const MAX_RENEWALS: u32 = 3;
 
 /// What the last attempt at the update showed.
@@ -37,7 +37,7 @@
         let mut may_be_written = false;
         loop {
             if may_be_written {
-                // One that cannot be renewed is found out by the attempt.
+                // If the intents stay too old, the attempt returns that as its error.
                 self.renew(announcement, base, record, repeat_until).await;
             }
             let reason = match self.attempt(base, value, announcement).await {
@@ -83,6 +83,7 @@
         }
     }
 
+    /// Sends the update once, while its intents are young enough.
     async fn attempt(
         &self,
         base: &Current,
@@ -117,7 +118,8 @@
 }
 
 impl Settlement<'_> {
-    /// Reads back until the fate is known: true if the record was written, false if the update may be repeated.
+    /// Reads back until it is known what became of the update: true if the record was written,
+    /// false if the update may be repeated.
     async fn settle(&self, mut reason: String) -> Result<bool, ApplyError> {
         loop {
             match Current::read(self.writer.platform).await {
@@ -135,7 +137,8 @@
         }
     }
 
-    /// Somebody else's record is there: either in place of this one, or after it.
+    /// Returns true if the record was written before the one that was found, and an error if that
+    /// one was written in its place or if this cannot be told.
     async fn replaced(&self, found: &Current) -> Result<bool, ApplyError> {
         if found.generation() == self.record.generation || !self.may_be_written {
             return Err(self.conflict(Some(found)));
@@ -154,6 +157,7 @@
         time::Instant::now() < self.deadline
     }
 
+    /// Returns the error for an update that was not settled in time.
     fn unsettled(&self, reason: String) -> ApplyError {
         if self.may_be_written {
             self.unknown(reason)
