Build unused feedback and log routes in one place, and split the start

Cause: the feedback on a credit for which nothing was sent, and the log events of a routed and an unrouted attempt, were each written twice. The start of the daemon was one function of 56 lines. "Pump", "patience" and "often" named a read, a timeout and retries. A constant had no unit.

Change: control::Feedback::unused; report::routed and report::not_routed; parts, requests and run_until_stopped beside serve; names and comments by what they do. Two reasons of the last check before a send are worded anew, and one of a gang's route.

Weighed: the fields that a placement and its cleanup share were left as they are; one struct within the other would cost more than it saves.

Conclusion: behaviour is unchanged but for the three wordings; the run's incarnation is read once the platform's client is open, no longer just before.

--- a/crates/mustardshed-core/src/border/control.rs
+++ b/crates/mustardshed-core/src/border/control.rs
@@ -59,6 +59,20 @@
     pub failure: Option<backend_server::BackendServerError>,
 }
 
+impl Feedback {
+    /// Makes the feedback on a credit for which nothing was sent.
+    pub fn unused(credit: &Credit) -> Self {
+        Self {
+            request: credit.request.clone(),
+            server: credit.server.clone(),
+            prefill_tokens: 0,
+            first_token: None,
+            epoch: None,
+            failure: None,
+        }
+    }
+}
+
 /// A non-idempotent call about to be sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ClaimRequest {
--- a/crates/mustardshedd/src/connection/backend_server/token_stream.rs
+++ b/crates/mustardshedd/src/connection/backend_server/token_stream.rs
@@ -23,7 +23,7 @@
 /// Value of the last event of a whole output.
 const DONE: &[u8] = b"[DONE]";
 /// Longest time for the end of a body after the last event.
-const DRAIN: time::Duration = time::Duration::from_secs(1);
+const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Body of an answer that is being read.
 #[derive(Debug)]
@@ -90,6 +90,7 @@
         }
     }
 
+    /// Polls for the next chunk of the body, or the end of the longest wait for it.
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<Bytes, BackendServerError>> {
         let Poll::Ready(received) = Pin::new(&mut self.body).poll_frame(cx) else {
             return self.poll_timeout(cx).map(Err);
@@ -117,12 +118,13 @@
             return;
         }
         tokio::spawn(async move {
-            let end = tokio::time::timeout(DRAIN, self.body.frame()).await;
+            let end = tokio::time::timeout(DRAIN_TIMEOUT, self.body.frame()).await;
             drop(end);
         });
     }
 }
 
+/// Parses the data of an event; nothing for the last one.
 fn parse(data: &[u8]) -> Result<Option<TokenFrame>, BackendServerError> {
     if data == DONE {
         return Ok(None);
--- a/crates/mustardshedd/src/connection/idle_timer.rs
+++ b/crates/mustardshedd/src/connection/idle_timer.rs
@@ -1,4 +1,4 @@
-//! Timer of a wait that begins anew with every arrival.
+//! Timer for the longest wait between two arrivals.
 //!
 //! ```
 //! use std::time;
@@ -22,10 +22,10 @@
 
 use tokio::time as clock;
 
-/// Timer of a wait that begins anew with every arrival.
+/// Timer for the longest wait between two arrivals, to be restarted at each of them.
 ///
-/// A restart only notes the time. The runtime's timer is set once for many arrivals, where a
-/// timeout of its own for each of them would be set and removed every time.
+/// A restart only notes the time: the runtime's timer is set once for many arrivals, not once for
+/// each as a timeout would be.
 #[derive(Debug)]
 pub struct IdleTimer {
     due: clock::Instant,
@@ -33,7 +33,7 @@
 }
 
 impl IdleTimer {
-    /// Begins a wait of at most `limit`.
+    /// Starts the timer; the first wait may take `limit`.
     pub fn new(limit: time::Duration) -> Self {
         let due = clock::Instant::now() + limit;
         Self {
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Begins the wait anew, of at most `limit`.
+    /// Restarts the timer; the next wait may take `limit`.
     pub fn restart(&mut self, limit: time::Duration) {
         self.due = clock::Instant::now() + limit;
         if self.due < self.timer.deadline() {
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Polls for the end of the wait.
+    /// Polls whether the present wait has taken its limit.
     pub fn poll_elapsed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             task::ready!(self.timer.as_mut().poll(cx));
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Waits for `arrival`; nothing if the wait ends before.
+    /// Waits for `arrival`; nothing if that takes longer than the limit.
     pub async fn bound<F: Future>(&mut self, arrival: F) -> Option<F::Output> {
         let mut arrival = pin::pin!(arrival);
         future::poll_fn(|cx| {
--- a/crates/mustardshedd/src/process/control.rs
+++ b/crates/mustardshedd/src/process/control.rs
@@ -31,25 +31,30 @@
 /// number the listener bounds.
 #[derive(Debug)]
 pub(crate) enum Command {
+    /// Asks for a credit.
     Acquire(
         control::CreditRequest,
         oneshot::Sender<Result<control::Credit, error::Error>>,
     ),
+    /// Gives a credit back.
     Release(control::Credit, control::Feedback),
+    /// Records the fate of a request of this entry.
     Record(fate::Fate),
+    /// Asks for the fate of a request.
     WantFate(ids::RequestId, oneshot::Sender<action::FateAnswer>),
+    /// Announces a configuration before it is written.
     Intent(
         record::Record,
         oneshot::Sender<Result<ids::Generation, error::Error>>,
     ),
+    /// Tells a configuration that was accepted.
     Commit(
         record::Record,
         oneshot::Sender<Result<ids::Generation, error::Error>>,
     ),
-    InFlight {
-        requests: usize,
-        places: usize,
-    },
+    /// Tells how many requests are in flight, and how many may be.
+    InFlight { requests: usize, places: usize },
+    /// Begins the planned stop.
     Leave,
 }
 
@@ -216,14 +221,7 @@
         let Some(credit) = self.pending.acquired(ticket, result) else {
             return;
         };
-        let feedback = control::Feedback {
-            request: credit.request.clone(),
-            server: credit.server.clone(),
-            prefill_tokens: 0,
-            first_token: None,
-            epoch: None,
-            failure: None,
-        };
+        let feedback = control::Feedback::unused(&credit);
         self.handle(event::Event::Release { credit, feedback });
     }
 }
--- a/crates/mustardshedd/src/process/placement.rs
+++ b/crates/mustardshedd/src/process/placement.rs
@@ -18,7 +18,7 @@
 
 use crate::process::control;
 
-/// Ends of calls that may wait; each call has one, and there are few at once.
+/// Ends of calls that may wait for placement; few calls run at once, and each has one end.
 const EVENT_QUEUE_LEN: usize = 256;
 
 /// Starts placement on the current runtime.
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -6,7 +6,7 @@
 use mustardshed::{
     config::settings,
     core::{
-        border::{backend_server, clock, control as border},
+        border::{clock, control as border},
         process::{drain, node},
     },
     platform::client,
@@ -62,54 +62,75 @@
 
 async fn serve(start: startup::Start) -> Result<(), ServiceError> {
     let settings = &start.settings;
-    let identity = identity(settings);
     let platform = client::Client::open(&settings.platform, &settings.vm, PLATFORM_TIMEOUT)
         .map_err(ServiceError::Platform)?;
     let platform = sync::Arc::new(platform);
-    let servers = engine::open(engine::Timeouts::default());
-    let servers: sync::Arc<dyn backend_server::BackendServer> = sync::Arc::new(servers);
-    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(boot::BootClock);
-    let parts = control::Parts {
-        identity: identity.clone(),
-        seed: rand::random(),
-        clock: sync::Arc::clone(&clock),
-        platform: platform.clone(),
-        servers: sync::Arc::clone(&servers),
-        peer_key: sync::Arc::clone(&start.peer_key),
-        log: entry::emit,
-    };
+    let parts = parts(&start, sync::Arc::clone(&platform));
     let peer_listener = listen(settings.peer_listen)?;
-    let handle = control::spawn(parts, peer_listener).map_err(ServiceError::Runtime)?;
+    let handle = control::spawn(parts.clone(), peer_listener).map_err(ServiceError::Runtime)?;
     let handle = sync::Arc::new(handle);
-    let swept_platform = sync::Arc::clone(&platform);
-    let operator = operator::Operator::new(handle.clone(), platform, start.operator_key_digest);
+    let operator =
+        operator::Operator::new(handle.clone(), platform.clone(), start.operator_key_digest);
     let operator = sync::Arc::new(operator);
     let metrics = metrics(settings)?;
     gauges::spawn(metrics.clone(), operator.clone());
-    let limits = settings.limits;
-    let requests = request::cx::Cx::new(
-        handle.clone() as sync::Arc<dyn border::Control>,
-        servers,
-        sync::Arc::clone(&clock),
-        metrics,
-        limits.max_in_flight,
-        rand::random(),
-    );
-    let requests = requests.routing(settings.routing);
-    let cx = cx::Cx::new(requests, operator, limits);
+    let requests = requests(settings, &parts, handle.clone(), metrics);
+    let cx = cx::Cx::new(requests, operator, settings.limits);
     let requests = sync::Arc::clone(&cx.requests);
     let server = server::bind(settings.listen, sync::Arc::new(cx))
         .await
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
     tokio::spawn(tell_in_flight(handle.clone(), requests));
-    sweeper::spawn(&handle, swept_platform);
+    sweeper::spawn(&handle, platform);
+    run_until_stopped(&parts, server, &handle).await
+}
+
+/// Makes what the control thread is built from.
+fn parts(start: &startup::Start, platform: sync::Arc<client::Client>) -> control::Parts {
+    let servers = engine::open(engine::Timeouts::default());
+    control::Parts {
+        identity: identity(&start.settings),
+        seed: rand::random(),
+        clock: sync::Arc::new(boot::BootClock),
+        platform,
+        servers: sync::Arc::new(servers),
+        peer_key: sync::Arc::clone(&start.peer_key),
+        log: entry::emit,
+    }
+}
+
+/// Makes the shared state of the requests.
+fn requests(
+    settings: &settings::Settings,
+    parts: &control::Parts,
+    control: sync::Arc<dyn border::Control>,
+    metrics: metrics::Metrics,
+) -> request::cx::Cx {
+    let requests = request::cx::Cx::new(
+        control,
+        sync::Arc::clone(&parts.servers),
+        sync::Arc::clone(&parts.clock),
+        metrics,
+        settings.limits.max_in_flight,
+        rand::random(),
+    );
+    requests.routing(settings.routing)
+}
+
+/// Logs the start, waits until this entry is to leave, stops as planned and logs the end.
+async fn run_until_stopped(
+    parts: &control::Parts,
+    server: server::Server,
+    handle: &control::Handle,
+) -> Result<(), ServiceError> {
+    let identity = &parts.identity;
     log::emit(&event::Event::Started {
         vm: &identity.vm,
         incarnation: identity.incarnation,
         data_centre: &identity.data_centre,
     });
-    wait_for_leave(&handle).await?;
-    stop(server, clock.as_ref(), &handle).await;
+    wait_for_leave(handle).await?;
+    stop(server, parts.clock.as_ref(), handle).await;
     log::emit(&event::Event::Stopped {
         vm: &identity.vm,
         incarnation: identity.incarnation,
--- a/crates/mustardshedd/src/request/call/attempt.rs
+++ b/crates/mustardshedd/src/request/call/attempt.rs
@@ -8,10 +8,7 @@
     request::{admission, fate, route, route::work},
 };
 
-use crate::{
-    log::{self, event},
-    request::{call::driver, failure, held_credit, placement, send_check},
-};
+use crate::request::{call::driver, failure, held_credit, placement, report, send_check};
 
 impl driver::Driver {
     /// Makes one attempt; returns the service's answer.
@@ -38,35 +35,14 @@
         let work = work::Work::new(target, self.cx.next_seed()).tried(&tried);
         let decision =
             route::decide(&snapshot, &work, now).map_err(|none| self.not_routed(&none))?;
-        self.log_routed(&decision);
+        report::routed(job, &decision, 0, self.count);
         admission::check_deadline(&decision.estimate, now, job.deadline)
             .map_err(failure::Failure::stop)?;
         Ok(decision)
     }
 
-    fn log_routed(&self, decision: &route::decision::Decision) {
-        let job = &self.call.job;
-        log::emit(&event::Event::Routed {
-            request: &job.id,
-            account: &job.account,
-            service: &job.service,
-            server: &decision.server,
-            data_centre: &decision.data_centre,
-            estimate_ms: decision.estimate.total().as_millis(),
-            prompt_tokens: 0,
-            attempt: self.count,
-            reason: &decision.to_string(),
-        });
-    }
-
     fn not_routed(&self, none: &route::decision::NoRoute) -> failure::Failure {
-        let job = &self.call.job;
-        log::emit(&event::Event::NotRouted {
-            request: &job.id,
-            account: &job.account,
-            service: &job.service,
-            reason: &none.to_string(),
-        });
+        report::not_routed(&self.call.job, &none.to_string());
         failure::Failure::no_server(
             "no backend server may be given the call now",
             none.is_passing() || self.is_changing,
--- a/crates/mustardshedd/src/request/call/driver.rs
+++ b/crates/mustardshedd/src/request/call/driver.rs
@@ -29,14 +29,18 @@
 pub struct Driver {
     pub(super) cx: sync::Arc<cx::Cx>,
     pub(super) call: call::Call,
+    /// Servers that are not to be tried again.
     pub(super) tried: Vec<ids::BackendServerId>,
+    /// Servers that were given the call.
     pub(super) given: Vec<ids::BackendServerId>,
     /// Servers whose credits were refused since the last pause.
     pub(super) denied: Vec<ids::BackendServerId>,
     /// Whether a credit was refused because stewards change.
     pub(super) is_changing: bool,
+    /// Attempts so far.
     pub(super) count: u32,
     pub(super) attempts: attempts::Attempts,
+    /// Whether any server ran the call, or may have run it.
     pub(super) may_have_run: sync::Arc<atomic::AtomicBool>,
     started_at: ids::Timestamp,
 }
@@ -135,6 +139,7 @@
         }
     }
 
+    /// Attempts until the service answers or no further attempt is due.
     async fn attempt_until_end(&mut self) -> Result<fate::KeptAnswer, error::Error> {
         loop {
             self.count += 1;
@@ -149,6 +154,7 @@
         }
     }
 
+    /// Returns whether a service says that it did not take a call that may not be repeated.
     fn is_declined(&self, answer: &fate::KeptAnswer) -> bool {
         !self.call.is_repeatable && answer.outcome() == Outcome::Unknown
     }
@@ -209,6 +215,7 @@
     }
 }
 
+/// Returns the error of a call whose deadline passed.
 fn late(outcome: Outcome) -> error::Error {
     let mut err = error::Error::not_run(
         error::ErrorKind::DeadlineExceeded,
--- a/crates/mustardshedd/src/request/call/repeatability.rs
+++ b/crates/mustardshedd/src/request/call/repeatability.rs
@@ -33,6 +33,7 @@
     true
 }
 
+/// Returns the bytes of a path, percent-decoded.
 fn decode(path: &str) -> Vec<u8> {
     let bytes = path.as_bytes();
     let mut decoded = Vec::with_capacity(bytes.len());
@@ -52,6 +53,7 @@
     decoded
 }
 
+/// Returns the byte that `%` and two hexadecimal digits stand for, if `bytes` are that.
 fn escape(bytes: Option<&[u8]>) -> Option<u8> {
     let digits = bytes?.strip_prefix(b"%")?;
     let digits = std::str::from_utf8(digits).ok()?;
--- a/crates/mustardshedd/src/request/completion/attempt.rs
+++ b/crates/mustardshedd/src/request/completion/attempt.rs
@@ -14,7 +14,9 @@
 
 use crate::{
     log::{self, event},
-    request::{completion::driver, completion::plan, failure, held_credit, placement, send_check},
+    request::{
+        completion::driver, completion::plan, failure, held_credit, placement, report, send_check,
+    },
 };
 
 impl driver::Driver {
@@ -55,14 +57,19 @@
         })?;
         admission::check_deadline(&plan.estimate, now, completion.job.deadline)
             .map_err(failure::Failure::stop)?;
+        self.note_recent(&plan, snapshot.taken_at);
+        Ok(plan)
+    }
+
+    /// Notes the prefill that a plan adds to its engines since the snapshot it was made from.
+    fn note_recent(&self, plan: &plan::Plan, taken_at: ids::Timestamp) {
         for engine in &plan.engines {
-            self.cx
-                .recent
-                .add(&engine.server, snapshot.taken_at, plan.prefill_each);
+            let recent = &self.cx.recent;
+            recent.add(&engine.server, taken_at, plan.prefill_each);
         }
-        Ok(plan)
     }
 
+    /// Computes the prefixes of the prompt, once.
     fn mark_prefixes(&mut self, text: &text::Text) {
         if !self.progress.marks.is_empty() {
             return;
@@ -99,29 +106,22 @@
         self.cx.prefixes.learn(&self.progress.marks, server, now);
     }
 
+    /// Makes the plan for one engine; a request that can't be routed yields the reason.
     fn route_single(
         &self,
         decision: Result<route::decision::Decision, route::decision::NoRoute>,
         memory_tokens: ids::Tokens,
     ) -> Result<plan::Plan, String> {
-        let job = &self.completion.job;
-        match decision {
-            Ok(decision) => {
-                log::emit(&event::Event::Routed {
-                    request: &job.id,
-                    account: &job.account,
-                    service: &job.service,
-                    server: &decision.server,
-                    data_centre: &decision.data_centre,
-                    estimate_ms: decision.estimate.total().as_millis(),
-                    prompt_tokens: self.completion.prompt_tokens,
-                    attempt: self.progress.attempts,
-                    reason: &decision.to_string(),
-                });
-                Ok(plan::Plan::single(decision, memory_tokens))
-            }
-            Err(none) => Err(none.to_string()),
-        }
+        let decision = decision.map_err(|none| none.to_string())?;
+        let completion = &self.completion;
+        let attempt = self.progress.attempts;
+        report::routed(
+            &completion.job,
+            &decision,
+            completion.prompt_tokens,
+            attempt,
+        );
+        Ok(plan::Plan::single(decision, memory_tokens))
     }
 
     fn route_gang(&self, plan: Option<gang::Plan>) -> Result<plan::Plan, String> {
@@ -140,7 +140,7 @@
             tokens_each: plan.tokens_each,
             attempt: self.progress.attempts,
             reason: &format!(
-                "the prompt exceeds one engine's memory; the least estimate of all data centres: {}",
+                "the prompt exceeds one engine's memory; the least estimate of any data centre: {}",
                 plan.estimate
             ),
         });
@@ -148,13 +148,7 @@
     }
 
     fn not_routed(&self, reason: &str, is_passing: bool) -> failure::Failure {
-        let job = &self.completion.job;
-        log::emit(&event::Event::NotRouted {
-            request: &job.id,
-            account: &job.account,
-            service: &job.service,
-            reason,
-        });
+        report::not_routed(&self.completion.job, reason);
         failure::Failure::no_server("no backend server may be given the prompt now", is_passing)
     }
 
--- a/crates/mustardshedd/src/request/completion/driver.rs
+++ b/crates/mustardshedd/src/request/completion/driver.rs
@@ -9,7 +9,7 @@
     attempts, completion, completion::progress, cx, failure, output, report, settlement, whole,
 };
 
-/// Wait for the connection to take the final answer.
+/// Longest wait for the connection to take the final answer.
 const FINAL_SEND_WAIT: time::Duration = time::Duration::from_secs(10);
 
 /// Carries one prompt.
@@ -26,9 +26,13 @@
 
 /// What stopped the attempts.
 enum Stop {
+    /// The output was read to its end, or an error ended the attempts.
     Ended(Result<(), error::Error>),
+    /// An earlier request with the same key holds or held the claim.
     Earlier(fate::Fate),
+    /// The deadline passed.
     Deadline,
+    /// The caller closed the connection.
     CallerGone,
 }
 
@@ -105,6 +109,7 @@
         }
     }
 
+    /// Attempts until the output was read to its end or no further attempt is due.
     async fn attempt_until_end(&mut self) -> Result<(), error::Error> {
         loop {
             self.progress.attempts += 1;
@@ -118,6 +123,7 @@
         }
     }
 
+    /// Ends a prompt whose whole output was read.
     async fn complete(mut self) {
         let answer = self
             .progress
@@ -132,6 +138,7 @@
         }
     }
 
+    /// Ends a prompt with an error, whose outcome is set by what the engines were given.
     async fn fail(self, mut err: error::Error) {
         let ran = self.progress.may_have_run && !mutation::on("not_run_after_send");
         if ran && err.outcome == Outcome::NotRun {
@@ -152,6 +159,7 @@
         settlement::conclude(&self.cx, &self.completion.job, fate).await;
     }
 
+    /// Ends a prompt whose caller is gone.
     async fn abandon(self) {
         let outcome = if self.progress.may_have_run {
             Outcome::Failed
@@ -163,6 +171,7 @@
         settlement::conclude(&self.cx, &self.completion.job, fate).await;
     }
 
+    /// Sends the last output, if the connection takes it in time.
     async fn send_final(&self, output: output::Output) {
         drop(tokio::time::timeout(FINAL_SEND_WAIT, self.tx.send(output)).await);
     }
--- a/crates/mustardshedd/src/request/completion/reading.rs
+++ b/crates/mustardshedd/src/request/completion/reading.rs
@@ -11,15 +11,15 @@
     request::{completion::driver, completion::plan, failure, output, placement},
 };
 
-/// Resumptions of one stream without a new token, at most.
+/// Greatest number of resumptions of an output without a new token.
 const MAX_RESUMES: u32 = 3;
 /// Least wait for the next token before the engine is asked whether it still has the request.
-const MIN_PATIENCE: time::Duration = time::Duration::from_secs(10);
-/// Multiple of the estimate after which a first token is asked for.
-const PATIENCE_FACTOR: u32 = 4;
+const MIN_TOKEN_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Factor of the estimated time to first token for the wait for it.
+const FIRST_TOKEN_TIMEOUT_FACTOR: u32 = 4;
 
-/// What reading of one stream came to.
-enum Pumped {
+/// How reading one stream ended.
+enum StreamEnd {
     /// The last token was read.
     Finished,
     /// No token came for a while; an engine that still has the request says so when it is resumed.
@@ -38,12 +38,15 @@
         let mut resumes = 0;
         loop {
             let before = self.progress.assembly.next_offset();
-            let err = match self.pump(&mut stream, plan, placement, sent_at).await {
-                Ok(Pumped::Finished) => {
+            let err = match self
+                .read_stream(&mut stream, plan, placement, sent_at)
+                .await
+            {
+                Ok(StreamEnd::Finished) => {
                     placement.end();
                     return Ok(());
                 }
-                Ok(Pumped::Silent) => broken("no token came for a while"),
+                Ok(StreamEnd::Silent) => broken("no token came for a while"),
                 Err(err) => {
                     resumes += 1;
                     err
@@ -83,35 +86,36 @@
     }
 
     /// Hands on frames until the output ends or its stream breaks.
-    async fn pump(
+    async fn read_stream(
         &mut self,
         stream: &mut backend_server::TokenStream,
         plan: &plan::Plan,
         placement: &mut placement::Placement,
         sent_at: ids::Timestamp,
-    ) -> Result<Pumped, backend_server::BackendServerError> {
-        let mut patience = MIN_PATIENCE.max(plan.estimate.total() * PATIENCE_FACTOR);
-        let mut timer = idle_timer::IdleTimer::new(patience);
+    ) -> Result<StreamEnd, backend_server::BackendServerError> {
+        let first_timeout = plan.estimate.total() * FIRST_TOKEN_TIMEOUT_FACTOR;
+        let mut timeout = MIN_TOKEN_TIMEOUT.max(first_timeout);
+        let mut timer = idle_timer::IdleTimer::new(timeout);
         loop {
             let frame = match timer.bound(stream.next()).await {
                 Some(Some(frame)) => frame?,
                 Some(None) => return Err(broken("the stream ended before the output")),
-                None => return Ok(Pumped::Silent),
+                None => return Ok(StreamEnd::Silent),
             };
             let step = self.progress.assembly.accept(&frame);
             if step == assembly::Step::Gap {
                 return Err(broken("tokens are missing from the stream"));
             }
             if step == assembly::Step::Drop {
-                timer.restart(patience);
+                timer.restart(timeout);
                 continue;
             }
-            patience = MIN_PATIENCE;
+            timeout = MIN_TOKEN_TIMEOUT;
             self.note_token(frame.epoch, plan, placement, sent_at);
             if self.deliver(frame, step).await {
-                return Ok(Pumped::Finished);
+                return Ok(StreamEnd::Finished);
             }
-            timer.restart(patience);
+            timer.restart(timeout);
         }
     }
 
--- a/crates/mustardshedd/src/request/held_credit.rs
+++ b/crates/mustardshedd/src/request/held_credit.rs
@@ -50,12 +50,8 @@
 
     fn new(cx: sync::Arc<cx::Cx>, credit: control::Credit, prefill_tokens: ids::Tokens) -> Self {
         let feedback = control::Feedback {
-            request: credit.request.clone(),
-            server: credit.server.clone(),
             prefill_tokens,
-            first_token: None,
-            epoch: None,
-            failure: None,
+            ..control::Feedback::unused(&credit)
         };
         Self {
             cx,
--- a/crates/mustardshedd/src/request/placement.rs
+++ b/crates/mustardshedd/src/request/placement.rs
@@ -6,9 +6,9 @@
 
 use crate::request::{cx, held_credit};
 
-/// Attempts to cancel work or to give a reservation back.
+/// Greatest number of attempts to cancel work or to give a reservation back.
 const CLEANUP_ATTEMPTS: u32 = 5;
-/// Pause after the first failed attempt; it doubles.
+/// Pause after the first failed attempt; it doubles with each further one.
 const CLEANUP_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// Credits, reservations and work that one attempt holds.
@@ -85,8 +85,11 @@
 
     /// Notes the epoch that an answer named.
     pub fn answered(&mut self, epoch: Option<ids::Epoch>) {
+        let Some(epoch) = epoch else {
+            return;
+        };
         for credit in &mut self.credits {
-            epoch.into_iter().for_each(|epoch| credit.set_epoch(epoch));
+            credit.set_epoch(epoch);
         }
     }
 
@@ -118,7 +121,7 @@
     }
 }
 
-/// What a dropped placement leaves to be done.
+/// What a dropped placement still held, to be cancelled and given back.
 struct Cleanup {
     cx: sync::Arc<cx::Cx>,
     id: ids::RequestId,
@@ -131,17 +134,18 @@
     async fn run(self) {
         if let Some(address) = &self.running_at {
             let cancel = || self.cx.servers.cancel(address, &self.id);
-            attempt_often(cancel).await;
+            call_with_retries(cancel).await;
         }
         for address in &self.reserved {
             let release = || self.cx.servers.release(address, &self.id);
-            attempt_often(release).await;
+            call_with_retries(release).await;
         }
         drop(self.credits);
     }
 }
 
-async fn attempt_often<F>(mut call: impl FnMut() -> F)
+/// Makes a call until it succeeds or [`CLEANUP_ATTEMPTS`] have failed.
+async fn call_with_retries<F>(mut call: impl FnMut() -> F)
 where
     F: Future<Output = Result<(), backend_server::BackendServerError>>,
 {
--- a/crates/mustardshedd/src/request/report.rs
+++ b/crates/mustardshedd/src/request/report.rs
@@ -1,6 +1,6 @@
 //! Log events and metrics that prompts and calls have in common.
 
-use mustardshed::core::{error, ids, outcome::Outcome};
+use mustardshed::core::{error, ids, outcome::Outcome, request::route};
 
 use crate::{
     log::{self, event},
@@ -24,6 +24,36 @@
     pub metric: &'static str,
 }
 
+/// Logs which backend server an attempt goes to, and why.
+pub fn routed(
+    job: &job::Job,
+    decision: &route::decision::Decision,
+    prompt_tokens: ids::Tokens,
+    attempt: u32,
+) {
+    log::emit(&event::Event::Routed {
+        request: &job.id,
+        account: &job.account,
+        service: &job.service,
+        server: &decision.server,
+        data_centre: &decision.data_centre,
+        estimate_ms: decision.estimate.total().as_millis(),
+        prompt_tokens,
+        attempt,
+        reason: &decision.to_string(),
+    });
+}
+
+/// Logs that no backend server may be given a request now, and why.
+pub fn not_routed(job: &job::Job, reason: &str) {
+    log::emit(&event::Event::NotRouted {
+        request: &job.id,
+        account: &job.account,
+        service: &job.service,
+        reason,
+    });
+}
+
 /// Logs that an attempt failed, and what follows.
 pub fn failed(job: &job::Job, servers: &[ids::BackendServerId], failure: &failure::Failure) {
     log::emit(&event::Event::AttemptFailed {
--- a/crates/mustardshedd/src/request/send_check.rs
+++ b/crates/mustardshedd/src/request/send_check.rs
@@ -41,6 +41,7 @@
     Ok(())
 }
 
+/// Checks that a server may still be given work on a credit of this epoch.
 fn check_server(
     snapshot: &snapshot::Snapshot,
     id: &str,
@@ -50,10 +51,12 @@
         return Err(out_of_date("the backend server is no longer known"));
     };
     if server.leaving || snapshot.data_centres_out.contains(&server.data_centre) {
-        return Err(out_of_date("the backend server gets no new work any more"));
+        return Err(out_of_date("the backend server no longer gets new work"));
     }
     if server.epoch > epoch {
-        return Err(out_of_date("the backend server turned cold meanwhile"));
+        return Err(out_of_date(
+            "the backend server turned cold after the credit was granted",
+        ));
     }
     Ok(())
 }
