Describe what the control state keeps, and name its limits by unit

Cause: lines of comments over 100 columns (in the module page of gossip, for one), private functions without a line of purpose, divisors named as parts, a local name that hid a function (fates), a function of 35 lines that set a steward and ended a stewardship, and no example for busy levels where drain and entry weights have one.

Change: comments wrapped and completed; MEMORY_DIVISOR, REQUESTS_DIVISOR, COUNT_VALID_FOR; half levels and free levels named so; Stewards::retire; an example for process::busy.

Conclusion: behaviour is unchanged.

--- a/crates/mustardshed-core/src/process/busy.rs
+++ b/crates/mustardshed-core/src/process/busy.rs
@@ -1,7 +1,18 @@
 //! How busy this entry is, in coarse levels.
 //!
 //! The level rises as soon as a further tenth of the places for requests is taken, and falls only
-//! half a tenth below that, so that a load at the border between two levels is told once.
+//! half a tenth below that, so that a load at the border between two levels is stated once.
+//!
+//! ```
+//! use std::time;
+//!
+//! use mustardshed_core::process::busy;
+//!
+//! let mut busy = busy::Busy::default();
+//! busy.observe(5, 10);
+//! assert_eq!(busy.take_due(time::Duration::ZERO), Some(5));
+//! assert_eq!(busy.take_due(time::Duration::ZERO), None);
+//! ```
 
 use std::time;
 
@@ -9,7 +20,7 @@
 
 /// Level of an entry that has no place left.
 pub const BUSIEST: ids::BusyLevel = 10;
-/// Age at which a level other than zero is stated again; facts are forgotten some time after.
+/// Age at which a level other than zero is stated again, before other entries forget it.
 const RESTATE_AFTER: time::Duration = time::Duration::from_secs(20);
 
 /// How busy this entry is, and what the others were told of it.
@@ -23,11 +34,11 @@
 impl Busy {
     /// Takes the number of requests in flight and the number of places for them.
     pub fn observe(&mut self, requests: usize, places: usize) {
-        let halves = requests.saturating_mul(2 * usize::from(BUSIEST)) / places.max(1);
+        let half_levels = requests.saturating_mul(2 * usize::from(BUSIEST)) / places.max(1);
         let level = usize::from(self.level);
-        let is_within = halves < 2 * level + 2 && halves + 1 >= 2 * level;
+        let is_within = half_levels < 2 * level + 2 && half_levels + 1 >= 2 * level;
         if !is_within {
-            let latest = u8::try_from(halves / 2).unwrap_or(BUSIEST);
+            let latest = u8::try_from(half_levels / 2).unwrap_or(BUSIEST);
             self.level = latest.min(BUSIEST);
         }
     }
--- a/crates/mustardshed-core/src/process/entry_weights.rs
+++ b/crates/mustardshed-core/src/process/entry_weights.rs
@@ -33,7 +33,7 @@
 
 /// Weight of an entry that is near and idle.
 pub const FULL_WEIGHT: u32 = 100;
-/// Weight of an entry that is named at all.
+/// Least weight of an entry that callers may use.
 pub const LEAST_WEIGHT: u32 = 1;
 /// One-way delay below which data centres are equally near.
 pub const NEAR: time::Duration = time::Duration::from_millis(1);
@@ -71,10 +71,11 @@
     named.map_or(&snapshot.data_centre, |(name, _)| name)
 }
 
+/// Returns the weight of an entry at this delay from the caller and this busy level.
 fn weight(delay: time::Duration, busy: ids::BusyLevel) -> u32 {
-    let near = FULL_WEIGHT.checked_shr(doublings(delay)).unwrap_or(0);
-    let free = u32::from(busy::BUSIEST.saturating_sub(busy));
-    (near * free / u32::from(busy::BUSIEST)).max(LEAST_WEIGHT)
+    let idle_weight = FULL_WEIGHT.checked_shr(doublings(delay)).unwrap_or(0);
+    let free_levels = u32::from(busy::BUSIEST.saturating_sub(busy));
+    (idle_weight * free_levels / u32::from(busy::BUSIEST)).max(LEAST_WEIGHT)
 }
 
 /// Returns how often [`NEAR`] has to be doubled to exceed a delay.
@@ -89,18 +90,18 @@
     if origin == to {
         time::Duration::ZERO
     } else if origin == own {
-        learned(snapshot, to)
+        measured(snapshot, to)
     } else if to == own {
-        learned(snapshot, origin)
+        measured(snapshot, origin)
     } else if is_one_region(snapshot, origin, to) && !is_one_region(snapshot, origin, own) {
         delay_within_region(snapshot)
     } else {
-        learned(snapshot, origin).max(learned(snapshot, to))
+        measured(snapshot, origin).max(measured(snapshot, to))
     }
 }
 
-/// Returns the delay to another data centre; none counts as near until it was learned.
-fn learned(snapshot: &snapshot::Snapshot, to: &str) -> time::Duration {
+/// Returns the delay to another data centre; zero until it was measured.
+fn measured(snapshot: &snapshot::Snapshot, to: &str) -> time::Duration {
     snapshot.distances.get(to).copied().unwrap_or_default()
 }
 
--- a/crates/mustardshed-core/src/process/fates.rs
+++ b/crates/mustardshed-core/src/process/fates.rs
@@ -8,7 +8,7 @@
     request::{fate, owner},
 };
 
-/// Fates that one process keeps, at most.
+/// Greatest number of fates that one process keeps.
 pub const MAX_FATES: usize = 65_536;
 /// Longest wait for an owner's answer.
 pub const ANSWER_WITHIN: time::Duration = time::Duration::from_secs(1);
@@ -46,13 +46,13 @@
 impl Fates {
     /// Keeps the present fate of a request of this entry.
     pub fn record(&mut self, fate: fate::Fate) {
-        let is_ended = is_ended(&fate);
+        let has_ended = is_ended(&fate);
         let request = fate.request.clone();
         if mutation::on("fate_not_updated") && self.fates.contains_key(&request) {
             return;
         }
         let earlier = self.fates.insert(request.clone(), fate);
-        if is_ended && !earlier.as_ref().is_some_and(self::is_ended) {
+        if has_ended && !earlier.as_ref().is_some_and(is_ended) {
             self.ended.push_back(request);
         }
         while self.fates.len() > MAX_FATES {
@@ -141,6 +141,7 @@
     }
 }
 
+/// Returns what a question comes to whose owner is alive but did not answer in time.
 fn unanswered_by_owner() -> action::FateAnswer {
     if mutation::on("silent_owner_is_gone") {
         return action::FateAnswer::OwnerGone;
--- a/crates/mustardshed-core/src/process/gossip.rs
+++ b/crates/mustardshed-core/src/process/gossip.rs
@@ -5,9 +5,10 @@
 //!
 //! Relays form a tree for each author, as in epidemic broadcast trees (Plumtree). An entry that is
 //! told only what it knows already declines that author's facts from that neighbour, so that
-//! the first to tell remains. An entry that has an author's address is not told it again. It asks all neighbours for the facts of an author of which it has
-//! heard nothing new for [`WANT_AFTER`]. Both travel in acknowledgements of heartbeats; a
-//! neighbour that acknowledges nothing is sent everything.
+//! the first to tell remains. An entry that has an author's address is not told it again. It asks
+//! all neighbours for the facts of an author of which it has heard nothing new for [`WANT_AFTER`].
+//! Both travel in acknowledgements of heartbeats; a neighbour that acknowledges nothing is sent
+//! everything.
 
 use std::{collections, time};
 
--- a/crates/mustardshed-core/src/process/node/answers.rs
+++ b/crates/mustardshed-core/src/process/node/answers.rs
@@ -9,6 +9,7 @@
 use super::Node;
 
 impl Node {
+    /// Answers a traffic thread's question for the fate of a request, or asks its owner.
     pub(super) fn want_fate(
         &mut self,
         ticket: u64,
@@ -35,6 +36,7 @@
         self.send_questions(now, out);
     }
 
+    /// Sends the questions for fates that are due.
     fn send_questions(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         let members = &self.world.members;
         let can_ask = |owner: &owner::Owner| members.is_alive(&owner.vm, owner.incarnation);
@@ -68,6 +70,8 @@
         self.send(vm, message::Message::FateIs { ticket, fate }, now, out);
     }
 
+    /// Answers the questions for fates and credits that no other entry will answer, and repeats
+    /// those for fates that are due.
     pub(super) fn expire_questions(&mut self, now: ids::Timestamp, out: &mut Vec<action::Action>) {
         let members = &self.world.members;
         let is_gone = |owner: &owner::Owner| members.is_over(&owner.vm, owner.incarnation);
--- a/crates/mustardshed-core/src/process/stewards.rs
+++ b/crates/mustardshed-core/src/process/stewards.rs
@@ -18,7 +18,7 @@
 const REMEMBER_FOR: time::Duration = time::Duration::from_secs(10);
 /// Time after which a load is stated again although it did not change.
 const RESTATE_AFTER: time::Duration = time::Duration::from_secs(1);
-/// The same in a fleet that is too large for a mesh, where small changes wait for it.
+/// The same in a fleet that is too large for a mesh, where small changes are not stated at once.
 const RESTATE_AFTER_IN_RING: time::Duration = time::Duration::from_secs(2);
 
 /// A load as it was last stated.
@@ -46,7 +46,7 @@
     credits: Vec<message::HeldCredit>,
 }
 
-/// Stewardships.
+/// Stewards of all servers, as chosen by this entry, and its own stewardships.
 #[derive(Debug)]
 pub struct Stewards {
     own: ids::VmId,
@@ -95,6 +95,7 @@
         refusals
     }
 
+    /// Sets the steward of a server, and begins or ends this entry's stewardship of it.
     fn set(
         &mut self,
         server: &ids::BackendServerId,
@@ -114,12 +115,7 @@
             server: server.clone(),
             steward: chosen.clone(),
         }));
-        if let Some(steward) = self.stewards.remove(server) {
-            let (credits, refused) = steward.retire(now);
-            refusals.extend(refused);
-            let retired = Retired { at: now, credits };
-            self.retired.insert(server.clone(), retired);
-        }
+        refusals.extend(self.retire(server, now));
         let is_own = chosen.as_ref() == Some(&self.own);
         if let (true, Some(vm)) = (is_own, vm) {
             let steward = steward::Steward::new(vm.clone(), now);
@@ -131,6 +127,22 @@
         };
     }
 
+    /// Ends this entry's stewardship of a server, if it has it; returns refusals for those that
+    /// waited.
+    fn retire(
+        &mut self,
+        server: &ids::BackendServerId,
+        now: ids::Timestamp,
+    ) -> Vec<steward::Decision> {
+        let Some(steward) = self.stewards.remove(server) else {
+            return Vec::new();
+        };
+        let (credits, refusals) = steward.retire(now);
+        let retired = Retired { at: now, credits };
+        self.retired.insert(server.clone(), retired);
+        refusals
+    }
+
     /// Returns the steward of each server.
     pub const fn chosen(&self) -> &collections::BTreeMap<ids::BackendServerId, ids::VmId> {
         &self.chosen
@@ -151,7 +163,7 @@
         self.stewards.keys().cloned().collect()
     }
 
-    /// Lets all stewardships collect anew.
+    /// Lets all stewardships collect the outstanding credits anew.
     pub fn restart(&mut self, now: ids::Timestamp) {
         for steward in self.stewards.values_mut() {
             steward.restart(now);
@@ -171,7 +183,7 @@
             .retain(|_, retired| now < retired.at + REMEMBER_FOR);
     }
 
-    /// Returns the version and body of each load that is to be stated now.
+    /// Returns version, time of measurement and body of each load that is to be stated now.
     ///
     /// In a mesh every change is stated at once, in a larger fleet only one that matters.
     pub fn restate(
--- a/crates/mustardshed-core/src/process/stewards/change.rs
+++ b/crates/mustardshed-core/src/process/stewards/change.rs
@@ -2,10 +2,10 @@
 
 use crate::{border::backend_server, ids, process::message};
 
-/// Part of the memory by which a figure in tokens may change without mattering.
-const MEMORY_PART: u64 = 10;
-/// Part of the requests by which their number may change without mattering.
-const REQUESTS_PART: u32 = 8;
+/// Divisor of the memory: a figure in tokens may change by that part without mattering.
+const MEMORY_DIVISOR: u64 = 10;
+/// Divisor of a number of requests: it may change by that part, and by one, without mattering.
+const REQUESTS_DIVISOR: u32 = 8;
 
 /// Returns whether the change from one stated load to another matters.
 pub(super) fn matters(earlier: &message::FactBody, later: &message::FactBody) -> bool {
@@ -38,6 +38,7 @@
     }
 }
 
+/// Returns whether the server changed in more than its load, as by a restart or in its models.
 fn is_other_server(
     earlier: &backend_server::LoadReport,
     later: &backend_server::LoadReport,
@@ -61,9 +62,9 @@
 }
 
 fn tokens_moved(earlier: ids::Tokens, later: ids::Tokens, memory: ids::Tokens) -> bool {
-    earlier.abs_diff(later) > memory / MEMORY_PART
+    earlier.abs_diff(later) > memory / MEMORY_DIVISOR
 }
 
 fn requests_moved(earlier: u32, later: u32) -> bool {
-    earlier.abs_diff(later) > 1 + earlier.max(later) / REQUESTS_PART
+    earlier.abs_diff(later) > 1 + earlier.max(later) / REQUESTS_DIVISOR
 }
--- a/crates/mustardshed-core/src/process/world.rs
+++ b/crates/mustardshed-core/src/process/world.rs
@@ -8,8 +8,8 @@
     version::{configuration, freshness},
 };
 
-/// Age of a count of votes and of the majority up to which it holds.
-const COUNT_HOLDS_FOR: time::Duration = time::Duration::from_millis(20);
+/// Age up to which a count of votes and of the majority is used again.
+const COUNT_VALID_FOR: time::Duration = time::Duration::from_millis(20);
 
 /// What the decisions of a node rest upon.
 #[derive(Debug)]
@@ -24,6 +24,7 @@
     pub quorum: quorum::Quorum,
     own: ids::VmId,
     data_centres_out: collections::BTreeSet<ids::DataCentreId>,
+    /// Time after which no credit is in use that nobody states.
     quiet_from: ids::Timestamp,
     has_majority: bool,
     counted_at: Option<ids::Timestamp>,
@@ -68,7 +69,7 @@
 
     /// Returns whether a steward can be asked: this entry, or one that is live and reached.
     ///
-    /// One that is alive by the facts of others, over a link that is cut, would let work wait in vain.
+    /// One that only others reach would let work wait in vain, since the link to it is cut.
     pub fn can_ask(&self, vm: &str, now: ids::Timestamp) -> bool {
         let is_live = self
             .members
@@ -99,10 +100,11 @@
     ///
     /// An earlier run on the same VM that goes on unaware takes itself to reach a majority for
     /// [`quorum::REACHED_WITHIN`] more, and what it grants then may be used later still.
-    fn introduce(&mut self, now: ids::Timestamp) {
+    fn note_majority(&mut self, now: ids::Timestamp) {
         self.wait_until(now + quorum::REACHED_WITHIN + credits::USE_WITHIN);
     }
 
+    /// Puts off the time after which no credit is in use that nobody states.
     fn wait_until(&mut self, time: ids::Timestamp) {
         self.quiet_from = self.quiet_from.max(time);
     }
@@ -110,7 +112,7 @@
     /// Counts the votes for the configuration and the reach of a majority, unless that was done
     /// just now; returns whether a majority is reached again.
     pub fn count(&mut self, now: ids::Timestamp) -> bool {
-        let is_recent = |at| now.saturating_sub(at) < COUNT_HOLDS_FOR;
+        let is_recent = |at| now.saturating_sub(at) < COUNT_VALID_FOR;
         if self.counted_at.is_some_and(is_recent) {
             return false;
         }
@@ -120,7 +122,7 @@
         self.has_majority = self.quorum.holds(&self.members, &self.own, now);
         let is_reached_again = self.has_majority && !had_majority;
         if is_reached_again {
-            self.introduce(now);
+            self.note_majority(now);
         }
         is_reached_again
     }
