Hold placement to data centres that are out

Change: the storm's oracle asks that no order goes to a data centre 2 s after it was taken out; seeded fault placement_ignores_out.

--- a/crates/mustardshed-core/src/process/placement/engines.rs
+++ b/crates/mustardshed-core/src/process/placement/engines.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{border::backend_server, ids, process::snapshot};
+use crate::{border::backend_server, ids, mutation, process::snapshot};
 
 /// Time of silence after which what an engine holds does not count any more.
 const GONE_AFTER: time::Duration = time::Duration::from_secs(10);
@@ -100,6 +100,7 @@
 /// Returns whether a server is an engine that is not leaving, in a data centre in service.
 fn is_staying(snapshot: &snapshot::Snapshot, view: &snapshot::ServerView) -> bool {
     let is_engine = snapshot.text.engine_kinds.contains_key(&view.kind);
-    let is_out = snapshot.data_centres_out.contains(&view.data_centre);
+    let is_out = snapshot.data_centres_out.contains(&view.data_centre)
+        && !mutation::on("placement_ignores_out");
     is_engine && !view.leaving && !is_out
 }
--- a/crates/mustardshed-core/tests/placement/fleet.rs
+++ b/crates/mustardshed-core/tests/placement/fleet.rs
@@ -18,6 +18,8 @@
 pub const ENTRIES: usize = 3;
 /// Step of the virtual time.
 const STEP: time::Duration = time::Duration::from_millis(50);
+/// Time after which no order goes to a data centre that was taken out.
+const OUT_KNOWN_WITHIN: time::Duration = time::Duration::from_secs(2);
 /// Longest call of an order, on a slow engine, of a process that was paused within its send.
 const SLOW_CALL: time::Duration =
     time::Duration::from_millis(800).saturating_add(lease::ORDER_TIMEOUT);
@@ -55,6 +57,8 @@
     pub platform: platform::Platform,
     pub text: text::Text,
     pub data_centres_out: collections::BTreeSet<String>,
+    /// Time of the latest change of the data centres that are out.
+    pub out_at: ids::Timestamp,
     pub is_order_lost: bool,
     /// What an oracle found wrong.
     pub violations: Vec<String>,
@@ -72,6 +76,7 @@
             platform: platform::Platform::default(),
             text: texts::text(),
             data_centres_out: collections::BTreeSet::new(),
+            out_at: time::Duration::ZERO,
             is_order_lost: false,
             violations: Vec::new(),
             orders: Vec::new(),
@@ -260,6 +265,12 @@
             self.violations
                 .push(format!("{own} sent {order} before another call ended"));
         }
+        let data_centre = self.engines[&engine].data_centre;
+        let is_known = self.now >= self.out_at + OUT_KNOWN_WITHIN;
+        if is_known && self.data_centres_out.contains(data_centre) {
+            self.violations
+                .push(format!("{own} sent {order} to {engine}, which is out"));
+        }
         self.orders.push((engine.clone(), order.clone()));
         let lasts = if self.engines[&engine].is_slow {
             SLOW_CALL
--- a/crates/mustardshed-core/tests/placement/step.rs
+++ b/crates/mustardshed-core/tests/placement/step.rs
@@ -87,6 +87,7 @@
                 }
             }
             Self::Out(is_out) => {
+                fleet.out_at = fleet.now;
                 fleet.data_centres_out.clear();
                 if is_out {
                     fleet.data_centres_out.insert("b".to_owned());
@@ -124,7 +125,7 @@
         3 => (0_usize..10).prop_map(Step::KillEngine),
         3 => Just(Step::ReviveEngines),
         1 => (0_usize..10, any::<bool>()).prop_map(|(i, on)| Step::LeaveEngine(i, on)),
-        1 => any::<bool>().prop_map(Step::Out),
+        2 => any::<bool>().prop_map(Step::Out),
         4 => (1_u8..6).prop_map(Step::Version),
     ]
     .boxed()
