Give a repeat's record no code of its own, and reuse what the core has

Cause, found by reading the whole change: a repeat was recorded with the code `idempotency_key_in_progress` although the earlier request may long have ended; the storms built the feedback of unused credits by hand beside `Feedback::unused`; three places named `std::time` in full. Ruled out as not worth it: the fixtures' texts that resemble one another and are read better in place, the two drivers' `own_outcome`, whose sources differ, and wire types that mirror the core's, which are meant to. Change: the record has no code; the constructor is used; the imports are as elsewhere.

--- a/crates/mustardshed-core/src/border/control.rs
+++ b/crates/mustardshed-core/src/border/control.rs
@@ -1,6 +1,6 @@
 //! The border between traffic threads and the control thread.
 
-use std::{fmt, sync};
+use std::{fmt, sync, time};
 
 use async_trait::async_trait;
 
@@ -52,7 +52,7 @@
     /// Prompt tokens that were prefilled.
     pub prefill_tokens: ids::Tokens,
     /// Time from the send to the first token, once there was one.
-    pub first_token: Option<std::time::Duration>,
+    pub first_token: Option<time::Duration>,
     /// Epoch that the server's last frame carried.
     pub epoch: Option<ids::Epoch>,
     /// Failure, if the work failed.
--- a/crates/mustardshed-core/tests/promises/fleet/gangs.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/gangs.rs
@@ -9,7 +9,7 @@
     request::{admission, gang, route::work},
 };
 
-use super::{Fleet, Item, Run, engine, traffic};
+use super::{Fleet, Item, Run, engine};
 
 /// Attempts in a row that no engine saw, at most.
 const MAX_FREE_ATTEMPTS: u32 = 4;
@@ -301,7 +301,7 @@
             }
         }
         for credit in credits {
-            let feedback = traffic::feedback(&credit);
+            let feedback = control::Feedback::unused(&credit);
             let event = event::Event::Release { credit, feedback };
             self.at(self.now, run.clone(), Item::Handle(event));
         }
--- a/crates/mustardshed-core/tests/promises/fleet/traffic.rs
+++ b/crates/mustardshed-core/tests/promises/fleet/traffic.rs
@@ -265,7 +265,7 @@
                 End::Failed(failure) => Some(failure),
                 End::Unsent | End::Finished => None,
             },
-            ..feedback(&credit)
+            ..control::Feedback::unused(&credit)
         };
         self.note_ended(&run, request, outcome);
         let event = event::Event::Release { credit, feedback };
@@ -320,18 +320,6 @@
     }
 }
 
-/// Returns the feedback for work of which nothing was learnt.
-pub(super) fn feedback(credit: &control::Credit) -> control::Feedback {
-    control::Feedback {
-        request: credit.request.clone(),
-        server: credit.server.clone(),
-        prefill_tokens: 0,
-        first_token: None,
-        epoch: None,
-        failure: None,
-    }
-}
-
 fn refused() -> backend_server::BackendServerError {
     backend_server::BackendServerError::Refused("full".into())
 }
--- a/crates/mustardshedd/src/http/generate.rs
+++ b/crates/mustardshedd/src/http/generate.rs
@@ -1,6 +1,6 @@
 //! `POST /v1/completions` and `POST /v1/chat/completions`.
 
-use std::sync;
+use std::{sync, time};
 
 use bytes::Bytes;
 use http::header;
@@ -112,7 +112,7 @@
     snapshot: &snapshot::Snapshot,
     account: &text::ClientAccount,
     asked: generate_request::GenerateRequest,
-    deadline: Option<std::time::Duration>,
+    deadline: Option<time::Duration>,
     identity: admit::Identity,
 ) -> Result<Started, refused::Refused> {
     let resolved = resolve::model(&snapshot.text, account, &asked.model)?;
--- a/crates/mustardshedd/src/request/held_credit.rs
+++ b/crates/mustardshedd/src/request/held_credit.rs
@@ -1,6 +1,6 @@
 //! A credit that is given back exactly once.
 
-use std::sync;
+use std::{sync, time};
 
 use mustardshed::core::{
     border::{backend_server, control},
@@ -88,7 +88,7 @@
     }
 
     /// Notes the time from the send to the first token.
-    pub const fn set_first_token(&mut self, elapsed: std::time::Duration) {
+    pub const fn set_first_token(&mut self, elapsed: time::Duration) {
         self.feedback.first_token = Some(elapsed);
     }
 
--- a/crates/mustardshedd/src/request/settlement.rs
+++ b/crates/mustardshedd/src/request/settlement.rs
@@ -42,9 +42,8 @@
 
 /// Records that a repeat did not run, since an earlier request with its key holds the claim.
 pub fn repeated(cx: &cx::Cx, job: &job::Job) {
-    let kind = error::ErrorKind::KeyInProgress;
     cx.control
-        .record(job.fate(Outcome::NotRun, Some(kind), &[], None));
+        .record(job.fate(Outcome::NotRun, None, &[], None));
 }
 
 /// Records the final fate of a request, and settles its claim if it has one.
