Keep writers of a kind together and price waiting lower

Cause: short drafts were spread over all engines, so every long read made some of them late, and the price of waiting outweighed that harm. Ruled out: wrong engine formulas (median of first event over estimate is 1.2 to 1.7).

--- a/crates/mustardshed-core/src/forward/ledger.rs
+++ b/crates/mustardshed-core/src/forward/ledger.rs
@@ -149,7 +149,7 @@
 
     /// Returns the load of a server.
     #[must_use]
-    pub fn load(&self, server: &str, now: ids::Timestamp) -> Load<'_> {
+    pub fn load<'a>(&'a self, server: &'a str, now: ids::Timestamp) -> Load<'a> {
         let line = self.servers.get(server);
         let jobs = line.into_iter().flat_map(|line| &line.jobs);
         let jobs = jobs.filter_map(|key| self.jobs.get(key));
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -30,10 +30,14 @@
 const LEAST_PART_MS: f64 = 24.0;
 /// Price of one helper beside its reading: a wake-up, and a failure that would hit the request.
 const PRICE_OF_HELPER: f64 = 0.02;
-/// Price of placing a writer on an engine that nobody writes on.
-const PRICE_OF_FREE_ENGINE: f64 = 0.25;
+/// Price of placing a writer where no others of its kind write, which then cannot read for others.
+const PRICE_OF_SPREADING: f64 = 0.6;
+/// Price of each place by which a server is fuller than writers are kept together.
+const PRICE_OF_CROWDING: f64 = 0.4;
 /// Price of a millisecond of waiting for a request of weight one.
-const PRICE_OF_WAITING_MS: f64 = 0.0006;
+const PRICE_OF_WAITING_MS: f64 = 0.000_05;
+/// Price of a server in another data centre.
+const PRICE_OF_DISTANCE: f64 = 0.02;
 /// Price of sending work to a cold server.
 const PRICE_OF_COLD: f64 = 1.5;
 /// Price of a recent failure of the server, per unit of the request's weight.
@@ -43,7 +47,7 @@
 /// Part of a server's memory that requests are placed into; the rest is for longer answers.
 const MEMORY_SHARE: f64 = 0.94;
 /// Part of a server's places in which short writers are kept together.
-const PACKED_SHARE: f64 = 0.75;
+const PACKED_SHARE: f64 = 0.85;
 
 /// What a request needs.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -127,19 +127,19 @@
 
 /// Returns the price of writing at a server.
 fn of_home(home: &Spot<'_>, profile: &engine::Profile, need: &Need) -> f64 {
-    let slots = f64::from(profile.slots.max(1));
+    let packed = f64::from(profile.slots.max(1)) * placement::PACKED_SHARE;
     let homes = placement::count_f64(home.load.homes);
-    let crowded = (homes / slots - placement::PACKED_SHARE).max(0.0) * 8.0;
-    let free = if home.load.writers.is_empty() && home.load.readers.is_empty() {
-        placement::PRICE_OF_FREE_ENGINE
-    } else {
-        0.0
-    };
-    // A writer with short pauses suffers from whoever writes beside it and is read again and again.
+    let crowding = (homes + 1.0 - packed).max(0.0) * placement::PRICE_OF_CROWDING;
+    let alike = home.load.homes_within(need.gap_ms);
+    let spreading = (1.0 - placement::count_f64(alike) / packed).max(0.0);
+    // Writers with short pauses suffer from whoever is read beside them.
     let own_pause = home.pass_ms + home.backlog_ms;
     let late = placement::lateness(own_pause / need.gap_ms.max(1.0));
-    let near = if home.is_near { 0.0 } else { 0.02 };
-    crowded + free + near + late * need.value() * placement::LOST_BY_LATENESS / 2.0
+    let near = if home.is_near { 0.0 } else { placement::PRICE_OF_DISTANCE };
+    crowding
+        + spreading * placement::PRICE_OF_SPREADING
+        + near
+        + late * need.value() * placement::LOST_BY_LATENESS / 2.0
 }
 
 /// Returns the price of the chance that a server fails.
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -39,7 +39,6 @@
 /// A server's answer of which the head has come.
 #[derive(Debug)]
 pub(super) struct Answered {
-    pub(super) head: head::Answer,
     pub(super) parts: http::response::Parts,
     pub(super) body: body::Incoming,
     /// What must live as long as the body is read.
@@ -193,7 +192,6 @@
         return Err(Failed::Unknown("the answer is not the server's".to_owned()));
     }
     Ok(Answered {
-        head,
         parts,
         body,
         held,
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -131,7 +131,7 @@
         } else {
             self.req.cx.state().ledger.health_mut(server).answered();
         }
-        self.ended("answered", status.as_u16(), server, 0);
+        self.ended("answered", status.as_u16(), server, &relay::Pace::default());
         Ok(First::Whole(answer))
     }
 
@@ -262,7 +262,7 @@
     }
 
     /// Logs the end of the request.
-    pub(super) fn ended(&self, outcome: &str, status: u16, server: &str, events: u64) {
+    pub(super) fn ended(&self, outcome: &str, status: u16, server: &str, pace: &relay::Pace) {
         let now = self.req.cx.now();
         log::emit(&event::Event::ForwardEnded {
             request: self.req.id(),
@@ -270,7 +270,9 @@
             outcome,
             status,
             server,
-            events,
+            events: pace.events,
+            first_ms: pace.first.unwrap_or_default().as_millis(),
+            longest_gap_ms: pace.longest_gap.as_millis(),
             elapsed_ms: now.saturating_sub(self.req.arrived_at).as_millis(),
         });
     }
--- a/crates/mustardshedd/src/forward/exchange/relay.rs
+++ b/crates/mustardshedd/src/forward/exchange/relay.rs
@@ -1,12 +1,12 @@
 //! A stream of events on its way to the client, resumed at another server where that is allowed.
 
-use std::collections;
+use std::{collections, time};
 
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::body;
-use mustardshed::platform::headers;
+use mustardshed::{core::ids, platform::headers};
 
 use crate::forward::exchange::{self, attempt, driver, events};
 
@@ -101,7 +101,7 @@
         driver,
         source: stream.source,
         ready: stream.ready,
-        passed_on: 0,
+        pace: Pace::default(),
     };
     let frames = stream::unfold(Some(relay), step);
     answer.map(|()| BodyExt::boxed_unsync(http_body_util::StreamBody::new(frames)))
@@ -113,14 +113,39 @@
     driver: driver::Driver,
     source: Source,
     ready: collections::VecDeque<events::Event>,
-    passed_on: u64,
+    pace: Pace,
+}
+
+/// How quickly the events of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Pace {
+    /// Events passed on.
+    pub(super) events: u64,
+    /// Time from the request to the first event.
+    pub(super) first: Option<time::Duration>,
+    /// Longest time between two events.
+    pub(super) longest_gap: time::Duration,
+    last_at: ids::Timestamp,
+}
+
+impl Pace {
+    fn event(&mut self, arrived_at: ids::Timestamp, now: ids::Timestamp) {
+        self.events += 1;
+        if self.first.is_none() {
+            self.first = Some(now.saturating_sub(arrived_at));
+        } else {
+            self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_at));
+        }
+        self.last_at = now;
+    }
 }
 
 async fn step(relay: Option<Relay>) -> Option<(Frame, Option<Relay>)> {
     let mut relay = relay?;
     match relay.next().await {
         Ok(Some(event)) => {
-            relay.passed_on += 1;
+            let req = &relay.driver.req;
+            relay.pace.event(req.arrived_at, req.cx.now());
             relay.driver.last_event = event.id.or(relay.driver.last_event);
             Some((Ok(body::Frame::data(event.bytes)), Some(relay)))
         }
@@ -193,6 +218,6 @@
 
     fn ended(&self, outcome: &str) {
         let server = &self.source.held.server;
-        self.driver.ended(outcome, 200, server, self.passed_on);
+        self.driver.ended(outcome, http::StatusCode::OK.as_u16(), server, &self.pace);
     }
 }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -168,6 +168,8 @@
         status: u16,
         server: &'a str,
         events: u64,
+        first_ms: u128,
+        longest_gap_ms: u128,
         elapsed_ms: u128,
     }
     /// An order about reserved memory failed.
