Model that engines read the newest part of a shared prompt first

Change: a stack of reads for each server, harm to what is read already, reservations where there is room, a log line when a client leaves.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -10,6 +10,7 @@
 pub mod confirmation;
 pub mod engine;
 pub mod head;
+pub mod lateness;
 pub mod ledger;
 pub mod placement;
 pub mod roster;
--- a/crates/mustardshed-core/src/forward/ledger.rs
+++ b/crates/mustardshed-core/src/forward/ledger.rs
@@ -3,15 +3,16 @@
 //! Engines report their load late, so every entry tells its peers at once what it sends, when the
 //! first event came, and when a request ended. Everybody then knows what is ahead of a new request.
 
-use std::{collections, time};
+use std::collections;
 
-use crate::{forward::engine, ids};
+use crate::{forward::lateness, ids};
 
 mod health;
+mod line;
 mod load;
 
 pub use health::Health;
-pub use load::Load;
+pub use load::{Load, Reading};
 
 /// Names one job: the entry that sent it and the entry's own number for it.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -22,15 +23,22 @@
     pub number: u64,
 }
 
+/// A server that reads a part of a prompt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Helper {
+    /// Its name.
+    pub server: ids::BackendServerId,
+    /// Tokens of the prompt that it holds in a reservation; zero if it only reads.
+    pub held_tokens: ids::Tokens,
+}
+
 /// A request in flight on a backend server and its helpers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
     /// Server that answers.
     pub home: ids::BackendServerId,
     /// Servers that read parts of the prompt.
-    pub helpers: Vec<ids::BackendServerId>,
-    /// Tokens of the prompt that each helper holds in a reservation.
-    pub held_tokens: ids::Tokens,
+    pub helpers: Vec<Helper>,
     /// Engine time of the part that each of them reads, in milliseconds.
     pub part_ms: f64,
     /// Length of the prompt.
@@ -41,6 +49,12 @@
     pub gap_ms: f64,
     /// Weight of the request against others.
     pub value: f64,
+    /// Time from the request within which its first event is on time, in milliseconds.
+    pub objective_ms: f64,
+    /// Time from the request after which its caller gives up, in milliseconds.
+    pub patience_ms: f64,
+    /// Time at which the request came.
+    pub arrived_at: ids::Timestamp,
     /// Whether its first event has come.
     pub is_writing: bool,
 }
@@ -48,26 +62,29 @@
 impl Job {
     /// Returns the servers that read its prompt, the one that answers first.
     pub fn readers(&self) -> impl Iterator<Item = &ids::BackendServerId> {
-        std::iter::once(&self.home).chain(&self.helpers)
+        let helpers = self.helpers.iter().map(|helper| &helper.server);
+        std::iter::once(&self.home).chain(helpers)
     }
-}
 
-/// Window in which arrivals at a cold server are counted.
-const ARRIVAL_WINDOW: time::Duration = time::Duration::from_millis(1_100);
+    /// Returns the tokens that helpers hold.
+    #[must_use]
+    pub fn held_tokens(&self) -> ids::Tokens {
+        self.helpers.iter().map(|helper| helper.held_tokens).sum()
+    }
+
+    /// Returns the expected loss if its first event comes `after_ms` from now.
+    #[must_use]
+    pub fn loss(&self, after_ms: f64, now: ids::Timestamp) -> f64 {
+        let waited = now.saturating_sub(self.arrived_at).as_secs_f64() * 1_000.0;
+        lateness::loss(waited + after_ms, self.objective_ms, self.patience_ms) * self.value
+    }
+}
 
 /// Jobs by server.
 #[derive(Debug, Default)]
 pub struct Ledger {
     jobs: collections::HashMap<JobKey, Job>,
-    servers: collections::HashMap<ids::BackendServerId, Line>,
-}
-
-#[derive(Debug, Default)]
-struct Line {
-    jobs: Vec<JobKey>,
-    read_until: ids::Timestamp,
-    arrivals: collections::VecDeque<ids::Timestamp>,
-    health: Health,
+    servers: collections::HashMap<ids::BackendServerId, line::Line>,
 }
 
 impl Ledger {
@@ -78,21 +95,10 @@
         }
         for server in job.readers() {
             let line = self.servers.entry(server.clone()).or_default();
-            line.jobs.push(key.clone());
-            if !job.is_writing {
-                let pace = line.health.pace();
-                line.read_until = line.read_until.max(now) + engine::millis(job.part_ms * pace);
-            }
+            line.start(&key, &job, now);
         }
         let line = self.servers.entry(job.home.clone()).or_default();
-        line.arrivals.push_back(now);
-        while line
-            .arrivals
-            .front()
-            .is_some_and(|at| *at + ARRIVAL_WINDOW < now)
-        {
-            line.arrivals.pop_front();
-        }
+        line.arrived(now);
         self.jobs.insert(key, job);
     }
 
@@ -104,7 +110,9 @@
         job.is_writing = true;
         let readers: Vec<ids::BackendServerId> = job.readers().cloned().collect();
         for server in readers {
-            self.settle(&server, now);
+            if let Some(line) = self.servers.get_mut(&server) {
+                line.read(key, now);
+            }
         }
     }
 
@@ -115,9 +123,8 @@
         };
         for server in job.readers() {
             if let Some(line) = self.servers.get_mut(server) {
-                line.jobs.retain(|other| other != key);
+                line.end(key, now);
             }
-            self.settle(server, now);
         }
     }
 
@@ -150,23 +157,31 @@
     /// Returns the load of a server.
     #[must_use]
     pub fn load<'a>(&'a self, server: &'a str, now: ids::Timestamp) -> Load<'a> {
-        let line = self.servers.get(server);
-        let jobs = line.into_iter().flat_map(|line| &line.jobs);
-        let jobs = jobs.filter_map(|key| self.jobs.get(key));
-        let read_until = line.map_or(time::Duration::ZERO, |line| line.read_until);
-        Load::new(server, jobs, read_until.saturating_sub(now))
+        let mut load = Load::new(server);
+        let Some(line) = self.servers.get(server) else {
+            return load;
+        };
+        for job in line.jobs.iter().filter_map(|key| self.jobs.get(key)) {
+            load.add(job);
+        }
+        for (key, done_ms) in line.reads(now) {
+            if let Some(job) = self.jobs.get(key) {
+                load.readings.push(Reading {
+                    job,
+                    key,
+                    done_ms,
+                });
+            }
+        }
+        load
     }
 
     /// Returns the requests that were sent to a server within the last second.
     #[must_use]
     pub fn arrivals(&self, server: &str, now: ids::Timestamp) -> usize {
-        let since = now.saturating_sub(ARRIVAL_WINDOW);
-        let arrivals = self
-            .servers
+        self.servers
             .get(server)
-            .into_iter()
-            .flat_map(|line| &line.arrivals);
-        arrivals.filter(|at| **at >= since).count()
+            .map_or(0, |line| line.arrivals(now))
     }
 
     /// Returns what was seen of a server's health.
@@ -187,15 +202,4 @@
         self.servers
             .retain(|id, line| is_listed(id) || !line.jobs.is_empty());
     }
-
-    /// Corrects the estimate of a server on which nobody reads any more.
-    fn settle(&mut self, server: &str, now: ids::Timestamp) {
-        let Some(line) = self.servers.get_mut(server) else {
-            return;
-        };
-        let mut jobs = line.jobs.iter().filter_map(|key| self.jobs.get(key));
-        if jobs.all(|job| job.is_writing) {
-            line.read_until = line.read_until.min(now);
-        }
-    }
 }
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -19,34 +19,35 @@
     ids,
 };
 
+mod field;
 mod fit;
 mod plain;
 
 pub use plain::least_busy;
 
 /// Numbers of helpers that are weighed, if there are as many other servers.
-const HELPER_COUNTS: [usize; 8] = [0, 1, 2, 3, 5, 7, 11, 15];
+const HELPER_COUNTS: [usize; 9] = [0, 1, 2, 3, 5, 7, 9, 12, 15];
 /// Least engine time of a part, in milliseconds; smaller ones cost more passes than they save.
-const LEAST_PART_MS: f64 = 24.0;
+const LEAST_PART_MS: f64 = 8.0;
 /// Price of one helper beside its reading: a wake-up, and a failure that would hit the request.
-const PRICE_OF_HELPER: f64 = 0.02;
+const PRICE_OF_HELPER: f64 = 0.03;
 /// Price of placing a writer where no others of its kind write, which then cannot read for others.
 const PRICE_OF_SPREADING: f64 = 0.6;
 /// Price of each place by which a server is fuller than writers are kept together.
 const PRICE_OF_CROWDING: f64 = 0.4;
-/// Price of a millisecond of waiting for a request of weight one.
-const PRICE_OF_WAITING_MS: f64 = 0.000_05;
+/// Price of a second of waiting for a request of weight one.
+const PRICE_OF_WAITING_S: f64 = 0.05;
+/// Price of a second of engine time in a server's queue, for those that are still to come.
+const PRICE_OF_BACKLOG_S: f64 = 0.3;
 /// Price of a server in another data centre.
 const PRICE_OF_DISTANCE: f64 = 0.02;
 /// Price of sending work to a cold server.
 const PRICE_OF_COLD: f64 = 1.5;
 /// Price of a recent failure of the server, per unit of the request's weight.
 const PRICE_OF_FAILURE: f64 = 0.25;
-/// Part of a late request's weight that is lost.
-const LOST_BY_LATENESS: f64 = 0.75;
 /// Part of a server's memory that requests are placed into; the rest is for longer answers.
 const MEMORY_SHARE: f64 = 0.94;
-/// Part of a server's places in which short writers are kept together.
+/// Part of a server's places in which writers of a kind are kept together.
 const PACKED_SHARE: f64 = 0.85;
 
 /// What a request needs.
@@ -56,10 +57,12 @@
     pub prompt_tokens: ids::Tokens,
     /// Expected length of its answer.
     pub answer_tokens: ids::Tokens,
-    /// Time left until its first event should come, in milliseconds.
+    /// Time from its arrival within which its first event is on time, in milliseconds.
     pub objective_ms: f64,
-    /// Time left until its caller gives up waiting for the first event, in milliseconds.
+    /// Time from its arrival after which its caller gives up waiting for it, in milliseconds.
     pub patience_ms: f64,
+    /// Time at which it came.
+    pub arrived_at: ids::Timestamp,
     /// Longest pause between its events that is on time, in milliseconds.
     pub gap_ms: f64,
 }
@@ -91,9 +94,7 @@
     /// Server that answers.
     pub home: ids::BackendServerId,
     /// Servers that help to read.
-    pub helpers: Vec<ids::BackendServerId>,
-    /// Tokens that each helper must hold in a reservation.
-    pub held_tokens: ids::Tokens,
+    pub helpers: Vec<ledger::Helper>,
     /// Engine time of each part, in milliseconds.
     pub part_ms: f64,
     /// Estimated time to the first event, in milliseconds.
@@ -109,7 +110,6 @@
         Self {
             home: server.clone(),
             helpers: Vec::new(),
-            held_tokens: 0,
             part_ms: 0.0,
             estimate_ms: 0.0,
             price: 0.0,
@@ -122,12 +122,14 @@
         ledger::Job {
             home: self.home.clone(),
             helpers: self.helpers.clone(),
-            held_tokens: self.held_tokens,
             part_ms: self.part_ms,
             prompt_tokens: need.prompt_tokens,
             answer_tokens: need.answer_tokens,
             gap_ms: need.gap_ms,
             value: need.value(),
+            objective_ms: need.objective_ms,
+            patience_ms: need.patience_ms,
+            arrived_at: need.arrived_at,
             is_writing: false,
         }
     }
@@ -165,39 +167,34 @@
     need: &Need,
     now: ids::Timestamp,
 ) -> Result<Placed, NotPlaced> {
-    let mut spots: Vec<Spot<'_>> = candidates
-        .iter()
-        .filter(|candidate| takes_work(ledger, candidate, now))
-        .map(|candidate| Spot::new(ledger, candidate, profile, now))
-        .collect();
-    if spots.is_empty() {
+    let field = field::Field::new(ledger, candidates, profile, now);
+    if field.spots.is_empty() {
         return Err(NotPlaced::NoServer);
     }
-    spots.sort_by(|a, b| a.helper_rank().total_cmp(&b.helper_rank()));
     let read_ms = profile.read_ms(need.prompt_tokens);
     let mut best: Option<Placed> = None;
     for count in HELPER_COUNTS {
-        if count > 0 && (count >= spots.len() || read_ms / (count_f64(count) + 1.0) < LEAST_PART_MS)
-        {
+        let part_ms = read_ms / (count_f64(count) + 1.0);
+        if count > 0 && (count >= field.spots.len() || part_ms < LEAST_PART_MS) {
             break;
         }
-        for candidate in fit::homes(&spots, profile, need, read_ms, count) {
-            if best
-                .as_ref()
-                .is_none_or(|best| candidate.price < best.price)
-            {
-                best = Some(candidate);
+        for placed in fit::homes(&field, need, part_ms, count) {
+            if best.as_ref().is_none_or(|best| placed.price < best.price) {
+                best = Some(placed);
             }
         }
     }
+    let waited_ms = now.saturating_sub(need.arrived_at).as_secs_f64() * 1_000.0;
     match best {
         None => Err(NotPlaced::Full {
-            retry_after: earliest(&spots),
-        }),
-        Some(placed) if placed.estimate_ms > need.patience_ms => Err(NotPlaced::TooLate {
-            retry_after: engine::millis(placed.estimate_ms - need.objective_ms)
-                .max(LEAST_RETRY_AFTER),
+            retry_after: field.earliest(),
         }),
+        Some(placed) if waited_ms + placed.estimate_ms > need.patience_ms => {
+            Err(NotPlaced::TooLate {
+                retry_after: engine::millis(placed.estimate_ms - need.objective_ms)
+                    .max(LEAST_RETRY_AFTER),
+            })
+        }
         Some(placed) => Ok(placed),
     }
 }
@@ -214,81 +211,7 @@
         .is_none_or(|rate| arrivals + 1.0 <= rate)
 }
 
-fn earliest(spots: &[Spot<'_>]) -> time::Duration {
-    let soonest = spots.iter().map(|spot| spot.backlog_ms);
-    let soonest = soonest.fold(f64::INFINITY, f64::min);
-    engine::millis(soonest).max(LEAST_RETRY_AFTER)
-}
-
 #[expect(clippy::cast_precision_loss, reason = "counts are small")]
 const fn count_f64(count: usize) -> f64 {
     count as f64
 }
-
-/// A server with what is known of its load.
-struct Spot<'a> {
-    server: &'a server::Server,
-    load: ledger::Load<'a>,
-    is_near: bool,
-    is_cold: bool,
-    failures: f64,
-    pace: f64,
-    backlog_ms: f64,
-    pass_ms: f64,
-}
-
-impl<'a> Spot<'a> {
-    fn new(
-        ledger: &'a ledger::Ledger,
-        candidate: &Candidate<'a>,
-        profile: &engine::Profile,
-        now: ids::Timestamp,
-    ) -> Self {
-        let id = &candidate.server.id;
-        let load = ledger.load(id, now);
-        let health = ledger.health(id);
-        let backlog_ms = load.backlog.as_secs_f64() * 1_000.0;
-        let pass_ms = profile.pass_ms(load.writers.len(), load.context_tokens) * health.pace();
-        Self {
-            server: candidate.server,
-            is_near: candidate.is_near,
-            is_cold: health.is_cold(now),
-            failures: health.failures(now),
-            pace: health.pace(),
-            backlog_ms,
-            pass_ms,
-            load,
-        }
-    }
-
-    /// Returns how little the server is wanted as a helper.
-    fn helper_rank(&self) -> f64 {
-        let writers: f64 = self
-            .load
-            .writers
-            .iter()
-            .map(|job| job.value / job.gap_ms.max(1.0))
-            .sum();
-        let cold = if self.is_cold { 1_000.0 } else { 0.0 };
-        self.backlog_ms + writers * 10_000.0 + cold + self.failures * 200.0
-    }
-
-    /// Returns the price of the writers that another part makes late.
-    fn harm(&self, part_ms: f64) -> f64 {
-        let before = self.pass_ms + self.backlog_ms;
-        let after = before + part_ms;
-        let writers = self.load.writers.iter();
-        let harm = writers
-            .map(|job| job.value * (lateness(after / job.gap_ms) - lateness(before / job.gap_ms)));
-        LOST_BY_LATENESS * harm.sum::<f64>()
-    }
-}
-
-/// Returns how likely something is late that takes `ratio` of its time.
-fn lateness(ratio: f64) -> f64 {
-    /// Ratio below which nothing is late.
-    const SURELY_ON_TIME: f64 = 0.65;
-    /// Ratio above which everything is late.
-    const SURELY_LATE: f64 = 1.1;
-    ((ratio - SURELY_ON_TIME) / (SURELY_LATE - SURELY_ON_TIME)).clamp(0.0, 1.0)
-}
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -2,152 +2,167 @@
 
 use crate::{
     forward::{
-        engine,
-        placement::{self, Need, Placed, Spot},
+        lateness, ledger,
+        placement::{self, Need, Placed, field},
     },
     ids,
 };
 
-/// Prices each server as the one that answers, with the best `count` others as helpers.
-pub(super) fn homes<'a>(
-    spots: &'a [Spot<'a>],
-    profile: &'a engine::Profile,
-    need: &'a Need,
-    read_ms: f64,
+/// Least tokens that a helper is asked to hold; smaller reservations are not worth an order.
+const LEAST_HELD_TOKENS: ids::Tokens = 2_000;
+
+/// Prices each server as the one that answers, with the best `count` others as helpers, each of
+/// which reads for `part_ms`.
+pub(super) fn homes<'f>(
+    field: &'f field::Field<'f>,
+    need: &'f Need,
+    part_ms: f64,
     count: usize,
-) -> impl Iterator<Item = Placed> + 'a {
-    let helpers: Vec<&Spot<'_>> = spots
-        .iter()
-        .filter(|spot| spot.load.parts < usize::try_from(profile.slots).unwrap_or(usize::MAX))
-        .take(count + 1)
-        .collect();
-    spots.iter().filter_map(move |home| {
-        let helpers = helpers
-            .iter()
-            .filter(|helper| helper.server.id != home.server.id);
-        let helpers: Vec<&Spot<'_>> = helpers.take(count).copied().collect();
+) -> impl Iterator<Item = Placed> + 'f {
+    let readers = readers(field, need, part_ms, count);
+    field.spots.iter().enumerate().filter_map(move |(i, home)| {
+        if !home.has_place(field.profile) {
+            return None;
+        }
+        let helpers: Vec<&Reader<'_>> =
+            readers.iter().filter(|reader| reader.place != i).take(count).collect();
         if helpers.len() < count {
             return None;
         }
-        let held_tokens = held_tokens(home, &helpers, profile, need)?;
-        Some(price(home, &helpers, held_tokens, profile, need, read_ms))
+        let held = held(home, &helpers, field, need)?;
+        Some(price(field, home, &helpers, held, need, part_ms))
     })
 }
 
+/// A server that would read a part.
+struct Reader<'f> {
+    place: usize,
+    spot: &'f field::Spot<'f>,
+    /// Price of its reading.
+    price: f64,
+    /// Time after which the part is read, in milliseconds.
+    done_ms: f64,
+}
+
+/// Returns the servers that may read a part, the cheapest first, with one to spare.
+fn readers<'f>(
+    field: &'f field::Field<'f>,
+    need: &Need,
+    part_ms: f64,
+    count: usize,
+) -> Vec<Reader<'f>> {
+    if count == 0 {
+        return Vec::new();
+    }
+    let spots = field.spots.iter().enumerate();
+    let spots = spots.filter(|(_, spot)| spot.may_help(field.profile));
+    let readers = spots.map(|(place, spot)| {
+        let part_ms = part_ms * spot.pace;
+        let done_ms = spot.done_ms(part_ms);
+        let price = field.harm(spot, part_ms)
+            + of_risk(spot, need.value())
+            + done_ms / 1_000.0 * placement::PRICE_OF_WAITING_S
+            + of_backlog(spot, part_ms);
+        Reader {
+            place,
+            spot,
+            price,
+            done_ms,
+        }
+    });
+    let mut readers: Vec<Reader<'f>> = readers.collect();
+    readers.sort_by(|a, b| a.price.total_cmp(&b.price));
+    readers.truncate(count + 1);
+    readers
+}
+
 /// Returns the tokens that each helper must hold so that the rest fits at home, or none if it does
 /// not fit.
-fn held_tokens(
-    home: &Spot<'_>,
-    helpers: &[&Spot<'_>],
-    profile: &engine::Profile,
+fn held(
+    home: &field::Spot<'_>,
+    helpers: &[&Reader<'_>],
+    field: &field::Field<'_>,
     need: &Need,
-) -> Option<ids::Tokens> {
-    let slots = usize::try_from(profile.slots.min(home.server.slots.max(1))).unwrap_or(usize::MAX);
-    if home.load.homes >= slots {
+) -> Option<Vec<ids::Tokens>> {
+    let room = home.room(field.profile);
+    let mut left = (need.prompt_tokens + need.answer_tokens).saturating_sub(room);
+    if left > need.prompt_tokens {
         return None;
     }
-    let all = need.prompt_tokens + need.answer_tokens;
-    let room = room(home, profile);
-    if all <= room {
-        return Some(0);
+    let mut held = vec![0; helpers.len()];
+    let mut by_room: Vec<(ids::Tokens, usize)> =
+        helpers.iter().enumerate().map(|(i, helper)| (helper.spot.room(field.profile), i)).collect();
+    by_room.sort_unstable_by(|a, b| b.cmp(a));
+    for (room, i) in by_room {
+        if left == 0 {
+            break;
+        }
+        held[i] = room.min(left.max(LEAST_HELD_TOKENS));
+        left = left.saturating_sub(room);
     }
-    let count = ids::Tokens::try_from(helpers.len()).ok()?;
-    // The part that stays at home is not smaller than the others.
-    let held = (all - room.min(all))
-        .max(need.prompt_tokens / (count + 1))
-        .checked_div(count)?
-        + 1;
-    helpers
-        .iter()
-        .all(|helper| room_of_helper(helper, profile) >= held)
-        .then_some(held)
-}
-
-fn room(spot: &Spot<'_>, profile: &engine::Profile) -> ids::Tokens {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a share of a memory's size is one, too"
-    )]
-    let size = (engine::tokens_f64(profile.memory_tokens) * placement::MEMORY_SHARE) as ids::Tokens;
-    size.saturating_sub(spot.load.memory_tokens)
-}
-
-fn room_of_helper(spot: &Spot<'_>, profile: &engine::Profile) -> ids::Tokens {
-    room(spot, profile)
+    (left == 0).then_some(held)
 }
 
 fn price(
-    home: &Spot<'_>,
-    helpers: &[&Spot<'_>],
-    held_tokens: ids::Tokens,
-    profile: &engine::Profile,
+    field: &field::Field<'_>,
+    home: &field::Spot<'_>,
+    helpers: &[&Reader<'_>],
+    held: Vec<ids::Tokens>,
     need: &Need,
-    read_ms: f64,
+    part_ms: f64,
 ) -> Placed {
-    let parts = placement::count_f64(helpers.len()) + 1.0;
-    let part_ms = read_ms / parts;
     let value = need.value();
-    let readers = || std::iter::once(home).chain(helpers.iter().copied());
-    let read_by = readers()
-        .map(|spot| finish_ms(spot, part_ms))
-        .fold(0.0, f64::max);
-    let estimate_ms = read_by + profile.step_ms + home.pass_ms / 2.0;
-    let late = placement::lateness(estimate_ms / need.objective_ms.max(1.0));
-    let harm: f64 = readers().map(|spot| spot.harm(part_ms * spot.pace)).sum();
-    let price = harm
-        + value * placement::LOST_BY_LATENESS * late
-        + value * placement::PRICE_OF_WAITING_MS * estimate_ms
-        + (parts - 1.0) * placement::PRICE_OF_HELPER
-        + of_home(home, profile, need)
-        + readers().map(|spot| of_risk(spot, value)).sum::<f64>();
+    let own_part_ms = part_ms * home.pace;
+    // A prompt that is read alone waits for its turn; the parts of a shared one go first.
+    let is_alone = helpers.is_empty();
+    let ahead_ms = if is_alone { home.backlog_ms } else { 0.0 };
+    let own_done_ms = home.done_ms(own_part_ms).max(ahead_ms + own_part_ms);
+    let read_by = helpers.iter().map(|helper| helper.done_ms).fold(own_done_ms, f64::max);
+    let estimate_ms = read_by + field.profile.step_ms;
+    let waited_ms = field.now.saturating_sub(need.arrived_at).as_secs_f64() * 1_000.0;
+    let lost = lateness::loss(waited_ms + estimate_ms, need.objective_ms, need.patience_ms);
+    let at_helpers: f64 = helpers.iter().map(|helper| helper.price).sum();
+    let price = field.harm(home, own_part_ms)
+        + at_helpers
+        + value * lost
+        + value * placement::PRICE_OF_WAITING_S * estimate_ms / 1_000.0
+        + placement::count_f64(helpers.len()) * placement::PRICE_OF_HELPER
+        + of_home(home, field, need)
+        + of_backlog(home, own_part_ms)
+        + of_risk(home, value);
+    let helpers = helpers.iter().zip(held).map(|(helper, held_tokens)| ledger::Helper {
+        server: helper.spot.server.id.clone(),
+        held_tokens,
+    });
     Placed {
         home: home.server.id.clone(),
-        helpers: helpers
-            .iter()
-            .map(|helper| helper.server.id.clone())
-            .collect(),
-        held_tokens,
+        helpers: helpers.collect(),
         part_ms,
         estimate_ms,
         price,
     }
 }
 
-/// Returns when a server has read its part, in milliseconds from now.
-fn finish_ms(spot: &Spot<'_>, part_ms: f64) -> f64 {
-    // Whoever writes holds the pass that is under way.
-    let pass = if spot.load.writers.is_empty() {
-        0.0
-    } else {
-        spot.pass_ms / 2.0
-    };
-    spot.backlog_ms + pass + part_ms * spot.pace
-}
-
 /// Returns the price of writing at a server.
-fn of_home(home: &Spot<'_>, profile: &engine::Profile, need: &Need) -> f64 {
-    let packed = f64::from(profile.slots.max(1)) * placement::PACKED_SHARE;
-    let homes = placement::count_f64(home.load.homes);
+fn of_home(home: &field::Spot<'_>, field: &field::Field<'_>, need: &Need) -> f64 {
+    let packed = f64::from(field.profile.slots.max(1)) * placement::PACKED_SHARE;
+    let homes = placement::count_f64(home.load.homes.len());
     let crowding = (homes + 1.0 - packed).max(0.0) * placement::PRICE_OF_CROWDING;
     let alike = home.load.homes_within(need.gap_ms);
     let spreading = (1.0 - placement::count_f64(alike) / packed).max(0.0);
     // Writers with short pauses suffer from whoever is read beside them.
-    let own_pause = home.pass_ms + home.backlog_ms;
-    let late = placement::lateness(own_pause / need.gap_ms.max(1.0));
+    let lost = lateness::loss_by_pause(home.pause_ms(), need.gap_ms) * need.value();
     let near = if home.is_near { 0.0 } else { placement::PRICE_OF_DISTANCE };
-    crowding
-        + spreading * placement::PRICE_OF_SPREADING
-        + near
-        + late * need.value() * placement::LOST_BY_LATENESS / 2.0
+    crowding + spreading * placement::PRICE_OF_SPREADING + near + lost
+}
+
+/// Returns the price of what later requests find at a server.
+fn of_backlog(spot: &field::Spot<'_>, part_ms: f64) -> f64 {
+    (spot.backlog_ms + part_ms) * part_ms / 1e6 * placement::PRICE_OF_BACKLOG_S
 }
 
 /// Returns the price of the chance that a server fails.
-fn of_risk(spot: &Spot<'_>, value: f64) -> f64 {
-    let cold = if spot.is_cold {
-        placement::PRICE_OF_COLD
-    } else {
-        0.0
-    };
+fn of_risk(spot: &field::Spot<'_>, value: f64) -> f64 {
+    let cold = if spot.is_cold { placement::PRICE_OF_COLD } else { 0.0 };
     cold + value * placement::PRICE_OF_FAILURE * spot.failures.min(2.0)
 }
--- a/crates/mustardshed-wire/src/forward/job.rs
+++ b/crates/mustardshed-wire/src/forward/job.rs
@@ -1,5 +1,7 @@
 //! A request in flight as it crosses a link.
 
+use std::time;
+
 use mustardshed_core::{forward::ledger, ids};
 
 /// Fields of a [`ledger::Job`].
@@ -8,10 +10,9 @@
 pub struct Job {
     #[serde(rename = "h")]
     pub home: ids::BackendServerId,
+    /// Names and held tokens.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
-    pub helpers: Vec<ids::BackendServerId>,
-    #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
-    pub held_tokens: ids::Tokens,
+    pub helpers: Vec<(ids::BackendServerId, ids::Tokens)>,
     #[serde(rename = "m")]
     pub part_ms: f32,
     #[serde(rename = "i")]
@@ -22,46 +23,59 @@
     pub gap_ms: f32,
     #[serde(rename = "v")]
     pub value: f32,
+    #[serde(rename = "b")]
+    pub objective_ms: f32,
+    #[serde(rename = "e")]
+    pub patience_ms: f32,
+    /// Time since the request came, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
     #[serde(rename = "w")]
     pub is_writing: bool,
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes a reference"
-)]
-const fn is_zero(tokens: &ids::Tokens) -> bool {
-    *tokens == 0
-}
-
-impl From<&ledger::Job> for Job {
-    fn from(job: &ledger::Job) -> Self {
+impl Job {
+    /// Returns a job as it is told at `now`.
+    #[must_use]
+    pub fn told(job: &ledger::Job, now: ids::Timestamp) -> Self {
+        let helpers = job.helpers.iter();
+        let helpers = helpers.map(|helper| (helper.server.clone(), helper.held_tokens));
+        let age = now.saturating_sub(job.arrived_at).as_millis();
         Self {
             home: job.home.clone(),
-            helpers: job.helpers.clone(),
-            held_tokens: job.held_tokens,
+            helpers: helpers.collect(),
             part_ms: single(job.part_ms),
             prompt_tokens: job.prompt_tokens,
             answer_tokens: job.answer_tokens,
             gap_ms: single(job.gap_ms),
             value: single(job.value),
+            objective_ms: single(job.objective_ms),
+            patience_ms: single(job.patience_ms),
+            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
             is_writing: job.is_writing,
         }
     }
-}
 
-impl From<Job> for ledger::Job {
-    fn from(job: Job) -> Self {
-        Self {
-            home: job.home,
-            helpers: job.helpers,
-            held_tokens: job.held_tokens,
-            part_ms: finite(job.part_ms),
-            prompt_tokens: job.prompt_tokens,
-            answer_tokens: job.answer_tokens,
-            gap_ms: finite(job.gap_ms),
-            value: finite(job.value),
-            is_writing: job.is_writing,
+    /// Returns a job that was told at `now`.
+    #[must_use]
+    pub fn heard(self, now: ids::Timestamp) -> ledger::Job {
+        let helpers = self.helpers.into_iter();
+        let helpers = helpers.map(|(server, held_tokens)| ledger::Helper {
+            server,
+            held_tokens,
+        });
+        ledger::Job {
+            home: self.home,
+            helpers: helpers.collect(),
+            part_ms: finite(self.part_ms),
+            prompt_tokens: self.prompt_tokens,
+            answer_tokens: self.answer_tokens,
+            gap_ms: finite(self.gap_ms),
+            value: finite(self.value),
+            objective_ms: finite(self.objective_ms),
+            patience_ms: finite(self.patience_ms),
+            arrived_at: now.saturating_sub(time::Duration::from_millis(self.age_ms)),
+            is_writing: self.is_writing,
         }
     }
 }
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -210,7 +210,7 @@
         let key = forward::job_key(&self.settings.vm, number);
         let started = forward::Message::Started {
             number,
-            job: forward::Job::from(&counted),
+            job: forward::Job::told(&counted, now),
         };
         state.ledger.start(key.clone(), counted, now);
         drop(guard);
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -81,7 +81,7 @@
     }
 
     /// Returns what the request needs of an engine.
-    fn need(&self, now: ids::Timestamp) -> placement::Need {
+    fn need(&self) -> placement::Need {
         /// Clients leave a stream after a silence of this, or of a multiple of what is on time.
         const LEAST_SILENCE: time::Duration = time::Duration::from_secs(2);
         const OBJECTIVES: u32 = 4;
@@ -89,22 +89,17 @@
         let silence = LEAST_SILENCE
             .max(self.route.objective * OBJECTIVES)
             .max(self.route.gap_objective * GAPS);
-        let waited = now.saturating_sub(self.arrived_at);
-        let left = self.deadline().saturating_sub(now);
-        let usual = self
-            .route
-            .services
-            .first()
-            .and_then(|(name, _)| self.routes.service(name));
-        let usual = usual
-            .and_then(|service| service.engine)
-            .map(|e| e.usual_answer_tokens);
+        let services = self.route.services.first();
+        let service = services.and_then(|(name, _)| self.routes.service(name));
+        let usual = service.and_then(|service| service.engine);
+        let usual = usual.map(|engine| engine.usual_answer_tokens);
         let answer = self.head.answer_hint.or(self.head.answer_limit).or(usual);
         placement::Need {
             prompt_tokens: self.head.prompt_tokens.unwrap_or(UNSIZED_PROMPT),
             answer_tokens: answer.unwrap_or_default(),
-            objective_ms: millis(self.route.objective.saturating_sub(waited)),
-            patience_ms: millis(silence.saturating_sub(waited).min(left)),
+            objective_ms: millis(self.route.objective),
+            patience_ms: millis(silence.min(self.deadline().saturating_sub(self.arrived_at))),
+            arrived_at: self.arrived_at,
             gap_ms: millis(self.route.gap_objective),
         }
     }
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -138,23 +138,30 @@
     let mut helpers = Vec::new();
     for helper in &placed.helpers {
         helpers.push(head::Helper {
-            address: address(req, helper)?,
+            address: address(req, &helper.server)?,
             reservation: None,
         });
     }
-    if placed.held_tokens == 0 {
-        return Ok((helpers, Vec::new()));
-    }
-    let making = helpers.iter().enumerate().map(|(i, helper)| {
-        let id = format!("{}-{}-{i}", req.cx.settings.vm, job.number());
-        let id = format!("{id}-{:x}", rand::random::<u32>());
-        reservation::Reservation::make(&req.cx, &helper.address, id, placed.held_tokens)
+    let holding = placed.helpers.iter().enumerate();
+    let holding = holding.filter(|(_, helper)| helper.held_tokens > 0);
+    let making = holding.map(|(i, helper)| {
+        let address = helpers[i].address.clone();
+        let id = format!(
+            "{}-{}-{i}-{:x}",
+            req.cx.settings.vm,
+            job.number(),
+            rand::random::<u32>()
+        );
+        async move {
+            let made = reservation::Reservation::make(&req.cx, &address, id, helper.held_tokens);
+            (i, made.await)
+        }
     });
     let made = futures_util::future::join_all(making).await;
     let mut reservations = Vec::new();
-    for (helper, made) in helpers.iter_mut().zip(made) {
+    for (i, made) in made {
         let made = made.map_err(|e| Failed::not_run(format!("no memory reserved: {e}")))?;
-        helper.reservation = Some(made.id().to_owned());
+        helpers[i].reservation = Some(made.id().to_owned());
         reservations.push(made);
     }
     Ok((helpers, reservations))
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -1,6 +1,6 @@
 //! The attempts of one request.
 
-use std::time;
+use std::{sync::atomic, time};
 
 use mustardshed::{
     core::{
@@ -46,10 +46,8 @@
     let mut driver = Driver::new(req, service);
     let left = deadline.saturating_sub(now);
     let result = tokio::time::timeout(left, driver.first()).await;
-    let answered = match result {
-        Ok(answered) => answered?,
-        Err(_) => return Err(driver.out_of_time()),
-    };
+    let result = result.unwrap_or(Err(refusal::Refusal::TimedOut));
+    let answered = result.inspect_err(|_| driver.is_ended.store(true, atomic::Ordering::Relaxed))?;
     match answered {
         First::Whole(answer) => Ok(answer),
         First::Stream(stream) => Ok(relay::answer(driver, *stream)),
@@ -75,6 +73,36 @@
     turned_away: u32,
     /// Last event that the client has.
     pub(super) last_event: Option<u64>,
+    stage: Stage,
+    is_ended: atomic::AtomicBool,
+}
+
+/// How far a request has come, for the log of one whose client leaves.
+#[derive(Clone, Copy, Debug, displaydoc::Display)]
+enum Stage {
+    /// placing
+    Placing,
+    /// waiting_for_head
+    WaitingForHead,
+    /// waiting_for_first_event
+    WaitingForFirstEvent,
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        if self.is_ended.load(atomic::Ordering::Relaxed) {
+            return;
+        }
+        let now = self.req.cx.now();
+        let streaming = self.last_event != self.req.head.last_event;
+        log::emit(&event::Event::ForwardCancelled {
+            request: self.req.id(),
+            route: &self.req.route.name,
+            stage: &if streaming { "streaming".to_owned() } else { self.stage.to_string() },
+            server: self.tried.last().map_or("", String::as_str),
+            elapsed_ms: now.saturating_sub(self.req.arrived_at).as_millis(),
+        });
+    }
 }
 
 impl Driver {
@@ -87,14 +115,11 @@
             runs: 0,
             turned_away: 0,
             last_event,
+            stage: Stage::Placing,
+            is_ended: atomic::AtomicBool::new(false),
         }
     }
 
-    /// Returns why a request ends whose time is over.
-    fn out_of_time(&self) -> refusal::Refusal {
-        refusal::Refusal::TimedOut
-    }
-
     /// Makes attempts until one answers; of a stream, the first event has come.
     async fn first(&mut self) -> Result<First, refusal::Refusal> {
         loop {
@@ -141,11 +166,13 @@
             let (placed, job) = self.place()?;
             self.log_placed(&placed);
             self.tried.push(placed.home.clone());
+            self.stage = Stage::WaitingForHead;
             let timeout = self.attempt_timeout();
             let result = attempt::run(&self.req, &placed, job, self.last_event, timeout).await;
             match result {
                 Ok(answered) => {
                     self.runs += 1;
+                    self.stage = Stage::WaitingForFirstEvent;
                     return Ok(answered);
                 }
                 Err(attempt::Failed::NotRun {
@@ -161,7 +188,7 @@
     }
 
     fn place(&mut self) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
-        let need = self.req.need(self.req.cx.now());
+        let need = self.req.need();
         let mut wanted = cx::Wanted {
             service: &self.service,
             need,
@@ -241,8 +268,8 @@
             route: &self.req.route.name,
             version: self.req.routes.version,
             server: &placed.home,
-            helpers: &placed.helpers.join(","),
-            held_tokens: placed.held_tokens,
+            helpers: &helpers(placed),
+            held_tokens: placed.helpers.iter().map(|helper| helper.held_tokens).sum(),
             prompt_tokens: self.req.head.prompt_tokens.unwrap_or_default(),
             part_ms: placed.part_ms.round(),
             estimate_ms: placed.estimate_ms.round(),
@@ -263,6 +290,7 @@
 
     /// Logs the end of the request.
     pub(super) fn ended(&self, outcome: &str, status: u16, server: &str, pace: &relay::Pace) {
+        self.is_ended.store(true, atomic::Ordering::Relaxed);
         let now = self.req.cx.now();
         log::emit(&event::Event::ForwardEnded {
             request: self.req.id(),
@@ -277,3 +305,8 @@
         });
     }
 }
+
+fn helpers(placed: &placement::Placed) -> String {
+    let helpers = placed.helpers.iter().map(|helper| helper.server.as_str());
+    helpers.collect::<Vec<_>>().join(",")
+}
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -152,11 +152,12 @@
     /// Returns who this is and all that it has in flight.
     fn greeting(&self) -> Vec<forward::Message> {
         let mut messages = vec![forward::Message::Hello(self.cx.entry())];
+        let now = self.cx.now();
         let state = self.cx.state();
         let jobs = state.ledger.jobs_of(&self.cx.settings.vm);
         messages.extend(jobs.map(|(key, job)| forward::Message::Started {
             number: key.number,
-            job: forward::Job::from(job),
+            job: forward::Job::told(job, now),
         }));
         messages
     }
@@ -357,7 +358,7 @@
             forward::Message::Beat(beat) => Some(self.echo(beat, now)),
             forward::Message::Started { number, job } => {
                 let key = forward::job_key(self.vm()?, number);
-                self.cx.state().ledger.start(key, job.into(), now);
+                self.cx.state().ledger.start(key, job.heard(now), now);
                 None
             }
             forward::Message::FirstEvent { number } => {
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -179,6 +179,14 @@
         order: &'a str,
         reason: &'a str,
     }
+    /// The client left before its request had ended.
+    1206 Info "forward_cancelled" ForwardCancelled {
+        request: &'a str,
+        route: &'a str,
+        stage: &'a str,
+        server: &'a str,
+        elapsed_ms: u128,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
