Price places where they are scarce and refuse what costs others more than its worth

Cause: prompts of half a million tokens and more took engine time from many shorter ones, slowed passes, and so filled every place. Change: a price of places that rises as they run out; a request whose price is above its own weight is refused at once.

--- a/crates/mustardshed-core/src/forward/lateness.rs
+++ b/crates/mustardshed-core/src/forward/lateness.rs
@@ -29,6 +29,5 @@
     /// Multiple of that after which callers leave.
     const PATIENCE: f64 = 8.0;
     let ratio = pause_ms / gap_ms.max(1.0);
-    LOST_BY_LATENESS * likelihood(ratio)
-        + (1.0 - LOST_BY_LATENESS) * likelihood(ratio / PATIENCE)
+    LOST_BY_LATENESS * likelihood(ratio) + (1.0 - LOST_BY_LATENESS) * likelihood(ratio / PATIENCE)
 }
--- a/crates/mustardshed-core/src/forward/ledger.rs
+++ b/crates/mustardshed-core/src/forward/ledger.rs
@@ -166,11 +166,7 @@
         }
         for (key, done_ms) in line.reads(now) {
             if let Some(job) = self.jobs.get(key) {
-                load.readings.push(Reading {
-                    job,
-                    key,
-                    done_ms,
-                });
+                load.readings.push(Reading { job, key, done_ms });
             }
         }
         load
--- a/crates/mustardshed-core/src/forward/ledger/line.rs
+++ b/crates/mustardshed-core/src/forward/ledger/line.rs
@@ -68,7 +68,11 @@
     /// Counts a request that is sent to this server.
     pub(super) fn arrived(&mut self, now: ids::Timestamp) {
         self.arrivals.push_back(now);
-        while self.arrivals.front().is_some_and(|at| *at + ARRIVAL_WINDOW < now) {
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|at| *at + ARRIVAL_WINDOW < now)
+        {
             self.arrivals.pop_front();
         }
     }
@@ -80,7 +84,10 @@
     }
 
     /// Returns what it has to read, each with the time after which it is read, in milliseconds.
-    pub(super) fn reads(&self, now: ids::Timestamp) -> impl Iterator<Item = (&ledger::JobKey, f64)> {
+    pub(super) fn reads(
+        &self,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = (&ledger::JobKey, f64)> {
         let mut spent = self.elapsed_ms(now);
         let mut done = 0.0;
         self.reads.iter().map(move |read| {
--- a/crates/mustardshed-core/src/forward/ledger/load.rs
+++ b/crates/mustardshed-core/src/forward/ledger/load.rs
@@ -53,14 +53,21 @@
         /// Ratio up to which two longest pauses count as alike.
         const ALIKE: f64 = 1.5;
         let homes = self.homes.iter();
-        homes.filter(|job| job.gap_ms <= gap_ms * ALIKE && gap_ms <= job.gap_ms * ALIKE).count()
+        homes
+            .filter(|job| job.gap_ms <= gap_ms * ALIKE && gap_ms <= job.gap_ms * ALIKE)
+            .count()
     }
 
     /// Adds a request that the server has to do with.
     pub(super) fn add(&mut self, job: &'a ledger::Job) {
         if job.home != self.server {
-            let helpers = job.helpers.iter().filter(|helper| helper.server == self.server);
-            self.memory_tokens += helpers.map(|helper| helper.held_tokens).sum::<ids::Tokens>();
+            let helpers = job
+                .helpers
+                .iter()
+                .filter(|helper| helper.server == self.server);
+            self.memory_tokens += helpers
+                .map(|helper| helper.held_tokens)
+                .sum::<ids::Tokens>();
             if !job.is_writing {
                 self.parts += 1;
             }
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -145,6 +145,11 @@
         /// Time after which the work ahead is done.
         retry_after: time::Duration,
     },
+    /// It would make others late that weigh more than it does.
+    TooDear {
+        /// Time after which an average server has read what it has to.
+        retry_after: time::Duration,
+    },
     /// Its first event would come after its caller has given up.
     TooLate {
         /// Time after which the work ahead is done.
@@ -195,6 +200,9 @@
                     .max(LEAST_RETRY_AFTER),
             })
         }
+        Some(placed) if placed.price > need.value() => Err(NotPlaced::TooDear {
+            retry_after: field.usual_backlog(),
+        }),
         Some(placed) => Ok(placed),
     }
 }
--- a/crates/mustardshed-core/src/forward/placement/field.rs
+++ b/crates/mustardshed-core/src/forward/placement/field.rs
@@ -21,6 +21,8 @@
     pub(super) spots: Vec<Spot<'a>>,
     pub(super) profile: &'a engine::Profile,
     pub(super) now: ids::Timestamp,
+    /// Price of a place that is taken for a second.
+    place_price: f64,
     /// Times after which prompts are read, by request, in milliseconds.
     done_ms: collections::HashMap<&'a ledger::JobKey, f64>,
 }
@@ -54,14 +56,23 @@
             let done = done_ms.entry(reading.key).or_default();
             *done = done.max(reading.done_ms);
         }
+        let place_price = place_price(&spots, profile);
         Self {
             spots,
             profile,
             now,
+            place_price,
             done_ms,
         }
     }
 
+    /// Returns the time after which an average server has nothing to read.
+    pub(super) fn usual_backlog(&self) -> time::Duration {
+        let backlogs: f64 = self.spots.iter().map(|spot| spot.backlog_ms).sum();
+        let usual = backlogs / placement::count_f64(self.spots.len()).max(1.0);
+        engine::millis(usual).max(placement::LEAST_RETRY_AFTER)
+    }
+
     /// Returns the shortest time after which a server has nothing to read.
     pub(super) fn earliest(&self) -> time::Duration {
         let backlogs = self.spots.iter().map(|spot| spot.backlog_ms);
@@ -83,10 +94,27 @@
             let delayed = known.max(reading.done_ms + part_ms);
             reading.job.loss(delayed, self.now) - reading.job.loss(known, self.now)
         });
-        pauses.sum::<f64>() + waits.sum::<f64>()
+        // Whoever writes keeps its place for as much longer.
+        let places = placement::count_f64(spot.load.writers.len()) * part_ms / 1_000.0;
+        pauses.sum::<f64>() + waits.sum::<f64>() + places * self.place_price
     }
 }
 
+/// Returns the price of a place for a second: nothing while there are many.
+fn place_price(spots: &[Spot<'_>], profile: &engine::Profile) -> f64 {
+    /// Taken part of all places from which on they are scarce.
+    const SCARCE_FROM: f64 = 0.35;
+    /// Taken part of all places at which the next request may find none.
+    const NONE_LEFT_FROM: f64 = 0.75;
+    /// Price where none may be left: a short request takes a place for about two seconds.
+    const SCARCE_PRICE: f64 = 0.7;
+    let places = placement::count_f64(spots.len()) * f64::from(profile.slots);
+    let taken: usize = spots.iter().map(|spot| spot.load.homes.len()).sum();
+    let taken = placement::count_f64(taken) / places.max(1.0);
+    let scarcity = (taken - SCARCE_FROM) / (NONE_LEFT_FROM - SCARCE_FROM);
+    scarcity.clamp(0.0, 1.0) * SCARCE_PRICE
+}
+
 impl<'a> Spot<'a> {
     fn new(
         ledger: &'a ledger::Ledger,
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -24,8 +24,11 @@
         if !home.has_place(field.profile) {
             return None;
         }
-        let helpers: Vec<&Reader<'_>> =
-            readers.iter().filter(|reader| reader.place != i).take(count).collect();
+        let helpers: Vec<&Reader<'_>> = readers
+            .iter()
+            .filter(|reader| reader.place != i)
+            .take(count)
+            .collect();
         if helpers.len() < count {
             return None;
         }
@@ -90,8 +93,11 @@
         return None;
     }
     let mut held = vec![0; helpers.len()];
-    let mut by_room: Vec<(ids::Tokens, usize)> =
-        helpers.iter().enumerate().map(|(i, helper)| (helper.spot.room(field.profile), i)).collect();
+    let mut by_room: Vec<(ids::Tokens, usize)> = helpers
+        .iter()
+        .enumerate()
+        .map(|(i, helper)| (helper.spot.room(field.profile), i))
+        .collect();
     by_room.sort_unstable_by(|a, b| b.cmp(a));
     for (room, i) in by_room {
         if left == 0 {
@@ -117,7 +123,10 @@
     let is_alone = helpers.is_empty();
     let ahead_ms = if is_alone { home.backlog_ms } else { 0.0 };
     let own_done_ms = home.done_ms(own_part_ms).max(ahead_ms + own_part_ms);
-    let read_by = helpers.iter().map(|helper| helper.done_ms).fold(own_done_ms, f64::max);
+    let read_by = helpers
+        .iter()
+        .map(|helper| helper.done_ms)
+        .fold(own_done_ms, f64::max);
     let estimate_ms = read_by + field.profile.step_ms;
     let waited_ms = field.now.saturating_sub(need.arrived_at).as_secs_f64() * 1_000.0;
     let lost = lateness::loss(waited_ms + estimate_ms, need.objective_ms, need.patience_ms);
@@ -130,10 +139,13 @@
         + of_home(home, field, need)
         + of_backlog(home, own_part_ms)
         + of_risk(home, value);
-    let helpers = helpers.iter().zip(held).map(|(helper, held_tokens)| ledger::Helper {
-        server: helper.spot.server.id.clone(),
-        held_tokens,
-    });
+    let helpers = helpers
+        .iter()
+        .zip(held)
+        .map(|(helper, held_tokens)| ledger::Helper {
+            server: helper.spot.server.id.clone(),
+            held_tokens,
+        });
     Placed {
         home: home.server.id.clone(),
         helpers: helpers.collect(),
@@ -152,7 +164,11 @@
     let spreading = (1.0 - placement::count_f64(alike) / packed).max(0.0);
     // Writers with short pauses suffer from whoever is read beside them.
     let lost = lateness::loss_by_pause(home.pause_ms(), need.gap_ms) * need.value();
-    let near = if home.is_near { 0.0 } else { placement::PRICE_OF_DISTANCE };
+    let near = if home.is_near {
+        0.0
+    } else {
+        placement::PRICE_OF_DISTANCE
+    };
     crowding + spreading * placement::PRICE_OF_SPREADING + near + lost
 }
 
@@ -163,6 +179,10 @@
 
 /// Returns the price of the chance that a server fails.
 fn of_risk(spot: &field::Spot<'_>, value: f64) -> f64 {
-    let cold = if spot.is_cold { placement::PRICE_OF_COLD } else { 0.0 };
+    let cold = if spot.is_cold {
+        placement::PRICE_OF_COLD
+    } else {
+        0.0
+    };
     cold + value * placement::PRICE_OF_FAILURE * spot.failures.min(2.0)
 }
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -198,11 +198,7 @@
         failed(req, server);
         return Err(Failed::Unknown("the answer is not the server's".to_owned()));
     }
-    Ok(Answered {
-        parts,
-        body,
-        held,
-    })
+    Ok(Answered { parts, body, held })
 }
 
 /// Takes that a server turned a request away, for its own sake or another server's.
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -47,7 +47,8 @@
     let left = deadline.saturating_sub(now);
     let result = tokio::time::timeout(left, driver.first()).await;
     let result = result.unwrap_or(Err(refusal::Refusal::TimedOut));
-    let answered = result.inspect_err(|_| driver.is_ended.store(true, atomic::Ordering::Relaxed))?;
+    let answered =
+        result.inspect_err(|_| driver.is_ended.store(true, atomic::Ordering::Relaxed))?;
     match answered {
         First::Whole(answer) => Ok(answer),
         First::Stream(stream) => Ok(relay::answer(driver, *stream)),
@@ -98,7 +99,11 @@
         log::emit(&event::Event::ForwardCancelled {
             request: self.req.id(),
             route: &self.req.route.name,
-            stage: &if streaming { "streaming".to_owned() } else { self.stage.to_string() },
+            stage: &if streaming {
+                "streaming".to_owned()
+            } else {
+                self.stage.to_string()
+            },
             server: self.tried.last().map_or("", String::as_str),
             elapsed_ms: now.saturating_sub(self.req.arrived_at).as_millis(),
         });
@@ -210,6 +215,7 @@
         match e {
             placement::NotPlaced::NoServer => refusal::Refusal::NoServer(NO_SERVER_WAIT),
             placement::NotPlaced::Full { retry_after } => refusal::Refusal::Full(retry_after),
+            placement::NotPlaced::TooDear { retry_after } => refusal::Refusal::TooDear(retry_after),
             placement::NotPlaced::TooLate { retry_after } => refusal::Refusal::TooLate(retry_after),
         }
     }
--- a/crates/mustardshedd/src/forward/exchange/relay.rs
+++ b/crates/mustardshedd/src/forward/exchange/relay.rs
@@ -218,6 +218,7 @@
 
     fn ended(&self, outcome: &str) {
         let server = &self.source.held.server;
-        self.driver.ended(outcome, http::StatusCode::OK.as_u16(), server, &self.pace);
+        self.driver
+            .ended(outcome, http::StatusCode::OK.as_u16(), server, &self.pace);
     }
 }
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -25,6 +25,8 @@
     NoServer(time::Duration),
     /// the backend servers are full
     Full(time::Duration),
+    /// others that weigh more would be late
+    TooDear(time::Duration),
     /// the answer would begin too late
     TooLate(time::Duration),
     /// the backend servers turned the request away
@@ -50,6 +52,7 @@
             | Self::Stale
             | Self::NoServer(_)
             | Self::Full(_)
+            | Self::TooDear(_)
             | Self::TooLate(_)
             | Self::TurnedAway(_) => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::FateUnknown => http::StatusCode::BAD_GATEWAY,
@@ -66,6 +69,7 @@
             Self::NoConfiguration | Self::Stale => Some(KNOWLEDGE_WAIT),
             Self::NoServer(wait)
             | Self::Full(wait)
+            | Self::TooDear(wait)
             | Self::TooLate(wait)
             | Self::TurnedAway(wait) => Some(wait),
             _ => None,
