--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -31,6 +31,8 @@
 const LEAST_PART_MS: f64 = 8.0;
 /// Price of one helper beside its reading: a wake-up, and a failure that would hit the request.
 const PRICE_OF_HELPER: f64 = 0.03;
+/// Price of a reservation at a helper: two orders, and a refusal of either that would hit the request.
+const PRICE_OF_RESERVATION: f64 = 0.3;
 /// Price of placing a writer where no others of its kind write, which then cannot read for others.
 const PRICE_OF_SPREADING: f64 = 0.6;
 /// Price of each place by which a server is fuller than writers are kept together.
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -131,11 +131,13 @@
     let waited_ms = field.now.saturating_sub(need.arrived_at).as_secs_f64() * 1_000.0;
     let lost = lateness::loss(waited_ms + estimate_ms, need.objective_ms, need.patience_ms);
     let at_helpers: f64 = helpers.iter().map(|helper| helper.price).sum();
+    let reservations = held.iter().filter(|tokens| **tokens > 0).count();
     let price = field.harm(home, own_part_ms)
         + at_helpers
         + value * lost
         + value * placement::PRICE_OF_WAITING_S * estimate_ms / 1_000.0
         + placement::count_f64(helpers.len()) * placement::PRICE_OF_HELPER
+        + placement::count_f64(reservations) * placement::PRICE_OF_RESERVATION
         + of_home(home, field, need)
         + of_backlog(home, own_part_ms)
         + of_risk(home, value);
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/books.rs
@@ -0,0 +1,108 @@
+//! Load pattern: whole books beside short drafts.
+
+use googletest::prelude::*;
+use mustardshed_core::forward::placement;
+
+use crate::fixtures;
+
+#[gtest]
+fn book_is_read_by_engines_on_which_no_draft_is_written() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(16);
+    for server in ["engine-03", "engine-07", "engine-11"] {
+        fleet.write_drafts(server, 10, fixtures::START);
+    }
+
+    let placed = fleet.weigh(&fixtures::book(210_000, fixtures::START), fixtures::START);
+
+    let placed = placed.expect("a place");
+    let readers = fixtures::readers(&placed);
+    expect_that!(readers.len(), ge(3));
+    for busy in ["engine-03", "engine-07", "engine-11"] {
+        expect_that!(readers, not(contains(eq(&busy))));
+    }
+    verify_that!(placed.estimate_ms, lt(3_000.0))
+}
+
+#[gtest]
+fn huge_book_is_read_by_many_engines_while_the_fleet_is_idle() -> Result<()> {
+    let fleet = fixtures::Fleet::new(16);
+
+    let placed = fleet.weigh(&fixtures::book(600_000, fixtures::START), fixtures::START);
+
+    let placed = placed.expect("a place");
+    expect_that!(placed.helpers.len(), ge(7));
+    verify_that!(placed.estimate_ms, lt(3_000.0))
+}
+
+#[gtest]
+fn prompt_beyond_the_memory_of_one_engine_is_held_by_helpers() -> Result<()> {
+    let fleet = fixtures::Fleet::new(16);
+    let need = fixtures::book(700_000, fixtures::START);
+
+    let placed = fleet.weigh(&need, fixtures::START).expect("a place");
+
+    let job = placed.job(&need);
+    let at_home = need.prompt_tokens - job.held_tokens().min(need.prompt_tokens);
+    expect_that!(at_home + need.answer_tokens, le(450_000));
+    for helper in &job.helpers {
+        expect_that!(helper.held_tokens, le(450_000));
+    }
+    Ok(())
+}
+
+#[gtest]
+fn helpers_without_room_hold_nothing() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(4);
+    for server in ["engine-02", "engine-03"] {
+        let mut job = placement::Placed::plain(&server.to_owned())
+            .job(&fixtures::book(420_000, fixtures::START));
+        job.is_writing = true;
+        job.value = 0.0;
+        fleet.start(job, fixtures::START);
+    }
+    let need = fixtures::book(460_000, fixtures::START);
+
+    let placed = fleet.weigh(&need, fixtures::START).expect("a place");
+
+    let full = ["engine-02".to_owned(), "engine-03".to_owned()];
+    let holding = placed
+        .helpers
+        .iter()
+        .filter(|helper| helper.held_tokens > 1_000);
+    let holding: Vec<_> = holding.map(|helper| helper.server.clone()).collect();
+    expect_that!(full, not(contains(eq(&placed.home))));
+    expect_that!(holding.len(), eq(1));
+    verify_that!(full, not(contains(eq(&holding[0]))))
+}
+
+#[gtest]
+fn book_that_would_make_many_others_late_is_refused_at_once() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(4);
+    for server in ["engine-00", "engine-01", "engine-02", "engine-03"] {
+        for _ in 0..3 {
+            let need = fixtures::book(60_000, fixtures::START);
+            let mut job = placement::Placed::plain(&server.to_owned()).job(&need);
+            job.part_ms = 800.0;
+            fleet.start(job, fixtures::START);
+        }
+    }
+
+    let placed = fleet.weigh(&fixtures::book(600_000, fixtures::START), fixtures::START);
+
+    verify_that!(
+        placed,
+        err(matches_pattern!(placement::NotPlaced::TooDear { .. }))
+    )
+}
+
+#[gtest]
+fn chapter_beside_books_begins_on_time() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(16);
+    for _ in 0..3 {
+        fleet.send(&fixtures::book(210_000, fixtures::START), fixtures::START);
+    }
+
+    let placed = fleet.weigh(&fixtures::chapter(fixtures::START), fixtures::START);
+
+    verify_that!(placed.expect("a place").estimate_ms, lt(1_500.0 * 0.65))
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/drafts.rs
@@ -0,0 +1,68 @@
+//! Load pattern: waves of short drafts.
+
+use std::{collections, time};
+
+use googletest::prelude::*;
+use mustardshed_core::forward::placement;
+
+use crate::fixtures;
+
+#[gtest]
+fn drafts_are_kept_together_so_that_other_engines_stay_free_to_read() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(16);
+
+    let mut homes = collections::BTreeSet::new();
+    for i in 0..26_u32 {
+        let now = fixtures::START + time::Duration::from_millis(50) * i;
+        let (placed, key) = fleet.send(&fixtures::draft(now), now);
+        fleet
+            .ledger
+            .first_event(&key, now + time::Duration::from_millis(40));
+        homes.insert(placed.home);
+    }
+
+    verify_that!(homes.len(), le(3))
+}
+
+#[gtest]
+fn draft_avoids_engine_on_which_a_long_prompt_is_read() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(3);
+    fleet.write_drafts("engine-00", 4, fixtures::START);
+    let mut job = placement::Placed::plain(&"engine-00".to_owned())
+        .job(&fixtures::book(400_000, fixtures::START));
+    job.part_ms = 3_000.0;
+    fleet.start(job, fixtures::START);
+
+    let placed = fleet.weigh(&fixtures::draft(fixtures::START), fixtures::START);
+
+    verify_that!(placed.expect("a place").home, not(eq("engine-00")))
+}
+
+#[gtest]
+fn server_without_a_free_place_gets_no_draft() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(1);
+    fleet.write_drafts("engine-00", 16, fixtures::START);
+
+    let placed = fleet.weigh(&fixtures::draft(fixtures::START), fixtures::START);
+
+    verify_that!(
+        placed,
+        err(matches_pattern!(placement::NotPlaced::Full { .. }))
+    )
+}
+
+#[gtest]
+fn draft_that_only_a_blocked_engine_could_serve_is_refused_at_once() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(1);
+    let mut job = placement::Placed::plain(&"engine-00".to_owned())
+        .job(&fixtures::book(200_000, fixtures::START));
+    job.part_ms = 30_000.0;
+    fleet.start(job, fixtures::START);
+
+    let placed = fleet.weigh(&fixtures::draft(fixtures::START), fixtures::START);
+
+    verify_that!(
+        placed,
+        err(matches_pattern!(placement::NotPlaced::TooLate { .. }))
+    )
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -0,0 +1,153 @@
+//! Engines, servers and requests like those of the bindery.
+
+use std::time;
+
+use mustardshed_core::{
+    forward::{engine, ledger, placement, server},
+    ids,
+};
+
+/// A time at which nothing has happened yet.
+pub(crate) const START: ids::Timestamp = time::Duration::from_secs(100);
+
+pub(crate) fn profile() -> engine::Profile {
+    engine::Profile {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_pass: 46,
+        step_ms: 0.925,
+        step_ms_per_writer: 0.004_83,
+        step_ms_per_1k_context: 0.002_54,
+        read_tokens_per_s: 256_000.0,
+        ms_per_million_pairs: 0.091_7,
+        chunk_tokens: 2_048,
+        hop_ms: 0.1,
+        usual_answer_tokens: 1_540,
+    }
+}
+
+pub(crate) fn servers(count: usize) -> Vec<server::Server> {
+    (0..count)
+        .map(|i| server(&format!("engine-{i:02}")))
+        .collect()
+}
+
+pub(crate) fn server(id: &str) -> server::Server {
+    server::Server {
+        id: id.to_owned(),
+        service: "drafts".to_owned(),
+        address: "10.0.0.1:8000".to_owned(),
+        data_centre: "north".to_owned(),
+        slots: 16,
+        state: server::State::Ready,
+        cold_left_ms: 0,
+        born: None,
+    }
+}
+
+pub(crate) fn draft(arrived_at: ids::Timestamp) -> placement::Need {
+    need(5_000, 300.0, 200.0, 2_000.0, arrived_at)
+}
+
+pub(crate) fn chapter(arrived_at: ids::Timestamp) -> placement::Need {
+    need(45_000, 1_500.0, 500.0, 6_000.0, arrived_at)
+}
+
+pub(crate) fn book(prompt_tokens: ids::Tokens, arrived_at: ids::Timestamp) -> placement::Need {
+    need(prompt_tokens, 3_000.0, 800.0, 12_000.0, arrived_at)
+}
+
+fn need(
+    prompt_tokens: ids::Tokens,
+    objective_ms: f64,
+    gap_ms: f64,
+    patience_ms: f64,
+    arrived_at: ids::Timestamp,
+) -> placement::Need {
+    placement::Need {
+        prompt_tokens,
+        answer_tokens: 1_500,
+        objective_ms,
+        patience_ms,
+        arrived_at,
+        gap_ms,
+    }
+}
+
+pub(crate) fn candidates(servers: &[server::Server]) -> Vec<placement::Candidate<'_>> {
+    let candidates = servers.iter().map(|server| placement::Candidate {
+        server,
+        is_near: true,
+        cold_rate: None,
+    });
+    candidates.collect()
+}
+
+/// A fleet on which requests are placed and stay until they are ended.
+pub(crate) struct Fleet {
+    pub(crate) servers: Vec<server::Server>,
+    pub(crate) ledger: ledger::Ledger,
+    next: u64,
+}
+
+impl Fleet {
+    pub(crate) fn new(count: usize) -> Self {
+        Self {
+            servers: servers(count),
+            ledger: ledger::Ledger::default(),
+            next: 0,
+        }
+    }
+
+    pub(crate) fn weigh(
+        &self,
+        need: &placement::Need,
+        now: ids::Timestamp,
+    ) -> Result<placement::Placed, placement::NotPlaced> {
+        placement::place(
+            &self.ledger,
+            &candidates(&self.servers),
+            &profile(),
+            need,
+            now,
+        )
+    }
+
+    pub(crate) fn send(
+        &mut self,
+        need: &placement::Need,
+        now: ids::Timestamp,
+    ) -> (placement::Placed, ledger::JobKey) {
+        let placed = self.weigh(need, now).expect("a place");
+        let key = self.start(placed.job(need), now);
+        (placed, key)
+    }
+
+    pub(crate) fn start(&mut self, job: ledger::Job, now: ids::Timestamp) -> ledger::JobKey {
+        self.next += 1;
+        let key = ledger::JobKey {
+            vm: "entry-1".to_owned(),
+            number: self.next,
+        };
+        self.ledger.start(key.clone(), job, now);
+        key
+    }
+
+    /// Lets `count` drafts write on a server.
+    pub(crate) fn write_drafts(&mut self, server: &str, count: usize, now: ids::Timestamp) {
+        for _ in 0..count {
+            let need = draft(now);
+            let mut job = placement::Placed::plain(&server.to_owned()).job(&need);
+            job.is_writing = true;
+            self.start(job, now);
+        }
+    }
+}
+
+/// Returns the servers that have to do with a request.
+pub(crate) fn readers(placed: &placement::Placed) -> Vec<&str> {
+    let helpers = placed.helpers.iter().map(|helper| helper.server.as_str());
+    std::iter::once(placed.home.as_str())
+        .chain(helpers)
+        .collect()
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/routes.rs
@@ -0,0 +1,105 @@
+//! Routes and accounts.
+
+use std::time;
+
+use googletest::prelude::*;
+use mustardshed_core::forward::routes;
+
+fn route(host: &str, prefix: &str, services: Vec<(String, u32)>, is_public: bool) -> routes::Route {
+    routes::Route {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: routes::Repeat::Idempotent,
+        timeout: time::Duration::from_secs(1),
+        objective: time::Duration::from_millis(100),
+        gap_objective: time::Duration::from_millis(100),
+        priority: 1,
+        services,
+        max_attempts: 2,
+        is_public,
+    }
+}
+
+fn one(service: &str) -> Vec<(String, u32)> {
+    vec![(service.to_owned(), 1)]
+}
+
+fn table() -> routes::Routes {
+    let account = routes::Account {
+        name: "chapel".to_owned(),
+        priority: None,
+    };
+    routes::Routes::new(
+        7,
+        vec![
+            route("a.example", "/", one("all"), false),
+            route("a.example", "/book/", one("books"), false),
+            route("a.example", "/book/old/", one("old"), true),
+            route("b.example", "/book/", one("other"), false),
+        ],
+        Vec::new(),
+        None,
+        Some(vec![(
+            account,
+            vec!["key-1".to_owned(), "key-2".to_owned()],
+        )]),
+    )
+}
+
+#[gtest]
+fn longest_prefix_of_the_host_wins() -> Result<()> {
+    let table = table();
+    let service = |host: &str, path: &str| {
+        let route = table.route(host, path)?;
+        route.service(0).cloned()
+    };
+
+    expect_that!(service("a.example", "/book/old/3"), some(eq("old")));
+    expect_that!(service("A.Example", "/book/3"), some(eq("books")));
+    expect_that!(service("a.example", "/book"), some(eq("all")));
+    expect_that!(service("b.example", "/pay/"), none());
+    verify_that!(service("c.example", "/book/"), none())
+}
+
+#[gtest]
+fn keys_belong_to_accounts_and_public_routes_need_none() -> Result<()> {
+    let table = table();
+    let public = table.route("a.example", "/book/old/").expect("a route");
+    let private = table.route("a.example", "/book/").expect("a route");
+
+    expect_that!(table.needs_key(public), eq(false));
+    expect_that!(table.needs_key(private), eq(true));
+    expect_that!(
+        table.account("key-2").map(|a| a.name.as_str()),
+        some(eq("chapel"))
+    );
+    verify_that!(table.account("key-3"), none())
+}
+
+#[gtest]
+fn weights_share_requests_out() -> Result<()> {
+    let services = vec![
+        ("old".to_owned(), 90),
+        ("new".to_owned(), 10),
+        ("none".to_owned(), 0),
+    ];
+    let route = route("a.example", "/", services, false);
+
+    let new = (0..1_000)
+        .filter(|draw| route.service(*draw).is_some_and(|s| s == "new"))
+        .count();
+    let none = (0..1_000)
+        .filter(|draw| route.service(*draw).is_some_and(|s| s == "none"))
+        .count();
+
+    expect_that!(new, eq(100));
+    verify_that!(none, eq(0))
+}
+
+#[gtest]
+fn route_without_weights_has_no_service() -> Result<()> {
+    let route = route("a.example", "/", vec![("old".to_owned(), 0)], false);
+
+    verify_that!(route.service(3), none())
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/servers.rs
@@ -0,0 +1,83 @@
+//! Servers that fail, are cold, or belong to a plain service.
+
+use std::time;
+
+use googletest::prelude::*;
+use mustardshed_core::forward::{ledger, placement};
+
+use crate::fixtures;
+
+const MOMENT: time::Duration = time::Duration::from_millis(10);
+
+fn least_busy(
+    ledger: &ledger::Ledger,
+    servers: &[mustardshed_core::forward::server::Server],
+    now: time::Duration,
+) -> std::result::Result<String, placement::NotPlaced> {
+    placement::least_busy(ledger, &fixtures::candidates(servers), now).cloned()
+}
+
+#[gtest]
+fn unreachable_server_is_left_alone_and_then_gets_one_request_at_a_time() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(1);
+    fleet
+        .ledger
+        .health_mut("engine-00")
+        .unreachable(fixtures::START);
+    let soon = fixtures::START + MOMENT;
+    let later = fixtures::START + time::Duration::from_secs(1);
+
+    let avoided = least_busy(&fleet.ledger, &fleet.servers, soon);
+    let first = least_busy(&fleet.ledger, &fleet.servers, later);
+    fleet.write_drafts("engine-00", 1, later);
+    let second = least_busy(&fleet.ledger, &fleet.servers, later);
+    fleet.ledger.health_mut("engine-00").answered();
+    let third = least_busy(&fleet.ledger, &fleet.servers, later);
+
+    expect_that!(avoided, err(eq(&placement::NotPlaced::NoServer)));
+    expect_that!(first, ok(eq("engine-00")));
+    expect_that!(second, err(eq(&placement::NotPlaced::NoServer)));
+    verify_that!(third, ok(eq("engine-00")))
+}
+
+#[gtest]
+fn failing_server_is_chosen_after_sound_ones() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(2);
+    fleet.ledger.health_mut("engine-00").failed(fixtures::START);
+
+    let chosen = least_busy(&fleet.ledger, &fleet.servers, fixtures::START);
+
+    verify_that!(chosen, ok(eq("engine-01")))
+}
+
+#[gtest]
+fn cold_server_gets_no_more_in_a_second_than_it_bears() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(1);
+    let servers = fleet.servers.clone();
+    let mut candidates = fixtures::candidates(&servers);
+    candidates[0].cold_rate = Some(3.0);
+
+    let mut sent = 0;
+    for _ in 0..10 {
+        if placement::least_busy(&fleet.ledger, &candidates, fixtures::START).is_ok() {
+            fleet.write_drafts("engine-00", 1, fixtures::START);
+            sent += 1;
+        }
+    }
+    let later = fixtures::START + time::Duration::from_millis(1_200);
+    let again = placement::least_busy(&fleet.ledger, &candidates, later);
+
+    expect_that!(sent, eq(3));
+    verify_that!(again.is_ok(), eq(true))
+}
+
+#[gtest]
+fn least_busy_server_is_chosen() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(3);
+    fleet.write_drafts("engine-00", 2, fixtures::START);
+    fleet.write_drafts("engine-02", 1, fixtures::START);
+
+    let chosen = least_busy(&fleet.ledger, &fleet.servers, fixtures::START);
+
+    verify_that!(chosen, ok(eq("engine-01")))
+}
