Let the project's stand-in speak the published object API, with one client for it

Cause: the product had two clients of the platform, one of which spoke only to the stand-in. Change: the client of the product's platform border is built on the object API; the stand-in serves lists by pages, watches by kind with 410, conditional writes by revision.

--- a/crates/mustardshed-core/src/border/platform.rs
+++ b/crates/mustardshed-core/src/border/platform.rs
@@ -45,6 +45,10 @@
     Lease,
     /// The list of live and leaving VMs.
     Members,
+    /// Data centres that are out of service.
+    Outages,
+    /// Backend servers.
+    Servers,
 }
 
 impl Purpose {
@@ -56,6 +60,8 @@
             Self::ClaimSweep => "claim_sweep",
             Self::Lease => "lease",
             Self::Members => "members",
+            Self::Outages => "outages",
+            Self::Servers => "servers",
         }
     }
 }
--- a/crates/mustardshed-standins/src/platform.rs
+++ b/crates/mustardshed-standins/src/platform.rs
@@ -19,6 +19,7 @@
 pub mod calls;
 pub mod faults;
 pub mod faults_change;
+pub mod item;
 pub mod name;
 pub mod object;
 mod object_routes;
--- a/crates/mustardshed-standins/src/platform/faults.rs
+++ b/crates/mustardshed-standins/src/platform/faults.rs
@@ -24,6 +24,8 @@
     pub stale_reads_ms: u64,
     /// Age of what the list of VMs shows, in milliseconds.
     pub list_lag_ms: u64,
+    /// Version before which changes are not kept; watches from earlier ones end.
+    pub forgotten_before: u64,
     /// Names of callers whose calls are refused.
     pub cut: collections::BTreeSet<String>,
 }
@@ -78,6 +80,7 @@
             lose_answers_kind,
             stale_reads_ms,
             list_lag_ms,
+            forgotten_before,
             cut,
         } = change;
         self.outage = outage.unwrap_or(self.outage);
@@ -85,6 +88,7 @@
         self.lose_answers = lose_answers.unwrap_or(self.lose_answers);
         self.stale_reads_ms = stale_reads_ms.unwrap_or(self.stale_reads_ms);
         self.list_lag_ms = list_lag_ms.unwrap_or(self.list_lag_ms);
+        self.forgotten_before = forgotten_before.unwrap_or(self.forgotten_before);
         if let Some(kind) = lose_answers_kind {
             self.lose_answers_kind = kind;
         }
--- a/crates/mustardshed-standins/src/platform/faults_change.rs
+++ b/crates/mustardshed-standins/src/platform/faults_change.rs
@@ -21,6 +21,8 @@
     pub stale_reads_ms: Option<u64>,
     /// See [`crate::platform::faults::Faults::list_lag_ms`].
     pub list_lag_ms: Option<u64>,
+    /// See [`crate::platform::faults::Faults::forgotten_before`].
+    pub forgotten_before: Option<u64>,
     /// See [`crate::platform::faults::Faults::cut`].
     pub cut: Option<collections::BTreeSet<String>>,
 }
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -69,14 +69,17 @@
     async fn list(&self) -> Result<Read, objects::Error> {
         self.cx
             .platform
-            .list(self.topic.kind())
+            .list(self.topic.purpose(), self.topic.kind())
             .await
             .map(Read::All)
     }
 
     async fn watch(&self, revision: u64) -> Result<Read, objects::Error> {
         let wait = watch_time(self.topic);
-        let watching = self.cx.platform.watch(self.topic.kind(), revision, wait);
+        let watching =
+            self.cx
+                .platform
+                .watch(self.topic.purpose(), self.topic.kind(), revision, wait);
         if self.topic != topic::Topic::Configuration {
             return watching.await.map(Read::Changes);
         }
@@ -155,13 +158,7 @@
         return;
     }
     let written = match decode::entry::encode(&entry) {
-        Ok(content) => {
-            let kind = topic::Topic::Entries.kind();
-            cx.platform
-                .write(kind, vm, &content)
-                .await
-                .map_err(|e| e.to_string())
-        }
+        Ok(content) => write(cx, &content).await.map_err(|e| e.to_string()),
         Err(e) => Err(e.to_string()),
     };
     log::emit(&event::Event::Registered {
@@ -169,3 +166,16 @@
         result: &written.err().unwrap_or_else(|| "done".to_owned()),
     });
 }
+
+/// Writes this entry's registration, whatever is there.
+async fn write(cx: &cx::Cx, content: &str) -> Result<u64, objects::Error> {
+    let topic = topic::Topic::Entries;
+    let (purpose, kind) = (topic.purpose(), topic.kind());
+    let vm = &cx.settings.vm;
+    match cx.platform.create(purpose, kind, vm, content).await {
+        Err(objects::Error::Conflict(_)) => {
+            cx.platform.replace(purpose, kind, vm, None, content).await
+        }
+        written => written,
+    }
+}
