Write the log of a forwarding entry as JSON, and serve metrics

Cause: failures had to be explained from text lines that a full pipe could hold up, and no metric could be read. Change: lines of JSON through a bounded queue with budgets, lost ones counted and logged; counters and histograms in the Prometheus text form on a port of the settings.

--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod job;
 pub mod link;
+pub mod metrics;
 pub mod peers;
 pub mod refusal;
 pub mod reservation;
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -17,7 +17,7 @@
 };
 use tokio::sync as tokio_sync;
 
-use crate::forward::{job, peers, view};
+use crate::forward::{job, metrics, peers, view};
 
 /// Part of the time allowed for a revocation after which keys are no longer accepted; the rest is
 /// for what is on its way.
@@ -50,6 +50,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// Client of the platform.
     pub platform: objects::Objects,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
     /// Links to peers.
     pub peers: peers::Outbox,
     /// Woken when the configuration is wanted at once.
@@ -80,6 +82,7 @@
         settings: forwarding::Forwarding,
         clock: sync::Arc<dyn clock::Clock>,
         platform: objects::Objects,
+        metrics: metrics::Metrics,
     ) -> Self {
         let limits = budget::Limits {
             ratio: settings.bounds.retry_ratio,
@@ -90,6 +93,7 @@
             settings,
             clock,
             platform,
+            metrics,
             peers: peers::Outbox::default(),
             look: tokio_sync::Notify::new(),
             looked: tokio_sync::Notify::new(),
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -142,6 +142,7 @@
     refusal: refusal::Refusal,
     arrived_at: ids::Timestamp,
 ) -> Answer {
+    cx.metrics.refused(refusal);
     let now = cx.now();
     let (version, age_ms) = {
         let state = cx.state();
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -176,6 +176,7 @@
             let result = attempt::run(&self.req, &placed, job, self.last_event, timeout).await;
             match result {
                 Ok(answered) => {
+                    self.req.cx.metrics.attempt("answered");
                     self.runs += 1;
                     self.stage = Stage::WaitingForFirstEvent;
                     return Ok(answered);
@@ -285,6 +286,7 @@
     }
 
     fn log_failed(&self, server: &str, outcome: &str, reason: &str, goes_on: bool) {
+        self.req.cx.metrics.attempt(outcome);
         log::emit(&event::Event::ForwardAttemptFailed {
             request: self.req.id(),
             server,
@@ -298,6 +300,10 @@
     pub(super) fn ended(&self, outcome: &str, status: u16, server: &str, pace: &relay::Pace) {
         self.is_ended.store(true, atomic::Ordering::Relaxed);
         let now = self.req.cx.now();
+        let elapsed = now.saturating_sub(self.req.arrived_at);
+        let repeat = self.req.route.repeat;
+        let metrics = &self.req.cx.metrics;
+        metrics.ended(repeat, outcome, pace.first, elapsed);
         log::emit(&event::Event::ForwardEnded {
             request: self.req.id(),
             route: &self.req.route.name,
@@ -307,7 +313,7 @@
             events: pace.events,
             first_ms: pace.first.unwrap_or_default().as_millis(),
             longest_gap_ms: pace.longest_gap.as_millis(),
-            elapsed_ms: now.saturating_sub(self.req.arrived_at).as_millis(),
+            elapsed_ms: elapsed.as_millis(),
         });
     }
 }
--- a/crates/mustardshedd/src/forward/front.rs
+++ b/crates/mustardshedd/src/forward/front.rs
@@ -14,7 +14,7 @@
 use tokio::{net as tokio_net, task};
 
 use crate::{
-    forward::{cx, exchange},
+    forward::{cx, exchange, metrics},
     http::bounded_io,
     log::{self, event},
 };
@@ -41,6 +41,8 @@
     Traffic,
     /// Which entries to use, and whether this one is ready.
     Questions,
+    /// The metrics.
+    Metrics,
 }
 
 /// A listener with its open connections.
@@ -158,6 +160,11 @@
     match purpose {
         Purpose::Traffic => exchange::serve(cx, req).await,
         Purpose::Questions => question(&cx, &req),
+        Purpose::Metrics if req.uri().path() == metrics::PATH => match cx.metrics.text(&cx) {
+            Ok(text) => plain(http::StatusCode::OK, Bytes::from(text)),
+            Err(_) => plain(http::StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        },
+        Purpose::Metrics => plain(http::StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
--- /dev/null
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -0,0 +1,224 @@
+//! Counters and histograms of a forwarding entry, in the Prometheus text form.
+
+use std::time;
+
+use mustardshed::{
+    core::{forward::routes, ids},
+    platform::{call_counts, topic},
+};
+use prometheus::{Encoder, core};
+
+use crate::{
+    forward::{cx, refusal},
+    log,
+};
+
+/// Path on which the metrics are served.
+pub const PATH: &str = "/metrics";
+
+/// Bounds of the histograms of times, in seconds: from a call's usual time to a stream's longest.
+const SECONDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// Counters and histograms.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: prometheus::Registry,
+    ended: prometheus::IntCounterVec,
+    refused: prometheus::IntCounterVec,
+    attempts: prometheus::IntCounterVec,
+    first_event: prometheus::HistogramVec,
+    whole: prometheus::HistogramVec,
+    store_calls: prometheus::IntGaugeVec,
+    servers: prometheus::IntGaugeVec,
+    memory: prometheus::IntGaugeVec,
+    members: prometheus::IntGauge,
+    version: prometheus::IntGauge,
+    age: prometheus::GaugeVec,
+    lost_lines: prometheus::IntGaugeVec,
+}
+
+impl Metrics {
+    /// Makes metrics that count nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a name or a label is not allowed.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = prometheus::Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            register(&registry, prometheus::IntCounterVec::new(opts, labels)?)
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            register(&registry, prometheus::IntGaugeVec::new(opts, labels)?)
+        };
+        let gauge = |name: &str, help: &str| {
+            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            register(&registry, prometheus::IntGauge::with_opts(opts)?)
+        };
+        let histograms = |name: &str, help: &str| {
+            let opts = prometheus::HistogramOpts::new(name, help)
+                .namespace("mustardshed")
+                .buckets(SECONDS.to_vec());
+            register(&registry, prometheus::HistogramVec::new(opts, &["kind"])?)
+        };
+        let age = prometheus::Opts::new("read_age_seconds", "Age of what was read of the platform")
+            .namespace("mustardshed");
+        let age = register(&registry, prometheus::GaugeVec::new(age, &["kind"])?)?;
+        Ok(Self {
+            ended: counters(
+                "requests_total",
+                "Requests that got an answer of a server",
+                &["kind", "outcome"],
+            )?,
+            refused: counters(
+                "refusals_total",
+                "Requests that this system refused or gave up",
+                &["reason"],
+            )?,
+            attempts: counters("attempts_total", "Attempts at servers", &["outcome"])?,
+            first_event: histograms("first_event_seconds", "Time to the first event of a stream")?,
+            whole: histograms("request_seconds", "Time to the end of an answer")?,
+            store_calls: gauges(
+                "store_calls",
+                "Calls on the platform's store since the start",
+                &["purpose"],
+            )?,
+            servers: gauges(
+                "server_requests",
+                "Requests in flight at a server, of all entries",
+                &["server"],
+            )?,
+            memory: gauges(
+                "server_memory_tokens",
+                "Memory in use at an engine, as placed by all entries",
+                &["server"],
+            )?,
+            members: gauge("members", "Entries that are alive, this one included")?,
+            version: gauge("configuration_version", "Version in force")?,
+            age,
+            lost_lines: gauges(
+                "log_lines_lost",
+                "Log lines that were not written since the start",
+                &["reason"],
+            )?,
+            registry,
+        })
+    }
+
+    /// Counts the end of a request that a server answered.
+    pub fn ended(
+        &self,
+        repeat: routes::Repeat,
+        outcome: &str,
+        first: Option<time::Duration>,
+        whole: time::Duration,
+    ) {
+        let kind = kind(repeat);
+        self.ended.with_label_values(&[kind, outcome]).inc();
+        if let Some(first) = first {
+            let histogram = self.first_event.with_label_values(&[kind]);
+            histogram.observe(first.as_secs_f64());
+        }
+        self.whole
+            .with_label_values(&[kind])
+            .observe(whole.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, refusal: refusal::Refusal) {
+        self.refused.with_label_values(&[refusal.code()]).inc();
+    }
+
+    /// Counts an attempt by how it ended.
+    pub fn attempt(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they cannot be written.
+    pub fn text(&self, cx: &cx::Cx) -> prometheus::Result<Vec<u8>> {
+        self.look(cx);
+        let mut buf = Vec::new();
+        prometheus::TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+
+    /// Sets the gauges to what is so at present.
+    fn look(&self, cx: &cx::Cx) {
+        self.calls(cx.platform.calls());
+        let lost = log::lost();
+        for (reason, lines) in [("budget", lost.thinned), ("queue", lost.dropped)] {
+            self.lost_lines
+                .with_label_values(&[reason])
+                .set(signed(lines));
+        }
+        let now = cx.now();
+        let state = cx.state();
+        let alive = state.roster.alive(now) + 1;
+        self.members.set(signed(alive as u64));
+        self.version.set(signed(
+            state.view.routes().map_or(0, |routes| routes.version),
+        ));
+        for topic in topic::Topic::ALL {
+            if let Some(age) = state.view.age(topic, now) {
+                let gauge = self.age.with_label_values(&[topic.purpose().as_str()]);
+                gauge.set(age.as_secs_f64());
+            }
+        }
+        self.servers.reset();
+        self.memory.reset();
+        for server in state.view.ids() {
+            self.server(&state, server, now);
+        }
+    }
+
+    fn server(&self, state: &cx::State, server: &str, now: ids::Timestamp) {
+        let load = state.ledger.load(server, now);
+        let homes = self.servers.with_label_values(&[server]);
+        homes.set(signed(load.homes.len() as u64));
+        let memory = self.memory.with_label_values(&[server]);
+        memory.set(signed(load.memory_tokens));
+    }
+
+    fn calls(&self, calls: call_counts::CallCounts) {
+        let by_purpose = [
+            ("configuration", calls.configuration),
+            ("members", calls.members),
+            ("outages", calls.outages),
+            ("servers", calls.servers),
+        ];
+        for (purpose, count) in by_purpose {
+            self.store_calls
+                .with_label_values(&[purpose])
+                .set(signed(count));
+        }
+    }
+}
+
+fn register<C: core::Collector + Clone + 'static>(
+    registry: &prometheus::Registry,
+    collector: C,
+) -> prometheus::Result<C> {
+    registry.register(Box::new(collector.clone()))?;
+    Ok(collector)
+}
+
+const fn kind(repeat: routes::Repeat) -> &'static str {
+    match repeat {
+        routes::Repeat::Idempotent => "idempotent",
+        routes::Repeat::Once => "once",
+        routes::Repeat::Stream => "stream",
+        routes::Repeat::ResumableStream => "resumable_stream",
+    }
+}
+
+fn signed(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -63,6 +63,28 @@
         }
     }
 
+    /// Returns the name under which it is counted.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::NoIdentifier => "no_identifier",
+            Self::BrokenBody => "broken_body",
+            Self::TooLarge => "too_large",
+            Self::UnknownKey => "unknown_key",
+            Self::UnknownRoute => "unknown_route",
+            Self::Leaving => "leaving",
+            Self::NoConfiguration => "no_configuration",
+            Self::Stale => "stale",
+            Self::NoServer(_) => "no_server",
+            Self::Full(_) => "full",
+            Self::TooDear(_) => "too_dear",
+            Self::TooLate(_) => "too_late",
+            Self::TurnedAway(_) => "turned_away",
+            Self::FateUnknown => "fate_unknown",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
     /// Returns when the caller may come back.
     #[must_use]
     pub const fn retry_after(self) -> Option<time::Duration> {
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -11,7 +11,7 @@
 use tokio::{net as tokio_net, runtime, signal::unix, task};
 
 use crate::{
-    forward::{cx, follow, front, link, peers},
+    forward::{cx, follow, front, link, metrics, peers},
     log::{self, event},
     process::{clock as boot, startup},
 };
@@ -34,6 +34,8 @@
     Settings(path::PathBuf, startup::Problems),
     /// cannot listen on {0}: {1}
     Listen(net::SocketAddr, io::Error),
+    /// cannot make the metrics: {0}
+    Metrics(prometheus::Error),
     /// cannot start a thread or a runtime: {0}
     Runtime(io::Error),
 }
@@ -59,10 +61,11 @@
 ///
 /// Returns an error if it cannot start.
 pub fn run(settings: forwarding::Forwarding) -> Result<(), ServiceError> {
-    log::open(settings.log_level);
+    log::open_json(settings.log_level).map_err(ServiceError::Runtime)?;
     let platform = objects::Objects::open(&settings.platform.to_string(), PLATFORM_TIMEOUT);
     let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(boot::BootClock);
-    let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform));
+    let metrics = metrics::Metrics::new().map_err(ServiceError::Metrics)?;
+    let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform, metrics));
     let control = runtime()?;
     let traffic = runtime()?;
     let followed = sync::Arc::clone(&cx);
@@ -70,7 +73,9 @@
         .name("control".to_owned())
         .spawn(move || control.block_on(control_thread(followed)))
         .map_err(ServiceError::Runtime)?;
-    traffic.block_on(serve(cx))
+    let served = traffic.block_on(serve(cx));
+    log::settle();
+    served
 }
 
 fn runtime() -> Result<runtime::Runtime, ServiceError> {
@@ -106,6 +111,10 @@
     };
     let _ready = listen(settings.ready, front::Purpose::Questions).await?;
     let _directory = listen(settings.directory, front::Purpose::Questions).await?;
+    let _metrics = match settings.metrics {
+        Some(address) => Some(listen(address, front::Purpose::Metrics).await?),
+        None => None,
+    };
     let front = listen(settings.front, front::Purpose::Traffic).await?;
     until_told_to_stop(&cx).await?;
     let stopped_at = cx.now();
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -102,15 +102,6 @@
         &self.peers
     }
 
-    /// Returns the revision of an entry's registration.
-    #[must_use]
-    pub fn registration(&self, vm: &str) -> Option<&objects::Object> {
-        let listing = self.topics[topic::Topic::Entries.index()]
-            .listing
-            .as_ref()?;
-        listing.objects.get(vm)
-    }
-
     /// Returns a server that may be sent work.
     #[must_use]
     pub fn usable(&self, id: &str, now: ids::Timestamp) -> Option<&server::Server> {
@@ -142,14 +133,9 @@
         self.servers.contains_key(id) || self.lapsed.contains_key(id)
     }
 
-    /// Returns the address of a server, whatever its state.
-    #[must_use]
-    pub fn address(&self, id: &str) -> Option<&str> {
-        let server = self
-            .servers
-            .get(id)
-            .or_else(|| self.lapsed.get(id).map(|(s, _)| s));
-        server.map(|server| server.address.as_str())
+    /// Returns the names of the listed servers.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.servers.keys().map(String::as_str)
     }
 
     /// Returns the server that is named by its id or its address.
--- a/crates/mustardshedd/src/log.rs
+++ b/crates/mustardshedd/src/log.rs
@@ -10,10 +10,17 @@
 pub mod entry;
 pub mod event;
 pub mod fields;
+pub mod lines;
 pub mod metrics;
+pub mod value;
+
+use std::{io, sync};
 
 use mustardshed::config::settings;
 
+/// The log as JSON, if the process writes it so.
+static LINES: sync::OnceLock<lines::Lines> = sync::OnceLock::new();
+
 /// Sets the least severity that the process's log shows.
 pub fn open(level: settings::LogLevel) {
     let level = match level {
@@ -27,12 +34,41 @@
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::MoreSevereEqual(level));
 }
 
+/// Lets the process's log be lines of JSON on standard output.
+///
+/// # Errors
+///
+/// Returns an error if there is no thread for it.
+pub fn open_json(level: settings::LogLevel) -> io::Result<()> {
+    open(level);
+    let lines = lines::Lines::open(io::stdout())?;
+    // A second call leaves the first one's log as it is.
+    let _ = LINES.set(lines);
+    Ok(())
+}
+
+/// Waits until what was logged is written, where the log is JSON.
+pub fn settle() {
+    if LINES.get().is_some() {
+        std::thread::sleep(lines::GATHER * 2);
+    }
+}
+
+/// Returns the numbers of lines that were not written, where the log is JSON.
+#[must_use]
+pub fn lost() -> lines::Lost {
+    LINES.get().map(lines::Lines::lost).unwrap_or_default()
+}
+
 /// Writes an event to the process's log.
 pub fn emit(event: &event::Event<'_>) {
     let level = event.level();
     if !spdlog::default_logger().should_log(level) {
         return;
     }
+    if let Some(lines) = LINES.get() {
+        return lines.emit(event);
+    }
     let number = event.number();
     let name = event.name();
     spdlog::log!(level, "E{number} {name}{}", fields::Fields(event));
--- a/crates/mustardshedd/src/log/catalogue.rs
+++ b/crates/mustardshedd/src/log/catalogue.rs
@@ -76,7 +76,10 @@
             /// Returns the first error of `visit`.
             pub fn visit(
                 &self,
-                visit: &mut dyn FnMut(&str, &dyn std::fmt::Display) -> std::fmt::Result,
+                visit: &mut dyn FnMut(
+                    &str,
+                    &dyn $crate::log::value::Value,
+                ) -> std::fmt::Result,
             ) -> std::fmt::Result {
                 match self {
                     $(Self::$variant { $($field),* } => {
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -202,6 +202,11 @@
     1303 Info "settings_reread" SettingsReread {
         result: &'a str,
     }
+    /// Lines were not written since the start: beyond their budget, or the queue was full.
+    1304 Warn "log_thinned" LogThinned {
+        thinned: u64,
+        dropped: u64,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
--- a/crates/mustardshedd/src/log/fields.rs
+++ b/crates/mustardshedd/src/log/fields.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Write};
 
-use crate::log::event;
+use crate::log::{event, value};
 
 /// Writes the fields of an event as ` name=value`, quoted where a value has spaces.
 pub struct Fields<'a>(pub &'a event::Event<'a>);
@@ -13,7 +13,7 @@
     }
 }
 
-fn write_field(f: &mut fmt::Formatter<'_>, name: &str, value: &dyn fmt::Display) -> fmt::Result {
+fn write_field(f: &mut fmt::Formatter<'_>, name: &str, value: &dyn value::Value) -> fmt::Result {
     let value = value.to_string();
     write!(f, " {name}=")?;
     if !value.is_empty() && value.chars().all(is_plain) {
