--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -71,7 +71,7 @@
     let followed = sync::Arc::clone(&cx);
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || control.block_on(control_thread(followed)))
+        .spawn(move || control.block_on(follow_all(followed)))
         .map_err(ServiceError::Runtime)?;
     let served = traffic.block_on(serve(cx));
     log::settle();
@@ -83,8 +83,8 @@
     rt.map_err(ServiceError::Runtime)
 }
 
-/// Follows the platform and the peers.
-async fn control_thread(cx: sync::Arc<cx::Cx>) {
+/// Follows the platform and the peers, for as long as the process runs.
+pub async fn follow_all(cx: sync::Arc<cx::Cx>) {
     match tokio_net::TcpListener::bind(cx.settings.peers).await {
         Ok(listener) => drop(task::spawn(link::accept(sync::Arc::clone(&cx), listener))),
         Err(e) => log::emit(&event::Event::AcceptFailed {
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -15,13 +15,14 @@
 
 /// Longest wait for a connection; a server that is there answers within some milliseconds.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-/// Silence on a connection after which the other side is asked for a sign of life.
-const KEEPALIVE_IDLE: time::Duration = time::Duration::from_millis(500);
-/// Wait between such questions.
-const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_millis(300);
+/// Silence on a connection after which the other side is asked for a sign of life; the system
+/// counts it in whole seconds.
+const KEEPALIVE_IDLE: time::Duration = time::Duration::from_secs(1);
+/// Wait between such questions, also in whole seconds.
+const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Questions without an answer after which the connection is lost.
-const KEEPALIVE_RETRIES: u32 = 3;
-/// Time after which sent bytes must be acknowledged.
+const KEEPALIVE_RETRIES: u32 = 1;
+/// Time after which sent bytes and questions must be acknowledged.
 const USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_400);
 
 /// A body that is sent whole.
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/calls.rs
@@ -0,0 +1,162 @@
+//! Calls with one answer.
+
+use googletest::prelude::*;
+
+use crate::{
+    fixture,
+    server::{self, Answer},
+};
+
+#[gtest]
+#[tokio::test]
+async fn request_and_answer_pass_unchanged_but_for_what_concerns_the_hop() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let headers = [
+        ("api-key", fixture::KEY),
+        ("tenant", "forged"),
+        ("expect-instance", "forged"),
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("x-end", "2"),
+    ];
+
+    let seen = f
+        .send_with(&entry, "POST", "/once/a?b=c", "the body", &headers)
+        .await;
+
+    let got = &server.got()[0];
+    expect_that!((seen.status, seen.body.as_str()), eq((200, "done")));
+    expect_that!(seen.header("server-stamp"), some(eq("signed")));
+    expect_that!(
+        (got.method.as_str(), got.path.as_str()),
+        eq(("POST", "/once/a?b=c"))
+    );
+    expect_that!(got.body.as_ref(), eq(b"the body"));
+    expect_that!(got.header("host"), some(eq(fixture::HOST)));
+    expect_that!(got.header("request-id"), some(eq("r-1")));
+    expect_that!(got.header("tenant"), some(eq("chapel")));
+    expect_that!(got.header("expect-instance"), some(eq("i-1")));
+    expect_that!(got.header("api-key"), none());
+    expect_that!(got.header("x-hop"), none());
+    expect_that!(got.header("x-end"), some(eq("2")));
+    let left: u64 = got.header("deadline-ms").unwrap().parse().unwrap();
+    verify_that!(left, le(20_000))
+}
+
+#[gtest]
+#[tokio::test]
+async fn call_that_may_run_once_is_not_sent_again_after_a_lost_answer() -> Result<()> {
+    let first = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&first]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    first.answers(Answer::Cut);
+
+    let seen = f.send(&entry, "POST", "/once/a", "").await;
+
+    expect_that!(seen.status, eq(502));
+    expect_that!(seen.header("retry-after"), none());
+    verify_that!(first.got().len(), eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn call_that_was_turned_away_is_sent_to_another_server() -> Result<()> {
+    let (first, second) = (
+        server::Server::bind("i-1").await,
+        server::Server::bind("i-2").await,
+    );
+    let f = fixture::Fixture::with(&[&first, &second]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    first.answers(Answer::NotRun);
+    second.answers(Answer::NotRun);
+
+    let seen = f.send(&entry, "POST", "/once/a", "").await;
+
+    // Both turn it away once; a third attempt is answered.
+    expect_that!(seen.status, eq(200));
+    verify_that!(first.got().len() + second.got().len(), eq(3))
+}
+
+#[gtest]
+#[tokio::test]
+async fn call_that_all_turn_away_is_refused_as_not_run() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    for _ in 0..4 {
+        server.answers(Answer::NotRun);
+    }
+
+    let seen = f.send(&entry, "POST", "/once/a", "").await;
+
+    expect_that!(seen.status, eq(503));
+    verify_that!(seen.header("retry-after"), some(anything()))
+}
+
+#[gtest]
+#[tokio::test]
+async fn repeatable_call_is_sent_again_after_a_lost_answer_or_a_failure() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::Whole(500, "failed"));
+
+    let seen = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!(seen.status, eq(200));
+    verify_that!(server.got().len(), eq(2))
+}
+
+#[gtest]
+#[tokio::test]
+async fn failure_of_a_server_passes_unchanged() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::Whole(500, "failed"));
+
+    let seen = f.send(&entry, "POST", "/once/a", "").await;
+
+    expect_that!((seen.status, seen.body.as_str()), eq((500, "failed")));
+    verify_that!(seen.header("server-stamp"), some(eq("signed")))
+}
+
+#[gtest]
+#[tokio::test]
+async fn answer_to_another_request_is_never_passed_on() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::Foreign);
+    server.answers(Answer::Foreign);
+
+    let once = f.send(&entry, "POST", "/once/a", "").await;
+    let again = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!(once.status, eq(502));
+    verify_that!((again.status, again.body.as_str()), eq((200, "done")))
+}
+
+#[gtest]
+#[tokio::test]
+async fn request_of_a_client_that_left_ends_at_its_server() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::Silent);
+
+    {
+        let sending = f.send(&entry, "POST", "/once/a", "");
+        tokio::pin!(sending);
+        let arrived = fixture::until("the request", || !server.got().is_empty());
+        tokio::select! {
+            _ = &mut sending => panic!("a silent server was answered for"),
+            () = arrived => {}
+        }
+    }
+    fixture::until("the close", || server.left() == 1).await;
+
+    verify_that!(server.got().len(), eq(1))
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -0,0 +1,299 @@
+//! A platform, servers, and entries that forward to them.
+
+use std::{net, sync, time};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper_util::{client::legacy, rt};
+use mustardshed::{config::forwarding, config::settings, platform::objects};
+use mustardshed_standins::{http as standin_http, json_client, platform as standin};
+use mustardshedd::{
+    forward::{cx, front, metrics, service},
+    process::clock,
+};
+use serde_json::json;
+
+use crate::server;
+
+/// Longest wait for anything; far beyond what a loaded machine needs.
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(30);
+/// Wait between looks.
+const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Host of all routes.
+pub(crate) const HOST: &str = "shed.example";
+/// Key of the one account.
+pub(crate) const KEY: &str = "key-1";
+
+/// An answer as a client sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) status: u16,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: String,
+    /// Whether the body came to its end.
+    pub(crate) is_whole: bool,
+}
+
+impl Seen {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A platform with servers and entries.
+pub(crate) struct Fixture {
+    platform: standin_http::Server,
+    http: json_client::JsonClient,
+    client: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>,
+}
+
+/// A running entry with a runtime of its own, which ends when this is dropped.
+pub(crate) struct Entry {
+    pub(crate) cx: sync::Arc<cx::Cx>,
+    fronts: Vec<front::Front>,
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.fronts.clear();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Entry {
+    /// Waits until the entry takes work.
+    pub(crate) async fn ready(self) -> Self {
+        until("the entry to be ready", || self.cx.takes_work()).await;
+        self
+    }
+}
+
+/// Waits until `holds`.
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = time::Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "waited too long for {what}");
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+fn free_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn bounds() -> forwarding::Bounds {
+    forwarding::Bounds {
+        fail_closed: true,
+        revocation: time::Duration::from_secs(5),
+        retry_ratio: 0.2,
+        retry_allowance: 100.0,
+        retry_window: time::Duration::from_secs(10),
+        grace: time::Duration::from_secs(8),
+        memory_release: time::Duration::from_secs(4),
+    }
+}
+
+impl Fixture {
+    /// Starts a platform that holds nothing.
+    pub(crate) async fn empty() -> Self {
+        let platform = standin::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        Self {
+            platform,
+            http: json_client::JsonClient::open(),
+            client: legacy::Client::builder(rt::TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Starts a platform with these servers of the service `runners` and a configuration.
+    pub(crate) async fn with(servers: &[&server::Server]) -> Self {
+        let fixture = Self::empty().await;
+        fixture.configure(1, &[KEY]).await;
+        for server in servers {
+            fixture.list(server, "ready", "north").await;
+        }
+        fixture
+    }
+
+    /// Writes a configuration with the routes `/once/`, `/again/`, `/stream/` and `/open/`.
+    pub(crate) async fn configure(&self, version: u64, keys: &[&str]) {
+        let route = |name: &str, kind: &str, attempts: u32| {
+            json!({
+                "name": name, "host": HOST, "path_prefix": format!("/{name}/"),
+                "route_type": kind, "timeout_ms": 20_000, "target_latency_ms": 300,
+                "gap_aim_ms": 200, "priority": 1, "service": "runners",
+                "max_attempts": attempts, "public": name == "open",
+                "resumable": kind == "streaming",
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("once", "non_idempotent", 1),
+                route("again", "idempotent", 2),
+                route("stream", "streaming", 2),
+                route("open", "idempotent", 2),
+            ],
+            "services": [{ "name": "runners", "max_connections": 100 }],
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": 1_000,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+            "tenants": [{ "name": "chapel", "api_keys": keys }],
+        });
+        self.write("config", "main", config).await;
+    }
+
+    /// Lists a server in a state and a data centre.
+    pub(crate) async fn list(&self, server: &server::Server, state: &str, data_centre: &str) {
+        let entry = json!({
+            "service": "runners", "address": server.address.to_string(), "zone": data_centre,
+            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+        });
+        self.write("servers", &server.id, entry).await;
+    }
+
+    /// Writes an object, whatever is there.
+    pub(crate) async fn write(&self, kind: &str, name: &str, spec: serde_json::Value) {
+        let body = json!({ "metadata": { "name": name }, "spec": spec });
+        let kind_url = format!("{}/api/objects/{kind}", self.platform.url());
+        let created = self.http.post(&kind_url, &body).await.unwrap();
+        if created.status == 409 {
+            let url = format!("{kind_url}/{name}");
+            assert_eq!(self.http.put(&url, &body).await.unwrap().status, 200);
+        }
+    }
+
+    /// Removes an object.
+    pub(crate) async fn remove(&self, kind: &str, name: &str) {
+        let url = format!("{}/api/objects/{kind}/{name}", self.platform.url());
+        let req = http::Request::delete(url).body(Bytes::new().into());
+        assert_eq!(self.http.send(req).await.unwrap().status, 200);
+    }
+
+    /// Changes the platform's faults.
+    pub(crate) async fn faults(&self, faults: serde_json::Value) {
+        let url = format!("{}/admin/faults", self.platform.url());
+        assert_eq!(self.http.put(&url, &faults).await.unwrap().status, 200);
+    }
+
+    /// Starts an entry with the usual bounds.
+    pub(crate) async fn entry(&self, vm: &str) -> Entry {
+        self.entry_with(vm, bounds()).await
+    }
+
+    /// Starts an entry that counts its configuration as out of date after `revocation`.
+    pub(crate) async fn entry_that_forgets(&self, vm: &str, revocation: time::Duration) -> Entry {
+        let bounds = forwarding::Bounds {
+            revocation,
+            ..bounds()
+        };
+        self.entry_with(vm, bounds).await
+    }
+
+    async fn entry_with(&self, vm: &str, bounds: forwarding::Bounds) -> Entry {
+        let settings = forwarding::Forwarding {
+            vm: vm.to_owned(),
+            data_centre: "north".to_owned(),
+            front: free_address(),
+            ready: free_address(),
+            directory: free_address(),
+            peers: free_address(),
+            seeds: Vec::new(),
+            platform: self
+                .platform
+                .url()
+                .trim_start_matches("http://")
+                .parse()
+                .unwrap(),
+            metrics: Some(free_address()),
+            log_level: settings::LogLevel::Critical,
+            bounds,
+        };
+        let platform = objects::Objects::open(&settings.platform.to_string(), PATIENCE / 30);
+        let metrics = metrics::Metrics::new().unwrap();
+        let clock = sync::Arc::new(clock::BootClock);
+        let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform, metrics));
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let mut fronts = Vec::new();
+        for (address, purpose) in [
+            (cx.settings.front, front::Purpose::Traffic),
+            (cx.settings.ready, front::Purpose::Questions),
+            (cx.settings.directory, front::Purpose::Questions),
+            (cx.settings.metrics.unwrap(), front::Purpose::Metrics),
+        ] {
+            let binding = front::bind(sync::Arc::clone(&cx), address, purpose);
+            fronts.push(runtime.spawn(binding).await.unwrap().unwrap());
+        }
+        runtime.spawn(service::follow_all(sync::Arc::clone(&cx)));
+        Entry {
+            cx,
+            fronts,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Sends a request with the key of the one account.
+    pub(crate) async fn send(&self, entry: &Entry, method: &str, path: &str, body: &str) -> Seen {
+        self.send_with(entry, method, path, body, &[("api-key", KEY)])
+            .await
+    }
+
+    /// Sends a request with these headers.
+    pub(crate) async fn send_with(
+        &self,
+        entry: &Entry,
+        method: &str,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Seen {
+        let url = format!("http://{}{path}", entry.cx.settings.front);
+        let mut req = http::Request::builder()
+            .method(method)
+            .uri(url)
+            .header("host", HOST)
+            .header("request-id", "r-1")
+            .header("deadline-ms", "20000");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Bytes::from(body.to_owned()).into()).unwrap();
+        self.seen(req).await
+    }
+
+    /// Reads a path at an address.
+    pub(crate) async fn read(&self, address: net::SocketAddr, path: &str) -> Seen {
+        let req = http::Request::get(format!("http://{address}{path}"));
+        self.seen(req.body(Bytes::new().into()).unwrap()).await
+    }
+
+    async fn seen(&self, req: http::Request<http_body_util::Full<Bytes>>) -> Seen {
+        let res = self.client.request(req).await.unwrap();
+        let (parts, mut body) = res.into_parts();
+        let mut buf = Vec::new();
+        let mut is_whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => buf.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+                Err(_) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+        }
+        Seen {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body: String::from_utf8(buf).unwrap(),
+            is_whole,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/keys.rs
@@ -0,0 +1,120 @@
+//! Keys, and how old the knowledge of them may be.
+
+use std::time;
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::{fixture, server};
+
+#[gtest]
+#[tokio::test]
+async fn unknown_keys_and_routes_are_refused_and_public_routes_need_none() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+
+    let wrong = f
+        .send_with(&entry, "GET", "/again/a", "", &[("api-key", "no")])
+        .await;
+    let missing = f.send_with(&entry, "GET", "/again/a", "", &[]).await;
+    let nowhere = f.send(&entry, "GET", "/nowhere/", "").await;
+    let open = f.send_with(&entry, "GET", "/open/a", "", &[]).await;
+
+    expect_that!((wrong.status, missing.status), eq((401, 401)));
+    expect_that!(nowhere.status, eq(404));
+    expect_that!(open.status, eq(200));
+    verify_that!(server.got().len(), eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn entry_without_a_configuration_says_so() -> Result<()> {
+    let f = fixture::Fixture::empty().await;
+    let entry = f.entry("entry-1").await;
+
+    let seen = f.send(&entry, "GET", "/again/a", "").await;
+    let ready = f.read(entry.cx.settings.ready, "/api/readyz").await;
+
+    expect_that!(seen.status, eq(503));
+    expect_that!(seen.header("retry-after"), some(anything()));
+    verify_that!(ready.status, eq(503))
+}
+
+#[gtest]
+#[tokio::test]
+async fn revoked_key_is_refused_and_a_new_one_is_taken() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+
+    f.configure(9, &["key-2"]).await;
+    let new = [("api-key", "key-2")];
+    let taken = f.send_with(&entry, "GET", "/again/a", "", &new).await;
+    let revoked = f.send(&entry, "GET", "/again/a", "").await;
+
+    // The new key is not known before the entry has looked, so no wait is needed for either.
+    expect_that!(taken.status, eq(200));
+    verify_that!(revoked.status, eq(401))
+}
+
+#[gtest]
+#[tokio::test]
+async fn earlier_version_never_comes_back() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    f.configure(9, &["key-2"]).await;
+    fixture::until("version 9", || {
+        entry.cx.routes().is_some_and(|r| r.version == 9)
+    })
+    .await;
+
+    f.configure(5, &[fixture::KEY]).await;
+    f.write("servers", "marker", json!({})).await;
+    let seen = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!(entry.cx.routes().unwrap().version, eq(9));
+    verify_that!(seen.status, eq(401))
+}
+
+#[gtest]
+#[tokio::test]
+async fn keys_are_not_accepted_on_old_knowledge() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    // Longer than a watch waits, so that a sound platform keeps the knowledge fresh.
+    let limit = time::Duration::from_secs(3);
+    let entry = f.entry_that_forgets("entry-1", limit).await.ready().await;
+
+    f.faults(json!({ "outage": true })).await;
+    fixture::until("the knowledge to grow old", || !entry.cx.takes_work()).await;
+    let stale = f.send(&entry, "GET", "/again/a", "").await;
+    let open = f.send_with(&entry, "GET", "/open/a", "", &[]).await;
+    f.faults(json!({ "outage": false })).await;
+    let entry = entry.ready().await;
+    let fresh = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!(stale.status, eq(503));
+    expect_that!(open.status, eq(200));
+    verify_that!(fresh.status, eq(200))
+}
+
+#[gtest]
+#[tokio::test]
+async fn dropped_history_hides_no_change() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+
+    f.faults(json!({ "forgotten_before": 1_000 })).await;
+    f.configure(9, &["key-2"]).await;
+    fixture::until("version 9", || {
+        entry.cx.routes().is_some_and(|r| r.version == 9)
+    })
+    .await;
+
+    let seen = f.send(&entry, "GET", "/again/a", "").await;
+
+    verify_that!(seen.status, eq(401))
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/log.rs
@@ -0,0 +1,107 @@
+//! The log as lines of JSON.
+
+use std::{io, sync, time};
+
+use googletest::prelude::*;
+use mustardshedd::log::{event, lines};
+
+use crate::fixture;
+
+fn refused(request: &str) -> event::Event<'_> {
+    event::Event::ForwardRefused {
+        request,
+        status: 503,
+        reason: "the backend servers are \"full\"",
+        retry_after_ms: 250,
+        version: 7,
+        age_ms: 12,
+        elapsed_ms: 1,
+    }
+}
+
+/// Output that takes nothing until it is let go, as a pipe that nobody reads.
+#[derive(Clone, Debug)]
+struct Pipe {
+    is_read: sync::Arc<(sync::Mutex<bool>, sync::Condvar)>,
+    written: sync::Arc<sync::Mutex<Vec<u8>>>,
+}
+
+impl Pipe {
+    fn stuck() -> Self {
+        Self {
+            is_read: sync::Arc::new((sync::Mutex::new(false), sync::Condvar::new())),
+            written: sync::Arc::default(),
+        }
+    }
+
+    fn let_go(&self) {
+        *self.is_read.0.lock().unwrap() = true;
+        self.is_read.1.notify_all();
+    }
+}
+
+impl io::Write for Pipe {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let (is_read, changed) = &*self.is_read;
+        let guard = is_read.lock().unwrap();
+        drop(changed.wait_while(guard, |is_read| !*is_read).unwrap());
+        self.written.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[gtest]
+fn line_is_one_object_of_json() -> Result<()> {
+    let line = lines::line(&refused("r-1"));
+
+    let parsed: serde_json::Value = serde_json::from_str(&line).unwrap();
+    expect_that!(line.lines().count(), eq(1));
+    expect_that!(parsed["event"].as_u64(), some(eq(1202)));
+    expect_that!(parsed["request"].as_str(), some(eq("r-1")));
+    expect_that!(parsed["status"].as_u64(), some(eq(503)));
+    verify_that!(
+        parsed["reason"].as_str(),
+        some(contains_substring("\"full\""))
+    )
+}
+
+#[gtest]
+fn output_that_nobody_reads_holds_nobody_up_and_what_is_lost_is_counted() -> Result<()> {
+    let pipe = Pipe::stuck();
+    let lines = lines::Lines::open(pipe.clone()).unwrap();
+
+    // The writer never returns before `let_go`; if emitting waited for it, this would not end.
+    for i in 0..20_000 {
+        lines.emit(&refused(&format!("r-{i}")));
+    }
+
+    let lost = lines.lost();
+    pipe.let_go();
+    verify_that!(lost.thinned + lost.dropped, gt(10_000))
+}
+
+#[gtest]
+#[tokio::test]
+async fn thinned_lines_are_counted_in_the_log_itself() -> Result<()> {
+    let pipe = Pipe::stuck();
+    pipe.let_go();
+    let lines = lines::Lines::open(pipe.clone()).unwrap();
+    for i in 0..2_000 {
+        lines.emit(&refused(&format!("r-{i}")));
+    }
+    let begun = time::Instant::now();
+    fixture::until("the next second", || {
+        begun.elapsed() > time::Duration::from_millis(1_050)
+    })
+    .await;
+
+    lines.emit(&refused("last"));
+    let written = || String::from_utf8(pipe.written.lock().unwrap().clone()).unwrap();
+    fixture::until("the line", || written().contains("\"last\"")).await;
+
+    verify_that!(written(), contains_substring("\"log_thinned\""))
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -0,0 +1,18 @@
+//! Forwarding through an entry, with the platform's stand-in and small scripted servers.
+
+#![expect(
+    clippy::panic,
+    clippy::unwrap_used,
+    reason = "a fake or fixture that fails ends its test"
+)]
+
+mod bad_input;
+mod calls;
+mod entries;
+mod fixture;
+mod keys;
+mod log;
+mod metrics;
+mod placement;
+mod server;
+mod streams;
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -0,0 +1,189 @@
+//! A backend server that answers by a script.
+
+use std::{collections, convert, io, net, sync, time};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, combinators};
+use hyper::{body, server::conn::http1, service};
+use hyper_util::rt;
+
+/// A request as the server got it.
+#[derive(Clone, Debug)]
+pub(crate) struct Got {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Got {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// How the server answers one request.
+#[derive(Clone, Debug)]
+pub(crate) enum Answer {
+    /// This status, signed, with this body.
+    Whole(u16, &'static str),
+    /// The request has not run.
+    NotRun,
+    /// A whole answer to another request.
+    Foreign,
+    /// Events with these identifiers; the connection breaks after them unless `ends`.
+    Events { ids: Vec<u64>, ends: bool },
+    /// An event, then the beginning of another one, then a break.
+    Torn { id: u64 },
+    /// No answer; the connection is closed.
+    Cut,
+    /// No answer; the connection stays open.
+    Silent,
+}
+
+type Body = combinators::UnsyncBoxBody<Bytes, io::Error>;
+
+#[derive(Debug, Default)]
+struct State {
+    script: sync::Mutex<collections::VecDeque<Answer>>,
+    got: sync::Mutex<Vec<Got>>,
+    left: sync::atomic::AtomicUsize,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) id: String,
+    state: sync::Arc<State>,
+}
+
+impl Server {
+    pub(crate) async fn bind(id: &str) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = sync::Arc::new(State::default());
+        tokio::spawn(accept(listener, sync::Arc::clone(&state)));
+        Self {
+            address,
+            id: id.to_owned(),
+            state,
+        }
+    }
+
+    /// Adds an answer; without any, requests are answered with 200 and `done`.
+    pub(crate) fn answers(&self, answer: Answer) {
+        self.state.script.lock().unwrap().push_back(answer);
+    }
+
+    pub(crate) fn got(&self) -> Vec<Got> {
+        self.state.got.lock().unwrap().clone()
+    }
+
+    /// Returns the number of requests whose connections were closed before they were answered.
+    pub(crate) fn left(&self) -> usize {
+        self.state.left.load(sync::atomic::Ordering::Relaxed)
+    }
+}
+
+async fn accept(listener: tokio::net::TcpListener, state: sync::Arc<State>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let state = sync::Arc::clone(&state);
+        tokio::spawn(async move {
+            let answering = service::service_fn(move |req| answer(sync::Arc::clone(&state), req));
+            let served =
+                http1::Builder::new().serve_connection(rt::TokioIo::new(stream), answering);
+            drop(served.await);
+        });
+    }
+}
+
+/// Counts a request whose connection closes while it is carried.
+struct Carried(sync::Arc<State>, bool);
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        if !self.1 {
+            self.0.left.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        }
+    }
+}
+
+async fn answer(
+    state: sync::Arc<State>,
+    req: http::Request<body::Incoming>,
+) -> Result<http::Response<Body>, io::Error> {
+    let (parts, body) = req.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let id = parts.headers.get("request-id").cloned();
+    state.got.lock().unwrap().push(Got {
+        method: parts.method.to_string(),
+        path: parts.uri.to_string(),
+        headers: parts.headers,
+        body,
+    });
+    let scripted = state.script.lock().unwrap().pop_front();
+    let mut carried = Carried(sync::Arc::clone(&state), false);
+    let mut res = match scripted.unwrap_or(Answer::Whole(200, "done")) {
+        Answer::Whole(status, text) => whole(status, text),
+        Answer::NotRun => not_run(),
+        Answer::Foreign => {
+            let mut res = whole(200, "another's");
+            res.headers_mut()
+                .insert("request-id", "another".parse().unwrap());
+            carried.1 = true;
+            return Ok(res);
+        }
+        Answer::Events { ids, ends } => events(&ids, None, ends),
+        Answer::Torn { id } => events(&[id], Some("id: 99\ndata: ha"), false),
+        Answer::Cut => return Err(io::Error::from(io::ErrorKind::ConnectionReset)),
+        Answer::Silent => {
+            tokio::time::sleep(time::Duration::from_secs(60)).await;
+            whole(200, "late")
+        }
+    };
+    carried.1 = true;
+    if let Some(id) = id {
+        res.headers_mut().insert("request-id", id);
+    }
+    Ok(res)
+}
+
+fn whole(status: u16, text: &'static str) -> http::Response<Body> {
+    let body = http_body_util::Full::new(Bytes::from_static(text.as_bytes()));
+    let body = body.map_err(|never: convert::Infallible| match never {});
+    http::Response::builder()
+        .status(status)
+        .header("server-stamp", "signed")
+        .body(body.boxed_unsync())
+        .unwrap()
+}
+
+fn not_run() -> http::Response<Body> {
+    let mut res = whole(503, "");
+    res.headers_mut()
+        .insert("not-executed", "1".parse().unwrap());
+    res
+}
+
+fn events(ids: &[u64], torn: Option<&'static str>, ends: bool) -> http::Response<Body> {
+    let mut frames: Vec<io::Result<Bytes>> = ids
+        .iter()
+        .map(|id| Ok(Bytes::from(format!("id: {id}\ndata: e{id}\n\n"))))
+        .collect();
+    frames.extend(torn.map(|torn| Ok(Bytes::from_static(torn.as_bytes()))));
+    if !ends {
+        frames.push(Err(io::Error::from(io::ErrorKind::ConnectionReset)));
+    }
+    let frames = stream::iter(frames).then(|frame| async {
+        // What was sent before a break must have left by then.
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+        frame.map(body::Frame::data)
+    });
+    http::Response::builder()
+        .header("server-stamp", "signed")
+        .header("content-type", "text/event-stream")
+        .body(http_body_util::StreamBody::new(frames).boxed_unsync())
+        .unwrap()
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/streams.rs
@@ -0,0 +1,98 @@
+//! Streams of events.
+
+use googletest::prelude::*;
+
+use crate::{
+    fixture,
+    server::{self, Answer},
+};
+
+fn ids_of(body: &str) -> Vec<u64> {
+    let lines = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    lines.map(|id| id.parse().unwrap()).collect()
+}
+
+#[gtest]
+#[tokio::test]
+async fn events_pass_in_their_order() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::Events {
+        ids: vec![1, 2, 3],
+        ends: true,
+    });
+
+    let seen = f.send(&entry, "POST", "/stream/a", "").await;
+
+    expect_that!(seen.is_whole, eq(true));
+    expect_that!(
+        seen.body.as_str(),
+        eq("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n")
+    );
+    verify_that!(seen.header("content-type"), some(eq("text/event-stream")))
+}
+
+#[gtest]
+#[tokio::test]
+async fn broken_stream_goes_on_after_its_last_event_and_a_torn_one_is_dropped() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::Torn { id: 4 });
+    server.answers(Answer::Events {
+        ids: vec![5, 6],
+        ends: true,
+    });
+
+    let seen = f.send(&entry, "POST", "/stream/a", "").await;
+
+    let got = server.got();
+    expect_that!(got[0].header("last-event-id"), none());
+    expect_that!(got[1].header("last-event-id"), some(eq("4")));
+    expect_that!(seen.is_whole, eq(true));
+    verify_that!(ids_of(&seen.body), elements_are![eq(&4), eq(&5), eq(&6)])
+}
+
+#[gtest]
+#[tokio::test]
+async fn stream_that_cannot_go_on_does_not_look_complete() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    for id in [1, 2] {
+        server.answers(Answer::Events {
+            ids: vec![id],
+            ends: false,
+        });
+    }
+
+    let seen = f.send(&entry, "POST", "/stream/a", "").await;
+
+    expect_that!(seen.is_whole, eq(false));
+    expect_that!(server.got().len(), eq(2));
+    verify_that!(ids_of(&seen.body), elements_are![eq(&1), eq(&2)])
+}
+
+#[gtest]
+#[tokio::test]
+async fn events_out_of_order_end_a_run() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::Events {
+        ids: vec![1, 2, 2, 3],
+        ends: true,
+    });
+    server.answers(Answer::Events {
+        ids: vec![3, 4],
+        ends: true,
+    });
+
+    let seen = f.send(&entry, "POST", "/stream/a", "").await;
+
+    verify_that!(
+        ids_of(&seen.body),
+        elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
+    )
+}
