Let a request wait briefly for a place before it is refused

Cause: long prompts of a moment's burst were refused although the engines were free again within a second. Change: up to 0.3 of the objective is waited for a place.

--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -67,9 +67,23 @@
     pub arrived_at: ids::Timestamp,
     /// Longest pause between its events that is on time, in milliseconds.
     pub gap_ms: f64,
+    /// Whether its caller was refused before and has come back.
+    pub is_return: bool,
 }
 
 impl Need {
+    /// Returns the price up to which the request is served: its weight, and more if it was refused
+    /// before.
+    fn worth(&self) -> f64 {
+        /// Factor by which a caller that came back goes before one that comes first.
+        const RETURN_FACTOR: f64 = 1.0;
+        if self.is_return {
+            self.value() * RETURN_FACTOR
+        } else {
+            self.value()
+        }
+    }
+
     /// Returns the weight of the request against others.
     #[must_use]
     pub fn value(&self) -> f64 {
@@ -202,8 +216,10 @@
                     .max(LEAST_RETRY_AFTER),
             })
         }
-        Some(placed) if placed.price > need.value() => Err(NotPlaced::TooDear {
-            retry_after: field.usual_backlog(),
+        Some(placed) if placed.price > need.worth() => Err(NotPlaced::TooDear {
+            retry_after: field
+                .usual_backlog()
+                .max(engine::millis(need.objective_ms / 3.0)),
         }),
         Some(placed) => Ok(placed),
     }
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -1,5 +1,7 @@
 //! Decisions on forwarded requests, without network or clock.
 
+#![expect(clippy::expect_used, reason = "a fixture that fails ends its test")]
+
 mod books;
 mod budget;
 mod confirmation;
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -101,9 +101,18 @@
             patience_ms: millis(silence.min(self.deadline().saturating_sub(self.arrived_at))),
             arrived_at: self.arrived_at,
             gap_ms: millis(self.route.gap_objective),
+            is_return: self.is_return(),
         }
     }
 
+    /// Returns whether the client has tried before: it waits for less than the route's time.
+    fn is_return(&self) -> bool {
+        /// Part of the route's time that a client has left when it comes first.
+        const FIRST_TIME_SHARE: f64 = 0.97;
+        let patience = self.head.patience.unwrap_or(self.route.timeout);
+        patience < self.route.timeout.mul_f64(FIRST_TIME_SHARE)
+    }
+
     /// Returns the rank of the request.
     fn priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -23,6 +23,10 @@
 const MAX_TURNED_AWAY: u32 = 3;
 /// Part of the time left that an attempt may take while another one may follow.
 const ATTEMPT_SHARE: f64 = 0.45;
+/// Part of the time within which a request should begin for which it may wait for a place.
+const QUEUE_SHARE: f64 = 0.3;
+/// Wait between looks for a place.
+const QUEUE_LOOK: time::Duration = time::Duration::from_millis(40);
 /// Largest body that is read whole before it is passed on, in bytes.
 const MAX_WHOLE_BYTES: usize = 8 * 1024 * 1024;
 /// Time after which a caller may come back that no server took.
@@ -168,7 +172,7 @@
     /// Makes attempts until one gets the head of an answer.
     pub(super) async fn attempt(&mut self) -> Result<attempt::Answered, refusal::Refusal> {
         loop {
-            let (placed, job) = self.place()?;
+            let (placed, job) = self.place_soon().await?;
             self.log_placed(&placed);
             self.tried.push(placed.home.clone());
             self.stage = Stage::WaitingForHead;
@@ -193,6 +197,24 @@
         }
     }
 
+    /// Places the request, at the latest after a small part of the time within which it should begin;
+    /// what cannot be placed by then is refused.
+    async fn place_soon(
+        &mut self,
+    ) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
+        let until = self.req.arrived_at + self.req.route.objective.mul_f64(QUEUE_SHARE);
+        loop {
+            match self.place() {
+                Err(
+                    refusal::Refusal::TooDear(_)
+                    | refusal::Refusal::TooLate(_)
+                    | refusal::Refusal::Full(_),
+                ) if self.req.cx.now() < until => tokio::time::sleep(QUEUE_LOOK).await,
+                placed => return placed,
+            }
+        }
+    }
+
     fn place(&mut self) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
         let need = self.req.need();
         let mut wanted = cx::Wanted {
