Tell callers of a full fleet to come back later, and let them wait longer then

Change: 1.8 s with a spread, 0.9 s in the queue for those that came back, all kinds are read at once when one is answered, a bias by entry and server.

--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -67,23 +67,9 @@
     pub arrived_at: ids::Timestamp,
     /// Longest pause between its events that is on time, in milliseconds.
     pub gap_ms: f64,
-    /// Whether its caller was refused before and has come back.
-    pub is_return: bool,
 }
 
 impl Need {
-    /// Returns the price up to which the request is served: its weight, and more if it was refused
-    /// before.
-    fn worth(&self) -> f64 {
-        /// Factor by which a caller that came back goes before one that comes first.
-        const RETURN_FACTOR: f64 = 1.0;
-        if self.is_return {
-            self.value() * RETURN_FACTOR
-        } else {
-            self.value()
-        }
-    }
-
     /// Returns the weight of the request against others.
     #[must_use]
     pub fn value(&self) -> f64 {
@@ -100,6 +86,9 @@
     pub server: &'a server::Server,
     /// Whether it stands in the data centre of this entry.
     pub is_near: bool,
+    /// Price by which this entry prefers other servers, so that entries which do not know of each
+    /// other's work choose different ones.
+    pub bias: f64,
     /// Requests that it may be sent within a second while cold, if that is limited.
     pub cold_rate: Option<f64>,
 }
@@ -173,6 +162,9 @@
     },
 }
 
+/// Time after which a caller is told to come back if all places are taken: about as long as a short
+/// request keeps one.
+const FULL_RETRY_AFTER: time::Duration = time::Duration::from_millis(1_800);
 /// Shortest time after which a refused caller is told to come back.
 const LEAST_RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
 
@@ -208,7 +200,7 @@
     let waited_ms = now.saturating_sub(need.arrived_at).as_secs_f64() * 1_000.0;
     match best {
         None => Err(NotPlaced::Full {
-            retry_after: field.earliest(),
+            retry_after: FULL_RETRY_AFTER,
         }),
         Some(placed) if waited_ms + placed.estimate_ms > need.patience_ms => {
             Err(NotPlaced::TooLate {
@@ -216,7 +208,7 @@
                     .max(LEAST_RETRY_AFTER),
             })
         }
-        Some(placed) if placed.price > need.worth() => Err(NotPlaced::TooDear {
+        Some(placed) if placed.price > need.value() => Err(NotPlaced::TooDear {
             retry_after: field
                 .usual_backlog()
                 .max(engine::millis(need.objective_ms / 3.0)),
--- a/crates/mustardshed-core/src/forward/placement/field.rs
+++ b/crates/mustardshed-core/src/forward/placement/field.rs
@@ -32,6 +32,7 @@
     pub(super) server: &'a server::Server,
     pub(super) load: ledger::Load<'a>,
     pub(super) is_near: bool,
+    pub(super) bias: f64,
     pub(super) is_cold: bool,
     pub(super) failures: f64,
     pub(super) pace: f64,
@@ -73,13 +74,6 @@
         engine::millis(usual).max(placement::LEAST_RETRY_AFTER)
     }
 
-    /// Returns the shortest time after which a server has nothing to read.
-    pub(super) fn earliest(&self) -> time::Duration {
-        let backlogs = self.spots.iter().map(|spot| spot.backlog_ms);
-        let soonest = backlogs.fold(f64::INFINITY, f64::min);
-        engine::millis(soonest).max(placement::LEAST_RETRY_AFTER)
-    }
-
     /// Returns the price of what a server's other requests lose if it reads another part first.
     pub(super) fn harm(&self, spot: &Spot<'_>, part_ms: f64) -> f64 {
         let before = spot.pause_ms();
@@ -129,6 +123,7 @@
         Self {
             server,
             is_near: candidate.is_near,
+            bias: candidate.bias,
             is_cold: health.is_cold(now),
             failures: health.failures(now),
             pace: health.pace(),
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -171,7 +171,7 @@
     } else {
         placement::PRICE_OF_DISTANCE
     };
-    crowding + spreading * placement::PRICE_OF_SPREADING + near + lost
+    crowding + spreading * placement::PRICE_OF_SPREADING + near + home.bias + lost
 }
 
 /// Returns the price of what later requests find at a server.
--- a/crates/mustardshed-core/src/forward/placement/plain.rs
+++ b/crates/mustardshed-core/src/forward/placement/plain.rs
@@ -32,5 +32,5 @@
     let busy = taken / f64::from(server.slots.max(1));
     let far = if candidate.is_near { 0.0 } else { 0.1 };
     let cold = if health.is_cold(now) { 1.0 } else { 0.0 };
-    busy + far + cold + health.failures(now)
+    busy + far + cold + candidate.bias + health.failures(now)
 }
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -1,6 +1,7 @@
 //! What all requests, links and followers share.
 
 use std::{
+    hash::{self, Hash, Hasher},
     sync::{self, atomic},
     time,
 };
@@ -22,6 +23,10 @@
 /// Part of the time allowed for a revocation after which keys are no longer accepted; the rest is
 /// for what is on its way.
 const REVOCATION_SHARE: f64 = 0.9;
+/// Greatest price by which an entry prefers some servers to others that are as good.
+const BIAS: f64 = 0.01;
+/// The same while an entry knows little of what its peers send, as after all have lost power.
+const BIAS_WITHOUT_PEERS: f64 = 1.2;
 /// Time from the beginning of a planned stop for which callers may still use an answer that names
 /// this entry.
 pub const NAMED_FOR: time::Duration = time::Duration::from_millis(3_000);
@@ -41,6 +46,26 @@
     pub budget: budget::Budget,
 }
 
+impl State {
+    /// Returns whether the work of most entries that are registered is known.
+    fn knows_peers(&self, now: ids::Timestamp) -> bool {
+        let registered = self.view.peers().len();
+        self.roster.alive(now) + 1 >= registered.div_ceil(2)
+    }
+}
+
+/// Returns a fixed number from 0 to 1 for an entry and a server, alike for no two of them.
+fn preference(vm: &str, server: &str) -> f64 {
+    let mut hasher = hash::DefaultHasher::new();
+    (vm, server).hash(&mut hasher);
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a few digits of the number are enough"
+    )]
+    let share = (hasher.finish() >> 32) as f64 / f64::from(u32::MAX);
+    share
+}
+
 /// Shared by all requests, links and followers of the process.
 #[derive(Debug)]
 pub struct Cx {
@@ -58,6 +83,8 @@
     pub look: tokio_sync::Notify,
     /// Woken when the configuration was read.
     pub looked: tokio_sync::Notify,
+    /// Woken when the platform answers again.
+    pub returned: tokio_sync::Notify,
     state: sync::Mutex<State>,
     next_job: atomic::AtomicU64,
     /// When the planned stop began, in microseconds; zero before.
@@ -97,6 +124,7 @@
             peers: peers::Outbox::default(),
             look: tokio_sync::Notify::new(),
             looked: tokio_sync::Notify::new(),
+            returned: tokio_sync::Notify::new(),
             state: sync::Mutex::new(State {
                 view: view::View::default(),
                 ledger: ledger::Ledger::default(),
@@ -207,11 +235,17 @@
         let now = self.now();
         let mut guard = self.state();
         let state = &mut *guard;
+        let greatest_bias = if state.knows_peers(now) {
+            BIAS
+        } else {
+            BIAS_WITHOUT_PEERS
+        };
         let servers = state.view.servers_of(&wanted.service.name, now);
         let servers = servers.filter(|server| !wanted.tried.contains(&server.id));
         let candidates = servers.map(|server| placement::Candidate {
             server,
             is_near: server.data_centre == self.settings.data_centre,
+            bias: greatest_bias * preference(&self.settings.vm, &server.id),
             cold_rate: wanted.service.cold_rate.map(|rate| rate * COLD_SHARE),
         });
         let candidates: Vec<placement::Candidate<'_>> = candidates.collect();
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -101,7 +101,6 @@
             patience_ms: millis(silence.min(self.deadline().saturating_sub(self.arrived_at))),
             arrived_at: self.arrived_at,
             gap_ms: millis(self.route.gap_objective),
-            is_return: self.is_return(),
         }
     }
 
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -25,6 +25,8 @@
 const ATTEMPT_SHARE: f64 = 0.45;
 /// Part of the time within which a request should begin for which it may wait for a place.
 const QUEUE_SHARE: f64 = 0.3;
+/// Time for which a request may wait at least whose caller was refused before and came back.
+const RETURN_WAIT: time::Duration = time::Duration::from_millis(900);
 /// Wait between looks for a place.
 const QUEUE_LOOK: time::Duration = time::Duration::from_millis(40);
 /// Largest body that is read whole before it is passed on, in bytes.
@@ -202,7 +204,7 @@
     async fn place_soon(
         &mut self,
     ) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
-        let until = self.req.arrived_at + self.req.route.objective.mul_f64(QUEUE_SHARE);
+        let until = self.req.arrived_at + self.longest_wait();
         loop {
             match self.place() {
                 Err(
@@ -215,6 +217,16 @@
         }
     }
 
+    /// Returns for how long the request may wait for a place.
+    fn longest_wait(&self) -> time::Duration {
+        let wait = self.req.route.objective.mul_f64(QUEUE_SHARE);
+        if self.req.is_return() {
+            wait.max(RETURN_WAIT)
+        } else {
+            wait
+        }
+    }
+
     fn place(&mut self) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
         let need = self.req.need();
         let mut wanted = cx::Wanted {
@@ -237,12 +249,28 @@
         }
         match e {
             placement::NotPlaced::NoServer => refusal::Refusal::NoServer(NO_SERVER_WAIT),
-            placement::NotPlaced::Full { retry_after } => refusal::Refusal::Full(retry_after),
-            placement::NotPlaced::TooDear { retry_after } => refusal::Refusal::TooDear(retry_after),
-            placement::NotPlaced::TooLate { retry_after } => refusal::Refusal::TooLate(retry_after),
+            placement::NotPlaced::Full { retry_after } => {
+                refusal::Refusal::Full(self.come_back_in(retry_after))
+            }
+            placement::NotPlaced::TooDear { retry_after } => {
+                refusal::Refusal::TooDear(self.come_back_in(retry_after))
+            }
+            placement::NotPlaced::TooLate { retry_after } => {
+                refusal::Refusal::TooLate(self.come_back_in(retry_after))
+            }
         }
     }
 
+    /// Returns when the caller may come back: it waits for no more than a part of its time, and
+    /// those that were refused together must not come back together.
+    fn come_back_in(&self, retry_after: time::Duration) -> time::Duration {
+        /// Part of the time left for which clients wait at most.
+        const LONGEST_SHARE: f64 = 0.32;
+        let left = self.req.time_left(self.req.cx.now());
+        let spread = rand::random_range(0.75..1.25);
+        retry_after.mul_f64(spread).min(left.mul_f64(LONGEST_SHARE))
+    }
+
     /// Returns how long an attempt may wait for the head of an answer.
     fn attempt_timeout(&self) -> time::Duration {
         let left = self.req.deadline().saturating_sub(self.req.cx.now());
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -92,6 +92,7 @@
     async fn take(&mut self, read: Read, begun_at: time::Duration) {
         self.backoff = time::Duration::ZERO;
         if std::mem::take(&mut self.is_lost) {
+            self.cx.returned.notify_waiters();
             log::emit(&event::Event::PlatformRegained {
                 kind: self.topic.kind(),
             });
@@ -138,7 +139,10 @@
             });
         }
         let jitter = rand::random_range(0.7..1.3);
-        tokio::time::sleep(self.backoff.mul_f64(jitter)).await;
+        tokio::select! {
+            () = tokio::time::sleep(self.backoff.mul_f64(jitter)) => {}
+            () = self.cx.returned.notified() => {}
+        }
     }
 }
 
