Serve what a server has failed, whatever it costs others

Change: a request that a server has failed is not weighed against others, and a stream that has begun is waited for from the break on.

--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -67,6 +67,8 @@
     pub arrived_at: ids::Timestamp,
     /// Longest pause between its events that is on time, in milliseconds.
     pub gap_ms: f64,
+    /// Whether a server has already failed it; it is then served whatever it costs others.
+    pub is_begun: bool,
 }
 
 impl Need {
@@ -208,7 +210,7 @@
                     .max(LEAST_RETRY_AFTER),
             })
         }
-        Some(placed) if placed.price > need.value() => Err(NotPlaced::TooDear {
+        Some(placed) if placed.price > need.value() && !need.is_begun => Err(NotPlaced::TooDear {
             retry_after: field
                 .usual_backlog()
                 .max(engine::millis(need.objective_ms / 3.0)),
--- a/crates/mustardshed-core/tests/forward/books.rs
+++ b/crates/mustardshed-core/tests/forward/books.rs
@@ -95,6 +95,28 @@
     )
 }
 
+#[gtest]
+fn book_that_a_server_has_failed_is_served_whatever_it_costs_others() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(4);
+    for server in ["engine-00", "engine-01", "engine-02", "engine-03"] {
+        fleet.write_drafts(server, 14, fixtures::START);
+    }
+    let first = fixtures::book(210_000, fixtures::START);
+    let failed = placement::Need {
+        is_begun: true,
+        ..first
+    };
+
+    let refused = fleet.weigh(&first, fixtures::START);
+    let served = fleet.weigh(&failed, fixtures::START);
+
+    expect_that!(
+        refused,
+        err(matches_pattern!(placement::NotPlaced::TooDear { .. }))
+    );
+    verify_that!(served, ok(anything()))
+}
+
 #[gtest]
 fn chapter_beside_books_begins_on_time() -> Result<()> {
     let mut fleet = fixtures::Fleet::new(16);
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -71,6 +71,7 @@
         patience_ms,
         arrived_at,
         gap_ms,
+        is_begun: false,
     }
 }
 
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -101,6 +101,7 @@
             patience_ms: millis(silence.min(self.deadline().saturating_sub(self.arrived_at))),
             arrived_at: self.arrived_at,
             gap_ms: millis(self.route.gap_objective),
+            is_begun: false,
         }
     }
 
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -25,7 +25,8 @@
 const ATTEMPT_SHARE: f64 = 0.45;
 /// Part of the time within which a request should begin for which it may wait for a place.
 const QUEUE_SHARE: f64 = 0.3;
-/// Time for which a request may wait at least whose caller was refused before and came back.
+/// Time for which a request may wait at least whose caller was refused before and came back, or
+/// that a server has failed.
 const RETURN_WAIT: time::Duration = time::Duration::from_millis(900);
 /// Wait between looks for a place.
 const QUEUE_LOOK: time::Duration = time::Duration::from_millis(40);
@@ -204,7 +205,12 @@
     async fn place_soon(
         &mut self,
     ) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
-        let until = self.req.arrived_at + self.longest_wait();
+        let since = if self.tried.is_empty() {
+            self.req.arrived_at
+        } else {
+            self.req.cx.now()
+        };
+        let until = since + self.longest_wait();
         loop {
             match self.place() {
                 Err(
@@ -220,7 +226,7 @@
     /// Returns for how long the request may wait for a place.
     fn longest_wait(&self) -> time::Duration {
         let wait = self.req.route.objective.mul_f64(QUEUE_SHARE);
-        if self.req.is_return() {
+        if self.req.is_return() || !self.tried.is_empty() {
             wait.max(RETURN_WAIT)
         } else {
             wait
@@ -228,7 +234,7 @@
     }
 
     fn place(&mut self) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
-        let need = self.req.need();
+        let need = self.need();
         let mut wanted = cx::Wanted {
             service: &self.service,
             need,
@@ -243,8 +249,24 @@
         placed.map_err(|e| self.not_placed(e))
     }
 
+    /// Returns what the next attempt needs; a stream that has begun is waited for from now on.
+    fn need(&self) -> placement::Need {
+        let need = self.req.need();
+        let has_begun = self.last_event != self.req.head.last_event;
+        placement::Need {
+            is_begun: !self.tried.is_empty(),
+            arrived_at: if has_begun {
+                self.req.cx.now()
+            } else {
+                need.arrived_at
+            },
+            ..need
+        }
+    }
+
     fn not_placed(&self, e: placement::NotPlaced) -> refusal::Refusal {
         if self.runs > 0 {
+            self.log_not_resumed(e);
             return refusal::Refusal::FateUnknown;
         }
         match e {
@@ -346,6 +368,11 @@
         });
     }
 
+    fn log_not_resumed(&self, e: placement::NotPlaced) {
+        let server = self.tried.last().map_or("", String::as_str);
+        self.log_failed(server, "not_placed", &format!("{e:?}"), false);
+    }
+
     /// Logs the end of the request.
     pub(super) fn ended(&self, outcome: &str, status: u16, server: &str, pace: &relay::Pace) {
         self.is_ended.store(true, atomic::Ordering::Relaxed);
