Hold the page of refusals against the code

Cause: the table of what callers are told stood on the page of another interface, whose test counts its rows.

--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -39,7 +39,29 @@
     TimedOut,
 }
 
+/// Example waits stand in [`Refusal::ALL`], which lists the kinds.
+const ANY_WAIT: time::Duration = time::Duration::ZERO;
+
 impl Refusal {
+    /// Every kind, with any wait.
+    pub const ALL: [Self; 15] = [
+        Self::NoIdentifier,
+        Self::BrokenBody,
+        Self::TooLarge,
+        Self::UnknownKey,
+        Self::UnknownRoute,
+        Self::Leaving,
+        Self::NoConfiguration,
+        Self::Stale,
+        Self::NoServer(ANY_WAIT),
+        Self::Full(ANY_WAIT),
+        Self::TooDear(ANY_WAIT),
+        Self::TooLate(ANY_WAIT),
+        Self::TurnedAway(ANY_WAIT),
+        Self::FateUnknown,
+        Self::TimedOut,
+    ];
+
     /// Returns the status of the answer.
     ///
     /// 429 and 503 say that the request has not run and never will.
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -14,5 +14,6 @@
 mod log;
 mod metrics;
 mod placement;
+mod refusals;
 mod server;
 mod streams;
