--- a/crates/mustardshed-core/src/forward/roster.rs
+++ b/crates/mustardshed-core/src/forward/roster.rs
@@ -40,13 +40,17 @@
             .map(|(entry, _)| entry)
     }
 
+    /// Returns the names of the entries that are alive.
+    pub fn vms(&self, now: ids::Timestamp) -> impl Iterator<Item = &ids::VmId> {
+        let heard = self.heard.iter();
+        let heard = heard.filter(move |(_, (_, at))| now.saturating_sub(*at) < DEAD_AFTER);
+        heard.map(|(vm, _)| vm)
+    }
+
     /// Returns the number of entries that are alive.
     #[must_use]
     pub fn alive(&self, now: ids::Timestamp) -> usize {
-        let heard = self.heard.values();
-        heard
-            .filter(|(_, at)| now.saturating_sub(*at) < DEAD_AFTER)
-            .count()
+        self.vms(now).count()
     }
 
     /// Removes the entries that have been silent for too long and returns their names.
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -137,6 +137,16 @@
         #[serde(rename = "l")]
         left_ms: u64,
     },
+    /// A server is slower than its profile, or no longer.
+    #[serde(rename = "p")]
+    Pace {
+        /// Its name.
+        #[serde(rename = "s")]
+        server: ids::BackendServerId,
+        /// Factor by which it is slower.
+        #[serde(rename = "f")]
+        pace: f64,
+    },
     /// The objects of a kind are wanted.
     #[serde(rename = "q")]
     WantTopic {
--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod refusal;
+pub mod reports;
 pub mod reservation;
 pub mod service;
 pub mod upstream;
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -270,6 +270,30 @@
         Ok((placed, job::Job::new(sync::Arc::clone(self), key)))
     }
 
+    /// Returns the engines whose reports this entry reads, with their addresses.
+    #[must_use]
+    pub fn engines_to_ask(&self) -> Vec<(ids::BackendServerId, String)> {
+        let now = self.now();
+        let state = self.state();
+        let Some(routes) = state.view.routes() else {
+            return Vec::new();
+        };
+        let own = &self.settings.vm;
+        let engines = state.view.servers().filter(|server| {
+            let service = routes.service(&server.service);
+            service.is_some_and(|service| service.engine.is_some())
+        });
+        let asked = engines.filter(|server| {
+            let mine = preference(own, &server.id);
+            state
+                .roster
+                .vms(now)
+                .all(|vm| preference(vm, &server.id) <= mine)
+        });
+        let asked = asked.map(|server| (server.id.clone(), server.address.clone()));
+        asked.collect()
+    }
+
     /// Takes that a server could not be reached, and tells the peers.
     pub fn unreachable(&self, server: &str) {
         let now = self.now();
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -380,6 +380,10 @@
                 self.cx.state().ledger.health_mut(&server).cold(until);
                 None
             }
+            forward::Message::Pace { server, pace } => {
+                self.cx.state().ledger.health_mut(&server).set_pace(pace);
+                None
+            }
             forward::Message::WantTopic { topic } => self.topic(topic, now),
             forward::Message::Echo { .. } | forward::Message::Topic { .. } => None,
         }
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -174,8 +174,8 @@
         }
         self.servers.reset();
         self.memory.reset();
-        for server in state.view.ids() {
-            self.server(&state, server, now);
+        for server in state.view.servers() {
+            self.server(&state, &server.id, now);
         }
     }
 
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -11,7 +11,7 @@
 use tokio::{net as tokio_net, runtime, signal::unix, task};
 
 use crate::{
-    forward::{cx, follow, front, link, metrics, peers},
+    forward::{cx, follow, front, link, metrics, peers, reports},
     log::{self, event},
     process::{clock as boot, startup},
 };
@@ -94,6 +94,7 @@
     for topic in topic::Topic::ALL {
         drop(task::spawn(follow::follow(sync::Arc::clone(&cx), topic)));
     }
+    drop(task::spawn(reports::read_all(sync::Arc::clone(&cx))));
     peers::keep(cx).await;
 }
 
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -133,9 +133,9 @@
         self.servers.contains_key(id) || self.lapsed.contains_key(id)
     }
 
-    /// Returns the names of the listed servers.
-    pub fn ids(&self) -> impl Iterator<Item = &str> {
-        self.servers.keys().map(String::as_str)
+    /// Returns the listed servers.
+    pub fn servers(&self) -> impl Iterator<Item = &server::Server> {
+        self.servers.values()
     }
 
     /// Returns the server that is named by its id or its address.
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -318,4 +318,15 @@
         vm: &'a str,
         result: &'a str,
     }
+    /// An engine is slower than its profile, or no longer.
+    2110 Info "pace_changed" PaceChanged {
+        server: &'a str,
+        pace: f64,
+        before: f64,
+    }
+    /// An engine's report could not be read.
+    2111 Warn "report_failed" ReportFailed {
+        server: &'a str,
+        reason: &'a str,
+    }
 }
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -147,6 +147,20 @@
         self.write("config", "main", config).await;
     }
 
+    /// Writes a configuration whose service has engines.
+    pub(crate) async fn configure_engine(&self, version: u64) {
+        let engine = json!({
+            "slots": 16, "kv_capacity_tokens": 450_000, "stride": 46, "step_ms": 0.925,
+            "per_seq_ms": 0.005, "context_per_k": 0.002, "read_per_s": 256_000.0,
+            "pairs_per_m": 0.09, "chunk": 2_048,
+        });
+        let config = json!({
+            "version": version, "routes": [],
+            "services": [{ "name": "runners", "max_connections": 100, "engine": engine }],
+        });
+        self.write("config", "main", config).await;
+    }
+
     /// Lists a server in a state and a data centre.
     pub(crate) async fn list(&self, server: &server::Server, state: &str, data_centre: &str) {
         let entry = json!({
--- a/crates/mustardshedd/tests/forward/placement.rs
+++ b/crates/mustardshedd/tests/forward/placement.rs
@@ -117,3 +117,29 @@
     expect_that!(statuses, each(eq(&200)));
     verify_that!(server.got().len(), eq(4))
 }
+
+#[gtest]
+#[tokio::test]
+async fn pace_of_an_engine_is_read_by_one_entry_and_known_to_all() -> Result<()> {
+    let engine = server::Server::bind("i-1").await;
+    for _ in 0..100 {
+        engine.answers(server::Answer::Whole(200, r#"{"pace":4.0,"running":3}"#));
+    }
+    let f = fixture::Fixture::with(&[&engine]).await;
+    f.configure_engine(2).await;
+    let first = f.entry("entry-1").await.ready().await;
+    let second = f.entry("entry-2").await.ready().await;
+
+    for entry in [&first, &second] {
+        fixture::until("the pace", || {
+            entry.cx.state().ledger.health("i-1").pace() > 3.9
+        })
+        .await;
+    }
+
+    let asked = [
+        first.cx.engines_to_ask().len(),
+        second.cx.engines_to_ask().len(),
+    ];
+    verify_that!(asked.iter().sum::<usize>(), eq(1))
+}
