Log what decided that a request was not placed

Cause: a refusal's line did not hold the inputs that decided it. Change: event 1207 with price, weight and estimate.

--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -14,6 +14,8 @@
 
 use std::time;
 
+use displaydoc::Display;
+
 use crate::{
     forward::{engine, ledger, server},
     ids,
@@ -143,27 +145,41 @@
 }
 
 /// Why a request is not placed.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
 pub enum NotPlaced {
-    /// No server of the service takes work.
+    /// no server of the service takes work
     NoServer,
-    /// All that take work are full; more may fit after a time.
+    /// all servers that take work are full
     Full {
         /// Time after which the work ahead is done.
         retry_after: time::Duration,
     },
-    /// It would make others late that weigh more than it does.
+    /// it would make others late that weigh more than it does
     TooDear {
+        /// Price of the cheapest way to place it.
+        price: f64,
+        /// Its own weight.
+        weight: f64,
         /// Time after which an average server has read what it has to.
         retry_after: time::Duration,
     },
-    /// Its first event would come after its caller has given up.
+    /// its first event would come after its caller has given up
     TooLate {
+        /// Estimated time to its first event, in milliseconds.
+        estimate_ms: f64,
         /// Time after which the work ahead is done.
         retry_after: time::Duration,
     },
 }
 
+impl NotPlaced {
+    /// Returns whether a short wait may change it.
+    #[must_use]
+    pub const fn may_pass(&self) -> bool {
+        !matches!(self, Self::NoServer)
+    }
+}
+
 /// Time after which a caller is told to come back if all places are taken: about as long as a short
 /// request keeps one.
 const FULL_RETRY_AFTER: time::Duration = time::Duration::from_millis(1_800);
@@ -206,11 +222,14 @@
         }),
         Some(placed) if waited_ms + placed.estimate_ms > need.patience_ms => {
             Err(NotPlaced::TooLate {
+                estimate_ms: placed.estimate_ms,
                 retry_after: engine::millis(placed.estimate_ms - need.objective_ms)
                     .max(LEAST_RETRY_AFTER),
             })
         }
         Some(placed) if placed.price > need.value() && !need.is_begun => Err(NotPlaced::TooDear {
+            price: placed.price,
+            weight: need.value(),
             retry_after: field
                 .usual_backlog()
                 .max(engine::millis(need.objective_ms / 3.0)),
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -213,12 +213,14 @@
         let until = since + self.longest_wait();
         loop {
             match self.place() {
-                Err(
-                    refusal::Refusal::TooDear(_)
-                    | refusal::Refusal::TooLate(_)
-                    | refusal::Refusal::Full(_),
-                ) if self.req.cx.now() < until => tokio::time::sleep(QUEUE_LOOK).await,
-                placed => return placed,
+                Ok(placed) => return Ok(placed),
+                Err(e) if e.may_pass() && self.req.cx.now() < until => {
+                    tokio::time::sleep(QUEUE_LOOK).await;
+                }
+                Err(e) => {
+                    self.log_not_placed(&e);
+                    return Err(self.not_placed(e));
+                }
             }
         }
     }
@@ -233,7 +235,7 @@
         }
     }
 
-    fn place(&mut self) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
+    fn place(&self) -> Result<(placement::Placed, crate::forward::job::Job), placement::NotPlaced> {
         let need = self.need();
         let mut wanted = cx::Wanted {
             service: &self.service,
@@ -246,7 +248,7 @@
             wanted.tried = &[];
             placed = self.req.cx.place(&wanted);
         }
-        placed.map_err(|e| self.not_placed(e))
+        placed
     }
 
     /// Returns what the next attempt needs; a stream that has begun is waited for from now on.
@@ -266,7 +268,6 @@
 
     fn not_placed(&self, e: placement::NotPlaced) -> refusal::Refusal {
         if self.runs > 0 {
-            self.log_not_resumed(e);
             return refusal::Refusal::FateUnknown;
         }
         match e {
@@ -274,10 +275,10 @@
             placement::NotPlaced::Full { retry_after } => {
                 refusal::Refusal::Full(self.come_back_in(retry_after))
             }
-            placement::NotPlaced::TooDear { retry_after } => {
+            placement::NotPlaced::TooDear { retry_after, .. } => {
                 refusal::Refusal::TooDear(self.come_back_in(retry_after))
             }
-            placement::NotPlaced::TooLate { retry_after } => {
+            placement::NotPlaced::TooLate { retry_after, .. } => {
                 refusal::Refusal::TooLate(self.come_back_in(retry_after))
             }
         }
@@ -368,9 +369,22 @@
         });
     }
 
-    fn log_not_resumed(&self, e: placement::NotPlaced) {
-        let server = self.tried.last().map_or("", String::as_str);
-        self.log_failed(server, "not_placed", &format!("{e:?}"), false);
+    fn log_not_placed(&self, e: &placement::NotPlaced) {
+        let (price, weight, estimate_ms) = match e {
+            placement::NotPlaced::TooDear { price, weight, .. } => (*price, *weight, 0.0),
+            placement::NotPlaced::TooLate { estimate_ms, .. } => (0.0, 0.0, *estimate_ms),
+            placement::NotPlaced::NoServer | placement::NotPlaced::Full { .. } => (0.0, 0.0, 0.0),
+        };
+        log::emit(&event::Event::ForwardNotPlaced {
+            request: self.req.id(),
+            route: &self.req.route.name,
+            reason: &e.to_string(),
+            prompt_tokens: self.req.head.prompt_tokens.unwrap_or_default(),
+            price: (price * 100.0).round() / 100.0,
+            weight: (weight * 100.0).round() / 100.0,
+            estimate_ms: estimate_ms.round(),
+            attempt: self.runs + self.turned_away + 1,
+        });
     }
 
     /// Logs the end of the request.
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -187,6 +187,17 @@
         server: &'a str,
         elapsed_ms: u128,
     }
+    /// A request was not placed on any server, after the wait that it had for a place.
+    1207 Warn "forward_not_placed" ForwardNotPlaced {
+        request: &'a str,
+        route: &'a str,
+        reason: &'a str,
+        prompt_tokens: ids::Tokens,
+        price: f64,
+        weight: f64,
+        estimate_ms: f64,
+        attempt: u32,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
