Check that a new holder of the lease of placement raises its fencing number

Cause: with greatest_fence.max(1) in place of greatest_fence + 1 all tests of placement passed. Change: a test and a mutation. Measured: the test fails on the mutation (7, expected 8) and passes without.

--- a/crates/mustardshed-core/src/process/placement/lease.rs
+++ b/crates/mustardshed-core/src/process/placement/lease.rs
@@ -159,7 +159,11 @@
         };
         let Some(held) = &self.held else {
             if is_free(&seen, now) {
-                let fence = self.greatest_fence + 1;
+                let fence = if mutation::on("fence_not_raised") {
+                    self.greatest_fence.max(1)
+                } else {
+                    self.greatest_fence + 1
+                };
                 return self.write(&seen, fence, seen.record.loads.clone(), now);
             }
             return self.read(now);
--- a/crates/mustardshed-core/tests/placement/main.rs
+++ b/crates/mustardshed-core/tests/placement/main.rs
@@ -5,6 +5,7 @@
 
 #![expect(
     clippy::expect_used,
+    clippy::panic,
     clippy::unwrap_used,
     reason = "a fixture that fails ends its test"
 )]
@@ -13,6 +14,7 @@
 mod engine;
 mod fleet;
 mod handover;
+mod lease;
 mod platform;
 mod step;
 mod texts;
