Ask a peer for a change that this entry's watch has missed, and let watches wait longer

Change: a peer is asked 0.3 s after it is seen to know more; watches of servers, data centres and entries wait 4, 5 and 8 s where there are peers.

--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -13,21 +13,18 @@
 const LEAST_BACKOFF: time::Duration = time::Duration::from_millis(80);
 /// Longest wait after a failed call, so that a platform that is back is noticed soon.
 const GREATEST_BACKOFF: time::Duration = time::Duration::from_millis(700);
-/// Wait of an operator's change at most that a watch may miss without being told.
-const CONFIGURATION_WATCH: time::Duration = time::Duration::from_millis(1_300);
-/// The same for the state of backend servers.
-const SERVERS_WATCH: time::Duration = time::Duration::from_millis(1_500);
-/// The same for data centres that are taken out.
-const OUTAGES_WATCH: time::Duration = time::Duration::from_millis(2_500);
-/// Wait for changes of the entries; those that come open links by themselves.
-const ENTRIES_WATCH: time::Duration = time::Duration::from_secs(8);
+/// Longest wait of a watch where no peer would tell of a change that it misses.
+const ALONE_WATCH: time::Duration = time::Duration::from_millis(1_300);
 
+/// Returns how long a watch may wait. Peers tell of changes that it misses, and of the age of what
+/// they know, so that each entry needs to ask less often than is needed in all.
 const fn watch_time(topic: topic::Topic) -> time::Duration {
     match topic {
-        topic::Topic::Configuration => CONFIGURATION_WATCH,
-        topic::Topic::Servers => SERVERS_WATCH,
-        topic::Topic::Outages => OUTAGES_WATCH,
-        topic::Topic::Entries => ENTRIES_WATCH,
+        // What is read confirms as of the beginning of the call, so that its age grows to twice this.
+        topic::Topic::Configuration => ALONE_WATCH,
+        topic::Topic::Servers => time::Duration::from_millis(4_000),
+        topic::Topic::Outages => time::Duration::from_millis(5_000),
+        topic::Topic::Entries => time::Duration::from_millis(8_000),
     }
 }
 
@@ -75,7 +72,13 @@
     }
 
     async fn watch(&self, revision: u64) -> Result<Read, objects::Error> {
-        let wait = watch_time(self.topic);
+        let now = self.cx.now();
+        let has_peers = self.cx.state().roster.alive(now) > 0;
+        let wait = if has_peers {
+            watch_time(self.topic)
+        } else {
+            ALONE_WATCH
+        };
         let watching =
             self.cx
                 .platform
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -30,8 +30,9 @@
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Silence of the other side after which the link is opened anew.
 const SILENT_AFTER: time::Duration = time::Duration::from_millis(1_500);
-/// Age of what was read of the platform beyond which a peer is asked for it.
-const ASK_PEER_AFTER: time::Duration = time::Duration::from_millis(2_200);
+/// Time for which a peer has known a later change before it is asked for it: this entry's own watch
+/// is quicker unless something is wrong with it.
+const ASK_PEER_AFTER: time::Duration = time::Duration::from_millis(300);
 /// Wait between questions for the same kind of objects.
 const ASK_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Messages sent in one frame at most.
@@ -90,6 +91,7 @@
         rx,
         heard_at: now,
         ticked_at: now,
+        behind_since: [None; forward::TOPICS],
         asked_at: [time::Duration::ZERO; forward::TOPICS],
     };
     match opener.run().await {
@@ -124,6 +126,8 @@
     rx: mpsc::Receiver<forward::Message>,
     heard_at: ids::Timestamp,
     ticked_at: ids::Timestamp,
+    /// Since when the other side has known a later change of a kind.
+    behind_since: [Option<ids::Timestamp>; forward::TOPICS],
     asked_at: [ids::Timestamp; forward::TOPICS],
 }
 
@@ -223,10 +227,14 @@
                     continue;
                 };
                 let index = topic.index();
-                let is_newer = state.view.peer_read(topic, read, sent_at.min(now));
-                let is_stale = !state.view.is_fresh(topic, ASK_PEER_AFTER, now);
+                if !state.view.peer_read(topic, read, sent_at.min(now)) {
+                    self.behind_since[index] = None;
+                    continue;
+                }
+                let since = *self.behind_since[index].get_or_insert(now);
+                let is_late = now.saturating_sub(since) >= ASK_PEER_AFTER;
                 let is_due = now.saturating_sub(self.asked_at[index]) >= ASK_INTERVAL;
-                if is_newer && is_stale && is_due {
+                if is_late && is_due {
                     self.asked_at[index] = now;
                     wanted.push(forward::Message::WantTopic { topic: index });
                 }
