Bind the address for peers before the entry runs, and give each test entry an address of its own

Change: tests use an own address of loopback for each entry; an entry that cannot listen for peers ends with an error.

--- a/crates/mustardshed-core/src/forward/head.rs
+++ b/crates/mustardshed-core/src/forward/head.rs
@@ -66,6 +66,4 @@
     pub at_fault: Option<String>,
     /// Time for which the server is still cold.
     pub cold_for: Option<time::Duration>,
-    /// Server that answered.
-    pub instance: Option<String>,
 }
--- a/crates/mustardshed-core/src/forward/server.rs
+++ b/crates/mustardshed-core/src/forward/server.rs
@@ -1,5 +1,7 @@
 //! A backend server as the platform lists it.
 
+use std::time;
+
 use crate::ids;
 
 /// Whether a server takes new work.
@@ -26,8 +28,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
-    /// How much longer it is cold, in milliseconds, when the entry was written.
-    pub cold_left_ms: u64,
+    /// How much longer it was cold when the entry was written.
+    pub cold_for: time::Duration,
     /// Start of its present run in Unix milliseconds, if it says so.
     pub born: Option<u64>,
 }
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -40,7 +40,7 @@
         data_centre: "north".to_owned(),
         slots: 16,
         state: server::State::Ready,
-        cold_left_ms: 0,
+        cold_for: time::Duration::ZERO,
         born: None,
     }
 }
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -20,7 +20,7 @@
 pub const TOPICS: usize = 4;
 
 /// What an entry says of itself.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct Entry {
     /// Name of the VM.
     #[serde(rename = "v")]
@@ -47,7 +47,7 @@
 }
 
 /// How far a kind of objects was read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct TopicState {
     /// Revision of the last change that was read.
     #[serde(rename = "r")]
@@ -58,7 +58,7 @@
 }
 
 /// A sign of life, to be answered by [`Message::Echo`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 pub struct Beat {
     /// Sender's time in microseconds.
     #[serde(rename = "t")]
@@ -66,7 +66,7 @@
 }
 
 /// An object of the platform.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
 #[expect(missing_docs, reason = "the fields are those of the platform's object")]
 pub struct Object {
     pub name: String,
@@ -75,7 +75,7 @@
 }
 
 /// A message.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
 pub enum Message {
     /// Who opened the link; what was known of its work is void.
     #[serde(rename = "h")]
--- a/crates/mustardshed-wire/src/forward/job.rs
+++ b/crates/mustardshed-wire/src/forward/job.rs
@@ -5,7 +5,7 @@
 use mustardshed_core::{forward::ledger, ids};
 
 /// Fields of a [`ledger::Job`].
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
 #[expect(missing_docs, reason = "the core documents the fields")]
 pub struct Job {
     #[serde(rename = "h")]
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -14,12 +14,12 @@
     forward::{
         cx,
         exchange::{self, attempt, relay},
-        refusal, upstream,
+        job, refusal, upstream,
     },
     log::{self, event},
 };
 
-/// Attempts that did not run after which no more are made.
+/// Attempts that did not run after which no more are made; a fleet that sheds this often is full.
 const MAX_TURNED_AWAY: u32 = 3;
 /// Part of the time left that an attempt may take while another one may follow.
 const ATTEMPT_SHARE: f64 = 0.45;
@@ -202,9 +202,7 @@
 
     /// Places the request, at the latest after a small part of the time within which it should begin;
     /// what cannot be placed by then is refused.
-    async fn place_soon(
-        &mut self,
-    ) -> Result<(placement::Placed, crate::forward::job::Job), refusal::Refusal> {
+    async fn place_soon(&mut self) -> Result<(placement::Placed, job::Job), refusal::Refusal> {
         let since = if self.tried.is_empty() {
             self.req.arrived_at
         } else {
@@ -235,7 +233,7 @@
         }
     }
 
-    fn place(&self) -> Result<(placement::Placed, crate::forward::job::Job), placement::NotPlaced> {
+    fn place(&self) -> Result<(placement::Placed, job::Job), placement::NotPlaced> {
         let need = self.need();
         let mut wanted = cx::Wanted {
             service: &self.service,
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -69,9 +69,11 @@
     let control = runtime()?;
     let traffic = runtime()?;
     let followed = sync::Arc::clone(&cx);
+    let listener = listen_for_peers(cx.settings.peers)
+        .map_err(|e| ServiceError::Listen(cx.settings.peers, e))?;
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || control.block_on(follow_all(followed)))
+        .spawn(move || control.block_on(follow_all(followed, listener)))
         .map_err(ServiceError::Runtime)?;
     let served = traffic.block_on(serve(cx));
     log::settle();
@@ -83,9 +85,20 @@
     rt.map_err(ServiceError::Runtime)
 }
 
+/// Binds the address for peers.
+///
+/// # Errors
+///
+/// Returns an error if it cannot be bound.
+pub fn listen_for_peers(address: net::SocketAddr) -> io::Result<net::TcpListener> {
+    let listener = net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 /// Follows the platform and the peers, for as long as the process runs.
-pub async fn follow_all(cx: sync::Arc<cx::Cx>) {
-    match tokio_net::TcpListener::bind(cx.settings.peers).await {
+pub async fn follow_all(cx: sync::Arc<cx::Cx>, listener: net::TcpListener) {
+    match tokio_net::TcpListener::from_std(listener) {
         Ok(listener) => drop(task::spawn(link::accept(sync::Arc::clone(&cx), listener))),
         Err(e) => log::emit(&event::Event::AcceptFailed {
             reason: &e.to_string(),
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -328,11 +328,10 @@
                 log_server(server);
             }
             let is_new_cold = before.is_none_or(|before| {
-                before.cold_left_ms != server.cold_left_ms || before.born != server.born
+                before.cold_for != server.cold_for || before.born != server.born
             });
-            if server.cold_left_ms > 0 && is_new_cold {
-                let left = time::Duration::from_millis(server.cold_left_ms);
-                noticed.cold.push((id.clone(), left));
+            if !server.cold_for.is_zero() && is_new_cold {
+                noticed.cold.push((id.clone(), server.cold_for));
             }
         }
         for (id, server) in known {
@@ -414,6 +413,6 @@
         address: &server.address,
         data_centre: &server.data_centre,
         state: &format!("{:?}", server.state).to_lowercase(),
-        cold_left_ms: server.cold_left_ms,
+        cold_for_ms: server.cold_for.as_millis(),
     });
 }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -307,7 +307,7 @@
         address: &'a str,
         data_centre: &'a str,
         state: &'a str,
-        cold_left_ms: u64,
+        cold_for_ms: u128,
     }
     /// A backend server is not listed any more; one that may have lapsed in an outage counts for a while.
     2106 Info "server_gone" ServerGone {
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -1,6 +1,10 @@
 //! A platform, servers, and entries that forward to them.
 
-use std::{net, sync, time};
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -80,9 +84,14 @@
     }
 }
 
-fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Returns an address on loopback that nobody else uses: ports that were free a moment ago may be
+/// taken by another test.
+fn own_ip() -> net::Ipv4Addr {
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+    let [.., high, low] = (number + 1).to_be_bytes();
+    let [.., of_process] = std::process::id().to_be_bytes();
+    net::Ipv4Addr::new(127, of_process.max(1), high, low)
 }
 
 fn bounds() -> forwarding::Bounds {
@@ -209,13 +218,15 @@
     }
 
     async fn entry_with(&self, vm: &str, bounds: forwarding::Bounds) -> Entry {
+        let ip = own_ip();
+        let address = |port: u16| net::SocketAddr::from((ip, port));
         let settings = forwarding::Forwarding {
             vm: vm.to_owned(),
             data_centre: "north".to_owned(),
-            front: free_address(),
-            ready: free_address(),
-            directory: free_address(),
-            peers: free_address(),
+            front: address(8001),
+            ready: address(8002),
+            directory: address(8003),
+            peers: address(8004),
             seeds: Vec::new(),
             platform: self
                 .platform
@@ -223,7 +234,7 @@
                 .trim_start_matches("http://")
                 .parse()
                 .unwrap(),
-            metrics: Some(free_address()),
+            metrics: Some(address(8005)),
             log_level: settings::LogLevel::Critical,
             bounds,
         };
@@ -246,7 +257,8 @@
             let binding = front::bind(sync::Arc::clone(&cx), address, purpose);
             fronts.push(runtime.spawn(binding).await.unwrap().unwrap());
         }
-        runtime.spawn(service::follow_all(sync::Arc::clone(&cx)));
+        let listener = service::listen_for_peers(cx.settings.peers).unwrap();
+        runtime.spawn(service::follow_all(sync::Arc::clone(&cx), listener));
         Entry {
             cx,
             fronts,
