--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -164,7 +164,12 @@
             "pairs_per_m": 0.09, "chunk": 2_048,
         });
         let config = json!({
-            "version": version, "routes": [],
+            "version": version,
+            "routes": [{
+                "name": "long", "host": HOST, "path_prefix": "/long/", "route_type": "streaming",
+                "timeout_ms": 60_000, "target_latency_ms": 20_000, "gap_aim_ms": 1_000,
+                "service": "runners", "max_attempts": 1, "public": true,
+            }],
             "services": [{ "name": "runners", "max_connections": 100, "engine": engine }],
         });
         self.write("config", "main", config).await;
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/gangs.rs
@@ -0,0 +1,57 @@
+//! Prompts that several engines read and hold.
+
+use googletest::prelude::*;
+
+use crate::{fixture, server};
+
+/// Length of a prompt that no engine holds alone.
+const LONG_PROMPT: &str = "700000,100";
+
+/// Returns the orders of a kind that a server got, by reservation.
+fn orders(server: &server::Server, op: &str) -> Vec<String> {
+    let got = server.got().into_iter();
+    let got = got.filter(|got| got.path == "/api/order");
+    let orders = got.map(|got| serde_json::from_slice::<serde_json::Value>(&got.body).unwrap());
+    let orders = orders.filter(|order| order["op"] == op);
+    orders
+        .map(|order| order["id"].as_str().unwrap().to_owned())
+        .collect()
+}
+
+#[gtest]
+#[tokio::test]
+async fn memory_is_reserved_before_a_long_prompt_is_sent_and_released_after_it() -> Result<()> {
+    let mut engines = Vec::new();
+    for i in 0..4 {
+        engines.push(server::Server::bind(&format!("i-{i}")).await);
+    }
+    let f = fixture::Fixture::with(&engines.iter().collect::<Vec<_>>()).await;
+    f.configure_engine(2).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    fixture::until("the engines", || {
+        let now = entry.cx.now();
+        let version = entry.cx.routes().map(|routes| routes.version);
+        version == Some(2) && entry.cx.state().view.servers_of("runners", now).count() == 4
+    })
+    .await;
+
+    let headers = [("token-usage", LONG_PROMPT)];
+    let seen = f.send_with(&entry, "POST", "/long/a", "", &headers).await;
+    let reserved: Vec<String> = engines.iter().flat_map(|e| orders(e, "reserve")).collect();
+    fixture::until("the releases", || {
+        let released: Vec<String> = engines.iter().flat_map(|e| orders(e, "release")).collect();
+        reserved.iter().all(|id| released.contains(id))
+    })
+    .await;
+
+    let sent = engines.iter().flat_map(server::Server::got);
+    let sent: Vec<_> = sent.filter(|got| got.path == "/long/a").collect();
+    let helpers = sent[0].header("helpers").unwrap_or_default().to_owned();
+    expect_that!(seen.status, eq(200));
+    expect_that!(sent.len(), eq(1));
+    expect_that!(reserved, not(is_empty()));
+    for id in &reserved {
+        expect_that!(helpers, contains_substring(id.as_str()));
+    }
+    Ok(())
+}
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod entries;
 mod fixture;
+mod gangs;
 mod keys;
 mod log;
 mod metrics;
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -72,7 +72,8 @@
         }
     }
 
-    /// Adds an answer; without any, requests are answered with 200 and `done`.
+    /// Adds an answer; without any, requests are answered with 200 and `done`, those on `/long/`
+    /// with one event.
     pub(crate) fn answers(&self, answer: Answer) {
         self.state.script.lock().unwrap().push_back(answer);
     }
@@ -117,6 +118,7 @@
     let (parts, body) = req.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let id = parts.headers.get("request-id").cloned();
+    let is_long = parts.uri.path().starts_with("/long/");
     state.got.lock().unwrap().push(Got {
         method: parts.method.to_string(),
         path: parts.uri.to_string(),
@@ -124,8 +126,16 @@
         body,
     });
     let scripted = state.script.lock().unwrap().pop_front();
+    let usual = if is_long {
+        Answer::Events {
+            ids: vec![1],
+            ends: true,
+        }
+    } else {
+        Answer::Whole(200, "done")
+    };
     let mut carried = Carried(sync::Arc::clone(&state), false);
-    let mut res = match scripted.unwrap_or(Answer::Whole(200, "done")) {
+    let mut res = match scripted.unwrap_or(usual) {
         Answer::Whole(status, text) => whole(status, text),
         Answer::NotRun => not_run(),
         Answer::Foreign => {
