Let the watches of relays end in turn, and have leaves read lists where those are late

Cause: after a change all relays' watches of the configuration began together, so that a leaf saw it 2.6 s old and asked the platform itself every 2.5 s.

--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -1,6 +1,6 @@
 //! Follows one kind of the platform's objects: a list, then watches.
 
-use std::{sync, time};
+use std::{ops, sync, time};
 
 use mustardshed::platform::{decode, objects, topic};
 
@@ -19,14 +19,16 @@
 /// Longest wait of a watch of a leaf, which hears from its relay every beat how old its knowledge is.
 /// Well below the time for which platforms keep their history.
 const LEAF_WATCH: time::Duration = time::Duration::from_secs(16);
-/// Age of the configuration from which a leaf asks the platform itself. A relay's own grows to 1.3 s
-/// and a beat, and an answer to the leaf takes as long again before keys are refused.
-const LEAF_ASKS_FROM: time::Duration = time::Duration::from_millis(2_200);
+/// Age of the configuration at which a leaf asks the platform itself. A relay's own grows to twice its
+/// watch and a beat; keys are refused from 0.9 of the time allowed for a revocation.
+const LEAF_ASKS_FROM: time::Duration = time::Duration::from_millis(3_000);
+/// Part of the usual time that a watch of a relay waits.
+const RELAY_WATCH_SHARE: ops::Range<f64> = 0.7..1.0;
 /// Wait between looks at that age.
 const AGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Wait after a change before a leaf watches again, so that changes that come together are read
-/// together. Shorter than the time after which a peer is asked for them.
-const LEAF_GATHERS: time::Duration = time::Duration::from_millis(250);
+/// together. Its relay is asked for those that come later than [`link`](crate::forward::link) waits.
+const LEAF_GATHERS: time::Duration = time::Duration::from_millis(600);
 /// The same for a relay, from which its leaves hear how far there is to read.
 const RELAY_GATHERS: time::Duration = time::Duration::from_millis(150);
 /// The same for all where entries register: a fleet starts at once, and no request needs to know.
@@ -98,26 +100,28 @@
             () = self.cx.look.notified(), if self.topic == topic::Topic::Configuration => {
                 self.list().await
             }
-            () = self.outlives_its_use(), if wait == LEAF_WATCH => Ok(Read::Nothing),
+            () = self.outlives_its_use(), if wait == LEAF_WATCH => match self.topic {
+                topic::Topic::Configuration => self.list().await,
+                _ => Ok(Read::Nothing),
+            },
         }
     }
 
     /// Returns how long the next watch may wait.
     fn wait(&self) -> time::Duration {
         let now = self.cx.now();
-        let (has_peers, is_fresh) = {
-            let state = self.cx.state();
-            let is_fresh = state.view.is_fresh(self.topic, LEAF_ASKS_FROM, now);
-            (state.roster.alive(now) > 0, is_fresh)
-        };
-        if !has_peers {
+        if self.cx.state().roster.alive(now) == 0 {
             return ALONE_WATCH;
         }
-        let is_fresh = is_fresh || self.topic != topic::Topic::Configuration;
-        if self.cx.peers.is_leaf() && is_fresh {
+        if self.cx.peers.is_leaf() {
             return LEAF_WATCH;
         }
-        watch_time(self.topic)
+        let wait = watch_time(self.topic);
+        if self.cx.is_large_fleet() {
+            // Relays whose watches end one after the other are never all out of date.
+            return wait.mul_f64(rand::random_range(RELAY_WATCH_SHARE));
+        }
+        wait
     }
 
     /// Waits until a long watch of a leaf is no longer enough: the link to its relay is lost, or the
