--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use mustardshed::{
-    core::{forward::routes, ids},
+    core::forward::routes,
     platform::{call_counts, topic},
 };
 use prometheus::{Encoder, core};
@@ -175,12 +175,12 @@
         self.servers.reset();
         self.memory.reset();
         for server in state.view.servers() {
-            self.server(&state, &server.id, now);
+            self.server(&state, &server.id);
         }
     }
 
-    fn server(&self, state: &cx::State, server: &str, now: ids::Timestamp) {
-        let load = state.ledger.load(server, now);
+    fn server(&self, state: &cx::State, server: &str) {
+        let load = state.ledger.holdings(server);
         let homes = self.servers.with_label_values(&[server]);
         homes.set(signed(load.homes.len() as u64));
         let memory = self.memory.with_label_values(&[server]);
