Take the forecast by passes back

Conclusion: the prices are fitted to the estimate as it is; both have to change together, on a model of the engine that can be run thousands of times.

--- a/crates/mustardshed-core/src/forward/ledger.rs
+++ b/crates/mustardshed-core/src/forward/ledger.rs
@@ -5,10 +5,7 @@
 
 use std::collections;
 
-use crate::{
-    forward::{engine, lateness},
-    ids,
-};
+use crate::{forward::lateness, ids};
 
 mod health;
 mod line;
@@ -102,9 +99,6 @@
         }
         let line = self.servers.entry(job.home.clone()).or_default();
         line.arrived(now);
-        if job.is_writing {
-            line.writes(&key, now);
-        }
         self.jobs.insert(key, job);
     }
 
@@ -114,9 +108,6 @@
             return;
         };
         job.is_writing = true;
-        let line = self.servers.entry(job.home.clone()).or_default();
-        line.writes(key, now);
-        line.passed(now);
         let readers: Vec<ids::BackendServerId> = job.readers().cloned().collect();
         for server in readers {
             if let Some(line) = self.servers.get_mut(&server) {
@@ -125,16 +116,6 @@
         }
     }
 
-    /// Takes a later event of a job: a pass of its server has ended.
-    pub fn event(&mut self, key: &JobKey, now: ids::Timestamp) {
-        let Some(job) = self.jobs.get(key) else {
-            return;
-        };
-        if let Some(line) = self.servers.get_mut(&job.home) {
-            line.passed(now);
-        }
-    }
-
     /// Takes the end of a job.
     pub fn end(&mut self, key: &JobKey, now: ids::Timestamp) {
         let Some(job) = self.jobs.remove(key) else {
@@ -187,44 +168,19 @@
         jobs.filter(|job| job.home == server).count()
     }
 
-    /// Returns the requests and the memory of a server, without its times.
+    /// Returns the load of a server.
     #[must_use]
-    pub fn holdings<'a>(&'a self, server: &'a str) -> Load<'a> {
+    pub fn load<'a>(&'a self, server: &'a str, now: ids::Timestamp) -> Load<'a> {
         let mut load = Load::new(server);
-        let line = self.servers.get(server);
-        let keys = line.into_iter().flat_map(|line| &line.jobs);
-        for job in keys.filter_map(|key| self.jobs.get(key)) {
-            load.add(job);
-        }
-        load
-    }
-
-    /// Returns the load of a server with this profile.
-    #[must_use]
-    pub fn load<'a>(
-        &'a self,
-        server: &'a str,
-        profile: &engine::Profile,
-        now: ids::Timestamp,
-    ) -> Load<'a> {
-        let mut load = self.holdings(server);
         let Some(line) = self.servers.get(server) else {
             return load;
         };
-        let pass_ms = profile.pass_ms(load.writers.len(), load.context_tokens);
-        load.pass_ms = pass_ms * line.health.pace();
-        let forecast = line.forecast(load.pass_ms, now);
-        load.left_ms = forecast.left_ms;
-        load.present_ms = forecast.present_ms;
-        load.waiting_ms = forecast.waiting_ms;
-        for read in forecast.reads {
-            if let Some(job) = self.jobs.get(read.key) {
-                load.readings.push(Reading {
-                    job,
-                    key: read.key,
-                    done_ms: read.done_ms,
-                    is_waiting: read.is_waiting,
-                });
+        for job in line.jobs.iter().filter_map(|key| self.jobs.get(key)) {
+            load.add(job);
+        }
+        for (key, done_ms) in line.reads(now) {
+            if let Some(job) = self.jobs.get(key) {
+                load.readings.push(Reading { job, key, done_ms });
             }
         }
         load
--- a/crates/mustardshed-core/src/forward/ledger/load.rs
+++ b/crates/mustardshed-core/src/forward/ledger/load.rs
@@ -11,8 +11,6 @@
     pub key: &'a ledger::JobKey,
     /// Time after which it is read, in milliseconds.
     pub done_ms: f64,
-    /// Whether what the server is given now delays it.
-    pub is_waiting: bool,
 }
 
 /// Load of a server as far as it is known.
@@ -32,14 +30,6 @@
     pub memory_tokens: ids::Tokens,
     /// Tokens that its writers have as context.
     pub context_tokens: ids::Tokens,
-    /// Time of a pass in which nothing is read, in milliseconds.
-    pub pass_ms: f64,
-    /// Time left of the present pass, in milliseconds; none where nobody writes.
-    pub left_ms: f64,
-    /// Whole time of the present pass, in milliseconds; none where nobody writes.
-    pub present_ms: f64,
-    /// Time for which it reads after that what it has been given, in milliseconds.
-    pub waiting_ms: f64,
 }
 
 impl<'a> Load<'a> {
@@ -51,11 +41,10 @@
         }
     }
 
-    /// Returns the time after which it has read what it was given, in milliseconds.
+    /// Returns the time that reading takes which was given to it, in milliseconds.
     #[must_use]
     pub fn backlog_ms(&self) -> f64 {
-        let done = self.readings.iter().map(|reading| reading.done_ms);
-        done.fold(0.0, f64::max)
+        self.readings.last().map_or(0.0, |reading| reading.done_ms)
     }
 
     /// Returns the number of requests that it answers whose pauses must be about as short.
--- a/crates/mustardshed-core/src/forward/placement/field.rs
+++ b/crates/mustardshed-core/src/forward/placement/field.rs
@@ -13,6 +13,8 @@
 
 /// Time for which a chunk that is being read holds up what comes next, in milliseconds.
 const CHUNK_MS: f64 = 20.0;
+/// Longest time that a pass of writers takes by what is read in it, in milliseconds.
+const LONGEST_PASS_MS: f64 = 4_000.0;
 
 /// Servers that may be given work.
 pub(super) struct Field<'a> {
@@ -35,6 +37,7 @@
     pub(super) failures: f64,
     pub(super) pace: f64,
     pub(super) backlog_ms: f64,
+    pub(super) pass_ms: f64,
 }
 
 impl<'a> Field<'a> {
@@ -73,19 +76,14 @@
 
     /// Returns the price of what a server's other requests lose if it reads another part first.
     pub(super) fn harm(&self, spot: &Spot<'_>, part_ms: f64) -> f64 {
-        let before = spot.pause_ms(0.0);
-        let after = spot.pause_ms(part_ms);
+        let before = spot.pause_ms();
+        let after = before + part_ms;
         let pauses = spot.load.writers.iter().map(|job| {
             let lost = lateness::loss_by_pause(after, job.gap_ms)
                 - lateness::loss_by_pause(before, job.gap_ms);
             job.value * lost
         });
-        let waiting = spot
-            .load
-            .readings
-            .iter()
-            .filter(|reading| reading.is_waiting);
-        let waits = waiting.map(|reading| {
+        let waits = spot.load.readings.iter().map(|reading| {
             let known = self.done_ms.get(reading.key).copied().unwrap_or_default();
             let delayed = known.max(reading.done_ms + part_ms);
             reading.job.loss(delayed, self.now) - reading.job.loss(known, self.now)
@@ -119,8 +117,9 @@
         now: ids::Timestamp,
     ) -> Self {
         let server = candidate.server;
-        let load = ledger.load(&server.id, profile, now);
+        let load = ledger.load(&server.id, now);
         let health = ledger.health(&server.id);
+        let pass_ms = profile.pass_ms(load.writers.len(), load.context_tokens) * health.pace();
         Self {
             server,
             is_near: candidate.is_near,
@@ -129,34 +128,33 @@
             failures: health.failures(now),
             pace: health.pace(),
             backlog_ms: load.backlog_ms(),
+            pass_ms,
             load,
         }
     }
 
-    /// Returns the longest pause of its writers if it is given another part, in milliseconds.
-    pub(super) fn pause_ms(&self, part_ms: f64) -> f64 {
-        self.load
-            .present_ms
-            .max(self.load.pass_ms + self.load.waiting_ms + part_ms)
+    /// Returns the longest pause of its writers, in milliseconds.
+    pub(super) fn pause_ms(&self) -> f64 {
+        self.pass_ms + self.backlog_ms.min(LONGEST_PASS_MS)
     }
 
-    /// Returns the time after which it has read something new that it reads at once, in
-    /// milliseconds; where somebody writes, the present pass must end and the next one must, too.
-    pub(super) fn done_ms(&self, part_ms: f64) -> f64 {
+    /// Returns the time until the server looks at what is new, in milliseconds.
+    pub(super) fn wait_ms(&self) -> f64 {
         if self.load.writers.is_empty() {
-            return self.backlog_ms.min(CHUNK_MS) + part_ms;
+            return self.backlog_ms.min(CHUNK_MS);
         }
-        self.load.left_ms + self.load.pass_ms + self.load.waiting_ms + part_ms
+        self.pause_ms() / 2.0
     }
 
-    /// Returns the time after which it has read something new that waits for its turn, in
-    /// milliseconds.
-    pub(super) fn done_in_turn_ms(&self, part_ms: f64) -> f64 {
-        if !self.load.writers.is_empty() || self.load.homes.is_empty() {
-            return self.done_ms(part_ms).max(self.backlog_ms + part_ms);
-        }
-        // Once the first of those ahead writes, the others share a pass with it.
-        self.backlog_ms + part_ms + self.load.pass_ms
+    /// Returns the time after which it has read something new that it reads at once, in
+    /// milliseconds; where somebody writes, the pass in which it is read must end.
+    pub(super) fn done_ms(&self, part_ms: f64) -> f64 {
+        let pass = if self.load.writers.is_empty() {
+            0.0
+        } else {
+            self.pass_ms
+        };
+        self.wait_ms() + part_ms + pass
     }
 
     /// Returns the tokens for which it has room.
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -121,11 +121,8 @@
     let own_part_ms = part_ms * home.pace;
     // A prompt that is read alone waits for its turn; the parts of a shared one go first.
     let is_alone = helpers.is_empty();
-    let own_done_ms = if is_alone {
-        home.done_in_turn_ms(own_part_ms)
-    } else {
-        home.done_ms(own_part_ms)
-    };
+    let ahead_ms = if is_alone { home.backlog_ms } else { 0.0 };
+    let own_done_ms = home.done_ms(own_part_ms).max(ahead_ms + own_part_ms);
     let read_by = helpers
         .iter()
         .map(|helper| helper.done_ms)
@@ -168,7 +165,7 @@
     let alike = home.load.homes_within(need.gap_ms);
     let spreading = (1.0 - placement::count_f64(alike) / packed).max(0.0);
     // Writers with short pauses suffer from whoever is read beside them.
-    let lost = lateness::loss_by_pause(home.pause_ms(0.0), need.gap_ms) * need.value();
+    let lost = lateness::loss_by_pause(home.pause_ms(), need.gap_ms) * need.value();
     let near = if home.is_near {
         0.0
     } else {
--- a/crates/mustardshed-core/tests/forward/ledger.rs
+++ b/crates/mustardshed-core/tests/forward/ledger.rs
@@ -23,7 +23,7 @@
 }
 
 fn done_ms(ledger: &ledger::Ledger, server: &str, now: ids::Timestamp) -> Vec<(u64, f64)> {
-    let load = ledger.load(server, &fixtures::profile(), now);
+    let load = ledger.load(server, now);
     let readings = load.readings.iter();
     readings
         .map(|reading| (reading.key.number, reading.done_ms))
@@ -73,7 +73,7 @@
     fleet.ledger.first_event(&key, fixtures::START);
     let writers = fleet
         .ledger
-        .load("engine-00", &fixtures::profile(), fixtures::START)
+        .load("engine-00", fixtures::START)
         .writers
         .len();
     let unread = done_ms(&fleet.ledger, "engine-01", fixtures::START).len();
@@ -106,11 +106,11 @@
 
     let home = fleet
         .ledger
-        .load("engine-00", &fixtures::profile(), fixtures::START)
+        .load("engine-00", fixtures::START)
         .memory_tokens;
     let helper = fleet
         .ledger
-        .load("engine-01", &fixtures::profile(), fixtures::START)
+        .load("engine-01", fixtures::START)
         .memory_tokens;
 
     expect_that!(home, eq(121_500));
--- a/crates/mustardshedd/src/forward/job.rs
+++ b/crates/mustardshedd/src/forward/job.rs
@@ -33,12 +33,11 @@
 
     /// Takes an event of the answer; the first one tells that the prompt is read.
     pub fn event(&mut self) {
-        let now = self.cx.now();
         if self.is_writing {
-            self.cx.state().ledger.event(&self.key, now);
             return;
         }
         self.is_writing = true;
+        let now = self.cx.now();
         self.cx.state().ledger.first_event(&self.key, now);
         let number = self.key.number;
         self.cx.peers.send(&forward::Message::FirstEvent { number });
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use mustardshed::{
-    core::forward::routes,
+    core::{forward::routes, ids},
     platform::{call_counts, topic},
 };
 use prometheus::{Encoder, core};
@@ -175,12 +175,12 @@
         self.servers.reset();
         self.memory.reset();
         for server in state.view.servers() {
-            self.server(&state, &server.id);
+            self.server(&state, &server.id, now);
         }
     }
 
-    fn server(&self, state: &cx::State, server: &str) {
-        let load = state.ledger.holdings(server);
+    fn server(&self, state: &cx::State, server: &str, now: ids::Timestamp) {
+        let load = state.ledger.load(server, now);
         let homes = self.servers.with_label_values(&[server]);
         homes.set(signed(load.homes.len() as u64));
         let memory = self.memory.with_label_values(&[server]);
