Have leaves wait to be told that the platform is back, and gather changes of the configuration

A path is called unknown in a large fleet if the configuration is confirmed within 1.6 s, as what the relays confirm is about 1.2 s old at best.

--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -40,8 +40,8 @@
 
 /// Age of the configuration beyond which a key or a path is not called unknown before another look.
 const UNKNOWN_AFTER_LOOK: time::Duration = time::Duration::from_millis(150);
-/// The same in a large fleet, whose relays ask so often that one of them is rarely older than this.
-const UNKNOWN_AFTER_LOOK_OF_RELAYS: time::Duration = time::Duration::from_millis(700);
+/// The same in a large fleet: what the watches of relays confirm is as old as a watch, and a beat.
+const UNKNOWN_AFTER_LOOK_OF_RELAYS: time::Duration = time::Duration::from_millis(1_600);
 /// Longest wait for that look.
 const LOOK_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Longest body where the configuration sets no limit, in bytes.
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -11,8 +11,11 @@
 
 /// Shortest wait after a failed call.
 const LEAST_BACKOFF: time::Duration = time::Duration::from_millis(80);
-/// Longest wait after a failed call, so that a platform that is back is noticed soon.
+/// Longest wait after a failed call for the configuration, so that a platform that is back is noticed
+/// soon.
 const GREATEST_BACKOFF: time::Duration = time::Duration::from_millis(700);
+/// The same for whoever is told of the return: other kinds by that call, leaves by their relay.
+const GREATEST_BACKOFF_IF_TOLD: time::Duration = time::Duration::from_secs(3);
 /// Longest wait of a watch where no peer would tell of a change that it misses.
 const ALONE_WATCH: time::Duration = time::Duration::from_millis(1_300);
 
@@ -166,18 +169,27 @@
         if self.topic == topic::Topic::Entries {
             register(&self.cx).await;
         }
-        tokio::time::sleep(self.gather()).await;
+        self.gather().await;
     }
 
-    /// Returns how long to wait before the next watch.
-    fn gather(&self) -> time::Duration {
-        match self.topic {
+    /// Waits for changes that come together with the one that was read.
+    async fn gather(&self) {
+        let is_leaf = self.cx.peers.is_leaf();
+        let wait = match self.topic {
             topic::Topic::Entries => ENTRIES_GATHER,
-            // A change of the configuration brings all of it, and is wanted at once.
-            topic::Topic::Configuration => time::Duration::ZERO,
-            _ if self.cx.peers.is_leaf() => LEAF_GATHERS,
+            _ if is_leaf => LEAF_GATHERS,
+            // Leaves hear from relays that there is another configuration.
+            topic::Topic::Configuration => return,
             _ if self.cx.is_large_fleet() => RELAY_GATHERS,
-            _ => time::Duration::ZERO,
+            _ => return,
+        };
+        if self.topic != topic::Topic::Configuration {
+            return tokio::time::sleep(wait).await;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            // Whoever wants to look now finds that said at the next watch.
+            () = self.cx.look.notified() => self.cx.look.notify_one(),
         }
     }
 
@@ -200,7 +212,13 @@
         let now = self.cx.now();
         if *e != objects::Error::HistoryGone {
             self.cx.state().view.failed(self.topic, now);
-            self.backoff = (self.backoff * 2).clamp(LEAST_BACKOFF, GREATEST_BACKOFF);
+            let is_told = self.topic != topic::Topic::Configuration || self.cx.peers.is_leaf();
+            let greatest = if is_told {
+                GREATEST_BACKOFF_IF_TOLD
+            } else {
+                GREATEST_BACKOFF
+            };
+            self.backoff = (self.backoff * 2).clamp(LEAST_BACKOFF, greatest);
         }
         if !std::mem::replace(&mut self.is_lost, true) {
             log::emit(&event::Event::PlatformLost {
--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -22,6 +22,8 @@
     /// Since when the peer has known a later change of a kind.
     behind_since: [Option<ids::Timestamp>; forward::TOPICS],
     asked_at: [ids::Timestamp; forward::TOPICS],
+    /// Whether the platform did not answer the peer for a kind.
+    was_failing: [bool; forward::TOPICS],
 }
 
 impl CatchUp {
@@ -41,6 +43,10 @@
                 continue;
             };
             let index = topic.index();
+            if std::mem::replace(&mut self.was_failing[index], read.is_failing) && !read.is_failing
+            {
+                cx.returned.notify_waiters();
+            }
             if !state.view.peer_read(topic, read, asked_at, is_leaf) {
                 self.behind_since[index] = None;
                 continue;
