Keep drafts together only as far as sixteen engines stay free to read

Cause: writers were packed into 0.85 of an engine's places whatever the size of the fleet. On the grown haulers 300 drafts shared 25 of 78 engines; those that come within one pass are read in the next one together, so they began 100 to 200 ms later than estimated, while most engines stood idle.

Packing into half of the places gains as much on the large fleet and would lose on a small one, where few engines are left to read.

Change: as many writers together as leave sixteen engines free, which is what one prompt is read by at most.

--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -51,8 +51,13 @@
 const PRICE_OF_FAILURE: f64 = 0.25;
 /// Part of a server's memory that requests are placed into; the rest is for longer answers.
 const MEMORY_SHARE: f64 = 0.94;
-/// Part of a server's places in which writers of a kind are kept together.
+/// Part of a server's places in which writers of a kind are kept together at most.
 const PACKED_SHARE: f64 = 0.85;
+/// Servers that are kept free of writers, if there are places enough on the others: as many as read
+/// one prompt at most.
+const FREE_TO_READ: f64 = 16.0;
+/// Least number of writers that are kept together.
+const LEAST_TOGETHER: f64 = 4.0;
 
 /// What a request needs.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/mustardshed-core/src/forward/placement/field.rs
+++ b/crates/mustardshed-core/src/forward/placement/field.rs
@@ -21,6 +21,8 @@
     pub(super) spots: Vec<Spot<'a>>,
     pub(super) profile: &'a engine::Profile,
     pub(super) now: ids::Timestamp,
+    /// Number of writers of a kind that are kept together on a server.
+    pub(super) together: f64,
     /// Price of a place that is taken for a second.
     place_price: f64,
     /// Times after which prompts are read, by request, in milliseconds.
@@ -58,10 +60,12 @@
             *done = done.max(reading.done_ms);
         }
         let place_price = place_price(&spots, profile);
+        let together = together(&spots, profile);
         Self {
             spots,
             profile,
             now,
+            together,
             place_price,
             done_ms,
         }
@@ -94,6 +98,16 @@
     }
 }
 
+/// Returns how many writers of a kind are kept together on a server, so that they leave others free
+/// to read and yet wait for each other's prompts as little as can be.
+fn together(spots: &[Spot<'_>], profile: &engine::Profile) -> f64 {
+    let homes: usize = spots.iter().map(|spot| spot.load.homes.len()).sum();
+    let writing = placement::count_f64(spots.len()) - placement::FREE_TO_READ;
+    let most = f64::from(profile.slots.max(1)) * placement::PACKED_SHARE;
+    let needed = (placement::count_f64(homes) + 1.0) / writing.max(1.0);
+    needed.clamp(placement::LEAST_TOGETHER.min(most), most)
+}
+
 /// Returns the price of a place for a second: nothing while there are many.
 fn place_price(spots: &[Spot<'_>], profile: &engine::Profile) -> f64 {
     /// Taken part of all places from which on they are scarce.
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -159,7 +159,7 @@
 
 /// Returns the price of writing at a server.
 fn of_home(home: &field::Spot<'_>, field: &field::Field<'_>, need: &Need) -> f64 {
-    let packed = f64::from(field.profile.slots.max(1)) * placement::PACKED_SHARE;
+    let packed = field.together;
     let homes = placement::count_f64(home.load.homes.len());
     let crowding = (homes + 1.0 - packed).max(0.0) * placement::PRICE_OF_CROWDING;
     let alike = home.load.homes_within(need.gap_ms);
--- a/crates/mustardshed-core/tests/forward/drafts.rs
+++ b/crates/mustardshed-core/tests/forward/drafts.rs
@@ -66,3 +66,21 @@
         err(matches_pattern!(placement::NotPlaced::TooLate { .. }))
     )
 }
+
+#[gtest]
+fn wave_of_drafts_on_a_large_fleet_is_spread_as_far_as_others_stay_free_to_read() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(78);
+    let mut homes: collections::HashMap<String, usize> = collections::HashMap::new();
+
+    // Three hundred drafts within two seconds, all of which still write.
+    for i in 0..300_u32 {
+        let now = fixtures::START + time::Duration::from_millis(7) * i;
+        let (placed, key) = fleet.send(&fixtures::draft(now), now);
+        let read_at = now + time::Duration::from_millis(5);
+        fleet.ledger.first_event(&key, read_at);
+        *homes.entry(placed.home).or_default() += 1;
+    }
+
+    expect_that!(homes.values().copied().max(), some(le(8)));
+    verify_that!(homes.len(), all![ge(45), le(62)])
+}
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -11,6 +11,8 @@
 
 /// Shortest wait after a failed call.
 const LEAST_BACKOFF: time::Duration = time::Duration::from_millis(80);
+/// The same for a leaf, whose relay tells it what it misses meanwhile.
+const LEAST_BACKOFF_OF_LEAF: time::Duration = time::Duration::from_millis(400);
 /// Longest wait after a failed call for the configuration, so that a platform that is back is noticed
 /// soon.
 const GREATEST_BACKOFF: time::Duration = time::Duration::from_millis(700);
