Give a stream to another server if the first one does not begin it

An attempt of a stream waited as long as its caller.

Change: a stream that has not begun 2.5 s and four times its estimate after it was sent is given up there; the server counts as silent for all entries, and the stream goes to another one, within its attempts and the budget. Where memory is reserved this holds for the last attempt, too.

--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -13,6 +13,9 @@
 
 use crate::forward::{exchange, job, reservation, upstream};
 
+/// Silence from which a server is left alone for a while.
+const SILENT_FROM: time::Duration = time::Duration::from_secs(1);
+
 /// Why an attempt gave no answer to pass on.
 #[derive(Debug)]
 pub(super) enum Failed {
@@ -43,6 +46,8 @@
     pub(super) body: body::Incoming,
     /// What must live as long as the body is read.
     pub(super) held: Held,
+    /// Longest wait for the first event, if the answer is a stream.
+    pub(super) begins_within: time::Duration,
 }
 
 /// What must live as long as an answer is read.
@@ -93,7 +98,12 @@
             return Err(Failed::Unknown(reason));
         }
         Ok(Err(e)) => return Err(Failed::not_run(e)),
-        Err(_) => return Err(Failed::Unknown(format!("no answer within {timeout:?}"))),
+        Err(_) => {
+            if timeout >= SILENT_FROM {
+                req.cx.unreachable(&placed.home);
+            }
+            return Err(Failed::Unknown(format!("no answer within {timeout:?}")));
+        }
     };
     let (parts, body) = answer.into_parts();
     let head = headers::answer(parts.status, &parts.headers);
@@ -103,7 +113,8 @@
         _driver: driver,
         _reservations: reservations,
     };
-    check(req, placed, parts, head, body, held)
+    let begins_within = timeout.saturating_sub(req.cx.now().saturating_sub(now));
+    check(req, placed, parts, head, body, held, begins_within)
 }
 
 fn address(req: &exchange::Admitted, server: &str) -> Result<String, Failed> {
@@ -175,6 +186,7 @@
     head: head::Answer,
     body: body::Incoming,
     held: Held,
+    begins_within: time::Duration,
 ) -> Result<Answered, Failed> {
     let server = &placed.home;
     if let Some(left) = head.cold_for {
@@ -198,7 +210,12 @@
         failed(req, server);
         return Err(Failed::Unknown("the answer is not the server's".to_owned()));
     }
-    Ok(Answered { parts, body, held })
+    Ok(Answered {
+        parts,
+        body,
+        held,
+        begins_within,
+    })
 }
 
 /// Takes that a server turned a request away, for its own sake or another server's.
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{placement, routes},
+        forward::{engine, placement, routes},
         ids,
     },
     platform::headers,
@@ -23,6 +23,11 @@
 const MAX_TURNED_AWAY: u32 = 3;
 /// Part of the time left that an attempt may take while another one may follow.
 const ATTEMPT_SHARE: f64 = 0.45;
+/// Time beyond a multiple of the estimate after which a server counts as silent that has not begun a
+/// stream: longer than engines stall where another one that they depend on is dead.
+const SILENT_AFTER: time::Duration = time::Duration::from_millis(2_500);
+/// That multiple; estimates are short by less where engines are merely busy.
+const SILENT_FACTOR: f64 = 4.0;
 /// Part of the time within which a request should begin for which it may wait for a place.
 const QUEUE_SHARE: f64 = 0.3;
 /// Time for which a request may wait at least whose caller was refused before and came back, or
@@ -37,6 +42,10 @@
 /// Time after which a caller may come back where no server of the service was known.
 const NO_SERVER_WAIT: time::Duration = time::Duration::from_millis(400);
 
+fn holds_memory(placed: &placement::Placed) -> bool {
+    placed.helpers.iter().any(|helper| helper.held_tokens > 0)
+}
+
 /// Carries a request through its attempts.
 pub(super) async fn run(req: exchange::Admitted) -> Result<exchange::Answer, refusal::Refusal> {
     let draw = rand::random();
@@ -179,7 +188,7 @@
             self.log_placed(&placed);
             self.tried.push(placed.home.clone());
             self.stage = Stage::WaitingForHead;
-            let timeout = self.attempt_timeout();
+            let timeout = self.attempt_timeout(&placed);
             let result = attempt::run(&self.req, &placed, job, self.last_event, timeout).await;
             match result {
                 Ok(answered) => {
@@ -292,14 +301,18 @@
         retry_after.mul_f64(spread).min(left.mul_f64(LONGEST_SHARE))
     }
 
-    /// Returns how long an attempt may wait for the head of an answer.
-    fn attempt_timeout(&self) -> time::Duration {
+    /// Returns how long an attempt may wait for the head of an answer, and a stream for its first event.
+    fn attempt_timeout(&self, placed: &placement::Placed) -> time::Duration {
         let left = self.req.deadline().saturating_sub(self.req.cx.now());
-        let is_plain = self.req.route.repeat == routes::Repeat::Idempotent;
-        if is_plain && self.runs + 1 < self.req.route.max_attempts {
-            left.mul_f64(ATTEMPT_SHARE)
-        } else {
-            left
+        let may_follow = self.runs + 1 < self.req.route.max_attempts;
+        match self.req.route.repeat {
+            routes::Repeat::Idempotent if may_follow => left.mul_f64(ATTEMPT_SHARE),
+            // Memory must not be kept for a server that does not begin.
+            repeat if repeat.is_stream() && (may_follow || holds_memory(placed)) => {
+                let estimate = engine::millis(placed.estimate_ms * SILENT_FACTOR);
+                left.min(SILENT_AFTER + estimate)
+            }
+            _ => left,
         }
     }
 
--- a/crates/mustardshedd/src/forward/exchange/relay.rs
+++ b/crates/mustardshedd/src/forward/exchange/relay.rs
@@ -46,7 +46,8 @@
             held: answered.held,
             last_event,
         };
-        let first = source.next().await?;
+        let first = tokio::time::timeout(answered.begins_within, source.next()).await;
+        let first = first.map_err(|_| "no event in time".to_owned())??;
         Ok(Box::new(Self {
             status: answered.parts.status,
             headers: headers::toward_client(&answered.parts.headers),
--- a/crates/mustardshedd/tests/forward/streams.rs
+++ b/crates/mustardshedd/tests/forward/streams.rs
@@ -96,3 +96,38 @@
         elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
     )
 }
+
+#[gtest]
+#[tokio::test]
+async fn stream_that_a_silent_server_does_not_begin_is_begun_by_another() -> Result<()> {
+    let silent = server::Server::bind("i-1").await;
+    let sound = server::Server::bind("i-2").await;
+    let f = fixture::Fixture::with(&[&silent, &sound]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let whole = || Answer::Events {
+        ids: vec![1],
+        ends: true,
+    };
+    silent.answers(Answer::Silent);
+    for _ in 0..8 {
+        sound.answers(whole());
+    }
+
+    // One of these meets the silent server first.
+    let mut statuses = Vec::new();
+    while silent.got().is_empty() && statuses.len() < 8 {
+        let seen = f.send(&entry, "POST", "/stream/a", "").await;
+        statuses.push((seen.status, seen.is_whole));
+        // Servers that are alike are chosen by what they have in flight.
+        f.list(&sound, "ready", "south").await;
+        fixture::until("the sound one to be far", || {
+            let state = entry.cx.state();
+            let found = state.view.usable("i-2", entry.cx.now());
+            found.is_some_and(|server| server.data_centre == "south")
+        })
+        .await;
+    }
+
+    expect_that!(silent.got().len(), ge(1));
+    verify_that!(statuses, each(eq(&(200, true))))
+}
