--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -64,6 +64,8 @@
     pub grace: time::Duration,
     /// Time after which memory that no request uses must be free.
     pub memory_release: time::Duration,
+    /// Time for which memory may be set aside before a request uses it.
+    pub memory_idle: time::Duration,
 }
 
 /// Parses and checks the settings, whose form is TOML.
@@ -138,6 +140,7 @@
         let retry_window = seconds("retry_window_s");
         let grace = seconds("grace_s");
         let memory_release = millis("memory_release_ms");
+        let memory_idle = millis("memory_idle_ms");
         section.report_unknown();
         let of_millis = |ms: f64| time::Duration::from_secs_f64(ms / 1_000.0);
         Some(Self {
@@ -148,6 +151,7 @@
             retry_window: time::Duration::from_secs_f64(retry_window?),
             grace: time::Duration::from_secs_f64(grace?),
             memory_release: of_millis(memory_release?),
+            memory_idle: of_millis(memory_idle?),
         })
     }
 }
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -28,6 +28,8 @@
 const SILENT_AFTER: time::Duration = time::Duration::from_millis(2_500);
 /// That multiple; estimates are short by less where engines are merely busy.
 const SILENT_FACTOR: f64 = 4.0;
+/// Part of the time for which memory may be set aside unused that a stream may take to begin.
+const IDLE_SHARE: f64 = 0.8;
 /// Part of the time within which a request should begin for which it may wait for a place.
 const QUEUE_SHARE: f64 = 0.3;
 /// Time for which a request may wait at least whose caller was refused before and came back, or
@@ -42,6 +44,11 @@
 /// Time after which a caller may come back where no server of the service was known.
 const NO_SERVER_WAIT: time::Duration = time::Duration::from_millis(400);
 
+/// Returns the time after which a server counts as silent that has not begun a stream.
+fn silent_after(placed: &placement::Placed) -> time::Duration {
+    SILENT_AFTER + engine::millis(placed.estimate_ms * SILENT_FACTOR)
+}
+
 fn holds_memory(placed: &placement::Placed) -> bool {
     placed.helpers.iter().any(|helper| helper.held_tokens > 0)
 }
@@ -307,11 +314,12 @@
         let may_follow = self.runs + 1 < self.req.route.max_attempts;
         match self.req.route.repeat {
             routes::Repeat::Idempotent if may_follow => left.mul_f64(ATTEMPT_SHARE),
-            // Memory must not be kept for a server that does not begin.
-            repeat if repeat.is_stream() && (may_follow || holds_memory(placed)) => {
-                let estimate = engine::millis(placed.estimate_ms * SILENT_FACTOR);
-                left.min(SILENT_AFTER + estimate)
+            // Memory must not be kept for a server that does not begin, by the last attempt either.
+            repeat if repeat.is_stream() && holds_memory(placed) => {
+                let idle = self.req.cx.settings.bounds.memory_idle;
+                left.min(silent_after(placed)).min(idle.mul_f64(IDLE_SHARE))
             }
+            repeat if repeat.is_stream() && may_follow => left.min(silent_after(placed)),
             _ => left,
         }
     }
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -103,6 +103,7 @@
         retry_window: time::Duration::from_secs(10),
         grace: time::Duration::from_secs(8),
         memory_release: time::Duration::from_secs(4),
+        memory_idle: time::Duration::from_secs(9),
     }
 }
 
--- a/crates/mustardshedd/tests/forward/gangs.rs
+++ b/crates/mustardshedd/tests/forward/gangs.rs
@@ -55,3 +55,37 @@
     }
     Ok(())
 }
+
+#[gtest]
+#[tokio::test]
+async fn memory_is_given_up_if_the_server_does_not_begin() -> Result<()> {
+    let mut engines = Vec::new();
+    for i in 0..4 {
+        engines.push(server::Server::bind(&format!("i-{i}")).await);
+    }
+    let f = fixture::Fixture::with(&engines.iter().collect::<Vec<_>>()).await;
+    f.configure_engine(2).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    fixture::until("the engines", || {
+        let now = entry.cx.now();
+        let version = entry.cx.routes().map(|routes| routes.version);
+        version == Some(2) && entry.cx.state().view.servers_of("runners", now).count() == 4
+    })
+    .await;
+    for engine in &engines {
+        engine.answers(server::Answer::Silent);
+    }
+
+    let headers = [("token-usage", LONG_PROMPT)];
+    let seen = f.send_with(&entry, "POST", "/long/a", "", &headers).await;
+    let reserved: Vec<String> = engines.iter().flat_map(|e| orders(e, "reserve")).collect();
+    fixture::until("the releases", || {
+        let released: Vec<String> = engines.iter().flat_map(|e| orders(e, "release")).collect();
+        reserved.iter().all(|id| released.contains(id))
+    })
+    .await;
+
+    // Not 504: the time of the client is not over.
+    expect_that!(seen.status, eq(502));
+    verify_that!(reserved, not(is_empty()))
+}
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -119,13 +119,19 @@
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let id = parts.headers.get("request-id").cloned();
     let is_long = parts.uri.path().starts_with("/long/");
+    let is_order = parts.uri.path() == "/api/order";
     state.got.lock().unwrap().push(Got {
         method: parts.method.to_string(),
         path: parts.uri.to_string(),
         headers: parts.headers,
         body,
     });
-    let scripted = state.script.lock().unwrap().pop_front();
+    // Orders are answered as usual, whatever is scripted for requests.
+    let scripted = if is_order {
+        None
+    } else {
+        state.script.lock().unwrap().pop_front()
+    };
     let usual = if is_long {
         Answer::Events {
             ids: vec![1],
