Let an entry without a relay keep the leaves that it takes, if it would be a relay before them

Cause: an entry that heard nobody took whoever came, but let go of it at its next look 100 ms later, since by rank it is a leaf; and a leaf went back to relays without power after 2 s, before it had tried all of them. After all relays of a fleet of 15 were lost at once its leaves knew each other after 20 s.

Ruled out: taking without a rule, by which two entries could become each other's leaves.

Change: one rule for taking and for keeping: a relay, or whoever hears none itself and ranks before the leaf. Leaves go once the entry's own relay has answered. A relay whose link failed is left alone for 10 s. Whether an entry is a relay follows from what it opens links to.

--- a/crates/mustardshed-core/src/forward/relays.rs
+++ b/crates/mustardshed-core/src/forward/relays.rs
@@ -20,8 +20,9 @@
 const LEAST_RELAYS: usize = 2;
 /// Time for which an entry must have been silent to be passed over.
 const ABSENT_AFTER: time::Duration = roster::DEAD_AFTER;
-/// Time for which a leaf leaves a relay alone to which its link has failed.
-const FAILED_FOR: time::Duration = time::Duration::from_secs(2);
+/// Time for which a leaf leaves a relay alone to which its link has failed: as long as it takes to try
+/// a dozen others of which none answers.
+const FAILED_FOR: time::Duration = time::Duration::from_secs(10);
 
 /// A registered entry.
 #[derive(Clone, Debug, PartialEq)]
@@ -84,12 +85,26 @@
     /// Returns whether `own` is a relay; in a small fleet every entry is.
     #[must_use]
     pub fn is_relay(&self, own: &str, members: &Members, now: ids::Timestamp) -> bool {
+        matches!(self.links(own, members, now), Links::Mesh(_))
+    }
+
+    /// Returns whether `own` takes `leaf` for its leaf: as a relay, or for as long as it hears none
+    /// itself and would be one before `leaf`, so that two entries never are each other's leaves.
+    #[must_use]
+    pub fn takes(
+        &self,
+        own: &str,
+        leaf: &str,
+        hears_relay: bool,
+        members: &Members,
+        now: ids::Timestamp,
+    ) -> bool {
+        if self.is_relay(own, members, now) {
+            return true;
+        }
         let ranked = self.ranked(own, members, now);
-        ranked.len() <= MESH_ENTRIES
-            || ranked
-                .iter()
-                .take(wanted(&ranked))
-                .any(|(vm, _)| *vm == own)
+        let place = |vm: &str| ranked.iter().position(|(other, _)| *other == vm);
+        !hears_relay && place(leaf).is_none_or(|leaf| place(own).is_some_and(|own| own < leaf))
     }
 
     /// Returns what `own` opens links to.
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -215,16 +215,15 @@
         self.state().view.members().len() > relays::MESH_ENTRIES
     }
 
-    /// Returns whether other entries may make this one their relay.
+    /// Returns whether another entry may make this one its relay.
     #[must_use]
-    pub fn is_relay(&self) -> bool {
+    pub fn takes_leaf(&self, leaf: &str) -> bool {
         let now = self.now();
+        let hears_relay = self.peers.hears_relay();
         let state = self.state();
-        // An entry that hears nobody takes whoever comes.
-        state.roster.alive(now) == 0
-            || state
-                .relays
-                .is_relay(&self.settings.vm, state.view.members(), now)
+        let members = state.view.members();
+        let own = &self.settings.vm;
+        state.relays.takes(own, leaf, hears_relay, members, now)
     }
 
     /// Returns the addresses of the entries that callers should use.
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -32,7 +32,7 @@
 /// Wait between looks at that age.
 const AGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Wait after a change before a leaf watches again, so that changes that come together are read
-/// together. Its relay is asked for those that come later than [`link`](crate::forward::link) waits.
+/// together. A leaf asks its relay for what that one has read meanwhile.
 const LEAF_GATHERS: time::Duration = time::Duration::from_millis(600);
 /// The same for a relay, from which its leaves hear how far there is to read.
 const RELAY_GATHERS: time::Duration = time::Duration::from_millis(150);
@@ -118,7 +118,7 @@
         if self.cx.state().roster.alive(now) == 0 {
             return ALONE_WATCH;
         }
-        if self.cx.peers.is_leaf() {
+        if self.cx.peers.hears_relay() {
             return LEAF_WATCH;
         }
         let wait = watch_time(self.topic);
@@ -176,7 +176,7 @@
 
     /// Waits for changes that come together with the one that was read.
     async fn gather(&self) {
-        let is_leaf = self.cx.peers.is_leaf();
+        let is_leaf = self.cx.peers.hears_relay();
         let wait = match self.topic {
             topic::Topic::Entries => ENTRIES_GATHER,
             _ if is_leaf => LEAF_GATHERS,
@@ -214,7 +214,7 @@
         let now = self.cx.now();
         if *e != objects::Error::HistoryGone {
             self.cx.state().view.failed(self.topic, now);
-            let (least, greatest) = if self.cx.peers.is_leaf() {
+            let (least, greatest) = if self.cx.peers.hears_relay() {
                 (LEAST_BACKOFF_OF_LEAF, GREATEST_BACKOFF_IF_TOLD)
             } else if self.topic == topic::Topic::Configuration {
                 (LEAST_BACKOFF, GREATEST_BACKOFF)
--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -35,7 +35,7 @@
         asked_at: ids::Timestamp,
         now: ids::Timestamp,
     ) -> Vec<forward::Message> {
-        let is_leaf = cx.peers.is_leaf();
+        let is_leaf = cx.peers.hears_relay();
         let mut state = cx.state();
         let mut wanted = Vec::new();
         for (topic, read) in topic::Topic::ALL.into_iter().zip(topics) {
--- a/crates/mustardshedd/src/forward/link/talk.rs
+++ b/crates/mustardshedd/src/forward/link/talk.rs
@@ -191,7 +191,7 @@
         vm: &str,
         answers: &mut Vec<forward::Message>,
     ) -> Result<(), LinkError> {
-        if !self.cx.is_relay() {
+        if !self.cx.takes_leaf(vm) {
             return Err(LinkError::NoRelay);
         }
         self.side = Side::Relay;
@@ -214,6 +214,9 @@
         now: ids::Timestamp,
     ) -> Vec<forward::Message> {
         self.heard_at = now;
+        if self.side == Side::Leaf {
+            self.cx.peers.relay_answered();
+        }
         let vm = entry.vm.clone();
         if vm == self.cx.settings.vm {
             return Vec::new();
--- a/crates/mustardshedd/src/forward/peers.rs
+++ b/crates/mustardshedd/src/forward/peers.rs
@@ -46,6 +46,8 @@
 struct Queues {
     /// Links that this entry has opened, by address, with whether it is a leaf there.
     opened: collections::HashMap<String, (Queue, bool)>,
+    /// Whether the relay has answered to which this entry has opened a link as a leaf.
+    hears_relay: bool,
     /// Leaves of this entry.
     leaves: collections::HashMap<ids::VmId, Queue>,
 }
@@ -102,15 +104,17 @@
         queues.leaves.keys().cloned().collect()
     }
 
-    /// Lets go of all leaves, whose links then end.
-    fn drop_leaves(&self) {
-        self.lock().leaves.clear();
+    /// Takes that this entry's relay has answered it; leaves of this entry go there, too.
+    pub fn relay_answered(&self) {
+        let mut queues = self.lock();
+        queues.hears_relay = true;
+        queues.leaves.clear();
     }
 
     /// Returns whether this entry hears the others through a relay.
     #[must_use]
-    pub fn is_leaf(&self) -> bool {
-        self.lock().opened.values().any(|(_, is_leaf)| *is_leaf)
+    pub fn hears_relay(&self) -> bool {
+        self.lock().hears_relay
     }
 
     fn insert(&self, address: &str, tx: Queue, is_leaf: bool) {
@@ -119,8 +123,10 @@
     }
 
     fn remove(&self, address: &str) {
-        let removed = self.lock().opened.remove(address);
-        if removed.is_some_and(|(_, is_leaf)| is_leaf) {
+        let mut queues = self.lock();
+        let removed = queues.opened.remove(address);
+        if removed.is_some_and(|(_, is_leaf)| is_leaf) && queues.hears_relay {
+            queues.hears_relay = false;
             self.lost_relay.notify_waiters();
         }
     }
@@ -146,23 +152,23 @@
 
 /// Keeps the links that this entry should have, for as long as the process runs.
 pub async fn keep(cx: sync::Arc<cx::Cx>) {
-    let mut links = Links::default();
+    let mut opened = Opened::default();
     let mut looks = tokio::time::interval(LOOK_INTERVAL);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         looks.tick().await;
         forget_dead(&cx);
-        links.keep(&cx);
+        opened.keep(&cx);
     }
 }
 
 /// The links that were opened, by address and whether this entry is a leaf there.
 #[derive(Default)]
-struct Links {
+struct Opened {
     tasks: collections::HashMap<(String, bool), task::JoinHandle<()>>,
 }
 
-impl Links {
+impl Opened {
     fn keep(&mut self, cx: &sync::Arc<cx::Cx>) {
         self.tasks.retain(|_, task| !task.is_finished());
         let wanted = self.wanted(cx);
@@ -203,9 +209,6 @@
                 addresses.map(|address| (address, false)).collect()
             }
             relays::Links::Leaf(order) => {
-                if !state.relays.is_relay(own, members, now) {
-                    cx.peers.drop_leaves();
-                }
                 // A link that holds is kept, whoever would be tried first now.
                 let held = self.tasks.keys().find(|(_, is_leaf)| *is_leaf).cloned();
                 let first = || Some((order.iter().find_map(address)?, true));
