Have one copy of the wire types, of reading a body, of a confirmation and of an error's causes

Cause: found on reading the change as a whole.

Ruled out: one link module for both paths (unlike messages and roles), one health for engines and the cold ramp (unlike rules).

--- a/crates/mustardshed-core/src/error.rs
+++ b/crates/mustardshed-core/src/error.rs
@@ -221,3 +221,12 @@
 }
 
 impl std::error::Error for Error {}
+
+/// Returns an error with its causes, the outermost first.
+#[must_use]
+pub fn with_causes(e: &dyn std::error::Error) -> String {
+    match e.source() {
+        Some(source) => format!("{e}: {}", with_causes(source)),
+        None => e.to_string(),
+    }
+}
--- a/crates/mustardshed-core/src/forward/engine.rs
+++ b/crates/mustardshed-core/src/forward/engine.rs
@@ -27,10 +27,6 @@
     pub read_tokens_per_s: f64,
     /// Time of a million pairs of a prompt token and an earlier one, in milliseconds.
     pub ms_per_million_pairs: f64,
-    /// Prompt tokens read in one step at most.
-    pub chunk_tokens: u32,
-    /// Time added to a step by helpers that hold memory, in milliseconds.
-    pub hop_ms: f64,
     /// Usual length of an answer, in tokens.
     pub usual_answer_tokens: ids::Tokens,
 }
--- a/crates/mustardshed-core/src/forward/preference.rs
+++ b/crates/mustardshed-core/src/forward/preference.rs
@@ -1,4 +1,7 @@
-//! Fixed preferences, the same in every process, that spread choices without agreement.
+//! Fixed preferences, the same in every process of one build, that spread choices without agreement.
+//!
+//! While two builds run side by side their entries may choose unlike relays; leaves then find a relay
+//! by trying.
 
 use std::hash::{self, Hash, Hasher};
 
--- a/crates/mustardshed-core/src/forward/routes.rs
+++ b/crates/mustardshed-core/src/forward/routes.rs
@@ -83,8 +83,6 @@
 pub struct Service {
     /// Name.
     pub name: ids::ServiceId,
-    /// Connections that one of its servers accepts from all callers together.
-    pub max_connections: u32,
     /// Requests in a second that a cold server bears; none if its servers are never cold.
     pub cold_rate: Option<f64>,
     /// Speed of its engines; none for a plain service.
--- a/crates/mustardshed-core/src/version/confirmation.rs
+++ b/crates/mustardshed-core/src/version/confirmation.rs
@@ -21,6 +21,12 @@
         self.at = self.at.max(Some(at));
     }
 
+    /// Returns as of when it is, or none if there never was one.
+    #[must_use]
+    pub const fn at(&self) -> Option<ids::Timestamp> {
+        self.at
+    }
+
     /// Returns its age, or none if there never was one.
     #[must_use]
     pub fn age(&self, now: ids::Timestamp) -> Option<time::Duration> {
--- a/crates/mustardshed-core/src/version/freshness.rs
+++ b/crates/mustardshed-core/src/version/freshness.rs
@@ -19,6 +19,7 @@
 use crate::{
     ids, mutation,
     process::{members, message},
+    version::confirmation,
 };
 
 /// Time after a confirmation for which new work may be placed.
@@ -33,17 +34,17 @@
 #[derive(Debug)]
 pub struct Freshness {
     started_at: ids::Timestamp,
-    confirmed_at: Option<ids::Timestamp>,
+    confirmation: confirmation::Confirmation,
     answered_at: Option<ids::Timestamp>,
     votes: collections::BTreeMap<ids::VmId, ids::Timestamp>,
 }
 
 impl Freshness {
     /// Makes the freshness of a process that just started.
-    pub const fn new(now: ids::Timestamp) -> Self {
+    pub fn new(now: ids::Timestamp) -> Self {
         Self {
             started_at: now,
-            confirmed_at: None,
+            confirmation: confirmation::Confirmation::default(),
             answered_at: None,
             votes: collections::BTreeMap::new(),
         }
@@ -129,13 +130,14 @@
 
     /// Returns whether this process knows of every intent that may have been written.
     pub fn vouches(&self) -> bool {
-        self.confirmed_at
+        self.confirmation
+            .at()
             .is_some_and(|at| at >= self.started_at + VOUCH_AFTER)
     }
 
     /// Returns the age of the confirmation.
     pub fn confirmation_age(&self, now: ids::Timestamp) -> Option<time::Duration> {
-        self.confirmed_at.map(|at| now.saturating_sub(at))
+        self.confirmation.age(now)
     }
 
     /// Returns the time until which new work may be placed; zero if the configuration was never
@@ -144,11 +146,12 @@
         if mutation::on("freshness_unchecked") {
             return time::Duration::MAX;
         }
-        self.confirmed_at
+        self.confirmation
+            .at()
             .map_or(time::Duration::ZERO, |at| at + PLACE_WITHIN)
     }
 
     fn confirm(&mut self, at: ids::Timestamp) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.confirmation.confirm(at);
     }
 }
--- a/crates/mustardshed-core/tests/forward/confirmation.rs
+++ b/crates/mustardshed-core/tests/forward/confirmation.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use googletest::prelude::*;
-use mustardshed_core::forward::confirmation;
+use mustardshed_core::version::confirmation;
 
 use crate::fixtures;
 
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -20,8 +20,6 @@
         step_ms_per_1k_context: 0.002_54,
         read_tokens_per_s: 256_000.0,
         ms_per_million_pairs: 0.091_7,
-        chunk_tokens: 2_048,
-        hop_ms: 0.1,
         usual_answer_tokens: 1_540,
     }
 }
--- a/crates/mustardshed-standins/src/platform/object_routes.rs
+++ b/crates/mustardshed-standins/src/platform/object_routes.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use bytes::Bytes;
+use mustardshed::platform::objects::wire;
 use serde::Deserialize;
 use warp::{Filter, filters, reply};
 
@@ -129,29 +130,29 @@
 
 impl Write {
     fn carry_out(&self, state: &state::State, call: &call::Call, body: &[u8]) -> reply::Response {
-        let written = match item::Written::parse(body) {
+        let written = match item::written(body) {
             Ok(written) => written,
             Err(reason) => return http::refusal(400, reason),
         };
-        let name = self.name.as_deref().unwrap_or(&written.name);
+        let name = self.name.as_deref().unwrap_or(&written.metadata.name);
         if let Err(reason) = check_names(&self.kind, name) {
             return http::refusal(400, reason);
         }
         if self.kind == VMS {
             return http::refusal(403, "the list of VMs is changed by the administration");
         }
-        if written.value.len() > MAX_ENCODED_BYTES {
+        if written.spec.get().len() > MAX_ENCODED_BYTES {
             return http::refusal(413, "the value is too large");
         }
-        let expected = match (&self.name, self.revision.or(written.revision)) {
+        let expected = match (&self.name, self.revision.or(written.metadata.revision)) {
             (None, _) => store::Expected::Missing,
             (Some(_), None) => store::Expected::Present,
             (Some(_), Some(revision)) => store::Expected::At(revision),
         };
-        let value = written.value;
+        let value = Bytes::from(written.spec.get().to_owned());
         match state.put(&call.caller, &self.kind, name, expected, value.clone()) {
             Ok(written) if written.answer_lost => http::cut(),
-            Ok(written) => http::json(200, &item::json(name, written.version, Some(&value))),
+            Ok(written) => http::json(200, &item::shown(name, written.version, Some(&value))),
             Err(e) => refused(state, &self.kind, name, e),
         }
     }
@@ -189,7 +190,7 @@
     let expected = revision.map_or(store::Expected::Present, store::Expected::At);
     match state.delete(&call.caller, kind, name, expected) {
         Ok(written) if written.answer_lost => http::cut(),
-        Ok(written) => http::json(200, &item::json(name, written.version, None)),
+        Ok(written) => http::json(200, &item::shown(name, written.version, None)),
         Err(e) => refused(state, kind, name, e),
     }
 }
@@ -246,14 +247,14 @@
     };
     match watch.wait(state, wait).await {
         watch::Outcome::Changes(changes) => {
-            let events = changes.changed.iter().map(|change| {
-                serde_json::json!({
-                    "removed": change.value.is_none(),
-                    "object": item::json(&change.name, change.version, change.value.as_ref()),
-                })
+            let events = changes.changed.iter().map(|change| wire::Event {
+                removed: change.value.is_none(),
+                object: item::shown(&change.name, change.version, change.value.as_ref()),
             });
-            let events: Vec<_> = events.collect();
-            let answer = serde_json::json!({ "events": events, "current_rev": changes.version });
+            let answer = wire::Events {
+                events: events.collect(),
+                revision: changes.version,
+            };
             http::json(200, &answer)
         }
         watch::Outcome::HistoryGone => http::refusal(410, "these changes are not kept any more"),
@@ -283,7 +284,7 @@
 
 fn shown(name: &str, state: Option<crate::platform::object::State>) -> reply::Response {
     match state.and_then(|state| Some((state.version, state.value?))) {
-        Some((version, value)) => http::json(200, &item::json(name, version, Some(&value))),
+        Some((version, value)) => http::json(200, &item::shown(name, version, Some(&value))),
         None => missing(),
     }
 }
@@ -300,28 +301,30 @@
             break;
         }
         bytes += object.value.len();
-        items.push(item::json(
+        items.push(item::shown(
             &object.name,
             object.version,
             Some(&object.value),
         ));
     }
-    page(&items, has_more, shown.version)
+    page(items, has_more, shown.version)
 }
 
 fn vms(vms: &[vm::Vm]) -> reply::Response {
     let items = vms.iter().map(|vm| {
         let value = serde_json::json!(vm).to_string();
-        item::json(&vm.id, 0, Some(&Bytes::from(value)))
+        item::shown(&vm.id, 0, Some(&Bytes::from(value)))
     });
-    page(&items.collect::<Vec<_>>(), false, 0)
+    page(items.collect(), false, 0)
 }
 
-fn page(items: &[serde_json::Value], has_more: bool, version: u64) -> reply::Response {
-    http::json(
-        200,
-        &serde_json::json!({ "items": items, "has_more": has_more, "current_rev": version }),
-    )
+fn page(items: Vec<wire::Item>, has_more: bool, revision: u64) -> reply::Response {
+    let page = wire::Page {
+        items,
+        has_more,
+        revision,
+    };
+    http::json(200, &page)
 }
 
 fn refused(state: &state::State, kind: &str, name: &str, e: store::WriteError) -> reply::Response {
@@ -330,7 +333,7 @@
             let present = state.present(kind, name);
             let version = present.as_ref().map_or(0, |present| present.version);
             let value = present.and_then(|present| present.value);
-            http::json(409, &item::json(name, version, value.as_ref()))
+            http::json(409, &item::shown(name, version, value.as_ref()))
         }
         store::WriteError::Missing => missing(),
         store::WriteError::Full => http::refusal(507, e.to_string()),
--- a/crates/mustardshedctl/src/entries/client.rs
+++ b/crates/mustardshedctl/src/entries/client.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper_util::{client::legacy, rt};
 use mustardshed::{
-    core::version::record,
+    core::{error, version::record},
     wire::{configuration, operator},
 };
 
@@ -168,10 +168,7 @@
 }
 
 fn described(err: legacy::Error) -> EntryError {
-    match std::error::Error::source(&err) {
-        Some(source) => unanswered(format!("{err}: {source}")),
-        None => unanswered(err),
-    }
+    unanswered(error::with_causes(&err))
 }
 
 fn unanswered(reason: impl ToString) -> EntryError {
--- a/crates/mustardshedctl/src/flags.rs
+++ b/crates/mustardshedctl/src/flags.rs
@@ -213,17 +213,16 @@
 }
 
 impl Mustardshedctl {
-    #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
         Self::from_env_or_exit_()
     }
 
-    #[allow(dead_code)]
+    #[expect(dead_code, reason = "part of what xflags generates")]
     pub fn from_env() -> xflags::Result<Self> {
         Self::from_env_()
     }
 
-    #[allow(dead_code)]
+    #[expect(dead_code, reason = "part of what xflags generates")]
     pub fn from_vec(args: Vec<std::ffi::OsString>) -> xflags::Result<Self> {
         Self::from_vec_(args)
     }
--- a/crates/mustardshedctl/src/main.rs
+++ b/crates/mustardshedctl/src/main.rs
@@ -1,6 +1,5 @@
 //! Operators' client of mustardshed.
 
-#[expect(clippy::allow_attributes, reason = "generated code")]
 mod flags;
 mod run;
 
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     forward::{cx, refusal},
+    http::body as client_body,
     log::{self, event},
 };
 
@@ -297,26 +298,17 @@
 }
 
 async fn read(
-    mut body: body::Incoming,
+    incoming: body::Incoming,
     max_bytes: usize,
     timeout: time::Duration,
 ) -> Result<Bytes, refusal::Refusal> {
-    let announced = body::Body::size_hint(&body).lower();
-    if announced > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
-        return Err(refusal::Refusal::TooLarge);
-    }
-    let mut buf = bytes::BytesMut::new();
-    loop {
-        let frame = match tokio::time::timeout(timeout, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return Ok(buf.freeze()),
-            Ok(Some(Err(_))) | Err(_) => return Err(refusal::Refusal::BrokenBody),
-        };
-        if let Ok(data) = frame.into_data() {
-            buf.extend_from_slice(&data);
-        }
-        if buf.len() > max_bytes {
-            return Err(refusal::Refusal::TooLarge);
+    let announced = body::Body::size_hint(&incoming).lower();
+    let mut parts = http_body_util::BodyDataStream::new(incoming);
+    let whole = client_body::read_whole(&mut parts, announced, max_bytes, timeout);
+    whole.await.map_err(|e| match e {
+        client_body::Unread::TooLong => refusal::Refusal::TooLarge,
+        client_body::Unread::BrokenOff | client_body::Unread::StoodStill => {
+            refusal::Refusal::BrokenBody
         }
-    }
+    })
 }
--- a/crates/mustardshedd/src/forward/exchange/relay.rs
+++ b/crates/mustardshedd/src/forward/exchange/relay.rs
@@ -6,7 +6,10 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::body;
-use mustardshed::{core::ids, platform::headers};
+use mustardshed::{
+    core::{error, ids},
+    platform::headers,
+};
 
 use crate::forward::exchange::{self, attempt, driver, events};
 
@@ -75,7 +78,7 @@
                         self.events.push(&data);
                     }
                 }
-                Some(Err(e)) => return Err(crate::forward::upstream::describe(&e)),
+                Some(Err(e)) => return Err(error::with_causes(&e)),
                 None if self.events.is_torn() => return Err("an event is torn".to_owned()),
                 None => return Ok(None),
             }
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
+use mustardshed::core::error;
 use tokio::{net, task};
 
 /// Longest wait for a connection; a server that is there answers within some milliseconds.
@@ -96,8 +97,8 @@
         match self.tx.try_send_request(req).await {
             Ok(answer) => Ok((answer, self.driver)),
             Err(mut e) => Err(match e.take_message() {
-                Some(_) => SendError::NotSent(describe(e.error())),
-                None => SendError::NoAnswer(describe(e.error())),
+                Some(_) => SendError::NotSent(error::with_causes(e.error())),
+                None => SendError::NoAnswer(error::with_causes(e.error())),
             }),
         }
     }
@@ -125,11 +126,3 @@
     let whole = limited.collect().await.map_err(|e| e.to_string())?;
     Ok(whole.to_bytes())
 }
-
-/// Returns an error with its causes.
-pub fn describe(e: &dyn std::error::Error) -> String {
-    match e.source() {
-        Some(source) => format!("{e}: {}", describe(source)),
-        None => e.to_string(),
-    }
-}
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -4,8 +4,9 @@
 
 use mustardshed::{
     core::{
-        forward::{confirmation, relays, routes, server},
+        forward::{relays, routes, server},
         ids,
+        version::confirmation,
     },
     platform::{decode, objects, topic},
     wire::forward,
--- a/crates/mustardshedd/src/http/body.rs
+++ b/crates/mustardshedd/src/http/body.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use bytes::{Buf, Bytes, BytesMut};
+use displaydoc::Display;
 use futures_util::{Stream, StreamExt};
 use mustardshed::core::error;
 use warp::filters::BoxedFilter;
@@ -44,23 +45,52 @@
     limit: usize,
     idle_timeout: time::Duration,
 ) -> Result<Bytes, error::Error> {
-    if announced_length(headers).is_some_and(|length| length > limit as u64) {
-        discard(body, limit).await;
-        return Err(too_large(limit));
+    let announced = announced_length(headers).unwrap_or_default();
+    match read_whole(&mut body, announced, limit, idle_timeout).await {
+        Ok(whole) => Ok(whole),
+        Err(Unread::TooLong) => {
+            discard(body, limit).await;
+            Err(too_large(limit))
+        }
+        Err(e) => Err(error::Error::not_run(
+            error::ErrorKind::InvalidRequest,
+            e.to_string(),
+        )),
+    }
+}
+
+/// Why a body was not read whole.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Unread {
+    /// the body is too long
+    TooLong,
+    /// the body broke off
+    BrokenOff,
+    /// the body stood still for too long
+    StoodStill,
+}
+
+/// Reads the parts of a body of at most `limit` bytes, each of which must come within `idle_timeout`.
+///
+/// # Errors
+///
+/// Returns why it is not whole; one whose `announced` length is too great is not waited for.
+pub async fn read_whole<E>(
+    body: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
+    announced: u64,
+    limit: usize,
+    idle_timeout: time::Duration,
+) -> Result<Bytes, Unread> {
+    if announced > limit as u64 {
+        return Err(Unread::TooLong);
     }
     let mut whole = BytesMut::new();
     loop {
-        let Ok(next) = tokio::time::timeout(idle_timeout, body.next()).await else {
-            return Err(invalid("the body stood still for too long"));
-        };
-        match next {
+        let next = tokio::time::timeout(idle_timeout, body.next()).await;
+        match next.map_err(|_| Unread::StoodStill)? {
             None => return Ok(whole.freeze()),
-            Some(Err(_)) => return Err(invalid("the body broke off")),
-            Some(Ok(chunk)) if whole.len() + chunk.len() > limit => {
-                drop(whole);
-                discard(body, limit).await;
-                return Err(too_large(limit));
-            }
+            Some(Err(_)) => return Err(Unread::BrokenOff),
+            Some(Ok(chunk)) if whole.len() + chunk.len() > limit => return Err(Unread::TooLong),
             Some(Ok(chunk)) => whole.extend_from_slice(&chunk),
         }
     }
@@ -85,10 +115,6 @@
     drop(tokio::time::timeout(DISCARD_TIMEOUT, reading).await);
 }
 
-fn invalid(message: &str) -> error::Error {
-    error::Error::not_run(error::ErrorKind::InvalidRequest, message)
-}
-
 fn too_large(limit: usize) -> error::Error {
     error::Error::not_run(
         error::ErrorKind::TooLarge,
--- a/crates/mustardshedd/tests/forward/gangs.rs
+++ b/crates/mustardshedd/tests/forward/gangs.rs
@@ -18,9 +18,8 @@
         .collect()
 }
 
-#[gtest]
-#[tokio::test]
-async fn memory_is_reserved_before_a_long_prompt_is_sent_and_released_after_it() -> Result<()> {
+/// Starts four engines, and an entry that knows them.
+async fn engines_and_entry() -> (fixture::Fixture, Vec<server::Server>, fixture::Entry) {
     let mut engines = Vec::new();
     for i in 0..4 {
         engines.push(server::Server::bind(&format!("i-{i}")).await);
@@ -34,15 +33,28 @@
         version == Some(2) && entry.cx.state().view.servers_of("runners", now).count() == 4
     })
     .await;
+    (f, engines, entry)
+}
 
-    let headers = [("token-usage", LONG_PROMPT)];
-    let seen = f.send_with(&entry, "POST", "/long/a", "", &headers).await;
+/// Returns the reservations that were made, once all of them are released.
+async fn released(engines: &[server::Server]) -> Vec<String> {
     let reserved: Vec<String> = engines.iter().flat_map(|e| orders(e, "reserve")).collect();
     fixture::until("the releases", || {
         let released: Vec<String> = engines.iter().flat_map(|e| orders(e, "release")).collect();
         reserved.iter().all(|id| released.contains(id))
     })
     .await;
+    reserved
+}
+
+#[gtest]
+#[tokio::test]
+async fn memory_is_reserved_before_a_long_prompt_is_sent_and_released_after_it() -> Result<()> {
+    let (f, engines, entry) = engines_and_entry().await;
+
+    let headers = [("token-usage", LONG_PROMPT)];
+    let seen = f.send_with(&entry, "POST", "/long/a", "", &headers).await;
+    let reserved = released(&engines).await;
 
     let sent = engines.iter().flat_map(server::Server::got);
     let sent: Vec<_> = sent.filter(|got| got.path == "/long/a").collect();
@@ -59,31 +71,14 @@
 #[gtest]
 #[tokio::test]
 async fn memory_is_given_up_if_the_server_does_not_begin() -> Result<()> {
-    let mut engines = Vec::new();
-    for i in 0..4 {
-        engines.push(server::Server::bind(&format!("i-{i}")).await);
-    }
-    let f = fixture::Fixture::with(&engines.iter().collect::<Vec<_>>()).await;
-    f.configure_engine(2).await;
-    let entry = f.entry("entry-1").await.ready().await;
-    fixture::until("the engines", || {
-        let now = entry.cx.now();
-        let version = entry.cx.routes().map(|routes| routes.version);
-        version == Some(2) && entry.cx.state().view.servers_of("runners", now).count() == 4
-    })
-    .await;
+    let (f, engines, entry) = engines_and_entry().await;
     for engine in &engines {
         engine.answers(server::Answer::Silent);
     }
 
     let headers = [("token-usage", LONG_PROMPT)];
     let seen = f.send_with(&entry, "POST", "/long/a", "", &headers).await;
-    let reserved: Vec<String> = engines.iter().flat_map(|e| orders(e, "reserve")).collect();
-    fixture::until("the releases", || {
-        let released: Vec<String> = engines.iter().flat_map(|e| orders(e, "release")).collect();
-        reserved.iter().all(|id| released.contains(id))
-    })
-    .await;
+    let reserved = released(&engines).await;
 
     // Not 504: the time of the client is not over.
     expect_that!(seen.status, eq(502));
