Leave servers that say so in an answer, and back off for as long as they ask

Cause: nothing decoded the header by which a server says in an answer that it leaves, nor the time that it gives with a 503. Both were passed by; a server that left without its entry in the list having changed was sent requests on.

A notice of leaving holds for the server's present run, whatever the list says, and is told to the other entries. A time without requests holds for this entry and counts as no failure; a caller is refused at once with the time of the first server that takes requests again.

Ruled out: ending a notice with a newer listing that says ready. Lists are late where answers are not, and no server takes a planned end back.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -4,14 +4,15 @@
 //! decided here: which route and account it belongs to ([`routes`]), which backend server runs it
 //! and which others help to read its prompt ([`placement`], by the estimates of [`engine`] and the
 //! work in flight in [`ledger`]), whether it may be sent again ([`budget`]), how old the knowledge
-//! behind a refusal may be ([`confirmation`](crate::version::confirmation)), which entries callers are told ([`roster`]), and which
-//! entries tell which ([`relays`]).
+//! behind a refusal may be ([`confirmation`](crate::version::confirmation)), which entries callers are told ([`roster`]), which
+//! entries tell which ([`relays`]), and what servers ask for in their answers ([`notices`]).
 
 pub mod budget;
 pub mod engine;
 pub mod head;
 pub mod lateness;
 pub mod ledger;
+pub mod notices;
 pub mod placement;
 pub mod preference;
 pub mod relays;
--- a/crates/mustardshed-core/src/forward/head.rs
+++ b/crates/mustardshed-core/src/forward/head.rs
@@ -66,4 +66,17 @@
     pub at_fault: Option<String>,
     /// Time for which the server is still cold.
     pub cold_for: Option<time::Duration>,
+    /// Whether the server is leaving.
+    pub is_leaving: bool,
+    /// What a server that turned the request away says of when it wants another one.
+    pub back_off: Option<BackOff>,
+}
+
+/// Wish of a server for a time without requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BackOff {
+    /// For this long.
+    For(time::Duration),
+    /// Something that is no time.
+    NotUnderstood(String),
 }
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -159,6 +159,11 @@
         /// Time after which the work ahead is done.
         retry_after: time::Duration,
     },
+    /// all servers that take work have asked for a time without requests
+    BackedOff {
+        /// Time after which the first of them takes requests again.
+        retry_after: time::Duration,
+    },
     /// it would make others late that weigh more than it does
     TooDear {
         /// Price of the cheapest way to place it.
@@ -181,7 +186,7 @@
     /// Returns whether a short wait may change it.
     #[must_use]
     pub const fn may_pass(&self) -> bool {
-        !matches!(self, Self::NoServer)
+        !matches!(self, Self::NoServer | Self::BackedOff { .. })
     }
 }
 
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod drafts;
 mod fixtures;
 mod ledger;
+mod notices;
 mod relays;
 mod roster;
 mod routes;
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -198,6 +198,16 @@
         #[serde(rename = "f")]
         pace: f64,
     },
+    /// A server has said that it leaves.
+    #[serde(rename = "g")]
+    Leaving {
+        /// Its name.
+        #[serde(rename = "s")]
+        server: ids::BackendServerId,
+        /// Start of the run that leaves in Unix milliseconds, as far as it is known.
+        #[serde(rename = "b")]
+        born: Option<u64>,
+    },
     /// The objects of a kind are wanted.
     #[serde(rename = "q")]
     WantTopic {
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -9,7 +9,9 @@
     config::forwarding,
     core::{
         border::clock,
-        forward::{budget, ledger, placement, preference, relays, roster, routes},
+        forward::{
+            budget, head, ledger, notices, placement, preference, relays, roster, routes, server,
+        },
         ids,
     },
     platform::{objects, topic},
@@ -17,7 +19,10 @@
 };
 use tokio::sync as tokio_sync;
 
-use crate::forward::{job, metrics, peers, view};
+use crate::{
+    forward::{job, metrics, peers, view},
+    log::{self, event},
+};
 
 /// Part of the time allowed for a revocation after which keys are no longer accepted; the rest is
 /// for what is on its way.
@@ -39,6 +44,8 @@
     pub view: view::View,
     /// What is in flight.
     pub ledger: ledger::Ledger,
+    /// What servers have asked for.
+    pub notices: notices::Notices,
     /// Which entries are alive.
     pub roster: roster::Roster,
     /// Which entries could be relays.
@@ -48,6 +55,23 @@
 }
 
 impl State {
+    /// Returns a server that may be sent a request now.
+    #[must_use]
+    pub fn usable(&self, id: &str, now: ids::Timestamp) -> Option<&server::Server> {
+        let server = self.view.usable(id, now)?;
+        self.notices.allow(server, now).then_some(server)
+    }
+
+    /// Returns the shortest time after which a server of a service takes requests again that has
+    /// asked for a time without, if there is one.
+    fn back_off_left(&self, service: &str, now: ids::Timestamp) -> Option<time::Duration> {
+        let servers = self.view.servers_of(service, now);
+        let servers = servers.filter(|server| !self.notices.is_leaving(server));
+        servers
+            .filter_map(|server| self.notices.back_off_left(&server.id, now))
+            .min()
+    }
+
     /// Returns whether the work of most entries that are registered is known.
     fn knows_peers(&self, now: ids::Timestamp) -> bool {
         let registered = self.view.members().len();
@@ -117,6 +141,7 @@
             state: sync::Mutex::new(State {
                 view: view::View::default(),
                 ledger: ledger::Ledger::default(),
+                notices: notices::Notices::default(),
                 roster: roster::Roster::default(),
                 relays: relays::Relays::default(),
                 budget: budget::Budget::new(limits),
@@ -258,7 +283,9 @@
             BIAS_WITHOUT_PEERS
         };
         let servers = state.view.servers_of(&wanted.service.name, now);
-        let servers = servers.filter(|server| !wanted.tried.contains(&server.id));
+        let servers = servers.filter(|server| {
+            state.notices.allow(server, now) && !wanted.tried.contains(&server.id)
+        });
         let candidates = servers.map(|server| placement::Candidate {
             server,
             is_near: server.data_centre == self.settings.data_centre,
@@ -266,6 +293,11 @@
             cold_rate: wanted.service.cold_rate.map(|rate| rate * COLD_SHARE),
         });
         let candidates: Vec<placement::Candidate<'_>> = candidates.collect();
+        if candidates.is_empty()
+            && let Some(retry_after) = state.back_off_left(&wanted.service.name, now)
+        {
+            return Err(placement::NotPlaced::BackedOff { retry_after });
+        }
         let placed = match &wanted.service.engine {
             Some(profile) => {
                 placement::place(&state.ledger, &candidates, profile, &wanted.need, now)?
@@ -299,6 +331,7 @@
         let engines = state.view.servers().filter(|server| {
             let service = routes.service(&server.service);
             service.is_some_and(|service| service.engine.is_some())
+                && state.notices.allow(server, now)
         });
         let asked = engines.filter(|server| {
             let mine = preference::of(own, &server.id);
@@ -320,6 +353,54 @@
         });
     }
 
+    /// Takes what a server says of itself in an answer, whatever it answers.
+    pub fn answered_by(&self, server: &str, head: &head::Answer) {
+        // Another server's answer says nothing of the one that was meant.
+        if head.is_misdirected {
+            return;
+        }
+        if head.is_leaving {
+            self.leaving(server);
+        }
+        match &head.back_off {
+            Some(head::BackOff::For(wait)) => self.back_off(server, *wait),
+            Some(head::BackOff::NotUnderstood(value)) => {
+                log::emit(&event::Event::BackOffNotUnderstood { server, value });
+            }
+            None => {}
+        }
+    }
+
+    /// Takes that a server leaves, and tells the peers.
+    fn leaving(&self, server: &str) {
+        let now = self.now();
+        let mut state = self.state();
+        let born = state
+            .view
+            .listed_server(server)
+            .and_then(|server| server.born);
+        let is_news = state.notices.leaving(server, born, now);
+        drop(state);
+        if is_news {
+            log::emit(&event::Event::ServerLeaving { server });
+            self.peers.send(&forward::Message::Leaving {
+                server: server.to_owned(),
+                born,
+            });
+        }
+    }
+
+    /// Takes that a server wants nothing from this entry for a while; others it may serve.
+    fn back_off(&self, server: &str, wait: time::Duration) {
+        let now = self.now();
+        let taken = self.state().notices.back_off(server, wait, now);
+        log::emit(&event::Event::BackedOff {
+            server,
+            wait_ms: taken.as_millis(),
+            asked_ms: wait.as_millis(),
+        });
+    }
+
     /// Takes that a server is cold, and tells the peers.
     pub fn cold(&self, server: &str, left: time::Duration) {
         let now = self.now();
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -76,10 +76,10 @@
             return Err(Failed::not_run(e));
         }
     };
-    // The server may have left while the connection was made.
+    // The server may have left, or asked to be left alone, while the connection was made.
     let now = req.cx.now();
-    if req.cx.state().view.usable(&placed.home, now).is_none() {
-        return Err(Failed::not_run("the server has left"));
+    if req.cx.state().usable(&placed.home, now).is_none() {
+        return Err(Failed::not_run("the server takes no requests"));
     }
     let sent = head::Sent {
         server: &placed.home,
@@ -120,8 +120,8 @@
 fn address(req: &exchange::Admitted, server: &str) -> Result<String, Failed> {
     let now = req.cx.now();
     let state = req.cx.state();
-    let server = state.view.usable(server, now);
-    let server = server.ok_or_else(|| Failed::not_run("the server has left"))?;
+    let server = state.usable(server, now);
+    let server = server.ok_or_else(|| Failed::not_run("the server takes no requests"))?;
     Ok(server.address.clone())
 }
 
@@ -164,7 +164,8 @@
             rand::random::<u32>()
         );
         async move {
-            let made = reservation::Reservation::make(&req.cx, &address, id, helper.held_tokens);
+            let (server, tokens) = (&helper.server, helper.held_tokens);
+            let made = reservation::Reservation::make(&req.cx, server, &address, id, tokens);
             (i, made.await)
         }
     });
@@ -189,6 +190,7 @@
     begins_within: time::Duration,
 ) -> Result<Answered, Failed> {
     let server = &placed.home;
+    req.cx.answered_by(server, &head);
     if let Some(left) = head.cold_for {
         req.cx.cold(server, left);
     }
@@ -230,6 +232,8 @@
     match named {
         Some(other) if other != server => req.cx.unreachable(&other),
         _ if head.is_misdirected => req.cx.unreachable(server),
+        // It has said when it takes requests again, which is no failure.
+        _ if head.back_off.is_some() => {}
         _ => failed(req, server),
     }
 }
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -257,7 +257,11 @@
             tried: &self.tried,
         };
         let mut placed = self.req.cx.place(&wanted);
-        if matches!(placed, Err(placement::NotPlaced::NoServer)) && !self.tried.is_empty() {
+        let is_without_server = matches!(
+            placed,
+            Err(placement::NotPlaced::NoServer | placement::NotPlaced::BackedOff { .. })
+        );
+        if is_without_server && !self.tried.is_empty() {
             // All others are out; one that was tried may have recovered.
             wanted.tried = &[];
             placed = self.req.cx.place(&wanted);
@@ -286,6 +290,9 @@
         }
         match e {
             placement::NotPlaced::NoServer => refusal::Refusal::NoServer(NO_SERVER_WAIT),
+            placement::NotPlaced::BackedOff { retry_after } => {
+                refusal::Refusal::BackedOff(self.come_back_after(retry_after))
+            }
             placement::NotPlaced::Full { retry_after } => {
                 refusal::Refusal::Full(self.come_back_in(retry_after))
             }
@@ -301,11 +308,22 @@
     /// Returns when the caller may come back: it waits for no more than a part of its time, and
     /// those that were refused together must not come back together.
     fn come_back_in(&self, retry_after: time::Duration) -> time::Duration {
+        let spread = rand::random_range(0.75..1.25);
+        self.within_patience(retry_after.mul_f64(spread))
+    }
+
+    /// Returns when the caller may come back where no server takes a request before `retry_after`;
+    /// those that were refused together must not come back together.
+    fn come_back_after(&self, retry_after: time::Duration) -> time::Duration {
+        let spread = rand::random_range(1.0..1.25);
+        self.within_patience(retry_after.mul_f64(spread))
+    }
+
+    fn within_patience(&self, wait: time::Duration) -> time::Duration {
         /// Part of the time left for which clients wait at most.
         const LONGEST_SHARE: f64 = 0.32;
         let left = self.req.time_left(self.req.cx.now());
-        let spread = rand::random_range(0.75..1.25);
-        retry_after.mul_f64(spread).min(left.mul_f64(LONGEST_SHARE))
+        wait.min(left.mul_f64(LONGEST_SHARE))
     }
 
     /// Returns how long an attempt may wait for the head of an answer, and a stream for its first event.
@@ -392,7 +410,9 @@
         let (price, weight, estimate_ms) = match e {
             placement::NotPlaced::TooDear { price, weight, .. } => (*price, *weight, 0.0),
             placement::NotPlaced::TooLate { estimate_ms, .. } => (0.0, 0.0, *estimate_ms),
-            placement::NotPlaced::NoServer | placement::NotPlaced::Full { .. } => (0.0, 0.0, 0.0),
+            placement::NotPlaced::NoServer
+            | placement::NotPlaced::Full { .. }
+            | placement::NotPlaced::BackedOff { .. } => (0.0, 0.0, 0.0),
         };
         log::emit(&event::Event::ForwardNotPlaced {
             request: self.req.id(),
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -204,6 +204,8 @@
             let state = &mut *guard;
             let view = &state.view;
             state.ledger.keep_servers(|id| view.is_listed(id));
+            let now = self.cx.now();
+            state.notices.forget_old(|id| view.is_listed(id), now);
         }
         if self.topic == topic::Topic::Configuration {
             self.cx.looked.notify_waiters();
--- a/crates/mustardshedd/src/forward/link/facts.rs
+++ b/crates/mustardshedd/src/forward/link/facts.rs
@@ -33,6 +33,9 @@
         forward::Message::Pace { server, pace } => {
             state.ledger.health_mut(server).set_pace(*pace);
         }
+        forward::Message::Leaving { server, born } => {
+            state.notices.leaving(server, *born, now);
+        }
         _ => {}
     }
 }
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -25,6 +25,8 @@
     Stale,
     /// no backend server of the service takes work
     NoServer(time::Duration),
+    /// the backend servers have asked for a time without requests
+    BackedOff(time::Duration),
     /// the backend servers are full
     Full(time::Duration),
     /// others that weigh more would be late
@@ -44,7 +46,7 @@
 
 impl Refusal {
     /// Every kind, with any wait.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoIdentifier,
         Self::BrokenBody,
         Self::TooLarge,
@@ -54,6 +56,7 @@
         Self::NoConfiguration,
         Self::Stale,
         Self::NoServer(ANY_WAIT),
+        Self::BackedOff(ANY_WAIT),
         Self::Full(ANY_WAIT),
         Self::TooDear(ANY_WAIT),
         Self::TooLate(ANY_WAIT),
@@ -76,6 +79,7 @@
             | Self::NoConfiguration
             | Self::Stale
             | Self::NoServer(_)
+            | Self::BackedOff(_)
             | Self::Full(_)
             | Self::TooDear(_)
             | Self::TooLate(_)
@@ -98,6 +102,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Stale => "stale",
             Self::NoServer(_) => "no_server",
+            Self::BackedOff(_) => "backed_off",
             Self::Full(_) => "full",
             Self::TooDear(_) => "too_dear",
             Self::TooLate(_) => "too_late",
@@ -118,6 +123,7 @@
             Self::Leaving => Some(LEAVING_WAIT),
             Self::NoConfiguration | Self::Stale => Some(KNOWLEDGE_WAIT),
             Self::NoServer(wait)
+            | Self::BackedOff(wait)
             | Self::Full(wait)
             | Self::TooDear(wait)
             | Self::TooLate(wait)
--- a/crates/mustardshedd/src/forward/reports.rs
+++ b/crates/mustardshedd/src/forward/reports.rs
@@ -6,7 +6,11 @@
 use std::{collections, sync, time};
 
 use bytes::Bytes;
-use mustardshed::{core::ids, platform::orders, wire::forward};
+use mustardshed::{
+    core::ids,
+    platform::{headers, orders},
+    wire::forward,
+};
 
 use crate::{
     forward::{cx, upstream},
@@ -65,7 +69,7 @@
 
 /// Reads one report; what cannot be read changes nothing.
 async fn read(cx: &cx::Cx, id: &str, address: &str) -> Option<(ids::BackendServerId, f64)> {
-    let reading = tokio::time::timeout(REPORT_TIMEOUT, report(address)).await;
+    let reading = tokio::time::timeout(REPORT_TIMEOUT, report(cx, id, address)).await;
     match reading.unwrap_or_else(|_| Err("no report in time".to_owned())) {
         Ok(report) => Some((id.to_owned(), report.pace.max(1.0))),
         Err(reason) => {
@@ -80,7 +84,7 @@
     }
 }
 
-async fn report(address: &str) -> Result<orders::Report, String> {
+async fn report(cx: &cx::Cx, id: &str, address: &str) -> Result<orders::Report, String> {
     let req = http::Request::builder()
         .uri(orders::REPORT_PATH)
         .header(http::header::HOST, address)
@@ -89,6 +93,8 @@
     let connection = upstream::Connection::open(address).await;
     let sent = connection.map_err(|e| e.to_string())?.send(req).await;
     let (answer, _driver) = sent.map_err(|e| e.to_string())?;
+    let head = headers::answer(answer.status(), answer.headers());
+    cx.answered_by(id, &head);
     if !answer.status().is_success() {
         return Err(answer.status().to_string());
     }
--- a/crates/mustardshedd/src/forward/reservation.rs
+++ b/crates/mustardshedd/src/forward/reservation.rs
@@ -3,7 +3,10 @@
 use std::{sync, time};
 
 use bytes::Bytes;
-use mustardshed::{core::ids, platform::orders};
+use mustardshed::{
+    core::{forward::head, ids},
+    platform::{headers, orders},
+};
 use tokio::task;
 
 use crate::{
@@ -44,6 +47,7 @@
     /// Returns why there is no reservation; one that was made unheard of ends by itself.
     pub async fn make(
         cx: &cx::Cx,
+        server: &str,
         address: &str,
         id: String,
         tokens: ids::Tokens,
@@ -54,7 +58,11 @@
             tokens,
             hold: cx.settings.bounds.memory_release.mul_f64(HOLD_SHARE),
         });
-        if let Err(e) = held.reserve().await {
+        let reserved = held.reserve().await;
+        if let Ok(answered) = &reserved {
+            cx.answered_by(server, &answered.head);
+        }
+        if let Err(e) = reserved.and_then(Answered::granted) {
             release(sync::Arc::clone(&held));
             return Err(e);
         }
@@ -76,17 +84,30 @@
     }
 }
 
-impl Held {
-    async fn reserve(&self) -> Result<(), String> {
-        let body = orders::reserve(&self.id, self.tokens, self.hold).map_err(|e| e.to_string())?;
-        let status = self.order(body).await?;
-        if status == http::StatusCode::OK {
+/// Answer to an order.
+#[derive(Debug)]
+struct Answered {
+    status: http::StatusCode,
+    head: head::Answer,
+}
+
+impl Answered {
+    /// Returns an error unless memory was reserved.
+    fn granted(self) -> Result<(), String> {
+        if self.status == http::StatusCode::OK {
             return Ok(());
         }
-        Err(status.to_string())
+        Err(self.status.to_string())
+    }
+}
+
+impl Held {
+    async fn reserve(&self) -> Result<Answered, String> {
+        let body = orders::reserve(&self.id, self.tokens, self.hold).map_err(|e| e.to_string())?;
+        self.order(body).await
     }
 
-    async fn order(&self, body: Vec<u8>) -> Result<http::StatusCode, String> {
+    async fn order(&self, body: Vec<u8>) -> Result<Answered, String> {
         let req = http::Request::builder()
             .method(http::Method::POST)
             .uri(orders::ORDER_PATH)
@@ -98,9 +119,12 @@
             let connection = upstream::Connection::open(&self.address).await;
             let sent = connection.map_err(|e| e.to_string())?.send(req).await;
             let (answer, _driver) = sent.map_err(|e| e.to_string())?;
-            let status = answer.status();
-            upstream::read_whole(answer.into_body(), MAX_ANSWER_BYTES).await?;
-            Ok(status)
+            let (parts, body) = answer.into_parts();
+            upstream::read_whole(body, MAX_ANSWER_BYTES).await?;
+            Ok(Answered {
+                status: parts.status,
+                head: headers::answer(parts.status, &parts.headers),
+            })
         };
         let timed = tokio::time::timeout(ORDER_TIMEOUT, exchange).await;
         timed.unwrap_or_else(|_| Err("no answer in time".to_owned()))
@@ -110,7 +134,7 @@
 async fn renew(held: sync::Arc<Held>) {
     loop {
         tokio::time::sleep(held.hold / RENEWALS_PER_HOLD).await;
-        if let Err(e) = held.reserve().await {
+        if let Err(e) = held.reserve().await.and_then(Answered::granted) {
             log_order(&held, "renew", &e);
         }
     }
@@ -124,8 +148,8 @@
             Err(e) => return log_order(&held, "release", &e.to_string()),
         };
         match held.order(body).await {
-            Ok(status) if status.is_success() => {}
-            Ok(status) => log_order(&held, "release", &status.to_string()),
+            Ok(answered) if answered.status.is_success() => {}
+            Ok(answered) => log_order(&held, "release", &answered.status.to_string()),
             Err(e) => log_order(&held, "release", &e),
         }
     };
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -134,6 +134,13 @@
         self.servers.contains_key(id) || self.lapsed.contains_key(id)
     }
 
+    /// Returns a server that is listed or has lapsed lately, whether or not it takes work.
+    #[must_use]
+    pub fn listed_server(&self, id: &str) -> Option<&server::Server> {
+        let lapsed = || self.lapsed.get(id).map(|(server, _)| server);
+        self.servers.get(id).or_else(lapsed)
+    }
+
     /// Returns the listed servers.
     pub fn servers(&self) -> impl Iterator<Item = &server::Server> {
         self.servers.values()
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -350,4 +350,19 @@
         vm: &'a str,
         leaves: usize,
     }
+    /// A backend server has said in an answer that it leaves.
+    2114 Info "server_leaving" ServerLeaving {
+        server: &'a str,
+    }
+    /// A backend server wants no request of this entry for a while.
+    2115 Info "backed_off" BackedOff {
+        server: &'a str,
+        wait_ms: u128,
+        asked_ms: u128,
+    }
+    /// A backend server has said when it wants requests again in a way that is not understood.
+    2116 Warn "back_off_not_understood" BackOffNotUnderstood {
+        server: &'a str,
+        value: &'a str,
+    }
 }
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -14,6 +14,7 @@
 mod keys;
 mod log;
 mod metrics;
+mod notices;
 mod placement;
 mod refusals;
 mod relays;
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/notices.rs
@@ -0,0 +1,92 @@
+//! Servers that say that they leave, or that they want no request for a while.
+
+use googletest::prelude::*;
+
+use crate::{
+    fixture,
+    server::{self, Answer},
+};
+
+/// Calls that are sent while a server must get none.
+const CALLS: usize = 6;
+
+#[gtest]
+#[tokio::test]
+async fn server_that_says_it_leaves_gets_nothing_more_from_any_entry() -> Result<()> {
+    let first = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&first]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let other = f.entry("entry-2").await.ready().await;
+    let knows_peer = |entry: &fixture::Entry| {
+        let now = entry.cx.now();
+        entry.cx.state().roster.alive(now) == 1
+    };
+    fixture::until("the entries to know each other", || {
+        knows_peer(&entry) && knows_peer(&other)
+    })
+    .await;
+    first.answers(Answer::Leaving);
+
+    let last = f.send(&entry, "POST", "/once/a", "").await;
+    fixture::until("the other entry to hear of it", || {
+        let now = other.cx.now();
+        other.cx.state().usable("i-1", now).is_none()
+    })
+    .await;
+    let here = f.send(&entry, "POST", "/once/a", "").await;
+    let there = f.send(&other, "POST", "/once/a", "").await;
+
+    expect_that!(last.status, eq(200));
+    // The list still says that the server is ready.
+    expect_that!((here.status, there.status), eq((503, 503)));
+    verify_that!(first.got().len(), eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn server_that_asks_to_be_left_alone_gets_nothing_until_then() -> Result<()> {
+    let (first, second) = (
+        server::Server::bind("i-1").await,
+        server::Server::bind("i-2").await,
+    );
+    let f = fixture::Fixture::with(&[&first, &second]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    first.answers(Answer::BackOff("30.5"));
+    second.answers(Answer::BackOff("30.5"));
+
+    for _ in 0..CALLS {
+        f.send(&entry, "GET", "/again/a", "").await;
+    }
+    f.configure(2, &[fixture::KEY]).await;
+    fixture::until("the next configuration", || {
+        entry.cx.routes().is_some_and(|routes| routes.version == 2)
+    })
+    .await;
+    let refused = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!((first.got().len(), second.got().len()), eq((1, 1)));
+    expect_that!(refused.status, eq(503));
+    // The caller waits for less than a third of its 20 s.
+    let after: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    verify_that!(after, near(6.4, 0.1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn server_is_used_again_when_its_time_is_over() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.answers(Answer::BackOff("0.4"));
+
+    let refused = f.send(&entry, "POST", "/once/a", "").await;
+    fixture::until("the end of that time", || {
+        let now = entry.cx.now();
+        entry.cx.state().usable("i-1", now).is_some()
+    })
+    .await;
+    let served = f.send(&entry, "POST", "/once/a", "").await;
+
+    expect_that!((refused.status, served.status), eq((503, 200)));
+    verify_that!(server.got().len(), eq(2))
+}
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -30,6 +30,10 @@
     Whole(u16, &'static str),
     /// The request has not run.
     NotRun,
+    /// The same, and the server wants no other one for so many seconds.
+    BackOff(&'static str),
+    /// As usual, and the server leaves.
+    Leaving,
     /// A whole answer to another request.
     Foreign,
     /// Events with these identifiers; the connection breaks after them unless `ends`.
@@ -144,6 +148,8 @@
     let mut res = match scripted.unwrap_or(usual) {
         Answer::Whole(status, text) => whole(status, text),
         Answer::NotRun => not_run(),
+        Answer::BackOff(seconds) => with(not_run(), "retry-after", seconds),
+        Answer::Leaving => with(whole(200, "done"), "server-leaving", "1"),
         Answer::Foreign => {
             let mut res = whole(200, "another's");
             res.headers_mut()
@@ -176,6 +182,15 @@
         .unwrap()
 }
 
+fn with(
+    mut res: http::Response<Body>,
+    name: &'static str,
+    value: &'static str,
+) -> http::Response<Body> {
+    res.headers_mut().insert(name, value.parse().unwrap());
+    res
+}
+
 fn not_run() -> http::Response<Body> {
     let mut res = whole(503, "");
     res.headers_mut()
