Have leaves hear all kinds of objects from their relay, and ask the platform only if it knows too little

Cause: each leaf of a large fleet watched four kinds for 16 s at a time and read every change itself, although its relay had read it.

Change: a leaf lists each kind once at its start and then has it from its relay, which tells within a beat how far it has read and since when nothing has changed. Once the configuration gets older than relays usually know it, the leaf asks itself, for all kinds: first calls and repeats of the whole fleet keep to a fixed rate (forward::own_reads). An outage that a relay tells of ends with what the relay tells, too.

Ruled out: longer watches, which still wake every leaf for every change.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -13,6 +13,7 @@
 pub mod lateness;
 pub mod ledger;
 pub mod notices;
+pub mod own_reads;
 pub mod placement;
 pub mod preference;
 pub mod relays;
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod fixtures;
 mod ledger;
 mod notices;
+mod own_reads;
 mod relays;
 mod roster;
 mod routes;
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/own_reads.rs
@@ -0,0 +1,89 @@
+//! Reads of leaves while the knowledge of all relays is old.
+
+use std::time;
+
+use googletest::prelude::*;
+use mustardshed_core::forward::own_reads;
+use rand::{RngExt, SeedableRng, rngs};
+
+/// Entries of a large fleet and of the fleet that is designed for.
+const FLEETS: [usize; 3] = [78, 195, 400];
+/// Wait between looks of a leaf.
+const LOOK: time::Duration = time::Duration::from_millis(250);
+
+/// Plays a fleet whose knowledge is `age` old at first and gets older for `play`; the platform fails
+/// every call. Returns the times of all calls.
+fn calls(members: usize, play: time::Duration) -> Vec<time::Duration> {
+    let mut rng = rngs::StdRng::seed_from_u64(1);
+    let mut calls = Vec::new();
+    for _ in 0..members {
+        let mut reads = own_reads::OwnReads::default();
+        let mut now = LOOK.mul_f64(rng.random());
+        while now < play {
+            if reads.is_due(Some(now), members, rng.random(), now) {
+                calls.push(now);
+                reads.failed(members, rng.random(), now);
+            }
+            now += LOOK;
+        }
+    }
+    calls
+}
+
+#[gtest]
+fn leaf_that_hears_in_time_never_asks() -> Result<()> {
+    let mut reads = own_reads::OwnReads::default();
+    let usual = Some(time::Duration::from_millis(1_900));
+
+    let asked = (0..1_000).any(|s| reads.is_due(usual, 195, 0.0, time::Duration::from_secs(s)));
+
+    verify_that!(asked, eq(false))
+}
+
+#[gtest]
+fn all_leaves_ask_within_two_seconds_of_their_knowledge_getting_old() -> Result<()> {
+    for members in FLEETS {
+        // One look sees that its knowledge is old, the next one that its turn has come.
+        let until = time::Duration::from_millis(2_200 + 1_340) + LOOK * 2;
+
+        let asked = calls(members, until);
+
+        expect_that!(asked.len(), ge(members), "{members}");
+        let first = asked.iter().min().unwrap();
+        expect_that!(*first, ge(time::Duration::from_millis(2_200)), "{members}");
+    }
+    Ok(())
+}
+
+#[gtest]
+fn outage_costs_a_fixed_rate_of_calls_whatever_the_size() -> Result<()> {
+    for members in FLEETS {
+        let calls = calls(members, time::Duration::from_secs(30));
+
+        for from in (3..30).map(time::Duration::from_secs) {
+            let within = calls
+                .iter()
+                .filter(|at| **at >= from && **at < from + time::Duration::from_secs(1));
+            // The first calls of all, or the repeated ones with their jitter.
+            let most = if from < time::Duration::from_secs(4) {
+                300
+            } else {
+                150
+            };
+            expect_that!(within.count(), le(most), "{members} from {from:?}");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn leaf_whose_relay_knows_more_again_begins_anew() -> Result<()> {
+    let mut reads = own_reads::OwnReads::default();
+    let old = Some(time::Duration::from_secs(3));
+    reads.failed(195, 0.5, time::Duration::ZERO);
+
+    let fresh = reads.is_due(Some(time::Duration::ZERO), 195, 0.0, time::Duration::ZERO);
+    let stale = reads.is_due(old, 195, 0.0, time::Duration::from_secs(1));
+
+    verify_that!((fresh, stale), eq((false, true)))
+}
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -94,6 +94,8 @@
     pub peers: peers::Outbox,
     /// Woken when the configuration is wanted at once.
     pub look: tokio_sync::Notify,
+    /// Woken when a leaf has read the configuration itself because its relay knew too little of it.
+    pub asked: tokio_sync::Notify,
     /// Woken when the configuration was read.
     pub looked: tokio_sync::Notify,
     /// Woken when the platform answers again.
@@ -136,6 +138,7 @@
             platform,
             metrics,
             look: tokio_sync::Notify::new(),
+            asked: tokio_sync::Notify::new(),
             looked: tokio_sync::Notify::new(),
             returned: tokio_sync::Notify::new(),
             state: sync::Mutex::new(State {
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -1,8 +1,14 @@
 //! Follows one kind of the platform's objects: a list, then watches.
+//!
+//! A leaf of a large fleet lists a kind once and then has it from its relay, for as long as the relay
+//! hears from the platform in time.
 
 use std::{ops, sync, time};
 
-use mustardshed::platform::{decode, objects, topic};
+use mustardshed::{
+    core::{forward::own_reads, ids},
+    platform::{decode, objects, topic},
+};
 
 use crate::{
     forward::{cx, view},
@@ -11,30 +17,22 @@
 
 /// Shortest wait after a failed call.
 const LEAST_BACKOFF: time::Duration = time::Duration::from_millis(80);
-/// The same for a leaf, whose relay tells it what it misses meanwhile.
-const LEAST_BACKOFF_OF_LEAF: time::Duration = time::Duration::from_millis(400);
 /// Longest wait after a failed call for the configuration, so that a platform that is back is noticed
 /// soon.
 const GREATEST_BACKOFF: time::Duration = time::Duration::from_millis(700);
-/// The same for whoever is told of the return: other kinds by that call, leaves by their relay.
+/// The same for other kinds, which are told of the return by that call.
 const GREATEST_BACKOFF_IF_TOLD: time::Duration = time::Duration::from_secs(3);
 /// Longest wait of a watch where no peer would tell of a change that it misses.
 const ALONE_WATCH: time::Duration = time::Duration::from_millis(1_300);
 
-/// Longest wait of a watch of a leaf, which hears from its relay every beat how old its knowledge is.
-/// Well below the time for which platforms keep their history.
-const LEAF_WATCH: time::Duration = time::Duration::from_secs(16);
-/// Age of the configuration at which a leaf asks the platform itself. A relay's own grows to twice its
-/// watch and a beat; keys are refused from 0.9 of the time allowed for a revocation.
-const LEAF_ASKS_FROM: time::Duration = time::Duration::from_millis(3_000);
+/// Wait between looks of a leaf at whether it is registered.
+const REGISTRATION_INTERVAL: time::Duration = time::Duration::from_secs(3);
 /// Part of the usual time that a watch of a relay waits.
 const RELAY_WATCH_SHARE: ops::Range<f64> = 0.7..1.0;
 /// Wait between looks at that age.
 const AGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
-/// Wait after a change before a leaf watches again, so that changes that come together are read
-/// together. A leaf asks its relay for what that one has read meanwhile.
-const LEAF_GATHERS: time::Duration = time::Duration::from_millis(600);
-/// The same for a relay, from which its leaves hear how far there is to read.
+/// Wait after a change before a relay watches again, so that changes that come together are read
+/// together; its leaves hear from it how far there is to read.
 const RELAY_GATHERS: time::Duration = time::Duration::from_millis(150);
 /// The same for all where entries register: a fleet starts at once, and no request needs to know.
 const ENTRIES_GATHER: time::Duration = time::Duration::from_millis(300);
@@ -57,6 +55,7 @@
         cx,
         topic,
         backoff: time::Duration::ZERO,
+        own_reads: own_reads::OwnReads::default(),
         is_lost: false,
     };
     loop {
@@ -68,20 +67,21 @@
     cx: sync::Arc<cx::Cx>,
     topic: topic::Topic,
     backoff: time::Duration,
+    own_reads: own_reads::OwnReads,
     is_lost: bool,
 }
 
 impl Follower {
     async fn step(&mut self) {
+        let wants_all = self.rely_on_relay().await;
         let begun_at = self.cx.now();
         // The revision is read anew each time: a peer may have told of a later one.
         let revision = self.cx.state().view.revision(self.topic);
         let result = match revision {
-            Some(revision) if !self.is_lost => self.watch(revision).await,
+            Some(revision) if !self.is_lost && !wants_all => self.watch(revision).await,
             _ => self.list().await,
         };
         match result {
-            Ok(Read::Nothing) => {}
             Ok(read) => self.take(read, begun_at).await,
             Err(e) => self.failed(&e).await,
         }
@@ -105,22 +105,59 @@
             () = self.cx.look.notified(), if self.topic == topic::Topic::Configuration => {
                 self.list().await
             }
-            () = self.outlives_its_use(), if wait == LEAF_WATCH => match self.topic {
-                topic::Topic::Configuration => self.list().await,
-                _ => Ok(Read::Nothing),
-            },
         }
     }
 
+    /// Waits for as long as a relay tells of this kind in time; returns whether it is then to be
+    /// listed at once, whatever was read before.
+    async fn rely_on_relay(&mut self) -> bool {
+        let mut registered_at = self.cx.now();
+        loop {
+            let is_known = self.cx.state().view.revision(self.topic).is_some();
+            if !is_known || !self.cx.peers.hears_relay() {
+                return false;
+            }
+            let now = self.cx.now();
+            let (age, members) = (self.age(now), self.members());
+            let is_due = self.own_reads.is_due(age, members, rand::random(), now);
+            if is_due && self.topic == topic::Topic::Configuration {
+                return true;
+            }
+            if self.own_reads.is_told() {
+                self.regained();
+            }
+            if self.topic == topic::Topic::Entries
+                && now.saturating_sub(registered_at) >= REGISTRATION_INTERVAL
+            {
+                registered_at = now;
+                register(&self.cx).await;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(AGE_INTERVAL) => {}
+                () = self.cx.peers.lost_relay.notified() => {}
+                () = self.cx.look.notified(), if self.topic == topic::Topic::Configuration => return true,
+                // The platform answers this entry, and its relay knows too little.
+                () = self.cx.asked.notified(), if self.topic != topic::Topic::Configuration => return true,
+            }
+        }
+    }
+
+    /// Returns the age of the configuration.
+    fn age(&self, now: ids::Timestamp) -> Option<time::Duration> {
+        let state = self.cx.state();
+        state.view.age(topic::Topic::Configuration, now)
+    }
+
+    fn members(&self) -> usize {
+        self.cx.state().view.members().len()
+    }
+
     /// Returns how long the next watch may wait.
     fn wait(&self) -> time::Duration {
         let now = self.cx.now();
         if self.cx.state().roster.alive(now) == 0 {
             return ALONE_WATCH;
         }
-        if self.cx.peers.hears_relay() {
-            return LEAF_WATCH;
-        }
         let wait = watch_time(self.topic);
         if self.cx.is_large_fleet() {
             // Relays whose watches end one after the other are never all out of date.
@@ -129,42 +166,20 @@
         wait
     }
 
-    /// Waits until a long watch of a leaf is no longer enough: the link to its relay is lost, or the
-    /// relay's knowledge is getting old too.
-    async fn outlives_its_use(&self) {
-        let lost = self.cx.peers.lost_relay.notified();
-        if self.topic != topic::Topic::Configuration {
-            return lost.await;
-        }
-        tokio::pin!(lost);
-        loop {
-            tokio::select! {
-                () = &mut lost => return,
-                () = tokio::time::sleep(AGE_INTERVAL) => {}
-            }
-            let now = self.cx.now();
-            let state = self.cx.state();
-            if !state.view.is_fresh(self.topic, LEAF_ASKS_FROM, now) {
-                return;
-            }
-        }
-    }
-
     async fn take(&mut self, read: Read, begun_at: time::Duration) {
         self.backoff = time::Duration::ZERO;
-        if std::mem::take(&mut self.is_lost) {
+        if self.regained() {
             self.cx.returned.notify_waiters();
-            log::emit(&event::Event::PlatformRegained {
-                kind: self.topic.kind(),
-            });
         }
         let now = self.cx.now();
+        if self.topic == topic::Topic::Configuration && self.cx.peers.hears_relay() {
+            self.cx.asked.notify_waiters();
+        }
         let noticed = {
             let mut state = self.cx.state();
             match read {
                 Read::All(listing) => state.view.listed(self.topic, listing, begun_at, now),
                 Read::Changes(changes) => state.view.changed(self.topic, changes, begun_at, now),
-                Read::Nothing => view::Noticed::default(),
             }
         };
         self.notice(noticed);
@@ -174,25 +189,27 @@
         self.gather().await;
     }
 
+    /// Takes that this kind can be read again; returns whether it could not be before.
+    fn regained(&mut self) -> bool {
+        let was_lost = std::mem::take(&mut self.is_lost);
+        if was_lost {
+            log::emit(&event::Event::PlatformRegained {
+                kind: self.topic.kind(),
+            });
+        }
+        was_lost
+    }
+
     /// Waits for changes that come together with the one that was read.
     async fn gather(&self) {
-        let is_leaf = self.cx.peers.hears_relay();
         let wait = match self.topic {
             topic::Topic::Entries => ENTRIES_GATHER,
-            _ if is_leaf => LEAF_GATHERS,
             // Leaves hear from relays that there is another configuration.
             topic::Topic::Configuration => return,
             _ if self.cx.is_large_fleet() => RELAY_GATHERS,
             _ => return,
         };
-        if self.topic != topic::Topic::Configuration {
-            return tokio::time::sleep(wait).await;
-        }
-        tokio::select! {
-            () = tokio::time::sleep(wait) => {}
-            // Whoever wants to look now finds that said at the next watch.
-            () = self.cx.look.notified() => self.cx.look.notify_one(),
-        }
+        tokio::time::sleep(wait).await;
     }
 
     fn notice(&self, noticed: view::Noticed) {
@@ -216,14 +233,12 @@
         let now = self.cx.now();
         if *e != objects::Error::HistoryGone {
             self.cx.state().view.failed(self.topic, now);
-            let (least, greatest) = if self.cx.peers.hears_relay() {
-                (LEAST_BACKOFF_OF_LEAF, GREATEST_BACKOFF_IF_TOLD)
-            } else if self.topic == topic::Topic::Configuration {
-                (LEAST_BACKOFF, GREATEST_BACKOFF)
+            let greatest = if self.topic == topic::Topic::Configuration {
+                GREATEST_BACKOFF
             } else {
-                (LEAST_BACKOFF, GREATEST_BACKOFF_IF_TOLD)
+                GREATEST_BACKOFF_IF_TOLD
             };
-            self.backoff = (self.backoff * 2).clamp(least, greatest);
+            self.backoff = (self.backoff * 2).clamp(LEAST_BACKOFF, greatest);
         }
         if !std::mem::replace(&mut self.is_lost, true) {
             log::emit(&event::Event::PlatformLost {
@@ -231,6 +246,10 @@
                 reason: &e.to_string(),
             });
         }
+        if self.cx.peers.hears_relay() {
+            let members = self.members();
+            return self.own_reads.failed(members, rand::random(), now);
+        }
         let jitter = rand::random_range(0.7..1.3);
         tokio::select! {
             () = tokio::time::sleep(self.backoff.mul_f64(jitter)) => {}
@@ -242,8 +261,6 @@
 enum Read {
     All(objects::Listing),
     Changes(objects::Changes),
-    /// The watch was given up for a shorter one.
-    Nothing,
 }
 
 /// Writes this entry's registration if it is not there as it should be.
--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -52,7 +52,8 @@
                 continue;
             }
             let since = *self.behind_since[index].get_or_insert(now);
-            let is_late = now.saturating_sub(since) >= ASK_PEER_AFTER;
+            // A leaf has no watch of its own.
+            let is_late = is_leaf || now.saturating_sub(since) >= ASK_PEER_AFTER;
             let is_due = now.saturating_sub(self.asked_at[index]) >= ASK_INTERVAL;
             if is_late && is_due {
                 self.asked_at[index] = now;
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -265,9 +265,11 @@
     ) -> bool {
         let as_of = asked_at.saturating_sub(time::Duration::from_millis(state.age_ms));
         let followed = &mut self.topics[topic.index()];
-        // A leaf asks the platform so seldom that it learns from its relay of an outage.
+        // A leaf asks the platform so seldom that it learns from its relay of an outage and its end.
         if state.is_failing && follows_peers {
             followed.failing_since.get_or_insert(asked_at);
+        } else if follows_peers {
+            followed.returned(asked_at);
         }
         let known = followed.listing.as_ref().map(|listing| listing.revision);
         if known.is_some_and(|known| known >= state.changed) {
@@ -397,6 +399,11 @@
 impl Followed {
     fn answered(&mut self, as_of: ids::Timestamp, now: ids::Timestamp) {
         self.confirmation.confirm(as_of);
+        self.returned(now);
+    }
+
+    /// Takes that the platform answers.
+    fn returned(&mut self, now: ids::Timestamp) {
         let Some(since) = self.failing_since.take() else {
             return;
         };
