Give up answers whose bytes do not end, and streams that stall

Cause, shown by tests that failed: chunk sizes and interim answers without end were read until the deadline of the request (300 MB in 20 s), and a stream that sends a byte now and then was waited for until its client had left.

Change: a connection may read 1 MiB up to the head of an answer, and then what its body may have; of a stream, that much for each event. A stream without a whole event for 0.8 of the silence that its client bears goes on at another server if it may and the retry budget allows it, else it is waited for. The end of an event is no longer searched from its beginning at each piece.

--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -83,15 +83,20 @@
         (self.arrived_at + patience).saturating_sub(now)
     }
 
-    /// Returns what the request needs of an engine.
-    fn need(&self) -> placement::Need {
-        /// Clients leave a stream after a silence of this, or of a multiple of what is on time.
+    /// Returns the silence of a stream after which its client leaves.
+    fn silence(&self) -> time::Duration {
+        /// Clients leave after a silence of this, or of a multiple of what is on time.
         const LEAST_SILENCE: time::Duration = time::Duration::from_secs(2);
         const OBJECTIVES: u32 = 4;
         const GAPS: u32 = 8;
-        let silence = LEAST_SILENCE
+        LEAST_SILENCE
             .max(self.route.objective * OBJECTIVES)
-            .max(self.route.gap_objective * GAPS);
+            .max(self.route.gap_objective * GAPS)
+    }
+
+    /// Returns what the request needs of an engine.
+    fn need(&self) -> placement::Need {
+        let silence = self.silence();
         let services = self.route.services.first();
         let service = services.and_then(|(name, _)| self.routes.service(name));
         let usual = service.and_then(|service| service.engine);
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -55,7 +55,7 @@
 pub(super) struct Held {
     pub(super) job: job::Job,
     pub(super) server: ids::BackendServerId,
-    _driver: upstream::Driver,
+    pub(super) driver: upstream::Driver,
     _reservations: Vec<reservation::Reservation>,
 }
 
@@ -110,7 +110,7 @@
     let held = Held {
         job,
         server: placed.home.clone(),
-        _driver: driver,
+        driver,
         _reservations: reservations,
     };
     let begins_within = timeout.saturating_sub(req.cx.now().saturating_sub(now));
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -174,6 +174,7 @@
         if status.is_server_error() && self.may_try_again() {
             return Err(format!("answered {status}"));
         }
+        answered.held.driver.allow(MAX_WHOLE_BYTES);
         let body = upstream::read_whole(answered.body, MAX_WHOLE_BYTES).await?;
         let mut answer = http::Response::new(exchange::whole(body));
         *answer.status_mut() = status;
@@ -367,6 +368,16 @@
         Err(refusal::Refusal::TurnedAway(TURNED_AWAY_WAIT))
     }
 
+    /// Takes that a stream has stalled; returns whether it may go on at another server.
+    pub(super) fn stalled(&mut self, server: &str, reason: &str) -> bool {
+        attempt::failed(&self.req, server);
+        let goes_on = self.may_try_again() && self.req.cx.may_repeat(&self.service.name);
+        if goes_on {
+            self.log_failed(server, "unknown", reason, goes_on);
+        }
+        goes_on
+    }
+
     /// Takes that an attempt broke off that may have run; an error ends the request.
     pub(super) fn broke_off(&mut self, server: &str, reason: &str) -> Result<(), refusal::Refusal> {
         attempt::failed(&self.req, server);
--- a/crates/mustardshedd/src/forward/exchange/events.rs
+++ b/crates/mustardshedd/src/forward/exchange/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Longest event, in bytes; a server that sends a longer one has gone wrong.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub(super) const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// End of an event: an empty line.
 const END: &[u8] = b"\n\n";
 
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Events {
     buf: BytesMut,
+    /// Bytes at the beginning that are known to hold no end.
+    searched: usize,
 }
 
 impl Events {
@@ -30,11 +32,14 @@
 
     /// Returns the next whole event.
     pub(super) fn next(&mut self) -> Option<Event> {
-        let end = self
-            .buf
-            .windows(END.len())
-            .position(|window| window == END)?;
-        let bytes = self.buf.split_to(end + END.len()).freeze();
+        let rest = self.buf.get(self.searched..).unwrap_or_default();
+        let end = rest.windows(END.len()).position(|window| window == END);
+        let Some(end) = end else {
+            self.searched = (self.buf.len() + 1).saturating_sub(END.len());
+            return None;
+        };
+        let len = std::mem::take(&mut self.searched) + end + END.len();
+        let bytes = self.buf.split_to(len).freeze();
         let id = id_of(&bytes);
         Some(Event { bytes, id })
     }
--- a/crates/mustardshedd/src/forward/exchange/relay.rs
+++ b/crates/mustardshedd/src/forward/exchange/relay.rs
@@ -11,7 +11,10 @@
     platform::headers,
 };
 
-use crate::forward::exchange::{self, attempt, driver, events};
+use crate::forward::{
+    exchange::{self, attempt, driver, events},
+    refusal,
+};
 
 /// A server's stream of which the first event has come.
 #[derive(Debug)]
@@ -43,6 +46,7 @@
         answered: attempt::Answered,
         last_event: Option<u64>,
     ) -> Result<Box<Self>, String> {
+        answered.held.driver.allow(events::MAX_EVENT_BYTES);
         let mut source = Source {
             body: answered.body,
             events: events::Events::default(),
@@ -66,6 +70,7 @@
         loop {
             if let Some(event) = self.events.next() {
                 self.check(&event)?;
+                self.held.driver.allow(events::MAX_EVENT_BYTES);
                 self.held.job.event();
                 return Ok(Some(event));
             }
@@ -106,6 +111,7 @@
         source: stream.source,
         ready: stream.ready,
         pace: Pace::default(),
+        waits_on: false,
     };
     let frames = stream::unfold(Some(relay), step);
     answer.map(|()| BodyExt::boxed_unsync(http_body_util::StreamBody::new(frames)))
@@ -113,11 +119,24 @@
 
 type Frame = Result<body::Frame<Bytes>, exchange::Broken>;
 
+/// The next event of a stream, none at its end, or why it broke off.
+type Next = Result<Option<events::Event>, String>;
+
+/// Why a stream counts as stalled.
+#[derive(Debug)]
+struct Stalled(String);
+
+fn unfinished(_: refusal::Refusal) -> exchange::Broken {
+    exchange::Broken::Unfinished
+}
+
 struct Relay {
     driver: driver::Driver,
     source: Source,
     ready: collections::VecDeque<events::Event>,
     pace: Pace,
+    /// Whether the stream has stalled and can only be waited for.
+    waits_on: bool,
 }
 
 /// How quickly the events of a stream came.
@@ -180,43 +199,66 @@
             if let Some(event) = self.ready.pop_front() {
                 return Ok(Some(event));
             }
-            let reason = match self.source.next().await {
-                Ok(Some(event)) => return Ok(Some(event)),
-                Ok(None) => {
+            let reason = match self.next_or_stall().await {
+                Err(Stalled(reason)) => {
+                    let server = self.source.held.server.clone();
+                    if self.driver.stalled(&server, &reason) {
+                        self.go_on_elsewhere().await?;
+                    } else {
+                        self.waits_on = true;
+                    }
+                    continue;
+                }
+                Ok(Ok(Some(event))) => return Ok(Some(event)),
+                Ok(Ok(None)) => {
                     let server = &self.source.held.server;
                     let cx = &self.driver.req.cx;
                     cx.state().ledger.health_mut(server).answered();
                     return Ok(None);
                 }
-                Err(reason) => reason,
+                Ok(Err(reason)) => reason,
             };
-            self.resume(&reason).await?;
+            let server = self.source.held.server.clone();
+            self.driver
+                .broke_off(&server, &reason)
+                .map_err(unfinished)?;
+            self.go_on_elsewhere().await?;
         }
     }
 
+    /// Waits for the next event for as long as a client does without leaving, but for the time that
+    /// another server needs to go on.
+    async fn next_or_stall(&mut self) -> Result<Next, Stalled> {
+        /// Part of the time for which clients bear a silence.
+        const STALL_SHARE: f64 = 0.8;
+        if self.waits_on {
+            return Ok(self.source.next().await);
+        }
+        let limit = self.driver.req.silence().mul_f64(STALL_SHARE);
+        let next = tokio::time::timeout(limit, self.source.next()).await;
+        next.map_err(|_| Stalled(format!("no event within {limit:?}")))
+    }
+
     /// Goes on at another server after the last event that was passed on.
-    async fn resume(&mut self, reason: &str) -> Result<(), exchange::Broken> {
-        let mut reason = reason.to_owned();
-        let mut server = self.source.held.server.clone();
+    async fn go_on_elsewhere(&mut self) -> Result<(), exchange::Broken> {
         loop {
-            let unfinished = |_| exchange::Broken::Unfinished;
+            let answered = self.driver.attempt().await.map_err(unfinished)?;
+            let server = answered.held.server.clone();
+            let reason = if answered.parts.status.is_success() {
+                match Stream::first(answered, self.driver.last_event).await {
+                    Ok(stream) => {
+                        self.source = stream.source;
+                        self.ready = stream.ready;
+                        return Ok(());
+                    }
+                    Err(reason) => reason,
+                }
+            } else {
+                format!("answered {}", answered.parts.status)
+            };
             self.driver
                 .broke_off(&server, &reason)
                 .map_err(unfinished)?;
-            let answered = self.driver.attempt().await.map_err(unfinished)?;
-            server.clone_from(&answered.held.server);
-            if !answered.parts.status.is_success() {
-                reason = format!("answered {}", answered.parts.status);
-                continue;
-            }
-            match Stream::first(answered, self.driver.last_event).await {
-                Ok(stream) => {
-                    self.source = stream.source;
-                    self.ready = stream.ready;
-                    return Ok(());
-                }
-                Err(e) => reason = e,
-            }
         }
     }
 
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -14,6 +14,8 @@
 use mustardshed::core::error;
 use tokio::{net, task};
 
+mod allowance;
+
 /// Longest wait for a connection; a server that is there answers within some milliseconds.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Silence on a connection after which the other side is asked for a sign of life; the system
@@ -26,6 +28,13 @@
 /// Time after which sent bytes and questions must be acknowledged.
 const USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_400);
 
+/// Bytes up to the head of an answer, interim answers before it included. Heads themselves are limited
+/// to fewer; answers that never come to their head end here.
+const MAX_HEAD_BYTES: usize = 1024 * 1024;
+/// Bytes of a connection beside the body that they carry: what chunks add to a body of pieces of a
+/// few bytes.
+const FRAMING_FACTOR: usize = 2;
+
 /// A body that is sent whole.
 pub type Whole = http_body_util::Full<Bytes>;
 
@@ -49,11 +58,22 @@
 
 /// The task that drives a connection; it ends when this is dropped.
 #[derive(Debug)]
-pub struct Driver(task::JoinHandle<()>);
+pub struct Driver {
+    task: task::JoinHandle<()>,
+    allowance: allowance::Allowance,
+}
+
+impl Driver {
+    /// Allows so many bytes of a body to come from now on; the connection fails if there are more.
+    pub fn allow(&self, body_bytes: usize) {
+        let bytes = body_bytes.saturating_mul(FRAMING_FACTOR);
+        self.allowance.set(bytes.saturating_add(MAX_HEAD_BYTES));
+    }
+}
 
 impl Drop for Driver {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
@@ -72,16 +92,16 @@
             Err(_) => return Err(not_connected(format!("none within {CONNECT_TIMEOUT:?}"))),
         };
         watch_over(&stream).map_err(|e| not_connected(e.to_string()))?;
-        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+        let allowance = allowance::Allowance::new(MAX_HEAD_BYTES);
+        let limited = allowance::Limited::new(stream, allowance.clone());
+        let handshake = http1::handshake(rt::TokioIo::new(limited)).await;
         let (tx, connection) = handshake.map_err(|e| not_connected(e.to_string()))?;
-        let driver = task::spawn(async move {
+        let task = task::spawn(async move {
             // The request sees why its connection ended.
             drop(connection.await);
         });
-        Ok(Self {
-            tx,
-            driver: Driver(driver),
-        })
+        let driver = Driver { task, allowance };
+        Ok(Self { tx, driver })
     }
 
     /// Sends a request and waits for the head of the answer.
--- /dev/null
+++ b/crates/mustardshedd/src/forward/upstream/allowance.rs
@@ -0,0 +1,103 @@
+//! Bytes that a connection may still read.
+
+use std::{
+    io, pin,
+    sync::{self, atomic},
+    task,
+};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes that may still be read; the connection and the reader of its answer share it.
+#[derive(Clone, Debug)]
+pub struct Allowance(sync::Arc<atomic::AtomicUsize>);
+
+impl Allowance {
+    /// Makes an allowance of so many bytes.
+    pub(super) fn new(bytes: usize) -> Self {
+        Self(sync::Arc::new(atomic::AtomicUsize::new(bytes)))
+    }
+
+    /// Allows so many bytes from now on, whatever was left.
+    pub(super) fn set(&self, bytes: usize) {
+        self.0.store(bytes, atomic::Ordering::Relaxed);
+    }
+
+    /// Takes bytes that were read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there were more than allowed.
+    fn take(&self, bytes: usize) -> io::Result<()> {
+        let (set, read) = (atomic::Ordering::Relaxed, atomic::Ordering::Relaxed);
+        let left = |left: usize| left.checked_sub(bytes);
+        let taken = self.0.try_update(set, read, left);
+        let too_many = |_| io::Error::new(io::ErrorKind::InvalidData, "bytes without end");
+        taken.map(drop).map_err(too_many)
+    }
+}
+
+/// A connection that fails when it has read more than is allowed.
+#[derive(Debug)]
+pub(super) struct Limited<T> {
+    inner: T,
+    allowance: Allowance,
+}
+
+impl<T> Limited<T> {
+    pub(super) const fn new(inner: T, allowance: Allowance) -> Self {
+        Self { inner, allowance }
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for Limited<T> {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = pin::Pin::new(&mut self.inner).poll_read(cx, buf);
+        let read = buf.filled().len().saturating_sub(before);
+        match polled {
+            task::Poll::Ready(Ok(())) => task::Poll::Ready(self.allowance.take(read)),
+            polled => polled,
+        }
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for Limited<T> {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/endless.rs
@@ -0,0 +1,253 @@
+//! Servers whose bytes are no answer and do not end until the connection is closed.
+
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
+
+use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use crate::{
+    fixture,
+    server::{self, Answer},
+};
+
+/// Bytes that an entry may take of one answer that does not end, those in the buffers of both
+/// sockets included.
+const MAX_TAKEN: usize = 24 * 1024 * 1024;
+/// Bytes of each write.
+const PIECE: usize = 16 * 1024;
+
+/// A server that sends `begin` and then `piece` again and again until the connection is closed.
+struct Endless {
+    server: server::Server,
+    sent: sync::Arc<atomic::AtomicUsize>,
+    closed: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Endless {
+    async fn bind(id: &str, begin: &'static str, piece: &str, pause: time::Duration) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let sent = sync::Arc::<atomic::AtomicUsize>::default();
+        let closed = sync::Arc::<atomic::AtomicUsize>::default();
+        let counts = (sync::Arc::clone(&sent), sync::Arc::clone(&closed));
+        let piece = if pause.is_zero() {
+            piece.repeat(PIECE.div_ceil(piece.len()))
+        } else {
+            piece.to_owned()
+        };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (sent, closed) = (sync::Arc::clone(&counts.0), sync::Arc::clone(&counts.1));
+                let piece = piece.clone();
+                tokio::spawn(async move {
+                    send(stream, begin, &piece, pause, &sent).await;
+                    closed.fetch_add(1, atomic::Ordering::Relaxed);
+                });
+            }
+        });
+        Self {
+            server: at(id, address).await,
+            sent,
+            closed,
+        }
+    }
+
+    fn sent(&self) -> usize {
+        self.sent.load(atomic::Ordering::Relaxed)
+    }
+
+    fn closed(&self) -> usize {
+        self.closed.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// Returns a server that is listed at another address.
+async fn at(id: &str, address: net::SocketAddr) -> server::Server {
+    let mut server = server::Server::bind(id).await;
+    server.address = address;
+    server
+}
+
+async fn send(
+    mut stream: tokio::net::TcpStream,
+    begin: &str,
+    piece: &str,
+    pause: time::Duration,
+    sent: &atomic::AtomicUsize,
+) {
+    let mut req = vec![0; PIECE];
+    if stream.read(&mut req).await.is_err() || stream.write_all(begin.as_bytes()).await.is_err() {
+        return;
+    }
+    while stream.write_all(piece.as_bytes()).await.is_ok() {
+        sent.fetch_add(piece.len(), atomic::Ordering::Relaxed);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\n";
+const OK_CHUNKED: &str = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\nTransfer-Encoding: chunked\r\n\r\n";
+const OK_UNTIL_CLOSE: &str =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\nConnection: close\r\n\r\n";
+
+/// Sends a call to a server that never ends its answer; returns what its client saw.
+async fn call(begin: &'static str, piece: &str) -> (fixture::Seen, Endless) {
+    let endless = Endless::bind("i-1", begin, piece, time::Duration::ZERO).await;
+    let f = fixture::Fixture::with(&[&endless.server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let seen = f.send(&entry, "POST", "/once/a", "").await;
+    fixture::until("the connection to be closed", || endless.closed() == 1).await;
+    let failures = {
+        let now = entry.cx.now();
+        entry.cx.state().ledger.health("i-1").failures(now)
+    };
+    expect_that!(failures, gt(0.0));
+    (seen, endless)
+}
+
+#[gtest]
+#[tokio::test]
+async fn head_without_end_is_given_up() -> Result<()> {
+    let (seen, endless) = call(OK, "x").await;
+
+    expect_that!(seen.status, eq(502));
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn headers_without_end_are_given_up() -> Result<()> {
+    let (seen, endless) = call(OK, "X-More: 1\r\n").await;
+
+    expect_that!(seen.status, eq(502));
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn interim_answers_without_end_are_given_up() -> Result<()> {
+    let (seen, endless) = call("", "HTTP/1.1 102 Processing\r\n\r\n").await;
+
+    expect_that!(seen.status, eq(502));
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn bytes_that_are_no_answer_are_given_up() -> Result<()> {
+    let (seen, endless) = call("", "\u{0}\u{1}\u{2}").await;
+
+    expect_that!(seen.status, eq(502));
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn body_without_end_is_given_up() -> Result<()> {
+    let (seen, endless) = call(OK_UNTIL_CLOSE, "x").await;
+
+    expect_that!(seen.status, eq(502));
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn chunk_size_without_end_is_given_up() -> Result<()> {
+    let (seen, endless) = call(OK_CHUNKED, "0").await;
+
+    expect_that!(seen.status, eq(502));
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn trailers_without_end_are_given_up() -> Result<()> {
+    let begin = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
+
+    let (seen, endless) = call(begin, "X-More: 1\r\n").await;
+
+    expect_that!(seen.status, eq(502));
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn event_without_end_breaks_the_stream_off_and_another_server_goes_on() -> Result<()> {
+    let endless = Endless::bind("i-1", OK_UNTIL_CLOSE, "x", time::Duration::ZERO).await;
+    let other = server::Server::bind("i-2").await;
+    let f = fixture::Fixture::with(&[&endless.server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    other.answers(Answer::Events {
+        ids: vec![1, 2],
+        ends: true,
+    });
+
+    let sending = f.send(&entry, "POST", "/stream/a", "");
+    let (seen, ()) = tokio::join!(sending, f.list(&other, "ready", "north"));
+
+    expect_that!(seen.status, any![eq(200), eq(502)]);
+    fixture::until("the connection to be closed", || endless.closed() >= 1).await;
+    verify_that!(endless.sent(), le(MAX_TAKEN))
+}
+
+#[gtest]
+#[tokio::test]
+async fn stream_that_sends_a_byte_now_and_then_goes_on_at_another_server() -> Result<()> {
+    let begin = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\n\
+                 Connection: close\r\n\r\nid: 1\ndata: e1\n\nid: 2\ndata: ";
+    let pause = time::Duration::from_millis(50);
+    let endless = Endless::bind("i-1", begin, "x", pause).await;
+    let other = server::Server::bind("i-2").await;
+    let f = fixture::Fixture::with(&[&endless.server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    other.answers(Answer::Events {
+        ids: vec![2, 3],
+        ends: true,
+    });
+
+    let sending = f.send(&entry, "POST", "/stream/a", "");
+    let listing = async {
+        fixture::until("the stream to begin", || endless.sent() > 0).await;
+        f.list(&other, "ready", "north").await;
+    };
+    let (seen, ()) = tokio::join!(sending, listing);
+
+    expect_that!((seen.status, seen.is_whole), eq((200, true)));
+    expect_that!(
+        seen.body.as_str(),
+        eq("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n")
+    );
+    fixture::until("the close to reach the server", || endless.closed() == 1).await;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn slow_but_sound_stream_is_not_cut() -> Result<()> {
+    let begin = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\n\
+                 Connection: close\r\n\r\nid: 1\ndata: e1\n\n";
+    let pause = time::Duration::from_millis(700);
+    let slow = Endless::bind("i-1", begin, ": still reading\n\n", pause).await;
+    let f = fixture::Fixture::with(&[&slow.server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+
+    {
+        let sending = f.send(&entry, "POST", "/stream/a", "");
+        tokio::pin!(sending);
+        let events = fixture::until("some events", || {
+            slow.sent() > 5 * ": still reading\n\n".len()
+        });
+        tokio::select! {
+            _ = &mut sending => panic!("the stream was cut"),
+            () = events => {}
+        }
+    }
+
+    fixture::until("the close to reach the server", || slow.closed() == 1).await;
+    Ok(())
+}
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -8,6 +8,7 @@
 
 mod bad_input;
 mod calls;
+mod endless;
 mod entries;
 mod fixture;
 mod gangs;
