Take short streams late in a planned stop where nobody else does, and end before the kill

Cause: from the third second of a planned stop on every stream was refused, also where all entries of a small fleet stop within seconds of one another, so that drafts of two seconds had nowhere to go with five seconds of grace left.

Change: forward::planned_stop takes a stream if it surely ends before the entry does and no other entry takes work. The entry ends 0.8 s before the kill. A starting entry that is to be a leaf waits for its relay, for at most 1.2 s, before it watches what it has listed.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -15,6 +15,7 @@
 pub mod notices;
 pub mod own_reads;
 pub mod placement;
+pub mod planned_stop;
 pub mod preference;
 pub mod relays;
 pub mod roster;
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod notices;
 mod own_reads;
+mod planned_stop;
 mod relays;
 mod roster;
 mod routes;
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/planned_stop.rs
@@ -0,0 +1,46 @@
+//! Load pattern: all entries of a small fleet are stopped within seconds of one another.
+
+use std::time;
+
+use googletest::prelude::*;
+use mustardshed_core::forward::planned_stop;
+
+use crate::fixtures;
+
+const fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+/// Time of a planned stop from its beginning to its end.
+const STOP: time::Duration = ms(7_200);
+
+fn takes(since: time::Duration, has_others: bool, longest: time::Duration) -> bool {
+    planned_stop::takes_stream(since, STOP.saturating_sub(since), has_others, longest)
+}
+
+#[gtest]
+fn stream_that_others_can_take_goes_to_them() -> Result<()> {
+    verify_that!(takes(ms(4_000), true, ms(500)), eq(false))
+}
+
+#[gtest]
+fn short_draft_is_served_to_the_end_where_nobody_else_takes_it() -> Result<()> {
+    let draft = fixtures::draft(fixtures::START);
+    let longest = planned_stop::longest(&fixtures::profile(), &draft, 1_600);
+
+    expect_that!(takes(ms(4_000), false, longest), eq(true));
+    verify_that!(takes(ms(5_500), false, longest), eq(false))
+}
+
+#[gtest]
+fn book_that_might_be_cut_off_is_refused_at_once() -> Result<()> {
+    let book = fixtures::book(210_000, fixtures::START);
+    let longest = planned_stop::longest(&fixtures::profile(), &book, 1_600);
+
+    verify_that!(takes(ms(3_000), false, longest), eq(false))
+}
+
+#[gtest]
+fn stream_whose_caller_may_not_know_yet_is_taken() -> Result<()> {
+    verify_that!(takes(ms(2_900), true, ms(60_000)), eq(true))
+}
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -10,7 +10,8 @@
     core::{
         border::clock,
         forward::{
-            budget, head, ledger, notices, placement, preference, relays, roster, routes, server,
+            budget, head, ledger, notices, placement, planned_stop, preference, relays, roster,
+            routes, server,
         },
         ids,
     },
@@ -31,9 +32,12 @@
 const BIAS: f64 = 0.01;
 /// The same while an entry knows little of what its peers send, as after all have lost power.
 const BIAS_WITHOUT_PEERS: f64 = 1.2;
-/// Time from the beginning of a planned stop for which callers may still use an answer that names
-/// this entry.
-pub const NAMED_FOR: time::Duration = time::Duration::from_millis(3_000);
+/// Time before the kill at which an entry ends by itself: as long as a small machine takes to close
+/// its connections.
+const END_BEFORE_KILL: time::Duration = time::Duration::from_millis(800);
+/// Time after its start within which an entry finds a relay, if one lives: as long as a leaf takes to
+/// pass over one that does not answer.
+const RELAY_ANSWERS_WITHIN: time::Duration = time::Duration::from_millis(1_200);
 /// Part of the requests that a cold server bears which it is sent.
 const COLD_SHARE: f64 = 0.9;
 
@@ -102,6 +106,7 @@
     pub returned: tokio_sync::Notify,
     state: sync::Mutex<State>,
     next_job: atomic::AtomicU64,
+    started_at: ids::Timestamp,
     /// When the planned stop began, in microseconds; zero before.
     drain_began_us: atomic::AtomicU64,
 }
@@ -133,6 +138,7 @@
         };
         Self {
             peers: peers::Outbox::new(&settings.vm),
+            started_at: clock.now(),
             settings,
             clock,
             platform,
@@ -186,12 +192,30 @@
         self.drain_began_us.load(atomic::Ordering::Relaxed) > 0
     }
 
-    /// Returns whether the planned stop is so near that a stream which begins now might be cut off.
+    /// Returns the time since the planned stop began, if it did.
     #[must_use]
-    pub fn is_leaving(&self) -> bool {
+    pub fn draining_for(&self) -> Option<time::Duration> {
         let began_us = self.drain_began_us.load(atomic::Ordering::Relaxed);
         let began = forward::timestamp(began_us);
-        began_us > 0 && self.now().saturating_sub(began) >= NAMED_FOR
+        (began_us > 0).then(|| self.now().saturating_sub(began))
+    }
+
+    /// Returns the time from the beginning of a planned stop to its end at the latest.
+    #[must_use]
+    pub fn stop_time(&self) -> time::Duration {
+        self.settings.bounds.grace.saturating_sub(END_BEFORE_KILL)
+    }
+
+    /// Returns whether a stream that lasts for `longest` may begin at this entry.
+    #[must_use]
+    pub fn takes_stream(&self, longest: time::Duration) -> bool {
+        let Some(since) = self.draining_for() else {
+            return true;
+        };
+        let left = self.stop_time().saturating_sub(since);
+        let now = self.now();
+        let has_others = self.state().roster.fronts(now).next().is_some();
+        planned_stop::takes_stream(since, left, has_others, longest)
     }
 
     /// Returns the greatest age of the configuration by which keys are accepted.
@@ -243,6 +267,18 @@
         self.state().view.members().len() > relays::MESH_ENTRIES
     }
 
+    /// Returns whether this entry has just started and is to hear a relay soon.
+    #[must_use]
+    pub fn awaits_relay(&self) -> bool {
+        let now = self.now();
+        if now.saturating_sub(self.started_at) >= RELAY_ANSWERS_WITHIN {
+            return false;
+        }
+        let state = self.state();
+        let members = state.view.members();
+        !state.relays.is_relay(&self.settings.vm, members, now)
+    }
+
     /// Returns whether another entry may make this one its relay.
     #[must_use]
     pub fn takes_leaf(&self, leaf: &str) -> bool {
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::body;
 use mustardshed::{
     core::{
-        forward::{head, placement, routes},
+        forward::{head, placement, planned_stop, routes},
         ids,
     },
     platform::{headers, topic},
@@ -113,6 +113,17 @@
         }
     }
 
+    /// Returns the time that a stream takes at most; without sizes, all that its client has.
+    fn longest(&self) -> time::Duration {
+        let services = self.route.services.first();
+        let service = services.and_then(|(name, _)| self.routes.service(name));
+        let profile = service.and_then(|service| service.engine);
+        match (profile, self.head.answer_limit) {
+            (Some(profile), Some(limit)) => planned_stop::longest(&profile, &self.need(), limit),
+            _ => self.deadline().saturating_sub(self.arrived_at),
+        }
+    }
+
     /// Returns whether the client has tried before: it waits for less than the route's time.
     fn is_return(&self) -> bool {
         /// Part of the route's time that a client has left when it comes first.
@@ -207,9 +218,6 @@
         found = find(cx, &req, &head, cx.now());
     }
     let (routes, route, account) = found?;
-    if route.repeat.is_stream() && cx.is_leaving() {
-        return Err(refusal::Refusal::Leaving);
-    }
     if head.request.is_none() {
         return Err(refusal::Refusal::NoIdentifier);
     }
@@ -218,7 +226,7 @@
     let timeout = limits.map_or(DEFAULT_BODY_TIMEOUT, |limits| limits.idle_timeout);
     let (parts, body) = req.into_parts();
     let body = read(body, max_bytes, timeout).await?;
-    Ok(Admitted {
+    let admitted = Admitted {
         cx: sync::Arc::clone(cx),
         routes,
         route,
@@ -227,7 +235,11 @@
         parts,
         body,
         arrived_at,
-    })
+    };
+    if admitted.route.repeat.is_stream() && !cx.takes_stream(admitted.longest()) {
+        return Err(refusal::Refusal::Leaving);
+    }
+    Ok(admitted)
 }
 
 type Found = (
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -25,6 +25,8 @@
 /// Longest wait of a watch where no peer would tell of a change that it misses.
 const ALONE_WATCH: time::Duration = time::Duration::from_millis(1_300);
 
+/// Wait between looks of an entry that has just started at whether a relay has answered.
+const RELAY_LOOK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Wait between looks of a leaf at whether it is registered.
 const REGISTRATION_INTERVAL: time::Duration = time::Duration::from_secs(3);
 /// Part of the usual time that a watch of a relay waits.
@@ -114,9 +116,16 @@
         let mut registered_at = self.cx.now();
         loop {
             let is_known = self.cx.state().view.revision(self.topic).is_some();
-            if !is_known || !self.cx.peers.hears_relay() {
+            if !is_known {
                 return false;
             }
+            if !self.cx.peers.hears_relay() {
+                if !self.cx.awaits_relay() {
+                    return false;
+                }
+                tokio::time::sleep(RELAY_LOOK_INTERVAL).await;
+                continue;
+            }
             let now = self.cx.now();
             let (age, members) = (self.age(now), self.members());
             let is_due = self.own_reads.is_due(age, members, rand::random(), now);
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use mustardshed::{
     config::{forwarding, problem},
-    core::border::clock,
+    core::{border::clock, forward::planned_stop},
     platform::{objects, topic},
 };
 use tokio::{net as tokio_net, runtime, signal::unix, task};
@@ -18,8 +18,6 @@
 
 /// Longest wait for an answer of the platform.
 const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_millis(900);
-/// Time before the kill at which the process ends by itself.
-const END_BEFORE_KILL: time::Duration = time::Duration::from_millis(300);
 /// Wait between looks at whether all work is done.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -172,10 +170,10 @@
 
 /// Serves on until callers have gone elsewhere, at most until shortly before the kill.
 async fn drain(cx: &cx::Cx, front: &front::Front, since: time::Duration) {
-    let end = cx.settings.bounds.grace.saturating_sub(END_BEFORE_KILL);
+    let end = cx.stop_time();
     loop {
         let elapsed = cx.now().saturating_sub(since);
-        let is_left = elapsed >= cx::NAMED_FOR && front.open_connections() == 0;
+        let is_left = elapsed >= planned_stop::NAMED_FOR && front.open_connections() == 0;
         if is_left || elapsed >= end {
             return;
         }
