--- a/crates/mustardshed-core/src/request/route.rs
+++ b/crates/mustardshed-core/src/request/route.rs
@@ -56,6 +56,7 @@
             best.server,
             best.estimate,
             drawn_count,
+            refused,
             work,
         )),
         None => Err(refused),
--- a/crates/mustardshed-core/src/request/route/decision.rs
+++ b/crates/mustardshed-core/src/request/route/decision.rs
@@ -26,6 +26,8 @@
     pub prefill_tokens: ids::Tokens,
     /// Servers of which it has the least estimate.
     pub drawn: usize,
+    /// Servers that were looked at and excluded.
+    pub excluded: NoRoute,
 }
 
 impl Decision {
@@ -33,6 +35,7 @@
         server: &snapshot::ServerView,
         estimate: estimate::Estimate,
         drawn: usize,
+        excluded: NoRoute,
         work: &work::Work<'_>,
     ) -> Self {
         Self {
@@ -43,6 +46,7 @@
             estimate,
             prefill_tokens: work.uncached_tokens(server),
             drawn,
+            excluded,
         }
     }
 }
@@ -57,7 +61,11 @@
             f,
             "least estimate of {} drawn, {warmth}: {}",
             self.drawn, self.estimate
-        )
+        )?;
+        if self.excluded.excluded.is_empty() {
+            return Ok(());
+        }
+        write!(f, "; without {}", self.excluded)
     }
 }
 
