--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod bad_input;
+mod broken;
 mod calls;
 mod endless;
 mod entries;
