Look again before calling a path unknown only if the configuration is older than it may be

Cause: in a large fleet a key or a path was called unknown only by a configuration of the last 1.6 s.

Change: the limit is 0.75 of the time within which a change must be in force, which the platform states (new setting application_ms).

--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -52,6 +52,8 @@
 pub struct Bounds {
     /// Whether requests with keys are refused once the configuration may be out of date.
     pub fail_closed: bool,
+    /// Time within which a change of the configuration must be in force.
+    pub application: time::Duration,
     /// Time after which a key that was taken away must not be accepted any more.
     pub revocation: time::Duration,
     /// Requests sent again for each request.
@@ -134,6 +136,7 @@
         let seconds = |key| section.required(key, read::number_within(GREATEST_S));
         let number = |key| section.required(key, read::number_within(GREATEST_NUMBER));
         let fail_closed = section.required("fail_closed", read::boolean);
+        let application = millis("application_ms");
         let revocation = millis("revocation_ms");
         let retry_ratio = number("retry_ratio");
         let retry_allowance = number("retry_allowance");
@@ -145,6 +148,7 @@
         let of_millis = |ms: f64| time::Duration::from_secs_f64(ms / 1_000.0);
         Some(Self {
             fail_closed: fail_closed?,
+            application: of_millis(application?),
             revocation: of_millis(revocation?),
             retry_ratio: retry_ratio?,
             retry_allowance: retry_allowance?,
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -39,10 +39,10 @@
 
 impl std::error::Error for Broken {}
 
-/// Age of the configuration beyond which a key or a path is not called unknown before another look, in
-/// a large fleet: what the watches of relays confirm is as old as a watch, and a beat. In a small one
-/// the look must have begun after the request came.
-const UNKNOWN_AFTER_LOOK_OF_RELAYS: time::Duration = time::Duration::from_millis(1_600);
+/// Part of the time within which a change must be in force up to which the configuration may be old by
+/// which a large fleet calls a key or a path unknown: what relays tell is as old as a watch and a beat.
+/// In a small fleet the look must have begun after the request came.
+const UNKNOWN_SHARE: f64 = 0.75;
 /// Longest wait for that look.
 const LOOK_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Longest body where the configuration sets no limit, in bytes.
@@ -291,7 +291,7 @@
 /// known in time; returns whether it is.
 async fn look(cx: &cx::Cx, arrived_at: ids::Timestamp) -> bool {
     let age = if cx.is_large_fleet() {
-        UNKNOWN_AFTER_LOOK_OF_RELAYS
+        cx.settings.bounds.application.mul_f64(UNKNOWN_SHARE)
     } else {
         time::Duration::ZERO
     };
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -97,6 +97,7 @@
 fn bounds() -> forwarding::Bounds {
     forwarding::Bounds {
         fail_closed: true,
+        application: time::Duration::from_secs(2),
         revocation: time::Duration::from_secs(5),
         retry_ratio: 0.2,
         retry_allowance: 100.0,
