--- a/crates/mustardshedd/src/http/cx.rs
+++ b/crates/mustardshedd/src/http/cx.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use mustardshed::core::ids;
+
 use crate::{
     http::{limits, operator},
     request::cx,
@@ -16,6 +18,8 @@
     pub operator: sync::Arc<dyn operator::Operator>,
     /// Limits of the listener.
     pub limits: limits::Limits,
+    /// When the listener opened.
+    pub opened_at: ids::Timestamp,
 }
 
 impl Cx {
@@ -26,6 +30,7 @@
         limits: limits::Limits,
     ) -> Self {
         Self {
+            opened_at: requests.clock.now(),
             requests: sync::Arc::new(requests),
             operator,
             limits,
