--- a/crates/mustardshed-standins/src/fleet.rs
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -36,8 +36,8 @@
     NotListening(String),
     /// {0}: {1}
     Call(String, String),
-    /// not ready in time: {0}
-    NotReady(String),
+    /// not ready in time: {0}, which last said: {1}
+    NotReady(String, String),
 }
 
 impl std::error::Error for FleetError {}
@@ -209,9 +209,9 @@
     async fn wait_for(&self, path: &str) -> Result<(), FleetError> {
         let begun = time::Instant::now();
         for entry in &self.entries {
-            while !self.answers(entry, path).await {
+            while let Err(said) = self.answers(entry, path).await {
                 if begun.elapsed() > READY_TIMEOUT {
-                    return Err(FleetError::NotReady(entry.vm_id.clone()));
+                    return Err(FleetError::NotReady(entry.vm_id.clone(), said));
                 }
                 tokio::time::sleep(POLL_INTERVAL).await;
             }
@@ -219,10 +219,15 @@
         Ok(())
     }
 
-    async fn answers(&self, entry: &entry::Entry, path: &str) -> bool {
+    /// Checks that an entry answers `path` with 200, or returns what it says instead.
+    async fn answers(&self, entry: &entry::Entry, path: &str) -> Result<(), String> {
         let url = format!("{}/{path}", entry.url());
         let answer = call(&url, self.client.get(&url)).await;
-        answer.is_ok_and(|answer| answer.status == 200)
+        let answer = answer.map_err(|e| e.to_string())?;
+        if answer.status == 200 {
+            return Ok(());
+        }
+        Err(format!("{}: {}", answer.status, answer.body))
     }
 }
 
