--- a/crates/mustardshed-standins/src/fleet.rs
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -211,6 +211,7 @@
         for entry in &self.entries {
             while let Err(said) = self.answers(entry, path).await {
                 if begun.elapsed() > READY_TIMEOUT {
+                    let said = format!("{said}\n{}", entry.last_lines());
                     return Err(FleetError::NotReady(entry.vm_id.clone(), said));
                 }
                 tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/mustardshed-standins/src/fleet/entry.rs
+++ b/crates/mustardshed-standins/src/fleet/entry.rs
@@ -76,6 +76,21 @@
         format!("http://{}", self.address)
     }
 
+    /// Returns the last lines of the log of its latest run, to explain a failure.
+    #[must_use]
+    pub fn last_lines(&self) -> String {
+        const LINES: usize = 5;
+        let Some(log) = self.logs.last() else {
+            return String::new();
+        };
+        let text = match fs::read_to_string(log) {
+            Ok(text) => text,
+            Err(e) => return format!("{}: {e}", log.display()),
+        };
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(LINES)..].join("\n")
+    }
+
     /// Returns its item of the platform's list.
     pub fn vm(&self) -> serde_json::Value {
         serde_json::json!({
