--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -31,7 +31,7 @@
 const REGISTRATION_INTERVAL: time::Duration = time::Duration::from_secs(3);
 /// Part of the usual time that a watch of a relay waits.
 const RELAY_WATCH_SHARE: ops::Range<f64> = 0.7..1.0;
-/// Wait between looks at that age.
+/// Wait of a leaf between looks at the age of what its relay tells.
 const AGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Wait after a change before a relay watches again, so that changes that come together are read
 /// together; its leaves hear from it how far there is to read.
