--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/cold_returns.rs
@@ -0,0 +1,68 @@
+//! Load pattern: the engines of a data centre come back cold in the middle of a wave of drafts.
+
+use std::time;
+
+use googletest::prelude::*;
+use mustardshed_core::forward::placement;
+
+use crate::fixtures;
+
+/// Drafts a second that a cold engine is sent at most.
+const COLD_RATE: f64 = 3.0;
+
+/// Four warm engines with few places left, and two that are cold.
+fn fleet() -> fixtures::Fleet {
+    let mut fleet = fixtures::Fleet::new(6);
+    for server in ["engine-00", "engine-01", "engine-02", "engine-03"] {
+        fleet.write_drafts(server, 16, fixtures::START);
+    }
+    for server in ["engine-04", "engine-05"] {
+        let until = fixtures::START + time::Duration::from_secs(3);
+        fleet.ledger.health_mut(server).cold(until);
+    }
+    fleet
+}
+
+/// Sends drafts that come at once until one is refused; returns the engines that they went to.
+fn send_all(fleet: &mut fixtures::Fleet) -> Vec<String> {
+    let mut homes = Vec::new();
+    loop {
+        let need = fixtures::draft(fixtures::START);
+        let servers = fleet.servers.clone();
+        let mut candidates = fixtures::candidates(&servers);
+        for candidate in &mut candidates {
+            candidate.cold_rate = Some(COLD_RATE);
+        }
+        let profile = fixtures::profile();
+        let now = fixtures::START;
+        let placed = placement::place(&fleet.ledger, &candidates, &profile, &need, now);
+        let Ok(placed) = placed else {
+            return homes;
+        };
+        homes.push(placed.home.clone());
+        fleet.start(placed.job(&need), now);
+    }
+}
+
+#[gtest]
+fn drafts_go_to_cold_engines_rather_than_being_refused() -> Result<()> {
+    let mut fleet = fleet();
+
+    let homes = send_all(&mut fleet);
+
+    expect_that!(homes, contains(eq("engine-04")));
+    verify_that!(homes, contains(eq("engine-05")))
+}
+
+#[gtest]
+fn cold_engines_get_no_more_drafts_than_they_bear() -> Result<()> {
+    let mut fleet = fleet();
+
+    let homes = send_all(&mut fleet);
+
+    for cold in ["engine-04", "engine-05"] {
+        let sent = homes.iter().filter(|home| *home == cold).count();
+        expect_that!(sent, le(3));
+    }
+    Ok(())
+}
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod books;
 mod budget;
+mod cold_returns;
 mod confirmation;
 mod drafts;
 mod fixtures;
