Let long prompts wait for a lower price before they pay their whole weight

Cause: a prompt was sent at any price below its own weight, at once. Change: a request whose wait for a place is 200 ms or more pays a quarter of its weight at first and all of it at the end of the wait (forward::bid).

The longer wait of callers that came back goes: callers bring 0.85 to 1 of the route's time when they first come, so that most new ones were taken for returning ones.

--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -77,6 +77,8 @@
     pub gap_ms: f64,
     /// Whether a server has already failed it; it is then served whatever it costs others.
     pub is_begun: bool,
+    /// Greatest price at which it is placed, as a part of its weight.
+    pub bid: f64,
 }
 
 impl Need {
@@ -238,13 +240,15 @@
                     .max(LEAST_RETRY_AFTER),
             })
         }
-        Some(placed) if placed.price > need.value() && !need.is_begun => Err(NotPlaced::TooDear {
-            price: placed.price,
-            weight: need.value(),
-            retry_after: field
-                .usual_backlog()
-                .max(engine::millis(need.objective_ms / 3.0)),
-        }),
+        Some(placed) if placed.price > need.value() * need.bid && !need.is_begun => {
+            Err(NotPlaced::TooDear {
+                price: placed.price,
+                weight: need.value(),
+                retry_after: field
+                    .usual_backlog()
+                    .max(engine::millis(need.objective_ms / 3.0)),
+            })
+        }
         Some(placed) => Ok(placed),
     }
 }
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -70,6 +70,7 @@
         arrived_at,
         gap_ms,
         is_begun: false,
+        bid: 1.0,
     }
 }
 
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::expect_used, reason = "a fixture that fails ends its test")]
 
+mod bids;
 mod books;
 mod budget;
 mod cold_returns;
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -110,6 +110,7 @@
             arrived_at: self.arrived_at,
             gap_ms: millis(self.route.gap_objective),
             is_begun: false,
+            bid: 1.0,
         }
     }
 
@@ -124,14 +125,6 @@
         }
     }
 
-    /// Returns whether the client has tried before: it waits for less than the route's time.
-    fn is_return(&self) -> bool {
-        /// Part of the route's time that a client has left when it comes first.
-        const FIRST_TIME_SHARE: f64 = 0.97;
-        let patience = self.head.patience.unwrap_or(self.route.timeout);
-        patience < self.route.timeout.mul_f64(FIRST_TIME_SHARE)
-    }
-
     /// Returns the rank of the request.
     fn priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{engine, placement, routes},
+        forward::{bid, engine, placement, routes},
         ids,
     },
     platform::headers,
@@ -30,11 +30,8 @@
 const SILENT_FACTOR: f64 = 4.0;
 /// Part of the time for which memory may be set aside unused that a stream may take to begin.
 const IDLE_SHARE: f64 = 0.8;
-/// Part of the time within which a request should begin for which it may wait for a place.
-const QUEUE_SHARE: f64 = 0.3;
-/// Time for which a request may wait at least whose caller was refused before and came back, or
-/// that a server has failed.
-const RETURN_WAIT: time::Duration = time::Duration::from_millis(900);
+/// Time for which a request may wait at least that a server has failed or turned away.
+const TRIED_WAIT: time::Duration = time::Duration::from_millis(900);
 /// Wait between looks for a place.
 const QUEUE_LOOK: time::Duration = time::Duration::from_millis(40);
 /// Largest body that is read whole before it is passed on, in bytes.
@@ -227,7 +224,8 @@
         };
         let until = since + self.longest_wait();
         loop {
-            match self.place() {
+            let waited = self.req.cx.now().saturating_sub(since);
+            match self.place(bid::share(waited, self.req.route.objective)) {
                 Ok(placed) => return Ok(placed),
                 Err(e) if e.may_pass() && self.req.cx.now() < until => {
                     tokio::time::sleep(QUEUE_LOOK).await;
@@ -242,16 +240,17 @@
 
     /// Returns for how long the request may wait for a place.
     fn longest_wait(&self) -> time::Duration {
-        let wait = self.req.route.objective.mul_f64(QUEUE_SHARE);
-        if self.req.is_return() || !self.tried.is_empty() {
-            wait.max(RETURN_WAIT)
-        } else {
+        let wait = bid::longest_wait(self.req.route.objective);
+        if self.tried.is_empty() {
             wait
+        } else {
+            wait.max(TRIED_WAIT)
         }
     }
 
-    fn place(&self) -> Result<(placement::Placed, job::Job), placement::NotPlaced> {
-        let need = self.need();
+    /// Places the request where it costs others no more than `bid` of its weight.
+    fn place(&self, bid: f64) -> Result<(placement::Placed, job::Job), placement::NotPlaced> {
+        let need = placement::Need { bid, ..self.need() };
         let mut wanted = cx::Wanted {
             service: &self.service,
             need,
