Bargain over what others lose, not over the price of an idle fleet

Cause: the first bid was compared with the whole price, which has waiting, backlog and preferences in it and does not fall by waiting: a prompt of 700,000 tokens at four idle engines waited for 6 s (gangs::memory_is_given_up_if_the_server_does_not_begin failed, found by it). Change: a placed request names what others lose by it; that is held against the bid, and the whole price against the whole weight, as before.

--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -77,7 +77,7 @@
     pub gap_ms: f64,
     /// Whether a server has already failed it; it is then served whatever it costs others.
     pub is_begun: bool,
-    /// Greatest price at which it is placed, as a part of its weight.
+    /// Part of its weight that others may lose by it.
     pub bid: f64,
 }
 
@@ -118,6 +118,8 @@
     pub estimate_ms: f64,
     /// Price of the choice.
     pub price: f64,
+    /// Part of the price that others are expected to lose.
+    pub harm: f64,
 }
 
 impl Placed {
@@ -130,9 +132,16 @@
             part_ms: 0.0,
             estimate_ms: 0.0,
             price: 0.0,
+            harm: 0.0,
         }
     }
 
+    /// Returns whether the request is worth less than it costs, or may not cost others as much yet.
+    fn is_too_dear(&self, need: &Need) -> bool {
+        let weight = need.value();
+        !need.is_begun && (self.price > weight || self.harm > weight * need.bid)
+    }
+
     /// Returns the request as it counts once it is sent there.
     #[must_use]
     pub fn job(&self, need: &Need) -> ledger::Job {
@@ -240,15 +249,13 @@
                     .max(LEAST_RETRY_AFTER),
             })
         }
-        Some(placed) if placed.price > need.value() * need.bid && !need.is_begun => {
-            Err(NotPlaced::TooDear {
-                price: placed.price,
-                weight: need.value(),
-                retry_after: field
-                    .usual_backlog()
-                    .max(engine::millis(need.objective_ms / 3.0)),
-            })
-        }
+        Some(placed) if placed.is_too_dear(need) => Err(NotPlaced::TooDear {
+            price: placed.price,
+            weight: need.value(),
+            retry_after: field
+                .usual_backlog()
+                .max(engine::millis(need.objective_ms / 3.0)),
+        }),
         Some(placed) => Ok(placed),
     }
 }
--- a/crates/mustardshed-core/src/forward/placement/fit.rs
+++ b/crates/mustardshed-core/src/forward/placement/fit.rs
@@ -43,6 +43,8 @@
     spot: &'f field::Spot<'f>,
     /// Price of its reading.
     price: f64,
+    /// Part of the price that others lose.
+    harm: f64,
     /// Time after which the part is read, in milliseconds.
     done_ms: f64,
 }
@@ -62,7 +64,8 @@
     let readers = spots.map(|(place, spot)| {
         let part_ms = part_ms * spot.pace;
         let done_ms = spot.done_ms(part_ms);
-        let price = field.harm(spot, part_ms)
+        let harm = field.harm(spot, part_ms);
+        let price = harm
             + of_risk(spot, need.value())
             + done_ms / 1_000.0 * placement::PRICE_OF_WAITING_S
             + of_backlog(spot, part_ms);
@@ -70,6 +73,7 @@
             place,
             spot,
             price,
+            harm,
             done_ms,
         }
     });
@@ -131,8 +135,10 @@
     let waited_ms = field.now.saturating_sub(need.arrived_at).as_secs_f64() * 1_000.0;
     let lost = lateness::loss(waited_ms + estimate_ms, need.objective_ms, need.patience_ms);
     let at_helpers: f64 = helpers.iter().map(|helper| helper.price).sum();
+    let helpers_harm: f64 = helpers.iter().map(|helper| helper.harm).sum();
     let reservations = held.iter().filter(|tokens| **tokens > 0).count();
-    let price = field.harm(home, own_part_ms)
+    let own_harm = field.harm(home, own_part_ms);
+    let price = own_harm
         + at_helpers
         + value * lost
         + value * placement::PRICE_OF_WAITING_S * estimate_ms / 1_000.0
@@ -154,6 +160,7 @@
         part_ms,
         estimate_ms,
         price,
+        harm: own_harm + helpers_harm,
     }
 }
 
