Look once for a key that was withdrawn, and let the watch go on meanwhile

Change: what was looked for within 0.75 of the time in which a change must be in force is refused by the configuration of that time, as large fleets do (forward::unknown, bounded); a look is made only if nobody has read since it was wanted; the watch goes on beside it. A key that comes for the first time is looked for as before.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -5,7 +5,8 @@
 //! and which others help to read its prompt ([`placement`], by the estimates of [`engine`] and the
 //! work in flight in [`ledger`]), what it may cost others ([`bid`]), whether it may be sent again ([`budget`]), how old the knowledge
 //! behind a refusal may be ([`confirmation`](crate::version::confirmation)), which entries callers are told ([`roster`]), which
-//! entries tell which ([`relays`]), and what servers ask for in their answers ([`notices`]).
+//! entries tell which ([`relays`]), what servers ask for in their answers ([`notices`]), and which
+//! unknown keys and paths are looked for again ([`unknown`]).
 
 pub mod bid;
 pub mod budget;
@@ -22,3 +23,4 @@
 pub mod roster;
 pub mod routes;
 pub mod server;
+pub mod unknown;
--- /dev/null
+++ b/crates/mustardshed-core/src/forward/unknown.rs
@@ -0,0 +1,44 @@
+//! Keys and paths that were lately looked for on the platform in vain.
+//!
+//! Load pattern that this answers: callers go on with a key that was withdrawn, or ask again and
+//! again for a path that does not exist. The first request of each has the entry look at the
+//! platform; the others are refused by what is known, while that is recent enough.
+
+use std::{
+    collections,
+    hash::{self, BuildHasher},
+    time,
+};
+
+use crate::ids;
+
+/// Most keys and paths that are kept; more of them are looked for each time.
+const MOST_KEPT: usize = 1_024;
+
+/// What was looked for in vain, and when.
+#[derive(Debug, Default)]
+pub struct Unknown {
+    looked_at: collections::HashMap<u64, ids::Timestamp>,
+    // Keys of accounts are not kept in the clear; the seed differs from process to process.
+    hasher: hash::RandomState,
+}
+
+impl Unknown {
+    /// Returns whether `name` was looked for in vain within the last `limit`.
+    #[must_use]
+    pub fn was_looked_for(&self, name: &str, limit: time::Duration, now: ids::Timestamp) -> bool {
+        let looked_at = self.looked_at.get(&self.hasher.hash_one(name));
+        looked_at.is_some_and(|at| now.saturating_sub(*at) <= limit)
+    }
+
+    /// Takes that `name` was looked for in vain; what is older than `limit` is forgotten.
+    pub fn looked_for(&mut self, name: &str, limit: time::Duration, now: ids::Timestamp) {
+        if self.looked_at.len() >= MOST_KEPT {
+            self.looked_at
+                .retain(|_, at| now.saturating_sub(*at) <= limit);
+        }
+        if self.looked_at.len() < MOST_KEPT {
+            self.looked_at.insert(self.hasher.hash_one(name), now);
+        }
+    }
+}
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -18,3 +18,4 @@
 mod roster;
 mod routes;
 mod servers;
+mod unknown;
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,7 +11,7 @@
         border::clock,
         forward::{
             budget, head, ledger, notices, placement, planned_stop, preference, relays, roster,
-            routes, server,
+            routes, server, unknown,
         },
         ids,
     },
@@ -52,6 +52,10 @@
     pub relays: relays::Relays,
     /// Requests that may be sent again.
     pub budget: budget::Budget,
+    /// Keys and paths that were lately looked for in vain.
+    pub unknown: unknown::Unknown,
+    /// As of when somebody wants the configuration.
+    pub wanted_as_of: ids::Timestamp,
 }
 
 impl State {
@@ -156,6 +160,8 @@
                 roster: roster::Roster::default(),
                 relays: relays::Relays::default(),
                 budget: budget::Budget::new(limits),
+                unknown: unknown::Unknown::default(),
+                wanted_as_of: time::Duration::ZERO,
             }),
             next_job: atomic::AtomicU64::new(1),
             drain_began_us: atomic::AtomicU64::new(0),
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -41,7 +41,8 @@
 
 /// Part of the time within which a change must be in force up to which the configuration may be old by
 /// which a large fleet calls a key or a path unknown: what relays tell is as old as a watch and a beat.
-/// In a small fleet the look must have begun after the request came.
+/// In a small fleet the look must have begun after the request came, but for what was looked for
+/// within that time before.
 const UNKNOWN_SHARE: f64 = 0.75;
 /// Longest wait for that look.
 const LOOK_TIMEOUT: time::Duration = time::Duration::from_millis(250);
@@ -204,7 +205,7 @@
     if matches!(
         found,
         Err(refusal::Refusal::UnknownKey | refusal::Refusal::UnknownRoute)
-    ) && !look(cx, arrived_at).await
+    ) && !look(cx, &wanted_name(&req, &head, &found), arrived_at).await
     {
         return Err(refusal::Refusal::Stale);
     } else if found.is_err() {
@@ -247,8 +248,6 @@
     head: &head::Head,
     now: ids::Timestamp,
 ) -> Result<Found, refusal::Refusal> {
-    let host = req.headers().get(http::header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let (routes, is_fresh) = {
         let state = cx.state();
         let routes = state.view.routes().cloned();
@@ -256,7 +255,7 @@
         let is_fresh = state.view.is_fresh(topic::Topic::Configuration, limit, now);
         (routes.ok_or(refusal::Refusal::NoConfiguration)?, is_fresh)
     };
-    let route = routes.route(without_port(host), req.uri().path());
+    let route = routes.route(host(req), req.uri().path());
     let route = route.ok_or(refusal::Refusal::UnknownRoute)?.clone();
     if !routes.needs_key(&route) {
         return Ok((routes, route, None));
@@ -273,26 +272,51 @@
     Ok((routes, route, Some(account)))
 }
 
-fn without_port(host: &str) -> &str {
+/// Returns the host that a request names, without its port.
+fn host(req: &http::Request<body::Incoming>) -> &str {
+    let host = req.headers().get(http::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
         _ => host,
     }
 }
 
+/// Returns what a request was not found by: its key, or its host and path.
+fn wanted_name(
+    req: &http::Request<body::Incoming>,
+    head: &head::Head,
+    found: &Result<Found, refusal::Refusal>,
+) -> String {
+    match (found, &head.key) {
+        (Err(refusal::Refusal::UnknownKey), Some(key)) => format!("key {key}"),
+        (Err(refusal::Refusal::UnknownKey), None) => "no key".to_owned(),
+        _ => format!("path {} {}", host(req), req.uri().path()),
+    }
+}
+
 /// Waits until the configuration is known to be no older than the request, or until it cannot be
 /// known in time; returns whether it is.
-async fn look(cx: &cx::Cx, arrived_at: ids::Timestamp) -> bool {
-    let age = if cx.is_large_fleet() {
-        cx.settings.bounds.application.mul_f64(UNKNOWN_SHARE)
+async fn look(cx: &cx::Cx, name: &str, arrived_at: ids::Timestamp) -> bool {
+    let limit = cx.settings.bounds.application.mul_f64(UNKNOWN_SHARE);
+    let may_be_old =
+        cx.is_large_fleet() || cx.state().unknown.was_looked_for(name, limit, arrived_at);
+    let since = if may_be_old {
+        arrived_at.saturating_sub(limit)
     } else {
-        time::Duration::ZERO
+        arrived_at
     };
-    let since = arrived_at.saturating_sub(age);
     let is_known = || {
         let now = cx.now();
-        let age = cx.state().view.age(topic::Topic::Configuration, now);
-        age.is_some_and(|age| now.saturating_sub(age) >= since)
+        let mut state = cx.state();
+        let age = state.view.age(topic::Topic::Configuration, now);
+        let is_known = age.is_some_and(|age| now.saturating_sub(age) >= since);
+        if !is_known {
+            state.wanted_as_of = state.wanted_as_of.max(since);
+        } else if !may_be_old {
+            state.unknown.looked_for(name, limit, now);
+        }
+        is_known
     };
     let looking = async {
         loop {
--- a/crates/mustardshedd/src/forward/follow.rs
+++ b/crates/mustardshedd/src/forward/follow.rs
@@ -97,19 +97,35 @@
             .map(Read::All)
     }
 
-    async fn watch(&self, revision: u64) -> Result<Read, objects::Error> {
+    /// Watches for changes. A look at the configuration that is wanted meanwhile is made beside the
+    /// watch, which goes on.
+    async fn watch(&mut self, revision: u64) -> Result<Read, objects::Error> {
         let wait = self.wait();
-        let platform = &self.cx.platform;
+        let cx = sync::Arc::clone(&self.cx);
         let (purpose, kind) = (self.topic.purpose(), self.topic.kind());
-        let watching = platform.watch(purpose, kind, revision, wait);
-        tokio::select! {
-            changes = watching => changes.map(Read::Changes),
-            () = self.cx.look.notified(), if self.topic == topic::Topic::Configuration => {
-                self.list().await
+        let watching = cx.platform.watch(purpose, kind, revision, wait);
+        tokio::pin!(watching);
+        loop {
+            tokio::select! {
+                changes = &mut watching => return changes.map(Read::Changes),
+                () = cx.look.notified(), if self.topic == topic::Topic::Configuration => {}
+            }
+            if self.is_wanted() {
+                let begun_at = cx.now();
+                let read = self.list().await?;
+                self.take(read, begun_at).await;
             }
         }
     }
 
+    /// Returns whether somebody wants the configuration as of later than it is known.
+    fn is_wanted(&self) -> bool {
+        let now = self.cx.now();
+        let state = self.cx.state();
+        let age = state.view.age(topic::Topic::Configuration, now);
+        age.is_none_or(|age| now.saturating_sub(age) < state.wanted_as_of)
+    }
+
     /// Waits for as long as a relay tells of this kind in time; returns whether it is then to be
     /// listed at once, whatever was read before.
     async fn rely_on_relay(&mut self) -> bool {
@@ -144,7 +160,11 @@
             tokio::select! {
                 () = tokio::time::sleep(AGE_INTERVAL) => {}
                 () = self.cx.peers.lost_relay.notified() => {}
-                () = self.cx.look.notified(), if self.topic == topic::Topic::Configuration => return true,
+                () = self.cx.look.notified(), if self.topic == topic::Topic::Configuration => {
+                    if self.is_wanted() {
+                        return true;
+                    }
+                }
                 // The platform answers this entry, and its relay knows too little.
                 () = self.cx.asked.notified(), if self.topic != topic::Topic::Configuration => return true,
             }
