Count only servers that turn a request away, not closed ports

Cause: three attempts that did not run ended a request, whether a server had turned it away or nobody listened there. Ruled out: full engines; the fleet had places. Change: up to twelve attempts may reach no server; three servers may turn a request away, as before (forward::attempts).

--- /dev/null
+++ b/crates/mustardshed-core/src/forward/attempts.rs
@@ -0,0 +1,54 @@
+//! How often a request is sent.
+//!
+//! Load pattern that this answers: many servers go away at once, as where a data centre loses power.
+//! Those that nobody has tried since look idle, so that one request after another meets closed ports
+//! while the other servers have room. An attempt that reaches no server costs nobody anything; only
+//! servers that turn a request away say that the fleet is full.
+
+/// Servers that turn a request away after which it is sent to no more; a fleet that sheds this often
+/// is full.
+const MOST_TURNED_AWAY: u32 = 3;
+/// Attempts that reach no server after which no more are made; each takes a round trip.
+const MOST_UNSENT: u32 = 12;
+
+/// Attempts of one request so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Attempts {
+    runs: u32,
+    turned_away: u32,
+    unsent: u32,
+}
+
+impl Attempts {
+    /// Takes that the request ran or may have run.
+    pub const fn ran(&mut self) {
+        self.runs += 1;
+    }
+
+    /// Takes that the request has not run, and whether it reached the server that was to run it.
+    pub const fn not_run(&mut self, has_arrived: bool) {
+        if has_arrived {
+            self.turned_away += 1;
+        } else {
+            self.unsent += 1;
+        }
+    }
+
+    /// Returns how often it ran or may have run.
+    #[must_use]
+    pub const fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    /// Returns how many attempts were made.
+    #[must_use]
+    pub const fn count(&self) -> u32 {
+        self.runs + self.turned_away + self.unsent
+    }
+
+    /// Returns whether a request that has not run may be sent to one more server.
+    #[must_use]
+    pub const fn may_go_on(&self) -> bool {
+        self.turned_away < MOST_TURNED_AWAY && self.unsent < MOST_UNSENT
+    }
+}
--- /dev/null
+++ b/crates/mustardshed-core/tests/forward/lost_data_centre.rs
@@ -0,0 +1,51 @@
+//! Load pattern: the engines of a data centre are gone at once, and nobody has tried them since.
+
+use googletest::prelude::*;
+use mustardshed_core::forward::attempts;
+
+use crate::fixtures;
+
+/// Engines of the fleet, of which the first third is gone.
+const ENGINES: usize = 30;
+const GONE: usize = 10;
+
+fn is_gone(server: &str) -> bool {
+    fixtures::servers(GONE).iter().any(|gone| gone.id == server)
+}
+
+/// Sends a book until an engine takes it; returns the attempts that were made, none if it was given
+/// up.
+fn send(fleet: &mut fixtures::Fleet) -> Option<u32> {
+    let mut attempts = attempts::Attempts::default();
+    while attempts.may_go_on() {
+        let need = fixtures::book(150_000, fixtures::START);
+        let placed = fleet.weigh(&need, fixtures::START).ok()?;
+        if !is_gone(&placed.home) {
+            fleet.start(placed.job(&need), fixtures::START);
+            return Some(attempts.count());
+        }
+        attempts.not_run(false);
+        let health = fleet.ledger.health_mut(&placed.home);
+        health.unreachable(fixtures::START);
+    }
+    None
+}
+
+#[gtest]
+fn books_are_served_by_those_that_are_left() -> Result<()> {
+    let mut fleet = fixtures::Fleet::new(ENGINES);
+
+    let sent: Vec<Option<u32>> = (0..4).map(|_| send(&mut fleet)).collect();
+
+    verify_that!(sent, each(some(anything())))
+}
+
+#[gtest]
+fn request_that_full_servers_turn_away_is_given_up() -> Result<()> {
+    let mut attempts = attempts::Attempts::default();
+    for _ in 0..3 {
+        attempts.not_run(true);
+    }
+
+    verify_that!(attempts.may_go_on(), eq(false))
+}
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod fixtures;
 mod herds;
 mod ledger;
+mod lost_data_centre;
 mod notices;
 mod own_reads;
 mod planned_stop;
--- a/crates/mustardshedd/src/forward/exchange/driver.rs
+++ b/crates/mustardshedd/src/forward/exchange/driver.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{bid, engine, placement, routes},
+        forward::{attempts, bid, engine, placement, routes},
         ids,
     },
     platform::headers,
@@ -19,8 +19,6 @@
     log::{self, event},
 };
 
-/// Attempts that did not run after which no more are made; a fleet that sheds this often is full.
-const MAX_TURNED_AWAY: u32 = 3;
 /// Part of the time left that an attempt may take while another one may follow.
 const ATTEMPT_SHARE: f64 = 0.45;
 /// Time beyond a multiple of the estimate after which a server counts as silent that has not begun a
@@ -89,9 +87,7 @@
     pub(super) req: exchange::Admitted,
     service: routes::Service,
     tried: Vec<ids::BackendServerId>,
-    /// Attempts that ran or may have run.
-    runs: u32,
-    turned_away: u32,
+    attempts: attempts::Attempts,
     /// Last event that the client has.
     pub(super) last_event: Option<u64>,
     stage: Stage,
@@ -137,8 +133,7 @@
             req,
             service,
             tried: Vec::new(),
-            runs: 0,
-            turned_away: 0,
+            attempts: attempts::Attempts::default(),
             last_event,
             stage: Stage::Placing,
             is_ended: atomic::AtomicBool::new(false),
@@ -198,7 +193,7 @@
             match result {
                 Ok(answered) => {
                     self.req.cx.metrics.attempt("answered");
-                    self.runs += 1;
+                    self.attempts.ran();
                     self.stage = Stage::WaitingForFirstEvent;
                     return Ok(answered);
                 }
@@ -207,7 +202,7 @@
                     has_arrived,
                 }) => self.not_run(&placed.home, &reason, has_arrived)?,
                 Err(attempt::Failed::Unknown(reason)) => {
-                    self.runs += 1;
+                    self.attempts.ran();
                     self.broke_off(&placed.home, &reason)?;
                 }
             }
@@ -285,7 +280,7 @@
     }
 
     fn not_placed(&self, e: placement::NotPlaced) -> refusal::Refusal {
-        if self.runs > 0 {
+        if self.attempts.runs() > 0 {
             return refusal::Refusal::FateUnknown;
         }
         match e {
@@ -329,7 +324,7 @@
     /// Returns how long an attempt may wait for the head of an answer, and a stream for its first event.
     fn attempt_timeout(&self, placed: &placement::Placed) -> time::Duration {
         let left = self.req.deadline().saturating_sub(self.req.cx.now());
-        let may_follow = self.runs + 1 < self.req.route.max_attempts;
+        let may_follow = self.attempts.runs() + 1 < self.req.route.max_attempts;
         match self.req.route.repeat {
             routes::Repeat::Idempotent if may_follow => left.mul_f64(ATTEMPT_SHARE),
             // Memory must not be kept for a server that does not begin, by the last attempt either.
@@ -344,7 +339,7 @@
 
     /// Returns whether a request that may have run may be sent to one more server.
     fn may_try_again(&self) -> bool {
-        self.req.route.repeat.may_run_again() && self.runs < self.req.route.max_attempts
+        self.req.route.repeat.may_run_again() && self.attempts.runs() < self.req.route.max_attempts
     }
 
     /// Takes that an attempt has not run; an error ends the request.
@@ -354,14 +349,14 @@
         reason: &str,
         has_arrived: bool,
     ) -> Result<(), refusal::Refusal> {
-        self.turned_away += 1;
+        self.attempts.not_run(has_arrived);
         let has_budget = || !has_arrived || self.req.cx.may_repeat(&self.service.name);
-        let goes_on = self.turned_away < MAX_TURNED_AWAY && has_budget();
+        let goes_on = self.attempts.may_go_on() && has_budget();
         self.log_failed(server, "not_run", reason, goes_on);
         if goes_on {
             return Ok(());
         }
-        if self.runs > 0 {
+        if self.attempts.runs() > 0 {
             return Err(refusal::Refusal::FateUnknown);
         }
         Err(refusal::Refusal::TurnedAway(TURNED_AWAY_WAIT))
@@ -401,7 +396,7 @@
             part_ms: placed.part_ms.round(),
             estimate_ms: placed.estimate_ms.round(),
             price: (placed.price * 100.0).round() / 100.0,
-            attempt: self.runs + self.turned_away + 1,
+            attempt: self.attempts.count() + 1,
         });
     }
 
@@ -432,7 +427,7 @@
             price: (price * 100.0).round() / 100.0,
             weight: (weight * 100.0).round() / 100.0,
             estimate_ms: estimate_ms.round(),
-            attempt: self.runs + self.turned_away + 1,
+            attempt: self.attempts.count() + 1,
         });
     }
 
