--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -3,10 +3,11 @@
 //! A forwarded request carries its sizes in its head; its body and its answer are opaque. What is
 //! decided here: which route and account it belongs to ([`routes`]), which backend server runs it
 //! and which others help to read its prompt ([`placement`], by the estimates of [`engine`] and the
-//! work in flight in [`ledger`]), what it may cost others ([`bid`]), whether it may be sent again ([`attempts`], [`budget`]), how old the knowledge
-//! behind a refusal may be ([`confirmation`](crate::version::confirmation)), which entries callers are told ([`roster`]), which
-//! entries tell which ([`relays`]), what servers ask for in their answers ([`notices`]), and which
-//! unknown keys and paths are looked for again ([`unknown`]).
+//! work in flight in [`ledger`]), what it may cost others ([`bid`]), whether it may be sent again
+//! ([`attempts`], [`budget`]), how old the knowledge behind a refusal may be
+//! ([`confirmation`](crate::version::confirmation), [`unknown`]), which entries callers are told
+//! ([`roster`]), which entries tell which ([`relays`]), and what servers ask for in their answers
+//! ([`notices`]).
 
 pub mod attempts;
 pub mod bid;
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -45,8 +45,8 @@
 const PRICE_OF_BACKLOG_S: f64 = 0.3;
 /// Price of a server in another data centre.
 const PRICE_OF_DISTANCE: f64 = 0.02;
-/// Price of sending work to a cold server, which may be slow at first. What it bears is a limit of its
-/// own; a greater price would refuse drafts while places are free.
+/// Price of sending work to a cold server, which may be slow at first; far below the weight of a short
+/// request, so that it is not refused while a cold server has room.
 const PRICE_OF_COLD: f64 = 0.2;
 /// Price of a recent failure of the server, per unit of the request's weight.
 const PRICE_OF_FAILURE: f64 = 0.25;
--- a/crates/mustardshed-core/tests/forward/cold_returns.rs
+++ b/crates/mustardshed-core/tests/forward/cold_returns.rs
@@ -10,7 +10,7 @@
 /// Drafts a second that a cold engine is sent at most.
 const COLD_RATE: f64 = 3.0;
 
-/// Four warm engines with few places left, and two that are cold.
+/// Four warm engines without a free place, and two that are cold.
 fn fleet() -> fixtures::Fleet {
     let mut fleet = fixtures::Fleet::new(6);
     for server in ["engine-00", "engine-01", "engine-02", "engine-03"] {
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -54,7 +54,8 @@
     pub budget: budget::Budget,
     /// Keys and paths that were lately looked for in vain.
     pub unknown: unknown::Unknown,
-    /// As of when somebody wants the configuration.
+    /// Time as of which some request wants the configuration: what is known as of an earlier one is
+    /// read anew.
     pub wanted_as_of: ids::Timestamp,
 }
 
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -295,8 +295,8 @@
     }
 }
 
-/// Waits until the configuration is known to be no older than the request, or until it cannot be
-/// known in time; returns whether it is.
+/// Waits until the configuration is known to be no older than a request that was not found in it by
+/// `name`, or than may be, or until it cannot be known in time; returns whether it is.
 async fn look(cx: &cx::Cx, name: &str, arrived_at: ids::Timestamp) -> bool {
     let limit = cx.settings.bounds.application.mul_f64(UNKNOWN_SHARE);
     let may_be_old =
