Log arrivals and coldness of a server with each placement

The log did not tell how many requests an entry knew to have gone to a server when it sent another, whether it knew the server to be cold, nor how long after its placement a request was sent. Event 1201 gains arrivals and cold_ms, event 1208 tells when a request goes to a cold server. No decision changes.

--- a/crates/mustardshed-core/src/forward/load_tracker/health.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/health.rs
@@ -96,6 +96,12 @@
         now < self.cold_until
     }
 
+    /// Returns the time for which the server is yet cold; zero if it is warm.
+    #[must_use]
+    pub const fn cold_left(&self, now: ids::Timestamp) -> time::Duration {
+        self.cold_until.saturating_sub(now)
+    }
+
     /// Returns the weight of recent failures.
     #[must_use]
     pub fn failure_score(&self, now: ids::Timestamp) -> f64 {
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -11,7 +11,10 @@
     platform::headers,
 };
 
-use crate::forward::{exchange, job, reservation, upstream};
+use crate::{
+    forward::{exchange, job, reservation, upstream},
+    log::{self, event},
+};
 
 /// Shortest silence after which a server counts as unreachable and is ejected for a while.
 const MIN_UNREACHABLE_SILENCE: time::Duration = time::Duration::from_secs(1);
@@ -71,6 +74,7 @@
     last_event: Option<u64>,
     timeout: time::Duration,
 ) -> Result<Response, Failure> {
+    let placed_at = req.cx.now();
     let (helpers, reservations) = reserve(req, placed, &job).await?;
     let address = address(req, &placed.primary)?;
     let connection = match upstream::Connection::open(&address).await {
@@ -85,6 +89,7 @@
     if req.cx.state().usable(&placed.primary, now).is_none() {
         return Err(Failure::not_run("the server accepts no requests"));
     }
+    log_sent(req, &placed.primary, now.saturating_sub(placed_at), now);
     let sent = head::UpstreamHead {
         server: &placed.primary,
         account: req.account.as_ref().map(|account| account.name.as_str()),
@@ -121,6 +126,17 @@
     classify(req, placed, parts, head, body, guards, first_event_timeout)
 }
 
+/// Logs that a request is sent to a server, if that is cold.
+fn log_sent(req: &exchange::Admitted, server: &str, after: time::Duration, now: ids::Timestamp) {
+    if req.cx.state().loads.health(server).is_cold(now) {
+        log::emit(&event::Event::ForwardSentToCold {
+            request: req.id(),
+            server,
+            after_ms: after.as_millis(),
+        });
+    }
+}
+
 fn address(req: &exchange::Admitted, server: &str) -> Result<String, Failure> {
     let now = req.cx.now();
     let state = req.cx.state();
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -411,6 +411,13 @@
     }
 
     fn log_placed(&self, placed: &placement::Placed) {
+        let now = self.req.cx.now();
+        let (arrivals, cold_left) = {
+            let loads = &self.req.cx.state().loads;
+            let health = loads.health(&placed.primary);
+            let arrivals = loads.recent_arrivals(&placed.primary, now);
+            (arrivals, health.cold_left(now))
+        };
         log::emit(&event::Event::ForwardPlaced {
             request: self.req.id(),
             route: &self.req.route.name,
@@ -423,6 +430,8 @@
             estimate_ms: placed.estimate_ms.round(),
             price: (placed.cost * 100.0).round() / 100.0,
             attempt: self.attempts.count() + 1,
+            arrivals,
+            cold_ms: cold_left.as_millis(),
         });
     }
 
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -141,6 +141,8 @@
         estimate_ms: f64,
         price: f64,
         attempt: u32,
+        arrivals: usize,
+        cold_ms: u128,
     }
     /// A request was refused by this system, or given up.
     1202 Warn "forward_refused" ForwardRefused {
@@ -198,6 +200,12 @@
         estimate_ms: f64,
         attempt: u32,
     }
+    /// A request was sent to a cold server.
+    1208 Info "forward_sent_to_cold" ForwardSentToCold {
+        request: &'a str,
+        server: &'a str,
+        after_ms: u128,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
