--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::expect_used, reason = "a failing fixture ends its test")]
 
+mod cold_flood;
 mod cold_restart;
 mod confirmation;
 mod cost_limit;
