Divide what a cold server bears among the registered entries

Callers saw requests broken off when a cold server crashed under far more requests than it bears (FAILBACK). Each entry enforced the limit of the whole fleet by the requests of others that it had heard of, 25 ms late and later. A crash of many servers breaks off requests of all entries in the same millisecond; each entry then sends them to the same cold server, whose count of arrivals still looks low: 55 in a second, 51 of them within 50 ms, where entries knew of 4 to 7.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -6,8 +6,9 @@
 //! the work in flight in [`load_tracker`]), how much it may delay other requests ([`cost_limit`]),
 //! whether it may be sent again ([`attempts`], [`retry_budget`]), how old the knowledge behind a
 //! refusal may be ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which
-//! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), and
-//! what servers ask for in their responses ([`notices`]).
+//! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
+//! servers ask for in their responses ([`notices`]), and how entries divide what a server accepts
+//! from all of them ([`rate_shares`]).
 
 pub mod attempts;
 pub mod cost_limit;
@@ -21,6 +22,7 @@
 pub mod notices;
 pub mod placement;
 pub mod planned_stop;
+pub mod rate_shares;
 pub mod relays;
 pub mod rendezvous;
 pub mod retry_budget;
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -105,6 +105,15 @@
     pub bias: f64,
     /// Requests per second that it may be sent while cold, if limited.
     pub cold_rate_limit: Option<f64>,
+    /// Requests that this entry may send it now, if it limits those of all entries together.
+    pub share_left: Option<usize>,
+}
+
+impl Candidate<'_> {
+    /// Returns whether this entry may send it one more request.
+    fn has_share(&self) -> bool {
+        self.share_left.is_none_or(|left| left > 0)
+    }
 }
 
 /// Where a request is placed.
--- a/crates/mustardshed-core/src/forward/placement/cost.rs
+++ b/crates/mustardshed-core/src/forward/placement/cost.rs
@@ -26,7 +26,7 @@
         .iter()
         .enumerate()
         .filter_map(move |(i, primary)| {
-            if !primary.has_free_slot(snapshot.profile) {
+            if !primary.can_respond(snapshot.profile) {
                 return None;
             }
             let helpers: Vec<&HelperOption<'_>> = options
--- a/crates/mustardshed-core/src/forward/placement/plain.rs
+++ b/crates/mustardshed-core/src/forward/placement/plain.rs
@@ -18,6 +18,7 @@
 ) -> Result<&'a ids::BackendServerId, placement::NotPlaced> {
     candidates
         .iter()
+        .filter(|candidate| candidate.has_share())
         .filter(|candidate| placement::accepts_work(load_tracker, candidate, now))
         .map(|candidate| (rank(load_tracker, candidate, now), candidate.server))
         .min_by(|(a, _), (b, _)| a.total_cmp(b))
--- a/crates/mustardshed-core/src/forward/placement/snapshot.rs
+++ b/crates/mustardshed-core/src/forward/placement/snapshot.rs
@@ -36,6 +36,8 @@
     pub(super) is_local: bool,
     pub(super) bias: f64,
     pub(super) is_cold: bool,
+    /// Whether this entry may send it one more request.
+    pub(super) has_share: bool,
     pub(super) failure_score: f64,
     pub(super) slowdown: f64,
     pub(super) backlog_ms: f64,
@@ -151,6 +153,7 @@
             is_local: candidate.is_local,
             bias: candidate.bias,
             is_cold: health.is_cold(now),
+            has_share: candidate.has_share(),
             failure_score: health.failure_score(now),
             slowdown: health.slowdown(),
             backlog_ms: load.backlog_ms(),
@@ -200,9 +203,10 @@
         self.load.helper_jobs < usize::try_from(profile.slots).unwrap_or(usize::MAX)
     }
 
-    /// Returns whether it has a slot for one more request.
-    pub(super) fn has_free_slot(&self, profile: &engine::Profile) -> bool {
+    /// Returns whether it may be sent one more request, for which it has a slot.
+    pub(super) fn can_respond(&self, profile: &engine::Profile) -> bool {
         let slots = profile.slots.min(self.server.slots.max(1));
-        self.load.primary_jobs.len() < usize::try_from(slots).unwrap_or(usize::MAX)
+        self.has_share
+            && self.load.primary_jobs.len() < usize::try_from(slots).unwrap_or(usize::MAX)
     }
 }
--- a/crates/mustardshed-core/tests/forward/cold_flood.rs
+++ b/crates/mustardshed-core/tests/forward/cold_flood.rs
@@ -2,7 +2,7 @@
 //! requests elsewhere within milliseconds, before they hear of each other's.
 
 use googletest::prelude::*;
-use mustardshed_core::forward::{load_tracker, placement, rendezvous};
+use mustardshed_core::forward::{load_tracker, placement, rate_shares, relays, rendezvous};
 
 use crate::fixtures;
 
@@ -32,8 +32,22 @@
     fleet
 }
 
+fn members() -> relays::Members {
+    let members = (0..ENTRIES).map(|i| {
+        let member = relays::Member {
+            peer_address: format!("10.0.0.{i}:8004"),
+            data_centre: "north".to_owned(),
+            cpu_cores: 0.12,
+        };
+        (format!("entry-{i}"), member)
+    });
+    members.collect()
+}
+
 /// Lets one entry place its requests, without knowledge of those of the others; returns where.
 fn place_all(vm: &str) -> Vec<String> {
+    let members = members();
+    let mut shares = rate_shares::RateShares::default();
     let mut fleet = fleet();
     let servers = fleet.servers.clone();
     let max_bias = rendezvous::PeerVisibility::ThroughRelays.max_bias();
@@ -43,6 +57,19 @@
         for candidate in &mut candidates {
             candidate.bias = max_bias * rendezvous::score(vm, &candidate.server.id);
             candidate.cold_rate_limit = Some(COLD_RATE * 0.9);
+            let id = &candidate.server.id;
+            if fleet.load_tracker.health(id).is_cold(fixtures::START) {
+                let sharers = rate_shares::Sharers {
+                    own: vm,
+                    members: &members,
+                    revision: 1,
+                };
+                let limit = rate_shares::Limit {
+                    per_s: COLD_RATE,
+                    window: std::time::Duration::from_secs(1),
+                };
+                candidate.share_left = Some(shares.left(id, limit, sharers, fixtures::START));
+            }
         }
         let need = placement::Need {
             is_retry: true,
@@ -60,6 +87,7 @@
         };
         let job = placed.job(&need);
         fleet.load_tracker.start(key, job, fixtures::START);
+        shares.record_sent(&placed.primary, fixtures::START);
         primaries.push(placed.primary);
     }
     primaries
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -83,6 +83,7 @@
         is_local: true,
         bias: 0.0,
         cold_rate_limit: None,
+        share_left: None,
     });
     candidates.collect()
 }
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod negative_cache;
 mod notices;
 mod planned_stop;
+mod rate_shares;
 mod relays;
 mod retry_budget;
 mod routes;
--- a/crates/mustardshed-core/tests/forward/thundering_herd.rs
+++ b/crates/mustardshed-core/tests/forward/thundering_herd.rs
@@ -79,6 +79,7 @@
             is_local: true,
             bias: max_bias * rendezvous::score(&vm, &server.id),
             cold_rate_limit: None,
+            share_left: None,
         });
         let candidates: Vec<placement::Candidate<'_>> = candidates.collect();
         let need = fixtures::short_request(now);
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,7 +11,7 @@
         boundary::clock,
         forward::{
             head, live_entries, load_tracker, negative_cache, notices, placement, planned_stop,
-            relays, rendezvous, retry_budget, routes, server,
+            rate_shares, relays, rendezvous, retry_budget, routes, server,
         },
         ids,
     },
@@ -36,6 +36,9 @@
 const RELAY_ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
 /// Share of a cold server's request rate limit that is used.
 const COLD_SHARE: f64 = 0.9;
+/// Window in which this entry's share in the request rate of a cold server is counted: a second,
+/// and the longest usual time from the placement of a request to its sending.
+const COLD_WINDOW: time::Duration = time::Duration::from_millis(1_100);
 
 /// Mutable state behind one lock.
 #[derive(Debug)]
@@ -46,6 +49,8 @@
     pub loads: load_tracker::LoadTracker,
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
+    /// Shares of this entry in what servers accept from all entries.
+    pub rate_shares: rate_shares::RateShares,
     /// Which entries are alive.
     pub live_entries: live_entries::LiveEntries,
     /// Which entries may act as relays.
@@ -159,6 +164,7 @@
                 view: view::View::default(),
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
+                rate_shares: rate_shares::RateShares::default(),
                 live_entries: live_entries::LiveEntries::default(),
                 relays: relays::Relays::default(),
                 retry_budget: retry_budget::RetryBudget::new(limits),
@@ -339,11 +345,18 @@
         let servers = servers.filter(|server| {
             state.notices.allows(server, now) && !wanted.tried.contains(&server.id)
         });
+        let sharers = rate_shares::Sharers {
+            own: &self.settings.vm,
+            members: state.view.members(),
+            revision: state.view.members_revision(),
+        };
         let candidates = servers.map(|server| placement::Candidate {
             server,
             is_local: server.data_centre == self.settings.data_centre,
             bias: max_bias * rendezvous::score(&self.settings.vm, &server.id),
             cold_rate_limit: wanted.service.cold_rate_limit.map(|rate| rate * COLD_SHARE),
+            share_left: cold_limit(&state.loads, wanted.service, server, now)
+                .map(|limit| state.rate_shares.left(&server.id, limit, sharers, now)),
         });
         let candidates: Vec<placement::Candidate<'_>> = candidates.collect();
         if candidates.is_empty()
@@ -366,6 +379,7 @@
             number,
             job: forward::Job::new(&in_flight, now),
         };
+        state.rate_shares.record_sent(&in_flight.primary, now);
         state.loads.start(key.clone(), in_flight, now);
         drop(guard);
         self.peers.send(&started);
@@ -488,3 +502,18 @@
         state.retry_budget.try_take(service, registered, now)
     }
 }
+
+/// Returns the limit on the requests of all entries to a server that is cold; none if it is warm.
+fn cold_limit(
+    loads: &load_tracker::LoadTracker,
+    service: &routes::Service,
+    server: &server::Server,
+    now: ids::Timestamp,
+) -> Option<rate_shares::Limit> {
+    let rate = service.cold_rate_limit?;
+    let is_cold = loads.health(&server.id).is_cold(now);
+    is_cold.then_some(rate_shares::Limit {
+        per_s: rate,
+        window: COLD_WINDOW,
+    })
+}
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -103,6 +103,12 @@
         &self.members
     }
 
+    /// Returns the revision of the registered entries.
+    #[must_use]
+    pub const fn members_revision(&self) -> u64 {
+        self.topics[topic::Topic::Entries.index()].revision
+    }
+
     /// Returns the server if it may be sent requests.
     #[must_use]
     pub fn usable(&self, id: &str, now: ids::Timestamp) -> Option<&server::Server> {
--- a/crates/mustardshedd/tests/forward/placement.rs
+++ b/crates/mustardshedd/tests/forward/placement.rs
@@ -1,6 +1,10 @@
 //! Choice of servers for requests.
 
+use std::sync;
+
 use googletest::prelude::*;
+use mustardshed::core::forward::{placement, routes};
+use mustardshedd::forward::cx;
 use serde_json::json;
 
 use crate::{fixture, server};
@@ -143,3 +147,59 @@
     ];
     verify_that!(polled.iter().sum::<usize>(), eq(1))
 }
+
+/// Places calls to a service until one is not placed, ten at most; returns how many were.
+fn place_calls(entry: &fixture::Entry, service: &routes::Service) -> usize {
+    let need = placement::Need {
+        prompt_tokens: 0,
+        output_tokens: 0,
+        objective_ms: 100.0,
+        timeout_ms: 1_000.0,
+        arrived_at: entry.cx.now(),
+        gap_objective_ms: 1_000.0,
+        is_retry: false,
+        max_cost_share: 1.0,
+    };
+    let req = cx::PlacementRequest {
+        service,
+        need,
+        tried: &[],
+    };
+    let placed = (0..10).map(|_| entry.cx.place(&req));
+    placed.take_while(std::result::Result::is_ok).count()
+}
+
+// Guards against an entry that sends a cold server all that it bears from the whole fleet (FAILBACK).
+#[gtest]
+#[tokio::test]
+async fn entry_sends_a_cold_server_no_more_than_its_share() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[]).await;
+    let entry = json!({
+        "service": "runners", "address": server.address.to_string(), "zone": "north",
+        "version": "v1", "slots": 16, "state": "ready", "cold_left_ms": 60_000, "seq": 1,
+    });
+    f.write("servers", "i-1", entry).await;
+    let entries = [
+        f.entry("entry-1").await.ready().await,
+        f.entry("entry-2").await.ready().await,
+    ];
+    for entry in &entries {
+        let cx = sync::Arc::clone(&entry.cx);
+        fixture::wait_until("the entries to be registered", || {
+            cx.state().view.members().len() == 2
+        })
+        .await;
+        wait_for_usable(entry, 1).await;
+    }
+    let service = routes::Service {
+        name: "runners".to_owned(),
+        cold_rate_limit: Some(8.0),
+        engine: None,
+    };
+
+    let sent = entries.each_ref().map(|entry| place_calls(entry, &service));
+
+    expect_that!(sent[0], eq(4));
+    verify_that!(sent[1], all![ge(1), le(4)])
+}
