Read and log the request rates that servers name

No log line told that a server had named a limit, how high, or when it ended. The platform's header is decoded, the latest rate of each server is kept, and events 2117 to 2119 tell of it. Placement does not look at it yet.

A limit ends with a successful response that names none, from a second after it was last named, as responses overtake each other.

--- a/crates/mustardshed-core/src/forward/head.rs
+++ b/crates/mustardshed-core/src/forward/head.rs
@@ -50,7 +50,7 @@
 }
 
 /// Head of a server's response.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Identifier of the request that it responds to.
     pub request_id: Option<String>,
@@ -68,6 +68,8 @@
     pub cold_for: Option<time::Duration>,
     /// Whether the server is leaving.
     pub is_leaving: bool,
+    /// Requests per second that the server accepts from all entries together.
+    pub rate_limit: Option<RateLimit>,
     /// When a server that rejected the request wants the next one.
     pub back_off: Option<BackOff>,
 }
@@ -80,3 +82,12 @@
     /// The value of the header, which is not a duration.
     Invalid(String),
 }
+
+/// A server's limit on the requests that it gets from all entries together.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RateLimit {
+    /// Requests per second.
+    PerSecond(f64),
+    /// The value of the header, which is not a rate.
+    Invalid(String),
+}
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -12,6 +12,7 @@
 mod load_tracker;
 mod long_prompts;
 mod lost_data_centre;
+mod named_limits;
 mod negative_cache;
 mod notices;
 mod planned_stop;
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -10,8 +10,8 @@
     core::{
         boundary::clock,
         forward::{
-            head, live_entries, load_tracker, negative_cache, notices, placement, planned_stop,
-            rate_shares, relays, rendezvous, retry_budget, routes, server,
+            head, live_entries, load_tracker, named_limits, negative_cache, notices, placement,
+            planned_stop, rate_shares, relays, rendezvous, retry_budget, routes, server,
         },
         ids,
     },
@@ -49,6 +49,8 @@
     pub loads: load_tracker::LoadTracker,
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
+    /// Request rates that servers named.
+    pub named_limits: named_limits::NamedLimits,
     /// Shares of this entry in what servers accept from all entries.
     pub rate_shares: rate_shares::RateShares,
     /// Which entries are alive.
@@ -164,6 +166,7 @@
                 view: view::View::default(),
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
+                named_limits: named_limits::NamedLimits::default(),
                 rate_shares: rate_shares::RateShares::default(),
                 live_entries: live_entries::LiveEntries::default(),
                 relays: relays::Relays::default(),
@@ -440,6 +443,30 @@
             }
             None => {}
         }
+        match &head.rate_limit {
+            Some(head::RateLimit::PerSecond(per_s)) => self.apply_rate_limit(server, *per_s),
+            Some(head::RateLimit::Invalid(value)) => {
+                log::emit(&event::Event::RateLimitNotUnderstood { server, value });
+            }
+            None => {}
+        }
+    }
+
+    /// Records the requests per second that a server accepts from all entries.
+    fn apply_rate_limit(&self, server: &str, per_s: f64) {
+        let now = self.now();
+        let before = self.state().named_limits.record(server, per_s, now);
+        if before != Some(per_s) {
+            log::emit(&event::Event::RateLimitNamed { server, per_s });
+        }
+    }
+
+    /// Records a successful response in which a server named no rate.
+    pub fn observe_unlimited_response(&self, server: &str) {
+        let now = self.now();
+        if self.state().named_limits.record_none(server, now) {
+            log::emit(&event::Event::RateLimitEnded { server });
+        }
     }
 
     /// Records that a server is shutting down, and tells the peers.
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -239,6 +239,9 @@
             "the response is unsigned or encoded".to_owned(),
         ));
     }
+    if parts.status.is_success() && head.rate_limit.is_none() {
+        req.cx.observe_unlimited_response(server);
+    }
     Ok(Response {
         parts,
         body,
