--- a/crates/mustardshedd/tests/forward/notices.rs
+++ b/crates/mustardshedd/tests/forward/notices.rs
@@ -1,5 +1,7 @@
 //! Servers that announce their shutdown or ask for back-off.
 
+use std::time;
+
 use googletest::prelude::*;
 
 use crate::{
@@ -9,6 +11,14 @@
 
 /// Calls sent while the servers must not receive any.
 const CALLS: usize = 6;
+/// Rate that a server in need names, in requests per second.
+const RATE: &str = "1";
+/// Time in which requests to such a server are counted.
+const RATE_WINDOW: time::Duration = time::Duration::from_secs(4);
+/// Most requests that it may get in that time: one and a half times what the rate allows, and five.
+const MAX_REQUESTS: usize = 11;
+/// Calls of each entry while a server names a rate.
+const CALLS_TO_LIMITED: usize = 20;
 
 #[gtest]
 #[tokio::test]
@@ -90,3 +100,53 @@
     expect_that!((refused.status, served.status), eq((503, 200)));
     verify_that!(server.got().len(), eq(2))
 }
+
+/// Waits until the entries know each other.
+async fn wait_until_acquainted(entries: &[&fixture::Entry]) {
+    fixture::wait_until("the entries to know each other", || {
+        entries.iter().all(|entry| {
+            let now = entry.cx.now();
+            let state = entry.cx.state();
+            state.live_entries.alive_count(now) + 1 == entries.len()
+                && state.view.members().len() == entries.len()
+        })
+    })
+    .await;
+}
+
+/// Returns the most requests that a server got within the window of a rate.
+fn most_requests(server: &server::Server) -> usize {
+    let got = server.got();
+    let counts = got.iter().map(|first| {
+        let within = got.iter().filter(|req| {
+            let after = req.received_at.checked_duration_since(first.received_at);
+            after.is_some_and(|after| after < RATE_WINDOW)
+        });
+        within.count()
+    });
+    counts.max().unwrap_or_default()
+}
+
+// Guards against a server that gets more requests from all entries than the rate it names (LIMIT).
+#[gtest]
+#[tokio::test]
+async fn server_that_names_a_rate_gets_no_more_from_all_entries() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entries = [
+        f.entry("entry-1").await.ready().await,
+        f.entry("entry-2").await.ready().await,
+    ];
+    wait_until_acquainted(&[&entries[0], &entries[1]]).await;
+    for _ in 0..2 * CALLS_TO_LIMITED {
+        server.respond_with(Response::Limited(RATE));
+    }
+
+    for _ in 0..CALLS_TO_LIMITED {
+        for entry in &entries {
+            f.send(entry, "GET", "/again/a", "").await;
+        }
+    }
+
+    verify_that!(most_requests(&server), all![ge(1), le(MAX_REQUESTS)])
+}
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -15,6 +15,7 @@
     pub(crate) path: String,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) received_at: time::Instant,
 }
 
 impl ReceivedRequest {
@@ -34,6 +35,8 @@
     BackOff(&'static str),
     /// A successful response that announces the server's shutdown.
     Leaving,
+    /// A successful response that names this rate.
+    Limited(&'static str),
     /// A complete response with the identifier of another request.
     WrongRequestId,
     /// Events with these identifiers; the connection breaks after them unless `ends`.
@@ -131,6 +134,7 @@
         path: parts.uri.to_string(),
         headers: parts.headers,
         body,
+        received_at: time::Instant::now(),
     });
     // The script does not apply to orders.
     let scripted = if is_order {
@@ -151,6 +155,7 @@
         Response::Whole(status, text) => whole(status, text),
         Response::NotRun => not_run(),
         Response::BackOff(seconds) => with(not_run(), "retry-after", seconds),
+        Response::Limited(per_s) => with(whole(200, "done"), "server-limit", per_s),
         Response::Leaving => with(whole(200, "done"), "server-leaving", "1"),
         Response::WrongRequestId => {
             let mut res = whole(200, "another's");
