Keep the rate that a server names, for all entries together

A server in need names in its answers the requests a second that it takes from all entries (LIMIT). Nothing read it: in the record, a server that named 1.2 a second at 8.0 s went on getting 2 to 7 a second from seven entries, 21 in 4 s where 12 are allowed.

--- a/crates/mustardshed-core/src/forward/placement/cost.rs
+++ b/crates/mustardshed-core/src/forward/placement/cost.rs
@@ -112,7 +112,7 @@
     let mut by_free_tokens: Vec<(ids::Tokens, usize)> = helpers
         .iter()
         .enumerate()
-        .map(|(i, helper)| (helper.server.free_tokens(snapshot.profile), i))
+        .map(|(i, helper)| (helper.server.reservable_tokens(snapshot.profile), i))
         .collect();
     by_free_tokens.sort_unstable_by(|a, b| b.cmp(a));
     for (free_tokens, i) in by_free_tokens {
--- a/crates/mustardshed-core/src/forward/placement/plain.rs
+++ b/crates/mustardshed-core/src/forward/placement/plain.rs
@@ -10,20 +10,30 @@
 ///
 /// # Errors
 ///
-/// Returns an error if no server accepts work.
+/// Returns an error if no server accepts work, or this entry may send none of them more for now.
 pub fn least_loaded<'a>(
     load_tracker: &load_tracker::LoadTracker,
     candidates: &[placement::Candidate<'a>],
     now: ids::Timestamp,
 ) -> Result<&'a ids::BackendServerId, placement::NotPlaced> {
-    candidates
+    let accepting = candidates
         .iter()
+        .filter(|candidate| placement::accepts_work(load_tracker, candidate, now));
+    let accepting: Vec<&placement::Candidate<'a>> = accepting.collect();
+    let none_left = if accepting.is_empty() {
+        placement::NotPlaced::NoServer
+    } else {
+        placement::NotPlaced::Full {
+            retry_after: placement::FULL_RETRY_AFTER,
+        }
+    };
+    accepting
+        .into_iter()
         .filter(|candidate| candidate.has_share())
-        .filter(|candidate| placement::accepts_work(load_tracker, candidate, now))
         .map(|candidate| (rank(load_tracker, candidate, now), candidate.server))
         .min_by(|(a, _), (b, _)| a.total_cmp(b))
         .map(|(_, server)| &server.id)
-        .ok_or(placement::NotPlaced::NoServer)
+        .ok_or(none_left)
 }
 
 /// Returns a rank that is lower for better servers: the share of taken slots plus penalties.
--- a/crates/mustardshed-core/src/forward/placement/snapshot.rs
+++ b/crates/mustardshed-core/src/forward/placement/snapshot.rs
@@ -38,6 +38,7 @@
     pub(super) is_cold: bool,
     /// Whether this entry may send it one more request.
     pub(super) has_share: bool,
+    pub(super) is_rate_limited: bool,
     pub(super) failure_score: f64,
     pub(super) slowdown: f64,
     pub(super) backlog_ms: f64,
@@ -154,6 +155,7 @@
             bias: candidate.bias,
             is_cold: health.is_cold(now),
             has_share: candidate.has_share(),
+            is_rate_limited: candidate.is_rate_limited,
             failure_score: health.failure_score(now),
             slowdown: health.slowdown(),
             backlog_ms: load.backlog_ms(),
@@ -198,6 +200,14 @@
         size.saturating_sub(self.load.memory_tokens)
     }
 
+    /// Returns how many tokens it may be ordered to hold for another server.
+    pub(super) fn reservable_tokens(&self, profile: &engine::Profile) -> ids::Tokens {
+        if self.is_rate_limited {
+            return 0;
+        }
+        self.free_tokens(profile)
+    }
+
     /// Returns whether it may prefill a shard of another server's prompt.
     pub(super) fn can_help(&self, profile: &engine::Profile) -> bool {
         self.load.helper_jobs < usize::try_from(profile.slots).unwrap_or(usize::MAX)
--- a/crates/mustardshed-core/src/forward/rate_shares.rs
+++ b/crates/mustardshed-core/src/forward/rate_shares.rs
@@ -16,18 +16,35 @@
 };
 
 /// Longest window of a limit.
-const MAX_WINDOW: time::Duration = time::Duration::from_secs(5);
+const MAX_WINDOW: time::Duration = time::Duration::from_secs(4);
 
 /// Limit on the requests that a server gets from all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Requests per second.
     pub per_s: f64,
-    /// Window in which they are counted, five seconds at most.
+    /// Window in which they are counted, four seconds at most.
     pub window: time::Duration,
 }
 
 impl Limit {
+    /// Makes the limit for a rate that a server has named. Where each entry has a request in a
+    /// second, a short window keeps the requests apart; a lower rate needs a longer one.
+    #[must_use]
+    pub fn named(per_s: f64, members: &relays::Members) -> Self {
+        let short = Self {
+            per_s,
+            window: time::Duration::from_secs(1),
+        };
+        if short.requests() >= members.len() {
+            return short;
+        }
+        Self {
+            per_s,
+            window: MAX_WINDOW,
+        }
+    }
+
     /// Returns the number of whole requests in a window, at least one: only responses show that a
     /// limit has ended.
     fn requests(self) -> usize {
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -84,6 +84,7 @@
         bias: 0.0,
         cold_rate_limit: None,
         share_left: None,
+        is_rate_limited: false,
     });
     candidates.collect()
 }
--- a/crates/mustardshed-core/tests/forward/named_limits.rs
+++ b/crates/mustardshed-core/tests/forward/named_limits.rs
@@ -15,7 +15,7 @@
     limits.record("s-1", 1.5, at(0));
 
     let by_an_earlier_response = limits.record_none("s-1", at(10));
-    let kept = limits.per_s("s-1");
+    let kept = limits.per_s("s-1", at(10));
     let by_a_later_response = limits.record_none("s-1", at(1_000));
 
     expect_that!(
@@ -23,16 +23,34 @@
         eq((false, true))
     );
     expect_that!(kept, some(eq(1.5)));
-    verify_that!(limits.per_s("s-1"), none())
+    verify_that!(limits.per_s("s-1", at(1_000)), none())
 }
 
 #[gtest]
-fn limit_follows_the_latest_response() -> Result<()> {
+fn peers_are_told_of_a_new_rate_and_now_and_then_of_the_same_one() -> Result<()> {
     let mut limits = named_limits::NamedLimits::default();
 
-    let first = limits.record("s-1", 1.5, at(0));
-    let second = limits.record("s-1", 3.0, at(10));
+    let told = [
+        limits.record("s-1", 1.5, at(0)),
+        limits.record("s-1", 1.5, at(4_000)),
+        limits.record("s-1", 1.5, at(5_000)),
+        limits.record("s-1", 3.0, at(5_010)),
+    ];
 
-    expect_that!((first, second), eq((None, Some(1.5))));
-    verify_that!(limits.per_s("s-1"), some(eq(3.0)))
+    expect_that!(told, eq([true, false, true, true]));
+    verify_that!(limits.per_s("s-1", at(5_010)), some(eq(3.0)))
+}
+
+#[gtest]
+fn limit_that_nobody_hears_of_any_more_lapses() -> Result<()> {
+    let mut limits = named_limits::NamedLimits::default();
+
+    limits.record_from_peer("s-1", Some(1.5), at(0));
+    let kept = limits.per_s("s-1", at(29_999));
+    let lapsed = limits.per_s("s-1", at(30_000));
+    limits.record_from_peer("s-2", Some(1.5), at(0));
+    limits.record_from_peer("s-2", None, at(10));
+
+    expect_that!((kept, lapsed), eq((Some(1.5), None)));
+    verify_that!(limits.per_s("s-2", at(10)), none())
 }
--- a/crates/mustardshed-core/tests/forward/servers.rs
+++ b/crates/mustardshed-core/tests/forward/servers.rs
@@ -84,3 +84,54 @@
 
     verify_that!(chosen, ok(eq("engine-01")))
 }
+
+#[gtest]
+fn call_is_refused_as_full_while_this_entry_has_no_share_left() -> Result<()> {
+    let fleet = fixtures::Fleet::new(2);
+    let mut candidates = fixtures::candidates(&fleet.servers);
+    candidates[0].share_left = Some(0);
+    candidates[1].share_left = Some(1);
+    let choose = |candidates: &[placement::Candidate<'_>]| {
+        placement::least_loaded(&fleet.load_tracker, candidates, fixtures::START).cloned()
+    };
+
+    let with_share = choose(&candidates);
+    candidates[1].share_left = Some(0);
+    let without_share = choose(&candidates);
+
+    expect_that!(with_share, ok(eq("engine-01")));
+    verify_that!(
+        without_share,
+        err(matches_pattern!(placement::NotPlaced::Full { .. }))
+    )
+}
+
+#[gtest]
+fn server_that_limits_its_rate_is_not_ordered_to_hold_memory() -> Result<()> {
+    let fleet = fixtures::Fleet::new(8);
+    let need = fixtures::long_request(500_000, fixtures::START);
+    let place = |is_rate_limited: bool| {
+        let mut candidates = fixtures::candidates(&fleet.servers);
+        for candidate in &mut candidates {
+            candidate.is_rate_limited = is_rate_limited;
+        }
+        let profile = fixtures::profile();
+        placement::place(
+            &fleet.load_tracker,
+            &candidates,
+            &profile,
+            &need,
+            fixtures::START,
+        )
+    };
+    let held = |placed: &placement::Placed| {
+        let helpers = placed.helpers.iter();
+        helpers.map(|helper| helper.held_tokens).sum::<u64>()
+    };
+
+    let unlimited = place(false);
+    let limited = place(true);
+
+    expect_that!(unlimited.as_ref().map(held), ok(gt(0)));
+    verify_that!(limited, err(anything()))
+}
--- a/crates/mustardshed-core/tests/forward/thundering_herd.rs
+++ b/crates/mustardshed-core/tests/forward/thundering_herd.rs
@@ -80,6 +80,7 @@
             bias: max_bias * rendezvous::score(&vm, &server.id),
             cold_rate_limit: None,
             share_left: None,
+            is_rate_limited: false,
         });
         let candidates: Vec<placement::Candidate<'_>> = candidates.collect();
         let need = fixtures::short_request(now);
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -208,6 +208,17 @@
         #[serde(rename = "b")]
         started_unix_ms: Option<u64>,
     },
+    /// A server has named the rate at which it accepts requests of all entries, or names none any
+    /// more.
+    #[serde(rename = "r")]
+    RateLimit {
+        /// Its name.
+        #[serde(rename = "s")]
+        server: ids::BackendServerId,
+        /// Requests per second, if it names them.
+        #[serde(rename = "r")]
+        per_s: Option<f64>,
+    },
     /// Requests the objects of a kind.
     #[serde(rename = "q")]
     WantTopic {
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -358,8 +358,15 @@
             is_local: server.data_centre == self.settings.data_centre,
             bias: max_bias * rendezvous::score(&self.settings.vm, &server.id),
             cold_rate_limit: wanted.service.cold_rate_limit.map(|rate| rate * COLD_SHARE),
-            share_left: cold_limit(&state.loads, wanted.service, server, now)
-                .map(|limit| state.rate_shares.left(&server.id, limit, sharers, now)),
+            share_left: [
+                cold_limit(&state.loads, wanted.service, server, now),
+                named_limit(&state.named_limits, server, sharers, now),
+            ]
+            .into_iter()
+            .flatten()
+            .map(|limit| state.rate_shares.left(&server.id, limit, sharers, now))
+            .min(),
+            is_rate_limited: state.named_limits.per_s(&server.id, now).is_some(),
         });
         let candidates: Vec<placement::Candidate<'_>> = candidates.collect();
         if candidates.is_empty()
@@ -403,6 +410,7 @@
             let service = routes.service(&server.service);
             service.is_some_and(|service| service.engine.is_some())
                 && state.notices.allows(server, now)
+                && state.named_limits.per_s(&server.id, now).is_none()
         });
         let polled = engines.filter(|server| {
             let mine = rendezvous::score(own, &server.id);
@@ -455,17 +463,26 @@
     /// Records the requests per second that a server accepts from all entries.
     fn apply_rate_limit(&self, server: &str, per_s: f64) {
         let now = self.now();
-        let before = self.state().named_limits.record(server, per_s, now);
-        if before != Some(per_s) {
+        if self.state().named_limits.record(server, per_s, now) {
             log::emit(&event::Event::RateLimitNamed { server, per_s });
+            self.report_rate_limit(server, Some(per_s));
         }
     }
 
+    /// Tells the peers which rate a server names.
+    fn report_rate_limit(&self, server: &str, per_s: Option<f64>) {
+        self.peers.send(&forward::Message::RateLimit {
+            server: server.to_owned(),
+            per_s,
+        });
+    }
+
     /// Records a successful response in which a server named no rate.
     pub fn observe_unlimited_response(&self, server: &str) {
         let now = self.now();
         if self.state().named_limits.record_none(server, now) {
             log::emit(&event::Event::RateLimitEnded { server });
+            self.report_rate_limit(server, None);
         }
     }
 
@@ -544,3 +561,14 @@
         window: COLD_WINDOW,
     })
 }
+
+/// Returns the limit on the requests of all entries to a server that has named one.
+fn named_limit(
+    named_limits: &named_limits::NamedLimits,
+    server: &server::Server,
+    sharers: rate_shares::Sharers<'_>,
+    now: ids::Timestamp,
+) -> Option<rate_shares::Limit> {
+    let per_s = named_limits.per_s(&server.id, now)?;
+    Some(rate_shares::Limit::named(per_s, sharers.members))
+}
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -39,6 +39,9 @@
         } => {
             state.notices.record_leaving(server, *started_unix_ms, now);
         }
+        forward::Message::RateLimit { server, per_s } => {
+            state.named_limits.record_from_peer(server, *per_s, now);
+        }
         _ => {}
     }
 }
@@ -82,6 +85,7 @@
     let entry = cx.entry();
     let mut messages = vec![forward::Message::Hello { entry, is_leaf }];
     let state = cx.state();
+    messages.extend(rate_limits(&state, now));
     let jobs = state.loads.jobs_of(&cx.settings.vm);
     messages.extend(jobs.map(|(key, job)| started(key.number, job, now)));
     messages
@@ -92,6 +96,8 @@
     let now = cx.now();
     let mut messages = vec![forward::Message::Reset];
     let state = cx.state();
+    let own = &cx.settings.vm;
+    messages.extend(rate_limits(&state, now).map(|limit| on_behalf_of(own, limit)));
     let jobs = state.loads.jobs().filter(|(key, _)| key.vm != leaf);
     messages.extend(jobs.map(|(key, job)| on_behalf_of(&key.vm, started(key.number, job, now))));
     messages
@@ -122,6 +128,14 @@
     }
 }
 
+fn rate_limits(state: &cx::State, now: ids::Timestamp) -> impl Iterator<Item = forward::Message> {
+    let limits = state.named_limits.all(now);
+    limits.map(|(server, per_s)| forward::Message::RateLimit {
+        server: server.clone(),
+        per_s: Some(per_s),
+    })
+}
+
 fn started(
     number: u64,
     job: &mustardshed::core::forward::load_tracker::Job,
--- a/crates/mustardshedd/tests/forward/notices.rs
+++ b/crates/mustardshedd/tests/forward/notices.rs
@@ -150,3 +150,46 @@
 
     verify_that!(most_requests(&server), all![ge(1), le(MAX_REQUESTS)])
 }
+
+#[gtest]
+#[tokio::test]
+async fn entry_that_joins_late_learns_the_rates_that_servers_name() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    server.respond_with(Response::Limited(RATE));
+    f.send(&entry, "GET", "/again/a", "").await;
+
+    let other = f.entry("entry-2").await.ready().await;
+
+    fixture::wait_until("the rate to be known", || {
+        let now = other.cx.now();
+        other.cx.state().named_limits.per_s("i-1", now) == Some(1.0)
+    })
+    .await;
+    verify_that!(server.got().len(), eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn server_that_names_no_rate_any_more_is_used_without_a_limit() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let is_limited = |entry: &fixture::Entry| {
+        let now = entry.cx.now();
+        entry.cx.state().named_limits.per_s("i-1", now).is_some()
+    };
+    server.respond_with(Response::Limited("1000"));
+    f.send(&entry, "GET", "/again/a", "").await;
+    let was_limited = is_limited(&entry);
+
+    // A response ends the limit only some time after the last one that named it.
+    let started_at = time::Instant::now();
+    while is_limited(&entry) && started_at.elapsed() < fixture::TIMEOUT {
+        f.send(&entry, "GET", "/again/a", "").await;
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+
+    verify_that!((was_limited, is_limited(&entry)), eq((true, false)))
+}
