Count a low rate in 4 s also where a single entry is registered

The window of a named rate was chosen by the requests that are shared out, which are one at least: a single entry sent one a second to a server that had named 0.2. Found in review; a test shows the windows. Two private items have plainer names.

--- a/crates/mustardshed-core/src/forward/load_tracker/health.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/health.rs
@@ -96,7 +96,7 @@
         now < self.cold_until
     }
 
-    /// Returns the time for which the server is yet cold; zero if it is warm.
+    /// Returns how much longer the server is cold; zero if it is warm.
     #[must_use]
     pub const fn cold_left(&self, now: ids::Timestamp) -> time::Duration {
         self.cold_until.saturating_sub(now)
--- a/crates/mustardshed-core/src/forward/rate_shares.rs
+++ b/crates/mustardshed-core/src/forward/rate_shares.rs
@@ -15,6 +15,8 @@
     ids,
 };
 
+/// Shortest window of a rate that a server names.
+const MIN_WINDOW: time::Duration = time::Duration::from_secs(1);
 /// Longest window of a limit.
 const MAX_WINDOW: time::Duration = time::Duration::from_secs(4);
 
@@ -34,9 +36,9 @@
     pub fn named(per_s: f64, members: &relays::Members) -> Self {
         let short = Self {
             per_s,
-            window: time::Duration::from_secs(1),
+            window: MIN_WINDOW,
         };
-        if short.requests() >= members.len() {
+        if short.whole_requests() >= members.len() {
             return short;
         }
         Self {
@@ -45,16 +47,21 @@
         }
     }
 
-    /// Returns the number of whole requests in a window, at least one: only responses show that a
-    /// limit has ended.
+    /// Returns the number of requests to share out, at least one: only responses show that a limit
+    /// has ended.
     fn requests(self) -> usize {
+        self.whole_requests().max(1)
+    }
+
+    /// Returns the number of whole requests in a window.
+    fn whole_requests(self) -> usize {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "casts of floats saturate"
         )]
         let requests = (self.per_s * self.window.as_secs_f64()) as usize;
-        requests.max(1)
+        requests
     }
 }
 
--- a/crates/mustardshed-core/tests/forward/rate_shares.rs
+++ b/crates/mustardshed-core/tests/forward/rate_shares.rs
@@ -115,3 +115,12 @@
 
     verify_that!((alone, shared), eq((36, 1)))
 }
+
+#[gtest]
+fn named_rate_is_counted_in_a_second_where_it_gives_each_entry_a_request() -> Result<()> {
+    let window = |per_s, entries| rate_shares::Limit::named(per_s, &members(entries)).window;
+
+    expect_that!(window(7.0, 7), eq(time::Duration::from_secs(1)));
+    expect_that!(window(6.9, 7), eq(time::Duration::from_secs(4)));
+    verify_that!(window(0.2, 1), eq(time::Duration::from_secs(4)))
+}
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -89,7 +89,7 @@
     if req.cx.state().usable(&placed.primary, now).is_none() {
         return Err(Failure::not_run("the server accepts no requests"));
     }
-    log_sent(req, &placed.primary, now.saturating_sub(placed_at), now);
+    log_sent_to_cold(req, &placed.primary, now.saturating_sub(placed_at), now);
     let sent = head::UpstreamHead {
         server: &placed.primary,
         account: req.account.as_ref().map(|account| account.name.as_str()),
@@ -126,8 +126,13 @@
     classify(req, placed, parts, head, body, guards, first_event_timeout)
 }
 
-/// Logs that a request is sent to a server, if that is cold.
-fn log_sent(req: &exchange::Admitted, server: &str, after: time::Duration, now: ids::Timestamp) {
+/// Logs that a request is sent to a server, if the server is cold.
+fn log_sent_to_cold(
+    req: &exchange::Admitted,
+    server: &str,
+    after: time::Duration,
+    now: ids::Timestamp,
+) {
     if req.cx.state().loads.health(server).is_cold(now) {
         log::emit(&event::Event::ForwardSentToCold {
             request: req.id(),
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -128,6 +128,7 @@
     }
 }
 
+/// Returns the rates that servers have named, for a peer.
 fn rate_limits(state: &cx::State, now: ids::Timestamp) -> impl Iterator<Item = forward::Message> {
     let limits = state.named_limits.all(now);
     limits.map(|(server, per_s)| forward::Message::RateLimit {
