--- a/crates/mustardshed-core/tests/forward/cold_flood.rs
+++ b/crates/mustardshed-core/tests/forward/cold_flood.rs
@@ -2,7 +2,7 @@
 //! requests elsewhere within milliseconds, before they hear of each other's.
 
 use googletest::prelude::*;
-use mustardshed_core::forward::{load_tracker, placement, rate_shares, relays, rendezvous};
+use mustardshed_core::forward::{load_tracker, placement, rate_shares, rendezvous};
 
 use crate::fixtures;
 
@@ -32,21 +32,9 @@
     fleet
 }
 
-fn members() -> relays::Members {
-    let members = (0..ENTRIES).map(|i| {
-        let member = relays::Member {
-            peer_address: format!("10.0.0.{i}:8004"),
-            data_centre: "north".to_owned(),
-            cpu_cores: 0.12,
-        };
-        (format!("entry-{i}"), member)
-    });
-    members.collect()
-}
-
 /// Lets one entry place its requests, without knowledge of those of the others; returns where.
 fn place_all(vm: &str) -> Vec<String> {
-    let members = members();
+    let members = fixtures::members(ENTRIES);
     let mut shares = rate_shares::RateShares::default();
     let mut fleet = fleet();
     let servers = fleet.servers.clone();
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use mustardshed_core::{
-    forward::{engine, load_tracker, placement, server},
+    forward::{engine, load_tracker, placement, relays, server},
     ids,
 };
 
@@ -77,6 +77,19 @@
     }
 }
 
+/// Registered entries.
+pub(crate) fn members(count: usize) -> relays::Members {
+    let members = (0..count).map(|i| {
+        let member = relays::Member {
+            peer_address: format!("10.0.0.{i}:8004"),
+            data_centre: "north".to_owned(),
+            cpu_cores: 0.12,
+        };
+        (format!("entry-{i}"), member)
+    });
+    members.collect()
+}
+
 pub(crate) fn candidates(servers: &[server::Server]) -> Vec<placement::Candidate<'_>> {
     let candidates = servers.iter().map(|server| placement::Candidate {
         server,
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod long_prompts;
 mod lost_data_centre;
 mod named_limits;
+mod named_rate;
 mod negative_cache;
 mod notices;
 mod planned_stop;
--- a/crates/mustardshed-core/tests/forward/rate_shares.rs
+++ b/crates/mustardshed-core/tests/forward/rate_shares.rs
@@ -9,18 +9,6 @@
 
 const SERVER: &str = "engine-00";
 
-fn members(count: usize) -> relays::Members {
-    let members = (0..count).map(|i| {
-        let member = relays::Member {
-            peer_address: format!("10.0.0.{i}:8004"),
-            data_centre: "north".to_owned(),
-            cpu_cores: 0.12,
-        };
-        (format!("entry-{i}"), member)
-    });
-    members.collect()
-}
-
 const fn per_second(per_s: f64) -> rate_shares::Limit {
     rate_shares::Limit {
         per_s,
@@ -44,7 +32,7 @@
 #[gtest]
 fn shares_of_all_entries_add_up_to_the_limit() -> Result<()> {
     for (entries, per_s, expected) in [(7, 36.0, 36), (7, 1.5, 1), (195, 14.0, 14), (1, 0.2, 1)] {
-        let members = members(entries);
+        let members = fixtures::members(entries);
 
         let shares = shares(&members, per_second(per_s));
 
@@ -57,7 +45,7 @@
 
 #[gtest]
 fn share_that_was_used_is_left_again_after_the_window() -> Result<()> {
-    let members = members(1);
+    let members = fixtures::members(1);
     let sharers = rate_shares::Sharers {
         own: "entry-0",
         members: &members,
@@ -93,7 +81,7 @@
 #[gtest]
 fn shares_follow_the_registered_entries() -> Result<()> {
     let mut entry = rate_shares::RateShares::default();
-    let (before, after) = (members(1), members(36));
+    let (before, after) = (fixtures::members(1), fixtures::members(36));
     let sharers = |members, revision| rate_shares::Sharers {
         own: "entry-0",
         members,
@@ -118,7 +106,8 @@
 
 #[gtest]
 fn named_rate_is_counted_in_a_second_where_it_gives_each_entry_a_request() -> Result<()> {
-    let window = |per_s, entries| rate_shares::Limit::named(per_s, &members(entries)).window;
+    let window =
+        |per_s, entries| rate_shares::Limit::named(per_s, &fixtures::members(entries)).window;
 
     expect_that!(window(7.0, 7), eq(time::Duration::from_secs(1)));
     expect_that!(window(6.9, 7), eq(time::Duration::from_secs(4)));
