--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -7,9 +7,10 @@
 //! whether it may be sent again ([`attempts`], [`retry_budget`]), how old the knowledge behind a
 //! refusal may be ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which
 //! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
-//! servers ask for in their responses ([`notices`], [`named_limits`]), and how entries divide what a
+//! servers ask for in their responses ([`notices`], [`advertised_limits`]), and how entries divide what a
 //! server accepts from all of them ([`rate_shares`]).
 
+pub mod advertised_limits;
 pub mod attempts;
 pub mod cost_limit;
 pub mod engine;
@@ -18,7 +19,6 @@
 pub mod lateness;
 pub mod live_entries;
 pub mod load_tracker;
-pub mod named_limits;
 pub mod negative_cache;
 pub mod notices;
 pub mod placement;
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -107,7 +107,7 @@
     pub cold_rate_limit: Option<f64>,
     /// Requests that this entry may send it now, if it limits those of all entries together.
     pub share_left: Option<usize>,
-    /// Whether it has named the rate at which it accepts requests; it then gets no orders.
+    /// Whether it advertises a rate limit; it then gets no orders.
     pub is_rate_limited: bool,
 }
 
--- a/crates/mustardshed-core/src/forward/rate_shares.rs
+++ b/crates/mustardshed-core/src/forward/rate_shares.rs
@@ -15,7 +15,7 @@
     ids,
 };
 
-/// Shortest window of a rate that a server names.
+/// Shortest window of an advertised limit.
 const MIN_WINDOW: time::Duration = time::Duration::from_secs(1);
 /// Longest window of a limit.
 const MAX_WINDOW: time::Duration = time::Duration::from_secs(4);
@@ -30,10 +30,10 @@
 }
 
 impl Limit {
-    /// Makes the limit for a rate that a server has named. Where each entry has a request in a
-    /// second, a short window keeps the requests apart; a lower rate needs a longer one.
+    /// Creates the limit for a rate that a server advertises. A short window spreads the requests;
+    /// a rate of less than one request per second and entry needs a longer one.
     #[must_use]
-    pub fn named(per_s: f64, members: &relays::Members) -> Self {
+    pub fn advertised(per_s: f64, members: &relays::Members) -> Self {
         let short = Self {
             per_s,
             window: MIN_WINDOW,
--- a/crates/mustardshed-core/tests/forward/named_limits.rs
+++ b/crates/mustardshed-core/tests/forward/advertised_limits.rs
@@ -1,17 +1,17 @@
-//! Request rates that servers have named in their responses.
+//! Rate limits that servers advertise in their responses.
 
 use std::time;
 
 use googletest::prelude::*;
-use mustardshed_core::forward::named_limits;
+use mustardshed_core::forward::advertised_limits;
 
 const fn at(ms: u64) -> time::Duration {
     time::Duration::from_millis(ms)
 }
 
 #[gtest]
-fn limit_holds_until_a_later_response_names_none() -> Result<()> {
-    let mut limits = named_limits::NamedLimits::default();
+fn limit_holds_until_a_later_response_has_none() -> Result<()> {
+    let mut limits = advertised_limits::AdvertisedLimits::default();
     limits.record("s-1", 1.5, at(0));
 
     let by_an_earlier_response = limits.record_none("s-1", at(10));
@@ -27,8 +27,8 @@
 }
 
 #[gtest]
-fn peers_are_told_of_a_new_rate_and_now_and_then_of_the_same_one() -> Result<()> {
-    let mut limits = named_limits::NamedLimits::default();
+fn peers_are_told_of_a_new_limit_and_periodically_of_the_same_one() -> Result<()> {
+    let mut limits = advertised_limits::AdvertisedLimits::default();
 
     let told = [
         limits.record("s-1", 1.5, at(0)),
@@ -42,8 +42,8 @@
 }
 
 #[gtest]
-fn limit_that_nobody_hears_of_any_more_lapses() -> Result<()> {
-    let mut limits = named_limits::NamedLimits::default();
+fn limit_that_is_not_advertised_again_expires() -> Result<()> {
+    let mut limits = advertised_limits::AdvertisedLimits::default();
 
     limits.record_from_peer("s-1", Some(1.5), at(0));
     let kept = limits.per_s("s-1", at(29_999));
--- a/crates/mustardshed-core/tests/forward/named_rate.rs
+++ b/crates/mustardshed-core/tests/forward/advertised_rate.rs
@@ -1,5 +1,5 @@
-//! Load pattern: a server in need names the rate that it accepts from all entries, each of which
-//! has more requests for it than that.
+//! Load pattern: a server advertises a rate limit for all entries, each of which has more requests
+//! for it than that.
 
 use std::time;
 
@@ -19,7 +19,7 @@
 /// Returns the times at which all entries together send requests, none knowing of the others'.
 fn sent_at(entries: usize, per_s: f64) -> Vec<ids::Timestamp> {
     let members = fixtures::members(entries);
-    let limit = rate_shares::Limit::named(per_s, &members);
+    let limit = rate_shares::Limit::advertised(per_s, &members);
     let mut sent_at = Vec::new();
     for own in members.keys() {
         let sharers = rate_shares::Sharers {
@@ -51,9 +51,9 @@
     counts.max().unwrap_or_default()
 }
 
-// Guards against entries that each keep the rate of a server for themselves only (LIMIT).
+// Guards against entries that enforce the rate limit of a server each for itself (LIMIT).
 #[gtest]
-fn entries_together_keep_the_rate_that_a_server_names() -> Result<()> {
+fn entries_together_keep_the_rate_limit_that_a_server_advertises() -> Result<()> {
     for entries in [1, 7, 78, 400] {
         for (per_s, allowed) in [(0.2, 6), (1.0, 11), (1.5, 14), (40.0, 245)] {
             let sent_at = sent_at(entries, per_s);
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::expect_used, reason = "a failing fixture ends its test")]
 
+mod advertised_limits;
+mod advertised_rate;
 mod cold_flood;
 mod cold_restart;
 mod confirmation;
@@ -12,8 +14,6 @@
 mod load_tracker;
 mod long_prompts;
 mod lost_data_centre;
-mod named_limits;
-mod named_rate;
 mod negative_cache;
 mod notices;
 mod planned_stop;
--- a/crates/mustardshed-core/tests/forward/rate_shares.rs
+++ b/crates/mustardshed-core/tests/forward/rate_shares.rs
@@ -105,9 +105,9 @@
 }
 
 #[gtest]
-fn named_rate_is_counted_in_a_second_where_it_gives_each_entry_a_request() -> Result<()> {
+fn advertised_limit_is_counted_in_a_second_where_it_gives_each_entry_a_request() -> Result<()> {
     let window =
-        |per_s, entries| rate_shares::Limit::named(per_s, &fixtures::members(entries)).window;
+        |per_s, entries| rate_shares::Limit::advertised(per_s, &fixtures::members(entries)).window;
 
     expect_that!(window(7.0, 7), eq(time::Duration::from_secs(1)));
     expect_that!(window(6.9, 7), eq(time::Duration::from_secs(4)));
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -208,14 +208,13 @@
         #[serde(rename = "b")]
         started_unix_ms: Option<u64>,
     },
-    /// A server has named the rate at which it accepts requests of all entries, or names none any
-    /// more.
+    /// A server advertises a rate limit for all entries, or none any more.
     #[serde(rename = "r")]
     RateLimit {
         /// Its name.
         #[serde(rename = "s")]
         server: ids::BackendServerId,
-        /// Requests per second, if it names them.
+        /// Requests per second, if it advertises a limit.
         #[serde(rename = "r")]
         per_s: Option<f64>,
     },
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -10,8 +10,8 @@
     core::{
         boundary::clock,
         forward::{
-            head, live_entries, load_tracker, named_limits, negative_cache, notices, placement,
-            planned_stop, rate_shares, relays, rendezvous, retry_budget, routes, server,
+            advertised_limits, head, live_entries, load_tracker, negative_cache, notices,
+            placement, planned_stop, rate_shares, relays, rendezvous, retry_budget, routes, server,
         },
         ids,
     },
@@ -49,8 +49,8 @@
     pub loads: load_tracker::LoadTracker,
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
-    /// Request rates that servers named.
-    pub named_limits: named_limits::NamedLimits,
+    /// Rate limits that servers advertise.
+    pub advertised_limits: advertised_limits::AdvertisedLimits,
     /// Shares of this entry in what servers accept from all entries.
     pub rate_shares: rate_shares::RateShares,
     /// Which entries are alive.
@@ -166,7 +166,7 @@
                 view: view::View::default(),
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
-                named_limits: named_limits::NamedLimits::default(),
+                advertised_limits: advertised_limits::AdvertisedLimits::default(),
                 rate_shares: rate_shares::RateShares::default(),
                 live_entries: live_entries::LiveEntries::default(),
                 relays: relays::Relays::default(),
@@ -360,13 +360,13 @@
             cold_rate_limit: wanted.service.cold_rate_limit.map(|rate| rate * COLD_SHARE),
             share_left: [
                 cold_limit(&state.loads, wanted.service, server, now),
-                named_limit(&state.named_limits, server, sharers, now),
+                advertised_limit(&state.advertised_limits, server, sharers, now),
             ]
             .into_iter()
             .flatten()
             .map(|limit| state.rate_shares.left(&server.id, limit, sharers, now))
             .min(),
-            is_rate_limited: state.named_limits.per_s(&server.id, now).is_some(),
+            is_rate_limited: state.advertised_limits.per_s(&server.id, now).is_some(),
         });
         let candidates: Vec<placement::Candidate<'_>> = candidates.collect();
         if candidates.is_empty()
@@ -410,7 +410,7 @@
             let service = routes.service(&server.service);
             service.is_some_and(|service| service.engine.is_some())
                 && state.notices.allows(server, now)
-                && state.named_limits.per_s(&server.id, now).is_none()
+                && state.advertised_limits.per_s(&server.id, now).is_none()
         });
         let polled = engines.filter(|server| {
             let mine = rendezvous::score(own, &server.id);
@@ -460,16 +460,16 @@
         }
     }
 
-    /// Records the requests per second that a server accepts from all entries.
+    /// Records the rate limit that a server advertises, in requests per second.
     fn apply_rate_limit(&self, server: &str, per_s: f64) {
         let now = self.now();
-        if self.state().named_limits.record(server, per_s, now) {
-            log::emit(&event::Event::RateLimitNamed { server, per_s });
+        if self.state().advertised_limits.record(server, per_s, now) {
+            log::emit(&event::Event::RateLimitAdvertised { server, per_s });
             self.report_rate_limit(server, Some(per_s));
         }
     }
 
-    /// Tells the peers which rate a server names.
+    /// Tells the peers the rate limit of a server; none if there is none any more.
     fn report_rate_limit(&self, server: &str, per_s: Option<f64>) {
         self.peers.send(&forward::Message::RateLimit {
             server: server.to_owned(),
@@ -477,10 +477,10 @@
         });
     }
 
-    /// Records a successful response in which a server named no rate.
+    /// Records a successful response of a server without a rate limit.
     pub fn observe_unlimited_response(&self, server: &str) {
         let now = self.now();
-        if self.state().named_limits.record_none(server, now) {
+        if self.state().advertised_limits.record_none(server, now) {
             log::emit(&event::Event::RateLimitEnded { server });
             self.report_rate_limit(server, None);
         }
@@ -562,13 +562,13 @@
     })
 }
 
-/// Returns the limit on the requests of all entries to a server that has named one.
-fn named_limit(
-    named_limits: &named_limits::NamedLimits,
+/// Returns the limit on the requests of all entries that a server advertises.
+fn advertised_limit(
+    advertised_limits: &advertised_limits::AdvertisedLimits,
     server: &server::Server,
     sharers: rate_shares::Sharers<'_>,
     now: ids::Timestamp,
 ) -> Option<rate_shares::Limit> {
-    let per_s = named_limits.per_s(&server.id, now)?;
-    Some(rate_shares::Limit::named(per_s, sharers.members))
+    let per_s = advertised_limits.per_s(&server.id, now)?;
+    Some(rate_shares::Limit::advertised(per_s, sharers.members))
 }
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -40,7 +40,9 @@
             state.notices.record_leaving(server, *started_unix_ms, now);
         }
         forward::Message::RateLimit { server, per_s } => {
-            state.named_limits.record_from_peer(server, *per_s, now);
+            state
+                .advertised_limits
+                .record_from_peer(server, *per_s, now);
         }
         _ => {}
     }
@@ -128,9 +130,9 @@
     }
 }
 
-/// Returns the rates that servers have named, for a peer.
+/// Returns the rate limits that servers advertise, for a peer.
 fn rate_limits(state: &cx::State, now: ids::Timestamp) -> impl Iterator<Item = forward::Message> {
-    let limits = state.named_limits.all(now);
+    let limits = state.advertised_limits.all(now);
     limits.map(|(server, per_s)| forward::Message::RateLimit {
         server: server.clone(),
         per_s: Some(per_s),
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -257,7 +257,9 @@
             let state = &mut *guard;
             let view = &state.view;
             state.loads.retain_servers(|id| view.is_listed(id));
-            state.named_limits.retain_servers(|id| view.is_listed(id));
+            state
+                .advertised_limits
+                .retain_servers(|id| view.is_listed(id));
             state.rate_shares.retain_servers(|id| view.is_listed(id));
             let now = self.cx.now();
             state.notices.expire(|id| view.is_listed(id), now);
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -373,16 +373,16 @@
         server: &'a str,
         value: &'a str,
     }
-    /// A backend server has named the requests a second that it takes from all entries together.
-    2117 Info "rate_limit_named" RateLimitNamed {
+    /// A backend server advertises a limit on the requests per second of all entries together.
+    2117 Info "rate_limit_advertised" RateLimitAdvertised {
         server: &'a str,
         per_s: f64,
     }
-    /// A backend server names no rate any more.
+    /// A backend server advertises no rate limit any more.
     2118 Info "rate_limit_ended" RateLimitEnded {
         server: &'a str,
     }
-    /// A backend server has named a rate in a way that is not understood.
+    /// A backend server advertises a rate limit that is not understood.
     2119 Warn "rate_limit_not_understood" RateLimitNotUnderstood {
         server: &'a str,
         value: &'a str,
--- a/crates/mustardshedd/tests/forward/notices.rs
+++ b/crates/mustardshedd/tests/forward/notices.rs
@@ -11,13 +11,13 @@
 
 /// Calls sent while the servers must not receive any.
 const CALLS: usize = 6;
-/// Rate that a server in need names, in requests per second.
+/// Rate limit that a server advertises, in requests per second.
 const RATE: &str = "1";
 /// Time in which requests to such a server are counted.
 const RATE_WINDOW: time::Duration = time::Duration::from_secs(4);
 /// Most requests that it may get in that time: one and a half times what the rate allows, and five.
 const MAX_REQUESTS: usize = 11;
-/// Calls of each entry while a server names a rate.
+/// Calls of each entry while a server advertises a rate limit.
 const CALLS_TO_LIMITED: usize = 20;
 
 #[gtest]
@@ -114,7 +114,7 @@
     .await;
 }
 
-/// Returns the most requests that a server got within the window of a rate.
+/// Returns the most requests that a server got within [`RATE_WINDOW`].
 fn most_requests(server: &server::Server) -> usize {
     let got = server.got();
     let counts = got.iter().map(|first| {
@@ -127,10 +127,10 @@
     counts.max().unwrap_or_default()
 }
 
-// Guards against a server that gets more requests from all entries than the rate it names (LIMIT).
+// Guards against a server that gets more requests from all entries than its rate limit (LIMIT).
 #[gtest]
 #[tokio::test]
-async fn server_that_names_a_rate_gets_no_more_from_all_entries() -> Result<()> {
+async fn server_that_advertises_a_rate_limit_gets_no_more_from_all_entries() -> Result<()> {
     let server = server::Server::bind("i-1").await;
     let f = fixture::Fixture::with(&[&server]).await;
     let entries = [
@@ -153,7 +153,7 @@
 
 #[gtest]
 #[tokio::test]
-async fn entry_that_joins_late_learns_the_rates_that_servers_name() -> Result<()> {
+async fn entry_that_joins_late_learns_the_rate_limits_of_servers() -> Result<()> {
     let server = server::Server::bind("i-1").await;
     let f = fixture::Fixture::with(&[&server]).await;
     let entry = f.entry("entry-1").await.ready().await;
@@ -164,7 +164,7 @@
 
     fixture::wait_until("the rate to be known", || {
         let now = other.cx.now();
-        other.cx.state().named_limits.per_s("i-1", now) == Some(1.0)
+        other.cx.state().advertised_limits.per_s("i-1", now) == Some(1.0)
     })
     .await;
     verify_that!(server.got().len(), eq(1))
@@ -172,19 +172,24 @@
 
 #[gtest]
 #[tokio::test]
-async fn server_that_names_no_rate_any_more_is_used_without_a_limit() -> Result<()> {
+async fn server_that_advertises_no_rate_limit_any_more_is_used_without_one() -> Result<()> {
     let server = server::Server::bind("i-1").await;
     let f = fixture::Fixture::with(&[&server]).await;
     let entry = f.entry("entry-1").await.ready().await;
     let is_limited = |entry: &fixture::Entry| {
         let now = entry.cx.now();
-        entry.cx.state().named_limits.per_s("i-1", now).is_some()
+        entry
+            .cx
+            .state()
+            .advertised_limits
+            .per_s("i-1", now)
+            .is_some()
     };
     server.respond_with(Response::Limited("1000"));
     f.send(&entry, "GET", "/again/a", "").await;
     let was_limited = is_limited(&entry);
 
-    // A response ends the limit only some time after the last one that named it.
+    // A response ends the limit only some time after the last one that had it.
     let started_at = time::Instant::now();
     while is_limited(&entry) && started_at.elapsed() < fixture::TIMEOUT {
         f.send(&entry, "GET", "/again/a", "").await;
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -35,7 +35,7 @@
     BackOff(&'static str),
     /// A successful response that announces the server's shutdown.
     Leaving,
-    /// A successful response that names this rate.
+    /// A successful response with this rate limit.
     Limited(&'static str),
     /// A complete response with the identifier of another request.
     WrongRequestId,
