Pass on advertised rate limits with their age

Cause: found in review. An entry that opens a link tells which limits it knows, and the other side took each for just advertised. Entries whose links are opened again and again could keep a limit that no server advertises any more, past the 30 s after which it expires, and an old limit could replace a later one.

Change: the message carries the age of the response that the limit is from; the later response decides.

--- a/crates/mustardshed-core/src/forward/advertised_limits.rs
+++ b/crates/mustardshed-core/src/forward/advertised_limits.rs
@@ -45,16 +45,21 @@
         is_due
     }
 
-    /// Records the limit of a server that a peer has seen, or that there is none any more.
-    pub fn record_from_peer(&mut self, server: &str, per_s: Option<f64>, now: ids::Timestamp) {
+    /// Records the limit of a server that a peer has seen at `as_of`, or that there was none any
+    /// more, unless a later one is known.
+    pub fn record_from_peer(&mut self, server: &str, per_s: Option<f64>, as_of: ids::Timestamp) {
+        let known = self.limits.get(server);
+        if known.is_some_and(|known| known.advertised_at > as_of) {
+            return;
+        }
         let Some(per_s) = per_s else {
             self.limits.remove(server);
             return;
         };
         let limit = AdvertisedLimit {
             per_s,
-            advertised_at: now,
-            reported_at: now,
+            advertised_at: as_of,
+            reported_at: as_of,
         };
         self.limits.insert(server.to_owned(), limit);
     }
@@ -77,10 +82,17 @@
         (now.saturating_sub(limit.advertised_at) < MAX_SILENCE).then_some(limit.per_s)
     }
 
-    /// Returns the limits of all servers that advertise one, in requests per second.
-    pub fn all(&self, now: ids::Timestamp) -> impl Iterator<Item = (&ids::BackendServerId, f64)> {
-        let servers = self.limits.keys();
-        servers.filter_map(move |server| Some((server, self.per_s(server, now)?)))
+    /// Returns the limits of all servers that advertise one, in requests per second, with the times
+    /// at which they last did.
+    pub fn all(
+        &self,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = (&ids::BackendServerId, f64, ids::Timestamp)> {
+        let limits = self.limits.iter();
+        limits.filter_map(move |(server, limit)| {
+            let per_s = self.per_s(server, now)?;
+            Some((server, per_s, limit.advertised_at))
+        })
     }
 
     /// Removes servers that are no longer listed.
--- a/crates/mustardshed-core/tests/forward/advertised_limits.rs
+++ b/crates/mustardshed-core/tests/forward/advertised_limits.rs
@@ -54,3 +54,29 @@
     expect_that!((kept, lapsed), eq((Some(1.5), None)));
     verify_that!(limits.per_s("s-2", at(10)), none())
 }
+
+// Guards against a limit that entries keep alive by telling each other of it.
+#[gtest]
+fn limit_that_peers_pass_on_expires_as_if_they_had_not() -> Result<()> {
+    let mut first = advertised_limits::AdvertisedLimits::default();
+    let mut second = advertised_limits::AdvertisedLimits::default();
+    first.record("s-1", 1.5, at(0));
+
+    for (server, per_s, as_of) in first.all(at(29_000)) {
+        second.record_from_peer(server, Some(per_s), as_of);
+    }
+
+    expect_that!(second.per_s("s-1", at(29_999)), some(eq(1.5)));
+    verify_that!(second.per_s("s-1", at(30_000)), none())
+}
+
+#[gtest]
+fn later_limit_is_not_replaced_by_what_a_peer_saw_before() -> Result<()> {
+    let mut limits = advertised_limits::AdvertisedLimits::default();
+    limits.record("s-1", 1.5, at(1_000));
+
+    limits.record_from_peer("s-1", Some(9.0), at(900));
+    limits.record_from_peer("s-1", None, at(900));
+
+    verify_that!(limits.per_s("s-1", at(1_000)), some(eq(1.5)))
+}
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -217,6 +217,9 @@
         /// Requests per second, if it advertises a limit.
         #[serde(rename = "r")]
         per_s: Option<f64>,
+        /// Time since the response that the sender has this from, in milliseconds.
+        #[serde(rename = "a")]
+        age_ms: u64,
     },
     /// Requests the objects of a kind.
     #[serde(rename = "q")]
--- a/crates/mustardshedd/src/forward/cx/server_reports.rs
+++ b/crates/mustardshedd/src/forward/cx/server_reports.rs
@@ -61,6 +61,7 @@
         self.peers.send(&forward::Message::RateLimit {
             server: server.to_owned(),
             per_s,
+            age_ms: 0,
         });
     }
 
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -39,10 +39,14 @@
         } => {
             state.notices.record_leaving(server, *started_unix_ms, now);
         }
-        forward::Message::RateLimit { server, per_s } => {
-            state
-                .advertised_limits
-                .record_from_peer(server, *per_s, now);
+        forward::Message::RateLimit {
+            server,
+            per_s,
+            age_ms,
+        } => {
+            let as_of = link::before(now, *age_ms);
+            let limits = &mut state.advertised_limits;
+            limits.record_from_peer(server, *per_s, as_of);
         }
         _ => {}
     }
@@ -133,9 +137,10 @@
 /// Returns the rate limits that servers advertise, for a peer.
 fn rate_limits(state: &cx::State, now: ids::Timestamp) -> impl Iterator<Item = forward::Message> {
     let limits = state.advertised_limits.all(now);
-    limits.map(|(server, per_s)| forward::Message::RateLimit {
+    limits.map(move |(server, per_s, at)| forward::Message::RateLimit {
         server: server.clone(),
         per_s: Some(per_s),
+        age_ms: link::age_ms(now.saturating_sub(at)),
     })
 }
 
