Log what requests on a crashed server have in common

Nothing told crashes from broken connections, or what the prompts of the requests had in common that a crashed server had not begun to answer, so the hypotheses could not be told apart. The parts that a prompt consists of are decoded from the head. An entry whose connection to a server ends before the answer begins tries to connect once: a closed port shows that the server has ended, and event 1209 lists the parts of these requests.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -13,6 +13,7 @@
 pub mod advertised_limits;
 pub mod attempts;
 pub mod cost_limit;
+pub mod crash_suspects;
 pub mod engine;
 pub mod fallback_reads;
 pub mod head;
--- a/crates/mustardshed-core/src/forward/head.rs
+++ b/crates/mustardshed-core/src/forward/head.rs
@@ -21,6 +21,18 @@
     pub max_output_tokens: Option<ids::Tokens>,
     /// Response length that the client expects; often wrong.
     pub output_tokens_hint: Option<ids::Tokens>,
+    /// Parts of the prompt in order; the last one is the request's own.
+    pub prompt_parts: Vec<ids::PromptPartId>,
+}
+
+impl RequestHead {
+    /// Returns the parts of the prompt that other requests may have as well.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[ids::PromptPartId] {
+        self.prompt_parts
+            .split_last()
+            .map_or(&[], |(_, shared)| shared)
+    }
 }
 
 /// A server that prefills a shard of the prompt.
--- a/crates/mustardshed-core/src/ids.rs
+++ b/crates/mustardshed-core/src/ids.rs
@@ -10,6 +10,8 @@
 pub type DataCentreId = String;
 /// Name of a model.
 pub type ModelId = String;
+/// Identifier of a part of a prompt that several requests may share.
+pub type PromptPartId = String;
 /// Name of a service.
 pub type ServiceId = String;
 /// Name of an entry VM.
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -1,6 +1,7 @@
 //! State that all requests, peer links and reflectors of the process share.
 
 use std::{
+    collections,
     sync::{self, atomic},
     time,
 };
@@ -10,8 +11,8 @@
     core::{
         boundary::clock,
         forward::{
-            advertised_limits, live_entries, load_tracker, negative_cache, notices, placement,
-            planned_stop, rate_shares, relays, rendezvous, retry_budget, routes, server,
+            advertised_limits, crash_suspects, live_entries, load_tracker, negative_cache, notices,
+            placement, planned_stop, rate_shares, relays, rendezvous, retry_budget, routes, server,
         },
         ids,
     },
@@ -22,6 +23,7 @@
 
 use crate::forward::{job, metrics, peers, view};
 
+mod crash_checks;
 mod server_reports;
 
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
@@ -45,6 +47,8 @@
     pub loads: load_tracker::LoadTracker,
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
+    /// Servers that are checked for a crash, with the requests that they had not begun to answer.
+    pub crash_checks: collections::HashMap<ids::BackendServerId, Vec<crash_suspects::Suspect>>,
     /// Rate limits that servers advertise.
     pub advertised_limits: advertised_limits::AdvertisedLimits,
     /// Shares of this entry in what servers accept from all entries.
@@ -162,6 +166,7 @@
                 view: view::View::default(),
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
+                crash_checks: collections::HashMap::new(),
                 advertised_limits: advertised_limits::AdvertisedLimits::default(),
                 rate_shares: rate_shares::RateShares::default(),
                 live_entries: live_entries::LiveEntries::default(),
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{attempts, cost_limit, engine, placement, routes},
+        forward::{attempts, cost_limit, crash_suspects, engine, placement, routes},
         ids,
     },
     platform::headers,
@@ -92,6 +92,8 @@
     attempts: attempts::Attempts,
     /// Identifier of the last event that the client has.
     pub(super) last_event: Option<u64>,
+    /// Whether a server has begun to answer.
+    has_begun: bool,
     stage: Stage,
     is_ended: atomic::AtomicBool,
 }
@@ -137,6 +139,7 @@
             tried: Vec::new(),
             attempts: attempts::Attempts::default(),
             last_event,
+            has_begun: last_event.is_some(),
             stage: Stage::Placing,
             is_ended: atomic::AtomicBool::new(false),
         }
@@ -156,7 +159,10 @@
                 self.read_whole(response).await
             };
             match result {
-                Ok(start) => return Ok(start),
+                Ok(start) => {
+                    self.has_begun = true;
+                    return Ok(start);
+                }
                 Err(reason) => self.broke_off(&server, &reason)?,
             }
         }
@@ -401,6 +407,7 @@
     /// Records that an attempt which may have run broke off; an error ends the request.
     pub(super) fn broke_off(&mut self, server: &str, reason: &str) -> Result<(), refusal::Refusal> {
         attempt::record_failure(&self.req, server);
+        self.check_for_crash(server);
         let will_retry = self.may_try_again() && self.req.cx.take_retry(&self.service.name);
         self.log_failed(server, "unknown", reason, will_retry);
         if will_retry {
@@ -410,6 +417,14 @@
         }
     }
 
+    /// Checks whether the server has crashed under this request, if it had not begun to answer it.
+    fn check_for_crash(&self, server: &str) {
+        let suspect = crash_suspects::Suspect::new(&self.req.head.prompt_parts);
+        if let Some(suspect) = suspect.filter(|_| !self.has_begun) {
+            self.req.cx.check_for_crash(server, suspect);
+        }
+    }
+
     fn log_placed(&self, placed: &placement::Placed) {
         let now = self.req.cx.now();
         let (arrivals, cold_left) = {
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -206,6 +206,12 @@
         server: &'a str,
         after_ms: u128,
     }
+    /// A backend server ended while it had requests of this entry that it had not begun to answer.
+    1209 Warn "server_crashed" ServerCrashed {
+        server: &'a str,
+        requests: usize,
+        parts: &'a str,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
