--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -24,6 +24,11 @@
     }
 }
 
+/// Time for which a crashed server is down.
+const DOWN_TIME: time::Duration = time::Duration::from_millis(150);
+/// Time that a server takes to begin its answer to a request that crashes it.
+const TIME_TO_CRASH: time::Duration = time::Duration::from_millis(30);
+
 /// How the server responds to one request.
 #[derive(Clone, Debug)]
 pub(crate) enum Response {
@@ -56,6 +61,19 @@
     script: sync::Mutex<collections::VecDeque<Response>>,
     got: sync::Mutex<Vec<ReceivedRequest>>,
     abandoned: sync::atomic::AtomicUsize,
+    /// Prompt parts that crash the server.
+    deadly_parts: sync::Mutex<Vec<&'static str>>,
+    crashed: tokio::sync::Notify,
+    crashes: sync::atomic::AtomicUsize,
+}
+
+impl State {
+    fn is_deadly(&self, headers: &http::HeaderMap) -> bool {
+        let parts = headers.get("prompt-prefix");
+        let parts = parts.and_then(|parts| parts.to_str().ok()).unwrap_or("");
+        let deadly = self.deadly_parts.lock().unwrap();
+        deadly.iter().any(|deadly| parts.contains(deadly))
+    }
 }
 
 /// A running server.
@@ -80,11 +98,27 @@
     }
 
     /// Adds a response to the script. When the script is empty, the server responds with 200 and
-    /// `done`, to requests on `/long/` with one event.
+    /// `done`, to requests on `/long/` and `/stream/` with one event.
     pub(crate) fn respond_with(&self, answer: Response) {
         self.state.script.lock().unwrap().push_back(answer);
     }
 
+    /// Makes requests with this prompt part crash the server: all its connections end, and it
+    /// refuses new ones for a while.
+    pub(crate) fn crash_on(&self, part: &'static str) {
+        self.state.deadly_parts.lock().unwrap().push(part);
+    }
+
+    /// Crashes the server.
+    pub(crate) fn crash(&self) {
+        self.state.crashed.notify_one();
+    }
+
+    /// Returns how often the server has crashed.
+    pub(crate) fn crashes(&self) -> usize {
+        self.state.crashes.load(sync::atomic::Ordering::Relaxed)
+    }
+
     pub(crate) fn got(&self) -> Vec<ReceivedRequest> {
         self.state.got.lock().unwrap().clone()
     }
@@ -95,10 +129,27 @@
     }
 }
 
-async fn accept(listener: tokio::net::TcpListener, state: sync::Arc<State>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let state = sync::Arc::clone(&state);
-        tokio::spawn(async move {
+async fn accept(mut listener: tokio::net::TcpListener, state: sync::Arc<State>) {
+    let address = listener.local_addr().unwrap();
+    loop {
+        serve_until_crash(listener, &state).await;
+        let count = &state.crashes;
+        count.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        tokio::time::sleep(DOWN_TIME).await;
+        listener = tokio::net::TcpListener::bind(address).await.unwrap();
+    }
+}
+
+/// Serves connections until the server crashes, which closes all of them.
+async fn serve_until_crash(listener: tokio::net::TcpListener, state: &sync::Arc<State>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted.unwrap().0,
+            () = state.crashed.notified() => return,
+        };
+        let state = sync::Arc::clone(state);
+        connections.spawn(async move {
             let answering = service::service_fn(move |req| respond(sync::Arc::clone(&state), req));
             let served =
                 http1::Builder::new().serve_connection(rt::TokioIo::new(stream), answering);
@@ -127,8 +178,11 @@
     let (parts, body) = req.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let id = parts.headers.get("request-id").cloned();
-    let is_long = parts.uri.path().starts_with("/long/");
+    let is_stream = ["/long/", "/stream/"]
+        .iter()
+        .any(|prefix| parts.uri.path().starts_with(prefix));
     let is_order = parts.uri.path() == "/api/order";
+    let is_deadly = state.is_deadly(&parts.headers);
     state.got.lock().unwrap().push(ReceivedRequest {
         method: parts.method.to_string(),
         path: parts.uri.to_string(),
@@ -136,13 +190,18 @@
         body,
         received_at: time::Instant::now(),
     });
+    if is_deadly {
+        tokio::time::sleep(TIME_TO_CRASH).await;
+        state.crashed.notify_one();
+        std::future::pending::<()>().await;
+    }
     // The script does not apply to orders.
     let scripted = if is_order {
         None
     } else {
         state.script.lock().unwrap().pop_front()
     };
-    let default = if is_long {
+    let default = if is_stream {
         Response::Events {
             ids: vec![1],
             ends: true,
