Quarantine prompt parts that crash servers, at all entries

Cause: no entry related crashes to what the requests contained. The class of fault is that of knowledge that no entry has alone.

Entries tell each other which requests a crashed server had not begun to answer. A part is quarantined after three such crashes under different requests, 0.2 s apart, with no answer since, if it explains them better than any other. If several parts always come together, requests with all of them are rejected. An answer at any entry clears a part, so that what the requests share with sound ones is not blamed. Requests in flight with a quarantined part are cancelled.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -7,13 +7,14 @@
 //! whether it may be sent again ([`attempts`], [`retry_budget`]), how old the knowledge behind a
 //! refusal may be ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which
 //! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
-//! servers ask for in their responses ([`notices`], [`advertised_limits`]), and how entries divide what a
-//! server accepts from all of them ([`rate_shares`]).
+//! servers ask for in their responses ([`notices`], [`advertised_limits`]), which requests crash
+//! servers ([`quarantine`]), and how entries divide what a server accepts from all of them
+//! ([`rate_shares`]).
 
 pub mod advertised_limits;
 pub mod attempts;
 pub mod cost_limit;
-pub mod crash_suspects;
+
 pub mod engine;
 pub mod fallback_reads;
 pub mod head;
@@ -24,6 +25,7 @@
 pub mod notices;
 pub mod placement;
 pub mod planned_stop;
+pub mod quarantine;
 pub mod rate_shares;
 pub mod relays;
 pub mod rendezvous;
--- a/crates/mustardshed-core/src/forward/crash_suspects.rs
+++ b/crates/mustardshed-core/src/forward/quarantine/suspect.rs
@@ -1,4 +1,4 @@
-//! Requests that may have crashed the server that was to answer them.
+//! A request that may have crashed the server that was to answer it.
 
 use crate::ids;
 
@@ -22,4 +22,11 @@
             shared: shared.to_vec(),
         })
     }
+
+    /// Returns all parts of its prompt; its own is the last one.
+    #[must_use]
+    pub fn parts(&self) -> Vec<ids::PromptPartId> {
+        let own = std::iter::once(&self.own);
+        self.shared.iter().chain(own).cloned().collect()
+    }
 }
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -221,6 +221,39 @@
         #[serde(rename = "a")]
         age_ms: u64,
     },
+    /// A server has crashed.
+    #[serde(rename = "k")]
+    Crashed {
+        /// Its name.
+        #[serde(rename = "s")]
+        server: ids::BackendServerId,
+        /// Time since the crash, in milliseconds.
+        #[serde(rename = "a")]
+        age_ms: u64,
+        /// Prompt parts of each request that it had not begun to answer.
+        #[serde(rename = "p")]
+        suspects: Vec<Vec<ids::PromptPartId>>,
+    },
+    /// Servers have begun to answer requests with these prompt parts.
+    #[serde(rename = "d")]
+    Answered {
+        /// The parts.
+        #[serde(rename = "p")]
+        parts: Vec<ids::PromptPartId>,
+        /// Time since the last of these answers, in milliseconds.
+        #[serde(rename = "a")]
+        age_ms: u64,
+    },
+    /// Requests that have all of these prompt parts crash servers.
+    #[serde(rename = "z")]
+    Quarantined {
+        /// The parts.
+        #[serde(rename = "p")]
+        parts: Vec<ids::PromptPartId>,
+        /// Time since the last crash, in milliseconds.
+        #[serde(rename = "a")]
+        age_ms: u64,
+    },
     /// Requests the objects of a kind.
     #[serde(rename = "q")]
     WantTopic {
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,8 +11,9 @@
     core::{
         boundary::clock,
         forward::{
-            advertised_limits, crash_suspects, live_entries, load_tracker, negative_cache, notices,
-            placement, planned_stop, rate_shares, relays, rendezvous, retry_budget, routes, server,
+            advertised_limits, live_entries, load_tracker, negative_cache, notices, placement,
+            planned_stop, quarantine, rate_shares, relays, rendezvous, retry_budget, routes,
+            server,
         },
         ids,
     },
@@ -23,7 +24,7 @@
 
 use crate::forward::{job, metrics, peers, view};
 
-mod crash_checks;
+mod crashes;
 mod server_reports;
 
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
@@ -48,7 +49,9 @@
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
     /// Servers that are checked for a crash, with the requests that they had not begun to answer.
-    pub crash_checks: collections::HashMap<ids::BackendServerId, Vec<crash_suspects::Suspect>>,
+    pub crash_checks: collections::HashMap<ids::BackendServerId, Vec<quarantine::Suspect>>,
+    /// Prompt parts that crash servers.
+    pub quarantine: quarantine::Quarantine,
     /// Rate limits that servers advertise.
     pub advertised_limits: advertised_limits::AdvertisedLimits,
     /// Shares of this entry in what servers accept from all entries.
@@ -119,6 +122,8 @@
     pub refreshed: tokio_sync::Notify,
     /// Notified when the platform answers again after an outage.
     pub platform_recovered: tokio_sync::Notify,
+    /// Notified when prompt parts are quarantined.
+    pub quarantined: tokio_sync::Notify,
     state: sync::Mutex<State>,
     next_job: atomic::AtomicU64,
     started_at: ids::Timestamp,
@@ -162,11 +167,13 @@
             relay_bypassed: tokio_sync::Notify::new(),
             refreshed: tokio_sync::Notify::new(),
             platform_recovered: tokio_sync::Notify::new(),
+            quarantined: tokio_sync::Notify::new(),
             state: sync::Mutex::new(State {
                 view: view::View::default(),
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
                 crash_checks: collections::HashMap::new(),
+                quarantine: quarantine::Quarantine::default(),
                 advertised_limits: advertised_limits::AdvertisedLimits::default(),
                 rate_shares: rate_shares::RateShares::default(),
                 live_entries: live_entries::LiveEntries::default(),
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -1,10 +1,13 @@
 //! The attempts of one request.
 
-use std::{sync::atomic, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use mustardshed::{
     core::{
-        forward::{attempts, cost_limit, crash_suspects, engine, placement, routes},
+        forward::{attempts, cost_limit, engine, placement, quarantine, routes},
         ids,
     },
     platform::headers,
@@ -66,8 +69,7 @@
     let deadline = req.deadline();
     let mut dispatch = Dispatch::new(req, service);
     let left = deadline.saturating_sub(now);
-    let result = tokio::time::timeout(left, dispatch.start_response()).await;
-    let result = result.unwrap_or(Err(refusal::Refusal::TimedOut));
+    let result = dispatch.start_in_time(left).await;
     let start = result.inspect_err(|_| dispatch.is_ended.store(true, atomic::Ordering::Relaxed))?;
     match start {
         ResponseStart::Whole(response) => Ok(response),
@@ -145,12 +147,39 @@
         }
     }
 
+    /// Starts the response within `left`, unless requests with its prompt parts are found to crash
+    /// servers.
+    async fn start_in_time(
+        &mut self,
+        left: time::Duration,
+    ) -> Result<ResponseStart, refusal::Refusal> {
+        let cx = sync::Arc::clone(&self.req.cx);
+        let shared = self.req.head.shared_parts().to_vec();
+        let wait = tokio::select! {
+            biased;
+            wait = cx.wait_until_quarantined(&shared) => wait,
+            started = tokio::time::timeout(left, self.start_response()) => {
+                return started.unwrap_or(Err(refusal::Refusal::TimedOut));
+            }
+        };
+        if self.may_have_run() {
+            return Err(refusal::Refusal::FateUnknown);
+        }
+        Err(refusal::Refusal::Quarantined(wait))
+    }
+
+    /// Returns whether a server may have run the request, or may be running it.
+    fn may_have_run(&self) -> bool {
+        self.attempts.runs() > 0 || !matches!(self.stage, Stage::Placing)
+    }
+
     /// Makes attempts until one has a complete response, or the first event of a stream.
     async fn start_response(&mut self) -> Result<ResponseStart, refusal::Refusal> {
         loop {
             let response = self.attempt().await?;
             let server = response.guards.server.clone();
-            let is_stream = self.req.route.kind.is_stream() && response.parts.status.is_success();
+            let is_success = response.parts.status.is_success();
+            let is_stream = self.req.route.kind.is_stream() && is_success;
             let result = if is_stream {
                 streaming::Stream::start(response, self.last_event)
                     .await
@@ -161,6 +190,9 @@
             match result {
                 Ok(start) => {
                     self.has_begun = true;
+                    if is_success {
+                        self.req.cx.record_answer(self.req.head.shared_parts());
+                    }
                     return Ok(start);
                 }
                 Err(reason) => self.broke_off(&server, &reason)?,
@@ -205,6 +237,7 @@
     /// Makes attempts until one gets the head of a response.
     pub(super) async fn attempt(&mut self) -> Result<attempt::Response, refusal::Refusal> {
         loop {
+            self.stage = Stage::Placing;
             let (placed, job) = self.wait_for_place().await?;
             self.log_placed(&placed);
             self.tried.push(placed.primary.clone());
@@ -419,7 +452,7 @@
 
     /// Checks whether the server has crashed under this request, if it had not begun to answer it.
     fn check_for_crash(&self, server: &str) {
-        let suspect = crash_suspects::Suspect::new(&self.req.head.prompt_parts);
+        let suspect = quarantine::Suspect::new(&self.req.head.prompt_parts);
         if let Some(suspect) = suspect.filter(|_| !self.has_begun) {
             self.req.cx.check_for_crash(server, suspect);
         }
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -2,12 +2,18 @@
 
 use std::time;
 
-use mustardshed::{core::ids, wire::forward};
+use mustardshed::{
+    core::{forward::quarantine, ids},
+    wire::forward,
+};
 
 use crate::forward::{cx, link};
 
 /// Applies an update of `vm` about one of its requests or about a server.
 pub(super) fn apply(cx: &cx::Cx, vm: &str, message: &forward::Message, now: ids::Timestamp) {
+    if apply_crash(cx, message, now) {
+        return;
+    }
     let mut state = cx.state();
     match message {
         forward::Message::Hello { .. } => state.loads.remove_entry(vm, now),
@@ -52,6 +58,36 @@
     }
 }
 
+/// Applies an update about crashes of servers; returns whether it is one.
+fn apply_crash(cx: &cx::Cx, message: &forward::Message, now: ids::Timestamp) -> bool {
+    match message {
+        forward::Message::Crashed {
+            server,
+            age_ms,
+            suspects,
+        } => {
+            let suspects = suspects.iter().map(Vec::as_slice);
+            cx.record_crash(quarantine::Crash {
+                server: server.clone(),
+                at: link::before(now, *age_ms),
+                suspects: suspects.filter_map(quarantine::Suspect::new).collect(),
+            });
+        }
+        forward::Message::Answered { parts, age_ms } => {
+            let at = link::before(now, *age_ms);
+            cx.state().quarantine.record_peer_answer(parts, at);
+        }
+        forward::Message::Quarantined { parts, age_ms } => {
+            cx.adopt_quarantine(quarantine::Culprit {
+                parts: parts.clone(),
+                crashed_at: link::before(now, *age_ms),
+            });
+        }
+        _ => return false,
+    }
+    true
+}
+
 /// Records which entries a peer knows to be alive.
 pub(super) fn apply_alive(cx: &cx::Cx, heard: Vec<forward::LiveEntry>, now: ids::Timestamp) {
     let mut state = cx.state();
@@ -92,6 +128,7 @@
     let mut messages = vec![forward::Message::Hello { entry, is_leaf }];
     let state = cx.state();
     messages.extend(rate_limits(&state, now));
+    messages.extend(crashes(&state, now));
     let jobs = state.loads.jobs_of(&cx.settings.vm);
     messages.extend(jobs.map(|(key, job)| started(key.number, job, now)));
     messages
@@ -103,7 +140,8 @@
     let mut messages = vec![forward::Message::Reset];
     let state = cx.state();
     let own = &cx.settings.vm;
-    messages.extend(rate_limits(&state, now).map(|limit| on_behalf_of(own, limit)));
+    let about_servers = rate_limits(&state, now).chain(crashes(&state, now));
+    messages.extend(about_servers.map(|message| on_behalf_of(own, message)));
     let jobs = state.loads.jobs().filter(|(key, _)| key.vm != leaf);
     messages.extend(jobs.map(|(key, job)| on_behalf_of(&key.vm, started(key.number, job, now))));
     messages
@@ -144,6 +182,25 @@
     })
 }
 
+/// Returns the known crashes of servers and what is quarantined because of them, for a peer.
+fn crashes(state: &cx::State, now: ids::Timestamp) -> impl Iterator<Item = forward::Message> {
+    let crashes = state.quarantine.crashes();
+    let crashes = crashes.map(move |crash| forward::Message::Crashed {
+        server: crash.server.clone(),
+        age_ms: link::age_ms(now.saturating_sub(crash.at)),
+        suspects: crash
+            .suspects
+            .iter()
+            .map(quarantine::Suspect::parts)
+            .collect(),
+    });
+    let culprits = state.quarantine.culprits().iter();
+    crashes.chain(culprits.map(move |culprit| forward::Message::Quarantined {
+        parts: culprit.parts.clone(),
+        age_ms: link::age_ms(now.saturating_sub(culprit.crashed_at)),
+    }))
+}
+
 fn started(
     number: u64,
     job: &mustardshed::core::forward::load_tracker::Job,
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -35,6 +35,8 @@
     TooLate(time::Duration),
     /// the backend servers turned the request away
     TurnedAway(time::Duration),
+    /// backend servers crash when they answer requests with such a prompt
+    Quarantined(time::Duration),
     /// a backend server did not answer as it should; the request may have run
     FateUnknown,
     /// the time for the request is over; it may have run
@@ -46,7 +48,7 @@
 
 impl Refusal {
     /// Every kind, with a placeholder for its wait.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::NoIdentifier,
         Self::BrokenBody,
         Self::TooLarge,
@@ -61,6 +63,7 @@
         Self::TooDear(ANY_WAIT),
         Self::TooLate(ANY_WAIT),
         Self::TurnedAway(ANY_WAIT),
+        Self::Quarantined(ANY_WAIT),
         Self::FateUnknown,
         Self::TimedOut,
     ];
@@ -83,7 +86,8 @@
             | Self::Full(_)
             | Self::TooDear(_)
             | Self::TooLate(_)
-            | Self::TurnedAway(_) => http::StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TurnedAway(_)
+            | Self::Quarantined(_) => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::FateUnknown => http::StatusCode::BAD_GATEWAY,
             Self::TimedOut => http::StatusCode::GATEWAY_TIMEOUT,
         }
@@ -107,6 +111,7 @@
             Self::TooDear(_) => "too_dear",
             Self::TooLate(_) => "too_late",
             Self::TurnedAway(_) => "turned_away",
+            Self::Quarantined(_) => "quarantined",
             Self::FateUnknown => "fate_unknown",
             Self::TimedOut => "timed_out",
         }
@@ -128,7 +133,8 @@
             | Self::Full(wait)
             | Self::TooDear(wait)
             | Self::TooLate(wait)
-            | Self::TurnedAway(wait) => Some(wait),
+            | Self::TurnedAway(wait)
+            | Self::Quarantined(wait) => Some(wait),
             _ => None,
         }
     }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -212,6 +212,10 @@
         requests: usize,
         parts: &'a str,
     }
+    /// Requests with these prompt parts crash backend servers and are refused.
+    1210 Warn "prompt_parts_quarantined" PromptPartsQuarantined {
+        parts: &'a str,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -64,7 +64,6 @@
     /// Prompt parts that crash the server.
     deadly_parts: sync::Mutex<Vec<&'static str>>,
     crashed: tokio::sync::Notify,
-    crashes: sync::atomic::AtomicUsize,
 }
 
 impl State {
@@ -109,16 +108,6 @@
         self.state.deadly_parts.lock().unwrap().push(part);
     }
 
-    /// Crashes the server.
-    pub(crate) fn crash(&self) {
-        self.state.crashed.notify_one();
-    }
-
-    /// Returns how often the server has crashed.
-    pub(crate) fn crashes(&self) -> usize {
-        self.state.crashes.load(sync::atomic::Ordering::Relaxed)
-    }
-
     pub(crate) fn got(&self) -> Vec<ReceivedRequest> {
         self.state.got.lock().unwrap().clone()
     }
@@ -133,8 +122,6 @@
     let address = listener.local_addr().unwrap();
     loop {
         serve_until_crash(listener, &state).await;
-        let count = &state.crashes;
-        count.fetch_add(1, sync::atomic::Ordering::Relaxed);
         tokio::time::sleep(DOWN_TIME).await;
         listener = tokio::net::TcpListener::bind(address).await.unwrap();
     }
