Log lists of the platform's objects that are ignored, with the era of the store

A restoration looked like an outage in the logs: nothing told that what was read afterwards had no effect, or why. Lists carry the number of restorations that the store reports; event 2120 tells of each list that is ignored.

--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -86,6 +86,7 @@
     let listing = objects::Listing {
         objects: objects.collect(),
         revision: state.revision,
+        era: 0,
     };
     let now = cx.now();
     // The peer sent this less than a link's silence timeout ago.
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -185,7 +185,14 @@
     ) -> Effects {
         let cache = &mut self.topics[topic.index()];
         let known = cache.listing.as_ref();
-        if known.is_some_and(|known| listing.revision < known.revision) {
+        if let Some(known) = known.filter(|known| listing.revision < known.revision) {
+            log::emit(&event::Event::ListingIgnored {
+                kind: topic.kind(),
+                era: listing.era,
+                revision: listing.revision,
+                known_era: known.era,
+                known_revision: known.revision,
+            });
             return Effects::default();
         }
         let is_same = known.is_some_and(|known| known.objects == listing.objects);
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -397,4 +397,12 @@
         server: &'a str,
         value: &'a str,
     }
+    /// A list of the platform's objects is older than the known one and has no effect.
+    2120 Info "listing_ignored" ListingIgnored {
+        kind: &'a str,
+        era: u64,
+        revision: u64,
+        known_era: u64,
+        known_revision: u64,
+    }
 }
