--- a/crates/mustardshed-standins/src/platform/admin_routes.rs
+++ b/crates/mustardshed-standins/src/platform/admin_routes.rs
@@ -19,6 +19,10 @@
         .unify()
         .or(writes(state))
         .unify()
+        .or(copy(state))
+        .unify()
+        .or(restore(state))
+        .unify()
         .or(insert_vm(state))
         .unify()
         .or(remove_vm(state))
@@ -65,6 +69,28 @@
         .boxed()
 }
 
+fn copy(state: &routes::Shared) -> filters::BoxedFilter<(reply::Response,)> {
+    let state = state.clone();
+    warp::path!("admin" / "copy")
+        .and(warp::post())
+        .map(move || {
+            state.copy();
+            http::json(200, &state.era())
+        })
+        .boxed()
+}
+
+fn restore(state: &routes::Shared) -> filters::BoxedFilter<(reply::Response,)> {
+    let state = state.clone();
+    warp::path!("admin" / "restore")
+        .and(warp::post())
+        .map(move || {
+            state.restore();
+            http::json(200, &state.era())
+        })
+        .boxed()
+}
+
 fn insert_vm(state: &routes::Shared) -> filters::BoxedFilter<(reply::Response,)> {
     let state = state.clone();
     warp::path!("admin" / "vms" / String)
--- a/crates/mustardshed-standins/src/platform/object_routes.rs
+++ b/crates/mustardshed-standins/src/platform/object_routes.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use bytes::Bytes;
+use hyper::header;
 use mustardshed::platform::objects::wire;
 use serde::Deserialize;
 use warp::{Filter, filters, reply};
@@ -14,6 +15,8 @@
 
 /// Kind of the objects that list the VMs; writable only under `/admin`.
 const VMS: &str = "vms";
+/// Header for the number of restorations.
+const STORE_ERA: &str = "store-era";
 /// Largest number of items in a page.
 const PAGE_ITEMS: usize = 500;
 /// Room for the fields of a written object's body besides the value, in bytes.
@@ -45,9 +48,20 @@
         .unify()
         .or(of_kind(state))
         .unify()
+        .map(with_era(state))
         .boxed()
 }
 
+/// Returns a function that adds the number of restorations to a response.
+fn with_era(state: &routes::Shared) -> impl Fn(reply::Response) -> reply::Response + Clone + use<> {
+    let state = state.clone();
+    move |mut res| {
+        let era = header::HeaderValue::from(state.era());
+        res.headers_mut().insert(STORE_ERA, era);
+        res
+    }
+}
+
 fn get(state: &routes::Shared) -> filters::BoxedFilter<(reply::Response,)> {
     let state = state.clone();
     warp::path!("api" / "objects" / String / String)
--- a/crates/mustardshed-standins/src/platform/state.rs
+++ b/crates/mustardshed-standins/src/platform/state.rs
@@ -18,6 +18,10 @@
 #[derive(Debug, Default)]
 struct Inner {
     store: store::Store,
+    /// Copy from which the store is restored.
+    copy: store::Store,
+    /// Number of restorations.
+    era: u64,
     vms: vm_list::VmList,
     faults: faults::Faults,
     calls: calls::Calls,
@@ -155,9 +159,10 @@
         Changes { changed, version }
     }
 
-    /// Returns whether the changes since a version are no longer kept.
+    /// Returns whether the changes since a version are not kept, or not made yet.
     pub fn has_forgotten(&self, since: u64) -> bool {
-        since < self.lock().faults.forgotten_before
+        let inner = self.lock();
+        since < inner.faults.forgotten_before || since > inner.store.version()
     }
 
     /// Writes an object if the precondition holds.
@@ -237,6 +242,27 @@
         Ok(())
     }
 
+    /// Keeps a copy of the store to restore it from.
+    pub fn copy(&self) {
+        let mut inner = self.lock();
+        inner.copy = inner.store.clone();
+    }
+
+    /// Restores the store from the copy: what was written since is lost, and versions are given out
+    /// again.
+    pub fn restore(&self) {
+        let mut inner = self.lock();
+        inner.store = inner.copy.clone();
+        inner.era += 1;
+        drop(inner);
+        self.tell();
+    }
+
+    /// Returns the number of restorations.
+    pub fn era(&self) -> u64 {
+        self.lock().era
+    }
+
     /// Returns the counts of calls.
     pub fn calls(&self) -> calls::Calls {
         self.lock().calls.clone()
--- a/crates/mustardshed-standins/src/platform/store.rs
+++ b/crates/mustardshed-standins/src/platform/store.rs
@@ -50,7 +50,7 @@
 }
 
 /// Objects by kind and name, with one version counter.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Store {
     kinds: collections::BTreeMap<String, collections::BTreeMap<String, object::Object>>,
     version: u64,
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -223,6 +223,29 @@
         assert_eq!(self.http.put(&url, &faults).await.unwrap().status, 200);
     }
 
+    /// Makes the platform keep a copy of all objects.
+    pub(crate) async fn copy_platform(&self) {
+        self.admin("copy").await;
+    }
+
+    /// Restores the platform from its last copy.
+    pub(crate) async fn restore_platform(&self) {
+        self.admin("restore").await;
+    }
+
+    async fn admin(&self, order: &str) {
+        let url = format!("{}/admin/{order}", self.platform.url());
+        let nothing = serde_json::Value::Null;
+        assert_eq!(self.http.post(&url, &nothing).await.unwrap().status, 200);
+    }
+
+    /// Returns the number of calls of the platform's object API.
+    pub(crate) async fn platform_calls(&self) -> u64 {
+        let url = format!("{}/admin/calls", self.platform.url());
+        let calls = self.http.get(&url).await.unwrap().body;
+        calls["total"].as_u64().unwrap()
+    }
+
     /// Starts an entry with the usual bounds.
     pub(crate) async fn entry(&self, vm: &str) -> Entry {
         self.entry_with(vm, bounds()).await
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod refusals;
 mod relays;
+mod restored_platform;
 mod server;
 mod streams;
 mod view;
