Order the platform's data by the store's era before its revision

Cause: revisions alone told what is later. The class of fault is that of an order that holds within one history only.

A position is an era and a revision, in this order, in lists, watches, between entries and in the versions of the product's own platform boundary. Data that is older than the known one is read again after a pause. After a restoration, servers that had left are not used for 5 s though they are listed, and registrations from after the copy get the time to return that those have which lapsed in an outage. A configuration older than the one in force still has no effect.

--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -66,6 +66,9 @@
     /// Revision of the last change that was read.
     #[serde(rename = "r")]
     pub revision: u64,
+    /// Era of the platform's store that the revision belongs to.
+    #[serde(rename = "e", default)]
+    pub era: u64,
     /// Time since the state was last known to be current, in milliseconds.
     #[serde(rename = "a")]
     pub age_ms: u64,
@@ -99,6 +102,8 @@
 pub struct Object {
     pub name: String,
     pub revision: u64,
+    #[serde(rename = "e", default)]
+    pub era: u64,
     pub content: String,
 }
 
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -264,7 +264,7 @@
         let state = self.state();
         !self.is_draining()
             && state.view.routes().is_some()
-            && state.view.revision(topic::Topic::Servers).is_some()
+            && state.view.position(topic::Topic::Servers).is_some()
             && state.view.is_fresh(topic::Topic::Configuration, limit, now)
     }
 
--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -8,7 +8,7 @@
     wire::forward,
 };
 
-use crate::forward::{cx, link};
+use crate::forward::{cx, link, view};
 
 /// Time that this entry's own watch has to deliver a change known to a peer before the peer is
 /// asked for it: the watch is quicker unless it fails.
@@ -78,15 +78,17 @@
     let objects = objects.into_iter().map(|object| {
         let object = objects::Object {
             name: object.name,
-            revision: object.revision,
+            position: objects::Position {
+                era: object.era,
+                revision: object.revision,
+            },
             content: object.content,
         };
         (object.name.clone(), object)
     });
     let listing = objects::Listing {
         objects: objects.collect(),
-        revision: state.revision,
-        era: 0,
+        position: view::position(&state),
     };
     let now = cx.now();
     // The peer sent this less than a link's silence timeout ago.
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -78,14 +78,19 @@
     async fn step(&mut self) {
         let wants_all = self.wait_while_relay_serves().await;
         let begun_at = self.cx.now();
-        // Fetched on each step, because a peer may have delivered a later revision.
-        let revision = self.cx.state().view.revision(self.topic);
-        let result = match revision {
-            Some(revision) if !self.is_lost && !wants_all => self.watch(revision).await,
+        // Fetched on each step, because a peer may have delivered a later one.
+        let position = self.cx.state().view.position(self.topic);
+        let result = match position {
+            Some(position) if !self.is_lost && !wants_all => self.watch(position).await,
             _ => self.list().await,
         };
         match result {
-            Ok(read) => self.apply(read, begun_at).await,
+            Ok(read) => {
+                if !self.apply(read, begun_at).await {
+                    // A peer has delivered later data, or the platform answered late.
+                    self.back_off(MAX_CONFIGURATION_BACKOFF).await;
+                }
+            }
             Err(e) => self.handle_failure(&e).await,
         }
     }
@@ -100,11 +105,11 @@
 
     /// Watches for changes. If a request needs the configuration meanwhile, it is listed beside the
     /// watch, which goes on.
-    async fn watch(&mut self, revision: u64) -> Result<Read, objects::Error> {
+    async fn watch(&mut self, from: objects::Position) -> Result<Read, objects::Error> {
         let wait = self.next_watch_timeout();
         let cx = sync::Arc::clone(&self.cx);
         let (purpose, kind) = (self.topic.purpose(), self.topic.kind());
-        let watching = cx.platform.watch(purpose, kind, revision, wait);
+        let watching = cx.platform.watch(purpose, kind, from, wait);
         tokio::pin!(watching);
         loop {
             tokio::select! {
@@ -132,7 +137,7 @@
     async fn wait_while_relay_serves(&mut self) -> bool {
         let mut registered_at = self.cx.now();
         loop {
-            let is_known = self.cx.state().view.revision(self.topic).is_some();
+            let is_known = self.cx.state().view.position(self.topic).is_some();
             if !is_known {
                 return false;
             }
@@ -198,8 +203,8 @@
         wait
     }
 
-    async fn apply(&mut self, read: Read, begun_at: time::Duration) {
-        self.backoff = time::Duration::ZERO;
+    /// Applies what was read; returns whether it was as late as what is known.
+    async fn apply(&mut self, read: Read, begun_at: time::Duration) -> bool {
         if self.mark_regained() {
             self.cx.platform_recovered.notify_waiters();
         }
@@ -218,11 +223,16 @@
                 Read::Changes(changes) => state.view.apply_diff(self.topic, changes, begun_at, now),
             }
         };
+        let has_applied = !effects.is_ignored;
+        if has_applied {
+            self.backoff = time::Duration::ZERO;
+        }
         self.apply_effects(effects);
         if self.topic == topic::Topic::Entries {
             register(&self.cx).await;
         }
         self.batch_delay().await;
+        has_applied
     }
 
     /// Records that this kind can be read; returns whether it could not be before.
@@ -292,6 +302,16 @@
                 .fallback_reads
                 .record_failure(members, rand::random(), now);
         }
+        self.wait_for_backoff().await;
+    }
+
+    /// Waits longer than the last time, up to `max`.
+    async fn back_off(&mut self, max: time::Duration) {
+        self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, max);
+        self.wait_for_backoff().await;
+    }
+
+    async fn wait_for_backoff(&self) {
         let jitter = rand::random_range(0.7..1.3);
         tokio::select! {
             () = tokio::time::sleep(self.backoff.mul_f64(jitter)) => {}
@@ -324,7 +344,7 @@
 }
 
 /// Creates this entry's registration, or replaces the existing one.
-async fn write(cx: &cx::Cx, content: &str) -> Result<u64, objects::Error> {
+async fn write(cx: &cx::Cx, content: &str) -> Result<objects::Position, objects::Error> {
     let topic = topic::Topic::Entries;
     let (purpose, kind) = (topic.purpose(), topic.kind());
     let vm = &cx.settings.vm;
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -19,12 +19,18 @@
 /// Shortest outage of the platform in which registrations may have lapsed.
 const MIN_OUTAGE: time::Duration = time::Duration::from_millis(900);
 
+/// Time after a restoration of the platform's store in which servers that had left before are not
+/// used, even if they are listed: their registrations expire unless they are renewed.
+const RESTORATION_GRACE: time::Duration = time::Duration::from_secs(5);
+/// Time for which it is known that a server has left; copies of the store are younger.
+const DEPARTURE_RETENTION: time::Duration = time::Duration::from_secs(60);
+
 /// Objects of one kind as last read.
 #[derive(Debug, Default)]
 struct TopicCache {
     listing: Option<objects::Listing>,
-    /// Revision of the last change.
-    revision: u64,
+    /// Position of the last change.
+    position: objects::Position,
     confirmation: confirmation::Confirmation,
     /// End of the platform's last outage.
     recovered_at: Option<ids::Timestamp>,
@@ -38,8 +44,20 @@
     routes: sync::Arc<routes::Routes>,
     servers: collections::BTreeMap<ids::BackendServerId, server::Server>,
     lapsed: collections::BTreeMap<ids::BackendServerId, (server::Server, ids::Timestamp)>,
+    departures: collections::BTreeMap<ids::BackendServerId, Departure>,
+    restored_at: Option<ids::Timestamp>,
     outages: collections::BTreeSet<ids::DataCentreId>,
     members: relays::Members,
+    /// Number of times that the members were read.
+    members_revision: u64,
+}
+
+/// A server that has left or is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    /// Start of the run that has left, if known.
+    started_unix_ms: Option<u64>,
+    noticed_at: ids::Timestamp,
 }
 
 /// Effects of a change of the view that the caller has to apply elsewhere.
@@ -49,6 +67,17 @@
     pub cold: Vec<(ids::BackendServerId, time::Duration)>,
     /// Whether a new configuration is in force.
     pub has_new_routes: bool,
+    /// Whether the data was older than the known one and had no effect.
+    pub is_ignored: bool,
+}
+
+/// Returns the position up to which a peer has read a kind.
+#[must_use]
+pub const fn position(state: &forward::TopicState) -> objects::Position {
+    objects::Position {
+        era: state.era,
+        revision: state.revision,
+    }
 }
 
 impl Default for View {
@@ -58,8 +87,11 @@
             routes: sync::Arc::new(routes::Routes::default()),
             servers: collections::BTreeMap::new(),
             lapsed: collections::BTreeMap::new(),
+            departures: collections::BTreeMap::new(),
+            restored_at: None,
             outages: collections::BTreeSet::new(),
             members: relays::Members::new(),
+            members_revision: 0,
         }
     }
 }
@@ -71,11 +103,11 @@
         (self.routes.version > 0).then_some(&self.routes)
     }
 
-    /// Returns the revision from which to watch a kind; none if it was never listed.
+    /// Returns the position from which to watch a kind; none if it was never listed.
     #[must_use]
-    pub fn revision(&self, topic: topic::Topic) -> Option<u64> {
+    pub fn position(&self, topic: topic::Topic) -> Option<objects::Position> {
         let listing = self.topics[topic.index()].listing.as_ref();
-        listing.map(|listing| listing.revision)
+        listing.map(|listing| listing.position)
     }
 
     /// Returns whether the data of a kind was confirmed within the last `limit`.
@@ -103,10 +135,10 @@
         &self.members
     }
 
-    /// Returns the revision of the registered entries.
+    /// Returns a number that changes with the registered entries.
     #[must_use]
     pub const fn members_revision(&self) -> u64 {
-        self.topics[topic::Topic::Entries.index()].revision
+        self.members_revision
     }
 
     /// Returns the server if it may be sent requests.
@@ -117,7 +149,7 @@
             lapsed.map(|(server, _)| server)
         };
         let server = self.servers.get(id).or_else(lapsed)?;
-        self.takes_work(server).then_some(server)
+        self.takes_work(server, now).then_some(server)
     }
 
     /// Returns the servers of a service that may be sent requests.
@@ -131,7 +163,7 @@
             .servers
             .values()
             .chain(lapsed.map(|(server, _)| server));
-        all.filter(move |server| server.service == service && self.takes_work(server))
+        all.filter(move |server| server.service == service && self.takes_work(server, now))
     }
 
     /// Returns whether a server is listed or has lapsed recently.
@@ -165,8 +197,19 @@
             .map(|server| &server.id)
     }
 
-    fn takes_work(&self, server: &server::Server) -> bool {
-        server.state == server::State::Ready && !self.outages.contains(&server.data_centre)
+    fn takes_work(&self, server: &server::Server, now: ids::Timestamp) -> bool {
+        server.state == server::State::Ready
+            && !self.outages.contains(&server.data_centre)
+            && !self.is_outdated(server, now)
+    }
+
+    /// Returns whether a server has left and is listed only because the platform's store was
+    /// restored from an earlier copy.
+    fn is_outdated(&self, server: &server::Server, now: ids::Timestamp) -> bool {
+        let since = self.restored_at.map(|at| now.saturating_sub(at));
+        let departure = self.departures.get(&server.id);
+        since.is_some_and(|since| since < RESTORATION_GRACE)
+            && departure.is_some_and(|it| it.started_unix_ms == server.started_unix_ms)
     }
 
     /// Records that a kind could not be read.
@@ -185,22 +228,27 @@
     ) -> Effects {
         let cache = &mut self.topics[topic.index()];
         let known = cache.listing.as_ref();
-        if let Some(known) = known.filter(|known| listing.revision < known.revision) {
-            log::emit(&event::Event::ListingIgnored {
-                kind: topic.kind(),
-                era: listing.era,
-                revision: listing.revision,
-                known_era: known.era,
-                known_revision: known.revision,
-            });
-            return Effects::default();
+        if let Some(known) = known.filter(|known| listing.position < known.position) {
+            log_ignored(topic, listing.position, known.position);
+            return Effects {
+                is_ignored: true,
+                ..Effects::default()
+            };
         }
+        let known_era = known.map_or(0, |known| known.position.era);
+        let is_restored = known_era > 0 && listing.position.era > known_era;
         let is_same = known.is_some_and(|known| known.objects == listing.objects);
         if !is_same {
-            cache.revision = listing.revision;
+            cache.position = listing.position;
         }
-        cache.listing = Some(listing);
         cache.confirm(as_of, now);
+        if is_restored {
+            log_restored(topic, listing.position);
+            // Registrations from after the copy was made are written again.
+            cache.recovered_at = Some(now);
+            self.restored_at = Some(now);
+        }
+        cache.listing = Some(listing);
         if is_same {
             return Effects::default();
         }
@@ -219,7 +267,8 @@
         let Some(listing) = &mut cache.listing else {
             return Effects::default();
         };
-        if changes.revision < listing.revision {
+        let is_other_era = changes.position.era != listing.position.era;
+        if is_other_era || changes.position < listing.position {
             return Effects::default();
         }
         let is_same = changes.changes.is_empty();
@@ -233,9 +282,9 @@
                 }
             }
         }
-        listing.revision = changes.revision;
+        listing.position = changes.position;
         if !is_same {
-            cache.revision = changes.revision;
+            cache.position = changes.position;
         }
         cache.confirm(as_of, now);
         if is_same {
@@ -255,7 +304,8 @@
         cache.listing.as_ref()?;
         let age = cache.confirmation.age(now)?;
         Some(forward::TopicState {
-            revision: cache.revision,
+            revision: cache.position.revision,
+            era: cache.position.era,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1,
             is_failing: cache.failing_since.is_some(),
         })
@@ -268,7 +318,8 @@
         let objects = listing.flat_map(|listing| listing.objects.values());
         let objects = objects.map(|object| forward::Object {
             name: object.name.clone(),
-            revision: object.revision,
+            revision: object.position.revision,
+            era: object.position.era,
             content: object.content.clone(),
         });
         objects.collect()
@@ -292,12 +343,12 @@
         } else if follows_peers {
             cache.record_recovery(asked_at);
         }
-        let known = cache.listing.as_ref().map(|listing| listing.revision);
-        if known.is_some_and(|known| known >= state.revision) {
+        let known = cache.listing.as_ref().map(|listing| listing.position);
+        if known.is_some_and(|known| known >= position(&state)) {
             cache.confirmation.confirm(as_of);
             return false;
         }
-        // Only revisions tell which data is later. A read confirms data as of its beginning, so the
+        // Only positions tell which data is later. A read confirms data as of its beginning, so the
         // peer's later change may be confirmed as of an earlier time than this entry's older data.
         true
     }
@@ -331,7 +382,7 @@
         }
         log::emit(&event::Event::RoutesInForce {
             version: routes.version,
-            revision: object.revision,
+            revision: object.position.revision,
         });
         self.routes = sync::Arc::new(routes);
         Effects {
@@ -383,11 +434,42 @@
             });
             if let Some(until) = lapse_deadline {
                 self.lapsed.insert(id, (server, until));
+            } else {
+                self.record_departure(&server, now);
             }
         }
+        self.update_departures(now);
         effects
     }
 
+    fn record_departure(&mut self, server: &server::Server, now: ids::Timestamp) {
+        let departure = Departure {
+            started_unix_ms: server.started_unix_ms,
+            noticed_at: now,
+        };
+        self.departures.insert(server.id.clone(), departure);
+    }
+
+    /// Records the servers that are leaving, and forgets those that are in use again.
+    fn update_departures(&mut self, now: ids::Timestamp) {
+        let leaving = self.servers.values();
+        let leaving = leaving.filter(|server| server.state != server::State::Ready);
+        for server in leaving.cloned().collect::<Vec<server::Server>>() {
+            self.record_departure(&server, now);
+        }
+        let ready = self.servers.values();
+        let ready = ready.filter(|server| server.state == server::State::Ready);
+        let used = ready.filter(|server| !self.is_outdated(server, now));
+        for id in used
+            .map(|it| it.id.clone())
+            .collect::<Vec<ids::BackendServerId>>()
+        {
+            self.departures.remove(&id);
+        }
+        self.departures
+            .retain(|_, departure| now.saturating_sub(departure.noticed_at) < DEPARTURE_RETENTION);
+    }
+
     fn decode_outages(&mut self) -> Effects {
         let listing = self.topics[topic::Topic::Outages.index()].listing.iter();
         let names = listing.flat_map(|listing| listing.objects.keys());
@@ -415,6 +497,7 @@
             }
         }
         self.members = members;
+        self.members_revision += 1;
         Effects::default()
     }
 }
@@ -443,6 +526,24 @@
     }
 }
 
+fn log_ignored(topic: topic::Topic, read: objects::Position, known: objects::Position) {
+    log::emit(&event::Event::ListingIgnored {
+        kind: topic.kind(),
+        era: read.era,
+        revision: read.revision,
+        known_era: known.era,
+        known_revision: known.revision,
+    });
+}
+
+fn log_restored(topic: topic::Topic, read: objects::Position) {
+    log::emit(&event::Event::PlatformRestored {
+        kind: topic.kind(),
+        era: read.era,
+        revision: read.revision,
+    });
+}
+
 fn log_undecodable(topic: topic::Topic, name: &str, e: &decode::DecodeError) {
     log::emit(&event::Event::ObjectNotUnderstood {
         kind: &format!("{topic:?}"),
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -405,4 +405,10 @@
         known_era: u64,
         known_revision: u64,
     }
+    /// The platform's store was restored from a copy; what was written since then is written again.
+    2121 Warn "platform_restored" PlatformRestored {
+        kind: &'a str,
+        era: u64,
+        revision: u64,
+    }
 }
--- a/crates/mustardshedd/tests/forward/view.rs
+++ b/crates/mustardshedd/tests/forward/view.rs
@@ -10,16 +10,21 @@
     time::Duration::from_millis(ms)
 }
 
-fn listing(revision: u64) -> objects::Listing {
+const fn position(era: u64, revision: u64) -> objects::Position {
+    objects::Position { era, revision }
+}
+
+fn listing(position: objects::Position) -> objects::Listing {
     objects::Listing {
-        revision,
+        position,
         ..objects::Listing::default()
     }
 }
 
-const fn peer(changed: u64, age_ms: u64) -> forward::TopicState {
+const fn peer(changed: objects::Position, age_ms: u64) -> forward::TopicState {
     forward::TopicState {
-        revision: changed,
+        revision: changed.revision,
+        era: changed.era,
         age_ms,
         is_failing: false,
     }
@@ -28,11 +33,16 @@
 #[gtest]
 fn later_change_of_a_peer_is_fetched_though_its_read_began_earlier() -> Result<()> {
     let mut view = view::View::default();
-    view.apply_listing(Topic::Servers, listing(150), ms(1_750), ms(1_754));
+    view.apply_listing(
+        Topic::Servers,
+        listing(position(1, 150)),
+        ms(1_750),
+        ms(1_754),
+    );
 
     // The peer's watch began at 1,200 ms and returned a change that was made after this entry's
     // list.
-    let is_wanted = view.observe_peer(Topic::Servers, peer(151, 600), ms(1_800), true);
+    let is_wanted = view.observe_peer(Topic::Servers, peer(position(1, 151), 600), ms(1_800), true);
 
     verify_that!(is_wanted, eq(true))
 }
@@ -40,10 +50,96 @@
 #[gtest]
 fn peer_without_a_later_change_confirms_known_data() -> Result<()> {
     let mut view = view::View::default();
-    view.apply_listing(Topic::Servers, listing(150), ms(1_000), ms(1_004));
+    view.apply_listing(
+        Topic::Servers,
+        listing(position(1, 150)),
+        ms(1_000),
+        ms(1_004),
+    );
 
-    let is_wanted = view.observe_peer(Topic::Servers, peer(149, 100), ms(1_800), true);
+    let is_wanted = view.observe_peer(Topic::Servers, peer(position(1, 149), 100), ms(1_800), true);
 
     expect_that!(is_wanted, eq(false));
     verify_that!(view.age(Topic::Servers, ms(1_800)), some(eq(ms(100))))
 }
+
+// Guards against peers that overrule what was read after a restoration of the platform's store.
+#[gtest]
+fn data_of_an_earlier_era_is_older_whatever_its_revision() -> Result<()> {
+    let mut view = view::View::default();
+    view.apply_listing(
+        Topic::Servers,
+        listing(position(1, 150)),
+        ms(1_000),
+        ms(1_004),
+    );
+
+    let restored = listing(position(2, 90));
+    let applied = view.apply_listing(Topic::Servers, restored, ms(2_000), ms(2_004));
+    let old = listing(position(1, 160));
+    let ignored = view.apply_listing(Topic::Servers, old, ms(2_010), ms(2_014));
+
+    let is_wanted = |view: &mut view::View, at| {
+        view.observe_peer(Topic::Servers, peer(at, 10), ms(2_020), true)
+    };
+    expect_that!([applied.is_ignored, ignored.is_ignored], eq([false, true]));
+    expect_that!(view.position(Topic::Servers), some(eq(position(2, 90))));
+    expect_that!(is_wanted(&mut view, position(1, 170)), eq(false));
+    verify_that!(is_wanted(&mut view, position(3, 1)), eq(true))
+}
+
+fn servers(at: objects::Position, listed: &[(&str, &str)]) -> objects::Listing {
+    let objects = listed.iter().map(|(name, state)| {
+        let content = format!(
+            r#"{{"service":"runners","address":"127.0.0.1:1","zone":"north","version":"v1",
+            "slots":16,"state":"{state}","cold_left_ms":0,"seq":1,"born":7}}"#
+        );
+        let object = objects::Object {
+            name: (*name).to_owned(),
+            position: at,
+            content,
+        };
+        (object.name.clone(), object)
+    });
+    objects::Listing {
+        objects: objects.collect(),
+        position: at,
+    }
+}
+
+// Guards against requests to servers that had left before a restoration, and are listed again.
+#[gtest]
+fn server_that_left_is_not_used_when_a_restored_list_has_it() -> Result<()> {
+    let mut view = view::View::default();
+    let all = [("stays", "ready"), ("leaves", "ready"), ("gone", "ready")];
+    view.apply_listing(
+        Topic::Servers,
+        servers(position(1, 10), &all),
+        ms(1_000),
+        ms(1_004),
+    );
+    let left = [("stays", "ready"), ("leaves", "draining")];
+    view.apply_listing(
+        Topic::Servers,
+        servers(position(1, 12), &left),
+        ms(2_000),
+        ms(2_004),
+    );
+
+    view.apply_listing(
+        Topic::Servers,
+        servers(position(2, 10), &all),
+        ms(5_000),
+        ms(5_004),
+    );
+
+    let usable = |at| {
+        let found = view
+            .servers_of("runners", at)
+            .map(|server| server.id.as_str());
+        found.collect::<Vec<&str>>()
+    };
+    expect_that!(usable(ms(5_100)), elements_are![eq(&"stays")]);
+    // A server that is still listed after registrations have expired is alive.
+    verify_that!(usable(ms(10_100)).len(), eq(3))
+}
