--- a/crates/mustardshed-standins/tests/platform.rs
+++ b/crates/mustardshed-standins/tests/platform.rs
@@ -40,6 +40,12 @@
         assert_that!(answer.status, eq(200), "{:?}", answer.body);
     }
 
+    async fn post(&self, path: &str) {
+        let nothing = serde_json::Value::Null;
+        let answer = self.http.post(&self.url(path), &nothing).await.unwrap();
+        assert_that!(answer.status, eq(200));
+    }
+
     async fn counted(&self) -> serde_json::Value {
         self.read("admin/calls").await
     }
@@ -200,6 +206,27 @@
     assert_that!(nothing, ok(none()));
 }
 
+// Guards against watches that wait for a version that a restoration of the store has taken back.
+#[tokio::test]
+async fn watch_returns_what_a_restored_platform_holds() {
+    let f = fixture().await;
+    f.create("a", "one").await.unwrap();
+    f.post("admin/copy").await;
+    let lost = f.put("a", 1, "two").await.unwrap();
+    f.put("a", lost, "three").await.unwrap();
+
+    f.post("admin/restore").await;
+    let watching = f.watch("a", 3, time::Duration::from_secs(10));
+    let restored = watching.await.unwrap().unwrap();
+    let waiting = tokio::spawn(f.watch("a", restored.version, time::Duration::from_secs(10)));
+    let written = f.put("a", restored.version, "four").await.unwrap();
+    let newer = waiting.await.unwrap();
+
+    assert_that!(restored.value, eq(b"one"));
+    assert_that!(restored.version, gt(3));
+    assert_that!(newer, ok(some(eq(&object("a", written, "four")))));
+}
+
 #[tokio::test]
 async fn outage_refuses_every_call_and_ends_waiting_watches() {
     let f = fixture().await;
