--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -8,13 +8,14 @@
 //! refusal may be ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which
 //! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
 //! servers ask for in their responses ([`notices`], [`advertised_limits`]), which requests crash
-//! servers ([`quarantine`]), and how entries divide what a server accepts from all of them
+//! servers ([`quarantine`]), which servers had left before the platform's store was restored
+//! ([`departures`]), and how entries divide what a server accepts from all of them
 //! ([`rate_shares`]).
 
 pub mod advertised_limits;
 pub mod attempts;
 pub mod cost_limit;
-
+pub mod departures;
 pub mod engine;
 pub mod fallback_reads;
 pub mod head;
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{relays, routes, server},
+        forward::{departures, relays, routes, server},
         ids,
         version::confirmation,
     },
@@ -19,12 +19,6 @@
 /// Shortest outage of the platform in which registrations may have lapsed.
 const MIN_OUTAGE: time::Duration = time::Duration::from_millis(900);
 
-/// Time after a restoration of the platform's store in which servers that had left before are not
-/// used, even if they are listed: their registrations expire unless they are renewed.
-const RESTORATION_GRACE: time::Duration = time::Duration::from_secs(5);
-/// Time for which it is known that a server has left; copies of the store are younger.
-const DEPARTURE_RETENTION: time::Duration = time::Duration::from_secs(60);
-
 /// Objects of one kind as last read.
 #[derive(Debug, Default)]
 struct TopicCache {
@@ -44,22 +38,13 @@
     routes: sync::Arc<routes::Routes>,
     servers: collections::BTreeMap<ids::BackendServerId, server::Server>,
     lapsed: collections::BTreeMap<ids::BackendServerId, (server::Server, ids::Timestamp)>,
-    departures: collections::BTreeMap<ids::BackendServerId, Departure>,
-    restored_at: Option<ids::Timestamp>,
+    departures: departures::Departures,
     outages: collections::BTreeSet<ids::DataCentreId>,
     members: relays::Members,
     /// Number of times that the members were read.
     members_revision: u64,
 }
 
-/// A server that has left or is leaving.
-#[derive(Clone, Copy, Debug)]
-struct Departure {
-    /// Start of the run that has left, if known.
-    started_unix_ms: Option<u64>,
-    noticed_at: ids::Timestamp,
-}
-
 /// Effects of a change of the view that the caller has to apply elsewhere.
 #[derive(Debug, Default)]
 pub struct Effects {
@@ -87,8 +72,7 @@
             routes: sync::Arc::new(routes::Routes::default()),
             servers: collections::BTreeMap::new(),
             lapsed: collections::BTreeMap::new(),
-            departures: collections::BTreeMap::new(),
-            restored_at: None,
+            departures: departures::Departures::default(),
             outages: collections::BTreeSet::new(),
             members: relays::Members::new(),
             members_revision: 0,
@@ -200,16 +184,7 @@
     fn takes_work(&self, server: &server::Server, now: ids::Timestamp) -> bool {
         server.state == server::State::Ready
             && !self.outages.contains(&server.data_centre)
-            && !self.is_outdated(server, now)
-    }
-
-    /// Returns whether a server has left and is listed only because the platform's store was
-    /// restored from an earlier copy.
-    fn is_outdated(&self, server: &server::Server, now: ids::Timestamp) -> bool {
-        let since = self.restored_at.map(|at| now.saturating_sub(at));
-        let departure = self.departures.get(&server.id);
-        since.is_some_and(|since| since < RESTORATION_GRACE)
-            && departure.is_some_and(|it| it.started_unix_ms == server.started_unix_ms)
+            && !self.departures.is_outdated(server, now)
     }
 
     /// Records that a kind could not be read.
@@ -246,7 +221,7 @@
             log_restored(topic, listing.position);
             // Registrations from after the copy was made are written again.
             cache.recovered_at = Some(now);
-            self.restored_at = Some(now);
+            self.departures.record_restoration(now);
         }
         cache.listing = Some(listing);
         if is_same {
@@ -435,41 +410,13 @@
             if let Some(until) = lapse_deadline {
                 self.lapsed.insert(id, (server, until));
             } else {
-                self.record_departure(&server, now);
+                self.departures.record(&server, now);
             }
         }
-        self.update_departures(now);
+        self.departures.apply_list(self.servers.values(), now);
         effects
     }
 
-    fn record_departure(&mut self, server: &server::Server, now: ids::Timestamp) {
-        let departure = Departure {
-            started_unix_ms: server.started_unix_ms,
-            noticed_at: now,
-        };
-        self.departures.insert(server.id.clone(), departure);
-    }
-
-    /// Records the servers that are leaving, and forgets those that are in use again.
-    fn update_departures(&mut self, now: ids::Timestamp) {
-        let leaving = self.servers.values();
-        let leaving = leaving.filter(|server| server.state != server::State::Ready);
-        for server in leaving.cloned().collect::<Vec<server::Server>>() {
-            self.record_departure(&server, now);
-        }
-        let ready = self.servers.values();
-        let ready = ready.filter(|server| server.state == server::State::Ready);
-        let used = ready.filter(|server| !self.is_outdated(server, now));
-        for id in used
-            .map(|it| it.id.clone())
-            .collect::<Vec<ids::BackendServerId>>()
-        {
-            self.departures.remove(&id);
-        }
-        self.departures
-            .retain(|_, departure| now.saturating_sub(departure.noticed_at) < DEPARTURE_RETENTION);
-    }
-
     fn decode_outages(&mut self) -> Effects {
         let listing = self.topics[topic::Topic::Outages.index()].listing.iter();
         let names = listing.flat_map(|listing| listing.objects.keys());
--- a/crates/mustardshedd/tests/forward/broken.rs
+++ b/crates/mustardshedd/tests/forward/broken.rs
@@ -21,19 +21,19 @@
 
 /// Starts a server that sends `answer` on each connection, whatever the request is.
 async fn raw(id: &str, answer: &'static str, end: End) -> server::Server {
-    scripted(id, &[], (answer, end)).await
+    scripted(id, Vec::new(), (answer, end)).await
 }
 
 /// Starts a server that sends one of `first` on each of the first connections, then `rest`.
 async fn scripted(
     id: &str,
-    first: &[(&'static str, End)],
+    first: Vec<(&'static str, End)>,
     rest: (&'static str, End),
 ) -> server::Server {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut server = server::Server::bind(id).await;
     server.address = listener.local_addr().unwrap();
-    let mut first = first.to_vec().into_iter();
+    let mut first = first.into_iter();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let (answer, end) = first.next().unwrap_or(rest);
@@ -142,8 +142,8 @@
                          Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     let done = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\n\
                 Content-Length: 4\r\n\r\ndone";
-    let first = [(refused_twice, End::Open)];
-    let server = scripted("i-1", &first, (done, End::Open)).await;
+    let first = vec![(refused_twice, End::Open)];
+    let server = scripted("i-1", first, (done, End::Open)).await;
     let f = fixture::Fixture::with(&[&server]).await;
     let entry = f.entry("entry-1").await.ready().await;
 
@@ -185,8 +185,8 @@
     let unsigned = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 6\r\n\r\nboom\n\n";
 
     for error in [with_length, until_close, empty, not_run, unsigned] {
-        let first = [(begun, End::Reset)];
-        let server = scripted("i-1", &first, (error, End::Close)).await;
+        let first = vec![(begun, End::Reset)];
+        let server = scripted("i-1", first, (error, End::Close)).await;
         let f = fixture::Fixture::with(&[&server]).await;
         let entry = f.entry("entry-1").await.ready().await;
 
