--- a/crates/mustardshed-standins/src/platform/object_routes.rs
+++ b/crates/mustardshed-standins/src/platform/object_routes.rs
@@ -15,8 +15,6 @@
 
 /// Kind of the objects that list the VMs; writable only under `/admin`.
 const VMS: &str = "vms";
-/// Header for the number of restorations.
-const STORE_ERA: &str = "store-era";
 /// Largest number of items in a page.
 const PAGE_ITEMS: usize = 500;
 /// Room for the fields of a written object's body besides the value, in bytes.
@@ -57,7 +55,7 @@
     let state = state.clone();
     move |mut res| {
         let era = header::HeaderValue::from(state.era());
-        res.headers_mut().insert(STORE_ERA, era);
+        res.headers_mut().insert(wire::ERA, era);
         res
     }
 }
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -88,7 +88,7 @@
             Ok(read) => {
                 if !self.apply(read, begun_at).await {
                     // A peer has delivered later data, or the platform answered late.
-                    self.back_off(MAX_CONFIGURATION_BACKOFF).await;
+                    self.back_off().await;
                 }
             }
             Err(e) => self.handle_failure(&e).await,
@@ -305,9 +305,9 @@
         self.wait_for_backoff().await;
     }
 
-    /// Waits longer than the last time, up to `max`.
-    async fn back_off(&mut self, max: time::Duration) {
-        self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, max);
+    /// Waits longer than the last time, up to a limit.
+    async fn back_off(&mut self) {
+        self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_CONFIGURATION_BACKOFF);
         self.wait_for_backoff().await;
     }
 
