--- a/crates/mustardshed-core/src/forward/quarantine.rs
+++ b/crates/mustardshed-core/src/forward/quarantine.rs
@@ -1,8 +1,8 @@
 //! Prompt parts that crash the servers that answer requests with them.
 //!
-//! Load pattern addressed: requests that look alike to no one, but have one part of their prompts
-//! in common, crash every server that begins to answer them. They come at all entries, and retries
-//! spread them over the fleet, while the requests beside them are lost with each server.
+//! Load pattern addressed: requests that have nothing but one part of their prompts in common crash
+//! every server that begins to answer them. They come at all entries, and retries spread them over
+//! the fleet, while the requests beside them are lost with each server.
 //!
 //! All entries tell each other which requests a crashed server had not begun to answer. A part is
 //! quarantined when servers have crashed under several requests with it and none of its requests
