Log which requests are cut by the end of an entry, and how a planned stop ended

An entry logged nothing of a request that ended with its process, and its last line told open connections only, which idle ones are too. Event 1211 (forward_cut) names each request that the process ends before its answer, with its stage and server; it is written before the log is closed. forwarding_stopped and drain_began tell the requests in flight, the former also the time since the signal.

--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -129,6 +129,10 @@
     started_at: ids::Timestamp,
     /// Start of the planned stop, in microseconds; zero until then.
     drain_began_us: atomic::AtomicU64,
+    /// Requests that have been admitted and have not ended.
+    in_flight: atomic::AtomicUsize,
+    /// Whether the process ends now, whatever is in flight.
+    is_exiting: atomic::AtomicBool,
 }
 
 /// Request for a server of a service.
@@ -184,6 +188,8 @@
             }),
             next_job: atomic::AtomicU64::new(1),
             drain_began_us: atomic::AtomicU64::new(0),
+            in_flight: atomic::AtomicUsize::new(0),
+            is_exiting: atomic::AtomicBool::new(false),
         }
     }
 
@@ -228,6 +234,33 @@
         (began_us > 0).then(|| self.now().saturating_sub(began))
     }
 
+    /// Counts an admitted request.
+    pub fn begin_request(&self) {
+        self.in_flight.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Counts the end of an admitted request.
+    pub fn end_request(&self) {
+        self.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the number of admitted requests that have not ended.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Records that the process ends now; requests that are dropped from here on are cut.
+    pub fn begin_exit(&self) {
+        self.is_exiting.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether the process ends now.
+    #[must_use]
+    pub fn is_exiting(&self) -> bool {
+        self.is_exiting.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns the longest duration of a planned stop.
     #[must_use]
     pub fn drain_timeout(&self) -> time::Duration {
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -113,27 +113,16 @@
 
 impl Drop for Dispatch {
     fn drop(&mut self) {
-        if self.is_ended.load(atomic::Ordering::Relaxed) {
-            return;
+        self.req.cx.end_request();
+        if !self.is_ended.load(atomic::Ordering::Relaxed) {
+            self.log_dropped();
         }
-        let now = self.req.cx.now();
-        let streaming = self.last_event != self.req.head.last_event_id;
-        log::emit(&event::Event::ForwardCancelled {
-            request: self.req.id(),
-            route: &self.req.route.name,
-            stage: &if streaming {
-                "streaming".to_owned()
-            } else {
-                self.stage.to_string()
-            },
-            server: self.tried.last().map_or("", String::as_str),
-            elapsed_ms: now.saturating_sub(self.req.arrived_at).as_millis(),
-        });
     }
 }
 
 impl Dispatch {
     fn new(req: exchange::Admitted, service: routes::Service) -> Self {
+        req.cx.begin_request();
         let last_event = req.head.last_event_id;
         Self {
             req,
@@ -458,6 +447,37 @@
         }
     }
 
+    /// Logs that the request ends before its response: its client has left, or the process ends.
+    fn log_dropped(&self) {
+        let cx = &self.req.cx;
+        let streaming = self.last_event != self.req.head.last_event_id;
+        let stage = if streaming {
+            "streaming".to_owned()
+        } else {
+            self.stage.to_string()
+        };
+        let (request, route) = (self.req.id(), self.req.route.name.as_str());
+        let server = self.tried.last().map_or("", String::as_str);
+        let elapsed_ms = cx.now().saturating_sub(self.req.arrived_at).as_millis();
+        log::emit(&if cx.is_exiting() {
+            event::Event::ForwardCut {
+                request,
+                route,
+                stage: &stage,
+                server,
+                elapsed_ms,
+            }
+        } else {
+            event::Event::ForwardCancelled {
+                request,
+                route,
+                stage: &stage,
+                server,
+                elapsed_ms,
+            }
+        });
+    }
+
     fn log_placed(&self, placed: &placement::Placed) {
         let now = self.req.cx.now();
         let (arrivals, cold_left) = {
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -73,7 +73,10 @@
         .name("control".to_owned())
         .spawn(move || control.block_on(run_control(control_cx, listener)))
         .map_err(ServiceError::Runtime)?;
-    let served = traffic.block_on(serve(cx));
+    let served = traffic.block_on(serve(sync::Arc::clone(&cx)));
+    cx.begin_exit();
+    // Ends the requests that are still in flight, which log that.
+    drop(traffic);
     log::flush();
     served
 }
@@ -133,12 +136,14 @@
     let stopped_at = cx.now();
     cx.begin_drain();
     log::emit(&event::Event::DrainBegan {
-        in_flight: traffic.open_connections(),
+        in_flight: cx.in_flight(),
     });
     drain(&cx, &traffic, stopped_at).await;
     log::emit(&event::Event::ForwardingStopped {
         vm: &settings.vm,
         open: traffic.open_connections(),
+        in_flight: cx.in_flight(),
+        elapsed_ms: cx.now().saturating_sub(stopped_at).as_millis(),
     });
     Ok(())
 }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -216,6 +216,14 @@
     1210 Warn "prompt_parts_quarantined" PromptPartsQuarantined {
         parts: &'a str,
     }
+    /// The process ended before a request did.
+    1211 Warn "forward_cut" ForwardCut {
+        request: &'a str,
+        route: &'a str,
+        stage: &'a str,
+        server: &'a str,
+        elapsed_ms: u128,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
@@ -226,6 +234,8 @@
     1302 Info "forwarding_stopped" ForwardingStopped {
         vm: &'a str,
         open: usize,
+        in_flight: usize,
+        elapsed_ms: u128,
     }
     /// The settings were read again.
     1303 Info "settings_reread" SettingsReread {
