Reproduce requests that are cut at the end of a planned stop

An entry in its grace refuses only streams by the time that is left; every other request is passed on until the process ends.

The test starts an entry as a process, sends requests of every kind over connections that clients keep until the entry closes them, and asks the backend servers which requests reached them.

--- /dev/null
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -0,0 +1,172 @@
+//! An entry as a process of its own.
+
+use std::{fs, net, path, process, sync::atomic, time};
+
+use mustardshed::platform::discovery;
+use rustix::process as posix;
+
+/// Interval between checks of a condition.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
+/// Longest wait for an entry to be ready; far longer than a loaded machine needs.
+const READY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// How a planned stop went.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stop {
+    /// Index of the entry.
+    pub(crate) entry: usize,
+    /// When the signal was sent.
+    pub(crate) began_at: time::Instant,
+    /// Time from the signal to the kill.
+    pub(crate) grace: time::Duration,
+    /// Exit code; none if a signal ended the process.
+    pub(crate) exit_code: Option<i32>,
+}
+
+/// A running entry, which is killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) index: usize,
+    pub(crate) ip: net::Ipv4Addr,
+    grace: time::Duration,
+    dir: path::PathBuf,
+    child: process::Child,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(fs::remove_dir_all(&self.dir));
+    }
+}
+
+/// Returns a loopback address that no other test uses: on a shared address, another process might
+/// take a port that was just free.
+pub(crate) fn unique_ip() -> net::Ipv4Addr {
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+    let [.., host] = (number % 250 + 1).to_be_bytes();
+    let [.., high, low] = process::id().to_be_bytes();
+    net::Ipv4Addr::new(127, high.max(1), low, host)
+}
+
+/// Returns the address for callers.
+pub(crate) fn front(ip: net::Ipv4Addr) -> net::SocketAddr {
+    net::SocketAddr::from((ip, 8001))
+}
+
+fn settings(index: usize, ip: net::Ipv4Addr, platform: &str, grace: time::Duration) -> String {
+    let grace_s = grace.as_secs_f64();
+    format!(
+        r#"vm = "entry-{index}"
+data_centre = "north"
+front = "{ip}:8001"
+ready = "{ip}:8002"
+directory = "{ip}:8003"
+peers = "{ip}:8004"
+platform = "{platform}"
+
+[bounds]
+fail_closed = true
+application_ms = 2000
+revocation_ms = 5000
+retry_ratio = 0.2
+retry_allowance = 100.0
+retry_window_s = 10.0
+grace_s = {grace_s:?}
+memory_release_ms = 4000
+memory_idle_ms = 9000
+"#
+    )
+}
+
+impl Entry {
+    /// Starts an entry.
+    pub(crate) fn spawn(
+        index: usize,
+        ip: net::Ipv4Addr,
+        platform: &str,
+        grace: time::Duration,
+    ) -> Self {
+        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("planned-stop-{ip}"));
+        fs::create_dir_all(&dir).unwrap();
+        let file = dir.join("settings.toml");
+        fs::write(&file, settings(index, ip, platform, grace)).unwrap();
+        let log = fs::File::create(dir.join("log")).unwrap();
+        let child = process::Command::new(env!("CARGO_BIN_EXE_mustardshedd"))
+            .arg("--forwarding")
+            .arg("--settings")
+            .arg(&file)
+            .stdin(process::Stdio::null())
+            .stderr(log.try_clone().unwrap())
+            .stdout(log)
+            .spawn()
+            .unwrap();
+        Self {
+            index,
+            ip,
+            grace,
+            dir,
+            child,
+        }
+    }
+
+    /// Waits until the entry takes requests.
+    pub(crate) async fn ready(self) -> Self {
+        let began_at = time::Instant::now();
+        while !self.takes_work().await {
+            let log = self.log();
+            assert!(began_at.elapsed() < READY_TIMEOUT, "not ready: {log}");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        self
+    }
+
+    async fn takes_work(&self) -> bool {
+        let http = mustardshed_standins::json_client::JsonClient::open();
+        let url = format!("http://{}:8002{}", self.ip, discovery::READY_PATH);
+        let req = http::Request::get(url).body(bytes::Bytes::new().into());
+        http.send(req).await.is_ok_and(|res| res.status == 200)
+    }
+
+    /// Sends a signal to the process, unless it has exited.
+    pub(crate) fn signal(&mut self, signal: posix::Signal) {
+        if let Ok(None) = self.child.try_wait() {
+            let id = posix::Pid::from_child(&self.child);
+            posix::kill_process(id, signal).unwrap();
+        }
+    }
+
+    /// Sends SIGTERM and waits for the exit; kills the process at the end of the grace.
+    pub(crate) async fn stop(&mut self) -> Stop {
+        let began_at = time::Instant::now();
+        self.signal(posix::Signal::TERM);
+        self.exit(began_at).await
+    }
+
+    /// Waits for the exit; kills the process at the end of the grace.
+    pub(crate) async fn exit(&mut self, began_at: time::Instant) -> Stop {
+        let status = loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                break status;
+            }
+            if began_at.elapsed() >= self.grace {
+                self.child.kill().unwrap();
+                break self.child.wait().unwrap();
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        };
+        Stop {
+            entry: self.index,
+            began_at,
+            grace: self.grace,
+            exit_code: status.code(),
+        }
+    }
+
+    /// Returns what the process has logged.
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(self.dir.join("log")).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/mustardshedd/tests/planned_stop/main.rs
@@ -0,0 +1,13 @@
+//! Planned stops of forwarding entries as real processes, under load.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fake or fixture that fails ends its test"
+)]
+
+mod client;
+mod entry;
+mod fixture;
+mod oracle;
+mod server;
+mod stops;
--- /dev/null
+++ b/crates/mustardshedd/tests/planned_stop/server.rs
@@ -0,0 +1,173 @@
+//! A backend server with a settable service time, which records the requests that reach it.
+
+use std::{
+    collections, convert, net,
+    sync::{self, atomic},
+    time,
+};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, combinators};
+use hyper::{body, server::conn::http1, service};
+use hyper_util::rt;
+
+/// Number of events of a stream.
+const EVENTS: u32 = 5;
+
+/// What a server did with one request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Work {
+    pub(crate) began_at: time::Instant,
+    /// When the response was handed over or given up; none while the server is at work.
+    pub(crate) ended_at: Option<time::Instant>,
+    /// Whether the request was rejected without being run.
+    pub(crate) is_rejected: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    service_time_ms: atomic::AtomicU64,
+    rejects: atomic::AtomicBool,
+    padding_bytes: atomic::AtomicUsize,
+    work: sync::Mutex<collections::HashMap<String, Vec<Work>>>,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) id: String,
+    state: sync::Arc<State>,
+}
+
+impl Server {
+    pub(crate) async fn bind(id: &str, service_time: time::Duration) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = sync::Arc::new(State {
+            service_time_ms: atomic::AtomicU64::new(0),
+            rejects: atomic::AtomicBool::new(false),
+            padding_bytes: atomic::AtomicUsize::new(0),
+            work: sync::Mutex::default(),
+        });
+        tokio::spawn(accept(listener, sync::Arc::clone(&state)));
+        let server = Self {
+            address,
+            id: id.to_owned(),
+            state,
+        };
+        server.set_service_time(service_time);
+        server
+    }
+
+    /// Sets the time from a request's arrival to the end of its response.
+    pub(crate) fn set_service_time(&self, time: time::Duration) {
+        let ms = u64::try_from(time.as_millis()).unwrap();
+        let service_time = &self.state.service_time_ms;
+        service_time.store(ms, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns what the server did with requests of this identifier.
+    pub(crate) fn work(&self, request_id: &str) -> Vec<Work> {
+        let work = self.state.work.lock().unwrap();
+        work.get(request_id).cloned().unwrap_or_default()
+    }
+}
+
+/// Records the end of the work on a request when dropped.
+struct WorkGuard {
+    state: sync::Arc<State>,
+    id: String,
+    index: usize,
+}
+
+impl WorkGuard {
+    fn begin(state: &sync::Arc<State>, id: &str, is_rejected: bool) -> Self {
+        let mut work = state.work.lock().unwrap();
+        let work = work.entry(id.to_owned()).or_default();
+        work.push(Work {
+            began_at: time::Instant::now(),
+            ended_at: None,
+            is_rejected,
+        });
+        Self {
+            state: sync::Arc::clone(state),
+            id: id.to_owned(),
+            index: work.len() - 1,
+        }
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        let mut work = self.state.work.lock().unwrap();
+        if let Some(work) = work.get_mut(&self.id) {
+            work[self.index].ended_at = Some(time::Instant::now());
+        }
+    }
+}
+
+async fn accept(listener: tokio::net::TcpListener, state: sync::Arc<State>) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let state = sync::Arc::clone(&state);
+        tokio::spawn(async move {
+            let answering = service::service_fn(move |req| respond(sync::Arc::clone(&state), req));
+            let served =
+                http1::Builder::new().serve_connection(rt::TokioIo::new(stream), answering);
+            drop(served.await);
+        });
+    }
+}
+
+type Body = combinators::UnsyncBoxBody<Bytes, convert::Infallible>;
+
+async fn respond(
+    state: sync::Arc<State>,
+    req: http::Request<body::Incoming>,
+) -> Result<http::Response<Body>, hyper::Error> {
+    let id = req.headers().get("request-id");
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+    let rejects = state.rejects.load(atomic::Ordering::Relaxed);
+    let work = WorkGuard::begin(&state, &id, rejects);
+    let is_stream = req.uri().path().starts_with("/stream/");
+    req.into_body().collect().await?;
+    let res = http::Response::builder()
+        .header("server-stamp", "signed")
+        .header("request-id", &id);
+    if rejects {
+        let res = res.status(503).header("not-executed", "1");
+        return Ok(res.body(text(String::new())).unwrap());
+    }
+    let ms = state.service_time_ms.load(atomic::Ordering::Relaxed);
+    let service_time = time::Duration::from_millis(ms);
+    if is_stream {
+        let res = res.header("content-type", "text/event-stream");
+        return Ok(res.body(events(service_time, work)).unwrap());
+    }
+    tokio::time::sleep(service_time).await;
+    let padding = state.padding_bytes.load(atomic::Ordering::Relaxed);
+    Ok(res
+        .body(text(format!("{id} done{}", ".".repeat(padding))))
+        .unwrap())
+}
+
+fn text(text: String) -> Body {
+    http_body_util::Full::new(Bytes::from(text)).boxed_unsync()
+}
+
+/// Returns events that are spread over the service time; the last one names the request.
+fn events(service_time: time::Duration, work: WorkGuard) -> Body {
+    let gap = service_time / EVENTS;
+    let events = stream::unfold((1, work), move |(number, work)| async move {
+        if number > EVENTS {
+            return None;
+        }
+        tokio::time::sleep(gap).await;
+        let data = if number == EVENTS { &work.id } else { "..." };
+        let event = Bytes::from(format!("id: {number}\ndata: {data} done\n\n"));
+        Some((Ok(body::Frame::data(event)), (number + 1, work)))
+    });
+    http_body_util::StreamBody::new(events).boxed_unsync()
+}
