Accept requests in a planned stop only if they end before the process does

Cause: only streams were checked against the time left of the stop. Every other request was accepted until the process ended, which it did 0.8 s before the kill whatever was in flight. A short-lived resource was promised to work that could outlive it: admission did not know the end.

Now a request is accepted only if its deadline, for a stream its estimated length, ends before the stop does; any other is refused at once as not run. A request that was accepted before the stop began and has no answer at its end is told: 503 if it was not sent, 502 if it may have run.

--- a/crates/mustardshed-core/src/forward/planned_stop.rs
+++ b/crates/mustardshed-core/src/forward/planned_stop.rs
@@ -1,8 +1,12 @@
-//! Which streams an entry still accepts during its planned stop.
+//! Which requests an entry still accepts during its planned stop.
 //!
-//! Load pattern addressed: all entries of a small fleet are stopped within seconds of one another,
-//! so that clients have nowhere else to go. A short stream that surely ends before the entry does
-//! is then served; one that might be cut off is refused at once.
+//! Load pattern addressed: clients keep their connections and send requests until the process is
+//! gone. A request is accepted only if its response is complete by the end of the stop; any other is
+//! refused at once, before it is sent to a server, so that its client can repeat it elsewhere.
+//!
+//! Streams may take longer than their clients wait for the first event, so that their length is
+//! estimated. All entries of a small fleet may be stopped within seconds of one another, and clients
+//! have nowhere else to go; a short stream is then accepted for as long as it fits.
 
 use std::time;
 
@@ -17,6 +21,13 @@
 /// Multiple of a request's decoding time on an idle server that it takes at most beside others.
 const BUSY_FACTOR: f64 = 1.6;
 
+/// Returns whether an entry accepts a request that is not a stream and is given up after `longest`,
+/// given the time `left` until the end of its stop.
+#[must_use]
+pub fn accepts_call(left: time::Duration, longest: time::Duration) -> bool {
+    longest < left
+}
+
 /// Returns whether an entry accepts a stream that lasts at most `longest`, given the time `since`
 /// the beginning of its stop and the time `left` until its end.
 #[must_use]
@@ -26,7 +37,7 @@
     has_others: bool,
     longest: time::Duration,
 ) -> bool {
-    since < ADVERTISED_FOR || (!has_others && longest < left)
+    longest < left && (since < ADVERTISED_FOR || !has_others)
 }
 
 /// Returns the longest time from a stream's request to its end, provided its first event is on time
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -30,9 +30,11 @@
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
 /// accepted; the rest covers requests that are already on their way.
 const REVOCATION_SHARE: f64 = 0.9;
-/// Time before the platform kills a stopping entry at which the entry exits by itself: as long as a
-/// small machine takes to close its connections.
+/// Time before the platform kills a stopping entry by which all requests have their responses, and
+/// the entry closes its connections: as long as a small machine takes for that.
 const KILL_MARGIN: time::Duration = time::Duration::from_millis(800);
+/// Time before the kill at which the entry exits though connections are still open.
+const EXIT_MARGIN: time::Duration = time::Duration::from_millis(300);
 /// Time after its start within which an entry finds a relay if one is alive: as long as a leaf
 /// takes to give up one that does not answer and try the next.
 const RELAY_ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
@@ -129,6 +131,8 @@
     started_at: ids::Timestamp,
     /// Start of the planned stop, in microseconds; zero until then.
     drain_began_us: atomic::AtomicU64,
+    /// Whether the planned stop has begun, for those who wait for that.
+    drain_began: tokio_sync::watch::Sender<bool>,
     /// Requests that have been admitted and have not ended.
     in_flight: atomic::AtomicUsize,
     /// Whether the process ends now, whatever is in flight.
@@ -188,6 +192,7 @@
             }),
             next_job: atomic::AtomicU64::new(1),
             drain_began_us: atomic::AtomicU64::new(0),
+            drain_began: tokio_sync::watch::Sender::new(false),
             in_flight: atomic::AtomicUsize::new(0),
             is_exiting: atomic::AtomicBool::new(false),
         }
@@ -218,6 +223,7 @@
     pub fn begin_drain(&self) {
         let now_us = forward::micros(self.now()).max(1);
         self.drain_began_us.store(now_us, atomic::Ordering::Relaxed);
+        self.drain_began.send_replace(true);
     }
 
     /// Returns whether the planned stop has begun.
@@ -261,12 +267,36 @@
         self.is_exiting.load(atomic::Ordering::Relaxed)
     }
 
-    /// Returns the longest duration of a planned stop.
+    /// Returns the time from the beginning of a planned stop within which requests are answered.
     #[must_use]
     pub fn drain_timeout(&self) -> time::Duration {
         self.settings.bounds.grace.saturating_sub(KILL_MARGIN)
     }
 
+    /// Returns the longest duration of a planned stop.
+    #[must_use]
+    pub fn exit_timeout(&self) -> time::Duration {
+        self.settings.bounds.grace.saturating_sub(EXIT_MARGIN)
+    }
+
+    /// Waits until a planned stop has begun and the time to answer requests is over.
+    pub async fn wait_for_drain_timeout(&self) {
+        let mut began = self.drain_began.subscribe();
+        // The sender lives as long as the context, so that this cannot fail.
+        let _ = began.wait_for(|began| *began).await;
+        let since = self.draining_for().unwrap_or_default();
+        tokio::time::sleep(self.drain_timeout().saturating_sub(since)).await;
+    }
+
+    /// Returns whether a request that is given up after `longest` may begin at this entry.
+    #[must_use]
+    pub fn takes_call(&self, longest: time::Duration) -> bool {
+        let left = self
+            .draining_for()
+            .map(|since| self.drain_timeout().saturating_sub(since));
+        left.is_none_or(|left| planned_stop::accepts_call(left, longest))
+    }
+
     /// Returns whether a stream that may last for `longest` may begin at this entry.
     #[must_use]
     pub fn takes_stream(&self, longest: time::Duration) -> bool {
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Returns whether the response is complete before this entry ends, if that is being stopped.
+    fn fits_planned_stop(&self) -> bool {
+        if self.route.kind.is_stream() {
+            return self.cx.takes_stream(self.max_duration());
+        }
+        let left = self.deadline().saturating_sub(self.cx.now());
+        self.cx.takes_call(left)
+    }
+
     /// Returns the priority of the request: the account's if it has one, else the route's.
     fn priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
@@ -243,10 +252,11 @@
         body,
         arrived_at,
     };
-    if admitted.route.kind.is_stream() && !cx.takes_stream(admitted.max_duration()) {
-        return Err(refusal::Refusal::Leaving);
+    if admitted.fits_planned_stop() {
+        Ok(admitted)
+    } else {
+        Err(refusal::Refusal::Leaving)
     }
-    Ok(admitted)
 }
 
 type Resolved = (
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -150,6 +150,7 @@
             started = tokio::time::timeout(left, self.start_response()) => {
                 return started.unwrap_or(Err(refusal::Refusal::TimedOut));
             }
+            () = cx.wait_for_drain_timeout() => return Err(self.stopped()),
         };
         if self.may_have_run() {
             return Err(refusal::Refusal::FateUnknown);
@@ -157,6 +158,15 @@
         Err(refusal::Refusal::Quarantined(wait))
     }
 
+    /// Returns the refusal of a request that has no response when this entry ends.
+    fn stopped(&self) -> refusal::Refusal {
+        if self.may_have_run() {
+            refusal::Refusal::FateUnknown
+        } else {
+            refusal::Refusal::Leaving
+        }
+    }
+
     /// Returns whether a server may have run the request, or may be running it.
     fn may_have_run(&self) -> bool {
         self.attempts.runs() > 0 || !matches!(self.stage, Stage::Placing)
