Install the signal handlers of a forwarding entry before anything listens

A SIGTERM or SIGHUP between the start of a listener and the installation of the handlers ended the process at once: connections that the kernel had accepted were reset. The cause is an order of steps; the window is short, and no loss of the record is traced to it. Handlers are now installed first, and signals that come during the start are kept until it is over.

--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -18,5 +18,6 @@
 pub mod reports;
 pub mod reservation;
 pub mod service;
+pub mod signals;
 pub mod upstream;
 pub mod view;
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -8,10 +8,10 @@
     core::{boundary::clock, forward::planned_stop},
     platform::{objects, topic},
 };
-use tokio::{net as tokio_net, runtime, signal::unix, task};
+use tokio::{net as tokio_net, runtime, task};
 
 use crate::{
-    forward::{cx, link, listeners, metrics, peers, reflector, reports},
+    forward::{cx, link, listeners, metrics, peers, reflector, reports, signals},
     log::{self, event},
     process::{clock as boot, startup},
 };
@@ -59,13 +59,16 @@
 ///
 /// Returns an error if the entry cannot start.
 pub fn run(settings: forwarding::Forwarding) -> Result<(), ServiceError> {
+    let traffic = runtime()?;
+    // Before anything listens, so that no signal ends a process that has accepted requests.
+    let signals = traffic.block_on(async { signals::Signals::open() });
+    let signals = signals.map_err(ServiceError::Runtime)?;
     log::open_json(settings.log_level).map_err(ServiceError::Runtime)?;
     let platform = objects::Objects::open(&settings.platform.to_string(), PLATFORM_TIMEOUT);
     let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(boot::BootClock);
     let metrics = metrics::Metrics::new().map_err(ServiceError::Metrics)?;
     let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform, metrics));
     let control = runtime()?;
-    let traffic = runtime()?;
     let control_cx = sync::Arc::clone(&cx);
     let listener = listen_for_peers(cx.settings.peers)
         .map_err(|e| ServiceError::Listen(cx.settings.peers, e))?;
@@ -73,7 +76,7 @@
         .name("control".to_owned())
         .spawn(move || control.block_on(run_control(control_cx, listener)))
         .map_err(ServiceError::Runtime)?;
-    let served = traffic.block_on(serve(sync::Arc::clone(&cx)));
+    let served = traffic.block_on(serve(sync::Arc::clone(&cx), signals));
     cx.begin_exit();
     // Ends the requests that are still in flight, which log that.
     drop(traffic);
@@ -114,7 +117,7 @@
 }
 
 /// Serves callers until the planned stop has ended.
-async fn serve(cx: sync::Arc<cx::Cx>) -> Result<(), ServiceError> {
+async fn serve(cx: sync::Arc<cx::Cx>, mut signals: signals::Signals) -> Result<(), ServiceError> {
     let settings = &cx.settings;
     log::emit(&event::Event::ForwardingStarted {
         vm: &settings.vm,
@@ -132,7 +135,7 @@
         None => None,
     };
     let traffic = listen(settings.front, listeners::Purpose::Traffic).await?;
-    wait_for_shutdown(&cx).await?;
+    signals.wait_for_stop(|| check_reloaded_settings(&cx)).await;
     let stopped_at = cx.now();
     cx.begin_drain();
     log::emit(&event::Event::DrainBegan {
@@ -148,21 +151,6 @@
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT. On SIGHUP the settings file is checked and the result logged.
-async fn wait_for_shutdown(cx: &cx::Cx) -> Result<(), ServiceError> {
-    let signal = |kind| unix::signal(kind).map_err(ServiceError::Runtime);
-    let mut terminate = signal(unix::SignalKind::terminate())?;
-    let mut interrupt = signal(unix::SignalKind::interrupt())?;
-    let mut reload = signal(unix::SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = reload.recv() => check_reloaded_settings(cx),
-        }
-    }
-}
-
 /// Checks and logs whether the settings file has changed. A running entry keeps its settings;
 /// changes take effect at the next start.
 fn check_reloaded_settings(cx: &cx::Cx) {
