Close the connections of a stopped entry only after their answers

What callers saw: the same as with requests that outlive a planned stop; the record does not tell them apart.

Cause: the stop ended the process when no connection was counted, or at its end whatever was open. A connection that the kernel had accepted and the entry had not was reset, and an answer that was being written was cut. The entry decided to end by a count that is older than what the kernel knows.

Evidence: connections_in_the_queue_of_a_closing_listener_are_answered.

--- a/crates/mustardshedd/src/forward/listeners.rs
+++ b/crates/mustardshedd/src/forward/listeners.rs
@@ -1,17 +1,14 @@
 //! Listeners for callers' requests, for discovery of entries by callers, and for the platform's
 //! readiness checks and metrics.
 
-use std::{
-    convert, io, net,
-    sync::{self, atomic},
-    time,
-};
+use std::{convert, io, net, sync, time};
 
 use bytes::Bytes;
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
 use mustardshed::platform::discovery;
-use tokio::{net as tokio_net, task};
+use tokio::{net as tokio_net, sync as tokio_sync, task};
+use tokio_util::task as task_util;
 
 use crate::{
     forward::{cx, exchange, metrics},
@@ -34,6 +31,10 @@
 /// Time for which a client may leave written bytes unread.
 const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 
+/// Time for which idle connections are still served after their listener has closed: a request that
+/// is on its way is answered, since closing a connection with unread bytes resets it.
+const IDLE_CLOSE_DELAY: time::Duration = time::Duration::from_millis(100);
+
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
@@ -49,7 +50,8 @@
 #[derive(Debug)]
 pub struct Listener {
     accepting: task::JoinHandle<()>,
-    open: sync::Arc<atomic::AtomicUsize>,
+    closing: tokio_sync::watch::Sender<bool>,
+    connections: task_util::TaskTracker,
 }
 
 /// Binds an address and starts to serve connections there.
@@ -66,16 +68,38 @@
     log::emit(&event::Event::Listening {
         address: &address.to_string(),
     });
-    let open = sync::Arc::new(atomic::AtomicUsize::new(0));
-    let accepting = task::spawn(accept(cx, listener, purpose, sync::Arc::clone(&open)));
-    Ok(Listener { accepting, open })
+    let (closing, closed) = tokio_sync::watch::channel(false);
+    let connections = task_util::TaskTracker::new();
+    let server = Server {
+        cx,
+        purpose,
+        closed,
+        connections: connections.clone(),
+    };
+    Ok(Listener {
+        accepting: task::spawn(accept(listener, server)),
+        closing,
+        connections,
+    })
 }
 
 impl Listener {
     /// Returns the number of open connections.
     #[must_use]
     pub fn open_connections(&self) -> usize {
-        self.open.load(atomic::Ordering::Relaxed)
+        self.connections.len()
+    }
+
+    /// Stops accepting connections and waits until the open ones are closed: idle ones soon, the
+    /// others after the response to their current request. A connection that the kernel has accepted
+    /// already still gets a response to its first request.
+    pub async fn close(&mut self) {
+        self.closing.send_replace(true);
+        if let Err(e) = (&mut self.accepting).await {
+            log_failure(&e);
+        }
+        self.connections.close();
+        self.connections.wait().await;
     }
 }
 
@@ -85,54 +109,72 @@
     }
 }
 
-async fn accept(
+/// What serves the connections of a listener.
+struct Server {
     cx: sync::Arc<cx::Cx>,
-    listener: tokio_net::TcpListener,
     purpose: Purpose,
-    open: sync::Arc<atomic::AtomicUsize>,
-) {
+    closed: tokio_sync::watch::Receiver<bool>,
+    connections: task_util::TaskTracker,
+}
+
+impl Server {
+    fn spawn(&self, stream: tokio_net::TcpStream) {
+        let cx = sync::Arc::clone(&self.cx);
+        let serving = serve_connection(cx, stream, self.purpose, self.closed.clone());
+        self.connections.spawn(serving);
+    }
+}
+
+/// Accepts connections until the listener closes, and then those that the kernel has accepted.
+async fn accept(listener: tokio_net::TcpListener, server: Server) {
+    let mut closed = server.closed.clone();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let guard = ConnectionGuard::new(&open);
-                task::spawn(serve_connection(
-                    sync::Arc::clone(&cx),
-                    stream,
-                    purpose,
-                    guard,
-                ));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // An error means that the listener was dropped.
+            _ = closed.wait_for(|closed| *closed) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => server.spawn(stream),
             Err(e) => {
-                log::emit(&event::Event::AcceptFailed {
-                    reason: &e.to_string(),
-                });
+                log_failure(&e);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // Asks the kernel, as the runtime may not have noticed the last connections.
+    match listener.into_std() {
+        Ok(listener) => accept_pending(&listener, &server),
+        Err(e) => log_failure(&e),
+    }
 }
 
-/// Counts a connection as open until dropped.
-struct ConnectionGuard(sync::Arc<atomic::AtomicUsize>);
-
-impl ConnectionGuard {
-    fn new(open: &sync::Arc<atomic::AtomicUsize>) -> Self {
-        open.fetch_add(1, atomic::Ordering::Relaxed);
-        Self(sync::Arc::clone(open))
+/// Accepts the connections that wait in the queue of a non-blocking socket.
+fn accept_pending(listener: &net::TcpListener, server: &Server) {
+    loop {
+        let accepted = listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            tokio_net::TcpStream::from_std(stream)
+        });
+        match accepted {
+            Ok(stream) => server.spawn(stream),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+            Err(e) => return log_failure(&e),
+        }
     }
 }
 
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
+fn log_failure(e: &impl ToString) {
+    log::emit(&event::Event::AcceptFailed {
+        reason: &e.to_string(),
+    });
 }
 
 async fn serve_connection(
     cx: sync::Arc<cx::Cx>,
     stream: tokio_net::TcpStream,
     purpose: Purpose,
-    _guard: ConnectionGuard,
+    mut closed: tokio_sync::watch::Receiver<bool>,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
@@ -147,14 +189,27 @@
         let cx = sync::Arc::clone(&cx);
         async move { Ok::<_, convert::Infallible>(answer(cx, req, purpose).await) }
     });
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_HEADER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(rt::TokioIo::new(io), answering);
+    let mut connection = std::pin::pin!(connection);
     // If a connection breaks during a request, the request itself notices.
-    drop(served.await);
+    tokio::select! {
+        biased;
+        _ = connection.as_mut() => return,
+        () = wait_until_closed(&mut closed) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
+}
+
+async fn wait_until_closed(closed: &mut tokio_sync::watch::Receiver<bool>) {
+    // An error means that the listener was dropped, which closes it as well.
+    drop(closed.wait_for(|closed| *closed).await);
+    tokio::time::sleep(IDLE_CLOSE_DELAY).await;
 }
 
 async fn answer(
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -134,14 +134,14 @@
         Some(address) => Some(listen(address, listeners::Purpose::Metrics).await?),
         None => None,
     };
-    let traffic = listen(settings.front, listeners::Purpose::Traffic).await?;
+    let mut traffic = listen(settings.front, listeners::Purpose::Traffic).await?;
     signals.wait_for_stop(|| check_reloaded_settings(&cx)).await;
     let stopped_at = cx.now();
     cx.begin_drain();
     log::emit(&event::Event::DrainBegan {
         in_flight: cx.in_flight(),
     });
-    drain(&cx, &traffic, stopped_at).await;
+    drain(&cx, &mut traffic, stopped_at).await;
     log::emit(&event::Event::ForwardingStopped {
         vm: &settings.vm,
         open: traffic.open_connections(),
@@ -162,16 +162,16 @@
     log::emit(&event::Event::SettingsReread { result: &result });
 }
 
-/// Keeps serving until callers have moved to other entries, at most until shortly before the
-/// platform kills this one.
-async fn drain(cx: &cx::Cx, listener: &listeners::Listener, since: time::Duration) {
-    let end = cx.drain_timeout();
-    loop {
-        let elapsed = cx.now().saturating_sub(since);
-        let is_idle = elapsed >= planned_stop::ADVERTISED_FOR && listener.open_connections() == 0;
-        if is_idle || elapsed >= end {
-            return;
-        }
+/// Keeps serving until callers have moved to other entries, at most until all requests must be
+/// answered; then closes the connections, at most until shortly before the platform kills this
+/// process.
+async fn drain(cx: &cx::Cx, listener: &mut listeners::Listener, since: time::Duration) {
+    let elapsed = || cx.now().saturating_sub(since);
+    let is_idle = || elapsed() >= planned_stop::ADVERTISED_FOR && listener.open_connections() == 0;
+    while !is_idle() && elapsed() < cx.drain_timeout() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    let left = cx.exit_timeout().saturating_sub(elapsed());
+    // The connections that are still open are logged with the end.
+    drop(tokio::time::timeout(left, listener.close()).await);
 }
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod bad_input;
 mod broken;
 mod calls;
+mod closing;
 mod crashes;
 mod endless;
 mod entries;
