Reserve the addresses of a fleet's entries until it ends

Cause: the fixture chose a random port of 10,000, saw that nobody listened on it, and let it go.

Change: an address is bound by a socket that does not listen and is held for as long as the entry exists. The entry can listen beside it at every start; the system gives the address to nobody else, neither to a listener that asks for any port nor to an outgoing connection.

--- a/crates/mustardshed-standins/src/fleet.rs
+++ b/crates/mustardshed-standins/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::json_client;
 
+pub mod address;
 pub mod entry;
 pub mod files;
 pub mod process;
--- a/crates/mustardshed-standins/src/fleet/entry.rs
+++ b/crates/mustardshed-standins/src/fleet/entry.rs
@@ -1,15 +1,8 @@
 //! An entry process of a fleet.
 
-use std::{fs, net, path, process as std_process};
+use std::{fs, path, process as std_process};
 
-use rand::RngExt;
-
-use super::{FleetError, files, process};
-
-/// Ports of entries, below the ephemeral port range, so that they are still free at a restart.
-const PORTS: std::ops::Range<u16> = 20_000..30_000;
-/// Maximum number of ports that are tried to find a free one.
-const MAX_TRIES: u32 = 100;
+use super::{FleetError, address, files, process};
 
 /// A running entry.
 #[derive(Debug)]
@@ -27,10 +20,12 @@
     /// Log files of its runs, the oldest first.
     pub logs: Vec<path::PathBuf>,
     settings: path::PathBuf,
+    /// Keeps its addresses for it while it does not listen on them.
+    _reserved: [address::Reserved; 2],
 }
 
 impl Entry {
-    /// Writes the settings of an entry and starts it on free ports.
+    /// Writes the settings of an entry and starts it on free addresses.
     ///
     /// # Errors
     ///
@@ -41,8 +36,8 @@
         data_centre: &str,
         platform_url: &str,
     ) -> Result<Self, FleetError> {
-        let address = free_address()?;
-        let peer_address = free_address()?;
+        let reserved = [reserve(vm)?, reserve(vm)?];
+        let [address, peer_address] = reserved.each_ref().map(|r| r.addr().to_string());
         let settings =
             files.write_settings(vm, data_centre, &address, &peer_address, platform_url)?;
         let log = log_file(files, vm, 0);
@@ -55,6 +50,7 @@
             process,
             logs: vec![log],
             settings,
+            _reserved: reserved,
         })
     }
 
@@ -130,15 +126,7 @@
     process::Process::spawn(vm, command)
 }
 
-/// Returns a loopback address on which nothing is listening.
-fn free_address() -> Result<String, FleetError> {
-    let mut tries = 0;
-    loop {
-        let port = rand::rng().random_range(PORTS);
-        match net::TcpListener::bind(("127.0.0.1", port)) {
-            Ok(_) => return Ok(format!("127.0.0.1:{port}")),
-            Err(_) if tries < MAX_TRIES => tries += 1,
-            Err(e) => return Err(FleetError::Spawn("a listener".to_owned(), e)),
-        }
-    }
+/// Reserves an address for an entry.
+fn reserve(vm: &str) -> Result<address::Reserved, FleetError> {
+    address::Reserved::open().map_err(|e| FleetError::Spawn(vm.to_owned(), e))
 }
