Answer requests that have arrived when the product's listener is shut down

What callers saw: at the end of a planned stop of an entry of the product's own mode, a request that had been sent in full was closed without any answer, so that its caller could not know whether it ran.

Cause: shutdown ended the accept loop at once and told each connection to close. Connections that the system had accepted and the loop had not were reset with the listener; one that was accepted but not polled yet, or that was idle while a request lay in its receive buffer, was closed by hyper before it read.

Change: after the begin of the shutdown the listener accepts, and connections read, for another LINGER_TIME; only then is each told to end with its request. As the entry is draining, what still arrives is refused as not run. An Acceptor also ends when its Server is dropped, as the doc comment had said.

A runtime of one thread makes the order of events certain: the entry does not run between the sending and the stop.

Not covered: a request that arrives on a connection that was idle for the whole LINGER_TIME just as it closes, and callers beyond the limit of connections.

--- a/crates/mustardshedd/src/http/server.rs
+++ b/crates/mustardshedd/src/http/server.rs
@@ -16,10 +16,13 @@
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Maximum number of headers of one request.
 const MAX_HEADERS: usize = 64;
+/// Time, from the begin of the shutdown, within which requests that are under way still arrive and
+/// are answered.
+const LINGER_TIME: time::Duration = time::Duration::from_millis(500);
 /// Interval between checks whether all requests have ended.
 const IDLE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// A running listener; dropping it closes the socket but ends no connection.
+/// A running listener; dropping it begins a shutdown for which nobody waits.
 #[derive(Debug)]
 pub struct Server {
     local_addr: net::SocketAddr,
@@ -93,10 +96,12 @@
 
     /// Stops accepting connections and waits until the open ones have ended.
     ///
-    /// A connection ends when its current request does.
+    /// Requests that have arrived but are not yet accepted or read are answered first. A connection
+    /// ends when its current request does.
     pub async fn shutdown(self) {
-        self.accepting.abort();
         self.closing.send_replace(true);
+        // The acceptor ends by itself and does not panic.
+        drop(self.accepting.await);
         self.tracker.close();
         self.tracker.wait().await;
     }
@@ -113,7 +118,15 @@
 }
 
 impl Acceptor {
+    /// Accepts connections until some time after the begin of the shutdown.
     async fn run(self) {
+        tokio::select! {
+            () = self.accept() => {}
+            () = linger(self.closed.clone()) => {}
+        }
+    }
+
+    async fn accept(&self) {
         loop {
             let Ok(slot) = sync::Arc::clone(&self.slots).acquire_owned().await else {
                 return;
@@ -143,12 +156,12 @@
             .max_buf_size(self.limits.max_header_bytes)
             .max_headers(MAX_HEADERS)
             .serve_connection(rt::TokioIo::new(io), served);
-        let mut closed = self.closed.clone();
+        let lingered = linger(self.closed.clone());
         self.tracker.spawn(async move {
             let mut connection = std::pin::pin!(connection);
             let served = tokio::select! {
                 served = connection.as_mut() => Some(served),
-                _ = closed.wait_for(|closed| *closed) => None,
+                () = lingered => None,
             };
             if served.is_none() {
                 connection.as_mut().graceful_shutdown();
@@ -158,3 +171,10 @@
         });
     }
 }
+
+/// Waits until the listener is to close and requests that were under way have arrived.
+async fn linger(mut closed: tokio_sync::watch::Receiver<bool>) {
+    // Without a sender the listener was dropped, which also closes it.
+    drop(closed.wait_for(|closed| *closed).await);
+    tokio::time::sleep(LINGER_TIME).await;
+}
--- a/crates/mustardshedd/tests/traffic/main.rs
+++ b/crates/mustardshedd/tests/traffic/main.rs
@@ -15,4 +15,5 @@
 mod gangs;
 mod hostile;
 mod listener;
+mod stopping;
 mod storm;
--- /dev/null
+++ b/crates/mustardshedd/tests/traffic/stopping.rs
@@ -0,0 +1,100 @@
+//! Planned stops: every request that reached the listener is answered before it closes.
+
+use std::{
+    io::{Read, Write},
+    net, time,
+};
+
+use googletest::prelude::*;
+
+use crate::fakes::entry;
+
+/// Longest wait for a stop or an answer; far longer than a loaded machine needs.
+const TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Number of callers that send a request at the moment of the stop.
+const CALLERS: usize = 20;
+
+/// Returns a request as it is sent, of which `body` is the body so far.
+fn request_of(length: usize, body: &str) -> String {
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+         content-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}",
+        entry::KEY
+    )
+}
+
+/// Connects and sends a request without letting the entry run.
+fn sent(addr: net::SocketAddr) -> net::TcpStream {
+    let mut stream = net::TcpStream::connect(addr).unwrap();
+    send(&mut stream);
+    stream
+}
+
+fn send(stream: &mut net::TcpStream) {
+    let req = request_of(entry::PROMPT.len(), entry::PROMPT);
+    stream.write_all(req.as_bytes()).unwrap();
+}
+
+/// Reads until the entry closes the connection; empty if that was without an answer.
+fn answer(mut stream: net::TcpStream) -> String {
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let mut buf = Vec::new();
+    // A reset connection has no further answer.
+    let _ = stream.read_to_end(&mut buf);
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+/// Reads one answer and leaves the connection open.
+async fn first_answer(mut stream: net::TcpStream) -> net::TcpStream {
+    let reading = tokio::task::spawn_blocking(move || {
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        let mut buf = [0; 4_096];
+        assert_ne!(stream.read(&mut buf).unwrap(), 0);
+        stream
+    });
+    reading.await.unwrap()
+}
+
+async fn stop(entry: entry::Entry) -> bool {
+    entry.server.begin_drain();
+    let stopped = tokio::time::timeout(TIMEOUT, entry.server.shutdown()).await;
+    stopped.is_ok()
+}
+
+// Guards against requests cut at a planned stop that the system had accepted and the entry had not.
+#[gtest]
+#[tokio::test]
+async fn request_that_waits_to_be_accepted_at_the_stop_is_answered() -> Result<()> {
+    let entry = entry::Entry::start().await;
+    let addr = entry.server.local_addr();
+    let streams: Vec<_> = (0..CALLERS).map(|_| sent(addr)).collect();
+
+    let is_stopped = stop(entry).await;
+
+    verify_that!(is_stopped, eq(true))?;
+    for stream in streams {
+        verify_that!(answer(stream), contains_substring("entry_leaving"))?;
+    }
+    Ok(())
+}
+
+// Guards against requests cut at a planned stop that arrived on a connection that was kept open.
+#[gtest]
+#[tokio::test]
+async fn request_on_a_kept_connection_at_the_stop_is_answered() -> Result<()> {
+    let entry = entry::Entry::start().await;
+    let addr = entry.server.local_addr();
+    let mut streams = Vec::new();
+    for _ in 0..CALLERS {
+        streams.push(first_answer(sent(addr)).await);
+    }
+    streams.iter_mut().for_each(send);
+
+    let is_stopped = stop(entry).await;
+
+    verify_that!(is_stopped, eq(true))?;
+    for stream in streams {
+        verify_that!(answer(stream), contains_substring("entry_leaving"))?;
+    }
+    Ok(())
+}
