Refuse a body that is still being read when an entry of the product drains

What callers saw: a planned stop did not end while a caller went on sending a body, a byte within each idle timeout; a platform that kills after a grace then cuts whatever else is open.

Cause: a request is counted once its body is read, so that the drain ends with bodies half read. The shutdown then waits for their connections, and a body is bounded in length and in the pause between two chunks, not in time.

Change: from the begin of the drain a body that is not whole is read on for the 2 s of any refused body, and its request refused as not run, which it would be at its end. Operators' calls are read as before.

Evidence: body_that_never_ends_is_refused_at_the_stop failed before (the stop lasted longer than 30 s, the caller had no answer) and passes; 63 of 63 tests of traffic pass.

Not covered: a caller that reads its answer slowly, but never stands still for the idle timeout, is still waited for until it has read it.

--- a/crates/mustardshedd/src/http/body.rs
+++ b/crates/mustardshedd/src/http/body.rs
@@ -8,6 +8,8 @@
 use mustardshed::core::error;
 use warp::filters::BoxedFilter;
 
+use crate::{http::cx, request::cx as request_cx};
+
 /// Bytes of a refused body that are read and dropped at most, in multiples of its limit.
 const DISCARD_FACTOR: usize = 4;
 /// Longest time for which a refused body is read on, so that its sender sees the response.
@@ -30,6 +32,33 @@
     body.map(|chunk| chunk.map(|mut buf| buf.copy_to_bytes(buf.remaining())))
 }
 
+/// Reads the body of a request that is refused once the entry drains, as [`read`] does.
+///
+/// # Errors
+///
+/// Returns [`error::ErrorKind::Leaving`] if the drain begins before the body's end, and the errors
+/// of [`read`].
+pub async fn read_unless_draining(
+    cx: &cx::Cx,
+    mut body: Body,
+    headers: &http::HeaderMap,
+) -> Result<Bytes, error::Error> {
+    let limits = &cx.limits;
+    let limit = limits.max_body_bytes;
+    let whole = tokio::select! {
+        biased;
+        whole = read(&mut body, headers, limit, limits.idle_timeout) => Some(whole),
+        () = cx.requests.drain_begun() => None,
+    };
+    match whole {
+        Some(whole) => whole,
+        None => {
+            discard(&mut body, limit).await;
+            Err(request_cx::leaving())
+        }
+    }
+}
+
 /// Reads a body of at most `limit` bytes; each chunk must arrive within `idle_timeout`.
 ///
 /// A body whose `Content-Length` exceeds `limit` is refused without waiting for its end.
@@ -39,13 +68,13 @@
 /// Returns [`error::ErrorKind::TooLarge`] if the body is longer, and
 /// [`error::ErrorKind::InvalidRequest`] if it ends early or stalls.
 pub async fn read(
-    mut body: Body,
+    body: &mut Body,
     headers: &http::HeaderMap,
     limit: usize,
     idle_timeout: time::Duration,
 ) -> Result<Bytes, error::Error> {
     let announced = announced_length(headers).unwrap_or_default();
-    match read_whole(&mut body, announced, limit, idle_timeout).await {
+    match read_whole(body, announced, limit, idle_timeout).await {
         Ok(whole) => Ok(whole),
         Err(ReadError::TooLong) => {
             discard(body, limit).await;
@@ -101,7 +130,7 @@
 }
 
 /// Reads and drops the rest of a refused body, up to a limit in bytes and time.
-pub async fn discard(mut body: Body, limit: usize) {
+pub async fn discard(body: &mut Body, limit: usize) {
     let reading = async {
         let mut read = 0_usize;
         while let Some(Ok(chunk)) = body.next().await {
--- a/crates/mustardshedd/src/http/generate.rs
+++ b/crates/mustardshedd/src/http/generate.rs
@@ -43,24 +43,17 @@
     api: generate_request::Api,
     cx: &sync::Arc<cx::Cx>,
     request_headers: &http::HeaderMap,
-    body: body::Body,
+    mut body: body::Body,
 ) -> Result<Response, refused::Refused> {
     let snapshot = cx.requests.control.snapshot();
     let account = match auth::client_account(&snapshot, request_headers) {
         Ok(account) => account,
         Err(err) => {
-            body::discard(body, cx.limits.max_body_bytes).await;
+            body::discard(&mut body, cx.limits.max_body_bytes).await;
             return Err(err.into());
         }
     };
-    let limits = &cx.limits;
-    let buf = body::read(
-        body,
-        request_headers,
-        limits.max_body_bytes,
-        limits.idle_timeout,
-    )
-    .await?;
+    let buf = body::read_unless_draining(cx, body, request_headers).await?;
     let identity = identity(api, request_headers, &buf)?;
     let req = generate_request::GenerateRequest::parse(api, &buf)?;
     drop(buf);
--- a/crates/mustardshedd/src/http/operator_routes.rs
+++ b/crates/mustardshedd/src/http/operator_routes.rs
@@ -66,13 +66,13 @@
     step: Step,
     cx: &cx::Cx,
     headers: &http::HeaderMap,
-    body: body::Body,
+    mut body: body::Body,
 ) -> Result<Bytes, error::Error> {
     if let Err(err) = auth::operator(&*cx.operator, headers) {
-        body::discard(body, MAX_RECORD_BYTES).await;
+        body::discard(&mut body, MAX_RECORD_BYTES).await;
         return Err(err);
     }
-    let buf = body::read(body, headers, MAX_RECORD_BYTES, cx.limits.idle_timeout).await?;
+    let buf = body::read(&mut body, headers, MAX_RECORD_BYTES, cx.limits.idle_timeout).await?;
     let record = record(&buf)?;
     let response = match step {
         Step::Intent => cx.operator.intent(record).await?,
--- a/crates/mustardshedd/src/http/services.rs
+++ b/crates/mustardshedd/src/http/services.rs
@@ -35,24 +35,17 @@
 async fn serve(
     cx: &sync::Arc<cx::Cx>,
     incoming: IncomingCall,
-    body: body::Body,
+    mut body: body::Body,
 ) -> Result<Response, refused::Refused> {
     let snapshot = cx.requests.control.snapshot();
     let account = match auth::client_account(&snapshot, &incoming.headers) {
         Ok(account) => account,
         Err(err) => {
-            body::discard(body, cx.limits.max_body_bytes).await;
+            body::discard(&mut body, cx.limits.max_body_bytes).await;
             return Err(err.into());
         }
     };
-    let limits = &cx.limits;
-    let buf = body::read(
-        body,
-        &incoming.headers,
-        limits.max_body_bytes,
-        limits.idle_timeout,
-    )
-    .await?;
+    let buf = body::read_unless_draining(cx, body, &incoming.headers).await?;
     let request = call_request(incoming, buf)?;
     let (call, guards) = admit::call(&cx.requests, &snapshot, account, request)?;
     let id = call.job.id.clone();
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -13,7 +13,7 @@
         request::{prefix, retry, route::recent},
     },
 };
-use tokio_util::task;
+use tokio_util::{sync::CancellationToken, task};
 
 use crate::{
     log::metrics,
@@ -49,7 +49,7 @@
     /// Tasks that write the fates of claimed requests.
     pub settlements: task::TaskTracker,
     seeds: atomic::AtomicU64,
-    draining: atomic::AtomicBool,
+    draining: CancellationToken,
     in_flight: atomic::AtomicUsize,
     max_in_flight: usize,
 }
@@ -78,7 +78,7 @@
             routing: settings::Routing::default(),
             settlements: task::TaskTracker::new(),
             seeds: atomic::AtomicU64::new(seed),
-            draining: atomic::AtomicBool::new(false),
+            draining: CancellationToken::new(),
             in_flight: atomic::AtomicUsize::new(0),
             max_in_flight,
         }
@@ -109,12 +109,17 @@
 
     /// Starts to refuse new requests.
     pub fn begin_drain(&self) {
-        self.draining.store(true, atomic::Ordering::SeqCst);
+        self.draining.cancel();
     }
 
     /// Returns whether new requests are refused.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(atomic::Ordering::SeqCst)
+        self.draining.is_cancelled()
+    }
+
+    /// Waits until new requests are refused.
+    pub async fn drain_begun(&self) {
+        self.draining.cancelled().await;
     }
 
     /// Returns the number of requests in flight.
@@ -148,10 +153,7 @@
             cx: sync::Arc::clone(self),
         };
         if self.is_draining() {
-            return Err(error::Error::not_run(
-                error::ErrorKind::Leaving,
-                "this entry is leaving and refuses new requests; fetch the list of entries again",
-            ));
+            return Err(leaving());
         }
         if before >= self.max_in_flight {
             return Err(error::Error::not_run(
@@ -163,6 +165,14 @@
     }
 }
 
+/// Returns the error of a request that arrived after the begin of the drain.
+pub fn leaving() -> error::Error {
+    error::Error::not_run(
+        error::ErrorKind::Leaving,
+        "this entry is leaving and refuses new requests; fetch the list of entries again",
+    )
+}
+
 /// Guard of one request in flight; dropping it decrements the count.
 #[derive(Debug)]
 pub struct InFlight {
--- a/crates/mustardshedd/tests/traffic/stopping.rs
+++ b/crates/mustardshedd/tests/traffic/stopping.rs
@@ -13,6 +13,8 @@
 const TIMEOUT: time::Duration = time::Duration::from_secs(30);
 /// Number of callers that send a request at the moment of the stop.
 const CALLERS: usize = 20;
+/// Pause between two bytes of a body that never ends.
+const TRICKLE_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
 /// Returns a request as it is sent, of which `body` is the body so far.
 fn request_of(length: usize, body: &str) -> String {
@@ -98,3 +100,30 @@
     }
     Ok(())
 }
+
+// Guards against a planned stop that lasts as long as a caller goes on sending one body.
+#[gtest]
+#[tokio::test]
+async fn body_that_never_ends_is_refused_at_the_stop() -> Result<()> {
+    let entry = entry::Entry::start().await;
+    let mut stream = net::TcpStream::connect(entry.server.local_addr()).unwrap();
+    let req = request_of(1_000_000, "{");
+    stream.write_all(req.as_bytes()).unwrap();
+    let mut sending = stream.try_clone().unwrap();
+    let sender = std::thread::spawn(move || {
+        while sending.write_all(b" ").is_ok() {
+            std::thread::sleep(TRICKLE_INTERVAL);
+        }
+    });
+    // The entry is reading the body when it is told to stop.
+    entry.complete(entry::PROMPT, 5_000).await;
+
+    let is_stopped = stop(entry).await;
+    let seen = answer(stream.try_clone().unwrap());
+    stream.shutdown(net::Shutdown::Both).unwrap_or_default();
+    sender.join().unwrap();
+
+    verify_that!(is_stopped, eq(true))?;
+    verify_that!(seen, contains_substring("entry_leaving"))?;
+    verify_that!(seen, contains_substring("not_run"))
+}
