Let a leaving entry of the product end each connection with its next answer

What callers saw: nothing is recorded of this; it is the way in which a stop can still cut a request that HTTP leaves open. A caller that keeps a connection may send on it just as the entry closes it, and does not learn whether it ran.

Cause: connections were kept until the end of the stop, 13 s and more after the entry is no longer listed, and all were closed at that one moment.

Change: from the moment an entry is leaving, each response says "connection: close". A caller that sends anything in these 13 s goes on with a new connection, where its list says; only those that were idle all the time are closed later.

Evidence: leaving_entry_ends_a_kept_connection_with_its_next_answer failed before (no such header) and passes, for an accepted and for a refused request; 64 of 64 tests of traffic pass.

--- a/crates/mustardshedd/src/http/health.rs
+++ b/crates/mustardshedd/src/http/health.rs
@@ -20,7 +20,7 @@
 pub fn ready(cx: &cx::Cx) -> Response {
     let snapshot = cx.requests.control.snapshot();
     let now = cx.requests.clock.now();
-    if cx.requests.is_draining() || snapshot.leaving {
+    if cx.requests.is_leaving() {
         return reply::error(&error::Error::not_run(
             error::ErrorKind::Leaving,
             "this entry is leaving",
--- a/crates/mustardshedd/src/http/reply.rs
+++ b/crates/mustardshedd/src/http/reply.rs
@@ -54,6 +54,14 @@
     response
 }
 
+/// Ends the connection with this response.
+#[must_use]
+pub fn closing(mut response: reply::Response) -> reply::Response {
+    let value = http::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, value);
+    response
+}
+
 /// Builds the response for an error.
 pub fn error(err: &error::Error) -> reply::Response {
     let status = http::StatusCode::from_u16(err.kind.to_response().status)
--- a/crates/mustardshedd/src/http/routes.rs
+++ b/crates/mustardshedd/src/http/routes.rs
@@ -11,7 +11,11 @@
 };
 
 /// Returns the filter that handles every request.
+///
+/// While the entry leaves, each response ends its connection, so that few connections are left on
+/// which a request could be sent just as the entry closes them.
 pub fn routes(cx: sync::Arc<cx::Cx>) -> BoxedFilter<(Response,)> {
+    let answering = sync::Arc::clone(&cx);
     let cx = warp::any().map(move || sync::Arc::clone(&cx)).boxed();
     prompts(&cx)
         .or(plain(&cx))
@@ -22,6 +26,10 @@
         .unify()
         .recover(recover)
         .unify()
+        .map(move |response| match answering.requests.is_leaving() {
+            true => reply::closing(response),
+            false => response,
+        })
         .boxed()
 }
 
--- a/crates/mustardshedd/src/request/cx.rs
+++ b/crates/mustardshedd/src/request/cx.rs
@@ -117,6 +117,11 @@
         self.draining.is_cancelled()
     }
 
+    /// Returns whether this entry leaves, be it that new requests are still accepted or refused.
+    pub fn is_leaving(&self) -> bool {
+        self.is_draining() || self.control.snapshot().leaving
+    }
+
     /// Waits until new requests are refused.
     pub async fn drain_begun(&self) {
         self.draining.cancelled().await;
--- a/crates/mustardshedd/tests/traffic/stopping.rs
+++ b/crates/mustardshedd/tests/traffic/stopping.rs
@@ -127,3 +127,28 @@
     verify_that!(seen, contains_substring("entry_leaving"))?;
     verify_that!(seen, contains_substring("not_run"))
 }
+
+// Guards against requests sent on a kept connection just as its entry closes it.
+#[gtest]
+#[tokio::test]
+async fn leaving_entry_ends_a_kept_connection_with_its_next_answer() -> Result<()> {
+    let entry = entry::Entry::start().await;
+    let before = entry.complete(entry::PROMPT, 5_000).await;
+
+    entry.control.change(|s| s.leaving = true);
+    let accepted = entry.complete(entry::PROMPT, 5_000).await;
+    entry.server.begin_drain();
+    let refused = entry.complete(entry::PROMPT, 5_000).await;
+
+    verify_that!(before.headers.get("connection").is_none(), eq(true))?;
+    verify_that!(accepted.status, eq(200))?;
+    verify_that!(refused.code(), eq("entry_leaving"))?;
+    for response in [accepted, refused] {
+        let connection = response.headers.get("connection");
+        verify_that!(
+            connection.map(|v| v.as_bytes()),
+            some(eq(b"close".as_slice()))
+        )?;
+    }
+    Ok(())
+}
