Handle signals before an entry of the product listens

What callers saw: nothing is recorded of this. A SIGTERM just after the start of an entry ended it at once, with the requests that it had accepted and without telling its peers that it leaves.

Cause: the handlers were installed after the listeners were bound; until then SIGTERM has its default effect.

Change: the handlers are installed first. A signal that comes while the entry starts is kept and begins the planned stop once it serves. Handlers stay for the life of the process, so that a second signal does not end a stop either.

--- a/crates/mustardshedd/src/process.rs
+++ b/crates/mustardshedd/src/process.rs
@@ -12,4 +12,5 @@
 pub mod placement;
 pub mod pollers;
 pub mod service;
+pub mod signals;
 pub mod startup;
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -11,13 +11,13 @@
     },
     platform::client,
 };
-use tokio::{runtime, signal::unix};
+use tokio::runtime;
 
 use crate::{
     connection::backend_server as engine,
     http::{cx, server},
     log::{self, core_events, event, metrics},
-    process::{claims::sweeper, clock as boot, control, gauges, operator, startup},
+    process::{claims::sweeper, clock as boot, control, gauges, operator, signals, startup},
     request,
 };
 
@@ -62,6 +62,7 @@
 
 async fn serve(loaded: startup::LoadedSettings) -> Result<(), ServiceError> {
     let settings = &loaded.settings;
+    let signals = signals::Signals::open().map_err(ServiceError::Runtime)?;
     let platform = client::Client::open(&settings.platform, &settings.vm, PLATFORM_TIMEOUT)
         .map_err(ServiceError::Platform)?;
     let platform = sync::Arc::new(platform);
@@ -82,7 +83,7 @@
         .map_err(|e| ServiceError::Listen(settings.listen, e))?;
     tokio::spawn(report_in_flight(handle.clone(), requests));
     sweeper::spawn(&handle, platform);
-    run_until_stopped(&parts, server, &handle).await
+    run_until_stopped(&parts, server, &handle, signals).await
 }
 
 /// Creates the dependencies of the control thread.
@@ -122,6 +123,7 @@
     parts: &control::Parts,
     server: server::Server,
     handle: &control::Handle,
+    signals: signals::Signals,
 ) -> Result<(), ServiceError> {
     let identity = &parts.identity;
     log::emit(&event::Event::Started {
@@ -129,7 +131,7 @@
         incarnation: identity.incarnation,
         data_centre: &identity.data_centre,
     });
-    wait_for_leave(handle).await?;
+    wait_for_leave(handle, signals).await;
     stop(server, parts.clock.as_ref(), handle).await;
     log::emit(&event::Event::Stopped {
         vm: &identity.vm,
@@ -171,18 +173,12 @@
 }
 
 /// Waits for SIGTERM, SIGINT, or the platform's notice that this VM leaves, then starts to leave.
-async fn wait_for_leave(handle: &control::Handle) -> Result<(), ServiceError> {
-    let mut terminate =
-        unix::signal(unix::SignalKind::terminate()).map_err(ServiceError::Runtime)?;
-    let mut interrupt =
-        unix::signal(unix::SignalKind::interrupt()).map_err(ServiceError::Runtime)?;
+async fn wait_for_leave(handle: &control::Handle, mut signals: signals::Signals) {
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = signals.recv() => {}
         () = wait_until_leaving(handle) => {}
     }
     handle.leave();
-    Ok(())
 }
 
 async fn wait_until_leaving(handle: &control::Handle) {
--- a/crates/mustardshedd/tests/processes.rs
+++ b/crates/mustardshedd/tests/processes.rs
@@ -2,7 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a fixture that fails ends its test")]
 
-use std::{collections, fs, time};
+use std::{collections, fs, net, time};
 
 use futures_util::future;
 use googletest::prelude::*;
@@ -23,6 +23,10 @@
 /// Time within which a change of the configuration or the loss of a process must take effect.
 const EFFECT_TIME: time::Duration = time::Duration::from_secs(5);
 
+/// Time in which a process that does not handle a signal is ended by it.
+const DEATH_TIME: time::Duration = time::Duration::from_millis(300);
+/// Number of starts of an entry that is told to stop as soon as it listens.
+const STARTS: usize = 10;
 /// Longest wait for the exit of an entry that was told to stop.
 const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
@@ -306,6 +310,40 @@
     assert_that!(exit_code, some(eq(0)));
 }
 
+// Guards against a stop without a drain: the entry listened before it handled the signal.
+#[tokio::test]
+async fn signal_right_after_an_entry_listens_begins_a_planned_stop() {
+    let mut f = fixture(1).await;
+    let files = f.fleet.files.clone();
+
+    let mut still_running = 0;
+    for _ in 0..STARTS {
+        let entry = &mut f.fleet.entries[0];
+        entry.restart(&files).unwrap();
+        wait_until_listening(&entry.peer_address);
+        entry.process.terminate();
+        tokio::time::sleep(DEATH_TIME).await;
+        still_running += usize::from(entry.process.is_running());
+    }
+    f.fleet.entries[0].process.terminate();
+    let exit_code = f.exit_code_of(0).await;
+
+    assert_that!(still_running, eq(STARTS));
+    assert_that!(exit_code, some(eq(0)));
+}
+
+/// Waits, without a pause, until a process listens on `address`.
+fn wait_until_listening(address: &str) {
+    let begun = time::Instant::now();
+    while net::TcpStream::connect(address).is_err() {
+        assert!(
+            begun.elapsed() < STOP_TIMEOUT,
+            "nobody listens on {address}"
+        );
+        std::thread::yield_now();
+    }
+}
+
 #[tokio::test]
 async fn planned_stop_in_an_outage_does_not_lose_the_fate_of_a_call() {
     let mut f = fixture(1).await;
