Do not call an entry ready that has read no backend server

The check for servers that have not reported found none, since it knew none.

Change: an entry without any backend server is not ready, whatever its age.

--- a/crates/mustardshedd/src/http/health.rs
+++ b/crates/mustardshedd/src/http/health.rs
@@ -30,10 +30,13 @@
         return reply::error(&err);
     }
     let is_new = now.saturating_sub(cx.opened_at) < STARTUP_GRACE;
-    if has_unreported_kind(&snapshot) || (is_new && has_unreported_server(&snapshot)) {
+    let is_unread = snapshot.servers.is_empty();
+    let has_unreported =
+        has_unreported_kind(&snapshot) || (is_new && has_unreported_server(&snapshot));
+    if is_unread || has_unreported {
         return reply::error(&error::Error::not_run(
             error::ErrorKind::NoBackendServer,
-            "some backend servers have not reported yet",
+            "the backend servers are not known yet, or have not reported",
         ));
     }
     live()
--- a/crates/mustardshedd/tests/traffic/listener.rs
+++ b/crates/mustardshedd/tests/traffic/listener.rs
@@ -209,3 +209,23 @@
     }
     Ok(())
 }
+
+// Guards against an entry that is ready, and refuses prompts, since it has not read any server.
+#[gtest]
+#[tokio::test]
+async fn entry_that_knows_no_backend_server_is_not_ready() -> Result<()> {
+    let entry = entry::Entry::start().await;
+    entry.control.change(|s| {
+        for server in s.servers.values_mut() {
+            server.reported_at = time::Duration::from_millis(1);
+        }
+    });
+    let with_servers = entry.send(entry.request("GET", "/readyz"), "").await;
+
+    entry.control.change(|s| s.servers.clear());
+    let without = entry.send(entry.request("GET", "/readyz"), "").await;
+
+    verify_that!(with_servers.status, eq(200))?;
+    verify_that!(without.status, eq(503))?;
+    verify_that!(without.code(), eq("no_backend_server"))
+}
