End the connections of a stand-in when its server is dropped

What was seen: a test that drops a stand-in to show that it is gone was still answered on connections that had been opened before.

Cause: dropping the server ended its accept loop; each connection ran in a task of its own, which nobody ended.

Change: the accept loop owns the tasks of its connections, as the engine's does, so that they end with it.

Evidence: dropped_server_answers_no_more_on_open_connections failed before (an answer of 114 bytes after the drop) and passes; all tests of mustardshed-standins pass.

--- a/crates/mustardshed-standins/src/http.rs
+++ b/crates/mustardshed-standins/src/http.rs
@@ -56,7 +56,7 @@
 
 impl reject::Reject for BodyBroken {}
 
-/// A running listener; dropping it ends the listener.
+/// A running listener; dropping it ends the listener and its connections.
 #[derive(Debug)]
 pub struct Server {
     address: net::SocketAddr,
@@ -197,16 +197,18 @@
 
 async fn accept(listener: tokio_net::TcpListener, routes: Routes) {
     let slots = sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    let mut connections = task::JoinSet::new();
     while let Ok(slot) = sync::Arc::clone(&slots).acquire_owned().await {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let routes = routes.clone();
-        tokio::spawn(async move {
+        connections.spawn(async move {
             serve(stream, routes).await;
             drop(slot);
         });
+        while connections.try_join_next().is_some() {}
     }
 }
 
