Record crashes of servers by the contents of requests

Nothing tells that a request which crashes the server that is to answer it comes again: the quarantine finds parts that different requests have in common. A record of crashes by fingerprints of the requests' contents rejects a request after three crashes, unless an answer clears it.

Every crash counts for a request with a prompt, however soon it follows, as such a request must reach no fourth server. Equal calls without a prompt come from many clients, so servers that are lost together count once for these, unless the call was sent to one after another had crashed. A crash does not count against a request that was never the only suspect, if another request at it has ended three servers, one of them alone.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -8,7 +8,7 @@
 //! refusal may be ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which
 //! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
 //! servers ask for in their responses ([`notices`], [`advertised_limits`]), which requests crash
-//! servers ([`quarantine`]), which servers had left before the platform's store was restored
+//! servers ([`quarantine`], [`repeated_crashes`]), which servers had left before the platform's store was restored
 //! ([`departures`]), and how entries divide what a server accepts from all of them
 //! ([`rate_shares`]).
 
@@ -30,6 +30,7 @@
 pub mod rate_shares;
 pub mod relays;
 pub mod rendezvous;
+pub mod repeated_crashes;
 pub mod retry_budget;
 pub mod routes;
 pub mod server;
--- a/crates/mustardshed-core/src/forward/head.rs
+++ b/crates/mustardshed-core/src/forward/head.rs
@@ -15,6 +15,8 @@
     pub key: Option<String>,
     /// Last event that the client received of the stream that it resumes.
     pub last_event_id: Option<u64>,
+    /// Model that the client asks for.
+    pub model: Option<ids::ModelId>,
     /// Length of the prompt.
     pub prompt_tokens: Option<ids::Tokens>,
     /// Limit on the length of the response.
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -21,6 +21,7 @@
 mod quarantine;
 mod rate_shares;
 mod relays;
+mod repeated_crashes;
 mod retry_budget;
 mod routes;
 mod servers;
