Reject a repeated request that has ended three servers at all entries

A client repeats a request after the 502 that follows a crash, under a new identifier and at any entry, and each time the request goes to up to max_attempts servers. Entries now tell each other of the requests on a crashed server by fingerprint, and tell it to those that join.

--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -14,8 +14,10 @@
 use crate::peer;
 
 mod job;
+mod suspect;
 
 pub use job::Job;
+pub use suspect::Suspect;
 
 /// Number of kinds of objects whose state entries send to each other.
 pub const TOPICS: usize = 4;
@@ -238,13 +240,19 @@
         /// Prompt parts of each request that it had not begun to answer.
         #[serde(rename = "p")]
         suspects: Vec<Vec<ids::PromptPartId>>,
+        /// The same requests by their contents.
+        #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+        requests: Vec<Suspect>,
     },
-    /// Servers have begun to answer requests with these prompt parts.
+    /// Servers have begun to answer requests with these prompt parts, or these requests.
     #[serde(rename = "d")]
     Answered {
         /// The parts.
         #[serde(rename = "p")]
         parts: Vec<ids::PromptPartId>,
+        /// Fingerprints of the requests.
+        #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+        requests: Vec<u64>,
         /// Time since the last of these answers, in milliseconds.
         #[serde(rename = "a")]
         age_ms: u64,
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -12,8 +12,8 @@
         boundary::clock,
         forward::{
             advertised_limits, live_entries, load_tracker, negative_cache, notices, placement,
-            planned_stop, quarantine, rate_shares, relays, rendezvous, retry_budget, routes,
-            server,
+            planned_stop, quarantine, rate_shares, relays, rendezvous, repeated_crashes,
+            retry_budget, routes, server,
         },
         ids,
     },
@@ -24,7 +24,7 @@
 
 use crate::forward::{job, metrics, peers, view};
 
-mod crashes;
+pub mod crashes;
 mod server_reports;
 
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
@@ -52,10 +52,12 @@
     pub loads: load_tracker::LoadTracker,
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
-    /// Servers that are checked for a crash, with the requests that they had not begun to answer.
-    pub crash_checks: collections::HashMap<ids::BackendServerId, Vec<quarantine::Suspect>>,
+    /// Servers that are checked for a crash.
+    pub crash_checks: collections::HashMap<ids::BackendServerId, crashes::Check>,
     /// Prompt parts that crash servers.
     pub quarantine: quarantine::Quarantine,
+    /// Requests that crash a server each time they are repeated.
+    pub repeated_crashes: repeated_crashes::RepeatedCrashes,
     /// Rate limits that servers advertise.
     pub advertised_limits: advertised_limits::AdvertisedLimits,
     /// Shares of this entry in what servers accept from all entries.
@@ -126,7 +128,7 @@
     pub refreshed: tokio_sync::Notify,
     /// Notified when the platform answers again after an outage.
     pub platform_recovered: tokio_sync::Notify,
-    /// Notified when prompt parts are quarantined.
+    /// Notified when prompt parts or requests are quarantined.
     pub quarantined: tokio_sync::Notify,
     state: sync::Mutex<State>,
     next_job: atomic::AtomicU64,
@@ -184,6 +186,7 @@
                 notices: notices::Notices::default(),
                 crash_checks: collections::HashMap::new(),
                 quarantine: quarantine::Quarantine::default(),
+                repeated_crashes: repeated_crashes::RepeatedCrashes::default(),
                 advertised_limits: advertised_limits::AdvertisedLimits::default(),
                 rate_shares: rate_shares::RateShares::default(),
                 live_entries: live_entries::LiveEntries::default(),
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -20,6 +20,7 @@
 };
 
 mod attempt;
+pub mod content;
 mod dispatch;
 mod events;
 mod streaming;
@@ -283,7 +284,7 @@
         let is_fresh = state.view.is_fresh(topic::Topic::Configuration, limit, now);
         (routes.ok_or(refusal::Refusal::NoConfiguration)?, is_fresh)
     };
-    let route = routes.route(host(req), req.uri().path());
+    let route = routes.route(host(req.headers()), req.uri().path());
     let route = route.ok_or(refusal::Refusal::UnknownRoute)?.clone();
     if !routes.needs_key(&route) {
         return Ok((routes, route, None));
@@ -301,8 +302,8 @@
 }
 
 /// Returns the host that a request names, without its port.
-fn host(req: &http::Request<body::Incoming>) -> &str {
-    let host = req.headers().get(http::header::HOST);
+fn host(headers: &http::HeaderMap) -> &str {
+    let host = headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
@@ -319,7 +320,7 @@
     match (found, &head.key) {
         (Err(refusal::Refusal::UnknownKey), Some(key)) => format!("key {key}"),
         (Err(refusal::Refusal::UnknownKey), None) => "no key".to_owned(),
-        _ => format!("path {} {}", host(req), req.uri().path()),
+        _ => format!("path {} {}", host(req.headers()), req.uri().path()),
     }
 }
 
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     forward::{
-        cx,
-        exchange::{self, attempt, streaming},
+        cx::{self, crashes},
+        exchange::{self, attempt, content, streaming},
         job, refusal, upstream,
     },
     log::{self, event},
@@ -94,6 +94,12 @@
     attempts: attempts::Attempts,
     /// Identifier of the last event that the client has.
     pub(super) last_event: Option<u64>,
+    /// What its repeats have in common.
+    content: sync::Arc<content::Content>,
+    /// When the last attempt was sent.
+    sent_at: ids::Timestamp,
+    /// Attempts that may have crashed their servers.
+    crashes: u32,
     /// Whether a server has begun to answer.
     has_begun: bool,
     stage: Stage,
@@ -124,34 +130,40 @@
     fn new(req: exchange::Admitted, service: routes::Service) -> Self {
         req.cx.begin_request();
         let last_event = req.head.last_event_id;
+        let host = exchange::host(&req.parts.headers);
+        let content = content::Content::new(host, &req.parts, &req.head, &req.body);
         Self {
+            content: sync::Arc::new(content),
+            sent_at: req.arrived_at,
+            crashes: 0,
             req,
             service,
             tried: Vec::new(),
             attempts: attempts::Attempts::default(),
             last_event,
-            has_begun: last_event.is_some(),
+            has_begun: false,
             stage: Stage::Placing,
             is_ended: atomic::AtomicBool::new(false),
         }
     }
 
-    /// Starts the response within `left`, unless requests with its prompt parts are found to crash
-    /// servers.
+    /// Starts the response within `left`, unless the request or others with its prompt parts are
+    /// found to crash servers.
     async fn start_in_time(
         &mut self,
         left: time::Duration,
     ) -> Result<ResponseStart, refusal::Refusal> {
         let cx = sync::Arc::clone(&self.req.cx);
-        let shared = self.req.head.shared_parts().to_vec();
+        let content = sync::Arc::clone(&self.content);
         let wait = tokio::select! {
             biased;
-            wait = cx.wait_until_quarantined(&shared) => wait,
+            wait = cx.wait_until_quarantined(&content) => wait,
             started = tokio::time::timeout(left, self.start_response()) => {
                 return started.unwrap_or(Err(refusal::Refusal::TimedOut));
             }
             () = cx.wait_for_drain_timeout() => return Err(self.stopped()),
         };
+        cx.wait_until_reported(&content).await;
         if self.may_have_run() {
             return Err(refusal::Refusal::FateUnknown);
         }
@@ -190,11 +202,11 @@
                 Ok(start) => {
                     self.has_begun = true;
                     if is_success {
-                        self.req.cx.record_answer(self.req.head.shared_parts());
+                        self.req.cx.record_answer(&self.content);
                     }
                     return Ok(start);
                 }
-                Err(reason) => self.broke_off(&server, &reason)?,
+                Err(reason) => self.broke_off(&server, &reason).await?,
             }
         }
     }
@@ -242,6 +254,7 @@
             self.tried.push(placed.primary.clone());
             self.stage = Stage::WaitingForHead;
             let timeout = self.attempt_timeout(&placed);
+            self.sent_at = self.req.cx.now();
             let result = attempt::run(&self.req, &placed, job, self.last_event, timeout).await;
             match result {
                 Ok(response) => {
@@ -256,7 +269,7 @@
                 }) => self.not_run(&placed.primary, &reason, has_arrived)?,
                 Err(attempt::Failure::Unknown(reason)) => {
                     self.attempts.record_run();
-                    self.broke_off(&placed.primary, &reason)?;
+                    self.broke_off(&placed.primary, &reason).await?;
                 }
             }
         }
@@ -437,10 +450,25 @@
     }
 
     /// Records that an attempt which may have run broke off; an error ends the request.
-    pub(super) fn broke_off(&mut self, server: &str, reason: &str) -> Result<(), refusal::Refusal> {
+    pub(super) async fn broke_off(
+        &mut self,
+        server: &str,
+        reason: &str,
+    ) -> Result<(), refusal::Refusal> {
         attempt::record_failure(&self.req, server);
-        self.check_for_crash(server);
+        let check = self.check_for_crash(server);
         let will_retry = self.may_try_again() && self.req.cx.take_retry(&self.service.name);
+        if let Some(check) = check {
+            // Its client must not repeat the request before other entries know of the crash.
+            let is_suspected = self.crashes > 0 || self.req.cx.is_suspected(&self.content);
+            self.crashes += 1;
+            if is_suspected || !will_retry {
+                check.await;
+            }
+            if !will_retry {
+                self.req.cx.wait_until_reported(&self.content).await;
+            }
+        }
         self.log_failed(server, "unknown", reason, will_retry);
         if will_retry {
             Ok(())
@@ -449,12 +477,19 @@
         }
     }
 
-    /// Checks whether the server has crashed under this request, if it had not begun to answer it.
-    fn check_for_crash(&self, server: &str) {
-        let suspect = quarantine::Suspect::new(&self.req.head.prompt_parts);
-        if let Some(suspect) = suspect.filter(|_| !self.has_begun) {
-            self.req.cx.check_for_crash(server, suspect);
+    /// Checks whether the server has crashed under this request, if none had begun to answer it.
+    fn check_for_crash(&self, server: &str) -> Option<crashes::CheckDone> {
+        if self.has_begun {
+            return None;
         }
+        let is_resumed = self.req.head.last_event_id.is_some();
+        let parts = quarantine::Suspect::new(&self.req.head.prompt_parts);
+        let suspect = crashes::Suspect {
+            parts: parts.filter(|_| !is_resumed),
+            request: self.content.fingerprint(),
+            sent_at: self.content.is_common().then_some(self.sent_at),
+        };
+        self.req.cx.check_for_crash(server, suspect)
     }
 
     /// Logs that the request ends before its response: its client has left, or the process ends.
--- a/crates/mustardshedd/src/forward/exchange/streaming.rs
+++ b/crates/mustardshedd/src/forward/exchange/streaming.rs
@@ -228,6 +228,7 @@
             let server = self.source.guards.server.clone();
             self.dispatch
                 .broke_off(&server, &reason)
+                .await
                 .map_err(unfinished)?;
             self.resume_elsewhere().await?;
         }
@@ -266,6 +267,7 @@
             };
             self.dispatch
                 .broke_off(&server, &reason)
+                .await
                 .map_err(unfinished)?;
         }
     }
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -3,7 +3,10 @@
 use std::time;
 
 use mustardshed::{
-    core::{forward::quarantine, ids},
+    core::{
+        forward::{quarantine, repeated_crashes},
+        ids,
+    },
     wire::forward,
 };
 
@@ -65,17 +68,33 @@
             server,
             age_ms,
             suspects,
+            requests,
         } => {
+            let at = link::before(now, *age_ms);
             let suspects = suspects.iter().map(Vec::as_slice);
+            let attempts = requests.iter().copied();
+            cx.record_repeated_crash(repeated_crashes::Crash {
+                server: server.clone(),
+                at,
+                attempts: attempts.map(repeated_crashes::Attempt::from).collect(),
+            });
             cx.record_crash(quarantine::Crash {
                 server: server.clone(),
-                at: link::before(now, *age_ms),
+                at,
                 suspects: suspects.filter_map(quarantine::Suspect::new).collect(),
             });
         }
-        forward::Message::Answered { parts, age_ms } => {
+        forward::Message::Answered {
+            parts,
+            requests,
+            age_ms,
+        } => {
             let at = link::before(now, *age_ms);
-            cx.state().quarantine.record_peer_answer(parts, at);
+            let mut state = cx.state();
+            state.quarantine.record_peer_answer(parts, at);
+            for request in requests {
+                state.repeated_crashes.record_answer((*request).into(), at);
+            }
         }
         forward::Message::Quarantined { parts, age_ms } => {
             cx.adopt_quarantine(quarantine::Culprit {
@@ -184,6 +203,13 @@
 
 /// Returns the known crashes of servers and what is quarantined because of them, for a peer.
 fn crashes(state: &cx::State, now: ids::Timestamp) -> impl Iterator<Item = forward::Message> {
+    let repeated = state.repeated_crashes.crashes();
+    let repeated = repeated.map(move |crash| forward::Message::Crashed {
+        server: crash.server.clone(),
+        age_ms: link::age_ms(now.saturating_sub(crash.at)),
+        suspects: Vec::new(),
+        requests: crash.attempts.iter().copied().map(Into::into).collect(),
+    });
     let crashes = state.quarantine.crashes();
     let crashes = crashes.map(move |crash| forward::Message::Crashed {
         server: crash.server.clone(),
@@ -193,8 +219,11 @@
             .iter()
             .map(quarantine::Suspect::parts)
             .collect(),
+        requests: Vec::new(),
     });
     let culprits = state.quarantine.culprits().iter();
+    // Entries of earlier versions keep the last crashes only, so those with parts come last.
+    let crashes = repeated.chain(crashes);
     crashes.chain(culprits.map(move |culprit| forward::Message::Quarantined {
         parts: culprit.parts.clone(),
         age_ms: link::age_ms(now.saturating_sub(culprit.crashed_at)),
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -211,6 +211,7 @@
         server: &'a str,
         requests: usize,
         parts: &'a str,
+        fingerprints: &'a str,
     }
     /// Requests with these prompt parts crash backend servers and are refused.
     1210 Warn "prompt_parts_quarantined" PromptPartsQuarantined {
@@ -224,6 +225,10 @@
         server: &'a str,
         elapsed_ms: u128,
     }
+    /// Servers crash each time this request is repeated; it is refused.
+    1212 Warn "request_quarantined" RequestQuarantined {
+        fingerprint: &'a str,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -351,6 +351,24 @@
         self.exchange(req).await
     }
 
+    /// Sends a request with the key of the only account, and these headers instead of the usual
+    /// ones.
+    pub(crate) async fn send_as(
+        &self,
+        entry: &Entry,
+        path: &str,
+        headers: &[(&'static str, &str)],
+    ) -> ClientResponse {
+        let url = format!("http://{}{path}", entry.cx.settings.front);
+        let req = http::Request::post(url).body(Bytes::new().into());
+        let mut req = req.unwrap();
+        let usual = [("host", HOST), ("api-key", KEY), ("deadline-ms", "20000")];
+        for (name, value) in usual.iter().chain(headers) {
+            req.headers_mut().insert(*name, value.parse().unwrap());
+        }
+        self.exchange(req).await
+    }
+
     /// Sends a GET request for a path at an address.
     pub(crate) async fn read(&self, address: net::SocketAddr, path: &str) -> ClientResponse {
         let req = http::Request::get(format!("http://{address}{path}"));
--- a/crates/mustardshedd/tests/forward/relays.rs
+++ b/crates/mustardshedd/tests/forward/relays.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::{
-    fixture,
+    crashes, fixture,
     server::{self, Response},
 };
 
@@ -178,3 +178,24 @@
     fixture::wait_until("the configuration to be confirmed", || leaf.cx.takes_work()).await;
     Ok(())
 }
+
+// Guards against a request that crashes servers for as long as relays pass on the news of it
+// (BUDGET).
+#[gtest]
+#[tokio::test]
+async fn request_that_has_ended_three_servers_is_rejected_by_leaves() -> Result<()> {
+    let servers = crashes::crashing_servers().await;
+    let servers = servers.each_ref();
+    let f = fixture::Fixture::with(&servers).await;
+    let entries = fleet(&f).await;
+    for entry in &entries {
+        fixture::wait_until("the entry to be ready", || entry.cx.takes_work()).await;
+    }
+    let mut entries: Vec<&fixture::Entry> = entries.iter().collect();
+    entries.sort_by_key(|entry| is_relay(entry));
+
+    let deadly = crashes::repeat(&f, &entries, "/stream/a", "ca11e5:40,dead00:9").await;
+
+    expect_that!(deadly.last(), some(eq(&503)));
+    verify_that!(crashes::deadly_arrivals(&servers), eq(3))
+}
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -61,17 +61,18 @@
     script: sync::Mutex<collections::VecDeque<Response>>,
     got: sync::Mutex<Vec<ReceivedRequest>>,
     abandoned: sync::atomic::AtomicUsize,
-    /// Prompt parts that crash the server.
+    /// Prompt parts, and parts of paths, that crash the server.
     deadly_parts: sync::Mutex<Vec<&'static str>>,
     crashed: tokio::sync::Notify,
 }
 
 impl State {
-    fn is_deadly(&self, headers: &http::HeaderMap) -> bool {
+    fn is_deadly(&self, path: &str, headers: &http::HeaderMap) -> bool {
         let parts = headers.get("prompt-prefix");
         let parts = parts.and_then(|parts| parts.to_str().ok()).unwrap_or("");
         let deadly = self.deadly_parts.lock().unwrap();
-        deadly.iter().any(|deadly| parts.contains(deadly))
+        let mut deadly = deadly.iter();
+        deadly.any(|deadly| parts.contains(deadly) || path.contains(deadly))
     }
 }
 
@@ -102,7 +103,7 @@
         self.state.script.lock().unwrap().push_back(answer);
     }
 
-    /// Makes requests with this prompt part crash the server: all its connections end, and it
+    /// Makes requests with this prompt part, or with this in their paths, crash the server: all its connections end, and it
     /// refuses new ones for a while.
     pub(crate) fn crash_on(&self, part: &'static str) {
         self.state.deadly_parts.lock().unwrap().push(part);
@@ -169,7 +170,7 @@
         .iter()
         .any(|prefix| parts.uri.path().starts_with(prefix));
     let is_order = parts.uri.path() == "/api/order";
-    let is_deadly = state.is_deadly(&parts.headers);
+    let is_deadly = state.is_deadly(parts.uri.path(), &parts.headers);
     state.got.lock().unwrap().push(ReceivedRequest {
         method: parts.method.to_string(),
         path: parts.uri.to_string(),
