Test repeated requests that crash servers in a fleet of 195 entries

The tests with real entries cover three entries and one set of leaves. Without network, 195 entries and 135 engines send no request to a fourth server.

Old crashes are dropped when an answer is recorded too, so that answers need no fingerprint once nothing is suspected. The text of the refusal no longer speaks of prompts only.

--- a/crates/mustardshed-core/src/forward/repeated_crashes.rs
+++ b/crates/mustardshed-core/src/forward/repeated_crashes.rs
@@ -57,6 +57,7 @@
     /// Records that a server has begun to answer a request, at this entry or a peer. Returns
     /// whether the request was suspected.
     pub fn record_answer(&mut self, request: Fingerprint, at: ids::Timestamp) -> bool {
+        self.expire(at);
         if !self.counts.contains_key(&request) {
             return false;
         }
@@ -108,9 +109,9 @@
 
     /// Removes what has expired.
     fn expire(&mut self, now: ids::Timestamp) {
+        let is_old = |crash: &mut Crash| now.saturating_sub(crash.at) >= RETENTION;
         let known = self.crashes.len();
-        self.crashes
-            .retain(|crash| now.saturating_sub(crash.at) < RETENTION);
+        while self.crashes.pop_front_if(is_old).is_some() {}
         if self.crashes.len() < known {
             self.recount();
         }
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -22,6 +22,7 @@
 mod rate_shares;
 mod relays;
 mod repeated_crashes;
+mod repeated_requests;
 mod retry_budget;
 mod routes;
 mod servers;
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -35,7 +35,7 @@
     TooLate(time::Duration),
     /// the backend servers turned the request away
     TurnedAway(time::Duration),
-    /// backend servers crash when they answer requests with such a prompt
+    /// backend servers crash when they answer such requests
     Quarantined(time::Duration),
     /// a backend server did not answer as it should; the request may have run
     FateUnknown,
