Reject a repeated request until the last of its crashes has expired

Each crash expired by itself: a request with crashes 250 s apart was forgotten by 600 s after the first, and would have reached a fourth server 100 s after the third. Crashes are now kept while a request under them has crashed a server in the last 600 s. Found in review; guarded by request_is_rejected_until_its_last_crash_has_expired.

Two more findings of the review: the failure of an attempt is logged before the wait for its check, so that a deadline in between does not lose the line, and a request without another attempt waits for a check no longer than for the report of it. A call that a server answers with a client error has not crashed it.

--- a/crates/mustardshed-core/src/forward/repeated_crashes.rs
+++ b/crates/mustardshed-core/src/forward/repeated_crashes.rs
@@ -23,7 +23,7 @@
 const MAX_CRASHES_OF_REQUEST: usize = 3;
 /// Most crashes that are kept.
 const MAX_CRASHES: usize = 2_048;
-/// Time for which a crash is kept, and for which a request is rejected after the last one under it.
+/// Time for which a request is suspected or rejected after the last crash under it.
 const RETENTION: time::Duration = time::Duration::from_secs(600);
 /// Reports of a server's end within this time of each other are about one crash; servers take
 /// longer to start.
@@ -107,14 +107,24 @@
         self.crashes.iter()
     }
 
-    /// Removes what has expired.
+    /// Removes the crashes under whose requests no server has crashed lately.
     fn expire(&mut self, now: ids::Timestamp) {
-        let is_old = |crash: &mut Crash| now.saturating_sub(crash.at) >= RETENTION;
-        let known = self.crashes.len();
-        while self.crashes.pop_front_if(is_old).is_some() {}
-        if self.crashes.len() < known {
-            self.recount();
+        let is_old = |at: ids::Timestamp| now.saturating_sub(at) >= RETENTION;
+        if !self.crashes.front().is_some_and(|crash| is_old(crash.at)) {
+            return;
         }
+        let mut last = collections::HashMap::new();
+        for crash in &self.crashes {
+            for attempt in &crash.attempts {
+                let at = last.entry(attempt.request).or_insert(crash.at);
+                *at = crash.at.max(*at);
+            }
+        }
+        self.crashes.retain(|crash| {
+            let mut requests = crash.attempts.iter().map(|attempt| attempt.request);
+            requests.any(|request| last.get(&request).is_some_and(|at| !is_old(*at)))
+        });
+        self.recount();
     }
 
     fn insert(&mut self, crash: Crash) {
--- a/crates/mustardshed-core/tests/forward/repeated_crashes.rs
+++ b/crates/mustardshed-core/tests/forward/repeated_crashes.rs
@@ -74,6 +74,23 @@
     verify_that!(left, some(eq(millis(RETENTION_MS - 1_000))))
 }
 
+// Guards against a request that is sent to a fourth server because the first of its crashes, and not
+// the last, has expired (BUDGET).
+#[gtest]
+fn request_is_rejected_until_its_last_crash_has_expired() -> Result<()> {
+    let mut crashes = repeated_crashes::RepeatedCrashes::default();
+
+    record(&mut crashes, 0, 250_000, &[&["dead"], &["dead"], &["dead"]]);
+    record(&mut crashes, 700_000, 0, &[&["other"]]);
+    let left = crashes.remaining(request("dead"), millis(700_000));
+    record(&mut crashes, 500_000 + RETENTION_MS, 0, &[&["other"]]);
+    let left_after = crashes.remaining(request("dead"), millis(500_000 + RETENTION_MS));
+
+    expect_that!(left, some(eq(millis(400_000))));
+    expect_that!(left_after, none());
+    verify_that!(crashes.crashes().count(), eq(2))
+}
+
 #[gtest]
 fn reports_of_several_entries_are_one_crash() -> Result<()> {
     let mut crashes = repeated_crashes::RepeatedCrashes::default();
--- a/crates/mustardshedd/src/forward/cx/crashes.rs
+++ b/crates/mustardshedd/src/forward/cx/crashes.rs
@@ -20,7 +20,7 @@
 /// Time from the first closed connection to the check, in which the others are noticed.
 const COLLECTION_TIME: time::Duration = time::Duration::from_millis(20);
 /// Time within which all entries hear of a crash, also through relays.
-const REPORT_TIME: time::Duration = time::Duration::from_millis(60);
+pub const REPORT_TIME: time::Duration = time::Duration::from_millis(60);
 /// Longest wait for a server to accept or refuse a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -189,8 +189,8 @@
         loop {
             let response = self.attempt().await?;
             let server = response.guards.server.clone();
-            let is_success = response.parts.status.is_success();
-            let is_stream = self.req.route.kind.is_stream() && is_success;
+            let status = response.parts.status;
+            let is_stream = self.req.route.kind.is_stream() && status.is_success();
             let result = if is_stream {
                 streaming::Stream::start(response, self.last_event)
                     .await
@@ -201,7 +201,7 @@
             match result {
                 Ok(start) => {
                     self.has_begun = true;
-                    if is_success {
+                    if self.is_answer(status) {
                         self.req.cx.record_answer(&self.content);
                     }
                     return Ok(start);
@@ -211,6 +211,13 @@
         }
     }
 
+    /// Returns whether a response with this status shows that the request crashes no server: an
+    /// engine may reject a prompt before it reads it.
+    fn is_answer(&self, status: http::StatusCode) -> bool {
+        let is_call = self.content.prompt_parts().is_empty();
+        status.is_success() || (is_call && !status.is_server_error())
+    }
+
     /// Reads the whole of a response that is not a stream.
     async fn read_whole(&self, response: attempt::Response) -> Result<ResponseStart, String> {
         let status = response.parts.status;
@@ -458,18 +465,10 @@
         attempt::record_failure(&self.req, server);
         let check = self.check_for_crash(server);
         let will_retry = self.may_try_again() && self.req.cx.take_retry(&self.service.name);
+        self.log_failed(server, "unknown", reason, will_retry);
         if let Some(check) = check {
-            // Its client must not repeat the request before other entries know of the crash.
-            let is_suspected = self.crashes > 0 || self.req.cx.is_suspected(&self.content);
-            self.crashes += 1;
-            if is_suspected || !will_retry {
-                check.await;
-            }
-            if !will_retry {
-                self.req.cx.wait_until_reported(&self.content).await;
-            }
+            self.wait_for_check(check, will_retry).await;
         }
-        self.log_failed(server, "unknown", reason, will_retry);
         if will_retry {
             Ok(())
         } else {
@@ -477,6 +476,22 @@
         }
     }
 
+    /// Waits until other entries know of a crash, before the request is repeated by this entry or by
+    /// its client. The first crash under a request delays no retry.
+    async fn wait_for_check(&mut self, check: crashes::CheckDone, will_retry: bool) {
+        let is_suspected = self.crashes > 0 || self.req.cx.is_suspected(&self.content);
+        self.crashes += 1;
+        if is_suspected {
+            check.await;
+        } else if !will_retry {
+            // A server that answers nothing at all is not known to have crashed.
+            drop(tokio::time::timeout(crashes::REPORT_TIME, check).await);
+        }
+        if !will_retry {
+            self.req.cx.wait_until_reported(&self.content).await;
+        }
+    }
+
     /// Checks whether the server has crashed under this request, if none had begun to answer it.
     fn check_for_crash(&self, server: &str) -> Option<crashes::CheckDone> {
         if self.has_begun {
