Close the discovery listeners of a stopped entry with that for callers

They were dropped when the process ended, so that a list of entries that was being sent was reset. A process that was paused beyond its end still takes 150 ms to answer, and one broken connection in the queue of the closing listener no longer costs the others theirs.

--- a/crates/mustardshedd/src/forward/listeners.rs
+++ b/crates/mustardshedd/src/forward/listeners.rs
@@ -159,6 +159,8 @@
         match accepted {
             Ok(stream) => server.spawn(stream),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+            // The others in the queue are not affected.
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => log_failure(&e),
             Err(e) => return log_failure(&e),
         }
     }
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -3,6 +3,7 @@
 use std::{fs, io, net, path, sync, thread, time};
 
 use displaydoc::Display;
+use futures_util::future;
 use mustardshed::{
     config::{forwarding, problem},
     core::{boundary::clock, forward::planned_stop},
@@ -20,6 +21,8 @@
 const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 /// Interval at which a draining entry checks whether its connections are closed.
 const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Shortest time to close connections, for a process that was paused beyond its end.
+const MIN_CLOSE_TIME: time::Duration = time::Duration::from_millis(150);
 
 /// Why the entry could not start.
 #[derive(Debug, Display)]
@@ -128,8 +131,8 @@
         let bound = listeners::bind(sync::Arc::clone(&cx), address, purpose);
         async move { bound.await.map_err(|e| ServiceError::Listen(address, e)) }
     };
-    let _ready = listen(settings.ready, listeners::Purpose::Discovery).await?;
-    let _directory = listen(settings.directory, listeners::Purpose::Discovery).await?;
+    let mut ready = listen(settings.ready, listeners::Purpose::Discovery).await?;
+    let mut directory = listen(settings.directory, listeners::Purpose::Discovery).await?;
     let _metrics = match settings.metrics {
         Some(address) => Some(listen(address, listeners::Purpose::Metrics).await?),
         None => None,
@@ -141,7 +144,15 @@
     log::emit(&event::Event::DrainBegan {
         in_flight: cx.in_flight(),
     });
-    drain(&cx, &mut traffic, stopped_at).await;
+    wait_until_drained(&cx, &traffic, stopped_at).await;
+    let elapsed = cx.now().saturating_sub(stopped_at);
+    let closing = future::join3(traffic.close(), ready.close(), directory.close());
+    let left = cx
+        .exit_timeout()
+        .saturating_sub(elapsed)
+        .max(MIN_CLOSE_TIME);
+    // The connections that are still open are logged with the end.
+    drop(tokio::time::timeout(left, closing).await);
     log::emit(&event::Event::ForwardingStopped {
         vm: &settings.vm,
         open: traffic.open_connections(),
@@ -163,15 +174,11 @@
 }
 
 /// Keeps serving until callers have moved to other entries, at most until all requests must be
-/// answered; then closes the connections, at most until shortly before the platform kills this
-/// process.
-async fn drain(cx: &cx::Cx, listener: &mut listeners::Listener, since: time::Duration) {
+/// answered.
+async fn wait_until_drained(cx: &cx::Cx, listener: &listeners::Listener, since: time::Duration) {
     let elapsed = || cx.now().saturating_sub(since);
     let is_idle = || elapsed() >= planned_stop::ADVERTISED_FOR && listener.open_connections() == 0;
     while !is_idle() && elapsed() < cx.drain_timeout() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    let left = cx.exit_timeout().saturating_sub(elapsed());
-    // The connections that are still open are logged with the end.
-    drop(tokio::time::timeout(left, listener.close()).await);
 }
