Stop entry processes at random moments, in series and under other signals

The test of the planned stop looked at one SIGTERM in calm. Now real processes are stopped in all the other ways that an operator or a platform does it: signals during the start, a second order to stop, a reload and a pause within the grace, long answers to slow readers, refusals of requests whose bodies still arrive, and a seeded soak of three entries that are stopped, paused and restarted while servers change their speed and reject requests and the configuration changes. For every request, what its client got is compared with what the servers saw.

--- a/crates/mustardshedd/tests/planned_stop/client.rs
+++ b/crates/mustardshedd/tests/planned_stop/client.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::client::conn::http1;
+use hyper::{body, client::conn::http1};
 use hyper_util::rt;
 use tokio::task;
 
@@ -18,6 +18,8 @@
 const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(10);
 /// Time beyond a request's deadline after which a client no longer waits for the answer.
 const PATIENCE: time::Duration = time::Duration::from_secs(10);
+/// Receive buffer of clients that read slowly, in bytes.
+const SMALL_BUFFER_BYTES: u32 = 16 * 1024;
 /// Body of the requests that have one.
 const BODY: &str = "two mustard seeds";
 
@@ -55,6 +57,8 @@
     pub(crate) kind: Kind,
     pub(crate) has_body: bool,
     pub(crate) deadline: time::Duration,
+    /// Pause after each piece of the answer that is read, on a connection with a small buffer.
+    pub(crate) read_pause: Option<time::Duration>,
 }
 
 /// How a request ended for its client.
@@ -92,9 +96,11 @@
 }
 
 impl Client {
-    pub(crate) fn open(name: &str, ips: &[net::Ipv4Addr]) -> Self {
+    pub(crate) fn open(ips: &[net::Ipv4Addr]) -> Self {
+        static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
         Self {
-            name: name.to_owned(),
+            name: format!("c{number}"),
             ips: ips.to_vec(),
             connections: collections::HashMap::new(),
             requests: 0,
@@ -103,12 +109,12 @@
 
     /// Sends a request over the connection to its entry; none if the entry cannot be reached.
     pub(crate) async fn send(&mut self, plan: Plan) -> Option<Sent> {
-        let mut connection = self.connection(plan.entry).await?;
+        let mut connection = self.connection(plan).await?;
         self.requests += 1;
         let id = format!("{}-{}", self.name, self.requests);
         let req = request(&id, plan);
         let sent_at = time::Instant::now();
-        let exchange = exchange(&mut connection, req, &id);
+        let exchange = exchange(&mut connection, req, &id, plan.read_pause);
         let outcome = tokio::time::timeout(plan.deadline + PATIENCE, exchange).await;
         let outcome = outcome.unwrap_or(Outcome::Silent);
         if matches!(outcome, Outcome::Answered(_)) {
@@ -124,14 +130,18 @@
     }
 
     /// Returns the kept connection to an entry, or a new one.
-    async fn connection(&mut self, entry: usize) -> Option<Connection> {
-        if let Some(mut kept) = self.connections.remove(&entry)
+    async fn connection(&mut self, plan: Plan) -> Option<Connection> {
+        if let Some(mut kept) = self.connections.remove(&plan.entry)
             && kept.ready().await.is_ok()
         {
             return Some(kept);
         }
-        let address = entry::front(self.ips[entry]);
-        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        if plan.read_pause.is_some() {
+            socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
+        }
+        let address = entry::front(self.ips[plan.entry]);
+        let stream = socket.connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let (connection, driver) = http1::handshake(rt::TokioIo::new(stream)).await.ok()?;
         task::spawn(driver);
@@ -157,16 +167,31 @@
     connection: &mut Connection,
     req: http::Request<http_body_util::Full<Bytes>>,
     id: &str,
+    read_pause: Option<time::Duration>,
 ) -> Outcome {
     let res = match connection.send_request(req).await {
         Ok(res) => res,
         Err(e) => return Outcome::Closed(e.to_string()),
     };
     let status = res.status();
-    match res.into_body().collect().await {
+    match read(res.into_body(), read_pause).await {
         Err(e) => Outcome::Broken(format!("{status}: {e}")),
-        Ok(body) => check_body(status, &body.to_bytes(), id),
+        Ok(body) => check_body(status, &body, id),
+    }
+}
+
+async fn read(
+    mut body: body::Incoming,
+    pause: Option<time::Duration>,
+) -> Result<Vec<u8>, hyper::Error> {
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        buf.extend_from_slice(frame?.data_ref().unwrap_or(&Bytes::new()));
+        if let Some(pause) = pause {
+            tokio::time::sleep(pause).await;
+        }
     }
+    Ok(buf)
 }
 
 fn check_body(status: http::StatusCode, body: &[u8], id: &str) -> Outcome {
@@ -192,7 +217,7 @@
     {
         let is_over = sync::Arc::new(atomic::AtomicBool::new(false));
         let clients = (0..clients).map(|number| {
-            let client = Client::open(&format!("c{number}"), ips);
+            let client = Client::open(ips);
             let mut plan = plan.clone();
             let next = move |request| plan(number, request);
             task::spawn(run(client, next, sync::Arc::clone(&is_over)))
--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -1,9 +1,10 @@
 //! An entry as a process of its own.
 
-use std::{fs, net, path, process, sync::atomic, time};
+use std::{fs, net, os::unix::process::ExitStatusExt, path, process, sync::atomic, time};
 
 use mustardshed::platform::discovery;
 use rustix::process as posix;
+use tokio::task;
 
 /// Interval between checks of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
@@ -11,7 +12,7 @@
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
 /// How a planned stop went.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Stop {
     /// Index of the entry.
     pub(crate) entry: usize,
@@ -21,8 +22,29 @@
     pub(crate) grace: time::Duration,
     /// Exit code; none if a signal ended the process.
     pub(crate) exit_code: Option<i32>,
+    /// Signal that ended the process, if one did.
+    pub(crate) exit_signal: Option<i32>,
+    /// Whether the process was killed at the end of the grace.
+    pub(crate) is_killed: bool,
+    /// Whether the process had bound a listener when it was last signalled.
+    pub(crate) had_listened: bool,
+    /// Log lines about the stop.
+    pub(crate) log: Vec<String>,
 }
 
+impl Stop {
+    /// Returns whether the process exited as planned, or was ended before it could take requests.
+    pub(crate) fn is_planned(&self) -> bool {
+        match self.exit_code {
+            Some(code) => code == 0,
+            None => !self.had_listened && !self.is_killed,
+        }
+    }
+}
+
+/// Events that tell how a stop went.
+const STOP_EVENTS: [&str; 3] = ["drain_began", "forward_cut", "forwarding_stopped"];
+
 /// A running entry, which is killed when dropped.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -31,6 +53,7 @@
     grace: time::Duration,
     dir: path::PathBuf,
     child: process::Child,
+    had_listened: bool,
 }
 
 impl Drop for Entry {
@@ -51,6 +74,12 @@
     net::Ipv4Addr::new(127, high.max(1), low, host)
 }
 
+/// Returns a number that no other process of this test has.
+fn unique_number() -> u32 {
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    NEXT.fetch_add(1, atomic::Ordering::Relaxed)
+}
+
 /// Returns the address for callers.
 pub(crate) fn front(ip: net::Ipv4Addr) -> net::SocketAddr {
     net::SocketAddr::from((ip, 8001))
@@ -89,7 +118,8 @@
         platform: &str,
         grace: time::Duration,
     ) -> Self {
-        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("planned-stop-{ip}"));
+        let name = format!("planned-stop-{ip}-{}", unique_number());
+        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         fs::create_dir_all(&dir).unwrap();
         let file = dir.join("settings.toml");
         fs::write(&file, settings(index, ip, platform, grace)).unwrap();
@@ -109,6 +139,7 @@
             grace,
             dir,
             child,
+            had_listened: false,
         }
     }
 
@@ -133,6 +164,7 @@
     /// Sends a signal to the process, unless it has exited.
     pub(crate) fn signal(&mut self, signal: posix::Signal) {
         if let Ok(None) = self.child.try_wait() {
+            self.had_listened = self.has_listened();
             let id = posix::Pid::from_child(&self.child);
             posix::kill_process(id, signal).unwrap();
         }
@@ -147,11 +179,13 @@
 
     /// Waits for the exit; kills the process at the end of the grace.
     pub(crate) async fn exit(&mut self, began_at: time::Instant) -> Stop {
+        let mut is_killed = false;
         let status = loop {
             if let Some(status) = self.child.try_wait().unwrap() {
                 break status;
             }
             if began_at.elapsed() >= self.grace {
+                is_killed = true;
                 self.child.kill().unwrap();
                 break self.child.wait().unwrap();
             }
@@ -162,9 +196,41 @@
             began_at,
             grace: self.grace,
             exit_code: status.code(),
+            exit_signal: status.signal(),
+            is_killed,
+            had_listened: self.had_listened,
+            log: self.stop_events(),
         }
     }
 
+    fn stop_events(&self) -> Vec<String> {
+        let is_wanted = |line: &&str| STOP_EVENTS.iter().any(|name| line.contains(name));
+        let log = self.log();
+        log.lines().filter(is_wanted).map(str::to_owned).collect()
+    }
+
+    /// Waits until the process has bound its first listener.
+    pub(crate) async fn listening(&self) {
+        let began_at = time::Instant::now();
+        while !self.has_listened() {
+            let log = self.log();
+            assert!(began_at.elapsed() < READY_TIMEOUT, "not listening: {log}");
+            task::yield_now().await;
+        }
+    }
+
+    /// Returns whether the process has bound a listener.
+    fn has_listened(&self) -> bool {
+        net::TcpStream::connect((self.ip, 8002)).is_ok()
+    }
+
+    /// Pauses the process.
+    pub(crate) async fn pause(&mut self, duration: time::Duration) {
+        self.signal(posix::Signal::STOP);
+        tokio::time::sleep(duration).await;
+        self.signal(posix::Signal::CONT);
+    }
+
     /// Returns what the process has logged.
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(self.dir.join("log")).unwrap_or_default()
--- a/crates/mustardshedd/tests/planned_stop/main.rs
+++ b/crates/mustardshedd/tests/planned_stop/main.rs
@@ -9,5 +9,8 @@
 mod entry;
 mod fixture;
 mod oracle;
+mod refusals;
 mod server;
+mod soak;
+mod starts;
 mod stops;
--- a/crates/mustardshedd/tests/planned_stop/oracle.rs
+++ b/crates/mustardshedd/tests/planned_stop/oracle.rs
@@ -42,9 +42,30 @@
     violations: Vec<Violation>,
     /// Number of requests by kind and end.
     ends: collections::BTreeMap<String, usize>,
+    /// Log lines of the entries about their stops.
+    logs: Vec<String>,
+    /// Number of planned stops.
+    stops: usize,
+    /// Number of requests sent within a grace that a server has answered.
+    served_in_grace: usize,
 }
 
 impl Report {
+    /// Returns the number of requests sent within a grace that a server has answered.
+    pub(crate) fn served_in_grace(&self) -> usize {
+        self.served_in_grace
+    }
+
+    /// Returns the numbers of requests and stops.
+    pub(crate) fn summary(&self) -> String {
+        format!(
+            "{} violations, {} stops, {} served in their grace, {:?}",
+            self.violations.len(),
+            self.stops,
+            self.served_in_grace,
+            self.ends
+        )
+    }
     /// Returns the rules that were broken, one entry for each time.
     pub(crate) fn faults(&self) -> Vec<Fault> {
         self.violations
@@ -62,14 +83,16 @@
                 .entry((violation.fault, violation.kind))
                 .or_insert(0_usize) += 1;
         }
-        writeln!(f, "{} violations", self.violations.len())?;
+        writeln!(f, "{}", self.summary())?;
         for ((fault, kind), count) in counts {
             writeln!(f, "  {fault:?} {kind:?}: {count}")?;
         }
-        writeln!(f, "requests: {:?}", self.ends)?;
         for violation in &self.violations {
             writeln!(f, "{:?}: {}", violation.fault, violation.text)?;
         }
+        if !self.violations.is_empty() {
+            writeln!(f, "{}", self.logs.join("\n"))?;
+        }
         Ok(())
     }
 }
@@ -80,7 +103,15 @@
     servers: &[server::Server],
     stops: &[entry::Stop],
 ) -> Report {
-    let mut report = Report::default();
+    let mut report = Report {
+        logs: stops.iter().flat_map(|stop| stop.log.clone()).collect(),
+        stops: stops.len(),
+        served_in_grace: sent
+            .iter()
+            .filter(|req| is_served_in_grace(req, stops))
+            .count(),
+        ..Report::default()
+    };
     for req in sent {
         let works: Vec<server::Work> = servers
             .iter()
@@ -105,15 +136,26 @@
                 text: describe(req, &works, stops),
             }));
     }
-    let bad_exits = stops.iter().filter(|stop| stop.exit_code != Some(0));
+    let bad_exits = stops.iter().filter(|stop| !stop.is_planned());
     report.violations.extend(bad_exits.map(|stop| Violation {
         fault: Fault::BadExit,
         kind: None,
-        text: format!("entry {}: {:?}", stop.entry, stop.exit_code),
+        text: format!(
+            "entry {}: exit code {:?}, ended by signal {:?}, killed {}",
+            stop.entry, stop.exit_code, stop.exit_signal, stop.is_killed
+        ),
     }));
     report
 }
 
+fn is_served_in_grace(req: &client::Sent, stops: &[entry::Stop]) -> bool {
+    let is_in_grace = |stop: &entry::Stop| {
+        req.plan.entry == stop.entry
+            && (stop.began_at..stop.began_at + stop.grace).contains(&req.sent_at)
+    };
+    req.outcome == client::Outcome::Answered(200) && stops.iter().any(is_in_grace)
+}
+
 fn faults(
     req: &client::Sent,
     works: &[server::Work],
--- a/crates/mustardshedd/tests/planned_stop/server.rs
+++ b/crates/mustardshedd/tests/planned_stop/server.rs
@@ -68,6 +68,17 @@
         service_time.store(ms, atomic::Ordering::Relaxed);
     }
 
+    /// Sets whether the server rejects requests without running them.
+    pub(crate) fn set_rejecting(&self, rejects: bool) {
+        self.state.rejects.store(rejects, atomic::Ordering::Relaxed);
+    }
+
+    /// Sets the number of bytes added to each response that is not a stream.
+    pub(crate) fn set_padding(&self, bytes: usize) {
+        let padding = &self.state.padding_bytes;
+        padding.store(bytes, atomic::Ordering::Relaxed);
+    }
+
     /// Returns what the server did with requests of this identifier.
     pub(crate) fn work(&self, request_id: &str) -> Vec<Work> {
         let work = self.state.work.lock().unwrap();
--- a/crates/mustardshedd/tests/planned_stop/stops.rs
+++ b/crates/mustardshedd/tests/planned_stop/stops.rs
@@ -4,6 +4,8 @@
 
 use googletest::prelude::*;
 
+use rustix::process as posix;
+
 use crate::{client, fixture};
 
 /// Number of clients.
@@ -14,6 +16,22 @@
 const DEADLINES_MS: [u64; 7] = [300, 500, 700, 1_000, 1_000, 1_000, 20_000];
 /// Deadline of streams.
 const STREAM_DEADLINE: time::Duration = time::Duration::from_secs(3);
+/// Time between the signals of a series.
+const SIGNAL_INTERVAL: time::Duration = time::Duration::from_millis(700);
+/// Time from the signal to a pause.
+const PAUSE_AFTER: time::Duration = time::Duration::from_millis(1_800);
+/// Duration of a pause.
+const PAUSE: time::Duration = time::Duration::from_secs(1);
+/// Kinds that are not streams.
+const CALLS: [client::Kind; 3] = [client::Kind::Once, client::Kind::Again, client::Kind::Open];
+/// Number of clients that read slowly.
+const SLOW_READERS: u64 = 6;
+/// Size of a long answer.
+const LONG_ANSWER_BYTES: usize = 6 * 1024 * 1024;
+/// Pause after each piece of a long answer.
+const READ_PAUSE: time::Duration = time::Duration::from_millis(1);
+/// Deadline of requests whose answers are read slowly.
+const SLOW_READER_DEADLINE: time::Duration = time::Duration::from_secs(1);
 
 /// Returns requests of all kinds in turn.
 fn plan(client: u64, request: u64) -> client::Plan {
@@ -29,6 +47,7 @@
         } else {
             deadline
         },
+        read_pause: None,
     }
 }
 
@@ -45,4 +64,77 @@
 
     let report = f.check(&sent, &[stop]);
     assert_that!(report.faults(), is_empty(), "{report}");
+    assert_that!(report.served_in_grace(), gt(0));
+}
+
+// Guards against a second order to stop that ends the process before its requests are answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn further_signals_during_a_planned_stop_cut_no_request() {
+    let f = fixture::Fixture::open(time::Duration::from_millis(600)).await;
+    let mut entry = f.entry().await;
+    let load = client::Load::start(CLIENTS, &[entry.ip], plan);
+    tokio::time::sleep(LOAD_TIME).await;
+
+    let began_at = time::Instant::now();
+    for signal in [
+        posix::Signal::TERM,
+        posix::Signal::TERM,
+        posix::Signal::INT,
+        posix::Signal::HUP,
+        posix::Signal::TERM,
+    ] {
+        entry.signal(signal);
+        tokio::time::sleep(SIGNAL_INTERVAL).await;
+    }
+    let stop = entry.exit(began_at).await;
+    let sent = load.finish().await;
+
+    let report = f.check(&sent, &[stop]);
+    assert_that!(report.faults(), is_empty(), "{report}");
+    assert_that!(report.served_in_grace(), gt(0));
+}
+
+// Guards against a process that takes the time of a pause for time left, and is killed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pause_during_a_planned_stop_cuts_no_request() {
+    let f = fixture::Fixture::open(time::Duration::from_millis(600)).await;
+    let mut entry = f.entry().await;
+    let load = client::Load::start(CLIENTS, &[entry.ip], plan);
+    tokio::time::sleep(LOAD_TIME).await;
+
+    let began_at = time::Instant::now();
+    entry.signal(posix::Signal::TERM);
+    tokio::time::sleep(PAUSE_AFTER).await;
+    entry.pause(PAUSE).await;
+    let stop = entry.exit(began_at).await;
+    let sent = load.finish().await;
+
+    let report = f.check(&sent, &[stop]);
+    assert_that!(report.faults(), is_empty(), "{report}");
+    assert_that!(report.served_in_grace(), gt(0));
+}
+
+// Guards against long answers that are cut while a client that is on time still reads them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_answers_to_slow_readers_are_complete_during_a_planned_stop() {
+    let f = fixture::Fixture::open(time::Duration::from_millis(100)).await;
+    for server in &f.servers {
+        server.set_padding(LONG_ANSWER_BYTES);
+    }
+    let mut entry = f.entry().await;
+    let slow = |client, request| client::Plan {
+        deadline: SLOW_READER_DEADLINE,
+        kind: CALLS[usize::try_from(request % 3).unwrap()],
+        read_pause: Some(READ_PAUSE),
+        ..plan(client, request)
+    };
+    let load = client::Load::start(SLOW_READERS, &[entry.ip], slow);
+    tokio::time::sleep(LOAD_TIME).await;
+
+    let stop = entry.stop().await;
+    let sent = load.finish().await;
+
+    let report = f.check(&sent, &[stop]);
+    assert_that!(report.faults(), is_empty(), "{report}");
+    assert_that!(report.served_in_grace(), gt(0));
 }
