Read on the body of a request that is refused for its head

What callers saw: an entry answered a request to an unknown path, or with an unknown key, and closed the connection while the body was still arriving. The client's next write failed, and one that stops there does not see the refusal.

Cause: the rest of a refused body was dropped, so that the connection could only be closed.

--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -229,24 +229,18 @@
     head: head::RequestHead,
     arrived_at: ids::Timestamp,
 ) -> Result<Admitted, refusal::Refusal> {
-    let mut found = resolve(cx, &req, &head, arrived_at);
-    if matches!(
-        found,
-        Err(refusal::Refusal::UnknownKey | refusal::Refusal::UnknownRoute)
-    ) && !refresh_configuration(cx, &lookup_name(&req, &head, &found), arrived_at).await
-    {
-        return Err(refusal::Refusal::Stale);
-    } else if found.is_err() {
-        found = resolve(cx, &req, &head, cx.now());
-    }
-    let (routes, route, account) = found?;
-    if head.request_id.is_none() {
-        return Err(refusal::Refusal::NoIdentifier);
-    }
+    let found = check_head(cx, &req, &head, arrived_at).await;
+    let (parts, body) = req.into_parts();
+    let (routes, route, account) = match found {
+        Ok(found) => found,
+        Err(refusal) => {
+            discard_body(http_body_util::BodyDataStream::new(body));
+            return Err(refusal);
+        }
+    };
     let limits = routes.limits;
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
     let timeout = limits.map_or(DEFAULT_BODY_TIMEOUT, |limits| limits.idle_timeout);
-    let (parts, body) = req.into_parts();
     let body = read_body(body, max_bytes, timeout).await?;
     let admitted = Admitted {
         cx: sync::Arc::clone(cx),
@@ -265,6 +259,36 @@
     }
 }
 
+/// Finds the route and the account of a request. If either is unknown, the configuration is
+/// refreshed first.
+async fn check_head(
+    cx: &cx::Cx,
+    req: &http::Request<body::Incoming>,
+    head: &head::RequestHead,
+    arrived_at: ids::Timestamp,
+) -> Result<Resolved, refusal::Refusal> {
+    let mut found = resolve(cx, req, head, arrived_at);
+    if matches!(
+        found,
+        Err(refusal::Refusal::UnknownKey | refusal::Refusal::UnknownRoute)
+    ) && !refresh_configuration(cx, &lookup_name(req, head, &found), arrived_at).await
+    {
+        return Err(refusal::Refusal::Stale);
+    } else if found.is_err() {
+        found = resolve(cx, req, head, cx.now());
+    }
+    if found.is_ok() && head.request_id.is_none() {
+        return Err(refusal::Refusal::NoIdentifier);
+    }
+    found
+}
+
+/// Reads the rest of a refused request's body while the refusal is sent: a connection that is closed
+/// with unread bytes is reset, and its client may not see the refusal.
+fn discard_body(mut body: http_body_util::BodyDataStream<body::Incoming>) {
+    tokio::spawn(async move { client_body::discard(&mut body, DEFAULT_MAX_BODY_BYTES).await });
+}
+
 type Resolved = (
     sync::Arc<routes::Routes>,
     routes::Route,
@@ -371,7 +395,10 @@
     let mut parts = http_body_util::BodyDataStream::new(incoming);
     let whole = client_body::read_whole(&mut parts, announced, max_bytes, timeout);
     whole.await.map_err(|e| match e {
-        client_body::ReadError::TooLong => refusal::Refusal::TooLarge,
+        client_body::ReadError::TooLong => {
+            discard_body(parts);
+            refusal::Refusal::TooLarge
+        }
         client_body::ReadError::Truncated | client_body::ReadError::TimedOut => {
             refusal::Refusal::BrokenBody
         }
--- a/crates/mustardshedd/src/http/body.rs
+++ b/crates/mustardshedd/src/http/body.rs
@@ -130,7 +130,7 @@
 }
 
 /// Reads and drops the rest of a refused body, up to a limit in bytes and time.
-pub async fn discard(body: &mut Body, limit: usize) {
+pub async fn discard<E>(body: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin), limit: usize) {
     let reading = async {
         let mut read = 0_usize;
         while let Some(Ok(chunk)) = body.next().await {
