Count the grace of a planned stop from before a pause of the process

What callers saw: an entry that was paused for 1 s while SIGTERM came was killed at the end of its grace, with 10 to 18 requests passed on and cut.

Cause: a process learns of the signal when it runs again, and took that moment for the beginning of its grace, which runs from the signal. The time of an order was read at its receipt.

One set of signal handlers serves both modes, so that SIGHUP does not end an entry of the product's own mode either.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -24,6 +24,7 @@
 pub mod load_tracker;
 pub mod negative_cache;
 pub mod notices;
+pub mod pauses;
 pub mod placement;
 pub mod planned_stop;
 pub mod quarantine;
--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -18,6 +18,5 @@
 pub mod reports;
 pub mod reservation;
 pub mod service;
-pub mod signals;
 pub mod upstream;
 pub mod view;
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -226,8 +226,13 @@
 
     /// Begins the planned stop: callers are no longer pointed to this entry.
     pub fn begin_drain(&self) {
-        let now_us = forward::micros(self.now()).max(1);
-        self.drain_began_us.store(now_us, atomic::Ordering::Relaxed);
+        self.begin_drain_at(self.now());
+    }
+
+    /// Begins the planned stop that was ordered at `at`.
+    pub fn begin_drain_at(&self, at: ids::Timestamp) {
+        let at_us = forward::micros(at).max(1);
+        self.drain_began_us.store(at_us, atomic::Ordering::Relaxed);
         self.drain_began.send_replace(true);
     }
 
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -6,15 +6,19 @@
 use futures_util::future;
 use mustardshed::{
     config::{forwarding, problem},
-    core::{boundary::clock, forward::planned_stop},
+    core::{
+        boundary::clock,
+        forward::{pauses, planned_stop},
+        ids,
+    },
     platform::{objects, topic},
 };
 use tokio::{net as tokio_net, runtime, task};
 
 use crate::{
-    forward::{cx, link, listeners, metrics, peers, reflector, reports, signals},
+    forward::{cx, link, listeners, metrics, peers, reflector, reports},
     log::{self, event},
-    process::{clock as boot, startup},
+    process::{clock as boot, signals, startup},
 };
 
 /// Longest wait for a response of the platform.
@@ -138,9 +142,8 @@
         None => None,
     };
     let mut traffic = listen(settings.front, listeners::Purpose::Traffic).await?;
-    signals.wait_for_stop(|| check_reloaded_settings(&cx)).await;
-    let stopped_at = cx.now();
-    cx.begin_drain();
+    let stopped_at = wait_for_stop(&cx, &mut signals).await;
+    cx.begin_drain_at(stopped_at);
     log::emit(&event::Event::DrainBegan {
         in_flight: cx.in_flight(),
     });
@@ -162,6 +165,22 @@
     Ok(())
 }
 
+/// Waits for the order to stop, and returns when it may have been sent. On SIGHUP the settings file
+/// is checked and the result logged.
+async fn wait_for_stop(cx: &cx::Cx, signals: &mut signals::Signals) -> ids::Timestamp {
+    let mut pauses = pauses::Pauses::new(cx.now());
+    loop {
+        tokio::select! {
+            biased;
+            order = signals.recv() => match order {
+                signals::Order::Stop => return pauses.earliest_sent_at(cx.now()),
+                signals::Order::Reload => check_reloaded_settings(cx),
+            },
+            () = tokio::time::sleep(pauses::TICK_INTERVAL) => pauses.tick(cx.now()),
+        }
+    }
+}
+
 /// Checks and logs whether the settings file has changed. A running entry keeps its settings;
 /// changes take effect at the next start.
 fn check_reloaded_settings(cx: &cx::Cx) {
--- a/crates/mustardshedd/src/process/service.rs
+++ b/crates/mustardshedd/src/process/service.rs
@@ -175,12 +175,17 @@
 /// Waits for SIGTERM, SIGINT, or the platform's notice that this VM leaves, then starts to leave.
 async fn wait_for_leave(handle: &control::Handle, mut signals: signals::Signals) {
     tokio::select! {
-        () = signals.recv() => {}
+        () = wait_for_order_to_stop(&mut signals) => {}
         () = wait_until_leaving(handle) => {}
     }
     handle.leave();
 }
 
+/// Waits for an order to stop. Changed settings take effect at the next start.
+async fn wait_for_order_to_stop(signals: &mut signals::Signals) {
+    while signals.recv().await != signals::Order::Stop {}
+}
+
 async fn wait_until_leaving(handle: &control::Handle) {
     while !boundary::Control::snapshot(handle).leaving {
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/crates/mustardshedd/src/process/signals.rs
+++ b/crates/mustardshedd/src/process/signals.rs
@@ -1,16 +1,26 @@
-//! Signals that tell the process to stop.
+//! Signals that stop the process or announce changed settings.
 
 use std::io;
 
 use tokio::signal::unix;
 
-/// Handlers of the signals that begin a planned stop: SIGTERM and SIGINT.
+/// What a signal orders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// SIGTERM or SIGINT: begin a planned stop.
+    Stop,
+    /// SIGHUP: the settings file may have changed.
+    Reload,
+}
+
+/// Handlers of the signals.
 ///
-/// While they are installed, and for as long as the process runs, neither signal ends it at once.
+/// From their installation until the process ends, none of these signals ends it at once.
 #[derive(Debug)]
 pub struct Signals {
     terminate: unix::Signal,
     interrupt: unix::Signal,
+    hangup: unix::Signal,
 }
 
 impl Signals {
@@ -24,14 +34,17 @@
         Ok(Self {
             terminate: unix::signal(unix::SignalKind::terminate())?,
             interrupt: unix::signal(unix::SignalKind::interrupt())?,
+            hangup: unix::signal(unix::SignalKind::hangup())?,
         })
     }
 
-    /// Waits for the first signal since the handlers were installed.
-    pub async fn recv(&mut self) {
+    /// Waits for the next order since the handlers were installed; an order to stop goes first.
+    pub async fn recv(&mut self) -> Order {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            biased;
+            _ = self.terminate.recv() => Order::Stop,
+            _ = self.interrupt.recv() => Order::Stop,
+            _ = self.hangup.recv() => Order::Reload,
         }
     }
 }
