Excuse a stream that a planned stop cuts only if it was sent before the signal

Streams are taken in a stop only if they end in it, so that the first 3 s are no reason to cut one any more.

--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -103,8 +103,8 @@
         self.state.script.lock().unwrap().push_back(answer);
     }
 
-    /// Makes requests with this prompt part, or with this in their paths, crash the server: all its connections end, and it
-    /// refuses new ones for a while.
+    /// Makes requests with this prompt part, or with this in their paths, crash the server: all its
+    /// connections end, and it refuses new ones for a while.
     pub(crate) fn crash_on(&self, part: &'static str) {
         self.state.deadly_parts.lock().unwrap().push(part);
     }
--- a/crates/mustardshedd/tests/planned_stop/oracle.rs
+++ b/crates/mustardshedd/tests/planned_stop/oracle.rs
@@ -8,9 +8,6 @@
 
 use crate::{client, entry, server};
 
-/// Time from the signal for which an entry takes streams however long they last.
-const TAKES_LONG_STREAMS_FOR: time::Duration = time::Duration::from_secs(3);
-
 /// Which rule was broken.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Fault {
@@ -178,8 +175,8 @@
         .chain(has_run_twice.then_some(Fault::RanTwice))
 }
 
-/// Returns whether a stop may cut a request: a stream that was sent while the entry took streams
-/// of any length, and whose server is still at work in the last sixth of the grace.
+/// Returns whether a stop may cut a request: a stream that was sent before the signal, and whose
+/// server is still at work in the last sixth of the grace.
 fn may_cut(req: &client::Sent, works: &[server::Work], stop: &entry::Stop) -> bool {
     let end = stop.began_at + stop.grace;
     let last_sixth = end - stop.grace / 6;
@@ -188,7 +185,7 @@
     };
     req.plan.kind == client::Kind::Stream
         && req.plan.entry == stop.entry
-        && req.sent_at <= stop.began_at + TAKES_LONG_STREAMS_FOR
+        && req.sent_at <= stop.began_at
         && works.iter().any(is_at_work)
 }
 
