Count in the tests of endless responses only connections with a request

Since calls without a prompt are checked for crashes too, an entry connects once more to a server whose response it has given up.

--- a/crates/mustardshedd/tests/forward/endless.rs
+++ b/crates/mustardshedd/tests/forward/endless.rs
@@ -44,8 +44,9 @@
                 let (sent, closed) = (sync::Arc::clone(&counts.0), sync::Arc::clone(&counts.1));
                 let piece = piece.clone();
                 tokio::spawn(async move {
-                    send(stream, begin, &piece, pause, &sent).await;
-                    closed.fetch_add(1, atomic::Ordering::Relaxed);
+                    if send(stream, begin, &piece, pause, &sent).await {
+                        closed.fetch_add(1, atomic::Ordering::Relaxed);
+                    }
                 });
             }
         });
@@ -72,21 +73,27 @@
     server
 }
 
+/// Answers the request of a connection until that is closed. Returns false if none came: an entry
+/// also connects to see whether the server has crashed.
 async fn send(
     mut stream: tokio::net::TcpStream,
     begin: &str,
     piece: &str,
     pause: time::Duration,
     sent: &atomic::AtomicUsize,
-) {
+) -> bool {
     let mut req = vec![0; WRITE_BYTES];
-    if stream.read(&mut req).await.is_err() || stream.write_all(begin.as_bytes()).await.is_err() {
-        return;
+    if stream.read(&mut req).await.unwrap_or(0) == 0 {
+        return false;
+    }
+    if stream.write_all(begin.as_bytes()).await.is_err() {
+        return true;
     }
     while stream.write_all(piece.as_bytes()).await.is_ok() {
         sent.fetch_add(piece.len(), atomic::Ordering::Relaxed);
         tokio::time::sleep(pause).await;
     }
+    true
 }
 
 const OK: &str = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: signed\r\n";
