--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -225,7 +225,7 @@
         server: &'a str,
         elapsed_ms: u128,
     }
-    /// Servers crash each time this request is repeated; it is refused.
+    /// Backend servers crash each time this request is repeated; it is refused.
     1212 Warn "request_quarantined" RequestQuarantined {
         fingerprint: &'a str,
     }
