Check for a crash under a common call only if its server closed the connection

A check opens a connection to the server. Since calls without a prompt are suspects too, each of their failures led to one, also when the entry itself had ended the connection, as with a response that does not end. Such calls are now checked only if the server closed or reset the connection, which the error of the connection tells. Requests with prompt parts are checked as before.

--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -30,7 +30,7 @@
         has_arrived: bool,
     },
     /// It is not known whether the request has run.
-    Unknown(String),
+    Unknown(upstream::Broken),
 }
 
 impl Failure {
@@ -111,7 +111,9 @@
             if timeout >= MIN_UNREACHABLE_SILENCE {
                 req.cx.report_unreachable(&placed.primary);
             }
-            return Err(Failure::Unknown(format!("no response within {timeout:?}")));
+            return Err(Failure::Unknown(
+                format!("no response within {timeout:?}").into(),
+            ));
         }
     };
     let (parts, body) = response.into_parts();
@@ -235,13 +237,13 @@
     if !is_ours {
         record_failure(req, server);
         return Err(Failure::Unknown(
-            "the response belongs to another request".to_owned(),
+            "the response belongs to another request".to_owned().into(),
         ));
     }
     if parts.status.is_success() && (!head.is_signed || head.is_encoded) {
         record_failure(req, server);
         return Err(Failure::Unknown(
-            "the response is unsigned or encoded".to_owned(),
+            "the response is unsigned or encoded".to_owned().into(),
         ));
     }
     if parts.status.is_success() && head.rate_limit.is_none() {
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -219,10 +219,13 @@
     }
 
     /// Reads the whole of a response that is not a stream.
-    async fn read_whole(&self, response: attempt::Response) -> Result<ResponseStart, String> {
+    async fn read_whole(
+        &self,
+        response: attempt::Response,
+    ) -> Result<ResponseStart, upstream::Broken> {
         let status = response.parts.status;
         if status.is_server_error() && self.may_try_again() {
-            return Err(format!("answered {status}"));
+            return Err(format!("answered {status}").into());
         }
         response
             .guards
@@ -460,12 +463,12 @@
     pub(super) async fn broke_off(
         &mut self,
         server: &str,
-        reason: &str,
+        broken: &upstream::Broken,
     ) -> Result<(), refusal::Refusal> {
         attempt::record_failure(&self.req, server);
-        let check = self.check_for_crash(server);
+        let check = self.check_for_crash(server, broken.is_closed);
         let will_retry = self.may_try_again() && self.req.cx.take_retry(&self.service.name);
-        self.log_failed(server, "unknown", reason, will_retry);
+        self.log_failed(server, "unknown", &broken.reason, will_retry);
         if let Some(check) = check {
             self.wait_for_check(check, will_retry).await;
         }
@@ -493,8 +496,9 @@
     }
 
     /// Checks whether the server has crashed under this request, if none had begun to answer it.
-    fn check_for_crash(&self, server: &str) -> Option<crashes::CheckDone> {
-        if self.has_begun {
+    /// Common requests are checked only if the server closed the connection.
+    fn check_for_crash(&self, server: &str, is_closed: bool) -> Option<crashes::CheckDone> {
+        if self.has_begun || (self.content.is_common() && !is_closed) {
             return None;
         }
         let is_resumed = self.req.head.last_event_id.is_some();
--- a/crates/mustardshedd/src/forward/exchange/streaming.rs
+++ b/crates/mustardshedd/src/forward/exchange/streaming.rs
@@ -6,14 +6,11 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::body;
-use mustardshed::{
-    core::{error, ids},
-    platform::headers,
-};
+use mustardshed::{core::ids, platform::headers};
 
 use crate::forward::{
     exchange::{self, attempt, dispatch, events},
-    refusal,
+    refusal, upstream,
 };
 
 /// A server's stream whose first event has arrived.
@@ -45,7 +42,7 @@
     pub(super) async fn start(
         response: attempt::Response,
         last_event: Option<u64>,
-    ) -> Result<Box<Self>, String> {
+    ) -> Result<Box<Self>, upstream::Broken> {
         response
             .guards
             .connection_task
@@ -69,7 +66,7 @@
 
 impl EventSource {
     /// Waits for the next event; none at the end of the stream.
-    async fn next(&mut self) -> Result<Option<events::Event>, String> {
+    async fn next(&mut self) -> Result<Option<events::Event>, upstream::Broken> {
         loop {
             if let Some(event) = self.events.next() {
                 self.check(&event)?;
@@ -80,7 +77,7 @@
                 return Ok(Some(event));
             }
             if self.events.is_overlong() {
-                return Err("an event exceeds the size limit".to_owned());
+                return Err("an event exceeds the size limit".to_owned().into());
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
@@ -88,8 +85,10 @@
                         self.events.push(&data);
                     }
                 }
-                Some(Err(e)) => return Err(error::with_causes(&e)),
-                None if self.events.is_partial() => return Err("partial last event".to_owned()),
+                Some(Err(e)) => return Err(upstream::Broken::new(&e)),
+                None if self.events.is_partial() => {
+                    return Err("partial last event".to_owned().into());
+                }
                 None => return Ok(None),
             }
         }
@@ -125,7 +124,7 @@
 type Frame = Result<body::Frame<Bytes>, exchange::BodyError>;
 
 /// The next event of a stream, none at its end, or why it broke off.
-type NextEvent = Result<Option<events::Event>, String>;
+type NextEvent = Result<Option<events::Event>, upstream::Broken>;
 
 /// Why a stream counts as stalled.
 #[derive(Debug)]
@@ -263,7 +262,7 @@
                     Err(reason) => reason,
                 }
             } else {
-                format!("answered {}", response.parts.status)
+                format!("answered {}", response.parts.status).into()
             };
             self.dispatch
                 .broke_off(&server, &reason)
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -14,8 +14,11 @@
 use mustardshed::core::error;
 use tokio::{net, task};
 
+mod broken;
 mod read_limit;
 
+pub use broken::Broken;
+
 /// Longest wait for a connection; a live server accepts within some milliseconds.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Idle time after which TCP keepalive probes are sent; the kernel counts whole seconds.
@@ -45,7 +48,7 @@
     /// the request was not sent: {0}
     NotSent(String),
     /// no response: {0}
-    NoResponse(String),
+    NoResponse(Broken),
 }
 
 /// A connection that is closed when dropped.
@@ -120,7 +123,7 @@
             Ok(response) => Ok((response, self.connection_task)),
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => SendError::NotSent(error::with_causes(e.error())),
-                None => SendError::NoResponse(error::with_causes(e.error())),
+                None => SendError::NoResponse(Broken::new(e.error())),
             }),
         }
     }
@@ -143,8 +146,11 @@
 /// # Errors
 ///
 /// Returns an error if the body breaks off or exceeds `limit`.
-pub async fn read_whole(body: body::Incoming, limit: usize) -> Result<Bytes, String> {
+pub async fn read_whole(body: body::Incoming, limit: usize) -> Result<Bytes, Broken> {
     let limited = http_body_util::Limited::new(body, limit);
-    let whole = limited.collect().await.map_err(|e| e.to_string())?;
+    let whole = limited.collect().await.map_err(|e| Broken {
+        reason: e.to_string(),
+        ..Broken::new(e.as_ref())
+    })?;
     Ok(whole.to_bytes())
 }
