Hold the state of a planned stop once, and split two long files

The beginning of a stop was kept twice, as a number and as a flag for those who wait for it; one watched value does both. Four tests of planned stops share the load that they stop an entry under; each checks what it did.

--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -12,8 +12,8 @@
         boundary::clock,
         forward::{
             advertised_limits, live_entries, load_tracker, negative_cache, notices, placement,
-            planned_stop, quarantine, rate_shares, relays, rendezvous, repeated_crashes,
-            retry_budget, routes, server,
+            quarantine, rate_shares, relays, rendezvous, repeated_crashes, retry_budget, routes,
+            server,
         },
         ids,
     },
@@ -25,18 +25,12 @@
 use crate::forward::{job, metrics, peers, view};
 
 pub mod crashes;
+mod drain;
 mod server_reports;
 
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
 /// accepted; the rest covers requests that are already on their way.
 const REVOCATION_SHARE: f64 = 0.9;
-/// Time before the platform kills a stopping entry by which all requests have their responses, and
-/// the entry closes its connections: as long as a small machine takes for that.
-const KILL_MARGIN: time::Duration = time::Duration::from_millis(800);
-/// Time before the kill at which the entry exits though connections are still open.
-const EXIT_MARGIN: time::Duration = time::Duration::from_millis(300);
-/// Interval at which waiting requests check whether the time of a planned stop is over.
-const DRAIN_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Time after its start within which an entry finds a relay if one is alive: as long as a leaf
 /// takes to give up one that does not answer and try the next.
 const RELAY_ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
@@ -133,10 +127,8 @@
     state: sync::Mutex<State>,
     next_job: atomic::AtomicU64,
     started_at: ids::Timestamp,
-    /// Start of the planned stop, in microseconds; zero until then.
-    drain_began_us: atomic::AtomicU64,
-    /// Whether the planned stop has begun, for those who wait for that.
-    drain_began: tokio_sync::watch::Sender<bool>,
+    /// When the planned stop began, if it did.
+    drain_began: tokio_sync::watch::Sender<Option<ids::Timestamp>>,
     /// Requests that have been admitted and have not ended.
     in_flight: atomic::AtomicUsize,
     /// Whether the process ends now, whatever is in flight.
@@ -196,8 +188,7 @@
                 required_as_of: time::Duration::ZERO,
             }),
             next_job: atomic::AtomicU64::new(1),
-            drain_began_us: atomic::AtomicU64::new(0),
-            drain_began: tokio_sync::watch::Sender::new(false),
+            drain_began: tokio_sync::watch::Sender::new(None),
             in_flight: atomic::AtomicUsize::new(0),
             is_exiting: atomic::AtomicBool::new(false),
         }
@@ -224,108 +215,6 @@
         self.state().view.routes().cloned()
     }
 
-    /// Begins the planned stop: callers are no longer pointed to this entry.
-    pub fn begin_drain(&self) {
-        self.begin_drain_at(self.now());
-    }
-
-    /// Begins the planned stop that was ordered at `at`.
-    pub fn begin_drain_at(&self, at: ids::Timestamp) {
-        let at_us = forward::micros(at).max(1);
-        self.drain_began_us.store(at_us, atomic::Ordering::Relaxed);
-        self.drain_began.send_replace(true);
-    }
-
-    /// Returns whether the planned stop has begun.
-    #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.drain_began_us.load(atomic::Ordering::Relaxed) > 0
-    }
-
-    /// Returns the time since the planned stop began, if it did.
-    #[must_use]
-    pub fn draining_for(&self) -> Option<time::Duration> {
-        let began_us = self.drain_began_us.load(atomic::Ordering::Relaxed);
-        let began = forward::timestamp(began_us);
-        (began_us > 0).then(|| self.now().saturating_sub(began))
-    }
-
-    /// Counts an admitted request.
-    pub fn begin_request(&self) {
-        self.in_flight.fetch_add(1, atomic::Ordering::Relaxed);
-    }
-
-    /// Counts the end of an admitted request.
-    pub fn end_request(&self) {
-        self.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
-
-    /// Returns the number of admitted requests that have not ended.
-    #[must_use]
-    pub fn in_flight(&self) -> usize {
-        self.in_flight.load(atomic::Ordering::Relaxed)
-    }
-
-    /// Records that the process ends now; requests that are dropped from here on are cut.
-    pub fn begin_exit(&self) {
-        self.is_exiting.store(true, atomic::Ordering::Relaxed);
-    }
-
-    /// Returns whether the process ends now.
-    #[must_use]
-    pub fn is_exiting(&self) -> bool {
-        self.is_exiting.load(atomic::Ordering::Relaxed)
-    }
-
-    /// Returns the time from the beginning of a planned stop within which requests are answered.
-    #[must_use]
-    pub fn drain_timeout(&self) -> time::Duration {
-        self.settings.bounds.grace.saturating_sub(KILL_MARGIN)
-    }
-
-    /// Returns the longest duration of a planned stop.
-    #[must_use]
-    pub fn exit_timeout(&self) -> time::Duration {
-        self.settings.bounds.grace.saturating_sub(EXIT_MARGIN)
-    }
-
-    /// Waits until a planned stop has begun and the time to answer requests is over.
-    pub async fn wait_for_drain_timeout(&self) {
-        let mut began = self.drain_began.subscribe();
-        // The sender lives as long as the context, so that this cannot fail.
-        let _ = began.wait_for(|began| *began).await;
-        loop {
-            let since = self.draining_for().unwrap_or_default();
-            let left = self.drain_timeout().saturating_sub(since);
-            if left.is_zero() {
-                return;
-            }
-            // Timers do not count the time for which the machine is suspended.
-            tokio::time::sleep(left.min(DRAIN_CHECK_INTERVAL)).await;
-        }
-    }
-
-    /// Returns whether a request that is given up after `longest` may begin at this entry.
-    #[must_use]
-    pub fn takes_call(&self, longest: time::Duration) -> bool {
-        let left = self
-            .draining_for()
-            .map(|since| self.drain_timeout().saturating_sub(since));
-        left.is_none_or(|left| planned_stop::accepts_call(left, longest))
-    }
-
-    /// Returns whether a stream that may last for `longest` may begin at this entry.
-    #[must_use]
-    pub fn takes_stream(&self, longest: time::Duration) -> bool {
-        let Some(since) = self.draining_for() else {
-            return true;
-        };
-        let left = self.drain_timeout().saturating_sub(since);
-        let now = self.now();
-        let has_others = self.state().live_entries.fronts(now).next().is_some();
-        planned_stop::accepts_stream(since, left, has_others, longest)
-    }
-
     /// Returns the greatest age of the configuration at which keys are accepted.
     #[must_use]
     pub fn max_key_age(&self) -> time::Duration {
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -13,15 +13,14 @@
     platform::headers,
 };
 
-use crate::{
-    forward::{
-        cx::{self, crashes},
-        exchange::{self, attempt, content, streaming},
-        job, refusal, upstream,
-    },
-    log::{self, event},
+use crate::forward::{
+    cx::{self, crashes},
+    exchange::{self, attempt, content, streaming},
+    job, refusal, upstream,
 };
 
+mod records;
+
 /// Share of the time left that an attempt may take if another one may follow.
 const ATTEMPT_SHARE: f64 = 0.45;
 /// Time beyond a multiple of the estimate after which a server that has not begun a stream counts
@@ -510,127 +509,4 @@
         };
         self.req.cx.check_for_crash(server, suspect)
     }
-
-    /// Logs that the request ends before its response: its client has left, or the process ends.
-    fn log_dropped(&self) {
-        let cx = &self.req.cx;
-        let streaming = self.last_event != self.req.head.last_event_id;
-        let stage = if streaming {
-            "streaming".to_owned()
-        } else {
-            self.stage.to_string()
-        };
-        let (request, route) = (self.req.id(), self.req.route.name.as_str());
-        let server = self.tried.last().map_or("", String::as_str);
-        let elapsed_ms = cx.now().saturating_sub(self.req.arrived_at).as_millis();
-        log::emit(&if cx.is_exiting() {
-            event::Event::ForwardCut {
-                request,
-                route,
-                stage: &stage,
-                server,
-                elapsed_ms,
-            }
-        } else {
-            event::Event::ForwardCancelled {
-                request,
-                route,
-                stage: &stage,
-                server,
-                elapsed_ms,
-            }
-        });
-    }
-
-    fn log_placed(&self, placed: &placement::Placed) {
-        let now = self.req.cx.now();
-        let (arrivals, cold_left) = {
-            let loads = &self.req.cx.state().loads;
-            let health = loads.health(&placed.primary);
-            let arrivals = loads.recent_arrivals(&placed.primary, now);
-            (arrivals, health.cold_left(now))
-        };
-        log::emit(&event::Event::ForwardPlaced {
-            request: self.req.id(),
-            route: &self.req.route.name,
-            version: self.req.routes.version,
-            server: &placed.primary,
-            helpers: &helpers(placed),
-            held_tokens: placed.helpers.iter().map(|helper| helper.held_tokens).sum(),
-            prompt_tokens: self.req.head.prompt_tokens.unwrap_or_default(),
-            part_ms: placed.shard_ms.round(),
-            estimate_ms: placed.estimate_ms.round(),
-            price: (placed.cost * 100.0).round() / 100.0,
-            attempt: self.attempts.count() + 1,
-            arrivals,
-            cold_ms: cold_left.as_millis(),
-        });
-    }
-
-    fn log_failed(&self, server: &str, outcome: &str, reason: &str, will_retry: bool) {
-        self.req.cx.metrics.attempt(outcome);
-        log::emit(&event::Event::ForwardAttemptFailed {
-            request: self.req.id(),
-            server,
-            outcome,
-            reason,
-            next: if will_retry { "try_again" } else { "give_up" },
-        });
-    }
-
-    fn log_not_placed(&self, e: &placement::NotPlaced) {
-        let (price, weight, estimate_ms) = match e {
-            placement::NotPlaced::TooCostly {
-                cost: price,
-                weight,
-                ..
-            } => (*price, *weight, 0.0),
-            placement::NotPlaced::TooLate { estimate_ms, .. } => (0.0, 0.0, *estimate_ms),
-            placement::NotPlaced::NoServer
-            | placement::NotPlaced::Full { .. }
-            | placement::NotPlaced::BackedOff { .. } => (0.0, 0.0, 0.0),
-        };
-        log::emit(&event::Event::ForwardNotPlaced {
-            request: self.req.id(),
-            route: &self.req.route.name,
-            reason: &e.to_string(),
-            prompt_tokens: self.req.head.prompt_tokens.unwrap_or_default(),
-            price: (price * 100.0).round() / 100.0,
-            weight: (weight * 100.0).round() / 100.0,
-            estimate_ms: estimate_ms.round(),
-            attempt: self.attempts.count() + 1,
-        });
-    }
-
-    /// Counts and logs the end of the request.
-    pub(super) fn record_end(
-        &self,
-        outcome: &str,
-        status: u16,
-        server: &str,
-        timing: &streaming::Timing,
-    ) {
-        self.is_ended.store(true, atomic::Ordering::Relaxed);
-        let now = self.req.cx.now();
-        let elapsed = now.saturating_sub(self.req.arrived_at);
-        let route_kind = self.req.route.kind;
-        let metrics = &self.req.cx.metrics;
-        metrics.ended(route_kind, outcome, timing.first, elapsed);
-        log::emit(&event::Event::ForwardEnded {
-            request: self.req.id(),
-            route: &self.req.route.name,
-            outcome,
-            status,
-            server,
-            events: timing.events,
-            first_ms: timing.first.unwrap_or_default().as_millis(),
-            longest_gap_ms: timing.longest_gap.as_millis(),
-            elapsed_ms: elapsed.as_millis(),
-        });
-    }
-}
-
-fn helpers(placed: &placement::Placed) -> String {
-    let helpers = placed.helpers.iter().map(|helper| helper.server.as_str());
-    helpers.collect::<Vec<_>>().join(",")
 }
--- a/crates/mustardshedd/tests/planned_stop/stops.rs
+++ b/crates/mustardshedd/tests/planned_stop/stops.rs
@@ -6,7 +6,7 @@
 
 use rustix::process as posix;
 
-use crate::{client, fixture};
+use crate::{client, entry, fixture, oracle};
 
 /// Number of clients.
 const CLIENTS: u64 = 24;
@@ -51,18 +51,27 @@
     }
 }
 
-// Guards against requests that are passed on to a server and cut at the end of a planned stop.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn requests_passed_on_during_a_planned_stop_are_answered() {
-    let f = fixture::Fixture::open(time::Duration::from_millis(900)).await;
+/// Stops an entry under load with `stop`, and checks all requests. Servers take `service_time`.
+async fn stop_under_load(
+    service_time: time::Duration,
+    stop: impl AsyncFnOnce(&mut entry::Entry) -> entry::Stop,
+) -> oracle::Report {
+    let f = fixture::Fixture::open(service_time).await;
     let mut entry = f.entry().await;
     let load = client::Load::start(CLIENTS, &[entry.ip], plan);
     tokio::time::sleep(LOAD_TIME).await;
-
-    let stop = entry.stop().await;
+    let stop = stop(&mut entry).await;
     let sent = load.finish().await;
+    f.check(&sent, &[stop])
+}
+
+// Guards against requests that are passed on to a server and cut at the end of a planned stop.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_passed_on_during_a_planned_stop_are_answered() {
+    let service_time = time::Duration::from_millis(900);
+
+    let report = stop_under_load(service_time, async |entry| entry.stop().await).await;
 
-    let report = f.check(&sent, &[stop]);
     assert_that!(report.faults(), is_empty(), "{report}");
     assert_that!(report.served_in_grace(), gt(0));
 }
@@ -70,26 +79,24 @@
 // Guards against a second order to stop that ends the process before its requests are answered.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn further_signals_during_a_planned_stop_cut_no_request() {
-    let f = fixture::Fixture::open(time::Duration::from_millis(600)).await;
-    let mut entry = f.entry().await;
-    let load = client::Load::start(CLIENTS, &[entry.ip], plan);
-    tokio::time::sleep(LOAD_TIME).await;
+    let service_time = time::Duration::from_millis(600);
+
+    let report = stop_under_load(service_time, async |entry| {
+        let began_at = time::Instant::now();
+        for signal in [
+            posix::Signal::TERM,
+            posix::Signal::TERM,
+            posix::Signal::INT,
+            posix::Signal::HUP,
+            posix::Signal::TERM,
+        ] {
+            entry.signal(signal);
+            tokio::time::sleep(SIGNAL_INTERVAL).await;
+        }
+        entry.exit(began_at).await
+    })
+    .await;
 
-    let began_at = time::Instant::now();
-    for signal in [
-        posix::Signal::TERM,
-        posix::Signal::TERM,
-        posix::Signal::INT,
-        posix::Signal::HUP,
-        posix::Signal::TERM,
-    ] {
-        entry.signal(signal);
-        tokio::time::sleep(SIGNAL_INTERVAL).await;
-    }
-    let stop = entry.exit(began_at).await;
-    let sent = load.finish().await;
-
-    let report = f.check(&sent, &[stop]);
     assert_that!(report.faults(), is_empty(), "{report}");
     assert_that!(report.served_in_grace(), gt(0));
 }
@@ -97,19 +104,17 @@
 // Guards against a process that takes the time of a pause for time left, and is killed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pause_during_a_planned_stop_cuts_no_request() {
-    let f = fixture::Fixture::open(time::Duration::from_millis(600)).await;
-    let mut entry = f.entry().await;
-    let load = client::Load::start(CLIENTS, &[entry.ip], plan);
-    tokio::time::sleep(LOAD_TIME).await;
+    let service_time = time::Duration::from_millis(600);
 
-    let began_at = time::Instant::now();
-    entry.signal(posix::Signal::TERM);
-    tokio::time::sleep(PAUSE_AFTER).await;
-    entry.pause(PAUSE).await;
-    let stop = entry.exit(began_at).await;
-    let sent = load.finish().await;
+    let report = stop_under_load(service_time, async |entry| {
+        let began_at = time::Instant::now();
+        entry.signal(posix::Signal::TERM);
+        tokio::time::sleep(PAUSE_AFTER).await;
+        entry.pause(PAUSE).await;
+        entry.exit(began_at).await
+    })
+    .await;
 
-    let report = f.check(&sent, &[stop]);
     assert_that!(report.faults(), is_empty(), "{report}");
     assert_that!(report.served_in_grace(), gt(0));
 }
@@ -117,20 +122,18 @@
 // Guards against an entry that counts its grace from the end of a pause in which SIGTERM was sent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pause_at_the_beginning_of_a_planned_stop_cuts_no_request() {
-    let f = fixture::Fixture::open(time::Duration::from_millis(600)).await;
-    let mut entry = f.entry().await;
-    let load = client::Load::start(CLIENTS, &[entry.ip], plan);
-    tokio::time::sleep(LOAD_TIME).await;
+    let service_time = time::Duration::from_millis(600);
+
+    let report = stop_under_load(service_time, async |entry| {
+        entry.signal(posix::Signal::STOP);
+        let began_at = time::Instant::now();
+        entry.signal(posix::Signal::TERM);
+        tokio::time::sleep(PAUSE).await;
+        entry.signal(posix::Signal::CONT);
+        entry.exit(began_at).await
+    })
+    .await;
 
-    entry.signal(posix::Signal::STOP);
-    let began_at = time::Instant::now();
-    entry.signal(posix::Signal::TERM);
-    tokio::time::sleep(PAUSE).await;
-    entry.signal(posix::Signal::CONT);
-    let stop = entry.exit(began_at).await;
-    let sent = load.finish().await;
-
-    let report = f.check(&sent, &[stop]);
     assert_that!(report.faults(), is_empty(), "{report}");
     assert_that!(report.served_in_grace(), gt(0));
 }
