Log which servers are ejected, on whose report, and when all paths are lost

Callers were refused with "no backend server takes work" at entries without a failed attempt. The log did not say which servers were ejected, whether by the entry's own failure or by a peer's report, or that an entry could connect to no server any more. Events 2122 to 2124, ejections_total{source}, unreached_servers and named_entries tell these apart. No decision changes.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -8,8 +8,8 @@
 //! refusal may be ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which
 //! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
 //! servers ask for in their responses ([`notices`], [`advertised_limits`]), which requests crash
-//! servers ([`quarantine`], [`repeated_crashes`]), when a signal was sent ([`pauses`]), which
-//! servers had left before the platform's store was restored ([`departures`]), and how entries
+//! servers ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by itself
+//! ([`paths`]), when a signal was sent ([`pauses`]), which servers had left before the platform's store was restored ([`departures`]), and how entries
 //! divide what a server accepts from all of them ([`rate_shares`]).
 
 pub mod advertised_limits;
@@ -24,6 +24,7 @@
 pub mod load_tracker;
 pub mod negative_cache;
 pub mod notices;
+pub mod paths;
 pub mod pauses;
 pub mod placement;
 pub mod planned_stop;
--- a/crates/mustardshed-core/src/forward/load_tracker/health.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/health.rs
@@ -38,14 +38,16 @@
 }
 
 impl Health {
-    /// Records that a server could not be reached or stopped responding, and ejects it for a while.
-    pub fn record_unreachable(&mut self, now: ids::Timestamp) {
+    /// Records that a server could not be reached or stopped responding, and ejects it for a while;
+    /// returns for how long, unless it was ejected already.
+    pub fn record_unreachable(&mut self, now: ids::Timestamp) -> Option<time::Duration> {
         if now < self.ejected_until {
-            return;
+            return None;
         }
         self.ejection_time = (self.ejection_time * 2).clamp(BASE_EJECTION_TIME, MAX_EJECTION_TIME);
         self.ejected_until = now + self.ejection_time;
         self.record_failure(now);
+        Some(self.ejection_time)
     }
 
     /// Records a failed response.
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,9 +11,9 @@
     core::{
         boundary::clock,
         forward::{
-            advertised_limits, live_entries, load_tracker, negative_cache, notices, placement,
-            quarantine, rate_shares, relays, rendezvous, repeated_crashes, retry_budget, routes,
-            server,
+            advertised_limits, live_entries, load_tracker, negative_cache, notices, paths,
+            placement, quarantine, rate_shares, relays, rendezvous, repeated_crashes, retry_budget,
+            routes, server,
         },
         ids,
     },
@@ -46,6 +46,8 @@
     pub loads: load_tracker::LoadTracker,
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
+    /// Which servers this entry reaches by itself.
+    pub paths: paths::Paths,
     /// Servers that are checked for a crash.
     pub crash_checks: collections::HashMap<ids::BackendServerId, crashes::Check>,
     /// Prompt parts that crash servers.
@@ -176,6 +178,7 @@
                 view: view::View::default(),
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
+                paths: paths::Paths::default(),
                 crash_checks: collections::HashMap::new(),
                 quarantine: quarantine::Quarantine::default(),
                 repeated_crashes: repeated_crashes::RepeatedCrashes::default(),
--- a/crates/mustardshedd/src/forward/cx/server_reports.rs
+++ b/crates/mustardshedd/src/forward/cx/server_reports.rs
@@ -2,7 +2,10 @@
 
 use std::time;
 
-use mustardshed::{core::forward::head, wire::forward};
+use mustardshed::{
+    core::forward::{head, paths},
+    wire::forward,
+};
 
 use crate::{
     forward::cx::Cx,
@@ -12,14 +15,45 @@
 impl Cx {
     /// Records that a server could not be reached, and tells the peers.
     pub fn report_unreachable(&self, server: &str) {
+        self.eject(server, &self.settings.vm);
+        self.peers.send(&forward::Message::Unreachable {
+            server: server.to_owned(),
+        });
+    }
+
+    /// Ejects a server for a while, because the entry on `reported_by` could not reach it.
+    pub fn eject(&self, server: &str, reported_by: &str) {
         let now = self.now();
-        self.state()
+        let ejected = self
+            .state()
             .loads
             .health_mut(server)
             .record_unreachable(now);
-        self.peers.send(&forward::Message::Unreachable {
-            server: server.to_owned(),
-        });
+        if let Some(ejected_for) = ejected {
+            let is_own = reported_by == self.settings.vm;
+            self.metrics.ejected(if is_own { "own" } else { "peer" });
+            log::emit(&event::Event::ServerEjected {
+                server,
+                reported_by,
+                for_ms: ejected_for.as_millis(),
+            });
+        }
+    }
+
+    /// Records whether this entry could connect to a server by itself.
+    pub fn record_connection(&self, server: &str, is_connected: bool) {
+        let now = self.now();
+        let change = self.state().paths.record(server, is_connected, now);
+        match change {
+            Some(paths::Change::Lost { servers }) => {
+                log::emit(&event::Event::PathsLost { servers })
+            }
+            Some(paths::Change::Restored { after }) => log::emit(&event::Event::PathsRestored {
+                server,
+                after_ms: after.as_millis(),
+            }),
+            None => {}
+        }
     }
 
     /// Applies what a server's response says about the server itself, whatever its status.
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -78,8 +78,12 @@
     let (helpers, reservations) = reserve(req, placed, &job).await?;
     let address = address(req, &placed.primary)?;
     let connection = match upstream::Connection::open(&address).await {
-        Ok(connection) => connection,
+        Ok(connection) => {
+            req.cx.record_connection(&placed.primary, true);
+            connection
+        }
         Err(e) => {
+            req.cx.record_connection(&placed.primary, false);
             req.cx.report_unreachable(&placed.primary);
             return Err(Failure::not_run(e));
         }
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -33,7 +33,8 @@
             state.loads.end(&key, now);
         }
         forward::Message::Unreachable { server } => {
-            state.loads.health_mut(server).record_unreachable(now);
+            drop(state);
+            cx.eject(server, vm);
         }
         forward::Message::Cold { server, left_ms } => {
             let until = now + time::Duration::from_millis(*left_ms);
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -29,11 +29,14 @@
     ended: prometheus::IntCounterVec,
     refused: prometheus::IntCounterVec,
     attempts: prometheus::IntCounterVec,
+    ejections: prometheus::IntCounterVec,
     first_event: prometheus::HistogramVec,
     duration: prometheus::HistogramVec,
     store_calls: prometheus::IntGaugeVec,
     servers: prometheus::IntGaugeVec,
     memory: prometheus::IntGaugeVec,
+    unreached: prometheus::IntGauge,
+    named: prometheus::IntGauge,
     members: prometheus::IntGauge,
     version: prometheus::IntGauge,
     age: prometheus::GaugeVec,
@@ -86,6 +89,16 @@
                 "Attempts to send requests to servers",
                 &["outcome"],
             )?,
+            ejections: counters(
+                "ejections_total",
+                "Servers that this entry ejected, by whose failure it was",
+                &["source"],
+            )?,
+            unreached: gauge(
+                "unreached_servers",
+                "Servers to which this entry's last connection failed",
+            )?,
+            named: gauge("named_entries", "Entries that callers are told to use")?,
             first_event: histograms("first_event_seconds", "Time to the first event of a stream")?,
             duration: histograms("request_seconds", "Time to the end of a response")?,
             store_calls: gauges(
@@ -145,6 +158,11 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a server that was ejected after a failure of this entry's own or of a peer.
+    pub fn ejected(&self, source: &str) {
+        self.ejections.with_label_values(&[source]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -166,8 +184,10 @@
                 .with_label_values(&[reason])
                 .set(signed(lines));
         }
+        self.named.set(signed(cx.fronts().len() as u64));
         let now = cx.now();
         let state = cx.state();
+        self.unreached.set(signed(state.paths.unreached() as u64));
         let alive = state.live_entries.alive_count(now) + 1;
         self.members.set(signed(alive as u64));
         self.version.set(signed(
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -426,4 +426,19 @@
         era: u64,
         revision: u64,
     }
+    /// A backend server is ejected for a while: the entry on this VM could not reach it.
+    2122 Warn "server_ejected" ServerEjected {
+        server: &'a str,
+        reported_by: &'a str,
+        for_ms: u128,
+    }
+    /// This entry could not connect to several backend servers, and to none in between.
+    2123 Warn "paths_lost" PathsLost {
+        servers: usize,
+    }
+    /// This entry has connected to a backend server again.
+    2124 Info "paths_restored" PathsRestored {
+        server: &'a str,
+        after_ms: u128,
+    }
 }
