Reproduce the refusals at entries that reach no server

Entries as processes, each with a path of its own to each server that can hang, reset, or refuse new connections.

--- /dev/null
+++ b/crates/mustardshedd/tests/partition/cuts.rs
@@ -0,0 +1,179 @@
+//! What callers get while entries are cut off from servers.
+
+use std::time;
+
+use googletest::prelude::*;
+
+use crate::{client, fixture, path::State};
+
+/// Time from the beginning of a cut after which its callers must be served like others.
+const SETTLING_TIME: time::Duration = time::Duration::from_secs(3);
+/// Time for which requests are counted after that.
+const COUNTING_TIME: time::Duration = time::Duration::from_secs(3);
+/// Most requests that may fail at an entry, as a share of those sent there.
+const MAX_FAILED_SHARE: f64 = 1.0 / 50.0;
+/// Clients of each entry.
+const CLIENTS_PER_ENTRY: u64 = 4;
+
+/// Numbers of requests to some entries.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    sent: usize,
+    answered: usize,
+}
+
+impl Served {
+    fn failed_share(&self) -> f64 {
+        let failed = u32::try_from(self.sent - self.answered).unwrap();
+        f64::from(failed) / f64::from(u32::try_from(self.sent).unwrap())
+    }
+}
+
+/// Counts the requests sent to an entry from `since` on.
+fn served(sent: &[client::Sent], entry: usize, since: time::Instant) -> Served {
+    let counted = sent
+        .iter()
+        .filter(|req| req.plan.entry == entry && req.sent_at >= since);
+    counted.fold(Served::default(), |served, req| Served {
+        sent: served.sent + 1,
+        answered: served.answered + usize::from(req.outcome == client::Outcome::Answered(200)),
+    })
+}
+
+/// Cuts off the first `cut` entries and checks that their callers are served soon, those of the
+/// others all the while, and that no request is run twice or answered falsely.
+async fn check_cut(data_centres: &[&str], cut: usize, state: State) -> Result<()> {
+    let f = fixture::Fixture::open(data_centres).await;
+    let clients = CLIENTS_PER_ENTRY * u64::try_from(data_centres.len()).unwrap();
+    let load = f.load(clients);
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let cut_at = time::Instant::now();
+
+    for entry in 0..cut {
+        f.set_paths(entry, state);
+    }
+    tokio::time::sleep(SETTLING_TIME + COUNTING_TIME).await;
+    for entry in 0..cut {
+        f.set_paths(entry, State::Open);
+    }
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+
+    let sent = load.finish().await;
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    for entry in 0..data_centres.len() {
+        let since = if entry < cut {
+            cut_at + SETTLING_TIME
+        } else {
+            cut_at
+        };
+        let served = served(&sent, entry, since);
+        expect_that!(served.sent, gt(0));
+        expect_that!(
+            served.failed_share(),
+            le(MAX_FAILED_SHARE),
+            "entry {entry}: {served:?}"
+        );
+    }
+    Ok(())
+}
+
+// Guards against the refusal of all requests at an entry whose connections to servers are refused
+// or reset, and against the ejection of these servers by entries that reach them.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_whose_paths_reset_are_served() -> Result<()> {
+    check_cut(&["north", "north", "south"], 1, State::Resets).await
+}
+
+// Guards against the same where connections hang.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_whose_paths_hang_are_served() -> Result<()> {
+    check_cut(&["north", "north", "south"], 1, State::Hangs).await
+}
+
+// Guards against the same where open connections live on.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_whose_new_connections_are_refused_are_served() -> Result<()> {
+    check_cut(&["north", "north", "south"], 1, State::RefusesNew).await
+}
+
+// Guards against a search for a way that ends at other entries which are cut off as well.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_a_data_centre_is_cut_off() -> Result<()> {
+    check_cut(&["north", "north", "north", "south"], 3, State::Hangs).await
+}
+
+// Guards against the same where connections are refused, which looks like servers that ended.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_a_data_centre_is_refused() -> Result<()> {
+    check_cut(&["north", "north", "north", "south"], 3, State::Resets).await
+}
+
+// Guards against requests that are refused for want of a server where an entry reaches one of six
+// by itself, and each of the others four.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_where_each_entry_has_lost_other_paths() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "north", "south"]).await;
+    let load = f.load(3 * CLIENTS_PER_ENTRY);
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let cut_at = time::Instant::now();
+
+    for server in 1..6 {
+        f.set_path(0, server, State::Hangs);
+    }
+    for server in 0..2 {
+        f.set_path(1, server, State::Hangs);
+        f.set_path(2, server + 2, State::Resets);
+    }
+    tokio::time::sleep(SETTLING_TIME + COUNTING_TIME).await;
+
+    let sent = load.finish().await;
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    for entry in 0..3 {
+        let served = served(&sent, entry, cut_at + SETTLING_TIME);
+        expect_that!(
+            served.failed_share(),
+            le(MAX_FAILED_SHARE),
+            "entry {entry}: {served:?}"
+        );
+    }
+    Ok(())
+}
+
+// Guards against the ejection of a sound server that answers nothing for a second.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_is_silent_for_a_second_stays_in_use() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "south"]).await;
+    let load = f.load(2 * CLIENTS_PER_ENTRY);
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let silent_at = time::Instant::now();
+
+    for entry in 0..2 {
+        f.set_path(entry, 0, State::Silent);
+    }
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    for entry in 0..2 {
+        f.set_path(entry, 0, State::Open);
+    }
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+
+    let sent = load.finish().await;
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    for (index, entry) in f.entries.iter().enumerate() {
+        let served = served(&sent, index, silent_at);
+        expect_that!(served.failed_share(), le(MAX_FAILED_SHARE), "{served:?}");
+        let log = entry.log();
+        let ejected = log.lines().filter(|line| line.contains("server_ejected"));
+        expect_that!(ejected.count(), eq(0));
+    }
+    Ok(())
+}
--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -85,11 +85,28 @@
     net::SocketAddr::from((ip, 8001))
 }
 
-fn settings(index: usize, ip: net::Ipv4Addr, platform: &str, grace: time::Duration) -> String {
+/// What an entry is started with.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Settings<'a> {
+    pub(crate) index: usize,
+    pub(crate) ip: net::Ipv4Addr,
+    pub(crate) data_centre: &'a str,
+    pub(crate) platform: &'a str,
+    pub(crate) grace: time::Duration,
+}
+
+fn settings_file(settings: &Settings<'_>) -> String {
+    let Settings {
+        index,
+        ip,
+        data_centre,
+        platform,
+        grace,
+    } = settings;
     let grace_s = grace.as_secs_f64();
     format!(
         r#"vm = "entry-{index}"
-data_centre = "north"
+data_centre = "{data_centre}"
 front = "{ip}:8001"
 ready = "{ip}:8002"
 directory = "{ip}:8003"
@@ -112,17 +129,15 @@
 
 impl Entry {
     /// Starts an entry.
-    pub(crate) fn spawn(
-        index: usize,
-        ip: net::Ipv4Addr,
-        platform: &str,
-        grace: time::Duration,
-    ) -> Self {
+    pub(crate) fn spawn(settings: &Settings<'_>) -> Self {
+        let Settings {
+            index, ip, grace, ..
+        } = *settings;
         let name = format!("planned-stop-{ip}-{}", unique_number());
         let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         fs::create_dir_all(&dir).unwrap();
         let file = dir.join("settings.toml");
-        fs::write(&file, settings(index, ip, platform, grace)).unwrap();
+        fs::write(&file, settings_file(settings)).unwrap();
         let log = fs::File::create(dir.join("log")).unwrap();
         let child = process::Command::new(env!("CARGO_BIN_EXE_mustardshedd"))
             .arg("--forwarding")
--- a/crates/mustardshedd/tests/planned_stop/fixture.rs
+++ b/crates/mustardshedd/tests/planned_stop/fixture.rs
@@ -86,8 +86,13 @@
     /// Starts an entry; it may not be ready yet.
     pub(crate) fn spawn(&self, index: usize, ip: net::Ipv4Addr) -> entry::Entry {
         let platform = self.platform.url();
-        let platform = platform.trim_start_matches("http://");
-        entry::Entry::spawn(index, ip, platform, GRACE)
+        entry::Entry::spawn(&entry::Settings {
+            index,
+            ip,
+            data_centre: "north",
+            platform: platform.trim_start_matches("http://"),
+            grace: GRACE,
+        })
     }
 
     /// Starts an entry and waits until it takes requests.
