Connect to servers through peers where the own path fails

An entry had no way to a server but its own connections.

An entry that cannot connect to a server, or not within 40 ms, now asks a peer to connect: first one in its own data centre, then one elsewhere. The peer passes the bytes on over a WebSocket connection. The entry that took the request still places it, counts it, retries it, checks identifier and stamp, and ends it at its deadline; a peer only connects, by its own path, to a server that is usable by its own view, so there is no second hop. A reset of the server's connection, and the end of the peer, stay errors at the other end. Paths that are bypassed are tried again every 0.25 to 1 s. Reports and reservations go the same way. A peer that is being stopped opens no more tunnels and waits for the open ones within its grace.

The fake server of the tests now resumes streams at Last-Event-Id, as servers do; without that a resumed stream could not end.

--- a/crates/mustardshed-core/src/forward/live_entries.rs
+++ b/crates/mustardshed-core/src/forward/live_entries.rs
@@ -18,6 +18,8 @@
     pub data_centre: ids::DataCentreId,
     /// Whether clients should be told of it.
     pub takes_work: bool,
+    /// Whether it has lately reached servers through peers only.
+    pub is_cut_off: bool,
 }
 
 /// Entries that were heard of, with the time of their latest report.
--- a/crates/mustardshed-core/tests/forward/live_entries.rs
+++ b/crates/mustardshed-core/tests/forward/live_entries.rs
@@ -12,6 +12,7 @@
         front: front.to_owned(),
         data_centre: "north".to_owned(),
         takes_work,
+        is_cut_off: false,
     }
 }
 
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -15,6 +15,7 @@
 
 mod job;
 mod suspect;
+pub mod tunnel;
 
 pub use job::Job;
 pub use suspect::Suspect;
@@ -37,6 +38,9 @@
     /// Whether it accepts new work, so that callers may be sent to it.
     #[serde(rename = "w")]
     pub takes_work: bool,
+    /// Whether it has lately reached servers through peers only.
+    #[serde(rename = "c", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_cut_off: bool,
 }
 
 impl Entry {
@@ -48,6 +52,7 @@
             front: entry.front,
             data_centre: entry.data_centre,
             takes_work: entry.takes_work,
+            is_cut_off: entry.is_cut_off,
         }
     }
 }
@@ -58,6 +63,7 @@
             front: entry.front,
             data_centre: entry.data_centre,
             takes_work: entry.takes_work,
+            is_cut_off: entry.is_cut_off,
         }
     }
 }
--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -2,11 +2,12 @@
 //! streams.
 //!
 //! Modules are organised by lifetime: [`exchange`] covers one request, [`upstream`] one connection
-//! to a backend server, [`view`] the platform state as last read; the others live as long as the
+//! to a backend server ([`dial`] opens it, if need be through a peer by a [`tunnel`]), [`view`] the platform state as last read; the others live as long as the
 //! process. The control thread watches the platform and the peers; the traffic thread carries
 //! requests. Both share [`cx::Cx`], whose lock is held for microseconds only.
 
 pub mod cx;
+pub mod dial;
 pub mod exchange;
 pub mod job;
 pub mod link;
@@ -18,5 +19,6 @@
 pub mod reports;
 pub mod reservation;
 pub mod service;
+pub mod tunnel;
 pub mod upstream;
 pub mod view;
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,9 +11,9 @@
     core::{
         boundary::clock,
         forward::{
-            advertised_limits, live_entries, load_tracker, negative_cache, notices, paths,
-            placement, quarantine, rate_shares, relays, rendezvous, repeated_crashes, retry_budget,
-            routes, server,
+            advertised_limits, live_entries, load_tracker, negative_cache, notices,
+            paths as core_paths, placement, quarantine, rate_shares, relays, rendezvous,
+            repeated_crashes, retry_budget, routes, server,
         },
         ids,
     },
@@ -26,6 +26,7 @@
 
 pub mod crashes;
 mod drain;
+mod paths;
 mod server_reports;
 
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
@@ -47,7 +48,7 @@
     /// Back-off periods and shutdowns that servers announced.
     pub notices: notices::Notices,
     /// Which servers this entry reaches by itself.
-    pub paths: paths::Paths,
+    pub paths: core_paths::Paths,
     /// Servers that are checked for a crash.
     pub crash_checks: collections::HashMap<ids::BackendServerId, crashes::Check>,
     /// Prompt parts that crash servers.
@@ -133,6 +134,8 @@
     drain_began: tokio_sync::watch::Sender<Option<ids::Timestamp>>,
     /// Requests that have been admitted and have not ended.
     in_flight: atomic::AtomicUsize,
+    /// Tunnels to servers that peers have opened through this entry.
+    tunnels: atomic::AtomicUsize,
     /// Whether the process ends now, whatever is in flight.
     is_exiting: atomic::AtomicBool,
 }
@@ -178,7 +181,7 @@
                 view: view::View::default(),
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
-                paths: paths::Paths::default(),
+                paths: core_paths::Paths::default(),
                 crash_checks: collections::HashMap::new(),
                 quarantine: quarantine::Quarantine::default(),
                 repeated_crashes: repeated_crashes::RepeatedCrashes::default(),
@@ -193,6 +196,7 @@
             next_job: atomic::AtomicU64::new(1),
             drain_began: tokio_sync::watch::Sender::new(None),
             in_flight: atomic::AtomicUsize::new(0),
+            tunnels: atomic::AtomicUsize::new(0),
             is_exiting: atomic::AtomicBool::new(false),
         }
     }
@@ -248,6 +252,7 @@
             front: self.settings.front.to_string(),
             data_centre: self.settings.data_centre.clone(),
             takes_work: self.takes_work(),
+            is_cut_off: self.is_cut_off(),
         }
     }
 
--- a/crates/mustardshedd/src/forward/cx/server_reports.rs
+++ b/crates/mustardshedd/src/forward/cx/server_reports.rs
@@ -2,10 +2,7 @@
 
 use std::time;
 
-use mustardshed::{
-    core::forward::{head, paths},
-    wire::forward,
-};
+use mustardshed::{core::forward::head, wire::forward};
 
 use crate::{
     forward::cx::Cx,
@@ -40,22 +37,6 @@
         }
     }
 
-    /// Records whether this entry could connect to a server by itself.
-    pub fn record_connection(&self, server: &str, is_connected: bool) {
-        let now = self.now();
-        let change = self.state().paths.record(server, is_connected, now);
-        match change {
-            Some(paths::Change::Lost { servers }) => {
-                log::emit(&event::Event::PathsLost { servers })
-            }
-            Some(paths::Change::Restored { after }) => log::emit(&event::Event::PathsRestored {
-                server,
-                after_ms: after.as_millis(),
-            }),
-            None => {}
-        }
-    }
-
     /// Applies what a server's response says about the server itself, whatever its status.
     pub fn observe_response(&self, server: &str, head: &head::ResponseHead) {
         // The response came from another server than the intended one.
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    forward::{exchange, job, reservation, upstream},
+    forward::{dial, exchange, job, reservation, upstream},
     log::{self, event},
 };
 
@@ -77,13 +77,9 @@
     let placed_at = req.cx.now();
     let (helpers, reservations) = reserve(req, placed, &job).await?;
     let address = address(req, &placed.primary)?;
-    let connection = match upstream::Connection::open(&address).await {
-        Ok(connection) => {
-            req.cx.record_connection(&placed.primary, true);
-            connection
-        }
+    let connection = match dial::connect(&req.cx, &placed.primary, &address).await {
+        Ok(connection) => connection,
         Err(e) => {
-            req.cx.record_connection(&placed.primary, false);
             req.cx.report_unreachable(&placed.primary);
             return Err(Failure::not_run(e));
         }
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -9,13 +9,19 @@
 use futures_util::{SinkExt, StreamExt};
 use mustardshed::{
     core::ids,
-    wire::{forward, peer},
+    wire::{
+        forward::{self, tunnel as wire_tunnel},
+        peer,
+    },
 };
 use tokio::{net, sync::mpsc, task};
-use tokio_tungstenite::{WebSocketStream, tungstenite};
+use tokio_tungstenite::{
+    WebSocketStream,
+    tungstenite::{self, handshake::server},
+};
 
 use crate::{
-    forward::cx,
+    forward::{cx, tunnel},
     log::{self, event},
 };
 
@@ -152,20 +158,48 @@
 async fn serve(cx: sync::Arc<cx::Cx>, stream: net::TcpStream) {
     let answering = async {
         stream.set_nodelay(true).map_err(LinkError::Connect)?;
-        let socket = tokio::time::timeout(OPEN_TIMEOUT, tokio_tungstenite::accept_async(stream));
-        let socket = socket.await.map_err(|_| LinkError::Silent)??;
-        session::Session::new(cx, socket, Side::Receiver, None)
-            .run()
-            .await
+        match accept_socket(stream).await? {
+            (socket, Some(server)) => {
+                tunnel::serve(&cx, socket, &server).await;
+                Ok(())
+            }
+            (socket, None) => {
+                let session = session::Session::new(cx, socket, Side::Receiver, None);
+                session.run().await.and(Err(LinkError::Ended))
+            }
+        }
     };
-    let reason = match answering.await {
-        Ok(()) => LinkError::Ended,
-        Err(e) => e,
+    if let Err(reason) = answering.await {
+        log::emit(&event::Event::LinkLost {
+            address: "inbound",
+            reason: &reason.to_string(),
+        });
+    }
+}
+
+#[expect(
+    clippy::result_large_err,
+    reason = "the WebSocket library sets the type of the closure"
+)]
+/// Accepts a connection of a peer; returns the server to which it wants a tunnel, if it wants one
+/// instead of a link.
+async fn accept_socket(
+    stream: net::TcpStream,
+) -> Result<(Socket, Option<ids::BackendServerId>), LinkError> {
+    let mut server = None;
+    let on_request = |req: &server::Request, res: server::Response| {
+        if req.uri().path() == wire_tunnel::PATH {
+            let name = req.headers().get(wire_tunnel::SERVER_HEADER);
+            let name = name.and_then(|name| name.to_str().ok());
+            server = Some(name.unwrap_or_default().to_owned());
+        }
+        Ok(res)
     };
-    log::emit(&event::Event::LinkLost {
-        address: "inbound",
-        reason: &reason.to_string(),
-    });
+    let config = Some(tunnel::config());
+    let accepting = tokio_tungstenite::accept_hdr_async_with_config(stream, on_request, config);
+    let accepting = tokio::time::timeout(OPEN_TIMEOUT, accepting);
+    let socket = accepting.await.map_err(|_| LinkError::Silent)??;
+    Ok((socket, server))
 }
 
 async fn send(socket: &mut Socket, messages: &[forward::Message]) -> Result<(), LinkError> {
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -5,6 +5,7 @@
 use mustardshed::{
     core::{forward::routes, ids},
     platform::{call_counts, topic},
+    wire::forward::tunnel,
 };
 use prometheus::{Encoder, core};
 
@@ -35,7 +36,9 @@
     store_calls: prometheus::IntGaugeVec,
     servers: prometheus::IntGaugeVec,
     memory: prometheus::IntGaugeVec,
-    unreached: prometheus::IntGauge,
+    connections: prometheus::IntCounterVec,
+    tunnels: prometheus::IntCounterVec,
+    bypassed: prometheus::IntGauge,
     named: prometheus::IntGauge,
     members: prometheus::IntGauge,
     version: prometheus::IntGauge,
@@ -94,9 +97,19 @@
                 "Servers that this entry ejected, by whose failure it was",
                 &["source"],
             )?,
-            unreached: gauge(
-                "unreached_servers",
-                "Servers to which this entry's last connection failed",
+            connections: counters(
+                "server_connections_total",
+                "Connections to servers by this entry itself and through peers",
+                &["path"],
+            )?,
+            tunnels: counters(
+                "tunnels_total",
+                "Connections to servers that peers asked for",
+                &["result"],
+            )?,
+            bypassed: gauge(
+                "bypassed_paths",
+                "Servers that only peers have reached for this entry lately",
             )?,
             named: gauge("named_entries", "Entries that callers are told to use")?,
             first_event: histograms("first_event_seconds", "Time to the first event of a stream")?,
@@ -163,6 +176,23 @@
         self.ejections.with_label_values(&[source]).inc();
     }
 
+    /// Counts a connection to a server, by this entry itself or through a peer.
+    pub fn connected(&self, is_direct: bool) {
+        let path = if is_direct { "direct" } else { "peer" };
+        self.connections.with_label_values(&[path]).inc();
+    }
+
+    /// Counts a connection that a peer asked for.
+    pub fn tunnel(&self, reply: tunnel::Reply) {
+        let result = match reply {
+            tunnel::Reply::Connected => "connected",
+            tunnel::Reply::Refused => "refused",
+            tunnel::Reply::Unreachable => "unreachable",
+            tunnel::Reply::Unavailable => "unavailable",
+        };
+        self.tunnels.with_label_values(&[result]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -187,7 +217,7 @@
         self.named.set(signed(cx.fronts().len() as u64));
         let now = cx.now();
         let state = cx.state();
-        self.unreached.set(signed(state.paths.unreached() as u64));
+        self.bypassed.set(signed(state.paths.bypassed() as u64));
         let alive = state.live_entries.alive_count(now) + 1;
         self.members.set(signed(alive as u64));
         self.version.set(signed(
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -271,6 +271,7 @@
                 .advertised_limits
                 .retain_servers(|id| view.is_listed(id));
             state.rate_shares.retain_servers(|id| view.is_listed(id));
+            state.paths.retain_servers(|id| view.is_listed(id));
             let now = self.cx.now();
             state.notices.expire(|id| view.is_listed(id), now);
         }
--- a/crates/mustardshedd/src/forward/reports.rs
+++ b/crates/mustardshedd/src/forward/reports.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    forward::{cx, upstream},
+    forward::{cx, dial, upstream},
     log::{self, event},
 };
 
@@ -68,7 +68,11 @@
 }
 
 /// Reads one engine's report and returns its slowdown; none if there is no valid report in time.
-async fn read(cx: &cx::Cx, id: &str, address: &str) -> Option<(ids::BackendServerId, f64)> {
+async fn read(
+    cx: &sync::Arc<cx::Cx>,
+    id: &str,
+    address: &str,
+) -> Option<(ids::BackendServerId, f64)> {
     let reading = tokio::time::timeout(REPORT_TIMEOUT, fetch_report(cx, id, address)).await;
     match reading.unwrap_or_else(|_| Err("no report in time".to_owned())) {
         Ok(report) => Some((id.to_owned(), report.pace.max(1.0))),
@@ -84,13 +88,17 @@
     }
 }
 
-async fn fetch_report(cx: &cx::Cx, id: &str, address: &str) -> Result<orders::Report, String> {
+async fn fetch_report(
+    cx: &sync::Arc<cx::Cx>,
+    id: &str,
+    address: &str,
+) -> Result<orders::Report, String> {
     let req = http::Request::builder()
         .uri(orders::REPORT_PATH)
         .header(http::header::HOST, address)
         .body(upstream::RequestBody::new(Bytes::new()))
         .map_err(|e| e.to_string())?;
-    let connection = upstream::Connection::open(address).await;
+    let connection = dial::connect(cx, id, address).await;
     let sent = connection.map_err(|e| e.to_string())?.send(req).await;
     let (response, _task) = sent.map_err(|e| e.to_string())?;
     let head = headers::response(response.status(), response.headers());
--- a/crates/mustardshedd/src/forward/reservation.rs
+++ b/crates/mustardshedd/src/forward/reservation.rs
@@ -10,7 +10,7 @@
 use tokio::task;
 
 use crate::{
-    forward::{cx, upstream},
+    forward::{cx, dial, upstream},
     log::{self, event},
 };
 
@@ -33,6 +33,8 @@
 
 #[derive(Debug)]
 struct Terms {
+    cx: sync::Arc<cx::Cx>,
+    server: ids::BackendServerId,
     address: String,
     id: String,
     tokens: ids::Tokens,
@@ -47,13 +49,15 @@
     /// Returns why no reservation was confirmed. In case the server made one nevertheless, it is
     /// released, and expires if the release is lost.
     pub async fn open(
-        cx: &cx::Cx,
+        cx: &sync::Arc<cx::Cx>,
         server: &str,
         address: &str,
         id: String,
         tokens: ids::Tokens,
     ) -> Result<Self, String> {
         let terms = sync::Arc::new(Terms {
+            cx: sync::Arc::clone(cx),
+            server: server.to_owned(),
             address: address.to_owned(),
             id,
             tokens,
@@ -117,7 +121,7 @@
             .body(upstream::RequestBody::new(Bytes::from(body)))
             .map_err(|e| e.to_string())?;
         let exchange = async {
-            let connection = upstream::Connection::open(&self.address).await;
+            let connection = dial::connect(&self.cx, &self.server, &self.address).await;
             let sent = connection.map_err(|e| e.to_string())?.send(req).await;
             let (response, _task) = sent.map_err(|e| e.to_string())?;
             let (parts, body) = response.into_parts();
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -196,7 +196,11 @@
 /// answered.
 async fn wait_until_drained(cx: &cx::Cx, listener: &listeners::Listener, since: time::Duration) {
     let elapsed = || cx.now().saturating_sub(since);
-    let is_idle = || elapsed() >= planned_stop::ADVERTISED_FOR && listener.open_connections() == 0;
+    let is_idle = || {
+        elapsed() >= planned_stop::ADVERTISED_FOR
+            && listener.open_connections() == 0
+            && cx.tunnels() == 0
+    };
     while !is_idle() && elapsed() < cx.drain_timeout() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -12,15 +12,13 @@
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
 use mustardshed::core::error;
-use tokio::{net, task};
+use tokio::{io, net, task};
 
 mod broken;
 mod read_limit;
 
 pub use broken::Broken;
 
-/// Longest wait for a connection; a live server accepts within some milliseconds.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Idle time after which TCP keepalive probes are sent; the kernel counts whole seconds.
 const KEEPALIVE_IDLE: time::Duration = time::Duration::from_secs(1);
 /// Interval between keepalive probes, also in whole seconds.
@@ -37,14 +35,17 @@
 /// body sent in pieces of a few bytes.
 const FRAMING_FACTOR: usize = 2;
 
+/// Bytes to and from a server, by this entry's own connection or through a peer.
+pub trait Io: io::AsyncRead + io::AsyncWrite + Send + Unpin {}
+
+impl<T: io::AsyncRead + io::AsyncWrite + Send + Unpin> Io for T {}
+
 /// Request body, sent as a whole.
 pub type RequestBody = http_body_util::Full<Bytes>;
 
 /// Why a request got no response.
 #[derive(Debug, Display)]
 pub enum SendError {
-    /// cannot connect: {0}
-    NotConnected(String),
     /// the request was not sent: {0}
     NotSent(String),
     /// no response: {0}
@@ -80,24 +81,15 @@
 }
 
 impl Connection {
-    /// Connects to the server at an address.
+    /// Opens a connection for one request over `io`.
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::NotConnected`] if the connection fails or is not made in time.
-    pub async fn open(address: &str) -> Result<Self, SendError> {
-        let not_connected = |reason: String| SendError::NotConnected(reason);
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, net::TcpStream::connect(address));
-        let stream = match connecting.await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(not_connected(e.to_string())),
-            Err(_) => return Err(not_connected(format!("timeout of {CONNECT_TIMEOUT:?}"))),
-        };
-        configure_socket(&stream).map_err(|e| not_connected(e.to_string()))?;
+    /// Returns an error if the connection ends at once.
+    pub async fn open(io: Box<dyn Io>) -> Result<Self, hyper::Error> {
         let read_limit = read_limit::ReadLimit::new(MAX_HEAD_BYTES);
-        let limited = read_limit::Limited::new(stream, read_limit.clone());
-        let handshake = http1::handshake(rt::TokioIo::new(limited)).await;
-        let (tx, connection) = handshake.map_err(|e| not_connected(e.to_string()))?;
+        let limited = read_limit::Limited::new(io, read_limit.clone());
+        let (tx, connection) = http1::handshake(rt::TokioIo::new(limited)).await?;
         let task = task::spawn(async move {
             // The request itself gets the error if its connection fails.
             drop(connection.await);
@@ -130,7 +122,11 @@
 }
 
 /// Sets socket options that make the connection fail if its other side vanishes without closing it.
-fn configure_socket(stream: &net::TcpStream) -> std::io::Result<()> {
+///
+/// # Errors
+///
+/// Returns an error if an option cannot be set.
+pub fn configure_socket(stream: &net::TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -441,4 +441,14 @@
         server: &'a str,
         after_ms: u128,
     }
+    /// This entry cannot connect to a backend server that a peer reaches; it connects through peers.
+    2125 Info "path_bypassed" PathBypassed {
+        server: &'a str,
+        peer: &'a str,
+    }
+    /// A connection to a backend server that a peer uses broke.
+    2126 Warn "tunnel_broken" TunnelBroken {
+        server: &'a str,
+        reason: &'a str,
+    }
 }
--- a/crates/mustardshedd/tests/planned_stop/server.rs
+++ b/crates/mustardshedd/tests/planned_stop/server.rs
@@ -155,6 +155,7 @@
     let work = WorkGuard::begin(&state, &id, rejects);
     let is_stream = req.uri().path().starts_with("/stream/");
     let max_stream_time = time_left(req.headers()) / STREAM_DIVISOR;
+    let first_event = last_event(req.headers()) + 1;
     req.into_body().collect().await?;
     let res = http::Response::builder()
         .header("server-stamp", "signed")
@@ -168,7 +169,7 @@
     if is_stream {
         let res = res.header("content-type", "text/event-stream");
         return Ok(res
-            .body(events(service_time.min(max_stream_time), work))
+            .body(events(service_time.min(max_stream_time), first_event, work))
             .unwrap());
     }
     tokio::time::sleep(service_time).await;
@@ -182,10 +183,18 @@
     http_body_util::Full::new(Bytes::from(text)).boxed_unsync()
 }
 
-/// Returns events that are spread over the service time; the last one names the request.
-fn events(service_time: time::Duration, work: WorkGuard) -> Body {
+/// Returns the last event that the client of a resumed stream has; zero for a new one.
+fn last_event(headers: &http::HeaderMap) -> u32 {
+    let last = headers.get("last-event-id");
+    let last = last.and_then(|last| last.to_str().ok());
+    last.and_then(|last| last.parse().ok()).unwrap_or(0)
+}
+
+/// Returns events from number `first` on that are spread over the service time; the last one names
+/// the request.
+fn events(service_time: time::Duration, first: u32, work: WorkGuard) -> Body {
     let gap = service_time / EVENTS;
-    let events = stream::unfold((1, work), move |(number, work)| async move {
+    let events = stream::unfold((first, work), move |(number, work)| async move {
         if number > EVENTS {
             return None;
         }
