Eject a server only if a peer does not reach it either

A server is now reported if a peer asked to connect to it fails too, or if there is no peer to ask. A reset or a silence is followed by such a check first; a silent server that accepts connections is reported unless paths were bypassed meanwhile.

--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -49,6 +49,8 @@
     pub notices: notices::Notices,
     /// Which servers this entry reaches by itself.
     pub paths: core_paths::Paths,
+    /// Servers that are checked for whether they can be reached.
+    pub reach_checks: collections::HashSet<ids::BackendServerId>,
     /// Servers that are checked for a crash.
     pub crash_checks: collections::HashMap<ids::BackendServerId, crashes::Check>,
     /// Prompt parts that crash servers.
@@ -182,6 +184,7 @@
                 loads: load_tracker::LoadTracker::default(),
                 notices: notices::Notices::default(),
                 paths: core_paths::Paths::default(),
+                reach_checks: collections::HashSet::new(),
                 crash_checks: collections::HashMap::new(),
                 quarantine: quarantine::Quarantine::default(),
                 repeated_crashes: repeated_crashes::RepeatedCrashes::default(),
--- a/crates/mustardshedd/src/forward/cx/server_reports.rs
+++ b/crates/mustardshedd/src/forward/cx/server_reports.rs
@@ -1,11 +1,14 @@
 //! What this entry learns of servers from their responses and failures, and tells its peers.
 
-use std::time;
+use std::{sync, time};
 
-use mustardshed::{core::forward::head, wire::forward};
+use mustardshed::{
+    core::{forward::head, ids},
+    wire::forward,
+};
 
 use crate::{
-    forward::cx::Cx,
+    forward::{cx::Cx, dial},
     log::{self, event},
 };
 
@@ -37,6 +40,51 @@
         }
     }
 
+    /// Ejects a server to which no way leads. The peers are told if one of them does not reach it
+    /// either, or if there is none that could.
+    pub fn eject_unreached(&self, server: &str, unreached: &dial::Unreached) {
+        if unreached.is_confirmed {
+            self.report_unreachable(server);
+        } else {
+            self.eject(server, &self.settings.vm);
+        }
+    }
+
+    /// Checks whether a server can be reached that broke off a request sent at `sent_at`, or has not
+    /// answered it if `is_silent`. One that cannot be reached is ejected, and so is one that is
+    /// silent though this entry reaches it.
+    pub fn suspect_unreachable(
+        self: &sync::Arc<Self>,
+        server: &str,
+        sent_at: ids::Timestamp,
+        is_silent: bool,
+    ) {
+        let address = {
+            let mut state = self.state();
+            let listed = state.view.listed_server(server);
+            let Some(address) = listed.map(|server| server.address.clone()) else {
+                return;
+            };
+            if !state.reach_checks.insert(server.to_owned()) {
+                return;
+            }
+            address
+        };
+        let (cx, server) = (sync::Arc::clone(self), server.to_owned());
+        tokio::spawn(async move {
+            let checked = dial::check(&cx, &server, &address).await;
+            cx.state().reach_checks.remove(&server);
+            match checked {
+                Err(unreached) => cx.eject_unreached(&server, &unreached),
+                // What was silent may have been the path.
+                Ok(true) if is_silent && !cx.has_bypassed_since(sent_at) => {
+                    cx.report_unreachable(&server);
+                }
+                Ok(_) => {}
+            }
+        });
+    }
+
     /// Applies what a server's response says about the server itself, whatever its status.
     pub fn observe_response(&self, server: &str, head: &head::ResponseHead) {
         // The response came from another server than the intended one.
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -80,7 +80,7 @@
     let connection = match dial::connect(&req.cx, &placed.primary, &address).await {
         Ok(connection) => connection,
         Err(e) => {
-            req.cx.report_unreachable(&placed.primary);
+            req.cx.eject_unreached(&placed.primary, &e);
             return Err(Failure::not_run(e));
         }
     };
@@ -103,13 +103,13 @@
     let (response, connection_task) = match sending.await {
         Ok(Ok(answered)) => answered,
         Ok(Err(upstream::SendError::NoResponse(reason))) => {
-            req.cx.report_unreachable(&placed.primary);
+            req.cx.suspect_unreachable(&placed.primary, now, false);
             return Err(Failure::Unknown(reason));
         }
         Ok(Err(e)) => return Err(Failure::not_run(e)),
         Err(_) => {
             if timeout >= MIN_UNREACHABLE_SILENCE {
-                req.cx.report_unreachable(&placed.primary);
+                req.cx.suspect_unreachable(&placed.primary, now, true);
             }
             return Err(Failure::Unknown(
                 format!("no response within {timeout:?}").into(),
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -33,8 +33,12 @@
             state.loads.end(&key, now);
         }
         forward::Message::Unreachable { server } => {
+            // This entry may reach it though others do not.
+            let is_refuted = state.paths.has_just_connected(server, now);
             drop(state);
-            cx.eject(server, vm);
+            if !is_refuted {
+                cx.eject(server, vm);
+            }
         }
         forward::Message::Cold { server, left_ms } => {
             let until = now + time::Duration::from_millis(*left_ms);
--- a/crates/mustardshedd/tests/partition/cuts.rs
+++ b/crates/mustardshedd/tests/partition/cuts.rs
@@ -177,3 +177,29 @@
     }
     Ok(())
 }
+
+// Guards against requests that are blamed for crashes of servers whose connections were reset on
+// the way.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn paths_that_reset_are_not_taken_for_crashes() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "north", "south"]).await;
+    let load = f.load(3 * CLIENTS_PER_ENTRY);
+
+    for _ in 0..6 {
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        f.set_paths(0, State::Resets);
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        f.set_paths(0, State::Open);
+    }
+
+    let sent = load.finish().await;
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    for entry in &f.entries {
+        let log = entry.log();
+        let crashes = log.lines().filter(|line| line.contains("server_crashed"));
+        expect_that!(crashes.count(), eq(0));
+    }
+    Ok(())
+}
