Take a reset path for a crash only if peers find the port closed too

A server counted as crashed if its port refused the entry that lost a response. A path that resets connections and refuses new ones looks the same: the servers were ejected everywhere, and the requests at that entry blamed for crashes.

The port must be closed for all that tried, and for one peer at least if there is any.

--- a/crates/mustardshedd/src/forward/cx/crashes.rs
+++ b/crates/mustardshedd/src/forward/cx/crashes.rs
@@ -1,6 +1,6 @@
 //! Crashes of servers, and what is quarantined because of them.
 
-use std::{io, sync, time};
+use std::{sync, time};
 
 use futures_util::{FutureExt, future};
 use mustardshed::{
@@ -10,10 +10,9 @@
     },
     wire::forward,
 };
-use tokio::net;
 
 use crate::{
-    forward::{cx::Cx, exchange::content},
+    forward::{cx::Cx, dial, exchange::content},
     log::{self, event},
 };
 
@@ -21,8 +20,6 @@
 const COLLECTION_TIME: time::Duration = time::Duration::from_millis(20);
 /// Time within which all entries hear of a crash, also through relays.
 pub const REPORT_TIME: time::Duration = time::Duration::from_millis(60);
-/// Longest wait for a server to accept or refuse a connection.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
 /// Completes when a check is done and a crash has been reported.
 pub type CheckDone = future::Shared<future::BoxFuture<'static, ()>>;
@@ -223,18 +220,20 @@
     }
 }
 
-/// Tries to connect to a server. Only a closed port shows that it has ended: a server that is cut
-/// off does not answer, and one that broke off a response accepts.
+/// Tries to connect to a server. Only a port that is closed for this entry and its peers shows that it
+/// has ended: a server that is cut off does not answer, a path may refuse connections to a sound one,
+/// and one that broke off a response accepts.
 async fn run_check(cx: sync::Arc<Cx>, server: String, address: String) {
     tokio::time::sleep(COLLECTION_TIME).await;
-    let connecting = net::TcpStream::connect(&address);
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let is_down = matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused);
+    let checked = dial::check(&cx, &server, &address).await;
     let check = cx.state().crash_checks.remove(&server);
-    if let Some(check) = check.filter(|_| is_down) {
-        log_crash(&server, &check.suspects);
-        cx.report_unreachable(&server);
-        cx.report_crash(&server, check.suspects);
+    let refused = checked.err().filter(|unreached| unreached.is_refused);
+    if let (Some(check), Some(unreached)) = (check, refused) {
+        cx.eject_unreached(&server, &unreached);
+        if unreached.is_confirmed {
+            log_crash(&server, &check.suspects);
+            cx.report_crash(&server, check.suspects);
+        }
     }
 }
 
