--- a/crates/mustardshedd/tests/partition/main.rs
+++ b/crates/mustardshedd/tests/partition/main.rs
@@ -16,7 +16,9 @@
 #[expect(dead_code, reason = "shared with the tests of planned stops")]
 mod oracle;
 mod path;
+mod peers;
 #[path = "../planned_stop/server.rs"]
 #[expect(dead_code, reason = "shared with the tests of planned stops")]
 mod server;
+mod soak;
 mod view;
--- /dev/null
+++ b/crates/mustardshedd/tests/partition/peers.rs
@@ -0,0 +1,143 @@
+//! What becomes of requests that take the way through a peer.
+
+use std::time;
+
+use googletest::prelude::*;
+use rustix::process as posix;
+
+use crate::{client, entry, fixture, path::State, server};
+
+/// Time in which an entry finds its way through peers.
+const SETTLING_TIME: time::Duration = time::Duration::from_secs(1);
+/// Time after a client has left within which no server may be at work for it.
+const LEAVING_TIME: time::Duration = time::Duration::from_millis(500);
+
+/// Returns a fleet with load in which entry 0 is cut off and has found its way.
+async fn cut_off_fleet() -> (fixture::Fixture, client::Load) {
+    let f = fixture::Fixture::open(&["north", "north", "south"]).await;
+    let load = f.load(18);
+    f.set_paths(0, State::Hangs);
+    tokio::time::sleep(SETTLING_TIME).await;
+    (f, load)
+}
+
+fn sent_to(sent: &[client::Sent], entry: usize) -> Vec<client::Sent> {
+    let sent = sent.iter().filter(|req| req.plan.entry == entry);
+    sent.cloned().collect()
+}
+
+// Guards against requests that are cut when the entry is stopped through which they go.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_survive_the_planned_stop_of_the_peer() -> Result<()> {
+    let (mut f, load) = cut_off_fleet().await;
+    for server in &f.servers {
+        server.set_service_time(time::Duration::from_millis(300));
+    }
+
+    let stop = f.entries[1].stop().await;
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let sent = load.finish().await;
+    let report = f.check(&sent, &[stop]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    let sent = sent_to(&sent, 0);
+    let found_at = sent.iter().map(|req| req.sent_at).min().unwrap() + SETTLING_TIME;
+    // Requests that end within the grace of the peer are not cut by its stop.
+    let failed = sent
+        .iter()
+        .filter(|req| req.sent_at >= found_at && req.outcome != client::Outcome::Answered(200));
+    verify_that!(failed.collect::<Vec<_>>(), is_empty())
+}
+
+// Guards against answers that look complete though the peer that passed them on was killed, and
+// against calls that run twice then.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_truthfully_when_the_peer_is_killed() -> Result<()> {
+    let (mut f, load) = cut_off_fleet().await;
+
+    f.entries[1].signal(posix::Signal::KILL);
+    let stop = f.entries[1].exit(time::Instant::now()).await;
+    tokio::time::sleep(SETTLING_TIME * 3).await;
+
+    expect_that!(stop.exit_signal, some(eq(posix::Signal::KILL.as_raw())));
+    let sent = sent_to(&load.finish().await, 0);
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    let last = sent.iter().map(|req| req.ended_at).max().unwrap();
+    let late = sent
+        .iter()
+        .filter(|req| req.sent_at >= last - SETTLING_TIME);
+    let failed = late.filter(|req| req.outcome != client::Outcome::Answered(200));
+    verify_that!(failed.count(), eq(0))
+}
+
+// Guards against a peer that stands still with the connections that it has passed on.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_truthfully_while_the_peer_is_paused() -> Result<()> {
+    let (mut f, load) = cut_off_fleet().await;
+
+    f.entries[1].pause(time::Duration::from_secs(3)).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let sent = sent_to(&load.finish().await, 0);
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    Ok(())
+}
+
+// Guards against servers that work on for clients that have left, behind a peer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn server_behind_a_peer_stops_when_the_client_leaves() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "south"]).await;
+    f.set_paths(0, State::Resets);
+    for server in &f.servers {
+        server.set_service_time(time::Duration::from_secs(10));
+    }
+    let mut client = client::Client::open(&f.ips());
+    let plan = client::Plan {
+        entry: 0,
+        kind: client::Kind::Again,
+        has_body: false,
+        deadline: time::Duration::from_secs(20),
+        read_pause: None,
+    };
+
+    let sent = tokio::time::timeout(SETTLING_TIME, client.send(plan)).await;
+    drop(client);
+    tokio::time::sleep(LEAVING_TIME).await;
+
+    expect_that!(sent.is_err(), eq(true));
+    let works: Vec<_> = f
+        .servers
+        .iter()
+        .flat_map(server::Server::all_work)
+        .collect();
+    expect_that!(works.len(), eq(1));
+    verify_that!(works.iter().all(|work| work.ended_at.is_some()), eq(true))
+}
+
+// Guards against a server that has ended and is taken for one behind a broken path.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_ends_is_ejected_though_an_entry_is_cut_off() -> Result<()> {
+    let (f, load) = cut_off_fleet().await;
+
+    for entry in 0..3 {
+        f.set_path(entry, 0, State::Resets);
+    }
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let sent = load.finish().await;
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    let has_ejected = |entry: &&entry::Entry| {
+        let log = entry.log();
+        let mut lines = log.lines().filter(|line| line.contains("server_ejected"));
+        lines.any(|line| line.contains("\"server\":\"b0\""))
+    };
+    verify_that!(f.entries.iter().filter(has_ejected).count(), eq(3))
+}
--- a/crates/mustardshedd/tests/planned_stop/main.rs
+++ b/crates/mustardshedd/tests/planned_stop/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod oracle;
 mod refusals;
+#[expect(dead_code, reason = "shared with the tests of lost paths")]
 mod server;
 mod soak;
 mod starts;
--- a/crates/mustardshedd/tests/planned_stop/server.rs
+++ b/crates/mustardshedd/tests/planned_stop/server.rs
@@ -87,6 +87,12 @@
         let work = self.state.work.lock().unwrap();
         work.get(request_id).cloned().unwrap_or_default()
     }
+
+    /// Returns what the server did with all requests.
+    pub(crate) fn all_work(&self) -> Vec<Work> {
+        let work = self.state.work.lock().unwrap();
+        work.values().flatten().copied().collect()
+    }
 }
 
 /// Records the end of the work on a request when dropped.
