Follow the rest of a list beside an entry that cannot be read

An entry without readable metadata, or with bytes that are no UTF-8, made the whole list or watch fail, so that it was never followed again.

--- a/crates/mustardshedd/tests/forward/view.rs
+++ b/crates/mustardshedd/tests/forward/view.rs
@@ -143,3 +143,69 @@
     // A server that is still listed after registrations have expired is alive.
     verify_that!(usable(ms(10_100)).len(), eq(3))
 }
+
+// Guards against a list from a peer that is not followed because of one odd entry, and against an
+// end of the process by a figure out of range.
+#[gtest]
+fn rest_of_a_list_from_a_peer_is_followed_beside_an_odd_entry() -> Result<()> {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let sound = servers(position(1, 3), &[("odd", "ready")]).objects["odd"]
+        .content
+        .clone();
+    let odd = [
+        nested.clone(),
+        sound.replace("16", &nested),
+        sound.replace("16", "18446744073709551616"),
+        sound.replace("16", "1e400"),
+        sound.replace(
+            "\"cold_left_ms\":0",
+            "\"cold_left_ms\":18446744073709551615",
+        ),
+        sound.replace("127.0.0.1:1", "127.0.0.1:70000"),
+        sound.replace("127.0.0.1:1", "127.0.0.1:-1"),
+        sound.replace("ready", "rea\u{fffd}y"),
+        "null".to_owned(),
+        "{".to_owned(),
+    ];
+    for content in odd {
+        let mut listed = servers(position(1, 3), &[("a", "ready"), ("z", "ready")]);
+        let object = objects::Object {
+            name: "odd".to_owned(),
+            position: position(1, 3),
+            content,
+        };
+        listed.objects.insert(object.name.clone(), object);
+        let mut sender = view::View::default();
+        sender.apply_listing(Topic::Servers, listed, ms(1_000), ms(1_001));
+        let message = forward::Message::Topic {
+            topic: Topic::Servers.index(),
+            state: sender.topic_state(Topic::Servers, ms(1_002)).unwrap(),
+            objects: sender.objects(Topic::Servers),
+        };
+
+        let frame = forward::encode(&[message]).unwrap();
+        let received = forward::decode(&frame).unwrap();
+
+        let Some(forward::Message::Topic { objects, .. }) = received.into_iter().next() else {
+            return fail!("no list was received");
+        };
+        let objects = objects.into_iter().map(|object| objects::Object {
+            name: object.name,
+            position: position(object.era, object.revision),
+            content: object.content,
+        });
+        let mut receiver = view::View::default();
+        let listing = objects::Listing {
+            objects: objects
+                .map(|object| (object.name.clone(), object))
+                .collect(),
+            position: position(1, 3),
+        };
+        receiver.apply_listing(Topic::Servers, listing, ms(1_000), ms(1_003));
+        let found = receiver.servers_of("runners", ms(1_003));
+        let found: Vec<&str> = found.map(|server| server.id.as_str()).collect();
+        expect_that!(found, contains(eq(&"a")));
+        expect_that!(found, contains(eq(&"z")));
+    }
+    Ok(())
+}
