Count a refused connection only from where another server is reached

When the paths of all entries were reset at once, each found the servers' ports closed, so did its peers, and after three such crashes a sound call was rejected for 10 min.

An entry that is refused by a server connects to up to three others as well before it says so to a peer, and before it takes the refusal for a crash where no peer has answered; one that it reaches is enough.

--- a/crates/mustardshedd/src/forward/cx/paths.rs
+++ b/crates/mustardshedd/src/forward/cx/paths.rs
@@ -6,7 +6,7 @@
     forward::{live_entries, paths},
     ids,
 };
-use rand::seq::SliceRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 
 use crate::{
     forward::cx::Cx,
@@ -100,6 +100,21 @@
         paths::peers_to_ask(peers, limit)
     }
 
+    /// Returns up to `limit` usable servers but `except`, with their addresses.
+    #[must_use]
+    pub fn other_servers(&self, except: &str, limit: usize) -> Vec<(ids::BackendServerId, String)> {
+        let now = self.now();
+        let state = self.state();
+        let servers = state.view.servers();
+        let others = servers
+            .filter(|server| server.id != except && state.view.usable(&server.id, now).is_some());
+        let chosen = others.sample(&mut rand::rng(), limit);
+        let chosen = chosen.into_iter();
+        chosen
+            .map(|server| (server.id.clone(), server.address.clone()))
+            .collect()
+    }
+
     /// Returns whether this entry has lately reached servers through peers only.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
--- a/crates/mustardshedd/src/forward/dial.rs
+++ b/crates/mustardshedd/src/forward/dial.rs
@@ -25,6 +25,8 @@
 const MAX_PEERS: usize = 2;
 /// Most peers that are asked whether they reach a server.
 const MAX_WITNESSES: usize = 3;
+/// Most other servers that are tried to tell a server that refuses from a path that does.
+const MAX_OTHERS: usize = 3;
 
 /// Why a server was not reached.
 #[derive(Clone, Debug, Display)]
@@ -65,6 +67,8 @@
     pub is_refused: bool,
     /// Whether a peer could not reach it either, or there is none to ask.
     pub is_confirmed: bool,
+    /// Whether a peer could not reach it either.
+    has_witness: bool,
 }
 
 /// Connects to a server for a request.
@@ -87,6 +91,7 @@
         reason: e.to_string(),
         is_refused: false,
         is_confirmed: false,
+        has_witness: false,
     })
 }
 
@@ -97,8 +102,35 @@
 /// Returns an error if neither this entry nor a peer reaches it.
 pub async fn check(cx: &sync::Arc<cx::Cx>, server: &str, address: &str) -> Result<bool, Unreached> {
     let race = Race::new(cx, server, address, MAX_WITNESSES);
-    let reached = race.run(paths::Plan::Direct, MAX_WITNESSES).await?;
-    Ok(reached.is_direct)
+    let reached = race.run(paths::Plan::Direct, MAX_WITNESSES).await;
+    match reached {
+        Ok(reached) => Ok(reached.is_direct),
+        Err(unreached) if unreached.is_refused && !unreached.has_witness => Err(Unreached {
+            is_refused: reaches_another(cx, server).await,
+            ..unreached
+        }),
+        Err(unreached) => Err(unreached),
+    }
+}
+
+/// Returns whether this entry reaches any other server than `except`, so that a refused connection was
+/// refused by the server; true if there is no other server.
+async fn reaches_another(cx: &sync::Arc<cx::Cx>, except: &str) -> bool {
+    let others = cx.other_servers(except, MAX_OTHERS);
+    let has_others = !others.is_empty();
+    let connecting = others.into_iter().map(|(server, address)| async move {
+        let connecting = tokio::time::timeout(PEER_CONNECT_TIMEOUT, connect_directly(&address));
+        let is_connected = matches!(connecting.await, Ok(Ok(_)));
+        cx.record_connection(&server, is_connected);
+        is_connected
+    });
+    let mut connecting: stream::FuturesUnordered<_> = connecting.collect();
+    while let Some(is_connected) = connecting.next().await {
+        if is_connected {
+            return true;
+        }
+    }
+    !has_others
 }
 
 /// Connects to a server for a peer, by this entry's own path only.
@@ -121,12 +153,14 @@
         )))
     });
     cx.record_connection(server, connected.is_ok());
-    connected.map_err(|e| match e {
+    match connected {
+        Ok(stream) => Ok(stream),
         // It says nothing of the server if this entry reaches no other one.
-        _ if cx.state().paths.are_lost() => wire::Reply::Unavailable,
-        Failure::Refused => wire::Reply::Refused,
-        _ => wire::Reply::Unreachable,
-    })
+        Err(_) if cx.state().paths.are_lost() => Err(wire::Reply::Unavailable),
+        Err(Failure::Refused) if reaches_another(cx, server).await => Err(wire::Reply::Refused),
+        Err(Failure::Refused) => Err(wire::Reply::Unavailable),
+        Err(_) => Err(wire::Reply::Unreachable),
+    }
 }
 
 async fn connect_directly(address: &str) -> Result<net::TcpStream, Failure> {
@@ -309,6 +343,7 @@
             is_refused: self.direct_failure.as_ref().is_some_and(is_refused)
                 && of_server.iter().all(|failure| is_refused(failure)),
             is_confirmed: !has_peers || !of_server.is_empty(),
+            has_witness: !of_server.is_empty(),
         }
     }
 }
