--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -17,6 +17,7 @@
 mod lost_data_centre;
 mod negative_cache;
 mod notices;
+mod paths;
 mod pauses;
 mod planned_stop;
 mod quarantine;
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -25,4 +25,5 @@
 mod restored_platform;
 mod server;
 mod streams;
+mod tunnels;
 mod view;
