--- a/crates/mustardshedd/src/forward/cx/paths.rs
+++ b/crates/mustardshedd/src/forward/cx/paths.rs
@@ -100,6 +100,13 @@
         paths::peers_to_ask(peers, limit)
     }
 
+    /// Returns whether any other entry takes work, so that what this one cannot reach may be sound.
+    #[must_use]
+    pub fn has_live_peers(&self) -> bool {
+        let now = self.now();
+        self.state().live_entries.fronts(now).next().is_some()
+    }
+
     /// Returns up to `limit` usable servers but `except`, with their addresses.
     #[must_use]
     pub fn other_servers(&self, except: &str, limit: usize) -> Vec<(ids::BackendServerId, String)> {
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -177,12 +177,12 @@
     }
 }
 
+/// Accepts a connection of a peer; returns the server to which it wants a tunnel, if it wants one
+/// instead of a link.
 #[expect(
     clippy::result_large_err,
     reason = "the WebSocket library sets the type of the closure"
 )]
-/// Accepts a connection of a peer; returns the server to which it wants a tunnel, if it wants one
-/// instead of a link.
 async fn accept_socket(
     stream: net::TcpStream,
 ) -> Result<(Socket, Option<ids::BackendServerId>), LinkError> {
