--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -27,7 +27,7 @@
 pub mod crashes;
 mod drain;
 mod paths;
-mod server_reports;
+pub mod server_reports;
 
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
 /// accepted; the rest covers requests that are already on their way.
--- a/crates/mustardshedd/src/forward/cx/server_reports.rs
+++ b/crates/mustardshedd/src/forward/cx/server_reports.rs
@@ -12,6 +12,15 @@
     log::{self, event},
 };
 
+/// How a server failed a request before the head of its response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Symptom {
+    /// The connection broke.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+}
+
 impl Cx {
     /// Records that a server could not be reached, and tells the peers.
     pub fn report_unreachable(&self, server: &str) {
@@ -50,14 +59,13 @@
         }
     }
 
-    /// Checks whether a server can be reached that broke off a request sent at `sent_at`, or has not
-    /// answered it if `is_silent`. One that cannot be reached is ejected, and so is one that is
-    /// silent though this entry reaches it.
-    pub fn suspect_unreachable(
+    /// Checks whether a server can be reached that failed a request sent at `sent_at`. One that cannot
+    /// be reached is ejected, and so is one that is silent though this entry reaches it.
+    pub fn check_reachable(
         self: &sync::Arc<Self>,
         server: &str,
         sent_at: ids::Timestamp,
-        is_silent: bool,
+        symptom: Symptom,
     ) {
         let address = {
             let mut state = self.state();
@@ -77,7 +85,7 @@
             match checked {
                 Err(unreached) => cx.eject_unreached(&server, &unreached),
                 // What was silent may have been the path.
-                Ok(true) if is_silent && !cx.has_bypassed_since(sent_at) => {
+                Ok(true) if symptom == Symptom::Silent && !cx.has_bypassed_since(sent_at) => {
                     cx.report_unreachable(&server);
                 }
                 Ok(_) => {}
--- a/crates/mustardshedd/src/forward/dial/race.rs
+++ b/crates/mustardshedd/src/forward/dial/race.rs
@@ -36,7 +36,7 @@
     cx: &'a sync::Arc<cx::Cx>,
     server: &'a str,
     address: &'a str,
-    /// Peers not asked yet, and whether they were looked for.
+    /// Peers not asked yet; none until they are looked for.
     peers: Option<collections::VecDeque<paths::Peer>>,
     max_peers: usize,
     racing: stream::FuturesUnordered<Attempt<'a>>,
@@ -95,8 +95,10 @@
         Err(self.unreached())
     }
 
-    fn has_next(&mut self) -> bool {
-        self.direct_since.is_none() || !self.peers().is_empty()
+    /// Returns whether another way may be tried. Peers are looked for only when one is needed.
+    fn has_next(&self) -> bool {
+        let may_have_peers = self.peers.as_ref().is_none_or(|peers| !peers.is_empty());
+        self.direct_since.is_none() || may_have_peers
     }
 
     fn start_next(&mut self, at_once: usize) {
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    forward::{dial, exchange, job, reservation, upstream},
+    forward::{cx::server_reports::Symptom, dial, exchange, job, reservation, upstream},
     log::{self, event},
 };
 
@@ -103,13 +103,15 @@
     let (response, connection_task) = match sending.await {
         Ok(Ok(answered)) => answered,
         Ok(Err(upstream::SendError::NoResponse(reason))) => {
-            req.cx.suspect_unreachable(&placed.primary, now, false);
+            req.cx
+                .check_reachable(&placed.primary, now, Symptom::Broken);
             return Err(Failure::Unknown(reason));
         }
         Ok(Err(e)) => return Err(Failure::not_run(e)),
         Err(_) => {
             if timeout >= MIN_UNREACHABLE_SILENCE {
-                req.cx.suspect_unreachable(&placed.primary, now, true);
+                req.cx
+                    .check_reachable(&placed.primary, now, Symptom::Silent);
             }
             return Err(Failure::Unknown(
                 format!("no response within {timeout:?}").into(),
