--- a/crates/mustardshedd/tests/partition/cuts.rs
+++ b/crates/mustardshedd/tests/partition/cuts.rs
@@ -14,6 +14,8 @@
 const MAX_FAILED_SHARE: f64 = 1.0 / 50.0;
 /// Clients of each entry.
 const CLIENTS_PER_ENTRY: u64 = 4;
+/// Clients of each entry in a burst.
+const BURST_CLIENTS_PER_ENTRY: u64 = 30;
 
 /// Numbers of requests to some entries.
 #[derive(Clone, Copy, Debug, Default)]
@@ -107,6 +109,33 @@
     check_cut(&["north", "north", "north", "south"], 3, State::Hangs).await
 }
 
+// Guards against a search for a way that ends at the only other entry which is not cut off there.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_most_of_a_data_centre_is_cut_off() -> Result<()> {
+    check_cut(&["north", "north", "north", "south"], 2, State::Hangs).await
+}
+
+// Guards against refusals for want of connections through peers in a burst.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn burst_at_an_entry_that_is_cut_off_is_served() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "north", "south"]).await;
+    f.set_paths(0, State::Hangs);
+    let load = f.load(3);
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let burst = f.load(3 * BURST_CLIENTS_PER_ENTRY);
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+
+    let mut sent = burst.finish().await;
+    sent.extend(load.finish().await);
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    let of_burst = served(&sent, 0, time::Instant::now() - SETTLING_TIME);
+    verify_that!(of_burst.failed_share(), le(MAX_FAILED_SHARE))
+}
+
 // Guards against the same where connections are refused, which looks like servers that ended.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/mustardshedd/tests/partition/peers.rs
+++ b/crates/mustardshedd/tests/partition/peers.rs
@@ -88,6 +88,44 @@
     Ok(())
 }
 
+// Guards against a longer time, another account or a key that reaches a server through a peer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn server_behind_a_peer_gets_the_time_and_the_account_of_the_request() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "south"]).await;
+    f.set_paths(0, State::Hangs);
+    let mut client = client::Client::open(&f.ips());
+    let deadline = time::Duration::from_secs(2);
+
+    for kind in [
+        client::Kind::Once,
+        client::Kind::Again,
+        client::Kind::Stream,
+    ] {
+        let plan = client::Plan {
+            entry: 0,
+            kind,
+            has_body: true,
+            deadline,
+            read_pause: None,
+        };
+        let sent = client.send(plan).await.unwrap();
+        expect_that!(sent.outcome, eq(&client::Outcome::Answered(200)));
+    }
+
+    let works: Vec<server::Work> = f
+        .servers
+        .iter()
+        .flat_map(server::Server::all_work)
+        .collect();
+    expect_that!(works.len(), eq(3));
+    for work in works {
+        expect_that!(work.time_left, le(deadline));
+        expect_that!(work.is_of_account, eq(true));
+    }
+    Ok(())
+}
+
 // Guards against servers that work on for clients that have left, behind a peer.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/mustardshedd/tests/planned_stop/server.rs
+++ b/crates/mustardshedd/tests/planned_stop/server.rs
@@ -26,6 +26,10 @@
     pub(crate) ended_at: Option<time::Instant>,
     /// Whether the request was rejected without being run.
     pub(crate) is_rejected: bool,
+    /// Time that the server was given.
+    pub(crate) time_left: time::Duration,
+    /// Whether the request named its account, and no key.
+    pub(crate) is_of_account: bool,
 }
 
 #[derive(Debug)]
@@ -103,13 +107,20 @@
 }
 
 impl WorkGuard {
-    fn begin(state: &sync::Arc<State>, id: &str, is_rejected: bool) -> Self {
+    fn begin(
+        state: &sync::Arc<State>,
+        id: &str,
+        is_rejected: bool,
+        headers: &http::HeaderMap,
+    ) -> Self {
         let mut work = state.work.lock().unwrap();
         let work = work.entry(id.to_owned()).or_default();
         work.push(Work {
             began_at: time::Instant::now(),
             ended_at: None,
             is_rejected,
+            time_left: time_left(headers),
+            is_of_account: headers.contains_key("tenant") && !headers.contains_key("api-key"),
         });
         Self {
             state: sync::Arc::clone(state),
@@ -158,7 +169,7 @@
     let id = req.headers().get("request-id");
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let rejects = state.rejects.load(atomic::Ordering::Relaxed);
-    let work = WorkGuard::begin(&state, &id, rejects);
+    let work = WorkGuard::begin(&state, &id, rejects, req.headers());
     let is_stream = req.uri().path().starts_with("/stream/");
     let max_stream_time = time_left(req.headers()) / STREAM_DIVISOR;
     let first_event = last_event(req.headers()) + 1;
