--- a/crates/mustardshedd/tests/partition/soak.rs
+++ b/crates/mustardshedd/tests/partition/soak.rs
@@ -103,6 +103,28 @@
 struct Run {
     report: oracle::Report,
     failed_share: f64,
+    /// Log lines of the entries about lost paths and crashes.
+    log: Vec<String>,
+}
+
+/// Events that tell why requests are refused after the paths are back.
+const LOGGED: [&str; 4] = [
+    "server_crashed",
+    "request_quarantined",
+    "paths_lost",
+    "paths_restored",
+];
+
+fn log(entries: &[entry::Entry]) -> Vec<String> {
+    let is_wanted = |line: &&str| LOGGED.iter().any(|name| line.contains(name));
+    let logs = entries.iter().map(|entry| (entry.index, entry.log()));
+    let lines = logs.flat_map(|(index, log)| {
+        let lines = log.lines().filter(is_wanted);
+        lines
+            .map(|line| format!("entry {index}: {line}"))
+            .collect::<Vec<String>>()
+    });
+    lines.collect()
 }
 
 async fn run(seed: u64) -> Run {
@@ -139,6 +161,7 @@
     let count = |len: usize| f64::from(u32::try_from(len).unwrap());
     Run {
         report: f.check(&sent, &[]),
+        log: log(&f.entries),
         failed_share: count(failed.count()) / count(late.len()),
     }
 }
@@ -163,7 +186,8 @@
             run.report.summary()
         );
         if !run.report.faults().is_empty() || share > MAX_FAILED_SHARE {
-            failed.push(format!("seed {seed}: {share:.3} {}", run.report));
+            let log = run.log.join("\n");
+            failed.push(format!("seed {seed}: {share:.3} {}\n{log}", run.report));
         }
     }
 
