Refuse at once where no way leads to a server

At an entry that reaches neither servers nor a peer that does, each attempt waits 0.25 s for a connection, up to twelve times: calls were refused after 3.0 s and 1.5 s (entry_that_reaches_nothing_refuses_at_once, bound 1 s). The request is now refused once three servers have answered nobody since any was reached. Closed ports do not count, as these fail quickly.

Tests for the rest of the way through a peer: cold limit, retry budget, two entries that are both cut off, the stop of the entry that took the request.

--- a/crates/mustardshed-core/src/forward/paths.rs
+++ b/crates/mustardshed-core/src/forward/paths.rs
@@ -68,6 +68,8 @@
     /// Servers that only peers have reached since this entry reached any.
     cut_off_from: collections::HashSet<ids::BackendServerId>,
     last_bypass_at: Option<ids::Timestamp>,
+    /// Servers that did not answer in any way since any server was reached.
+    unanswered: collections::HashSet<ids::BackendServerId>,
     peers_failed_at: collections::HashMap<ids::VmId, ids::Timestamp>,
 }
 
@@ -145,6 +147,22 @@
         self.cut_off_from.len() >= MIN_LOST_SERVERS && self.last_bypass_at.is_some_and(is_recent)
     }
 
+    /// Records that a server was reached, by this entry itself or through a peer.
+    pub fn record_reached(&mut self) {
+        self.unanswered.clear();
+    }
+
+    /// Records that a server did not answer, neither this entry nor a peer.
+    pub fn record_unanswered(&mut self, server: &str) {
+        self.unanswered.insert(server.to_owned());
+    }
+
+    /// Returns whether no way leads to any server, as far as this entry has tried.
+    #[must_use]
+    pub fn leads_nowhere(&self) -> bool {
+        self.unanswered.len() >= MIN_LOST_SERVERS
+    }
+
     /// Returns whether a path was bypassed at `since` or later, so that what failed meanwhile says
     /// nothing of the server.
     #[must_use]
@@ -177,6 +195,7 @@
         self.connected_at.retain(|id, _| is_listed(id));
         self.failed.retain(|id| is_listed(id));
         self.cut_off_from.retain(|id| is_listed(id));
+        self.unanswered.retain(|id| is_listed(id));
     }
 }
 
--- a/crates/mustardshed-core/tests/forward/paths.rs
+++ b/crates/mustardshed-core/tests/forward/paths.rs
@@ -125,3 +125,18 @@
         ])
     )
 }
+
+#[gtest]
+fn three_servers_that_do_not_answer_in_a_row_lead_nowhere() -> Result<()> {
+    let mut paths = paths::Paths::default();
+    for server in ["a", "b", "b"] {
+        paths.record_unanswered(server);
+    }
+    expect_that!(paths.leads_nowhere(), eq(false));
+    paths.record_unanswered("c");
+    expect_that!(paths.leads_nowhere(), eq(true));
+
+    paths.record_reached();
+
+    verify_that!(paths.leads_nowhere(), eq(false))
+}
--- a/crates/mustardshedd/src/forward/dial.rs
+++ b/crates/mustardshedd/src/forward/dial.rs
@@ -38,9 +38,17 @@
     address: &str,
 ) -> Result<upstream::Connection, Unreached> {
     let plan = cx.plan_path(server);
-    let reached = race::Race::new(cx, server, address, MAX_PEERS)
-        .run(plan, 1)
-        .await?;
+    let race = race::Race::new(cx, server, address, MAX_PEERS);
+    let reached = match race.run(plan, 1).await {
+        Ok(reached) => reached,
+        Err(unreached) => {
+            if !unreached.is_refused {
+                cx.state().paths.record_unanswered(server);
+            }
+            return Err(unreached);
+        }
+    };
+    cx.state().paths.record_reached();
     cx.metrics.connected(reached.is_direct);
     let opened = upstream::Connection::open(reached.io).await;
     opened.map_err(|e| Unreached {
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -437,7 +437,8 @@
     ) -> Result<(), refusal::Refusal> {
         self.attempts.record_not_run(has_arrived);
         let has_budget = || !has_arrived || self.req.cx.take_retry(&self.service.name);
-        let will_retry = self.attempts.may_retry() && has_budget();
+        let leads_nowhere = !has_arrived && self.req.cx.state().paths.leads_nowhere();
+        let will_retry = !leads_nowhere && self.attempts.may_retry() && has_budget();
         self.log_failed(server, "not_run", reason, will_retry);
         if will_retry {
             return Ok(());
@@ -445,6 +446,9 @@
         if self.attempts.runs() > 0 {
             return Err(refusal::Refusal::FateUnknown);
         }
+        if leads_nowhere {
+            return Err(refusal::Refusal::NoServer(NO_SERVER_RETRY_AFTER));
+        }
         Err(refusal::Refusal::TurnedAway(REJECTED_RETRY_AFTER))
     }
 
--- a/crates/mustardshedd/tests/partition/fixture.rs
+++ b/crates/mustardshedd/tests/partition/fixture.rs
@@ -21,6 +21,8 @@
 const SERVICE_TIME: time::Duration = time::Duration::from_millis(30);
 /// Deadline of all requests.
 const DEADLINE: time::Duration = time::Duration::from_secs(2);
+/// Requests per second that a cold server bears from all entries.
+pub(crate) const COLD_PER_S: f64 = 20.0;
 /// Number of servers.
 const SERVERS: usize = 6;
 
@@ -42,10 +44,10 @@
         let mut servers = Vec::new();
         for number in 0..SERVERS {
             let server = server::Server::bind(&format!("b{number}"), SERVICE_TIME).await;
-            write_server(&platform, &server, "v1").await;
+            write_server(&platform, &server, "v1", time::Duration::ZERO).await;
             servers.push(server);
         }
-        configure(&platform).await;
+        configure(&platform, 1, 0.0).await;
         let mut f = Self {
             servers,
             entries: Vec::new(),
@@ -92,19 +94,27 @@
         }
         // Until each entry has heard of the others.
         tokio::time::sleep(time::Duration::from_secs(1)).await;
-        self.touch_servers("v2").await;
+        self.touch_servers("v2", time::Duration::ZERO).await;
         self
     }
 
     /// Writes all servers anew, so that each entry reads them through its own view: until then it may
     /// have the addresses of another one's paths from a peer that had read a later revision.
-    pub(crate) async fn touch_servers(&self, version: &str) {
+    /// They are cold for `cold_for`.
+    pub(crate) async fn touch_servers(&self, version: &str, cold_for: time::Duration) {
         for server in &self.servers {
-            write_server(&self.platform, server, version).await;
+            write_server(&self.platform, server, version, cold_for).await;
         }
         tokio::time::sleep(time::Duration::from_millis(500)).await;
     }
 
+    /// Makes all servers cold for a minute.
+    pub(crate) async fn chill_servers(&self) {
+        configure(&self.platform, 2, COLD_PER_S).await;
+        let minute = time::Duration::from_secs(60);
+        self.touch_servers("cold", minute).await;
+    }
+
     /// Returns the addresses of the entries.
     pub(crate) fn ips(&self) -> Vec<net::Ipv4Addr> {
         self.entries.iter().map(|entry| entry.ip).collect()
@@ -144,15 +154,21 @@
     }
 }
 
-async fn write_server(platform: &standin_http::Server, server: &server::Server, version: &str) {
+async fn write_server(
+    platform: &standin_http::Server,
+    server: &server::Server,
+    version: &str,
+    cold_for: time::Duration,
+) {
     let spec = json!({
         "service": "runners", "address": server.address.to_string(), "zone": "north",
-        "version": version, "slots": 64, "state": "ready", "cold_left_ms": 0, "seq": 1,
+        "version": version, "slots": 64, "state": "ready", "seq": 1,
+        "cold_left_ms": u64::try_from(cold_for.as_millis()).unwrap(),
     });
     write(platform, "servers", &server.id, spec).await;
 }
 
-async fn configure(platform: &standin_http::Server) {
+async fn configure(platform: &standin_http::Server, version: u64, cold_per_s: f64) {
     let route = |name: &str, kind: &str, attempts: u32| {
         json!({
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"),
@@ -163,14 +179,17 @@
         })
     };
     let config = json!({
-        "version": 1,
+        "version": version,
         "routes": [
             route("once", "non_idempotent", 1),
             route("again", "idempotent", 2),
             route("stream", "streaming", 2),
             route("open", "idempotent", 2),
         ],
-        "services": [{ "name": "runners", "max_connections": 100 }],
+        "services": [{
+            "name": "runners", "max_connections": 100,
+            "cold_start_s": 0.0, "cold_per_s": cold_per_s,
+        }],
         "limits": {
             "max_header_bytes": 16_384, "max_body_bytes": 1_000,
             "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
--- a/crates/mustardshedd/tests/partition/main.rs
+++ b/crates/mustardshedd/tests/partition/main.rs
@@ -13,7 +13,6 @@
 mod entry;
 mod fixture;
 #[path = "../planned_stop/oracle.rs"]
-#[expect(dead_code, reason = "shared with the tests of planned stops")]
 mod oracle;
 mod path;
 mod peers;
--- a/crates/mustardshedd/tests/partition/peers.rs
+++ b/crates/mustardshedd/tests/partition/peers.rs
@@ -11,6 +11,11 @@
 const SETTLING_TIME: time::Duration = time::Duration::from_secs(1);
 /// Time after a client has left within which no server may be at work for it.
 const LEAVING_TIME: time::Duration = time::Duration::from_millis(500);
+/// Longest time until a request is refused that cannot be served.
+const MAX_REFUSAL_TIME: time::Duration = time::Duration::from_secs(1);
+/// Retries that the entries' settings allow for each request, and beyond that.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_ALLOWANCE: f64 = 100.0;
 
 /// Returns a fleet with load in which entry 0 is cut off and has found its way.
 async fn cut_off_fleet() -> (fixture::Fixture, client::Load) {
@@ -179,3 +184,136 @@
     };
     verify_that!(f.entries.iter().filter(has_ejected).count(), eq(3))
 }
+
+/// Returns requests that clients sent to entry 0 for some time.
+async fn load_cut_off_entry(f: &fixture::Fixture, duration: time::Duration) -> Vec<client::Sent> {
+    let load = client::Load::start(8, &f.ips(), |client, _| client::Plan {
+        entry: 0,
+        kind: if client % 2 == 0 {
+            client::Kind::Again
+        } else {
+            client::Kind::Once
+        },
+        has_body: false,
+        deadline: time::Duration::from_secs(2),
+        read_pause: None,
+    });
+    tokio::time::sleep(duration).await;
+    load.finish().await
+}
+
+/// Sends calls to two entries of which none reaches a server; returns how they ended.
+async fn send_to_lost_entries(f: &fixture::Fixture) -> Vec<client::Sent> {
+    f.set_paths(0, State::Hangs);
+    f.set_paths(1, State::Resets);
+    tokio::time::sleep(SETTLING_TIME).await;
+    let mut client = client::Client::open(&f.ips());
+    let mut all = Vec::new();
+    for entry in [0, 1, 0, 1] {
+        let plan = client::Plan {
+            entry,
+            kind: client::Kind::Once,
+            has_body: false,
+            deadline: time::Duration::from_secs(10),
+            read_pause: None,
+        };
+        all.push(client.send(plan).await.unwrap());
+    }
+    all
+}
+
+// Guards against two entries that pass a request to each other.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_are_all_cut_off_refuse() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "north"]).await;
+
+    let sent = send_to_lost_entries(&f).await;
+
+    for sent in sent {
+        expect_that!(sent.outcome, eq(&client::Outcome::Answered(503)));
+    }
+    let works = f.servers.iter().flat_map(server::Server::all_work);
+    verify_that!(works.count(), eq(0))
+}
+
+// Guards against refusals that come late where no server can be reached.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_reaches_nothing_refuses_at_once() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "north"]).await;
+
+    let sent = send_to_lost_entries(&f).await;
+
+    for sent in sent {
+        expect_that!(sent.ended_at - sent.sent_at, lt(MAX_REFUSAL_TIME));
+    }
+    Ok(())
+}
+
+// Guards against requests that are cut when the entry that took them is stopped.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_survive_the_planned_stop_of_the_entry_that_is_cut_off() -> Result<()> {
+    let (mut f, load) = cut_off_fleet().await;
+    for server in &f.servers {
+        server.set_service_time(time::Duration::from_millis(300));
+    }
+
+    let stop = f.entries[0].stop().await;
+
+    let sent = load.finish().await;
+    let report = f.check(&sent, &[stop]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    verify_that!(report.served_in_grace(), gt(0))
+}
+
+// Guards against more requests at a cold server by the way through a peer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_server_behind_a_peer_gets_no_more_than_it_bears() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "south"]).await;
+    f.set_paths(0, State::Hangs);
+    f.chill_servers().await;
+
+    load_cut_off_entry(&f, time::Duration::from_secs(3)).await;
+
+    for server in &f.servers {
+        let mut began: Vec<time::Instant> =
+            server.all_work().iter().map(|work| work.began_at).collect();
+        began.sort();
+        let in_a_second = |from: &time::Instant| {
+            let until = *from + time::Duration::from_secs(1);
+            began
+                .iter()
+                .filter(|at| (*from..until).contains(at))
+                .count()
+        };
+        let most = began.iter().map(in_a_second).max().unwrap_or_default();
+        expect_that!(most, gt(0));
+        let most = f64::from(u32::try_from(most).unwrap());
+        expect_that!(most, le(fixture::COLD_PER_S));
+    }
+    Ok(())
+}
+
+// Guards against retries beyond the budget by the way through a peer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_behind_a_peer_keep_to_the_budget() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "south"]).await;
+    f.set_paths(0, State::Hangs);
+    for server in &f.servers {
+        server.set_rejecting(true);
+    }
+
+    let sent = load_cut_off_entry(&f, time::Duration::from_secs(3)).await;
+
+    let report = f.check(&sent, &[]);
+    expect_that!(report.faults(), is_empty(), "{report}");
+    let arrivals = f.servers.iter().flat_map(server::Server::all_work).count();
+    let requests = f64::from(u32::try_from(sent.len()).unwrap());
+    let repeats = f64::from(u32::try_from(arrivals).unwrap()) - requests;
+    expect_that!(arrivals, gt(0));
+    verify_that!(repeats, le(requests * RETRY_RATIO + RETRY_ALLOWANCE))
+}
