--- a/crates/mustardshedd/tests/partition/fixture.rs
+++ b/crates/mustardshedd/tests/partition/fixture.rs
@@ -25,6 +25,8 @@
 const STREAM_DEADLINE: time::Duration = time::Duration::from_secs(4);
 /// Requests per second that a cold server bears from all entries.
 pub(crate) const COLD_PER_S: f64 = 20.0;
+/// Start of all servers, in Unix milliseconds.
+const BORN_UNIX_MS: u64 = 1_788_000_000_000;
 /// Number of servers.
 const SERVERS: usize = 6;
 
@@ -196,7 +198,7 @@
 ) {
     let spec = json!({
         "service": "runners", "address": server.address.to_string(), "zone": "north",
-        "version": version, "slots": 64, "state": "ready", "seq": 1,
+        "version": version, "slots": 64, "state": "ready", "seq": 1, "born": BORN_UNIX_MS,
         "cold_left_ms": u64::try_from(cold_for.as_millis()).unwrap(),
     });
     write(platform, "servers", &server.id, spec).await;
--- a/crates/mustardshedd/tests/partition/main.rs
+++ b/crates/mustardshedd/tests/partition/main.rs
@@ -7,6 +7,7 @@
 
 #[path = "../planned_stop/client.rs"]
 mod client;
+mod crashes;
 mod cuts;
 #[path = "../planned_stop/entry.rs"]
 #[expect(dead_code, reason = "shared with the tests of planned stops")]
