Withdraw crashes of servers that prove to have been running

Each entry may lose its paths to some servers at the same time. Servers that refuse all entries then count as crashed, and after three such crashes a sound call was rejected for ten minutes, though the servers never ended.

A server that has ended is no longer listed after three missed heartbeats. A crash is now withdrawn when reads of the list, as of four heartbeats after it, still have the same run of the server; time before an outage or a restoration of the platform does not count. The start of the run is kept with a crash and told to the peers. Entries look when this time is over, and list the servers anew if their data is older; for servers that have ended there is no such read, as they are not listed. Without the new setting server_heartbeat_ms nothing is withdrawn, as before.

--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -41,6 +41,8 @@
     pub platform: net::SocketAddr,
     /// Address to serve metrics on, if any.
     pub metrics: Option<net::SocketAddr>,
+    /// Interval at which servers renew their entries on the platform, if known.
+    pub server_heartbeat: Option<time::Duration>,
     /// Lowest severity that is logged.
     pub log_level: settings::LogLevel,
     /// Limits that the platform's operators set for this system.
@@ -109,6 +111,10 @@
         });
         let platform = root.required("platform", read::address);
         let metrics = root.optional("metrics", None, |field| read::address(field).map(Some));
+        let server_heartbeat = root.optional("server_heartbeat_ms", None, |field| {
+            let ms = read::number_within(MAX_MS)(field)?;
+            Some(Some(time::Duration::from_secs_f64(ms / 1_000.0)))
+        });
         let log_level = root.optional("log_level", settings::LogLevel::Info, |field| {
             settings::LogLevel::read(field)
         });
@@ -124,6 +130,7 @@
             seeds: seeds?,
             platform: platform?,
             metrics: metrics?,
+            server_heartbeat: server_heartbeat?,
             log_level: log_level?,
             bounds: bounds?,
         })
--- a/crates/mustardshed-core/src/forward/repeated_crashes.rs
+++ b/crates/mustardshed-core/src/forward/repeated_crashes.rs
@@ -69,6 +69,18 @@
         true
     }
 
+    /// Removes the crashes for which `is_refuted` returns true, and returns them.
+    pub fn withdraw(&mut self, is_refuted: impl Fn(&Crash) -> bool) -> Vec<Crash> {
+        if !self.crashes.iter().any(&is_refuted) {
+            return Vec::new();
+        }
+        let crashes = std::mem::take(&mut self.crashes).into_iter();
+        let (withdrawn, kept): (Vec<Crash>, _) = crashes.partition(is_refuted);
+        self.crashes = kept.into();
+        self.recount();
+        withdrawn
+    }
+
     /// Returns whether no request is suspected.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -133,6 +145,7 @@
             known.server == crash.server && known.at.abs_diff(crash.at) < SAME_CRASH
         };
         if let Some(known) = known.find(is_same) {
+            known.started_unix_ms = known.started_unix_ms.or(crash.started_unix_ms);
             known.add(crash.attempts);
         } else if !crash.attempts.is_empty() {
             if self.crashes.len() >= MAX_CRASHES {
--- a/crates/mustardshed-core/tests/forward/repeated_crashes.rs
+++ b/crates/mustardshed-core/tests/forward/repeated_crashes.rs
@@ -34,6 +34,7 @@
     });
     repeated_crashes::Crash {
         server: server.to_owned(),
+        started_unix_ms: None,
         at: millis(at_ms),
         attempts: attempts.collect(),
     }
@@ -216,6 +217,29 @@
     verify_that!(rejects(&crashes, "dead"), eq(true))
 }
 
+// Guards against the rejection of a sound call under which servers only seemed to crash (LOST).
+#[gtest]
+fn crashes_that_are_withdrawn_do_not_count() -> Result<()> {
+    let mut crashes = repeated_crashes::RepeatedCrashes::default();
+    record(
+        &mut crashes,
+        1_000,
+        500,
+        &[&["sound", "dead"], &["sound"], &["sound"]],
+    );
+    record(&mut crashes, 3_000, 500, &[&["dead"], &["dead"]]);
+
+    let withdrawn = crashes.withdraw(|crash| crash.at == millis(1_500));
+    let is_known_again = !crashes
+        .withdraw(|crash| crash.at == millis(1_500))
+        .is_empty();
+
+    expect_that!(withdrawn.len(), eq(1));
+    expect_that!(is_known_again, eq(false));
+    expect_that!(rejects(&crashes, "sound"), eq(false));
+    verify_that!(rejects(&crashes, "dead"), eq(true))
+}
+
 #[gtest]
 fn record_is_bounded_and_expires() -> Result<()> {
     const MAX_CRASHES: usize = 2_048;
--- a/crates/mustardshed-core/tests/forward/repeated_requests.rs
+++ b/crates/mustardshed-core/tests/forward/repeated_requests.rs
@@ -244,6 +244,7 @@
             lasted: None,
         });
         let crash = repeated_crashes::Crash {
+            started_unix_ms: None,
             server: format!("i-{engine}"),
             at: at(self.step),
             attempts: attempts.collect(),
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -249,6 +249,9 @@
         /// The same requests by their contents.
         #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
         requests: Vec<Suspect>,
+        /// Start of the run that crashed in milliseconds since the Unix epoch, if known.
+        #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+        started_unix_ms: Option<u64>,
     },
     /// Servers have begun to answer requests with these prompt parts, or these requests.
     #[serde(rename = "d")]
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -120,6 +120,8 @@
     pub peers: peers::Outbox,
     /// Notified when the configuration must be read at once.
     pub refresh: tokio_sync::Notify,
+    /// Wakes the reflector of the servers to list them anew.
+    pub servers_refresh: tokio_sync::Notify,
     /// Notified when a leaf has read the configuration from the platform because its relay's was
     /// too old.
     pub relay_bypassed: tokio_sync::Notify,
@@ -175,6 +177,7 @@
             platform,
             metrics,
             refresh: tokio_sync::Notify::new(),
+            servers_refresh: tokio_sync::Notify::new(),
             relay_bypassed: tokio_sync::Notify::new(),
             refreshed: tokio_sync::Notify::new(),
             platform_recovered: tokio_sync::Notify::new(),
--- a/crates/mustardshedd/src/forward/cx/crashes.rs
+++ b/crates/mustardshedd/src/forward/cx/crashes.rs
@@ -21,6 +21,13 @@
 /// Time within which all entries hear of a crash, also through relays.
 pub const REPORT_TIME: time::Duration = time::Duration::from_millis(60);
 
+/// Heartbeats of a server after which the platform no longer lists it if it has ended: three that
+/// are missed, and one for the way of the list.
+const EXPIRY_HEARTBEATS: u32 = 4;
+
+/// Time in which the list of servers is read anew.
+const REFRESH_TIME: time::Duration = time::Duration::from_millis(500);
+
 /// Completes when a check is done and a crash has been reported.
 pub type CheckDone = future::Shared<future::BoxFuture<'static, ()>>;
 
@@ -75,8 +82,10 @@
     }
 
     /// Records a crash with the requests of this entry that may have caused it, and tells the peers.
-    fn report_crash(&self, server: &str, suspects: Vec<Suspect>) {
+    fn report_crash(self: &sync::Arc<Self>, server: &str, suspects: Vec<Suspect>) {
         let now = self.now();
+        let listed = self.state().view.listed_server(server).cloned();
+        let started_unix_ms = listed.and_then(|listed| listed.started_unix_ms);
         let attempts = suspects.iter().map(|suspect| suspect.attempt(now));
         let attempts: Vec<repeated_crashes::Attempt> = attempts.collect();
         let parts = suspects.into_iter().filter_map(|suspect| suspect.parts);
@@ -86,9 +95,11 @@
             age_ms: 0,
             suspects: parts.iter().map(quarantine::Suspect::parts).collect(),
             requests: attempts.iter().copied().map(Into::into).collect(),
+            started_unix_ms,
         });
         self.record_repeated_crash(repeated_crashes::Crash {
             server: server.to_owned(),
+            started_unix_ms,
             at: now,
             attempts,
         });
@@ -101,7 +112,7 @@
 
     /// Records under which requests a server has crashed, as this entry has noticed or a peer
     /// reports.
-    pub fn record_repeated_crash(&self, crash: repeated_crashes::Crash) {
+    pub fn record_repeated_crash(self: &sync::Arc<Self>, crash: repeated_crashes::Crash) {
         let now = self.now();
         let rejected = self.state().repeated_crashes.record_crash(crash, now);
         for request in &rejected {
@@ -111,6 +122,7 @@
         }
         if !rejected.is_empty() {
             self.quarantined.notify_waiters();
+            tokio::spawn(review_crashes(sync::Arc::clone(self)));
         }
     }
 
@@ -194,7 +206,52 @@
             return left;
         }
         let request = content.fingerprint();
-        self.state().repeated_crashes.remaining(request, now)
+        let left = self.state().repeated_crashes.remaining(request, now);
+        if left.is_some() && self.withdraw_crashes() {
+            return self.state().repeated_crashes.remaining(request, now);
+        }
+        left
+    }
+
+    /// Returns the time after which a server that has ended is no longer listed, if it is known.
+    fn server_expiry(&self) -> Option<time::Duration> {
+        let heartbeat = self.settings.server_heartbeat?;
+        Some(heartbeat * EXPIRY_HEARTBEATS)
+    }
+
+    /// Withdraws crashes of servers whose runs are still listed when they would no longer be if they
+    /// had ended: their connections were refused or reset on the way. Returns whether there were any.
+    fn withdraw_crashes(&self) -> bool {
+        let Some(expiry) = self.server_expiry() else {
+            return false;
+        };
+        let now = self.now();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        let view = &state.view;
+        let listed_for = |crash: &repeated_crashes::Crash| {
+            view.listed_for(&crash.server, crash.started_unix_ms?, crash.at, now)
+        };
+        let outlasts_expiry = |crash: &repeated_crashes::Crash| {
+            let listed_for = listed_for(crash);
+            listed_for.is_some_and(|listed_for| listed_for.confirmed >= expiry)
+        };
+        let withdrawn = state.repeated_crashes.withdraw(outlasts_expiry);
+        let is_unconfirmed = state.repeated_crashes.crashes().any(|crash| {
+            let listed_for = listed_for(crash);
+            listed_for.is_some_and(|listed_for| listed_for.presumed >= expiry)
+        });
+        drop(guard);
+        if is_unconfirmed {
+            self.servers_refresh.notify_one();
+        }
+        for crash in &withdrawn {
+            log::emit(&event::Event::CrashWithdrawn {
+                server: &crash.server,
+                after_ms: now.saturating_sub(crash.at).as_millis(),
+            });
+        }
+        !withdrawn.is_empty()
     }
 
     fn apply_findings(&self, findings: quarantine::Findings) {
@@ -237,6 +294,20 @@
     }
 }
 
+/// Withdraws the crashes because of which a request is rejected, once the list of servers can show
+/// that they have not ended.
+async fn review_crashes(cx: sync::Arc<Cx>) {
+    let Some(expiry) = cx.server_expiry() else {
+        return;
+    };
+    tokio::time::sleep(expiry).await;
+    if !cx.withdraw_crashes() {
+        // The list may have to be read anew.
+        tokio::time::sleep(REFRESH_TIME).await;
+        cx.withdraw_crashes();
+    }
+}
+
 fn log_crash(server: &str, suspects: &[Suspect]) {
     let parts = suspects.iter().filter_map(|suspect| suspect.parts.as_ref());
     let parts = parts.map(|parts| parts.shared.join(" "));
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -1,6 +1,6 @@
 //! Updates that entries exchange about their requests in flight and about servers.
 
-use std::time;
+use std::{sync, time};
 
 use mustardshed::{
     core::{
@@ -13,7 +13,12 @@
 use crate::forward::{cx, link};
 
 /// Applies an update of `vm` about one of its requests or about a server.
-pub(super) fn apply(cx: &cx::Cx, vm: &str, message: &forward::Message, now: ids::Timestamp) {
+pub(super) fn apply(
+    cx: &sync::Arc<cx::Cx>,
+    vm: &str,
+    message: &forward::Message,
+    now: ids::Timestamp,
+) {
     if apply_crash(cx, message, now) {
         return;
     }
@@ -67,19 +72,21 @@
 }
 
 /// Applies an update about crashes of servers; returns whether it is one.
-fn apply_crash(cx: &cx::Cx, message: &forward::Message, now: ids::Timestamp) -> bool {
+fn apply_crash(cx: &sync::Arc<cx::Cx>, message: &forward::Message, now: ids::Timestamp) -> bool {
     match message {
         forward::Message::Crashed {
             server,
             age_ms,
             suspects,
             requests,
+            started_unix_ms,
         } => {
             let at = link::before(now, *age_ms);
             let suspects = suspects.iter().map(Vec::as_slice);
             let attempts = requests.iter().copied();
             cx.record_repeated_crash(repeated_crashes::Crash {
                 server: server.clone(),
+                started_unix_ms: *started_unix_ms,
                 at,
                 attempts: attempts.map(repeated_crashes::Attempt::from).collect(),
             });
@@ -214,6 +221,7 @@
         age_ms: link::age_ms(now.saturating_sub(crash.at)),
         suspects: Vec::new(),
         requests: crash.attempts.iter().copied().map(Into::into).collect(),
+        started_unix_ms: crash.started_unix_ms,
     });
     let crashes = state.quarantine.crashes();
     let crashes = crashes.map(move |crash| forward::Message::Crashed {
@@ -225,6 +233,7 @@
             .map(quarantine::Suspect::parts)
             .collect(),
         requests: Vec::new(),
+        started_unix_ms: None,
     });
     let culprits = state.quarantine.culprits().iter();
     // Entries of earlier versions keep the last crashes only, so those with parts come last.
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -103,7 +103,7 @@
             .map(Read::All)
     }
 
-    /// Watches for changes. If a request needs the configuration meanwhile, it is listed beside the
+    /// Watches for changes. If more recent data are needed meanwhile, they are listed beside the
     /// watch, which goes on.
     async fn watch(&mut self, from: objects::Position) -> Result<Read, objects::Error> {
         let wait = self.next_watch_timeout();
@@ -114,13 +114,16 @@
         loop {
             tokio::select! {
                 changes = &mut watching => return changes.map(Read::Changes),
-                () = cx.refresh.notified(), if self.topic == topic::Topic::Configuration => {}
-            }
-            if self.refresh_is_due() {
-                let begun_at = cx.now();
-                let read = self.list().await?;
-                self.apply(read, begun_at).await;
+                () = cx.refresh.notified(), if self.topic == topic::Topic::Configuration => {
+                    if !self.refresh_is_due() {
+                        continue;
+                    }
+                }
+                () = cx.servers_refresh.notified(), if self.topic == topic::Topic::Servers => {}
             }
+            let begun_at = cx.now();
+            let read = self.list().await?;
+            self.apply(read, begun_at).await;
         }
     }
 
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -14,6 +14,10 @@
 
 use crate::log::{self, event};
 
+mod listed_for;
+
+pub use listed_for::ListedFor;
+
 /// Time for which servers stay usable whose registrations were gone when the platform recovered.
 const LAPSED_GRACE: time::Duration = time::Duration::from_millis(1_800);
 /// Shortest outage of the platform in which registrations may have lapsed.
@@ -125,6 +129,30 @@
         self.members_revision
     }
 
+    /// Returns how long the platform has listed a run of a server since `at`; none if it is not
+    /// listed. Entries of servers may outlast an outage of the platform, so only the time after the
+    /// last one counts.
+    #[must_use]
+    pub fn listed_for(
+        &self,
+        server: &str,
+        started_unix_ms: u64,
+        at: ids::Timestamp,
+        now: ids::Timestamp,
+    ) -> Option<ListedFor> {
+        let listed = self.servers.get(server)?;
+        if listed.started_unix_ms != Some(started_unix_ms) {
+            return None;
+        }
+        let cache = &self.topics[topic::Topic::Servers.index()];
+        let since = at.max(cache.recovered_at.unwrap_or_default());
+        let confirmed_at = cache.confirmation.confirmed_at().unwrap_or_default();
+        Some(ListedFor {
+            confirmed: confirmed_at.saturating_sub(since),
+            presumed: now.saturating_sub(since),
+        })
+    }
+
     /// Returns the server if it may be sent requests.
     #[must_use]
     pub fn usable(&self, id: &str, now: ids::Timestamp) -> Option<&server::Server> {
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -229,6 +229,11 @@
     1212 Warn "request_quarantined" RequestQuarantined {
         fingerprint: &'a str,
     }
+    /// A backend server that seemed to have crashed has been running all the time.
+    1213 Info "crash_withdrawn" CrashWithdrawn {
+        server: &'a str,
+        after_ms: u128,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -283,6 +283,7 @@
                 .parse()
                 .unwrap(),
             metrics: Some(address(8005)),
+            server_heartbeat: None,
             log_level: settings::LogLevel::Critical,
             bounds,
         };
--- a/crates/mustardshedd/tests/forward/view.rs
+++ b/crates/mustardshedd/tests/forward/view.rs
@@ -144,6 +144,52 @@
     verify_that!(usable(ms(10_100)).len(), eq(3))
 }
 
+/// Returns for how long the run of the server "stays" is known to be listed since 2 s.
+fn confirmed(view: &view::View, started_unix_ms: u64) -> Option<time::Duration> {
+    let listed_for = view.listed_for("stays", started_unix_ms, ms(2_000), ms(9_000));
+    listed_for.map(|listed_for| listed_for.confirmed)
+}
+
+// Guards against a crashed server that is taken for running because of old data (BUDGET).
+#[gtest]
+fn server_is_listed_for_as_long_as_reads_confirm_the_same_run() -> Result<()> {
+    let mut view = view::View::default();
+    let list = |revision| servers(position(1, revision), &[("stays", "ready")]);
+    view.apply_listing(Topic::Servers, list(10), ms(1_000), ms(1_004));
+    let before = confirmed(&view, 7);
+
+    view.apply_listing(Topic::Servers, list(10), ms(7_000), ms(7_004));
+    let after = confirmed(&view, 7);
+    let of_other_run = confirmed(&view, 8);
+    let gone = servers(position(1, 11), &[("other", "ready")]);
+    view.apply_listing(Topic::Servers, gone, ms(8_000), ms(8_004));
+
+    expect_that!(before, some(eq(time::Duration::ZERO)));
+    expect_that!(after, some(eq(ms(5_000))));
+    expect_that!(of_other_run, none());
+    verify_that!(confirmed(&view, 7), none())
+}
+
+// Guards against a crashed server that is taken for running because its registration has outlasted an
+// outage of the platform, or was restored from a copy (BUDGET).
+#[gtest]
+fn time_before_an_outage_of_the_platform_does_not_count() -> Result<()> {
+    let list = |era| servers(position(era, 10), &[("stays", "ready")]);
+    let mut after_outage = view::View::default();
+    after_outage.apply_listing(Topic::Servers, list(1), ms(1_000), ms(1_004));
+    let mut restored = view::View::default();
+    restored.apply_listing(Topic::Servers, list(1), ms(1_000), ms(1_004));
+
+    after_outage.record_failure(Topic::Servers, ms(4_000));
+    after_outage.apply_listing(Topic::Servers, list(1), ms(6_000), ms(6_500));
+    after_outage.apply_listing(Topic::Servers, list(1), ms(7_000), ms(7_004));
+    restored.apply_listing(Topic::Servers, list(2), ms(6_000), ms(6_500));
+    restored.apply_listing(Topic::Servers, list(2), ms(7_000), ms(7_004));
+
+    expect_that!(confirmed(&after_outage, 7), some(eq(ms(500))));
+    verify_that!(confirmed(&restored, 7), some(eq(ms(500))))
+}
+
 // Guards against a list from a peer that is not followed because of one odd entry, and against an
 // end of the process by a figure out of range.
 #[gtest]
--- a/crates/mustardshedd/tests/partition/crashes.rs
+++ b/crates/mustardshedd/tests/partition/crashes.rs
@@ -54,29 +54,50 @@
     outcomes
 }
 
-// Guards against the rejection of a sound call for ten minutes after each entry has lost the paths to
-// some servers at once, which looks like crashes under it.
-#[gtest]
-#[tokio::test(flavor = "multi_thread")]
-async fn call_is_served_again_once_its_servers_prove_not_to_have_crashed() -> Result<()> {
+/// Lets servers seem to crash under a call until it is rejected, and restores all paths.
+async fn rejected_call() -> fixture::Fixture {
     let f = fixture::Fixture::open(&["north", "south"]).await;
     for server in &f.servers {
         server.set_service_time(SLOW_SERVICE_TIME);
     }
-
     let outcomes = repeat_until_rejected(&f).await;
+    assert_eq!(outcomes.last(), Some(&client::Outcome::Answered(503)));
     for server in &f.servers {
         server.set_service_time(SERVICE_TIME);
     }
     for entry in 0..f.entries.len() {
         f.set_paths(entry, State::Open);
     }
+    f
+}
+
+// Guards against the rejection of a sound call for ten minutes after each entry has lost the paths to
+// some servers at once, which looks like crashes under it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn call_is_served_again_once_its_servers_prove_not_to_have_crashed() -> Result<()> {
+    let f = rejected_call().await;
     let mut client = client::Client::open(&f.ips());
+
     let rejected = client.send(CALL).await.unwrap();
     tokio::time::sleep(WITHDRAWAL_TIME).await;
     let served = client.send(CALL).await.unwrap();
 
-    expect_that!(outcomes.last(), some(eq(&client::Outcome::Answered(503))));
     expect_that!(rejected.outcome, eq(&client::Outcome::Answered(503)));
     verify_that!(served.outcome, eq(&client::Outcome::Answered(200)))
 }
+
+// Guards against a call that is sent to a fourth server because the three that have crashed under it
+// run again (BUDGET).
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn call_stays_rejected_after_its_servers_have_been_started_anew() -> Result<()> {
+    let f = rejected_call().await;
+
+    f.restart_servers().await;
+    tokio::time::sleep(WITHDRAWAL_TIME).await;
+
+    let mut client = client::Client::open(&f.ips());
+    let rejected = client.send(CALL).await.unwrap();
+    verify_that!(rejected.outcome, eq(&client::Outcome::Answered(503)))
+}
--- a/crates/mustardshedd/tests/partition/fixture.rs
+++ b/crates/mustardshedd/tests/partition/fixture.rs
@@ -25,11 +25,29 @@
 const STREAM_DEADLINE: time::Duration = time::Duration::from_secs(4);
 /// Requests per second that a cold server bears from all entries.
 pub(crate) const COLD_PER_S: f64 = 20.0;
-/// Start of all servers, in Unix milliseconds.
-const BORN_UNIX_MS: u64 = 1_788_000_000_000;
+/// First start of all servers, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_788_000_000_000;
+/// Their second start.
+const SECOND_START_MS: u64 = FIRST_START_MS + 60_000;
 /// Number of servers.
 const SERVERS: usize = 6;
 
+/// What the platform says of a server.
+#[derive(Clone, Copy, Debug)]
+struct Registration {
+    version: &'static str,
+    cold_for: time::Duration,
+    start_ms: u64,
+}
+
+impl Registration {
+    const FIRST: Self = Self {
+        version: "v1",
+        cold_for: time::Duration::ZERO,
+        start_ms: FIRST_START_MS,
+    };
+}
+
 /// A platform with servers and entries.
 pub(crate) struct Fixture {
     pub(crate) servers: Vec<server::Server>,
@@ -48,7 +66,7 @@
         let mut servers = Vec::new();
         for number in 0..SERVERS {
             let server = server::Server::bind(&format!("b{number}"), SERVICE_TIME).await;
-            write_server(&platform, &server, "v1", time::Duration::ZERO).await;
+            write_server(&platform, &server, Registration::FIRST).await;
             servers.push(server);
         }
         configure(&platform, 1, 0.0).await;
@@ -98,16 +116,19 @@
         }
         // Until each entry has heard of the others.
         tokio::time::sleep(time::Duration::from_secs(1)).await;
-        self.touch_servers("v2", time::Duration::ZERO).await;
+        let renewed = Registration {
+            version: "v2",
+            ..Registration::FIRST
+        };
+        self.touch_servers(renewed).await;
         self
     }
 
     /// Writes all servers anew, so that each entry reads them through its own view: until then it may
     /// have the addresses of another one's paths from a peer that had read a later revision.
-    /// They are cold for `cold_for`.
-    pub(crate) async fn touch_servers(&self, version: &str, cold_for: time::Duration) {
+    async fn touch_servers(&self, registration: Registration) {
         for server in &self.servers {
-            write_server(&self.platform, server, version, cold_for).await;
+            write_server(&self.platform, server, registration).await;
         }
         tokio::time::sleep(time::Duration::from_millis(500)).await;
     }
@@ -115,8 +136,21 @@
     /// Makes all servers cold for a minute.
     pub(crate) async fn chill_servers(&self) {
         configure(&self.platform, 2, COLD_PER_S).await;
-        let minute = time::Duration::from_secs(60);
-        self.touch_servers("cold", minute).await;
+        let cold = Registration {
+            version: "cold",
+            cold_for: time::Duration::from_secs(60),
+            ..Registration::FIRST
+        };
+        self.touch_servers(cold).await;
+    }
+
+    /// Registers all servers as started anew.
+    pub(crate) async fn restart_servers(&self) {
+        let second = Registration {
+            start_ms: SECOND_START_MS,
+            ..Registration::FIRST
+        };
+        self.touch_servers(second).await;
     }
 
     /// Returns the addresses of the entries.
@@ -193,12 +227,16 @@
 async fn write_server(
     platform: &standin_http::Server,
     server: &server::Server,
-    version: &str,
-    cold_for: time::Duration,
+    registration: Registration,
 ) {
+    let Registration {
+        version,
+        cold_for,
+        start_ms,
+    } = registration;
     let spec = json!({
         "service": "runners", "address": server.address.to_string(), "zone": "north",
-        "version": version, "slots": 64, "state": "ready", "seq": 1, "born": BORN_UNIX_MS,
+        "version": version, "slots": 64, "state": "ready", "seq": 1, "born": start_ms,
         "cold_left_ms": u64::try_from(cold_for.as_millis()).unwrap(),
     });
     write(platform, "servers", &server.id, spec).await;
--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -112,6 +112,7 @@
 directory = "{ip}:8003"
 peers = "{ip}:8004"
 platform = "{platform}"
+server_heartbeat_ms = 500
 
 [bounds]
 fail_closed = true
