Withdraw such crashes from the quarantine of prompt parts as well

The quarantine of prompt parts counts the same crashes, so parts of sound prompts were rejected for ten minutes after servers had only seemed to crash under them.

A withdrawn crash is removed there too; parts to which the other crashes do not point are released. The withdrawal moves to a file of its own.

--- a/crates/mustardshed-core/src/forward/quarantine.rs
+++ b/crates/mustardshed-core/src/forward/quarantine.rs
@@ -110,6 +110,27 @@
         }
     }
 
+    /// Removes the crashes for which `is_refuted` returns true, and releases the parts to which the
+    /// other crashes do not point. Returns the crashes.
+    pub fn withdraw(
+        &mut self,
+        is_refuted: impl Fn(&Crash) -> bool,
+        now: ids::Timestamp,
+    ) -> Vec<Crash> {
+        if !self.crashes.iter().any(&is_refuted) {
+            return Vec::new();
+        }
+        let crashes = std::mem::take(&mut self.crashes).into_iter();
+        let (withdrawn, kept): (Vec<Crash>, _) = crashes.partition(is_refuted);
+        self.crashes = kept.into();
+        self.culprits.retain(|culprit| {
+            let mut withdrawn = withdrawn.iter();
+            !withdrawn.any(|crash| crash.is_explained_by(&culprit.parts))
+        });
+        self.update_culprits(now);
+        withdrawn
+    }
+
     /// Returns how much longer a request with these parts is rejected, if it is.
     #[must_use]
     pub fn remaining(
@@ -157,6 +178,7 @@
             known.server == crash.server && known.at.abs_diff(crash.at) < SAME_CRASH
         };
         if let Some(known) = self.crashes.iter_mut().find(is_same) {
+            known.started_unix_ms = known.started_unix_ms.or(crash.started_unix_ms);
             known.add(crash.suspects);
             return;
         }
--- a/crates/mustardshed-core/src/forward/quarantine/crash.rs
+++ b/crates/mustardshed-core/src/forward/quarantine/crash.rs
@@ -10,6 +10,8 @@
 pub struct Crash {
     /// Name of the server.
     pub server: ids::BackendServerId,
+    /// Start of the run that crashed in Unix milliseconds, if known.
+    pub started_unix_ms: Option<u64>,
     /// When it crashed.
     pub at: ids::Timestamp,
     /// Requests that it had not begun to answer.
--- a/crates/mustardshed-core/tests/forward/deadly_requests.rs
+++ b/crates/mustardshed-core/tests/forward/deadly_requests.rs
@@ -175,6 +175,7 @@
         let cut: Vec<Request> = cut.collect();
         for req in &cut {
             self.tell(Report::Crash(quarantine::Crash {
+                started_unix_ms: None,
                 server: format!("i-{engine}"),
                 at: at(self.step),
                 suspects: quarantine::Suspect::new(&req.parts).into_iter().collect(),
--- a/crates/mustardshed-core/tests/forward/quarantine.rs
+++ b/crates/mustardshed-core/tests/forward/quarantine.rs
@@ -18,6 +18,7 @@
     let suspects = suspects.iter().map(|names| parts(names));
     quarantine::Crash {
         server: server.to_owned(),
+        started_unix_ms: None,
         at: millis(at_ms),
         suspects: suspects
             .filter_map(|parts| quarantine::Suspect::new(&parts))
@@ -217,3 +218,28 @@
         eq((0, 0))
     )
 }
+
+// Guards against the rejection of sound requests under which servers only seemed to crash (LOST).
+#[gtest]
+fn part_is_released_if_too_few_crashes_are_left() -> Result<()> {
+    let mut quarantine = quarantine::Quarantine::default();
+    record(
+        &mut quarantine,
+        1_000,
+        &[&["sound a"], &["sound b"], &["sound c"]],
+    );
+    record(
+        &mut quarantine,
+        3_000,
+        &[&["dead a"], &["dead b"], &["dead c"], &["dead d"]],
+    );
+    let was_rejected = rejects(&quarantine, "sound");
+
+    let is_refuted = |crash: &quarantine::Crash| ["i-1500", "i-3500"].contains(&&*crash.server);
+    let withdrawn = quarantine.withdraw(is_refuted, millis(9_000));
+
+    expect_that!(was_rejected, eq(true));
+    expect_that!(withdrawn.len(), eq(2));
+    expect_that!(rejects(&quarantine, "sound"), eq(false));
+    verify_that!(rejects(&quarantine, "dead"), eq(true))
+}
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -28,6 +28,7 @@
 mod drain;
 mod paths;
 pub mod server_reports;
+mod withdrawal;
 
 /// Share of the time allowed for a revocation to take effect after which keys are no longer
 /// accepted; the rest covers requests that are already on their way.
--- a/crates/mustardshedd/src/forward/cx/crashes.rs
+++ b/crates/mustardshedd/src/forward/cx/crashes.rs
@@ -21,13 +21,6 @@
 /// Time within which all entries hear of a crash, also through relays.
 pub const REPORT_TIME: time::Duration = time::Duration::from_millis(60);
 
-/// Heartbeats of a server after which the platform no longer lists it if it has ended: three that
-/// are missed, and one for the way of the list.
-const EXPIRY_HEARTBEATS: u32 = 4;
-
-/// Time in which the list of servers is read anew.
-const REFRESH_TIME: time::Duration = time::Duration::from_millis(500);
-
 /// Completes when a check is done and a crash has been reported.
 pub type CheckDone = future::Shared<future::BoxFuture<'static, ()>>;
 
@@ -105,6 +98,7 @@
         });
         self.record_crash(quarantine::Crash {
             server: server.to_owned(),
+            started_unix_ms,
             at: now,
             suspects: parts,
         });
@@ -122,12 +116,12 @@
         }
         if !rejected.is_empty() {
             self.quarantined.notify_waiters();
-            tokio::spawn(review_crashes(sync::Arc::clone(self)));
+            self.review_crashes();
         }
     }
 
     /// Records a crash that this entry has noticed or a peer reports.
-    pub fn record_crash(&self, crash: quarantine::Crash) {
+    pub fn record_crash(self: &sync::Arc<Self>, crash: quarantine::Crash) {
         if crash.suspects.is_empty() {
             return;
         }
@@ -137,7 +131,7 @@
     }
 
     /// Adopts what a peer has quarantined.
-    pub fn adopt_quarantine(&self, culprit: quarantine::Culprit) {
+    pub fn adopt_quarantine(self: &sync::Arc<Self>, culprit: quarantine::Culprit) {
         let now = self.now();
         let findings = self.state().quarantine.adopt(culprit, now);
         self.apply_findings(findings);
@@ -199,6 +193,14 @@
     }
 
     fn quarantine_left(&self, content: &content::Content) -> Option<time::Duration> {
+        let left = self.rejected_for(content)?;
+        if self.withdraw_crashes() {
+            return self.rejected_for(content);
+        }
+        Some(left)
+    }
+
+    fn rejected_for(&self, content: &content::Content) -> Option<time::Duration> {
         let now = self.now();
         let shared = content.shared_parts();
         let left = self.state().quarantine.remaining(shared, now);
@@ -206,55 +208,10 @@
             return left;
         }
         let request = content.fingerprint();
-        let left = self.state().repeated_crashes.remaining(request, now);
-        if left.is_some() && self.withdraw_crashes() {
-            return self.state().repeated_crashes.remaining(request, now);
-        }
-        left
-    }
-
-    /// Returns the time after which a server that has ended is no longer listed, if it is known.
-    fn server_expiry(&self) -> Option<time::Duration> {
-        let heartbeat = self.settings.server_heartbeat?;
-        Some(heartbeat * EXPIRY_HEARTBEATS)
-    }
-
-    /// Withdraws crashes of servers whose runs are still listed when they would no longer be if they
-    /// had ended: their connections were refused or reset on the way. Returns whether there were any.
-    fn withdraw_crashes(&self) -> bool {
-        let Some(expiry) = self.server_expiry() else {
-            return false;
-        };
-        let now = self.now();
-        let mut guard = self.state();
-        let state = &mut *guard;
-        let view = &state.view;
-        let listed_for = |crash: &repeated_crashes::Crash| {
-            view.listed_for(&crash.server, crash.started_unix_ms?, crash.at, now)
-        };
-        let outlasts_expiry = |crash: &repeated_crashes::Crash| {
-            let listed_for = listed_for(crash);
-            listed_for.is_some_and(|listed_for| listed_for.confirmed >= expiry)
-        };
-        let withdrawn = state.repeated_crashes.withdraw(outlasts_expiry);
-        let is_unconfirmed = state.repeated_crashes.crashes().any(|crash| {
-            let listed_for = listed_for(crash);
-            listed_for.is_some_and(|listed_for| listed_for.presumed >= expiry)
-        });
-        drop(guard);
-        if is_unconfirmed {
-            self.servers_refresh.notify_one();
-        }
-        for crash in &withdrawn {
-            log::emit(&event::Event::CrashWithdrawn {
-                server: &crash.server,
-                after_ms: now.saturating_sub(crash.at).as_millis(),
-            });
-        }
-        !withdrawn.is_empty()
+        self.state().repeated_crashes.remaining(request, now)
     }
 
-    fn apply_findings(&self, findings: quarantine::Findings) {
+    fn apply_findings(self: &sync::Arc<Self>, findings: quarantine::Findings) {
         self.report_answered(findings.sound, Vec::new());
         for parts in &findings.culprits {
             log::emit(&event::Event::PromptPartsQuarantined {
@@ -263,6 +220,7 @@
         }
         if !findings.culprits.is_empty() {
             self.quarantined.notify_waiters();
+            self.review_crashes();
         }
     }
 
@@ -294,20 +252,6 @@
     }
 }
 
-/// Withdraws the crashes because of which a request is rejected, once the list of servers can show
-/// that they have not ended.
-async fn review_crashes(cx: sync::Arc<Cx>) {
-    let Some(expiry) = cx.server_expiry() else {
-        return;
-    };
-    tokio::time::sleep(expiry).await;
-    if !cx.withdraw_crashes() {
-        // The list may have to be read anew.
-        tokio::time::sleep(REFRESH_TIME).await;
-        cx.withdraw_crashes();
-    }
-}
-
 fn log_crash(server: &str, suspects: &[Suspect]) {
     let parts = suspects.iter().filter_map(|suspect| suspect.parts.as_ref());
     let parts = parts.map(|parts| parts.shared.join(" "));
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -92,6 +92,7 @@
             });
             cx.record_crash(quarantine::Crash {
                 server: server.clone(),
+                started_unix_ms: *started_unix_ms,
                 at,
                 suspects: suspects.filter_map(quarantine::Suspect::new).collect(),
             });
@@ -233,7 +234,7 @@
             .map(quarantine::Suspect::parts)
             .collect(),
         requests: Vec::new(),
-        started_unix_ms: None,
+        started_unix_ms: crash.started_unix_ms,
     });
     let culprits = state.quarantine.culprits().iter();
     // Entries of earlier versions keep the last crashes only, so those with parts come last.
--- a/crates/mustardshedd/tests/forward/crashes.rs
+++ b/crates/mustardshedd/tests/forward/crashes.rs
@@ -109,6 +109,45 @@
     verify_that!(deadly_arrivals(&servers), le(CRASHES + MAX_REQUESTS_AFTER))
 }
 
+// Guards against the rejection of sound prompts for ten minutes after servers that are listed as
+// running all the time seemed to crash under them.
+#[gtest]
+#[tokio::test]
+async fn requests_with_a_prompt_part_are_served_again_once_its_crashes_are_withdrawn() -> Result<()>
+{
+    const HEARTBEAT: time::Duration = time::Duration::from_secs(1);
+    let servers = [
+        server::Server::bind("i-1").await,
+        server::Server::bind("i-2").await,
+        server::Server::bind("i-3").await,
+    ];
+    let servers = servers.each_ref();
+    for server in servers {
+        server.crash_on(DEADLY);
+    }
+    let f = fixture::Fixture::with(&servers).await;
+    let entry = f.entry_with_heartbeat("entry-1", HEARTBEAT).await;
+    let entry = entry.ready().await;
+
+    let has_culprits = || !entry.cx.state().quarantine.culprits().is_empty();
+    for i in 0..DEADLY_REQUESTS {
+        if !has_culprits() {
+            send(&f, &entry, &format!("ca11e5:40,{DEADLY}:500,a{i}:9")).await;
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    let was_quarantined = has_culprits();
+    for server in servers {
+        server.stop_crashing();
+    }
+    tokio::time::sleep(HEARTBEAT * 5).await;
+    let parts = format!("ca11e5:40,{DEADLY}:500,b:9");
+    let served = send(&f, &entry, &parts).await.status;
+
+    expect_that!(was_quarantined, eq(true));
+    verify_that!(served, eq(200))
+}
+
 // Guards against a request that is repeated under new identifiers and crashes one server after the
 // other (BUDGET).
 #[gtest]
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -195,6 +195,7 @@
         let entry = json!({
             "service": "runners", "address": server.address.to_string(), "zone": data_centre,
             "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+            "born": 1_788_000_000_000_u64,
         });
         self.write("servers", &server.id, entry).await;
     }
@@ -248,7 +249,12 @@
 
     /// Starts an entry with the usual bounds.
     pub(crate) async fn entry(&self, vm: &str) -> Entry {
-        self.entry_with(vm, bounds()).await
+        self.entry_with(vm, bounds(), None).await
+    }
+
+    /// Starts an entry that knows how often servers renew their registrations.
+    pub(crate) async fn entry_with_heartbeat(&self, vm: &str, heartbeat: time::Duration) -> Entry {
+        self.entry_with(vm, bounds(), Some(heartbeat)).await
     }
 
     /// Starts an entry whose configuration counts as stale after `revocation`.
@@ -261,10 +267,15 @@
             revocation,
             ..bounds()
         };
-        self.entry_with(vm, bounds).await
+        self.entry_with(vm, bounds, None).await
     }
 
-    async fn entry_with(&self, vm: &str, bounds: forwarding::Bounds) -> Entry {
+    async fn entry_with(
+        &self,
+        vm: &str,
+        bounds: forwarding::Bounds,
+        server_heartbeat: Option<time::Duration>,
+    ) -> Entry {
         let ip = unique_ip();
         let address = |port: u16| net::SocketAddr::from((ip, port));
         let settings = forwarding::Forwarding {
@@ -283,7 +294,7 @@
                 .parse()
                 .unwrap(),
             metrics: Some(address(8005)),
-            server_heartbeat: None,
+            server_heartbeat,
             log_level: settings::LogLevel::Critical,
             bounds,
         };
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -109,6 +109,11 @@
         self.state.deadly_parts.lock().unwrap().push(part);
     }
 
+    /// Makes no request crash the server any more.
+    pub(crate) fn stop_crashing(&self) {
+        self.state.deadly_parts.lock().unwrap().clear();
+    }
+
     pub(crate) fn got(&self) -> Vec<ReceivedRequest> {
         self.state.got.lock().unwrap().clone()
     }
