Renew reserved memory only while its user is alive

A server that answers a long prompt may go silent for the two seconds that its entry takes to notice.

A reservation is renewed only if the server that uses it has sent an event or was reached within the last half of the renewal interval, by this entry or a peer. It then ends at most 4 s after the last sign of life.

Tests: gangs::memory_is_not_reserved_again_for_a_server_that_is_not_reached fails without this and passes; memory_is_reserved_again_for_a_server_that_is_reached.

--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at a server, up to the head of its response.
 
-use std::time;
+use std::{sync, time};
 
 use hyper::body;
 use mustardshed::{
@@ -59,7 +59,17 @@
     pub(super) job: job::JobGuard,
     pub(super) server: ids::BackendServerId,
     pub(super) connection_task: upstream::ConnectionTask,
-    _reservations: Vec<reservation::Reservation>,
+    reservations: Vec<reservation::Reservation>,
+}
+
+impl Guards {
+    /// Records an event of the response.
+    pub(super) fn record_event(&mut self) {
+        self.job.record_event();
+        for reservation in &self.reservations {
+            reservation.record_event();
+        }
+    }
 }
 
 /// Sends the request to the server where it was placed.
@@ -75,8 +85,8 @@
     timeout: time::Duration,
 ) -> Result<Response, Failure> {
     let placed_at = req.cx.now();
-    let (helpers, reservations) = reserve(req, placed, &job).await?;
     let address = address(req, &placed.primary)?;
+    let (helpers, reservations) = reserve(req, placed, &address, &job).await?;
     let connection = match dial::connect(&req.cx, &placed.primary, &address).await {
         Ok(connection) => connection,
         Err(e) => {
@@ -124,7 +134,7 @@
         job,
         server: placed.primary.clone(),
         connection_task,
-        _reservations: reservations,
+        reservations,
     };
     let first_event_timeout = timeout.saturating_sub(req.cx.now().saturating_sub(now));
     classify(req, placed, parts, head, body, guards, first_event_timeout)
@@ -173,9 +183,15 @@
 async fn reserve(
     req: &exchange::Admitted,
     placed: &placement::Placed,
+    primary_address: &str,
     job: &job::JobGuard,
 ) -> Result<(Vec<head::Helper>, Vec<reservation::Reservation>), Failure> {
     let mut helpers = Vec::new();
+    if placed.helpers.is_empty() {
+        return Ok((helpers, Vec::new()));
+    }
+    let user = reservation::User::new(&req.cx, &placed.primary, primary_address);
+    let user = &sync::Arc::new(user);
     for helper in &placed.helpers {
         helpers.push(head::Helper {
             address: address(req, &helper.server)?,
@@ -194,7 +210,8 @@
         );
         async move {
             let (server, tokens) = (&helper.server, helper.held_tokens);
-            let opened = reservation::Reservation::open(&req.cx, server, &address, id, tokens);
+            let opened =
+                reservation::Reservation::open(&req.cx, user, server, &address, id, tokens);
             (i, opened.await)
         }
     });
--- a/crates/mustardshedd/src/forward/exchange/streaming.rs
+++ b/crates/mustardshedd/src/forward/exchange/streaming.rs
@@ -73,7 +73,7 @@
                 self.guards
                     .connection_task
                     .limit_body(events::MAX_EVENT_BYTES);
-                self.guards.job.record_event();
+                self.guards.record_event();
                 return Ok(Some(event));
             }
             if self.events.is_overlong() {
--- a/crates/mustardshedd/src/forward/reservation.rs
+++ b/crates/mustardshedd/src/forward/reservation.rs
@@ -14,6 +14,10 @@
     log::{self, event},
 };
 
+mod user;
+
+pub use user::User;
+
 /// Time to live of a reservation, as a share of the time within which unused memory must be
 /// released: a reservation outlives an entry that dies by no more than that.
 const TTL_SHARE: f64 = 0.85;
@@ -24,7 +28,8 @@
 /// Largest response to an order, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
-/// A reservation that is renewed until dropped, and then released.
+/// A reservation that is renewed until dropped, and then released. It is not renewed while the
+/// server that uses it is not reached.
 #[derive(Debug)]
 pub struct Reservation {
     terms: sync::Arc<Terms>,
@@ -34,6 +39,7 @@
 #[derive(Debug)]
 struct Terms {
     cx: sync::Arc<cx::Cx>,
+    user: sync::Arc<User>,
     server: ids::BackendServerId,
     address: String,
     id: String,
@@ -42,7 +48,7 @@
 }
 
 impl Reservation {
-    /// Reserves memory for `tokens` tokens on a server.
+    /// Reserves memory for `tokens` tokens on a server, for `user`.
     ///
     /// # Errors
     ///
@@ -50,6 +56,7 @@
     /// released, and expires if the release is lost.
     pub async fn open(
         cx: &sync::Arc<cx::Cx>,
+        user: &sync::Arc<User>,
         server: &str,
         address: &str,
         id: String,
@@ -57,6 +64,7 @@
     ) -> Result<Self, String> {
         let terms = sync::Arc::new(Terms {
             cx: sync::Arc::clone(cx),
+            user: sync::Arc::clone(user),
             server: server.to_owned(),
             address: address.to_owned(),
             id,
@@ -80,6 +88,11 @@
     pub fn id(&self) -> &str {
         &self.terms.id
     }
+
+    /// Records that the server which uses the memory has sent an event.
+    pub fn record_event(&self) {
+        self.terms.user.record_event();
+    }
 }
 
 impl Drop for Reservation {
@@ -137,8 +150,13 @@
 }
 
 async fn renew(terms: sync::Arc<Terms>) {
+    let interval = terms.ttl / RENEWALS_PER_TTL;
     loop {
-        tokio::time::sleep(terms.ttl / RENEWALS_PER_TTL).await;
+        tokio::time::sleep(interval).await;
+        if !terms.user.is_alive(interval / 2).await {
+            log_order(&terms, "renew", "the server that uses it is not reached");
+            continue;
+        }
         if let Err(e) = terms
             .reserve()
             .await
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -64,6 +64,7 @@
     /// Prompt parts, and parts of paths, that crash the server.
     deadly_parts: sync::Mutex<Vec<&'static str>>,
     crashed: tokio::sync::Notify,
+    closed: tokio::sync::Notify,
 }
 
 impl State {
@@ -109,6 +110,11 @@
         self.state.deadly_parts.lock().unwrap().push(part);
     }
 
+    /// Makes the server refuse new connections; open ones live on.
+    pub(crate) fn refuse_new_connections(&self) {
+        self.state.closed.notify_one();
+    }
+
     /// Makes no request crash the server any more.
     pub(crate) fn stop_crashing(&self) {
         self.state.deadly_parts.lock().unwrap().clear();
@@ -140,6 +146,10 @@
         let stream = tokio::select! {
             accepted = listener.accept() => accepted.unwrap().0,
             () = state.crashed.notified() => return,
+            () = state.closed.notified() => {
+                drop(listener);
+                return std::future::pending().await;
+            }
         };
         let state = sync::Arc::clone(state);
         connections.spawn(async move {
