Tell callers to return when crashes have been reviewed

A call that is rejected because servers crashed under it is told to wait for up to ten minutes, also in the seconds in which it is not known yet whether the crashes will be withdrawn. Callers that keep to it gained nothing from that.

Until the review they are told the time until then, at most 5.3 s with heartbeats of 1.2 s. A request that does crash servers is then refused once more, at once.

Test: crashes::requests_with_a_prompt_part_are_served_again_once_its_crashes_are_ withdrawn checks Retry-After as well. The five tests of forward::crashes and those of mustardshed-core pass.

--- a/crates/mustardshed-core/src/forward/quarantine.rs
+++ b/crates/mustardshed-core/src/forward/quarantine.rs
@@ -138,9 +138,15 @@
         shared: &[ids::PromptPartId],
         now: ids::Timestamp,
     ) -> Option<time::Duration> {
+        let left = (self.last_crash(shared)? + RETENTION).checked_sub(now);
+        left.filter(|left| !left.is_zero())
+    }
+
+    /// Returns when a server last crashed under a request with quarantined parts, if these have some.
+    #[must_use]
+    pub fn last_crash(&self, shared: &[ids::PromptPartId]) -> Option<ids::Timestamp> {
         let found = self.culprits.iter().filter(|culprit| culprit.is_in(shared));
-        let left = found.filter_map(|culprit| (culprit.crashed_at + RETENTION).checked_sub(now));
-        left.filter(|left| !left.is_zero()).max()
+        found.map(|culprit| culprit.crashed_at).max()
     }
 
     /// Returns the crashes that are kept.
--- a/crates/mustardshedd/src/forward/cx/crashes.rs
+++ b/crates/mustardshedd/src/forward/cx/crashes.rs
@@ -181,7 +181,8 @@
         !self.state().repeated_crashes.is_empty()
     }
 
-    /// Returns how much longer requests with this content are rejected, once they are.
+    /// Returns how much longer requests with this content are rejected, once they are, or until their
+    /// crashes are reviewed.
     pub async fn wait_until_quarantined(&self, content: &content::Content) -> time::Duration {
         loop {
             let changed = self.quarantined.notified();
@@ -193,11 +194,21 @@
     }
 
     fn quarantine_left(&self, content: &content::Content) -> Option<time::Duration> {
-        let left = self.rejected_for(content)?;
+        let mut left = self.rejected_for(content)?;
         if self.withdraw_crashes() {
-            return self.rejected_for(content);
+            left = self.rejected_for(content)?;
         }
-        Some(left)
+        let until_review = self.time_until_review(self.last_crash(content)?);
+        Some(until_review.map_or(left, |until_review| left.min(until_review)))
+    }
+
+    fn last_crash(&self, content: &content::Content) -> Option<ids::Timestamp> {
+        let state = self.state();
+        let of_parts = state.quarantine.last_crash(content.shared_parts());
+        if state.repeated_crashes.is_empty() {
+            return of_parts;
+        }
+        of_parts.max(state.repeated_crashes.last_crash(content.fingerprint()))
     }
 
     fn rejected_for(&self, content: &content::Content) -> Option<time::Duration> {
--- a/crates/mustardshedd/src/forward/cx/withdrawal.rs
+++ b/crates/mustardshedd/src/forward/cx/withdrawal.rs
@@ -69,6 +69,13 @@
         });
     }
 
+    /// Returns the time until a crash will have been reviewed; none if it was, or never is.
+    pub(super) fn time_until_review(&self, crashed_at: ids::Timestamp) -> Option<time::Duration> {
+        let reviewed_at = crashed_at + self.server_expiry()? + REFRESH_TIME;
+        let left = reviewed_at.checked_sub(self.now());
+        left.filter(|left| !left.is_zero())
+    }
+
     /// Returns the time after which a server that has ended is no longer listed, if it is known.
     fn server_expiry(&self) -> Option<time::Duration> {
         let heartbeat = self.settings.server_heartbeat?;
--- a/crates/mustardshedd/tests/forward/crashes.rs
+++ b/crates/mustardshedd/tests/forward/crashes.rs
@@ -137,6 +137,7 @@
         }
     }
     let was_quarantined = has_culprits();
+    let rejected = send(&f, &entry, &format!("ca11e5:40,{DEADLY}:500,c:9")).await;
     for server in servers {
         server.stop_crashing();
     }
@@ -145,6 +146,9 @@
     let served = send(&f, &entry, &parts).await.status;
 
     expect_that!(was_quarantined, eq(true));
+    expect_that!(rejected.status, eq(503));
+    let retry_after: f64 = rejected.header("retry-after").unwrap().parse().unwrap();
+    expect_that!(retry_after, le(HEARTBEAT.as_secs_f64() * 5.0));
     verify_that!(served, eq(200))
 }
 
