--- a/crates/mustardshedd/tests/partition/crashes.rs
+++ b/crates/mustardshedd/tests/partition/crashes.rs
@@ -17,12 +17,10 @@
 /// Time after which an entry knows that the servers have been running all the time.
 const WITHDRAWAL_TIME: time::Duration = time::Duration::from_secs(4);
 
+/// A call that outlives two of its attempts.
 const CALL: client::Plan = client::Plan {
-    entry: 0,
-    kind: client::Kind::Again,
-    has_body: false,
     deadline: time::Duration::from_secs(4),
-    read_pause: None,
+    ..fixture::CALL
 };
 
 /// Resets the paths of all entries to each server that is at work.
--- a/crates/mustardshedd/tests/partition/fixture.rs
+++ b/crates/mustardshedd/tests/partition/fixture.rs
@@ -25,6 +25,14 @@
 const STREAM_DEADLINE: time::Duration = time::Duration::from_secs(4);
 /// Requests per second that a cold server bears from all entries.
 pub(crate) const COLD_PER_S: f64 = 20.0;
+/// A call to the first entry that may be repeated.
+pub(crate) const CALL: client::Plan = client::Plan {
+    entry: 0,
+    kind: client::Kind::Again,
+    has_body: false,
+    deadline: DEADLINE,
+    read_pause: None,
+};
 /// First start of all servers, in Unix milliseconds.
 const FIRST_START_MS: u64 = 1_788_000_000_000;
 /// Their second start.
@@ -210,7 +218,7 @@
                 kind,
                 has_body: request.is_multiple_of(3),
                 deadline: if is_stream { STREAM_DEADLINE } else { DEADLINE },
-                read_pause: None,
+                ..CALL
             }
         };
         client::Load::start(clients, &self.ips(), plan)
--- a/crates/mustardshedd/tests/partition/peers.rs
+++ b/crates/mustardshedd/tests/partition/peers.rs
@@ -108,11 +108,10 @@
         client::Kind::Stream,
     ] {
         let plan = client::Plan {
-            entry: 0,
             kind,
             has_body: true,
             deadline,
-            read_pause: None,
+            ..fixture::CALL
         };
         let sent = client.send(plan).await.unwrap();
         expect_that!(sent.outcome, eq(&client::Outcome::Answered(200)));
@@ -142,11 +141,8 @@
     }
     let mut client = client::Client::open(&f.ips());
     let plan = client::Plan {
-        entry: 0,
-        kind: client::Kind::Again,
-        has_body: false,
         deadline: time::Duration::from_secs(20),
-        read_pause: None,
+        ..fixture::CALL
     };
 
     let sent = tokio::time::timeout(SETTLING_TIME, client.send(plan)).await;
@@ -188,15 +184,12 @@
 /// Returns requests that clients sent to entry 0 for some time.
 async fn load_cut_off_entry(f: &fixture::Fixture, duration: time::Duration) -> Vec<client::Sent> {
     let load = client::Load::start(8, &f.ips(), |client, _| client::Plan {
-        entry: 0,
         kind: if client % 2 == 0 {
             client::Kind::Again
         } else {
             client::Kind::Once
         },
-        has_body: false,
-        deadline: time::Duration::from_secs(2),
-        read_pause: None,
+        ..fixture::CALL
     });
     tokio::time::sleep(duration).await;
     load.finish().await
@@ -213,9 +206,8 @@
         let plan = client::Plan {
             entry,
             kind: client::Kind::Once,
-            has_body: false,
             deadline: time::Duration::from_secs(10),
-            read_pause: None,
+            ..fixture::CALL
         };
         all.push(client.send(plan).await.unwrap());
     }
