Test identifiers and stamps of answers through a peer

That an answer through a peer needs the request's identifier and the server's stamp was shown by reading only: the tunnel is a connection like any other.

peers::answers_through_a_peer_need_the_identifier_and_the_stamp shows it with real processes: 502 for either flaw. The tests of cuts share the check that callers are served, which now also asks in all three that requests were sent; a test of crashes uses the servers that exist for it. One comment is wrapped. No serving code changes.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -9,8 +9,9 @@
 //! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
 //! servers ask for in their responses ([`notices`], [`advertised_limits`]), which requests crash
 //! servers ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by itself
-//! ([`paths`]), when a signal was sent ([`pauses`]), which servers had left before the platform's store was restored ([`departures`]), and how entries
-//! divide what a server accepts from all of them ([`rate_shares`]).
+//! ([`paths`]), when a signal was sent ([`pauses`]), which servers had left before the platform's
+//! store was restored ([`departures`]), and how entries divide what a server accepts from all of
+//! them ([`rate_shares`]).
 
 pub mod advertised_limits;
 pub mod attempts;
--- a/crates/mustardshedd/tests/forward/crashes.rs
+++ b/crates/mustardshedd/tests/forward/crashes.rs
@@ -116,15 +116,8 @@
 async fn requests_with_a_prompt_part_are_served_again_once_its_crashes_are_withdrawn() -> Result<()>
 {
     const HEARTBEAT: time::Duration = time::Duration::from_secs(1);
-    let servers = [
-        server::Server::bind("i-1").await,
-        server::Server::bind("i-2").await,
-        server::Server::bind("i-3").await,
-    ];
+    let servers = crashing_servers().await;
     let servers = servers.each_ref();
-    for server in servers {
-        server.crash_on(DEADLY);
-    }
     let f = fixture::Fixture::with(&servers).await;
     let entry = f.entry_with_heartbeat("entry-1", HEARTBEAT).await;
     let entry = entry.ready().await;
--- a/crates/mustardshedd/tests/partition/cuts.rs
+++ b/crates/mustardshedd/tests/partition/cuts.rs
@@ -42,6 +42,17 @@
     })
 }
 
+/// Checks that nearly all requests sent to an entry from `since` on were answered.
+fn expect_served(sent: &[client::Sent], entry: usize, since: time::Instant) {
+    let served = served(sent, entry, since);
+    expect_that!(served.sent, gt(0));
+    expect_that!(
+        served.failed_share(),
+        le(MAX_FAILED_SHARE),
+        "entry {entry}: {served:?}"
+    );
+}
+
 /// Cuts off the first `cut` entries and checks that their callers are served soon, those of the
 /// others all the while, and that no request is run twice or answered falsely.
 async fn check_cut(data_centres: &[&str], cut: usize, state: State) -> Result<()> {
@@ -67,13 +78,7 @@
         } else {
             cut_at
         };
-        let served = served(&sent, entry, since);
-        expect_that!(served.sent, gt(0));
-        expect_that!(
-            served.failed_share(),
-            le(MAX_FAILED_SHARE),
-            "entry {entry}: {served:?}"
-        );
+        expect_served(&sent, entry, since);
     }
     Ok(())
 }
@@ -164,12 +169,7 @@
     let report = f.check(&sent, &[]);
     expect_that!(report.faults(), is_empty(), "{report}");
     for entry in 0..3 {
-        let served = served(&sent, entry, cut_at + SETTLING_TIME);
-        expect_that!(
-            served.failed_share(),
-            le(MAX_FAILED_SHARE),
-            "entry {entry}: {served:?}"
-        );
+        expect_served(&sent, entry, cut_at + SETTLING_TIME);
     }
     Ok(())
 }
@@ -196,8 +196,7 @@
     let report = f.check(&sent, &[]);
     expect_that!(report.faults(), is_empty(), "{report}");
     for (index, entry) in f.entries.iter().enumerate() {
-        let served = served(&sent, index, silent_at);
-        expect_that!(served.failed_share(), le(MAX_FAILED_SHARE), "{served:?}");
+        expect_served(&sent, index, silent_at);
         let log = entry.log();
         let ejected = log.lines().filter(|line| line.contains("server_ejected"));
         expect_that!(ejected.count(), eq(0));
--- a/crates/mustardshedd/tests/partition/peers.rs
+++ b/crates/mustardshedd/tests/partition/peers.rs
@@ -130,6 +130,37 @@
     Ok(())
 }
 
+// Guards against answers that are passed on though they came through a peer with the identifier of
+// another request, or without the server's stamp.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_through_a_peer_need_the_identifier_and_the_stamp() -> Result<()> {
+    let f = fixture::Fixture::open(&["north", "south"]).await;
+    f.set_paths(0, State::Hangs);
+    let mut client = client::Client::open(&f.ips());
+    let plan = client::Plan {
+        kind: client::Kind::Once,
+        ..fixture::CALL
+    };
+
+    let mut outcomes = vec![client.send(plan).await.unwrap().outcome];
+    for flaw in [server::Flaw::OtherRequest, server::Flaw::NoStamp] {
+        for server in &f.servers {
+            server.set_flaw(flaw);
+        }
+        outcomes.push(client.send(plan).await.unwrap().outcome);
+    }
+
+    verify_that!(
+        outcomes,
+        elements_are![
+            eq(&client::Outcome::Answered(200)),
+            eq(&client::Outcome::Answered(502)),
+            eq(&client::Outcome::Answered(502))
+        ]
+    )
+}
+
 // Guards against servers that work on for clients that have left, behind a peer.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/mustardshedd/tests/planned_stop/server.rs
+++ b/crates/mustardshedd/tests/planned_stop/server.rs
@@ -37,9 +37,19 @@
     service_time_ms: atomic::AtomicU64,
     rejects: atomic::AtomicBool,
     padding_bytes: atomic::AtomicUsize,
+    flaw: sync::Mutex<Option<Flaw>>,
     work: sync::Mutex<collections::HashMap<String, Vec<Work>>>,
 }
 
+/// What is wrong with the heads of a server's responses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Flaw {
+    /// They have the identifier of another request.
+    OtherRequest,
+    /// They lack the server's stamp.
+    NoStamp,
+}
+
 /// A running server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -56,6 +66,7 @@
             service_time_ms: atomic::AtomicU64::new(0),
             rejects: atomic::AtomicBool::new(false),
             padding_bytes: atomic::AtomicUsize::new(0),
+            flaw: sync::Mutex::default(),
             work: sync::Mutex::default(),
         });
         tokio::spawn(accept(listener, sync::Arc::clone(&state)));
@@ -86,6 +97,11 @@
         padding.store(bytes, atomic::Ordering::Relaxed);
     }
 
+    /// Sets what is wrong with the heads of the responses.
+    pub(crate) fn set_flaw(&self, flaw: Flaw) {
+        *self.state.flaw.lock().unwrap() = Some(flaw);
+    }
+
     /// Returns what the server did with requests of this identifier.
     pub(crate) fn work(&self, request_id: &str) -> Vec<Work> {
         let work = self.state.work.lock().unwrap();
@@ -174,9 +190,15 @@
     let max_stream_time = time_left(req.headers()) / STREAM_DIVISOR;
     let first_event = last_event(req.headers()) + 1;
     req.into_body().collect().await?;
-    let res = http::Response::builder()
-        .header("server-stamp", "signed")
-        .header("request-id", &id);
+    let flaw = *state.flaw.lock().unwrap();
+    let answered_id = match flaw {
+        Some(Flaw::OtherRequest) => "other",
+        _ => &id,
+    };
+    let mut res = http::Response::builder().header("request-id", answered_id);
+    if flaw != Some(Flaw::NoStamp) {
+        res = res.header("server-stamp", "signed");
+    }
     if rejects {
         let res = res.status(503).header("not-executed", "1");
         return Ok(res.body(text(String::new())).unwrap());
