Review: a leaving server gets work after the store's connections go silent

Cause: connections to the store have no keep-alive, and the watch of the servers is given up only after 4.9 s, over twice drain_ms. All entries renew their watches at the same change, so no peer knows more.

The case starts three entries, lets the open connections to the store go silent right after a new server has registered, and then drains the old one. Bookings are sent after drain_ms and stable_window_ms are over.

--- /dev/null
+++ b/review/standins/rig.rs
@@ -0,0 +1,870 @@
+//! Test rig of the review: a loopback deployment with stand-ins for backend servers and clients, a
+//! proxy before the platform's store, and the project's own entry and platform programs.
+//!
+//! Only the standard library is used, so that `rustc` alone builds it. `rig CASE RECORD` runs a case;
+//! `TROUBLE=0` in the environment leaves the disruption out. Exit status: 0 the rule held, 1 it was
+//! broken, 2 the case could not run.
+
+use std::{
+    collections::HashMap,
+    env, fs,
+    io::{self, BufRead, BufReader, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+mod cases;
+
+/// Host of all routes.
+pub const HOST: &str = "shed.example";
+/// Key of the only tenant.
+pub const KEY: &str = "key-1";
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Record of a run: lines with the time since its start.
+#[derive(Clone)]
+pub struct Record {
+    start: Instant,
+    lines: Arc<Mutex<Vec<(f64, String)>>>,
+}
+
+impl Record {
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
+    }
+
+    /// Seconds since the start of the run.
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    pub fn line(&self, text: impl Into<String>) -> f64 {
+        let at = self.now();
+        self.lines.lock().unwrap().push((at, text.into()));
+        at
+    }
+
+    fn write(&self, path: &str) -> io::Result<()> {
+        let mut lines = self.lines.lock().unwrap().clone();
+        lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let lines: Vec<String> = lines
+            .iter()
+            .map(|(at, text)| format!("{at:8.3} s  {text}\n"))
+            .collect();
+        fs::write(path, lines.concat())
+    }
+}
+
+/// Head and body of a message.
+pub struct Message {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(other, _)| other.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Status of a response.
+    pub fn status(&self) -> u16 {
+        let mut words = self.first.split(' ');
+        words.nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Reads a message; none at the end of the connection.
+pub fn read_message(reader: &mut impl BufRead, is_response: bool) -> io::Result<Option<Message>> {
+    let mut first = String::new();
+    if reader.read_line(&mut first)? == 0 {
+        return Ok(None);
+    }
+    let mut headers = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            headers.push((name.trim().to_owned(), value.trim().to_owned()));
+        }
+    }
+    let mut message = Message {
+        first: first.trim_end().to_owned(),
+        headers,
+        body: Vec::new(),
+    };
+    if message
+        .header("transfer-encoding")
+        .is_some_and(|value| value.eq_ignore_ascii_case("chunked"))
+    {
+        loop {
+            let mut size = String::new();
+            if reader.read_line(&mut size)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let size = usize::from_str_radix(size.trim(), 16).map_err(io::Error::other)?;
+            let mut chunk = vec![0; size + 2];
+            reader.read_exact(&mut chunk)?;
+            if size == 0 {
+                break;
+            }
+            message.body.extend_from_slice(&chunk[..size]);
+        }
+    } else if let Some(length) = message.header("content-length") {
+        let length = length.parse().map_err(io::Error::other)?;
+        message.body = vec![0; length];
+        reader.read_exact(&mut message.body)?;
+    } else if is_response {
+        reader.read_to_end(&mut message.body)?;
+    }
+    Ok(Some(message))
+}
+
+/// Sends a request on a connection of its own and reads the whole response.
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: &str,
+    timeout: Duration,
+) -> io::Result<Message> {
+    let mut stream = TcpStream::connect_timeout(&to, ms(1_000))?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(timeout))?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\n");
+    if !headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+    {
+        head += &format!("Host: {to}\r\n");
+    }
+    for (name, value) in headers {
+        head += &format!("{name}: {value}\r\n");
+    }
+    head += &format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(head.as_bytes())?;
+    let mut reader = BufReader::new(stream);
+    read_message(&mut reader, true)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
+
+/// The project's platform stand-in.
+pub struct Store {
+    pub address: SocketAddr,
+    _child: Guard,
+}
+
+/// Processes that the rig has started.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// A child process, which is killed when dropped.
+pub struct Guard(pub Child);
+
+impl Guard {
+    fn new(child: Child) -> Self {
+        CHILDREN.lock().unwrap().push(child.id());
+        Self(child)
+    }
+}
+
+fn kill_children() {
+    for id in CHILDREN.lock().unwrap().iter() {
+        drop(
+            Command::new("kill")
+                .args(["-KILL", &id.to_string()])
+                .status(),
+        );
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        CHILDREN.lock().unwrap().retain(|id| *id != self.0.id());
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+impl Store {
+    pub fn spawn(root: &str) -> io::Result<Self> {
+        let mut child = Command::new(format!("{root}/target/release/examples/platform"))
+            .args(["--listen", "127.0.0.1:0"])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        let stdout = child.stdout.take().expect("piped");
+        let child = Guard::new(child);
+        let mut line = String::new();
+        let mut reader = BufReader::new(stdout);
+        reader.read_line(&mut line)?;
+        thread::spawn(move || drop(io::copy(&mut reader, &mut io::sink())));
+        let address = line.trim().strip_prefix("LISTENING ").unwrap_or_default();
+        Ok(Self {
+            address: address.parse().map_err(io::Error::other)?,
+            _child: child,
+        })
+    }
+
+    /// Writes an object, as the operator or a server does; returns when the store has accepted it.
+    pub fn put(&self, kind: &str, name: &str, spec: &str) {
+        let body = format!(r#"{{"metadata":{{"name":"{name}"}},"spec":{spec}}}"#);
+        let json = [("Content-Type", "application/json".to_owned())];
+        let kind_path = format!("/api/objects/{kind}");
+        let res = call(self.address, "POST", &kind_path, &json, &body, ms(5_000)).expect("store");
+        if res.status() == 409 {
+            let path = format!("{kind_path}/{name}");
+            let res = call(self.address, "PUT", &path, &json, &body, ms(5_000)).expect("store");
+            assert_eq!(res.status(), 200);
+        }
+    }
+
+    pub fn delete(&self, kind: &str, name: &str) {
+        let path = format!("/api/objects/{kind}/{name}");
+        let res = call(self.address, "DELETE", &path, &[], "", ms(5_000)).expect("store");
+        assert!(res.status() == 200 || res.status() == 404);
+    }
+
+    /// Sets the stand-in's faults.
+    pub fn faults(&self, json: &str) {
+        let headers = [("Content-Type", "application/json".to_owned())];
+        let res = call(
+            self.address,
+            "PUT",
+            "/admin/faults",
+            &headers,
+            json,
+            ms(5_000),
+        );
+        assert_eq!(res.expect("store").status(), 200);
+    }
+}
+
+/// A TCP proxy whose open connections can go silent for good, while new ones work.
+pub struct Proxy {
+    pub address: SocketAddr,
+    silenced: Arc<AtomicU64>,
+    opened: Arc<AtomicU64>,
+}
+
+impl Proxy {
+    pub fn open(to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let silenced = Arc::new(AtomicU64::new(0));
+        let opened = Arc::new(AtomicU64::new(0));
+        let (s, o) = (silenced.clone(), opened.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let number = o.fetch_add(1, Ordering::SeqCst) + 1;
+                let silenced = s.clone();
+                thread::spawn(move || drop(proxied(stream, to, number, silenced)));
+            }
+        });
+        Ok(Self {
+            address,
+            silenced,
+            opened,
+        })
+    }
+
+    /// Passes nothing more on, in either direction, on the connections that are open now.
+    pub fn silence_open_connections(&self) -> u64 {
+        let opened = self.opened.load(Ordering::SeqCst);
+        self.silenced.store(opened, Ordering::SeqCst);
+        opened
+    }
+}
+
+fn proxied(
+    client: TcpStream,
+    to: SocketAddr,
+    number: u64,
+    silenced: Arc<AtomicU64>,
+) -> io::Result<()> {
+    let server = TcpStream::connect(to)?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (client2, server2) = (client.try_clone()?, server.try_clone()?);
+    let silenced2 = silenced.clone();
+    thread::spawn(move || pump(client2, server2, number, silenced2));
+    pump(server, client, number, silenced);
+    Ok(())
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, number: u64, silenced: Arc<AtomicU64>) {
+    let mut buf = [0; 16 * 1024];
+    loop {
+        let read = from.read(&mut buf);
+        if silenced.load(Ordering::SeqCst) >= number {
+            // Holds both ends open and says nothing, whatever happens to the other one.
+            loop {
+                thread::sleep(ms(1_000));
+            }
+        }
+        match read {
+            Ok(0) | Err(_) => {
+                drop(to.shutdown(Shutdown::Write));
+                return;
+            }
+            Ok(len) => {
+                if to.write_all(&buf[..len]).is_err() {
+                    drop(from.shutdown(Shutdown::Both));
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// What became of a request at a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: f64,
+    pub server: String,
+    pub id: String,
+    /// Local address of the machine that sent it.
+    pub from: String,
+    /// Whether the server turned it away without running it.
+    pub is_rejected: bool,
+}
+
+/// A backend server: runs requests after `work`, checks `Expect-Instance`.
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddr,
+    pub shared: Arc<Shared>,
+}
+
+pub struct Shared {
+    id: String,
+    record: Record,
+    work: Mutex<Duration>,
+    pub leaving: AtomicBool,
+    exited: AtomicBool,
+    /// End of the time for which the server is cold, in milliseconds of the record.
+    cold_until_ms: AtomicU64,
+    /// Requests in one second at which it crashes while it is cold; zero if it never does.
+    cold_crash: AtomicU64,
+    /// `Retry-After` of a 503 to every request; zero if it takes requests.
+    back_off_s: AtomicU64,
+    open: Mutex<Vec<TcpStream>>,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+impl Server {
+    /// Starts a server on `address` (port 0: any).
+    pub fn bind(
+        id: &str,
+        address: SocketAddr,
+        work: Duration,
+        record: &Record,
+        arrivals: &Arc<Mutex<Vec<Arrival>>>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            record: record.clone(),
+            work: Mutex::new(work),
+            leaving: AtomicBool::new(false),
+            exited: AtomicBool::new(false),
+            cold_until_ms: AtomicU64::new(0),
+            cold_crash: AtomicU64::new(0),
+            back_off_s: AtomicU64::new(0),
+            open: Mutex::default(),
+            arrivals: arrivals.clone(),
+        });
+        let accepting = shared.clone();
+        thread::spawn(move || {
+            while !accepting.exited.load(Ordering::SeqCst) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let shared = accepting.clone();
+                        if let Ok(copy) = stream.try_clone() {
+                            shared.open.lock().unwrap().push(copy);
+                        }
+                        thread::spawn(move || drop(serve(stream, shared)));
+                    }
+                    Err(_) => thread::sleep(ms(1)),
+                }
+            }
+        });
+        Ok(Self {
+            id: id.to_owned(),
+            address,
+            shared,
+        })
+    }
+
+    /// Says in all answers from now on that the server leaves.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Ends the server: its port closes and its connections break.
+    pub fn exit(&self) {
+        self.shared.exit();
+    }
+
+    pub fn set_cold(&self, left: Duration, crash_at: u64) {
+        let until = self.shared.record.start.elapsed() + left;
+        let until = u64::try_from(until.as_millis()).unwrap_or(u64::MAX);
+        self.shared.cold_until_ms.store(until, Ordering::SeqCst);
+        self.shared.cold_crash.store(crash_at, Ordering::SeqCst);
+    }
+
+    /// Answers every request with 503 and `Retry-After`, or takes requests again.
+    pub fn set_back_off(&self, seconds: u64) {
+        self.shared.back_off_s.store(seconds, Ordering::SeqCst);
+    }
+
+    pub fn registration(
+        &self,
+        service: &str,
+        zone: &str,
+        state: &str,
+        cold_left_ms: u64,
+    ) -> String {
+        registration(service, self.address, zone, state, cold_left_ms, 0)
+    }
+}
+
+/// Returns a server's entry in the store.
+pub fn registration(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    state: &str,
+    cold_left_ms: u64,
+    born: u64,
+) -> String {
+    format!(
+        r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":16,"state":"{state}","cold_left_ms":{cold_left_ms},"seq":1,"born":{}}}"#,
+        1_760_000_000_000 + born
+    )
+}
+
+impl Shared {
+    fn exit(&self) {
+        self.exited.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+
+    fn cold_left_ms(&self) -> u64 {
+        let now = u64::try_from(self.record.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let until = self.cold_until_ms.load(Ordering::SeqCst);
+        until.saturating_sub(now)
+    }
+
+    /// Crashes if a cold server gets too many requests in a second.
+    fn check_cold(&self) {
+        let limit = self.cold_crash.load(Ordering::SeqCst);
+        if limit == 0 || self.cold_left_ms() == 0 {
+            return;
+        }
+        let now = self.record.now();
+        let arrivals = self.arrivals.lock().unwrap();
+        let recent = arrivals
+            .iter()
+            .filter(|it| it.server == self.id && !it.is_rejected && now - it.at < 1.0)
+            .count();
+        drop(arrivals);
+        if recent as u64 >= limit && !self.exited.load(Ordering::SeqCst) {
+            self.record.line(format!(
+                "server {} is cold, got {recent} requests in a second and crashes",
+                self.id
+            ));
+            self.exit();
+        }
+    }
+}
+
+fn serve(stream: TcpStream, shared: Arc<Shared>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_nonblocking(false)?;
+    let from = stream.peer_addr()?.ip().to_string();
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut stream = stream;
+    while let Some(req) = read_message(&mut reader, false)? {
+        let path = req.first.split(' ').nth(1).unwrap_or_default().to_owned();
+        let id = req.header("request-id").unwrap_or_default().to_owned();
+        let mut headers = String::new();
+        if shared.leaving.load(Ordering::SeqCst) {
+            headers += "Server-Leaving: 1\r\nConnection: close\r\n";
+        }
+        if path == "/healthz" {
+            headers += &format!(
+                "Instance-Id: {}\r\nCold-Ms: {}\r\n",
+                shared.id,
+                shared.cold_left_ms()
+            );
+            let status = if shared.leaving.load(Ordering::SeqCst) {
+                503
+            } else {
+                200
+            };
+            respond(&mut stream, status, &headers, "")?;
+            continue;
+        }
+        if path == "/api/report" {
+            let body = r#"{"stage":"unified","models":[],"busy":false,"seq":1,"queued":0,"running":0,"kv_used":0,"kv_total":450000,"handles":0,"pace":1.0}"#;
+            respond(&mut stream, 200, &headers, body)?;
+            continue;
+        }
+        headers += &format!("Request-Id: {id}\r\n");
+        let expected = req.header("expect-instance").unwrap_or(&shared.id);
+        let is_misdirected = expected != shared.id;
+        let back_off_s = shared.back_off_s.load(Ordering::SeqCst);
+        let is_rejected = is_misdirected || back_off_s > 0;
+        let at = shared.record.line(format!(
+            "request {id} reaches server {} from {from}{}",
+            shared.id,
+            if is_rejected { ", turned away" } else { "" }
+        ));
+        shared.arrivals.lock().unwrap().push(Arrival {
+            at,
+            server: shared.id.clone(),
+            id: id.clone(),
+            from: from.clone(),
+            is_rejected,
+        });
+        if is_misdirected {
+            headers += "Not-Executed: 1\r\n";
+            respond(&mut stream, 421, &headers, "")?;
+            continue;
+        }
+        if back_off_s > 0 {
+            headers += &format!("Not-Executed: 1\r\nRetry-After: {back_off_s}\r\n");
+            respond(&mut stream, 503, &headers, "")?;
+            continue;
+        }
+        shared.check_cold();
+        let work = *shared.work.lock().unwrap();
+        thread::sleep(work);
+        if shared.exited.load(Ordering::SeqCst) {
+            shared
+                .record
+                .line(format!("server {} ended during request {id}", shared.id));
+            return Ok(());
+        }
+        headers += "Server-Stamp: 3e1b.07\r\n";
+        respond(
+            &mut stream,
+            200,
+            &headers,
+            &format!("{id} done by {}", shared.id),
+        )?;
+        shared
+            .record
+            .line(format!("server {} has answered request {id}", shared.id));
+    }
+    Ok(())
+}
+
+fn respond(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 {status} Status\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes())
+}
+
+/// An entry process.
+pub struct Entry {
+    pub name: String,
+    pub ip: String,
+    pub file: PathBuf,
+    pub log: PathBuf,
+    pub child: Guard,
+}
+
+impl Entry {
+    /// Starts the program of the deploy file, with settings like those of a small deployment.
+    pub fn spawn(
+        root: &str,
+        dir: &str,
+        index: usize,
+        zone: &str,
+        platform: SocketAddr,
+    ) -> io::Result<Self> {
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let ip = format!("127.{}.{}.{}", high.max(1), low, index + 10);
+        let name = format!("edge-{zone}-{index}");
+        let file = PathBuf::from(format!("{dir}/{name}.toml"));
+        let log = PathBuf::from(format!("{dir}/{name}.log"));
+        fs::write(&file, settings(&name, &ip, zone, platform))?;
+        let child = spawn_entry(root, &file, &log)?;
+        Ok(Self {
+            name,
+            ip,
+            file,
+            log,
+            child: Guard::new(child),
+        })
+    }
+
+    pub fn front(&self) -> SocketAddr {
+        format!("{}:8227", self.ip).parse().expect("address")
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let ready = format!("{}:8220", self.ip).parse().expect("address");
+        let res = call(ready, "GET", "/api/readyz", &[], "", ms(500));
+        res.is_ok_and(|res| res.status() == 200)
+    }
+
+    pub fn wait_ready(&self) -> bool {
+        let since = Instant::now();
+        while since.elapsed() < ms(15_000) {
+            if self.is_ready() {
+                return true;
+            }
+            thread::sleep(ms(50));
+        }
+        false
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.0.id().to_string();
+        drop(Command::new("kill").args([signal, &id]).status());
+    }
+}
+
+fn spawn_entry(root: &str, file: &PathBuf, log: &PathBuf) -> io::Result<Child> {
+    let log = fs::File::create(log)?;
+    Command::new("target/release/mustardshedd")
+        .arg("--forwarding")
+        .current_dir(root)
+        .env("MUSTARDSHED_CONFIG", file)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
+/// Settings with the bounds of the small sites.
+fn settings(name: &str, ip: &str, zone: &str, platform: SocketAddr) -> String {
+    format!(
+        r#"vm = "{name}"
+data_centre = "{zone}"
+processor = 0.25
+front = "{ip}:8227"
+ready = "{ip}:8220"
+directory = "{ip}:8224"
+peers = "{ip}:8229"
+seeds = []
+platform = "{platform}"
+metrics = "{ip}:9464"
+server_heartbeat_ms = 1200
+
+[bounds]
+fail_closed = true
+application_ms = 2000
+revocation_ms = 5000
+retry_ratio = 0.2
+retry_allowance = 102
+retry_window_s = 10
+grace_s = 8
+memory_release_ms = 4000
+memory_idle_ms = 9000
+"#
+    )
+}
+
+/// What became of a client's request.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub id: String,
+    pub entry: usize,
+    pub at: f64,
+    /// Status, or why there is no answer.
+    pub outcome: Result<u16, String>,
+}
+
+/// Sends a request to an entry and waits for the answer.
+pub fn send(
+    record: &Record,
+    entry: usize,
+    front: SocketAddr,
+    id: &str,
+    path: &str,
+    deadline_ms: u64,
+) -> Sent {
+    let at = record.line(format!(
+        "client sends request {id} to entry {entry}: POST {path}"
+    ));
+    let headers = [
+        ("Host", HOST.to_owned()),
+        ("Request-Id", id.to_owned()),
+        ("Deadline-Ms", deadline_ms.to_string()),
+        ("Api-Key", KEY.to_owned()),
+    ];
+    let result = call(
+        front,
+        "POST",
+        path,
+        &headers,
+        "two bags",
+        ms(deadline_ms + 500),
+    );
+    let outcome = match result {
+        Ok(res) => Ok(res.status()),
+        Err(e) => Err(e.to_string()),
+    };
+    record.line(format!("client gets for request {id}: {outcome:?}"));
+    Sent {
+        id: id.to_owned(),
+        entry,
+        at,
+        outcome,
+    }
+}
+
+/// A deployment: a store, a proxy before it, and entries.
+pub struct Deployment {
+    pub root: String,
+    pub dir: String,
+    pub record: Record,
+    pub store: Store,
+    pub proxy: Proxy,
+    pub entries: Vec<Entry>,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+impl Deployment {
+    pub fn open(root: &str, dir: &str, record: &Record) -> io::Result<Self> {
+        let store = Store::spawn(root)?;
+        let proxy = Proxy::open(store.address)?;
+        Ok(Self {
+            root: root.to_owned(),
+            dir: dir.to_owned(),
+            record: record.clone(),
+            store,
+            proxy,
+            entries: Vec::new(),
+            arrivals: Arc::default(),
+        })
+    }
+
+    pub fn server(&self, id: &str, work: Duration) -> Server {
+        let any = "127.0.0.1:0".parse().expect("address");
+        Server::bind(id, any, work, &self.record, &self.arrivals).expect("server")
+    }
+
+    /// Starts an entry in each of the zones and waits until all are ready; false if they are not.
+    pub fn start_entries(&mut self, zones: &[&str]) -> bool {
+        for (index, zone) in zones.iter().enumerate() {
+            let entry = Entry::spawn(&self.root, &self.dir, index, zone, self.proxy.address);
+            self.entries.push(entry.expect("entry"));
+        }
+        let are_ready = self.entries.iter().all(Entry::wait_ready);
+        self.record.line(format!("entries are ready: {are_ready}"));
+        are_ready
+    }
+
+    /// Sends requests to the entries in turn, `gap` apart, and waits for all answers.
+    pub fn send_all(
+        &self,
+        prefix: &str,
+        count: usize,
+        gap: Duration,
+        path: &str,
+        deadline_ms: u64,
+    ) -> Vec<Sent> {
+        let mut sending = Vec::new();
+        for i in 0..count {
+            let index = i % self.entries.len();
+            let front = self.entries[index].front();
+            let (record, path) = (self.record.clone(), path.to_owned());
+            let id = format!("{prefix}{i:03}");
+            sending.push(thread::spawn(move || {
+                send(&record, index, front, &id, &path, deadline_ms)
+            }));
+            thread::sleep(gap);
+        }
+        sending
+            .into_iter()
+            .filter_map(|it| it.join().ok())
+            .collect()
+    }
+
+    /// Returns when requests were sent, by id.
+    pub fn sent_at(sent: &[Sent]) -> HashMap<String, f64> {
+        sent.iter().map(|it| (it.id.clone(), it.at)).collect()
+    }
+}
+
+/// Sleeps until `at` seconds of the record.
+pub fn sleep_until(record: &Record, at: f64) {
+    let left = at - record.now();
+    if left > 0.0 {
+        thread::sleep(Duration::from_secs_f64(left));
+    }
+}
+
+/// Ends the process with status 2 if a case hangs.
+fn watchdog(record: Record, path: String) {
+    thread::spawn(move || {
+        thread::sleep(Duration::from_secs(110));
+        record.line("the case took too long");
+        drop(record.write(&path));
+        kill_children();
+        std::process::exit(2);
+    });
+}
+
+fn main() {
+    let mut args = env::args().skip(1);
+    let (Some(case), Some(path), Some(root), Some(dir)) =
+        (args.next(), args.next(), args.next(), args.next())
+    else {
+        eprintln!("usage: rig CASE RECORD ROOT TEMPORARY_FOLDER");
+        std::process::exit(2);
+    };
+    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::new();
+    watchdog(record.clone(), path.clone());
+    let run = || cases::run(&case, &root, &dir, &record, trouble);
+    let status = match std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)) {
+        Ok(status) => status,
+        Err(_) => 2,
+    };
+    let verdict = match status {
+        0 => "the rule held",
+        1 => "the rule was broken",
+        _ => "the case could not run",
+    };
+    record.line(format!("verdict: {verdict}"));
+    println!("{verdict}");
+    if record.write(&path).is_err() {
+        std::process::exit(2);
+    }
+    std::process::exit(status);
+}
