Review: a withdrawn key works on after a version that the entry cannot read

Cause: a configuration that cannot be decoded leaves the old one in force, while reads of the store go on confirming it as current, so that the age that guards keys never grows. A rank over 255 is enough, as priorities are read into eight bits.

The case takes a key away in a version that also gives a route the rank 300, waits for revoke_ms and sends 30 requests with the key over 15 s.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -2,7 +2,7 @@
 
 use std::thread;
 
-use crate::{Deployment, Record, Sent, ms, sleep_until};
+use crate::{Deployment, KEY, Record, Sent, ms, sleep_until};
 
 const ZONES: [&str; 3] = ["erie-side", "huron-side", "michigan-side"];
 
@@ -11,19 +11,21 @@
     let mut f = Deployment::open(root, dir, record).expect("store and proxy");
     match case {
         "silent-store" => silent_store(&mut f, trouble),
+        "unread-configuration" => unread_configuration(&mut f, trouble),
         _ => 2,
     }
 }
 
 /// Returns a configuration with one tenant and the service `desk` on `/book/`.
-fn config(version: u64, service_fields: &str) -> String {
+fn config(version: u64, priority: u32, keys: &[&str]) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| format!("{key:?}")).collect();
+    let keys = keys.join(",");
     format!(
         r#"{{"version":{version},"routes":[
-{{"name":"book","host":"shed.example","path_prefix":"/book/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"public":false,"resumable":false}}],
-"services":[{{"name":"desk","max_connections":100,"health_path":"/healthz"{service_fields}}}],
+{{"name":"book","host":"shed.example","path_prefix":"/book/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":100,"priority":{priority},"service":"desk","max_attempts":2,"public":false,"resumable":false}}],
+"services":[{{"name":"desk","max_connections":100,"health_path":"/healthz"}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
-"tenants":[{{"name":"hule930","api_keys":["{}"]}}]}}"#,
-        crate::KEY
+"tenants":[{{"name":"hule930","api_keys":[{keys}]}}]}}"#
     )
 }
 
@@ -39,7 +41,7 @@
     const LINGER_S: f64 = 0.6;
     let work = ms(400);
     let record = f.record.clone();
-    f.store.put("config", "main", &config(1, ""));
+    f.store.put("config", "main", &config(1, 2, &[KEY]));
     let old = f.server("i-old", work);
     let kept = f.server("i-kept", work);
     f.store.put(
@@ -119,3 +121,49 @@
     ));
     i32::from(!late.is_empty())
 }
+
+/// CONFIG: a version takes a key away, and gives a route the rank 300.
+fn unread_configuration(f: &mut Deployment, trouble: bool) -> i32 {
+    const REVOKE_S: f64 = 5.0;
+    const TAKEN: &str = "key-taken";
+    let record = f.record.clone();
+    f.store.put("config", "main", &config(1, 2, &[KEY, TAKEN]));
+    let servers = [f.server("i-a", ms(15)), f.server("i-b", ms(15))];
+    for (server, zone) in servers.iter().zip(ZONES) {
+        let entry = server.registration("desk", zone, "ready", 0);
+        f.store.put("servers", &server.id, &entry);
+    }
+    if !f.start_entries(&ZONES) {
+        return 2;
+    }
+    thread::sleep(ms(4_000));
+    let before = f.send_keyed("before-", 3, ms(50), "/book/a", 1_000, TAKEN);
+    if failed(&before) > 0 {
+        return 2;
+    }
+    let rank = if trouble { 300 } else { 2 };
+    f.store.put("config", "main", &config(2, rank, &[KEY]));
+    let taken_at = record.line(format!(
+        "the store has accepted version 2, which takes {TAKEN} away; the route's priority is {rank}"
+    ));
+    let due_at = taken_at + REVOKE_S;
+    sleep_until(&record, due_at + 0.2);
+    record.line("revoke_ms is over");
+    let taken = f.send_keyed("taken-", 30, ms(500), "/book/a", 1_000, TAKEN);
+    let kept = f.send_keyed("kept-", 3, ms(50), "/book/a", 1_000, KEY);
+    let arrivals = f.arrivals.lock().unwrap().clone();
+    let ran = taken.iter().filter(|sent| {
+        let mut runs = arrivals.iter().filter(|it| !it.is_rejected);
+        sent.at > due_at && runs.any(|it| it.id == sent.id)
+    });
+    let ran = ran.count();
+    let last = taken.last().map_or(0.0, |sent| sent.at - taken_at);
+    record.line(format!(
+        "{ran} of {} requests with the key that was taken away ran, the last one sent {last:.1} s after \
+         the acknowledgement; {} of {} with the other key were served",
+        taken.len(),
+        kept.len() - failed(&kept),
+        kept.len()
+    ));
+    i32::from(ran > 0)
+}
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -6,7 +6,6 @@
 //! broken, 2 the case could not run.
 
 use std::{
-    collections::HashMap,
     env, fs,
     io::{self, BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
@@ -716,6 +715,7 @@
     id: &str,
     path: &str,
     deadline_ms: u64,
+    key: &str,
 ) -> Sent {
     let at = record.line(format!(
         "client sends request {id} to entry {entry}: POST {path}"
@@ -724,7 +724,7 @@
         ("Host", HOST.to_owned()),
         ("Request-Id", id.to_owned()),
         ("Deadline-Ms", deadline_ms.to_string()),
-        ("Api-Key", KEY.to_owned()),
+        ("Api-Key", key.to_owned()),
     ];
     let result = call(
         front,
@@ -797,15 +797,28 @@
         gap: Duration,
         path: &str,
         deadline_ms: u64,
+    ) -> Vec<Sent> {
+        self.send_keyed(prefix, count, gap, path, deadline_ms, KEY)
+    }
+
+    /// Does the same with a key.
+    pub fn send_keyed(
+        &self,
+        prefix: &str,
+        count: usize,
+        gap: Duration,
+        path: &str,
+        deadline_ms: u64,
+        key: &str,
     ) -> Vec<Sent> {
         let mut sending = Vec::new();
         for i in 0..count {
             let index = i % self.entries.len();
             let front = self.entries[index].front();
-            let (record, path) = (self.record.clone(), path.to_owned());
+            let (record, path, key) = (self.record.clone(), path.to_owned(), key.to_owned());
             let id = format!("{prefix}{i:03}");
             sending.push(thread::spawn(move || {
-                send(&record, index, front, &id, &path, deadline_ms)
+                send(&record, index, front, &id, &path, deadline_ms, &key)
             }));
             thread::sleep(gap);
         }
@@ -814,11 +827,6 @@
             .filter_map(|it| it.join().ok())
             .collect()
     }
-
-    /// Returns when requests were sent, by id.
-    pub fn sent_at(sent: &[Sent]) -> HashMap<String, f64> {
-        sent.iter().map(|it| (it.id.clone(), it.at)).collect()
-    }
 }
 
 /// Sleeps until `at` seconds of the record.
