--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -349,6 +349,8 @@
     pub from: String,
     /// Whether the server turned it away without running it.
     pub is_rejected: bool,
+    /// Value of `Tenant`, if there is one.
+    pub tenant: Option<String>,
 }
 
 /// A backend server: runs requests after `work`, checks `Expect-Instance`.
@@ -543,8 +545,9 @@
         let back_off_s = shared.back_off_s.load(Ordering::SeqCst);
         let is_rejected = is_misdirected || back_off_s > 0;
         let at = shared.record.line(format!(
-            "request {id} reaches server {} from {from}{}",
+            "request {id} reaches server {} from {from}, Tenant: {:?}{}",
             shared.id,
+            req.header("tenant"),
             if is_rejected { ", turned away" } else { "" }
         ));
         shared.arrivals.lock().unwrap().push(Arrival {
@@ -553,6 +556,7 @@
             id: id.clone(),
             from: from.clone(),
             is_rejected,
+            tenant: req.header("tenant").map(str::to_owned),
         });
         if is_misdirected {
             headers += "Not-Executed: 1\r\n";
