--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -24,10 +24,10 @@
     let keys = keys.join(",");
     format!(
         r#"{{"version":{version},"routes":[
-{{"name":"book","host":"shed.example","path_prefix":"/book/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":100,"priority":{priority},"service":"desk","max_attempts":2,"public":false,"resumable":false}}],
+{{"name":"book","host":"shed.example","path_prefix":"/book/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"public":false,"resumable":false}}],
 "services":[{{"name":"desk","max_connections":100,"health_path":"/healthz"}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
-"tenants":[{{"name":"{tenant}","api_keys":[{keys}]}}]}}"#
+"tenants":[{{"name":"{tenant}","api_keys":[{keys}],"priority":{priority}}}]}}"#
     )
 }
 
@@ -124,7 +124,7 @@
     i32::from(!late.is_empty())
 }
 
-/// CONFIG: a version takes a key away, and gives a route the rank 300.
+/// CONFIG: a version takes a key away, and gives a tenant the rank 300.
 fn unread_configuration(f: &mut Deployment, trouble: bool) -> i32 {
     const REVOKE_S: f64 = 5.0;
     const TAKEN: &str = "key-taken";
@@ -148,7 +148,7 @@
     f.store
         .put("config", "main", &config(2, rank, TENANT, &[KEY]));
     let taken_at = record.line(format!(
-        "the store has accepted version 2, which takes {TAKEN} away; the route's priority is {rank}"
+        "the store has accepted version 2, which takes {TAKEN} away; the tenant's priority is {rank}"
     ));
     let due_at = taken_at + REVOKE_S;
     sleep_until(&record, due_at + 0.2);
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -189,13 +189,15 @@
     }
 }
 
+/// Sends a signal by the shell, as not every machine has a program for it.
+fn send_signal(signal: &str, id: u32) {
+    let order = format!("kill {signal} {id}");
+    drop(Command::new("sh").args(["-c", &order]).status());
+}
+
 fn kill_children() {
     for id in CHILDREN.lock().unwrap().iter() {
-        drop(
-            Command::new("kill")
-                .args(["-KILL", &id.to_string()])
-                .status(),
-        );
+        send_signal("-KILL", *id);
     }
 }
 
@@ -661,8 +663,7 @@
     }
 
     pub fn signal(&self, signal: &str) {
-        let id = self.child.0.id().to_string();
-        drop(Command::new("kill").args([signal, &id]).status());
+        send_signal(signal, self.child.0.id());
     }
 }
 
