--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 cargo build --release --locked -p mustardshed-standins --example platform
 mkdir -p target/review
-rustc -O --edition 2021 -o target/review/rig review/standins/rig.rs
+rustc -O --edition 2021 -o target/review/rig review/rig.rs
--- a/review/standins/cases.rs
+++ b/review/cases.rs
@@ -2,7 +2,7 @@
 
 use std::thread;
 
-use crate::{Client, Deployment, KEY, Record, Sent, Streamed, ms, sleep_until};
+use crate::{Client, Deployment, Entry, KEY, Record, Sent, Streamed, ms, sleep_until};
 
 const TENANT: &str = "hule930";
 const ZONES: [&str; 3] = ["erie-side", "huron-side", "michigan-side"];
@@ -217,12 +217,14 @@
         }
     }
     let began_at = record.now();
+    let (root, dir, platform) = (f.root.clone(), f.dir.clone(), f.proxy.address);
     let streams: Vec<(f64, Streamed)> = thread::scope(|scope| {
         let sending: Vec<_> = clients
             .iter_mut()
+            .zip(f.entries.iter_mut())
             .enumerate()
-            .map(|(i, client)| {
-                let (entry, record) = (&f.entries[i], &record);
+            .map(|(i, (client, entry))| {
+                let (record, root, dir) = (&record, &root, &dir);
                 scope.spawn(move || {
                     // The entries are stopped in turn, a second apart.
                     sleep_until(record, began_at + i as f64);
@@ -231,20 +233,35 @@
                         entry.signal("-TERM");
                         record.line(format!("entry {i} gets SIGTERM"));
                     }
+                    // The platform kills what is left at the end of the grace, and starts it again.
+                    let platform = scope.spawn(move || {
+                        trouble.then(|| {
+                            let is_killed = !entry.wait_exit(record, stopped_at + GRACE_S);
+                            record.line(format!("entry {i} has ended, killed: {is_killed}"));
+                            thread::sleep(ms(300));
+                            let again = Entry::spawn(root, dir, i, ZONES[0], platform);
+                            let again = again.expect("entry");
+                            let is_ready = again.wait_ready();
+                            record.line(format!("entry {i} is started again, ready: {is_ready}"));
+                            again
+                        })
+                    });
                     sleep_until(record, stopped_at + SENT_AFTER_S);
                     let id = format!("note-{i}");
                     let streamed = client.stream(&id, "/note/a", TOKENS, DEADLINE_MS);
-                    if trouble {
-                        sleep_until(record, stopped_at + GRACE_S);
-                        entry.signal("-KILL");
-                    }
-                    (stopped_at, streamed)
+                    let again = platform.join().expect("platform");
+                    (stopped_at, streamed, again)
                 })
             })
             .collect();
-        sending
+        // The processes that were started again live until all are done.
+        let ended: Vec<_> = sending
             .into_iter()
             .map(|it| it.join().expect("client"))
+            .collect();
+        ended
+            .into_iter()
+            .map(|(at, streamed, _)| (at, streamed))
             .collect()
     });
     let lost: Vec<&(f64, Streamed)> = streams
--- a/review/standins/rig.rs
+++ b/review/rig.rs
@@ -662,6 +662,19 @@
         false
     }
 
+    /// Waits for the process to end; kills it at `until` and returns false.
+    pub fn wait_exit(&mut self, record: &Record, until: f64) -> bool {
+        while record.now() < until {
+            if matches!(self.child.0.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            thread::sleep(ms(5));
+        }
+        drop(self.child.0.kill());
+        drop(self.child.0.wait());
+        false
+    }
+
     pub fn signal(&self, signal: &str) {
         send_signal(signal, self.child.0.id());
     }
--- a/review/standins/run.sh
+++ b/review/run-case.bash
@@ -1,4 +1,4 @@
-# Runs a case of the rig; sourced by the run.sh of a case, with the case's name as the argument.
+# Runs a case of the rig; sourced by the run.sh of a case with the case's name as the argument.
 cd "$(dirname "$0")"
 root=$(cd ../.. && pwd)
 rig="$root/target/review/rig"
