Confirm the configuration in force only while it is the latest one

Cause: apply_listing, apply_diff and observe_peer confirmed the kind as current as soon as it was read, whether or not its content could be decoded. The version before stayed in force with the age of the later one, so that checks of keys, refusals of unknown keys and readiness took it for fresh. A list without the object had the same effect.

Change: the configuration in force has a confirmation of its own, which follows that of what was read only while that could be decoded. Once it is too old, requests with keys get 503, public routes are served on, and the entry is not ready. An unknown key or path gets 503 at once, as another read of the same version tells nothing. What entries tell each other is unchanged: positions and ages of what was read, whose decoding each entry judges itself.

--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -248,7 +248,7 @@
         !self.is_draining()
             && state.view.routes().is_some()
             && state.view.position(topic::Topic::Servers).is_some()
-            && state.view.is_fresh(topic::Topic::Configuration, limit, now)
+            && state.view.is_configuration_fresh(limit, now)
     }
 
     /// Returns this entry as it describes itself to peers.
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -10,7 +10,7 @@
         forward::{head, placement, planned_stop, routes},
         ids,
     },
-    platform::{headers, topic},
+    platform::headers,
 };
 
 use crate::{
@@ -192,7 +192,7 @@
     let (version, age_ms) = {
         let state = cx.state();
         let version = state.view.routes().map_or(0, |routes| routes.version);
-        let age = state.view.age(topic::Topic::Configuration, now);
+        let age = state.view.configuration_age(now);
         (version, age.map_or(u128::MAX, |age| age.as_millis()))
     };
     log::emit(&event::Event::ForwardRefused {
@@ -268,11 +268,15 @@
     arrived_at: ids::Timestamp,
 ) -> Result<Resolved, refusal::Refusal> {
     let mut found = resolve(cx, req, head, arrived_at);
-    if matches!(
+    let is_unknown = matches!(
         found,
         Err(refusal::Refusal::UnknownKey | refusal::Refusal::UnknownRoute)
-    ) && !refresh_configuration(cx, &lookup_name(req, head, &found), arrived_at).await
-    {
+    );
+    // Another read would not tell more than the last one.
+    if is_unknown && cx.state().view.is_configuration_superseded() {
+        return Err(refusal::Refusal::Stale);
+    }
+    if is_unknown && !refresh_configuration(cx, &lookup_name(req, head, &found), arrived_at).await {
         return Err(refusal::Refusal::Stale);
     } else if found.is_err() {
         found = resolve(cx, req, head, cx.now());
@@ -305,7 +309,7 @@
         let state = cx.state();
         let routes = state.view.routes().cloned();
         let limit = cx.max_key_age();
-        let is_fresh = state.view.is_fresh(topic::Topic::Configuration, limit, now);
+        let is_fresh = state.view.is_configuration_fresh(limit, now);
         (routes.ok_or(refusal::Refusal::NoConfiguration)?, is_fresh)
     };
     let route = routes.route(host(req.headers()), req.uri().path());
@@ -362,7 +366,7 @@
     let is_known = || {
         let now = cx.now();
         let mut state = cx.state();
-        let age = state.view.age(topic::Topic::Configuration, now);
+        let age = state.view.configuration_age(now);
         let is_known = age.is_some_and(|age| now.saturating_sub(age) >= since);
         if !is_known {
             state.required_as_of = state.required_as_of.max(since);
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -42,6 +42,7 @@
     named: prometheus::IntGauge,
     members: prometheus::IntGauge,
     version: prometheus::IntGauge,
+    superseded: prometheus::IntGauge,
     age: prometheus::GaugeVec,
     lost_log_lines: prometheus::IntGaugeVec,
 }
@@ -131,6 +132,10 @@
             )?,
             members: gauge("members", "Live entries, including this one")?,
             version: gauge("configuration_version", "Configuration version in force")?,
+            superseded: gauge(
+                "configuration_superseded",
+                "Whether a configuration that cannot be decoded has replaced the one in force",
+            )?,
             age,
             lost_log_lines: gauges(
                 "log_lines_lost",
@@ -223,6 +228,8 @@
         self.version.set(signed(
             state.view.routes().map_or(0, |routes| routes.version),
         ));
+        let is_superseded = state.view.is_configuration_superseded();
+        self.superseded.set(i64::from(is_superseded));
         for topic in topic::Topic::ALL {
             if let Some(age) = state.view.age(topic, now) {
                 let gauge = self.age.with_label_values(&[topic.purpose().as_str()]);
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -14,6 +14,7 @@
 
 use crate::log::{self, event};
 
+mod in_force;
 mod listed_for;
 
 pub use listed_for::ListedFor;
@@ -39,7 +40,7 @@
 #[derive(Debug)]
 pub struct View {
     topics: [TopicCache; topic::Topic::ALL.len()],
-    routes: sync::Arc<routes::Routes>,
+    in_force: in_force::InForce,
     servers: collections::BTreeMap<ids::BackendServerId, server::Server>,
     lapsed: collections::BTreeMap<ids::BackendServerId, (server::Server, ids::Timestamp)>,
     departures: departures::Departures,
@@ -73,7 +74,7 @@
     fn default() -> Self {
         Self {
             topics: Default::default(),
-            routes: sync::Arc::new(routes::Routes::default()),
+            in_force: in_force::InForce::default(),
             servers: collections::BTreeMap::new(),
             lapsed: collections::BTreeMap::new(),
             departures: departures::Departures::default(),
@@ -88,7 +89,8 @@
     /// Returns the configuration in force, if any was read.
     #[must_use]
     pub fn routes(&self) -> Option<&sync::Arc<routes::Routes>> {
-        (self.routes.version > 0).then_some(&self.routes)
+        let routes = &self.in_force.routes;
+        (routes.version > 0).then_some(routes)
     }
 
     /// Returns the position from which to watch a kind; none if it was never listed.
@@ -98,20 +100,28 @@
         listing.map(|listing| listing.position)
     }
 
-    /// Returns whether the data of a kind was confirmed within the last `limit`.
+    /// Returns whether the configuration in force was known to be the latest within the last
+    /// `limit`.
     #[must_use]
-    pub fn is_fresh(
-        &self,
-        topic: topic::Topic,
-        limit: time::Duration,
-        now: ids::Timestamp,
-    ) -> bool {
-        self.topics[topic.index()]
-            .confirmation
-            .is_within(limit, now)
+    pub fn is_configuration_fresh(&self, limit: time::Duration, now: ids::Timestamp) -> bool {
+        self.in_force.is_fresh(limit, now)
+    }
+
+    /// Returns the time since the configuration in force was known to be the latest; none if it
+    /// never was.
+    #[must_use]
+    pub fn configuration_age(&self, now: ids::Timestamp) -> Option<time::Duration> {
+        self.in_force.age(now)
     }
 
-    /// Returns the age of the data of a kind; none if it was never read.
+    /// Returns whether a version that cannot be decoded has replaced the configuration in force.
+    #[must_use]
+    pub const fn is_configuration_superseded(&self) -> bool {
+        self.in_force.is_superseded()
+    }
+
+    /// Returns the age of the data of a kind, whether or not it could be decoded; none if it was
+    /// never read.
     #[must_use]
     pub fn age(&self, topic: topic::Topic, now: ids::Timestamp) -> Option<time::Duration> {
         self.topics[topic.index()].confirmation.age(now)
@@ -252,10 +262,13 @@
             self.departures.record_restoration(now);
         }
         cache.listing = Some(listing);
-        if is_same {
-            return Effects::default();
-        }
-        self.decode(topic, now)
+        let effects = if is_same {
+            Effects::default()
+        } else {
+            self.decode(topic, now)
+        };
+        self.confirm_in_force();
+        effects
     }
 
     /// Applies the changes of a kind since it was last read; the call for them began at `as_of`.
@@ -290,10 +303,13 @@
             cache.position = changes.position;
         }
         cache.confirm(as_of, now);
-        if is_same {
-            return Effects::default();
-        }
-        self.decode(topic, now)
+        let effects = if is_same {
+            Effects::default()
+        } else {
+            self.decode(topic, now)
+        };
+        self.confirm_in_force();
+        effects
     }
 
     /// Returns how far a kind was read, for a peer; none if it was never read.
@@ -349,6 +365,7 @@
         let known = cache.listing.as_ref().map(|listing| listing.position);
         if known.is_some_and(|known| known >= position(&state)) {
             cache.confirmation.confirm(as_of);
+            self.confirm_in_force();
             return false;
         }
         // Only positions tell which data is later. A read confirms data as of its beginning, so the
@@ -365,35 +382,50 @@
         }
     }
 
+    /// Confirms the configuration in force by what was last read of its kind.
+    fn confirm_in_force(&mut self) {
+        let cache = &self.topics[topic::Topic::Configuration.index()];
+        self.in_force.confirm(cache.confirmation);
+    }
+
     fn decode_configuration(&mut self) -> Effects {
         let listing = self.topics[topic::Topic::Configuration.index()]
             .listing
             .as_ref();
         let object = listing.and_then(|listing| listing.objects.get(decode::configuration::NAME));
-        let Some(object) = object else {
-            return Effects::default();
+        let decoded = object.map(|object| decode::configuration::decode(&object.content));
+        let routes = match decoded {
+            Some(Ok(routes)) => routes,
+            Some(Err(e)) => return self.supersede_configuration(&e.to_string()),
+            // None was written yet.
+            None if self.in_force.routes.version == 0 => return Effects::default(),
+            None => return self.supersede_configuration("it is not listed"),
         };
-        let routes = match decode::configuration::decode(&object.content) {
-            Ok(routes) => routes,
-            Err(e) => {
-                log_undecodable(topic::Topic::Configuration, &object.name, &e);
-                return Effects::default();
-            }
-        };
-        if routes.version <= self.routes.version {
+        if routes.version <= self.in_force.routes.version {
+            self.in_force.keep();
             return Effects::default();
         }
         log::emit(&event::Event::RoutesInForce {
             version: routes.version,
-            revision: object.position.revision,
+            revision: object.map_or(0, |object| object.position.revision),
         });
-        self.routes = sync::Arc::new(routes);
+        self.in_force.replace(routes);
         Effects {
             has_new_routes: true,
             ..Effects::default()
         }
     }
 
+    /// Keeps the configuration in force, without confirming it any longer.
+    fn supersede_configuration(&mut self, reason: &str) -> Effects {
+        log::emit(&event::Event::ConfigurationSuperseded {
+            version: self.in_force.routes.version,
+            reason,
+        });
+        self.in_force.supersede();
+        Effects::default()
+    }
+
     fn decode_servers(&mut self, now: ids::Timestamp) -> Effects {
         let cache = &self.topics[topic::Topic::Servers.index()];
         let objects = cache
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -456,4 +456,9 @@
         server: &'a str,
         reason: &'a str,
     }
+    /// The latest configuration cannot be decoded; the one before it stays in force, unconfirmed.
+    2127 Error "configuration_superseded" ConfigurationSuperseded {
+        version: ids::Generation,
+        reason: &'a str,
+    }
 }
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -26,4 +26,5 @@
 mod server;
 mod streams;
 mod tunnels;
+mod undecoded;
 mod view;
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/undecoded.rs
@@ -0,0 +1,129 @@
+//! Configurations that cannot be decoded.
+
+use std::time;
+
+use googletest::prelude::*;
+use mustardshed::{platform::objects, platform::topic::Topic, wire::forward};
+use mustardshedd::forward::view;
+use serde_json::json;
+
+use crate::{fixture, server};
+
+/// Longer than a watch waits, so that the configuration stays fresh while it can be decoded.
+const REVOCATION: time::Duration = time::Duration::from_secs(3);
+
+const fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+/// Sends requests that a configuration older than the latest may not decide; returns their statuses.
+async fn undecided(f: &fixture::Fixture, entry: &fixture::Entry) -> [u16; 3] {
+    let unknown_key = [("api-key", "key-2")];
+    let seen = [
+        f.send(entry, "GET", "/again/a", "").await,
+        f.send_with(entry, "GET", "/again/a", "", &unknown_key)
+            .await,
+        f.send(entry, "GET", "/nowhere/", "").await,
+    ];
+    seen.map(|seen| seen.status)
+}
+
+// Guards against keys that are accepted for ever after a version that cannot be decoded.
+#[gtest]
+#[tokio::test]
+async fn keys_are_refused_once_a_version_that_cannot_be_decoded_is_listed() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry_with_revocation("entry-1", REVOCATION).await;
+    let entry = entry.ready().await;
+
+    f.write("config", "main", json!({ "version": "nine" }))
+        .await;
+    fixture::wait_until("the entry to leave", || !entry.cx.takes_work()).await;
+    let statuses = undecided(&f, &entry).await;
+    let open = f.send_with(&entry, "GET", "/open/a", "", &[]).await;
+    f.configure(10, &[fixture::KEY]).await;
+    let entry = entry.ready().await;
+    let decoded = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!(statuses, eq([503; 3]));
+    expect_that!(open.status, eq(200));
+    verify_that!(decoded.status, eq(200))
+}
+
+// Guards against keys that are accepted for ever after the configuration was removed.
+#[gtest]
+#[tokio::test]
+async fn keys_are_refused_once_no_configuration_is_listed() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry_with_revocation("entry-1", REVOCATION).await;
+    let entry = entry.ready().await;
+
+    f.remove("config", "main").await;
+    fixture::wait_until("the entry to leave", || !entry.cx.takes_work()).await;
+    let statuses = undecided(&f, &entry).await;
+
+    verify_that!(statuses, eq([503; 3]))
+}
+
+// Guards against reads without limit of a version that cannot be decoded.
+#[gtest]
+#[tokio::test]
+async fn unknown_keys_do_not_cause_reads_of_a_version_that_cannot_be_decoded() -> Result<()> {
+    const REQUESTS: usize = 50;
+    const MAX_CALLS: u64 = 25;
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    f.write("config", "main", json!({ "version": "nine" }))
+        .await;
+    fixture::wait_until("the version to be read", || {
+        entry.cx.state().view.is_configuration_superseded()
+    })
+    .await;
+
+    let before = f.platform_calls().await;
+    for _ in 0..REQUESTS {
+        undecided(&f, &entry).await;
+    }
+    let calls = f.platform_calls().await - before;
+
+    verify_that!(calls, le(MAX_CALLS))
+}
+
+fn configuration(revision: u64, content: &str) -> objects::Listing {
+    let position = objects::Position { era: 1, revision };
+    let object = objects::Object {
+        name: "main".to_owned(),
+        position,
+        content: content.to_owned(),
+    };
+    objects::Listing {
+        objects: [(object.name.clone(), object)].into(),
+        position,
+    }
+}
+
+// Guards against peers that confirm a version which neither side can decode.
+#[gtest]
+fn peer_at_the_same_position_does_not_confirm_the_version_before() -> Result<()> {
+    let topic = Topic::Configuration;
+    let mut view = view::View::default();
+    let decoded = configuration(5, r#"{"version":1}"#);
+    view.apply_listing(topic, decoded, ms(1_000), ms(1_004));
+    let undecoded = configuration(6, r#"{"version":"nine"}"#);
+    view.apply_listing(topic, undecoded, ms(2_000), ms(2_004));
+
+    let peer = forward::TopicState {
+        revision: 6,
+        era: 1,
+        age_ms: 10,
+        is_failing: false,
+    };
+    let is_wanted = view.observe_peer(topic, peer, ms(3_000), false);
+
+    expect_that!(is_wanted, eq(false));
+    expect_that!(view.age(topic, ms(3_000)), some(eq(ms(10))));
+    verify_that!(view.configuration_age(ms(3_000)), some(eq(ms(2_000))))
+}
