Decode a configuration part by part

Callers of a key that a version took away were served for as long as any rank in the configuration was above 255, and an entry that started beside such a version was never ready.

Cause: the decoder returned nothing of a version in which one value was outside its types: a rank or a count that is too large, an unknown kind of route, one odd account or service.

Change: priorities and counts of any size are decoded. A route, account, service or set of limits that cannot be decoded leaves the others in force. Requests that may be on such a route, or have a key that such an account may hold, get 503: neither 401, 404 nor a route with a shorter prefix. A version whose number or the host or prefix of one of whose routes cannot be decoded is still refused as a whole.

--- a/crates/mustardshed-core/src/forward/routes.rs
+++ b/crates/mustardshed-core/src/forward/routes.rs
@@ -4,6 +4,19 @@
 
 use crate::{forward::engine, ids};
 
+mod undecoded;
+
+pub use undecoded::Undecoded;
+
+/// Why no route or no account is found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotFound {
+    /// The configuration has none.
+    Unknown,
+    /// It may be in a part of the configuration that could not be decoded.
+    Undecoded,
+}
+
 /// Whether requests on a route may be repeated, and whether they stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RouteKind {
@@ -113,7 +126,7 @@
 }
 
 /// An indexed configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routes {
     /// Version; later ones are greater.
     pub version: ids::Generation,
@@ -123,6 +136,7 @@
     by_host: collections::HashMap<String, Vec<Route>>,
     accounts: collections::HashMap<String, Account>,
     needs_keys: bool,
+    undecoded: Undecoded,
 }
 
 impl Routes {
@@ -154,14 +168,41 @@
             by_host,
             accounts,
             needs_keys,
+            undecoded: Undecoded::default(),
         }
     }
 
-    /// Returns the route of the host with the longest prefix of the path.
+    /// Sets the parts of the configuration that could not be decoded.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let routes = self.by_host.get(&host.to_ascii_lowercase())?;
-        routes.iter().find(|route| path.starts_with(&route.prefix))
+    pub fn with_undecoded(mut self, undecoded: Undecoded) -> Self {
+        self.undecoded = undecoded;
+        self
+    }
+
+    /// Returns the parts of the configuration that could not be decoded.
+    #[must_use]
+    pub const fn undecoded(&self) -> &Undecoded {
+        &self.undecoded
+    }
+
+    /// Returns the route of the host with the longest prefix of the path.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotFound::Undecoded`] if that route could not be decoded.
+    pub fn route(&self, host: &str, path: &str) -> Result<&Route, NotFound> {
+        let host = host.to_ascii_lowercase();
+        let mut routes = self.by_host.get(&host).into_iter().flatten();
+        let route = routes.find(|route| path.starts_with(&route.prefix));
+        let undecoded = self.undecoded.longest_prefix(&host, path);
+        match (route, undecoded) {
+            (Some(route), Some(prefix)) if prefix.len() > route.prefix.len() => {
+                Err(NotFound::Undecoded)
+            }
+            (Some(route), _) => Ok(route),
+            (None, Some(_)) => Err(NotFound::Undecoded),
+            (None, None) => Err(NotFound::Unknown),
+        }
     }
 
     /// Returns the service of this name.
@@ -171,9 +212,17 @@
     }
 
     /// Returns the account that holds an API key.
-    #[must_use]
-    pub fn account(&self, key: &str) -> Option<&Account> {
-        self.accounts.get(key)
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotFound::Undecoded`] if an account that could not be decoded may hold the key.
+    pub fn account(&self, key: &str) -> Result<&Account, NotFound> {
+        let missing = if self.undecoded.may_hold_key(key) {
+            NotFound::Undecoded
+        } else {
+            NotFound::Unknown
+        };
+        self.accounts.get(key).ok_or(missing)
     }
 
     /// Returns whether requests on a route must carry an API key.
--- a/crates/mustardshed-core/tests/forward/routes.rs
+++ b/crates/mustardshed-core/tests/forward/routes.rs
@@ -51,7 +51,7 @@
 fn longest_prefix_of_the_host_wins() -> Result<()> {
     let table = table();
     let service = |host: &str, path: &str| {
-        let route = table.route(host, path)?;
+        let route = table.route(host, path).ok()?;
         route.pick_service(0).cloned()
     };
 
@@ -72,9 +72,9 @@
     expect_that!(table.needs_key(private), eq(true));
     expect_that!(
         table.account("key-2").map(|a| a.name.as_str()),
-        some(eq("chapel"))
+        ok(eq("chapel"))
     );
-    verify_that!(table.account("key-3"), none())
+    verify_that!(table.account("key-3"), err(eq(routes::NotFound::Unknown)))
 }
 
 #[gtest]
@@ -103,3 +103,54 @@
 
     verify_that!(route.pick_service(3), none())
 }
+
+// Guards against requests on an undecoded route that a shorter prefix takes over, or that get 404.
+#[gtest]
+fn undecoded_route_hides_shorter_prefixes_of_its_host() -> Result<()> {
+    let table = table().with_undecoded(routes::Undecoded {
+        routes: vec![
+            ("a.example".to_owned(), "/book/new/".to_owned()),
+            ("b.example".to_owned(), "/".to_owned()),
+        ],
+        ..routes::Undecoded::default()
+    });
+    let name = |host: &str, path: &str| table.route(host, path).map(|route| route.name.as_str());
+
+    expect_that!(
+        name("A.example", "/book/new/1"),
+        err(eq(routes::NotFound::Undecoded))
+    );
+    expect_that!(name("a.example", "/book/1"), ok(eq("a.example/book/")));
+    expect_that!(name("b.example", "/book/1"), ok(eq("b.example/book/")));
+    expect_that!(
+        name("b.example", "/pay/"),
+        err(eq(routes::NotFound::Undecoded))
+    );
+    verify_that!(name("c.example", "/"), err(eq(routes::NotFound::Unknown)))
+}
+
+// Guards against 401 for a key of an account that could not be decoded.
+#[gtest]
+fn key_of_an_undecoded_account_is_not_unknown() -> Result<()> {
+    let listed = table().with_undecoded(routes::Undecoded {
+        keys: ["key-8".to_owned()].into(),
+        ..routes::Undecoded::default()
+    });
+    let any = table().with_undecoded(routes::Undecoded {
+        has_unknown_keys: true,
+        ..routes::Undecoded::default()
+    });
+    let reason = |table: &routes::Routes, key: &str| table.account(key).cloned().err();
+
+    expect_that!(reason(&listed, "key-1"), none());
+    expect_that!(
+        reason(&listed, "key-8"),
+        some(eq(routes::NotFound::Undecoded))
+    );
+    expect_that!(
+        reason(&listed, "key-9"),
+        some(eq(routes::NotFound::Unknown))
+    );
+    expect_that!(reason(&any, "key-1"), none());
+    verify_that!(reason(&any, "key-9"), some(eq(routes::NotFound::Undecoded)))
+}
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -313,22 +313,28 @@
         (routes.ok_or(refusal::Refusal::NoConfiguration)?, is_fresh)
     };
     let route = routes.route(host(req.headers()), req.uri().path());
-    let route = route.ok_or(refusal::Refusal::UnknownRoute)?.clone();
+    let route = route.map_err(|e| not_found(e, refusal::Refusal::UnknownRoute));
+    let route = route?.clone();
     if !routes.needs_key(&route) {
         return Ok((routes, route, None));
     }
     if !is_fresh {
         return Err(refusal::Refusal::Stale);
     }
-    let account = head
-        .key
-        .as_ref()
-        .and_then(|key| routes.account(key))
-        .cloned();
-    let account = account.ok_or(refusal::Refusal::UnknownKey)?;
+    let key = head.key.as_ref().ok_or(refusal::Refusal::UnknownKey)?;
+    let account = routes.account(key).cloned();
+    let account = account.map_err(|e| not_found(e, refusal::Refusal::UnknownKey))?;
     Ok((routes, route, Some(account)))
 }
 
+/// Returns the refusal of a request whose route or key is not found.
+const fn not_found(e: routes::NotFound, unknown: refusal::Refusal) -> refusal::Refusal {
+    match e {
+        routes::NotFound::Unknown => unknown,
+        routes::NotFound::Undecoded => refusal::Refusal::Undecoded,
+    }
+}
+
 /// Returns the host that a request names, without its port.
 fn host(headers: &http::HeaderMap) -> &str {
     let host = headers.get(http::header::HOST);
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -43,6 +43,7 @@
     members: prometheus::IntGauge,
     version: prometheus::IntGauge,
     superseded: prometheus::IntGauge,
+    undecoded_parts: prometheus::IntGauge,
     age: prometheus::GaugeVec,
     lost_log_lines: prometheus::IntGaugeVec,
 }
@@ -136,6 +137,10 @@
                 "configuration_superseded",
                 "Whether a configuration that cannot be decoded has replaced the one in force",
             )?,
+            undecoded_parts: gauge(
+                "configuration_undecoded_parts",
+                "Parts of the configuration in force that cannot be decoded",
+            )?,
             age,
             lost_log_lines: gauges(
                 "log_lines_lost",
@@ -225,9 +230,11 @@
         self.bypassed.set(signed(state.paths.bypassed() as u64));
         let alive = state.live_entries.alive_count(now) + 1;
         self.members.set(signed(alive as u64));
-        self.version.set(signed(
-            state.view.routes().map_or(0, |routes| routes.version),
-        ));
+        let routes = state.view.routes();
+        self.version
+            .set(signed(routes.map_or(0, |routes| routes.version)));
+        let problems = routes.map_or(0, |routes| routes.undecoded().problems.len());
+        self.undecoded_parts.set(signed(problems as u64));
         let is_superseded = state.view.is_configuration_superseded();
         self.superseded.set(i64::from(is_superseded));
         for topic in topic::Topic::ALL {
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -23,6 +23,8 @@
     NoConfiguration,
     /// the configuration may be out of date
     Stale,
+    /// the part of the configuration that decides the request cannot be decoded
+    Undecoded,
     /// no backend server of the service takes work
     NoServer(time::Duration),
     /// the backend servers have asked for a time without requests
@@ -48,7 +50,7 @@
 
 impl Refusal {
     /// Every kind, with a placeholder for its wait.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::NoIdentifier,
         Self::BrokenBody,
         Self::TooLarge,
@@ -57,6 +59,7 @@
         Self::Leaving,
         Self::NoConfiguration,
         Self::Stale,
+        Self::Undecoded,
         Self::NoServer(ANY_WAIT),
         Self::BackedOff(ANY_WAIT),
         Self::Full(ANY_WAIT),
@@ -81,6 +84,7 @@
             Self::Leaving
             | Self::NoConfiguration
             | Self::Stale
+            | Self::Undecoded
             | Self::NoServer(_)
             | Self::BackedOff(_)
             | Self::Full(_)
@@ -105,6 +109,7 @@
             Self::Leaving => "leaving",
             Self::NoConfiguration => "no_configuration",
             Self::Stale => "stale",
+            Self::Undecoded => "undecoded",
             Self::NoServer(_) => "no_server",
             Self::BackedOff(_) => "backed_off",
             Self::Full(_) => "full",
@@ -123,11 +128,14 @@
     pub const fn retry_after(self) -> Option<time::Duration> {
         /// Retry delay if this entry lacks a recent configuration; other entries may have one.
         const STALE_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+        /// Retry delay until operators have written another configuration.
+        const UNDECODED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
         /// Retry delay if this entry is draining; other entries take the request at once.
         const LEAVING_RETRY_AFTER: time::Duration = time::Duration::from_millis(20);
         match self {
             Self::Leaving => Some(LEAVING_RETRY_AFTER),
             Self::NoConfiguration | Self::Stale => Some(STALE_RETRY_AFTER),
+            Self::Undecoded => Some(UNDECODED_RETRY_AFTER),
             Self::NoServer(wait)
             | Self::BackedOff(wait)
             | Self::Full(wait)
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -37,7 +37,7 @@
 }
 
 /// Local view of the platform's objects.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct View {
     topics: [TopicCache; topic::Topic::ALL.len()],
     in_force: in_force::InForce,
@@ -70,21 +70,6 @@
     }
 }
 
-impl Default for View {
-    fn default() -> Self {
-        Self {
-            topics: Default::default(),
-            in_force: in_force::InForce::default(),
-            servers: collections::BTreeMap::new(),
-            lapsed: collections::BTreeMap::new(),
-            departures: departures::Departures::default(),
-            outages: collections::BTreeSet::new(),
-            members: relays::Members::new(),
-            members_revision: 0,
-        }
-    }
-}
-
 impl View {
     /// Returns the configuration in force, if any was read.
     #[must_use]
@@ -409,6 +394,9 @@
             version: routes.version,
             revision: object.map_or(0, |object| object.position.revision),
         });
+        for problem in &routes.undecoded().problems {
+            log_undecoded_part(routes.version, problem);
+        }
         self.in_force.replace(routes);
         Effects {
             has_new_routes: true,
@@ -559,6 +547,10 @@
     });
 }
 
+fn log_undecoded_part(version: ids::Generation, problem: &str) {
+    log::emit(&event::Event::ConfigurationPartUndecoded { version, problem });
+}
+
 fn log_server(server: &server::Server) {
     log::emit(&event::Event::ServerListed {
         server: &server.id,
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -461,4 +461,9 @@
         version: ids::Generation,
         reason: &'a str,
     }
+    /// A part of the configuration in force cannot be decoded; requests that it may concern are refused.
+    2128 Error "configuration_part_undecoded" ConfigurationPartUndecoded {
+        version: ids::Generation,
+        problem: &'a str,
+    }
 }
--- a/crates/mustardshedd/tests/forward/undecoded.rs
+++ b/crates/mustardshedd/tests/forward/undecoded.rs
@@ -92,6 +92,41 @@
     verify_that!(calls, le(MAX_CALLS))
 }
 
+// Guards against a single part that voids a version, and that entries then never get ready.
+#[gtest]
+#[tokio::test]
+async fn parts_that_can_be_decoded_are_in_force_beside_others() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let route = |name: &str, kind: &str| {
+        json!({ "name": name, "host": fixture::HOST, "path_prefix": format!("/{name}/"),
+                "route_type": kind, "timeout_ms": 20_000, "service": "runners" })
+    };
+    let config = json!({
+        "version": 9,
+        "routes": [route("again", "idempotent"), route("odd", "sometimes")],
+        "services": [{ "name": "runners" }],
+        "tenants": [
+            { "name": "chapel", "api_keys": [fixture::KEY], "priority": 300 },
+            { "api_keys": ["key-odd"] },
+        ],
+    });
+    f.write("config", "main", config).await;
+    let entry = f.entry("entry-1").await.ready().await;
+
+    let decoded = f.send(&entry, "GET", "/again/a", "").await;
+    let odd_route = f.send(&entry, "GET", "/odd/a", "").await;
+    let odd_key = [("api-key", "key-odd")];
+    let odd_key = f.send_with(&entry, "GET", "/again/a", "", &odd_key).await;
+    let taken = [("api-key", "key-taken")];
+    let taken = f.send_with(&entry, "GET", "/again/a", "", &taken).await;
+
+    expect_that!(decoded.status, eq(200));
+    expect_that!((odd_route.status, odd_key.status), eq((503, 503)));
+    expect_that!(odd_route.header("retry-after"), some(anything()));
+    verify_that!(taken.status, eq(401))
+}
+
 fn configuration(revision: u64, content: &str) -> objects::Listing {
     let position = objects::Position { era: 1, revision };
     let object = objects::Object {
