List a kind again when a change names no object

A key that a version took away worked on, and a draining server got work, if the change came with a name that cannot be read.

Cause: such a change was stored under an empty name, so that the former state of its object stayed listed, and the kind was confirmed.

Change: a watch leaves out changes without a readable name and tells how many there were; the reflector then lists the kind, where the object is missing or named. Lists leave such objects out as well. A configuration from a peer of an earlier version that holds such an object is not applied.

Ruled out: a decoder's error, as objects without a name decode like others.

Before, without the list: keys_are_refused_once_the_configuration_changes_ without_its_name waits 30 s for the entry to leave in vain, and server_is_not_used_once_it_changes_without_its_name for the server. After: both pass.

--- a/crates/mustardshed-standins/src/platform/faults.rs
+++ b/crates/mustardshed-standins/src/platform/faults.rs
@@ -28,6 +28,8 @@
     pub forgotten_before: u64,
     /// Names of callers whose calls are refused.
     pub cut: collections::BTreeSet<String>,
+    /// Names of objects that lists and watches show without their names.
+    pub unnamed: collections::BTreeSet<String>,
 }
 
 impl Faults {
@@ -82,6 +84,7 @@
             list_lag_ms,
             forgotten_before,
             cut,
+            unnamed,
         } = change;
         self.outage = outage.unwrap_or(self.outage);
         self.slow_ms = slow_ms.unwrap_or(self.slow_ms);
@@ -95,6 +98,9 @@
         if let Some(cut) = cut {
             self.cut = cut;
         }
+        if let Some(unnamed) = unnamed {
+            self.unnamed = unnamed;
+        }
     }
 
     fn check(&self) -> Result<(), String> {
--- a/crates/mustardshed-standins/src/platform/faults_change.rs
+++ b/crates/mustardshed-standins/src/platform/faults_change.rs
@@ -25,6 +25,8 @@
     pub forgotten_before: Option<u64>,
     /// See [`crate::platform::faults::Faults::cut`].
     pub cut: Option<collections::BTreeSet<String>>,
+    /// See [`crate::platform::faults::Faults::unnamed`].
+    pub unnamed: Option<collections::BTreeSet<String>>,
 }
 
 /// Distinguishes a `null` field from an absent one.
--- a/crates/mustardshed-standins/src/platform/object_routes.rs
+++ b/crates/mustardshed-standins/src/platform/object_routes.rs
@@ -229,7 +229,7 @@
                 }
                 slowed(&state, &call, || match name::check(&kind) {
                     Ok(()) if kind == VMS => vms(&state.vms()),
-                    Ok(()) => listed(&state.list(&kind), query.after.as_deref()),
+                    Ok(()) => listed(&state, &state.list(&kind), query.after.as_deref()),
                     Err(reason) => http::refusal(400, reason),
                 })
                 .await
@@ -261,7 +261,11 @@
         watch::Outcome::Changes(changes) => {
             let events = changes.changed.iter().map(|change| wire::Event {
                 removed: change.value.is_none(),
-                object: item::shown(&change.name, change.version, change.value.as_ref()),
+                object: item::shown(
+                    state.shown_name(&change.name),
+                    change.version,
+                    change.value.as_ref(),
+                ),
             });
             let answer = wire::Events {
                 events: events.collect(),
@@ -301,7 +305,7 @@
     }
 }
 
-fn listed(shown: &state::Listed, after: Option<&str>) -> reply::Response {
+fn listed(state: &state::State, shown: &state::Listed, after: Option<&str>) -> reply::Response {
     let rest = shown.objects.iter();
     let rest = rest.skip_while(|object| after.is_some_and(|after| object.name.as_str() <= after));
     let mut items = Vec::new();
@@ -314,7 +318,7 @@
         }
         bytes += object.value.len();
         items.push(item::shown(
-            &object.name,
+            state.shown_name(&object.name),
             object.version,
             Some(&object.value),
         ));
--- a/crates/mustardshed-standins/src/platform/state.rs
+++ b/crates/mustardshed-standins/src/platform/state.rs
@@ -101,6 +101,12 @@
         self.lock().faults.refuses(caller)
     }
 
+    /// Returns the name under which lists and watches show an object.
+    pub fn shown_name<'a>(&self, name: &'a str) -> &'a str {
+        let is_hidden = self.lock().faults.unnamed.contains(name);
+        if is_hidden { "" } else { name }
+    }
+
     /// Reads an object or its deletion, as stale as the faults ask for.
     pub fn get(&self, kind: &str, name: &str) -> Option<object::State> {
         let inner = self.lock();
--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -1,6 +1,6 @@
 //! Fetches platform changes that a peer has read and this entry has not.
 
-use std::time;
+use std::{collections, time};
 
 use mustardshed::{
     core::ids,
@@ -8,7 +8,10 @@
     wire::forward,
 };
 
-use crate::forward::{cx, link, view};
+use crate::{
+    forward::{cx, link, view},
+    log::{self, event},
+};
 
 /// Time that this entry's own watch has to deliver a change known to a peer before the peer is
 /// asked for it: the watch is quicker unless it fails.
@@ -75,7 +78,9 @@
     let Some(topic) = topic::Topic::from_index(topic) else {
         return;
     };
-    let objects = objects.into_iter().map(|object| {
+    let all = objects.len();
+    let named = objects.into_iter().filter(|object| !object.name.is_empty());
+    let objects = named.map(|object| {
         let object = objects::Object {
             name: object.name,
             position: objects::Position {
@@ -86,9 +91,18 @@
         };
         (object.name.clone(), object)
     });
+    let objects: collections::BTreeMap<String, objects::Object> = objects.collect();
+    let unnamed = all - objects.len();
+    // Entries of earlier versions keep the former state of an object whose change names none.
+    if unnamed > 0 && topic == topic::Topic::Configuration {
+        let kind = topic.kind();
+        let count = unnamed;
+        return log::emit(&event::Event::ObjectsUnnamed { kind, count });
+    }
     let listing = objects::Listing {
-        objects: objects.collect(),
+        objects,
         position: view::position(&state),
+        unnamed,
     };
     let now = cx.now();
     // The peer sent this less than a link's silence timeout ago.
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -100,9 +100,19 @@
             .platform
             .list(self.topic.purpose(), self.topic.kind())
             .await
+            .inspect(|listing| self.log_unnamed(listing.unnamed))
             .map(Read::All)
     }
 
+    fn log_unnamed(&self, count: usize) {
+        if count > 0 {
+            log::emit(&event::Event::ObjectsUnnamed {
+                kind: self.topic.kind(),
+                count,
+            });
+        }
+    }
+
     /// Watches for changes. If more recent data are needed meanwhile, they are listed beside the
     /// watch, which goes on.
     async fn watch(&mut self, from: objects::Position) -> Result<Read, objects::Error> {
@@ -113,7 +123,15 @@
         tokio::pin!(watching);
         loop {
             tokio::select! {
-                changes = &mut watching => return changes.map(Read::Changes),
+                changes = &mut watching => {
+                    let changes = changes?;
+                    if changes.unnamed == 0 {
+                        return Ok(Read::Changes(changes));
+                    }
+                    // The known state of the objects that changed is out of date.
+                    self.log_unnamed(changes.unnamed);
+                    return self.list().await;
+                }
                 () = cx.refresh.notified(), if self.topic == topic::Topic::Configuration => {
                     if !self.refresh_is_due() {
                         continue;
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -466,4 +466,9 @@
         version: ids::Generation,
         problem: &'a str,
     }
+    /// The names of some objects that were listed or changed cannot be read; they have no effect.
+    2129 Error "objects_unnamed" ObjectsUnnamed {
+        kind: &'a str,
+        count: usize,
+    }
 }
--- a/crates/mustardshedd/tests/forward/undecoded.rs
+++ b/crates/mustardshedd/tests/forward/undecoded.rs
@@ -92,6 +92,49 @@
     verify_that!(calls, le(MAX_CALLS))
 }
 
+// Guards against the former configuration that stays in force, confirmed, when a change of it names
+// no object.
+#[gtest]
+#[tokio::test]
+async fn keys_are_refused_once_the_configuration_changes_without_its_name() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry_with_revocation("entry-1", REVOCATION).await;
+    let entry = entry.ready().await;
+
+    f.faults(json!({ "unnamed": ["main"] })).await;
+    f.configure(9, &["key-2"]).await;
+    fixture::wait_until("the entry to leave", || !entry.cx.takes_work()).await;
+    let statuses = undecided(&f, &entry).await;
+    f.faults(json!({ "unnamed": [] })).await;
+    f.configure(10, &["key-2"]).await;
+    let entry = entry.ready().await;
+    let taken = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!(statuses, eq([503; 3]));
+    verify_that!(taken.status, eq(401))
+}
+
+// Guards against requests to a server whose change to `draining` names no object.
+#[gtest]
+#[tokio::test]
+async fn server_is_not_used_once_it_changes_without_its_name() -> Result<()> {
+    let servers = [
+        server::Server::bind("i-1").await,
+        server::Server::bind("i-2").await,
+    ];
+    let f = fixture::Fixture::with(&[&servers[0], &servers[1]]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let is_usable = |id: &str| entry.cx.state().usable(id, entry.cx.now()).is_some();
+    fixture::wait_until("the servers", || is_usable("i-1") && is_usable("i-2")).await;
+
+    f.faults(json!({ "unnamed": ["i-1"] })).await;
+    f.list(&servers[0], "draining", "north").await;
+    fixture::wait_until("the server to leave", || !is_usable("i-1")).await;
+
+    verify_that!(is_usable("i-2"), eq(true))
+}
+
 // Guards against a single part that voids a version, and that entries then never get ready.
 #[gtest]
 #[tokio::test]
@@ -137,6 +180,7 @@
     objects::Listing {
         objects: [(object.name.clone(), object)].into(),
         position,
+        unnamed: 0,
     }
 }
 
