Put a configuration into force that changed under the same version

A key that was taken away without a new version number worked on for ever.

Cause: a version that is not above the one in force was ignored, and the kind confirmed. The store's object is the newest configuration, whatever its number; only an earlier number, which a restored store may hold, is not.

Before: change_of_the_configuration_under_the_same_version_is_in_force waits 30 s for the new key in vain. After: it passes, and so does earlier_version_of_the_configuration_is_ignored.

--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -386,7 +386,9 @@
             None if self.in_force.routes.version == 0 => return Effects::default(),
             None => return self.supersede_configuration("it is not listed"),
         };
-        if routes.version <= self.in_force.routes.version {
+        let known = &self.in_force.routes;
+        // A store that was restored from a copy may hold an earlier version.
+        if routes.version < known.version || routes == **known {
             self.in_force.keep();
             return Effects::default();
         }
--- a/crates/mustardshedd/tests/forward/keys.rs
+++ b/crates/mustardshedd/tests/forward/keys.rs
@@ -78,6 +78,25 @@
     verify_that!(seen.status, eq(401))
 }
 
+// Guards against a revoked key that is accepted for ever because the number of the version stays.
+#[gtest]
+#[tokio::test]
+async fn change_of_the_configuration_under_the_same_version_is_in_force() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+
+    f.configure(1, &["key-2"]).await;
+    fixture::wait_until("the new key", || {
+        let routes = entry.cx.routes();
+        routes.is_some_and(|routes| routes.account("key-2").is_ok())
+    })
+    .await;
+    let seen = f.send(&entry, "GET", "/again/a", "").await;
+
+    verify_that!(seen.status, eq(401))
+}
+
 #[gtest]
 #[tokio::test]
 async fn keys_are_refused_when_the_configuration_is_stale() -> Result<()> {
