Bound the memory held for what others send

An entry ran out of memory, and ended with the requests of all its clients, when servers sent large answers that did not end: MAX_BUFFERED_BYTES held one answer, and nothing held their sum. Answers in chunks of a byte were worse, as each piece of a body keeps the read buffer that it is a part of. Large answers of sound servers, unfinished events of streams and large request bodies had the same effect.

Change: a budget of half the memory that the VM reports, or of the new optional key memory_mb, for connections, requests, bodies, unfinished events and tunnels. Large buffers share three quarters of it and each may have no more than is left there, so that small requests always find memory. A request or body that finds none has not been sent, and gets 503 (no_memory). An answer that finds none has run: it is passed on while it arrives. Pieces are copied into the counted buffer. Requests are sent in pieces of 16 KiB; responses are read through buffers of 32 KiB and 64 KiB in the kernel. Orders' answers are dropped as they arrive, reports count, a list of the platform takes a sixteenth of the budget, and messages of peers are limited to a frame of a link or to a whole request, which entries of earlier versions send at once. The template of the settings is unchanged.

--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -15,6 +15,12 @@
 /// Greatest ratio or count accepted.
 const MAX_NUMBER: f64 = 1_000_000.0;
 
+/// Least memory of a VM that is accepted, in megabytes.
+const MIN_MEMORY_MB: u64 = 64;
+/// Most memory of a VM that is accepted, in megabytes.
+const MAX_MEMORY_MB: u64 = 1 << 20;
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// CPU capacity of the VM if the settings give none, in cores.
 const DEFAULT_PROCESSOR: f64 = 1.0;
 
@@ -27,6 +33,8 @@
     pub data_centre: String,
     /// CPU capacity of the VM, in cores.
     pub processor: f64,
+    /// Memory of the VM in bytes; that which the machine reports if the settings give none.
+    pub memory: Option<u64>,
     /// Address to listen on for callers.
     pub front: net::SocketAddr,
     /// Address to listen on for readiness probes.
@@ -101,6 +109,10 @@
         let processor = root.optional("processor", DEFAULT_PROCESSOR, |field| {
             read::number_within(MAX_NUMBER)(field)
         });
+        let memory = root.optional("memory_mb", None, |field| {
+            let mb = read::u64_within(MIN_MEMORY_MB, MAX_MEMORY_MB)(field)?;
+            Some(Some(mb * BYTES_PER_MB))
+        });
         let front = root.required("front", read::address);
         let ready = root.required("ready", read::address);
         let directory = root.required("directory", read::address);
@@ -123,6 +135,7 @@
             vm: vm?,
             data_centre: data_centre?,
             processor: processor?,
+            memory: memory?,
             front: front?,
             ready: ready?,
             directory: directory?,
--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -23,6 +23,7 @@
 pub mod lateness;
 pub mod live_entries;
 pub mod load_tracker;
+pub mod memory_budget;
 pub mod negative_cache;
 pub mod notices;
 pub mod paths;
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod load_tracker;
 mod long_prompts;
 mod lost_data_centre;
+mod memory_budget;
 mod negative_cache;
 mod notices;
 mod paths;
--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -12,6 +12,7 @@
 pub mod job;
 pub mod link;
 pub mod listeners;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod reflector;
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -22,7 +22,7 @@
 };
 use tokio::sync as tokio_sync;
 
-use crate::forward::{job, metrics, peers, view};
+use crate::forward::{job, memory, metrics, peers, view};
 
 pub mod crashes;
 mod drain;
@@ -115,6 +115,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// Client of the platform.
     pub platform: objects::Objects,
+    /// Memory for what others send.
+    pub memory: memory::Budget,
     /// Metrics.
     pub metrics: metrics::Metrics,
     /// Outgoing queues to peers.
@@ -163,6 +165,7 @@
         settings: forwarding::Forwarding,
         clock: sync::Arc<dyn clock::Clock>,
         platform: objects::Objects,
+        memory: memory::Budget,
         metrics: metrics::Metrics,
     ) -> Self {
         let limits = retry_budget::Limits {
@@ -176,6 +179,7 @@
             settings,
             clock,
             platform,
+            memory,
             metrics,
             refresh: tokio_sync::Notify::new(),
             servers_refresh: tokio_sync::Notify::new(),
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    forward::{cx, refusal},
+    forward::{cx, memory, refusal},
     http::body as client_body,
     log::{self, event},
 };
@@ -23,6 +23,7 @@
 pub mod content;
 mod dispatch;
 mod events;
+mod passing;
 mod streaming;
 
 /// Response body; an error closes the connection early, so that no client takes the body for
@@ -49,7 +50,7 @@
 /// Longest wait for that read.
 const REFRESH_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Largest request body if the configuration sets no limit, in bytes.
-const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+pub const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Longest wait for a request body if the configuration sets none.
 const DEFAULT_BODY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// Assumed prompt length of a request that states none, in tokens.
@@ -66,6 +67,7 @@
     parts: http::request::Parts,
     body: Bytes,
     arrived_at: ids::Timestamp,
+    _memory: memory::Held,
 }
 
 impl Admitted {
@@ -238,10 +240,17 @@
             return Err(refusal);
         }
     };
+    let memory = match memory::Held::take(&cx.memory, memory::REQUEST_BYTES) {
+        Ok(memory) => memory,
+        Err(memory::Exhausted) => {
+            discard_body(http_body_util::BodyDataStream::new(body));
+            return Err(refusal::Refusal::NoMemory);
+        }
+    };
     let limits = routes.limits;
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
     let timeout = limits.map_or(DEFAULT_BODY_TIMEOUT, |limits| limits.idle_timeout);
-    let body = read_body(body, max_bytes, timeout).await?;
+    let body = read_body(cx, body, max_bytes, timeout).await?;
     let admitted = Admitted {
         cx: sync::Arc::clone(cx),
         routes,
@@ -251,6 +260,7 @@
         parts,
         body,
         arrived_at,
+        _memory: memory,
     };
     if admitted.fits_planned_stop() {
         Ok(admitted)
@@ -397,20 +407,47 @@
 }
 
 async fn read_body(
+    cx: &cx::Cx,
     incoming: body::Incoming,
     max_bytes: usize,
     timeout: time::Duration,
 ) -> Result<Bytes, refusal::Refusal> {
     let announced = body::Body::size_hint(&incoming).lower();
     let mut parts = http_body_util::BodyDataStream::new(incoming);
-    let whole = client_body::read_whole(&mut parts, announced, max_bytes, timeout);
-    whole.await.map_err(|e| match e {
+    let mut whole = memory::Buffer::new(&cx.memory);
+    let reading = client_body::read_whole(&mut parts, &mut whole, announced, max_bytes, timeout);
+    match reading.await {
+        Ok(()) => Ok(whole.freeze()),
+        Err(e) => Err(refuse_body(e, parts)),
+    }
+}
+
+fn refuse_body(
+    e: client_body::ReadError,
+    rest: http_body_util::BodyDataStream<body::Incoming>,
+) -> refusal::Refusal {
+    match e {
         client_body::ReadError::TooLong => {
-            discard_body(parts);
+            discard_body(rest);
             refusal::Refusal::TooLarge
         }
+        client_body::ReadError::NoMemory => {
+            discard_body(rest);
+            refusal::Refusal::NoMemory
+        }
         client_body::ReadError::Truncated | client_body::ReadError::TimedOut => {
             refusal::Refusal::BrokenBody
         }
-    })
+    }
+}
+
+impl client_body::Collect for memory::Buffer {
+    fn collected(&self) -> usize {
+        self.len()
+    }
+
+    fn collect(&mut self, chunk: &[u8]) -> Result<(), client_body::ReadError> {
+        let extended = self.extend(chunk);
+        extended.map_err(|memory::Exhausted| client_body::ReadError::NoMemory)
+    }
 }
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -15,7 +15,7 @@
 
 use crate::forward::{
     cx::{self, crashes},
-    exchange::{self, attempt, content, streaming},
+    exchange::{self, attempt, content, passing, streaming},
     job, refusal, upstream,
 };
 
@@ -34,8 +34,8 @@
 const MIN_REPLACEMENT_WAIT: time::Duration = time::Duration::from_millis(900);
 /// Interval between attempts to place a waiting request.
 const PLACEMENT_INTERVAL: time::Duration = time::Duration::from_millis(40);
-/// Largest response body that is buffered before it is passed on, in bytes.
-const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
+/// Largest response body that is not a stream, in bytes.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Retry delay for a caller whose request all servers rejected.
 const REJECTED_RETRY_AFTER: time::Duration = time::Duration::from_millis(150);
 /// Retry delay for a caller if no server of the service is known.
@@ -72,6 +72,10 @@
     let start = result.inspect_err(|_| dispatch.is_ended.store(true, atomic::Ordering::Relaxed))?;
     match start {
         ResponseStart::Whole(response) => Ok(response),
+        ResponseStart::Partial(partial) => {
+            let (buffered, rest) = *partial;
+            Ok(passing::response(dispatch, buffered, rest))
+        }
         ResponseStart::Stream(stream) => Ok(streaming::response(dispatch, *stream)),
     }
 }
@@ -80,6 +84,8 @@
 pub(super) enum ResponseStart {
     /// A complete response.
     Whole(exchange::Response),
+    /// The beginning of a response for which there is no memory.
+    Partial(Box<(passing::Buffered, passing::Rest)>),
     /// A stream with its first event.
     Stream(Box<streaming::Stream>),
 }
@@ -191,7 +197,8 @@
             let status = response.parts.status;
             let is_stream = self.req.route.kind.is_stream() && status.is_success();
             let result = if is_stream {
-                streaming::Stream::start(response, self.last_event)
+                let budget = &self.req.cx.memory;
+                streaming::Stream::start(response, self.last_event, budget)
                     .await
                     .map(ResponseStart::Stream)
             } else {
@@ -217,7 +224,7 @@
         status.is_success() || (is_call && !status.is_server_error())
     }
 
-    /// Reads the whole of a response that is not a stream.
+    /// Reads a response that is not a stream: the whole of it, unless there is no memory for it.
     async fn read_whole(
         &self,
         response: attempt::Response,
@@ -226,15 +233,27 @@
         if status.is_server_error() && self.may_try_again() {
             return Err(format!("answered {status}").into());
         }
-        response
-            .guards
-            .connection_task
-            .limit_body(MAX_BUFFERED_BYTES);
-        let body = upstream::read_whole(response.body, MAX_BUFFERED_BYTES).await?;
-        let mut passed_on = http::Response::new(exchange::full_body(body));
+        let budget = &self.req.cx.memory;
+        let mut buffered = passing::read(response, MAX_RESPONSE_BYTES, budget).await?;
+        if let Some(rest) = buffered.rest.take() {
+            return Ok(ResponseStart::Partial(Box::new((buffered, rest))));
+        }
+        let mut passed_on = http::Response::new(exchange::full_body(buffered.bytes));
         *passed_on.status_mut() = status;
-        *passed_on.headers_mut() = headers::for_client(&response.parts.headers);
-        let server = &response.guards.server;
+        *passed_on.headers_mut() = headers::for_client(&buffered.parts.headers);
+        let server = &buffered.guards.server;
+        self.record_health(status, server);
+        self.record_end(
+            "answered",
+            status.as_u16(),
+            server,
+            &streaming::Timing::default(),
+        );
+        Ok(ResponseStart::Whole(passed_on))
+    }
+
+    /// Records what a complete response with this status says of its server.
+    pub(super) fn record_health(&self, status: http::StatusCode, server: &str) {
         if status.is_server_error() {
             attempt::record_failure(&self.req, server);
         } else {
@@ -245,13 +264,6 @@
                 .health_mut(server)
                 .record_success();
         }
-        self.record_end(
-            "answered",
-            status.as_u16(),
-            server,
-            &streaming::Timing::default(),
-        );
-        Ok(ResponseStart::Whole(passed_on))
     }
 
     /// Makes attempts until one gets the head of a response.
--- a/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
@@ -66,7 +66,13 @@
         });
     }
 
-    pub(super) fn log_failed(&self, server: &str, outcome: &str, reason: &str, will_retry: bool) {
+    pub(in crate::forward::exchange) fn log_failed(
+        &self,
+        server: &str,
+        outcome: &str,
+        reason: &str,
+        will_retry: bool,
+    ) {
         self.req.cx.metrics.attempt(outcome);
         log::emit(&event::Event::ForwardAttemptFailed {
             request: self.req.id(),
--- a/crates/mustardshedd/src/forward/exchange/events.rs
+++ b/crates/mustardshedd/src/forward/exchange/events.rs
@@ -30,6 +30,11 @@
         self.buf.extend_from_slice(data);
     }
 
+    /// Returns the number of buffered bytes.
+    pub(super) fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Removes and returns the next complete event.
     pub(super) fn next(&mut self) -> Option<Event> {
         let rest = self.buf.get(self.searched..).unwrap_or_default();
--- a/crates/mustardshedd/src/forward/exchange/streaming.rs
+++ b/crates/mustardshedd/src/forward/exchange/streaming.rs
@@ -1,6 +1,6 @@
 //! A stream of events on its way to the client, resumed at another server if its route allows it.
 
-use std::{collections, time};
+use std::{collections, sync, time};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -10,7 +10,7 @@
 
 use crate::forward::{
     exchange::{self, attempt, dispatch, events},
-    refusal, upstream,
+    memory, refusal, upstream,
 };
 
 /// A server's stream whose first event has arrived.
@@ -28,6 +28,8 @@
 struct EventSource {
     body: body::Incoming,
     events: events::EventSplitter,
+    /// Memory of the event that has not arrived completely.
+    memory: memory::Held,
     guards: attempt::Guards,
     /// Identifier of the last event received.
     last_event: Option<u64>,
@@ -42,7 +44,9 @@
     pub(super) async fn start(
         response: attempt::Response,
         last_event: Option<u64>,
+        budget: &memory::Budget,
     ) -> Result<Box<Self>, upstream::Broken> {
+        let memory = memory::Held::none(budget);
         response
             .guards
             .connection_task
@@ -50,6 +54,7 @@
         let mut source = EventSource {
             body: response.body,
             events: events::EventSplitter::default(),
+            memory,
             guards: response.guards,
             last_event,
         };
@@ -82,6 +87,9 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        let capacity = (self.events.buffered() + data.len()).next_power_of_two();
+                        let covered = self.memory.cover(capacity);
+                        covered.map_err(|e| e.to_string())?;
                         self.events.push(&data);
                     }
                 }
@@ -249,11 +257,12 @@
 
     /// Resumes the stream at another server after the last event that was passed on.
     async fn resume_elsewhere(&mut self) -> Result<(), exchange::BodyError> {
+        let budget = sync::Arc::clone(&self.dispatch.req.cx.memory);
         loop {
             let response = self.dispatch.attempt().await.map_err(unfinished)?;
             let server = response.guards.server.clone();
             let reason = if response.parts.status.is_success() {
-                match Stream::start(response, self.dispatch.last_event).await {
+                match Stream::start(response, self.dispatch.last_event, &budget).await {
                     Ok(stream) => {
                         self.source = stream.source;
                         self.pending = stream.pending;
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -17,11 +17,11 @@
 use tokio::{net, sync::mpsc, task};
 use tokio_tungstenite::{
     WebSocketStream,
-    tungstenite::{self, handshake::server},
+    tungstenite::{self, handshake::server, protocol},
 };
 
 use crate::{
-    forward::{cx, tunnel},
+    forward::{cx, exchange, tunnel},
     log::{self, event},
 };
 
@@ -44,6 +44,8 @@
 const RELAY_FRAME_INTERVAL: time::Duration = time::Duration::from_millis(5);
 /// The same from a relay to a leaf, which receives the updates of the whole fleet.
 const LEAF_FRAME_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Largest head of a request that is sent through a tunnel, in bytes.
+const MAX_HEAD_BYTES: usize = 1024 * 1024;
 /// Most messages in one frame.
 const MAX_FRAME_MESSAGES: usize = 256;
 
@@ -134,7 +136,11 @@
         .map_err(LinkError::Connect)?;
     stream.set_nodelay(true).map_err(LinkError::Connect)?;
     let url = format!("ws://{address}/");
-    let (socket, _) = tokio_tungstenite::client_async(url, stream).await?;
+    let config = protocol::WebSocketConfig::default()
+        .max_message_size(Some(peer::MAX_FRAME_BYTES))
+        .max_frame_size(Some(peer::MAX_FRAME_BYTES));
+    let opening = tokio_tungstenite::client_async_with_config(url, stream, Some(config));
+    let (socket, _) = opening.await?;
     Ok(socket)
 }
 
@@ -158,7 +164,7 @@
 async fn serve(cx: sync::Arc<cx::Cx>, stream: net::TcpStream) {
     let answering = async {
         stream.set_nodelay(true).map_err(LinkError::Connect)?;
-        match accept_socket(stream).await? {
+        match accept_socket(stream, max_message_bytes(&cx)).await? {
             (socket, Some(server)) => {
                 tunnel::serve(&cx, socket, &server).await;
                 Ok(())
@@ -177,6 +183,17 @@
     }
 }
 
+/// Returns the size of the largest message of a peer, in bytes: a frame of a link, or a request that
+/// an entry of an earlier version sends through a tunnel in one message.
+fn max_message_bytes(cx: &cx::Cx) -> usize {
+    let limits = cx.routes().and_then(|routes| routes.limits);
+    let body = limits.map_or(exchange::DEFAULT_MAX_BODY_BYTES, |limits| {
+        limits.max_body_bytes
+    });
+    body.saturating_add(MAX_HEAD_BYTES)
+        .max(peer::MAX_FRAME_BYTES)
+}
+
 /// Accepts a connection of a peer; returns the server to which it wants a tunnel, if it wants one
 /// instead of a link.
 #[expect(
@@ -185,6 +202,7 @@
 )]
 async fn accept_socket(
     stream: net::TcpStream,
+    max_message_bytes: usize,
 ) -> Result<(Socket, Option<ids::BackendServerId>), LinkError> {
     let mut server = None;
     let on_request = |req: &server::Request, res: server::Response| {
@@ -195,7 +213,7 @@
         }
         Ok(res)
     };
-    let config = Some(tunnel::config());
+    let config = Some(tunnel::config(max_message_bytes));
     let accepting = tokio_tungstenite::accept_hdr_async_with_config(stream, on_request, config);
     let accepting = tokio::time::timeout(OPEN_TIMEOUT, accepting);
     let socket = accepting.await.map_err(|_| LinkError::Silent)??;
--- a/crates/mustardshedd/src/forward/listeners.rs
+++ b/crates/mustardshedd/src/forward/listeners.rs
@@ -11,7 +11,7 @@
 use tokio_util::task as task_util;
 
 use crate::{
-    forward::{cx, exchange, metrics},
+    forward::{cx, exchange, memory, metrics},
     http::bounded_io,
     log::{self, event},
 };
@@ -181,6 +181,10 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let _memory = match memory::Held::take(&cx.memory, memory::CONNECTION_BYTES) {
+        Ok(memory) => memory,
+        Err(e) => return log_failure(&e),
+    };
     let limits = cx.routes().and_then(|routes| routes.limits);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.max_header_bytes);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
--- /dev/null
+++ b/crates/mustardshedd/src/forward/memory.rs
@@ -0,0 +1,96 @@
+//! Memory held for what clients, servers and peers send, bounded by that of the VM.
+
+use std::{io, sync};
+
+use displaydoc::Display;
+use mustardshed::core::forward::memory_budget;
+
+mod buffer;
+
+pub use buffer::Buffer;
+
+/// Memory of a client's connection, in bytes: its buffers and its task.
+pub const CONNECTION_BYTES: usize = 16 * 1024;
+/// Memory of a request or a tunnel, in bytes: the connection to the server, and short bodies.
+pub const REQUEST_BYTES: usize = 64 * 1024;
+/// Part of [`REQUEST_BYTES`] for each buffer, in bytes; what a buffer has beyond it is counted.
+const INCLUDED_BYTES: usize = 16 * 1024;
+
+/// The budget that all holders share.
+pub type Budget = sync::Arc<memory_budget::MemoryBudget>;
+
+/// no memory is left for it
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub struct Exhausted;
+
+impl std::error::Error for Exhausted {}
+
+/// Opens the budget of a process on a VM with so much memory, in bytes; with that which the machine
+/// reports, if none is given.
+///
+/// # Errors
+///
+/// Returns an error if none is given and the machine reports none.
+pub fn open(vm_bytes: Option<u64>) -> io::Result<Budget> {
+    let reported = || {
+        let info = rustix::system::sysinfo();
+        let bytes = info.totalram.checked_mul(info.mem_unit.into())?;
+        (bytes > 0).then_some(bytes)
+    };
+    let bytes = vm_bytes.or_else(reported);
+    let bytes = bytes.ok_or_else(|| io::Error::other("the machine reports no size"))?;
+    Ok(sync::Arc::new(memory_budget::MemoryBudget::new(bytes)))
+}
+
+/// Memory of one holder, which is given back when dropped.
+#[derive(Debug)]
+pub struct Held {
+    budget: Budget,
+    bytes: usize,
+}
+
+impl Held {
+    /// Takes `bytes` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the budget has none left.
+    pub fn take(budget: &Budget, bytes: usize) -> Result<Self, Exhausted> {
+        let mut held = Self::none(budget);
+        held.add(bytes)?;
+        Ok(held)
+    }
+
+    /// Returns a holder that has nothing yet.
+    #[must_use]
+    pub fn none(budget: &Budget) -> Self {
+        Self {
+            budget: sync::Arc::clone(budget),
+            bytes: 0,
+        }
+    }
+
+    /// Takes what a buffer of `capacity` bytes needs beyond what is held and included in its request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the budget has not so much left.
+    pub fn cover(&mut self, capacity: usize) -> Result<(), Exhausted> {
+        let counted = capacity.saturating_sub(INCLUDED_BYTES);
+        self.add(counted.saturating_sub(self.bytes))
+    }
+
+    fn add(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        if bytes > 0 && !self.budget.try_add(self.bytes, bytes) {
+            return Err(Exhausted);
+        }
+        self.bytes += bytes;
+        Ok(())
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.budget.remove(self.bytes);
+    }
+}
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -44,6 +44,8 @@
     version: prometheus::IntGauge,
     superseded: prometheus::IntGauge,
     undecoded_parts: prometheus::IntGauge,
+    buffer_limit: prometheus::IntGauge,
+    buffers: prometheus::IntGauge,
     age: prometheus::GaugeVec,
     lost_log_lines: prometheus::IntGaugeVec,
 }
@@ -141,6 +143,11 @@
                 "configuration_undecoded_parts",
                 "Parts of the configuration in force that cannot be decoded",
             )?,
+            buffer_limit: gauge(
+                "buffer_limit_bytes",
+                "Most memory that may be held for what others send",
+            )?,
+            buffers: gauge("buffer_bytes", "Memory held for what others send")?,
             age,
             lost_log_lines: gauges(
                 "log_lines_lost",
@@ -225,6 +232,8 @@
                 .set(signed(lines));
         }
         self.named.set(signed(cx.fronts().len() as u64));
+        self.buffer_limit.set(signed(cx.memory.limit() as u64));
+        self.buffers.set(signed(cx.memory.held() as u64));
         let now = cx.now();
         let state = cx.state();
         self.bypassed.set(signed(state.paths.bypassed() as u64));
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -25,6 +25,8 @@
     Stale,
     /// the part of the configuration that decides the request cannot be decoded
     Undecoded,
+    /// this entry has no memory left for the request
+    NoMemory,
     /// no backend server of the service takes work
     NoServer(time::Duration),
     /// the backend servers have asked for a time without requests
@@ -50,7 +52,7 @@
 
 impl Refusal {
     /// Every kind, with a placeholder for its wait.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::NoIdentifier,
         Self::BrokenBody,
         Self::TooLarge,
@@ -60,6 +62,7 @@
         Self::NoConfiguration,
         Self::Stale,
         Self::Undecoded,
+        Self::NoMemory,
         Self::NoServer(ANY_WAIT),
         Self::BackedOff(ANY_WAIT),
         Self::Full(ANY_WAIT),
@@ -85,6 +88,7 @@
             | Self::NoConfiguration
             | Self::Stale
             | Self::Undecoded
+            | Self::NoMemory
             | Self::NoServer(_)
             | Self::BackedOff(_)
             | Self::Full(_)
@@ -110,6 +114,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Stale => "stale",
             Self::Undecoded => "undecoded",
+            Self::NoMemory => "no_memory",
             Self::NoServer(_) => "no_server",
             Self::BackedOff(_) => "backed_off",
             Self::Full(_) => "full",
@@ -130,12 +135,15 @@
         const STALE_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
         /// Retry delay until operators have written another configuration.
         const UNDECODED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+        /// Retry delay until other requests have ended.
+        const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
         /// Retry delay if this entry is draining; other entries take the request at once.
         const LEAVING_RETRY_AFTER: time::Duration = time::Duration::from_millis(20);
         match self {
             Self::Leaving => Some(LEAVING_RETRY_AFTER),
             Self::NoConfiguration | Self::Stale => Some(STALE_RETRY_AFTER),
             Self::Undecoded => Some(UNDECODED_RETRY_AFTER),
+            Self::NoMemory => Some(NO_MEMORY_RETRY_AFTER),
             Self::NoServer(wait)
             | Self::BackedOff(wait)
             | Self::Full(wait)
--- a/crates/mustardshedd/src/forward/reports.rs
+++ b/crates/mustardshedd/src/forward/reports.rs
@@ -100,12 +100,14 @@
         .map_err(|e| e.to_string())?;
     let connection = dial::connect(cx, id, address).await;
     let sent = connection.map_err(|e| e.to_string())?.send(req).await;
-    let (response, _task) = sent.map_err(|e| e.to_string())?;
+    let (response, connection_task) = sent.map_err(|e| e.to_string())?;
     let head = headers::response(response.status(), response.headers());
     cx.observe_response(id, &head);
     if !response.status().is_success() {
         return Err(response.status().to_string());
     }
-    let body = upstream::read_whole(response.into_body(), MAX_REPORT_BYTES).await?;
+    connection_task.limit_body(MAX_REPORT_BYTES);
+    let body = response.into_body();
+    let body = upstream::read_whole(body, MAX_REPORT_BYTES, &cx.memory).await?;
     orders::decode_report(&body).map_err(|e| e.to_string())
 }
--- a/crates/mustardshedd/src/forward/reservation.rs
+++ b/crates/mustardshedd/src/forward/reservation.rs
@@ -138,7 +138,7 @@
             let sent = connection.map_err(|e| e.to_string())?.send(req).await;
             let (response, _task) = sent.map_err(|e| e.to_string())?;
             let (parts, body) = response.into_parts();
-            upstream::read_whole(body, MAX_ANSWER_BYTES).await?;
+            upstream::discard(body, MAX_ANSWER_BYTES).await?;
             Ok(OrderResponse {
                 status: parts.status,
                 head: headers::response(parts.status, &parts.headers),
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -16,13 +16,16 @@
 use tokio::{net as tokio_net, runtime, task};
 
 use crate::{
-    forward::{cx, link, listeners, metrics, peers, reflector, reports},
+    forward::{cx, link, listeners, memory, metrics, peers, reflector, reports},
     log::{self, event},
     process::{clock as boot, signals, startup},
 };
 
 /// Longest wait for a response of the platform.
 const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+/// Part of the memory budget that a list of the platform's objects may take; several are read at once
+/// and take several times their size while they are decoded.
+const PLATFORM_SHARE: usize = 16;
 /// Interval at which a draining entry checks whether its connections are closed.
 const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Shortest time to close connections, for a process that was paused beyond its end.
@@ -41,6 +44,8 @@
     Listen(net::SocketAddr, io::Error),
     /// cannot register the metrics: {0}
     Metrics(prometheus::Error),
+    /// cannot tell the memory of the VM: {0}
+    Memory(io::Error),
     /// cannot start a thread or a runtime: {0}
     Runtime(io::Error),
 }
@@ -71,10 +76,12 @@
     let signals = traffic.block_on(async { signals::Signals::open() });
     let signals = signals.map_err(ServiceError::Runtime)?;
     log::open_json(settings.log_level).map_err(ServiceError::Runtime)?;
+    let memory = memory::open(settings.memory).map_err(ServiceError::Memory)?;
     let platform = objects::Objects::open(&settings.platform.to_string(), PLATFORM_TIMEOUT);
+    let platform = platform.limited_to(memory.limit() / PLATFORM_SHARE);
     let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(boot::BootClock);
     let metrics = metrics::Metrics::new().map_err(ServiceError::Metrics)?;
-    let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform, metrics));
+    let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform, memory, metrics));
     let control = runtime()?;
     let control_cx = sync::Arc::clone(&cx);
     let listener = listen_for_peers(cx.settings.peers)
--- a/crates/mustardshedd/src/forward/tunnel.rs
+++ b/crates/mustardshedd/src/forward/tunnel.rs
@@ -24,15 +24,21 @@
 
 /// Size of the read buffer of a tunnel, in bytes.
 const BUF_BYTES: usize = 8 * 1024;
+/// Largest message from the end that is connected to the server, in bytes.
+const MAX_RESPONSE_MESSAGE_BYTES: usize = 1024 * 1024;
 
 type Socket = WebSocketStream<net::TcpStream>;
 type Incoming = pin::Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>>;
 type Outgoing = pin::Pin<Box<dyn Sink<Bytes, Error = io::Error> + Send>>;
 
-/// Returns the WebSocket settings of connections that peers open.
+/// Returns the WebSocket settings of connections that peers open, for messages of at most
+/// `max_message_bytes` bytes.
 #[must_use]
-pub fn config() -> protocol::WebSocketConfig {
-    protocol::WebSocketConfig::default().read_buffer_size(BUF_BYTES)
+pub fn config(max_message_bytes: usize) -> protocol::WebSocketConfig {
+    protocol::WebSocketConfig::default()
+        .read_buffer_size(BUF_BYTES)
+        .max_message_size(Some(max_message_bytes))
+        .max_frame_size(Some(max_message_bytes))
 }
 
 /// Opens a tunnel to a server through the peer at an address.
@@ -60,7 +66,8 @@
     let mut req = format!("ws://{peer}{}", wire::PATH).into_client_request()?;
     let server = http::HeaderValue::from_str(server).map_err(http::Error::from)?;
     req.headers_mut().insert(wire::SERVER_HEADER, server);
-    let opened = tokio_tungstenite::client_async_with_config(req, stream, Some(config()));
+    let config = Some(config(MAX_RESPONSE_MESSAGE_BYTES));
+    let opened = tokio_tungstenite::client_async_with_config(req, stream, config);
     Ok(opened.await?.0)
 }
 
--- a/crates/mustardshedd/src/forward/tunnel/server.rs
+++ b/crates/mustardshedd/src/forward/tunnel/server.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     forward::{
-        cx, dial,
+        cx, dial, memory,
         tunnel::{BUF_BYTES, Socket},
     },
     log::{self, event},
@@ -31,7 +31,11 @@
 /// Serves a tunnel that a peer has opened to a server, until either side ends.
 pub async fn serve(cx: &sync::Arc<cx::Cx>, mut socket: Socket, server: &str) {
     let _guard = cx.begin_tunnel();
-    let connected = connect(cx, server).await;
+    let memory = memory::Held::take(&cx.memory, memory::REQUEST_BYTES);
+    let connected = match &memory {
+        Ok(_) => connect(cx, server).await,
+        Err(memory::Exhausted) => Err(wire::Reply::Unavailable),
+    };
     let reply = connected.as_ref().err();
     let reply = *reply.unwrap_or(&wire::Reply::Connected);
     cx.metrics.tunnel(reply);
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -14,10 +14,14 @@
 use mustardshed::core::error;
 use tokio::{io, net, task};
 
+use crate::forward::memory;
+
 mod broken;
 mod read_limit;
+mod request_body;
 
 pub use broken::Broken;
+pub use request_body::RequestBody;
 
 /// Idle time after which TCP keepalive probes are sent; the kernel counts whole seconds.
 const KEEPALIVE_IDLE: time::Duration = time::Duration::from_secs(1);
@@ -28,6 +32,10 @@
 /// Time within which sent bytes and keepalive probes must be acknowledged.
 const USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_400);
 
+/// Largest buffer for what is read, and thus the largest head of a response, in bytes.
+const BUF_BYTES: usize = 32 * 1024;
+/// Size of the kernel's buffer for bytes that are not read yet, in bytes.
+const RECEIVE_BYTES: usize = 64 * 1024;
 /// Most bytes up to the end of a response's head, with interim responses before it. A single head
 /// is limited to less; this ends interim responses that never stop.
 const MAX_HEAD_BYTES: usize = 1024 * 1024;
@@ -40,9 +48,6 @@
 
 impl<T: io::AsyncRead + io::AsyncWrite + Send + Unpin> Io for T {}
 
-/// Request body, sent as a whole.
-pub type RequestBody = http_body_util::Full<Bytes>;
-
 /// Why a request got no response.
 #[derive(Debug, Display)]
 pub enum SendError {
@@ -89,7 +94,9 @@
     pub async fn open(io: Box<dyn Io>) -> Result<Self, hyper::Error> {
         let read_limit = read_limit::ReadLimit::new(MAX_HEAD_BYTES);
         let limited = read_limit::Limited::new(io, read_limit.clone());
-        let (tx, connection) = http1::handshake(rt::TokioIo::new(limited)).await?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUF_BYTES);
+        let (tx, connection) = builder.handshake(rt::TokioIo::new(limited)).await?;
         let task = task::spawn(async move {
             // The request itself gets the error if its connection fails.
             drop(connection.await);
@@ -133,20 +140,63 @@
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
+    socket.set_recv_buffer_size(RECEIVE_BYTES)?;
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Waits for the next piece of a response body; none at its end.
+///
+/// # Errors
+///
+/// Returns an error if the body breaks off.
+pub async fn next_piece(body: &mut body::Incoming) -> Result<Option<Bytes>, Broken> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(|e| Broken::new(&e))?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
 /// Reads the rest of a response body, up to `limit` bytes.
 ///
 /// # Errors
 ///
+/// Returns an error if the body breaks off or exceeds `limit`, or if there is no memory for it.
+pub async fn read_whole(
+    mut body: body::Incoming,
+    limit: usize,
+    budget: &memory::Budget,
+) -> Result<Bytes, Broken> {
+    let mut whole = memory::Buffer::new(budget);
+    while let Some(data) = next_piece(&mut body).await? {
+        if whole.len() + data.len() > limit {
+            return Err(too_large(limit));
+        }
+        whole.extend(&data).map_err(|e| e.to_string())?;
+    }
+    Ok(whole.freeze())
+}
+
+/// Reads and drops the rest of a response body, up to `limit` bytes.
+///
+/// # Errors
+///
 /// Returns an error if the body breaks off or exceeds `limit`.
-pub async fn read_whole(body: body::Incoming, limit: usize) -> Result<Bytes, Broken> {
-    let limited = http_body_util::Limited::new(body, limit);
-    let whole = limited.collect().await.map_err(|e| Broken {
-        reason: e.to_string(),
-        ..Broken::new(e.as_ref())
-    })?;
-    Ok(whole.to_bytes())
+pub async fn discard(mut body: body::Incoming, limit: usize) -> Result<(), Broken> {
+    let mut read = 0;
+    while let Some(data) = next_piece(&mut body).await? {
+        read += data.len();
+        if read > limit {
+            return Err(too_large(limit));
+        }
+    }
+    Ok(())
+}
+
+/// Returns the error of a response body that exceeds `limit` bytes.
+#[must_use]
+pub fn too_large(limit: usize) -> Broken {
+    format!("the response exceeds {limit} bytes").into()
 }
--- a/crates/mustardshedd/src/http/body.rs
+++ b/crates/mustardshedd/src/http/body.rs
@@ -74,8 +74,9 @@
     idle_timeout: time::Duration,
 ) -> Result<Bytes, error::Error> {
     let announced = announced_length(headers).unwrap_or_default();
-    match read_whole(body, announced, limit, idle_timeout).await {
-        Ok(whole) => Ok(whole),
+    let mut whole = BytesMut::new();
+    match read_whole(body, &mut whole, announced, limit, idle_timeout).await {
+        Ok(()) => Ok(whole.freeze()),
         Err(ReadError::TooLong) => {
             discard(body, limit).await;
             Err(too_large(limit))
@@ -96,30 +97,59 @@
     Truncated,
     /// the body stalled for too long
     TimedOut,
+    /// no memory is left for the body
+    NoMemory,
+}
+
+/// Where the chunks of a body are collected.
+pub trait Collect {
+    /// Returns the number of bytes collected.
+    fn collected(&self) -> usize;
+
+    /// Appends a chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::NoMemory`] if there is no memory for it.
+    fn collect(&mut self, chunk: &[u8]) -> Result<(), ReadError>;
 }
 
-/// Reads the chunks of a body of at most `limit` bytes; each must arrive within `idle_timeout`.
+impl Collect for BytesMut {
+    fn collected(&self) -> usize {
+        self.len()
+    }
+
+    fn collect(&mut self, chunk: &[u8]) -> Result<(), ReadError> {
+        self.extend_from_slice(chunk);
+        Ok(())
+    }
+}
+
+/// Reads the chunks of a body of at most `limit` bytes into `whole`; each must arrive within
+/// `idle_timeout`.
 ///
 /// # Errors
 ///
 /// Returns why the body was not read; if its `announced` length exceeds `limit`, nothing is read.
 pub async fn read_whole<E>(
     body: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
+    whole: &mut impl Collect,
     announced: u64,
     limit: usize,
     idle_timeout: time::Duration,
-) -> Result<Bytes, ReadError> {
+) -> Result<(), ReadError> {
     if announced > limit as u64 {
         return Err(ReadError::TooLong);
     }
-    let mut whole = BytesMut::new();
     loop {
         let next = tokio::time::timeout(idle_timeout, body.next()).await;
         match next.map_err(|_| ReadError::TimedOut)? {
-            None => return Ok(whole.freeze()),
+            None => return Ok(()),
             Some(Err(_)) => return Err(ReadError::Truncated),
-            Some(Ok(chunk)) if whole.len() + chunk.len() > limit => return Err(ReadError::TooLong),
-            Some(Ok(chunk)) => whole.extend_from_slice(&chunk),
+            Some(Ok(chunk)) if whole.collected() + chunk.len() > limit => {
+                return Err(ReadError::TooLong);
+            }
+            Some(Ok(chunk)) => whole.collect(&chunk)?,
         }
     }
 }
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -12,7 +12,7 @@
 use mustardshed::{config::forwarding, config::settings, platform::objects};
 use mustardshed_standins::{http as standin_http, json_client, platform as standin};
 use mustardshedd::{
-    forward::{cx, listeners, metrics, service},
+    forward::{cx, listeners, memory, metrics, service},
     process::clock,
 };
 use serde_json::json;
@@ -282,6 +282,7 @@
             vm: vm.to_owned(),
             data_centre: "north".to_owned(),
             processor: 1.0,
+            memory: None,
             front: address(8001),
             ready: address(8002),
             directory: address(8003),
@@ -301,7 +302,9 @@
         let platform = objects::Objects::open(&settings.platform.to_string(), TIMEOUT / 30);
         let metrics = metrics::Metrics::new().unwrap();
         let clock = sync::Arc::new(clock::BootClock);
-        let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform, metrics));
+        let memory = memory::open(settings.memory).unwrap();
+        let cx = cx::Cx::new(settings, clock, platform, memory, metrics);
+        let cx = sync::Arc::new(cx);
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
--- a/crates/mustardshedd/tests/forward/tunnels.rs
+++ b/crates/mustardshedd/tests/forward/tunnels.rs
@@ -7,7 +7,9 @@
 use mustardshed::wire::forward::tunnel as wire;
 use mustardshedd::forward::{dial, tunnel};
 use tokio::io::AsyncReadExt;
-use tokio_tungstenite::tungstenite::{Message, protocol};
+use tokio_tungstenite::tungstenite::{Message, client::IntoClientRequest, protocol};
+
+use crate::{fixture, server};
 
 /// Beginning of a response that ends with its connection.
 const BYTES: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nhalf of";
@@ -91,3 +93,33 @@
         ]
     )
 }
+
+// Guards against requests that entries of earlier versions send through a tunnel in one message.
+#[gtest]
+#[tokio::test]
+async fn request_in_a_single_message_arrives_whole() -> Result<()> {
+    const BODY_BYTES: usize = 1_500_000;
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let peers = entry.cx.settings.peers;
+    let mut req = format!("ws://{peers}{}", wire::PATH)
+        .into_client_request()
+        .unwrap();
+    let name = http::HeaderValue::from_static("i-1");
+    req.headers_mut().insert(wire::SERVER_HEADER, name);
+    let (mut socket, _) = tokio_tungstenite::connect_async(req).await.unwrap();
+
+    let reply = socket.next().await.unwrap().unwrap().into_data();
+    let head = format!("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    let message = [head.into_bytes(), vec![b'x'; BODY_BYTES]].concat();
+    socket.send(Message::binary(message)).await.unwrap();
+    let response = socket.next().await.unwrap().unwrap().into_data();
+
+    expect_that!(
+        wire::Reply::decode(&reply).ok(),
+        some(eq(wire::Reply::Connected))
+    );
+    expect_that!(response.starts_with(b"HTTP/1.1 200"), eq(true));
+    verify_that!(server.got()[0].body.len(), eq(BODY_BYTES))
+}
--- a/crates/mustardshedd/tests/partition/fixture.rs
+++ b/crates/mustardshedd/tests/partition/fixture.rs
@@ -114,6 +114,7 @@
             data_centre: &self.data_centres[index],
             platform: &self.views[index].address.to_string(),
             grace: GRACE,
+            memory_mb: None,
         })
     }
 
--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -93,6 +93,8 @@
     pub(crate) data_centre: &'a str,
     pub(crate) platform: &'a str,
     pub(crate) grace: time::Duration,
+    /// Memory of the VM, in megabytes, if the entry is told.
+    pub(crate) memory_mb: Option<u64>,
 }
 
 fn settings_file(settings: &Settings<'_>) -> String {
@@ -102,8 +104,11 @@
         data_centre,
         platform,
         grace,
+        memory_mb,
     } = settings;
     let grace_s = grace.as_secs_f64();
+    let memory = memory_mb.map(|mb| format!("memory_mb = {mb}\n"));
+    let memory = memory.unwrap_or_default();
     format!(
         r#"vm = "entry-{index}"
 data_centre = "{data_centre}"
@@ -113,7 +118,7 @@
 peers = "{ip}:8004"
 platform = "{platform}"
 server_heartbeat_ms = 500
-
+{memory}
 [bounds]
 fail_closed = true
 application_ms = 2000
@@ -225,6 +230,15 @@
         log.lines().filter(is_wanted).map(str::to_owned).collect()
     }
 
+    /// Returns the most memory that the process has had resident, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let kib: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+        kib * 1024
+    }
+
     /// Waits until the process has bound its first listener.
     pub(crate) async fn listening(&self) {
         let began_at = time::Instant::now();
--- a/crates/mustardshedd/tests/planned_stop/fixture.rs
+++ b/crates/mustardshedd/tests/planned_stop/fixture.rs
@@ -92,6 +92,7 @@
             data_centre: "north",
             platform: platform.trim_start_matches("http://"),
             grace: GRACE,
+            memory_mb: None,
         })
     }
 
--- a/crates/mustardshedd/tests/planned_stop/main.rs
+++ b/crates/mustardshedd/tests/planned_stop/main.rs
@@ -6,6 +6,7 @@
 )]
 
 mod client;
+#[expect(dead_code, reason = "shared with the tests of memory")]
 mod entry;
 mod fixture;
 #[expect(dead_code, reason = "shared with the tests of lost paths")]
