--- a/crates/mustardshed-core/tests/forward/memory_budget.rs
+++ b/crates/mustardshed-core/tests/forward/memory_budget.rs
@@ -59,12 +59,12 @@
     let budget = memory_budget::MemoryBudget::new(VM_BYTES);
     let held: usize = grow_all(&budget, 3).iter().sum();
 
-    let refused = budget.try_add(0, 10_000_000);
+    let refused = budget.try_add(0, 20_000_000);
     budget.remove(held);
-    let granted = budget.try_add(0, 10_000_000);
+    let granted = budget.try_add(0, 20_000_000);
 
     expect_that!((refused, granted), eq((false, true)));
-    verify_that!(budget.held(), eq(10_000_000))
+    verify_that!(budget.held(), eq(20_000_000))
 }
 
 #[gtest]
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -137,6 +137,7 @@
         vm: &settings.vm,
         data_centre: &settings.data_centre,
         program: env!("CARGO_PKG_VERSION"),
+        buffer_limit_bytes: cx.memory.limit(),
     });
     let listen = |address, purpose| {
         let bound = listeners::bind(sync::Arc::clone(&cx), address, purpose);
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -239,6 +239,7 @@
         vm: &'a str,
         data_centre: &'a str,
         program: &'a str,
+        buffer_limit_bytes: usize,
     }
     /// A forwarding entry ends as planned.
     1302 Info "forwarding_stopped" ForwardingStopped {
