--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -1,6 +1,12 @@
 //! An entry as a process of its own.
 
-use std::{fs, net, os::unix::process::ExitStatusExt, path, process, sync::atomic, time};
+use std::{
+    collections, fs, net,
+    os::unix::process::ExitStatusExt,
+    path, process,
+    sync::{self, atomic},
+    time,
+};
 
 use mustardshed::platform::discovery;
 use rustix::process as posix;
@@ -85,6 +91,22 @@
     net::SocketAddr::from((ip, 8001))
 }
 
+/// Environment variable with the path of a daemon of another build. Every second entry runs it until
+/// it is started again, as in an upgrade.
+const OTHER_BUILD: &str = "MUSTARDSHED_OTHER_BUILD";
+
+/// Returns the path of the daemon that an entry runs.
+fn program(index: usize, ip: net::Ipv4Addr) -> path::PathBuf {
+    static STARTED: sync::Mutex<collections::BTreeSet<net::Ipv4Addr>> =
+        sync::Mutex::new(collections::BTreeSet::new());
+    let is_first_start = STARTED.lock().unwrap().insert(ip);
+    let other = std::env::var_os(OTHER_BUILD).filter(|_| is_first_start && index % 2 == 1);
+    other.map_or_else(
+        || env!("CARGO_BIN_EXE_mustardshedd").into(),
+        path::PathBuf::from,
+    )
+}
+
 /// What an entry is started with.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Settings<'a> {
@@ -145,7 +167,7 @@
         let file = dir.join("settings.toml");
         fs::write(&file, settings_file(settings)).unwrap();
         let log = fs::File::create(dir.join("log")).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_mustardshedd"))
+        let child = process::Command::new(program(index, ip))
             .arg("--forwarding")
             .arg("--settings")
             .arg(&file)
