--- a/crates/mustardshedd/tests/memory/answers.rs
+++ b/crates/mustardshedd/tests/memory/answers.rs
@@ -54,12 +54,16 @@
     verify_that!(seen.peak_memory, le(fixture::MEMORY_BYTES))
 }
 
-// Guards against the memory of answers that are each within their limit, but together are not.
+// Guards against the memory of answers that are each within their limit, but together are not, and
+// against those that look complete because they are passed on while they arrive.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_that_trickle_do_not_exhaust_memory() -> Result<()> {
     let seen = send_all("/other/a", server::Answer::Trickle(LARGE_BYTES)).await;
 
+    let mut successes = seen.responses.iter();
+    let looks_whole = successes.any(|seen| seen.status == Some(200) && seen.is_whole);
+    expect_that!(looks_whole, eq(false));
     check(&seen)
 }
 
@@ -89,12 +93,13 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn large_answers_at_once_arrive_whole() -> Result<()> {
-    let seen = send_all("/other/a", server::Answer::Whole(LARGE_BYTES)).await;
+    let seen = send_all("/large/a", server::Answer::Whole(LARGE_BYTES)).await;
 
     let whole = client::Response {
         status: Some(200),
         has_retry_after: false,
         received: LARGE_BYTES,
+        is_whole: true,
     };
     expect_that!(seen.responses, each(eq(&whole)));
     check(&seen)
--- a/crates/mustardshedd/tests/memory/bodies.rs
+++ b/crates/mustardshedd/tests/memory/bodies.rs
@@ -47,7 +47,7 @@
     let body = client::Body::Whole(LARGE_BYTES);
     let sending = ids
         .iter()
-        .map(|id| client::send(front, "/other/a", id, body));
+        .map(|id| client::send(front, "/large/a", id, body));
     let sending = futures_util::future::join_all(sending);
     let (responses, sound) = tokio::join!(sending, client::send_sound(front, SOUND_REQUESTS));
 
--- a/crates/mustardshedd/tests/memory/client.rs
+++ b/crates/mustardshedd/tests/memory/client.rs
@@ -7,7 +7,7 @@
     net as tokio_net,
 };
 
-use crate::fixture;
+use crate::{fixture, server};
 
 /// What a client received.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -15,8 +15,10 @@
     /// Status; none if the connection ended before.
     pub(crate) status: Option<u16>,
     pub(crate) has_retry_after: bool,
-    /// Bytes of the body.
+    /// Bytes of the body, as framed.
     pub(crate) received: usize,
+    /// Whether the body arrived to its end.
+    pub(crate) is_whole: bool,
 }
 
 /// A request body.
@@ -44,10 +46,9 @@
         Body::Unfinished(size) => (size, size - 1),
     };
     let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
+        "POST {path} HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\n\
          Connection: close\r\nContent-Length: {announced}\r\n\r\n",
         fixture::HOST,
-        fixture::DEADLINE.as_millis(),
     );
     stream.write_all(head.as_bytes()).await?;
     let (mut rx, mut tx) = stream.split();
@@ -64,27 +65,15 @@
         }
     };
     let reading = async {
-        let mut head = Vec::new();
-        let mut received = 0;
-        let mut buf = vec![0; 64 * 1024];
-        loop {
-            let read = rx.read(&mut buf).await.unwrap_or(0);
-            if read == 0 {
-                return (head, received);
-            }
-            if head.windows(4).any(|window| window == b"\r\n\r\n") {
-                received += read;
-                continue;
-            }
-            head.extend_from_slice(&buf[..read]);
-            if let Some(at) = head.windows(4).position(|window| window == b"\r\n\r\n") {
-                received += head.len() - at - 4;
-                head.truncate(at + 4);
-            }
-        }
+        let mut buf = Vec::new();
+        // What arrived before a break counts.
+        drop(rx.read_to_end(&mut buf).await);
+        buf
     };
-    let ((), (head, received)) = tokio::join!(sending, reading);
-    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let ((), buf) = tokio::join!(sending, reading);
+    let end = buf.windows(4).position(|window| window == b"\r\n\r\n");
+    let (head, body) = buf.split_at(end.map_or(buf.len(), |at| at + 4));
+    let head = String::from_utf8_lossy(head).to_lowercase();
     let status = head
         .split(' ')
         .nth(1)
@@ -92,10 +81,24 @@
     Ok(Response {
         status,
         has_retry_after: head.contains("\r\nretry-after:"),
-        received,
+        received: body.len(),
+        is_whole: is_whole(&head, body),
     })
 }
 
+/// Returns whether a body arrived to its end, and with the bytes that servers send if its length was
+/// announced.
+fn is_whole(head: &str, body: &[u8]) -> bool {
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length:"));
+    let Some(length) = length else {
+        return body.ends_with(b"\r\n0\r\n\r\n");
+    };
+    let mut bytes = body.iter().enumerate();
+    length.trim().parse() == Ok(body.len())
+        && bytes.all(|(position, byte)| *byte == server::byte_at(position))
+}
+
 /// Sends sound requests one after the other with a pause in between; returns their statuses.
 pub(crate) async fn send_sound(front: net::SocketAddr, count: usize) -> Vec<Option<u16>> {
     const INTERVAL: time::Duration = time::Duration::from_millis(50);
--- a/crates/mustardshedd/tests/memory/fixture.rs
+++ b/crates/mustardshedd/tests/memory/fixture.rs
@@ -9,8 +9,10 @@
 
 /// Host of all routes.
 pub(crate) const HOST: &str = "shed.example";
-/// Time that clients wait, and longest time of a request on any route.
-pub(crate) const DEADLINE: time::Duration = time::Duration::from_secs(5);
+/// Time after which requests end that get no whole answer.
+const DEADLINE: time::Duration = time::Duration::from_secs(5);
+/// Time in which large bodies arrive; far longer than a loaded machine needs.
+const LARGE_DEADLINE: time::Duration = time::Duration::from_secs(60);
 /// Memory of the VM, in megabytes: the smallest that entries run on.
 pub(crate) const MEMORY_MB: u64 = 160;
 /// The same, in bytes.
@@ -58,21 +60,22 @@
     }
 }
 
-/// Writes a configuration with the routes `/sound/`, `/other/` and `/events/`.
+/// Writes a configuration with the routes `/sound/`, `/other/`, `/events/` and `/large/`.
 async fn configure(platform: &standin_http::Server) {
-    let route = |name: &str, service: &str, kind: &str| {
+    let route = |name: &str, service: &str, kind: &str, deadline: time::Duration| {
         json!({
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "route_type": kind,
-            "timeout_ms": DEADLINE.as_millis(), "target_latency_ms": 300, "gap_aim_ms": 200,
+            "timeout_ms": deadline.as_millis(), "target_latency_ms": 300, "gap_aim_ms": 200,
             "service": service, "max_attempts": 1, "public": true,
         })
     };
     let config = json!({
         "version": 1,
         "routes": [
-            route("sound", "sound", "non_idempotent"),
-            route("other", "other", "non_idempotent"),
-            route("events", "other", "streaming"),
+            route("sound", "sound", "non_idempotent", LARGE_DEADLINE),
+            route("other", "other", "non_idempotent", DEADLINE),
+            route("events", "other", "streaming", DEADLINE),
+            route("large", "other", "non_idempotent", LARGE_DEADLINE),
         ],
         "services": [{ "name": "sound" }, { "name": "other" }],
         "limits": {
--- a/crates/mustardshedd/tests/memory/server.rs
+++ b/crates/mustardshedd/tests/memory/server.rs
@@ -92,7 +92,7 @@
         }
         Answer::TrickledEvent(_) => {
             stream.write_all(b"id: 1\ndata: ").await?;
-            write(&mut stream, size).await?;
+            stream.write_all(&vec![b'x'; size]).await?;
             trickle(&mut stream, b"x", TRICKLE_INTERVAL).await
         }
         Answer::Bytes => {
@@ -131,13 +131,20 @@
     Ok(field("request-id:"))
 }
 
+/// Returns the byte at a position of a body.
+pub(crate) fn byte_at(position: usize) -> u8 {
+    /// Prime, so that no buffer holds a whole number of periods.
+    const PERIOD: usize = 251;
+    u8::try_from(position % PERIOD).unwrap()
+}
+
 async fn write(stream: &mut tokio_net::TcpStream, size: usize) -> std::io::Result<()> {
-    let piece = vec![b'x'; WRITE_BYTES];
-    let mut left = size;
-    while left > 0 {
-        let next = left.min(piece.len());
-        stream.write_all(&piece[..next]).await?;
-        left -= next;
+    let mut sent = 0;
+    while sent < size {
+        let end = size.min(sent + WRITE_BYTES);
+        let piece: Vec<u8> = (sent..end).map(byte_at).collect();
+        stream.write_all(&piece).await?;
+        sent = end;
     }
     Ok(())
 }
