--- a/crates/mustardshed-core/src/forward/memory_budget.rs
+++ b/crates/mustardshed-core/src/forward/memory_budget.rs
@@ -6,12 +6,12 @@
 
 use std::sync::atomic;
 
-/// Share of a VM's memory that the budget allows; the rest is for the process itself, the buffers of
+/// Divisor of a VM's memory that gives the budget; the rest is for the process itself, the buffers of
 /// its sockets and what the allocator cannot reuse.
-const VM_SHARE: u64 = 2;
+const VM_DIVISOR: u64 = 2;
 /// Size up to which a buffer counts as small, in bytes.
 const SMALL_BYTES: usize = 64 * 1024;
-/// Share of the budget that large buffers may take.
+/// Share of the budget that large buffers may take, as parts and their number.
 const LARGE_SHARE: (usize, usize) = (3, 4);
 
 /// Counts the memory held for what others send.
@@ -26,7 +26,7 @@
     #[must_use]
     pub fn new(vm_bytes: u64) -> Self {
         Self {
-            limit: usize::try_from(vm_bytes / VM_SHARE).unwrap_or(usize::MAX),
+            limit: usize::try_from(vm_bytes / VM_DIVISOR).unwrap_or(usize::MAX),
             held: atomic::AtomicUsize::new(0),
         }
     }
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -23,9 +23,9 @@
 
 /// Longest wait for a response of the platform.
 const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_millis(900);
-/// Part of the memory budget that a list of the platform's objects may take; several are read at once
+/// Divisor of the memory budget that gives the limit of a list of objects; several are read at once
 /// and take several times their size while they are decoded.
-const PLATFORM_SHARE: usize = 16;
+const PLATFORM_DIVISOR: usize = 16;
 /// Interval at which a draining entry checks whether its connections are closed.
 const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Shortest time to close connections, for a process that was paused beyond its end.
@@ -78,7 +78,7 @@
     log::open_json(settings.log_level).map_err(ServiceError::Runtime)?;
     let memory = memory::open(settings.memory).map_err(ServiceError::Memory)?;
     let platform = objects::Objects::open(&settings.platform.to_string(), PLATFORM_TIMEOUT);
-    let platform = platform.limited_to(memory.limit() / PLATFORM_SHARE);
+    let platform = platform.limited_to(memory.limit() / PLATFORM_DIVISOR);
     let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(boot::BootClock);
     let metrics = metrics::Metrics::new().map_err(ServiceError::Metrics)?;
     let cx = sync::Arc::new(cx::Cx::new(settings, clock, platform, memory, metrics));
