--- /dev/null
+++ b/crates/mustardshed-config/tests/forwarding.rs
@@ -0,0 +1,55 @@
+//! Settings of a forwarding entry.
+
+use googletest::prelude::*;
+use mustardshed_config::forwarding;
+
+/// Returns settings with these lines added.
+fn settings(lines: &str) -> String {
+    format!(
+        r#"vm = "entry-1"
+data_centre = "north"
+front = "127.0.0.1:8001"
+ready = "127.0.0.1:8002"
+directory = "127.0.0.1:8003"
+peers = "127.0.0.1:8004"
+platform = "127.0.0.1:8005"
+{lines}
+
+[bounds]
+fail_closed = true
+application_ms = 2000
+revocation_ms = 5000
+retry_ratio = 0.2
+retry_allowance = 100.0
+retry_window_s = 10.0
+grace_s = 8.0
+memory_release_ms = 4000
+memory_idle_ms = 9000
+"#
+    )
+}
+
+#[gtest]
+fn memory_is_optional_and_in_megabytes() -> Result<()> {
+    let without = forwarding::parse(&settings("")).expect("valid settings");
+    let with = forwarding::parse(&settings("memory_mb = 160")).expect("valid settings");
+
+    expect_that!(without.memory, none());
+    verify_that!(with.memory, some(eq(160_000_000)))
+}
+
+#[gtest]
+fn memory_out_of_range_is_an_error_that_names_the_key() -> Result<()> {
+    for value in ["0", "63", "-1", "160.5", "1048577", "\"160\""] {
+        let problems = forwarding::parse(&settings(&format!("memory_mb = {value}")));
+
+        let problems = problems.err().unwrap_or_default();
+        let text: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        expect_that!(
+            text,
+            elements_are![contains_substring("memory_mb")],
+            "{value}"
+        );
+    }
+    Ok(())
+}
