Keep a data centre out while the name of its object cannot be read

A data centre that is out of service would have got work again, as lists leave out objects without a readable name. Data centres known to be out stay so while there is such an object, and each change is then followed by a list.

--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -125,10 +125,11 @@
             tokio::select! {
                 changes = &mut watching => {
                     let changes = changes?;
-                    if changes.unnamed == 0 {
+                    let has_unnamed = cx.state().view.has_unnamed(self.topic);
+                    if changes.unnamed == 0 && !has_unnamed {
                         return Ok(Read::Changes(changes));
                     }
-                    // The known state of the objects that changed is out of date.
+                    // Which object has changed, or has its name back, is told by a list only.
                     self.log_unnamed(changes.unnamed);
                     return self.list().await;
                 }
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -85,6 +85,13 @@
         listing.map(|listing| listing.position)
     }
 
+    /// Returns whether the last list of a kind had objects without a readable name.
+    #[must_use]
+    pub fn has_unnamed(&self, topic: topic::Topic) -> bool {
+        let listing = self.topics[topic.index()].listing.as_ref();
+        listing.is_some_and(|listing| listing.unnamed > 0)
+    }
+
     /// Returns whether the configuration in force was known to be the latest within the last
     /// `limit`.
     #[must_use]
@@ -235,7 +242,9 @@
         }
         let known_era = known.map_or(0, |known| known.position.era);
         let is_restored = known_era > 0 && listing.position.era > known_era;
-        let is_same = known.is_some_and(|known| known.objects == listing.objects);
+        let is_same = known.is_some_and(|known| {
+            known.objects == listing.objects && known.unnamed == listing.unnamed
+        });
         if !is_same {
             cache.position = listing.position;
         }
@@ -469,8 +478,12 @@
 
     fn decode_outages(&mut self) -> Effects {
         let listing = self.topics[topic::Topic::Outages.index()].listing.iter();
+        // An object without a readable name may be that of a data centre known to be out.
+        let has_unnamed = self.has_unnamed(topic::Topic::Outages);
+        let kept = self.outages.iter().filter(|_| has_unnamed);
         let names = listing.flat_map(|listing| listing.objects.keys());
-        let outages: collections::BTreeSet<ids::DataCentreId> = names.cloned().collect();
+        let outages: collections::BTreeSet<ids::DataCentreId> =
+            names.chain(kept).cloned().collect();
         for data_centre in outages.symmetric_difference(&self.outages) {
             log::emit(&event::Event::DataCentreChanged {
                 data_centre,
--- a/crates/mustardshedd/tests/forward/undecoded.rs
+++ b/crates/mustardshedd/tests/forward/undecoded.rs
@@ -135,6 +135,31 @@
     verify_that!(is_usable("i-2"), eq(true))
 }
 
+// Guards against a data centre that is put back into service because the name of its object cannot be
+// read.
+#[gtest]
+#[tokio::test]
+async fn data_centre_stays_out_while_the_name_of_its_object_cannot_be_read() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    f.write("evacuations", "north", json!({ "step": 1 })).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let is_usable = || entry.cx.state().usable("i-1", entry.cx.now()).is_some();
+    fixture::wait_until("the data centre to be out", || !is_usable()).await;
+    let position = || entry.cx.state().view.position(Topic::Outages);
+    let before = position();
+
+    f.faults(json!({ "unnamed": ["north"] })).await;
+    f.write("evacuations", "north", json!({ "step": 2 })).await;
+    fixture::wait_until("the change to be read", || position() > before).await;
+    let is_used_meanwhile = is_usable();
+    f.faults(json!({ "unnamed": [] })).await;
+    f.remove("evacuations", "north").await;
+    fixture::wait_until("the data centre to be back", is_usable).await;
+
+    verify_that!(is_used_meanwhile, eq(false))
+}
+
 // Guards against a single part that voids a version, and that entries then never get ready.
 #[gtest]
 #[tokio::test]
