--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -4,15 +4,17 @@
 //! modules decide: which route and account it belongs to ([`routes`]), which backend server runs it
 //! and which others help to prefill its prompt ([`placement`], by the estimates of [`engine`] and
 //! the work in flight in [`load_tracker`]), how much it may delay other requests ([`cost_limit`]),
-//! whether it may be sent again ([`attempts`], [`retry_budget`]), how old the knowledge behind a
-//! refusal may be ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which
-//! entries clients are told of ([`live_entries`]), which entries exchange state ([`relays`]), what
-//! servers ask for in their responses ([`notices`], [`advertised_limits`]), which requests crash
-//! servers ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by itself
-//! ([`paths`]), when a signal was sent ([`pauses`]), which servers had left before the platform's
-//! store was restored ([`departures`]), and how entries divide what a server accepts from all of
-//! them ([`rate_shares`]).
+//! how much of a service its account may use ([`account_shares`]), whether it may be sent again
+//! ([`attempts`], [`retry_budget`]), how old the knowledge behind a refusal may be
+//! ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which entries clients are
+//! told of ([`live_entries`]), which entries exchange state ([`relays`]), what servers ask for in
+//! their responses ([`notices`], [`advertised_limits`]), which requests crash servers
+//! ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by itself ([`paths`]),
+//! when a signal was sent ([`pauses`]), which servers had left before the platform's store was
+//! restored ([`departures`]), and how entries divide what a server accepts from all of them
+//! ([`rate_shares`]).
 
+pub mod account_shares;
 pub mod advertised_limits;
 pub mod attempts;
 pub mod cost_limit;
--- a/crates/mustardshed-core/src/forward/load_tracker.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker.rs
@@ -6,7 +6,10 @@
 
 use std::collections;
 
-use crate::{forward::lateness, ids};
+use crate::{
+    forward::{account_shares, lateness},
+    ids,
+};
 
 mod health;
 mod load;
@@ -59,6 +62,8 @@
     pub arrived_at: ids::Timestamp,
     /// Whether its first event has come.
     pub is_decoding: bool,
+    /// Account that it counts for, if that is known.
+    pub account: Option<ids::ClientAccountId>,
 }
 
 impl Job {
@@ -87,9 +92,31 @@
 pub struct LoadTracker {
     jobs: collections::HashMap<JobKey, Job>,
     servers: collections::HashMap<ids::BackendServerId, server_queue::ServerQueue>,
+    /// Work in flight by account, if it is counted.
+    accounts: Option<account_shares::UsageTracker>,
 }
 
 impl LoadTracker {
+    /// Creates a tracker without jobs that also counts the work of each account.
+    #[must_use]
+    pub fn with_accounts() -> Self {
+        Self {
+            accounts: Some(account_shares::UsageTracker::default()),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the work of each account, if it is counted.
+    #[must_use]
+    pub const fn accounts(&self) -> Option<&account_shares::UsageTracker> {
+        self.accounts.as_ref()
+    }
+
+    /// Returns the work of each account, to be told which services servers run.
+    pub const fn accounts_mut(&mut self) -> Option<&mut account_shares::UsageTracker> {
+        self.accounts.as_mut()
+    }
+
     /// Records a job that this entry or a peer has sent.
     pub fn start(&mut self, key: JobKey, job: Job, now: ids::Timestamp) {
         if self.jobs.contains_key(&key) {
@@ -101,6 +128,9 @@
         }
         let queue = self.servers.entry(job.primary.clone()).or_default();
         queue.record_arrival(now);
+        if let Some(accounts) = &mut self.accounts {
+            accounts.start(&job);
+        }
         self.jobs.insert(key, job);
     }
 
@@ -109,6 +139,9 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
+        if let Some(accounts) = &mut self.accounts {
+            accounts.finish_prefill(job);
+        }
         job.is_decoding = true;
         let prefill_servers: Vec<ids::BackendServerId> = job.prefill_servers().cloned().collect();
         for server in prefill_servers {
@@ -123,6 +156,9 @@
         let Some(job) = self.jobs.remove(key) else {
             return;
         };
+        if let Some(accounts) = &mut self.accounts {
+            accounts.end(&job);
+        }
         for server in job.prefill_servers() {
             if let Some(queue) = self.servers.get_mut(server) {
                 queue.end(key, now);
@@ -213,5 +249,8 @@
     pub fn retain_servers(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.servers
             .retain(|id, queue| is_listed(id) || !queue.jobs.is_empty());
+        if let Some(accounts) = &mut self.accounts {
+            accounts.retain_servers(is_listed);
+        }
     }
 }
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -18,7 +18,7 @@
 use displaydoc::Display;
 
 use crate::{
-    forward::{engine, load_tracker, server},
+    forward::{account_shares, engine, load_tracker, server},
     ids,
 };
 
@@ -171,6 +171,7 @@
             timeout_ms: need.timeout_ms,
             arrived_at: need.arrived_at,
             is_decoding: false,
+            account: None,
         }
     }
 }
@@ -194,11 +195,22 @@
     TooCostly {
         /// Cost of the cheapest placement.
         cost: f64,
+        /// Share of the cost that other requests are expected to lose.
+        interference: f64,
         /// Weight of the request.
         weight: f64,
         /// Mean time until a server has finished its pending prefills.
         retry_after: time::Duration,
     },
+    /// its account uses more than its share of the service
+    OverShare {
+        /// Work in flight of the account.
+        usage: account_shares::Usage,
+        /// Ratio of its share to that.
+        ratio: f64,
+        /// Time after which that is expected to have fallen to the share.
+        retry_after: time::Duration,
+    },
     /// its first event would come after its client has given up
     TooLate {
         /// Estimated time to its first event, in milliseconds.
@@ -265,6 +277,7 @@
         }
         Some(placed) if placed.is_too_costly(need) => Err(NotPlaced::TooCostly {
             cost: placed.cost,
+            interference: placed.interference,
             weight: need.weight(),
             retry_after: snapshot
                 .mean_backlog()
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::expect_used, reason = "a failing fixture ends its test")]
 
+mod account_shares;
 mod advertised_limits;
 mod advertised_rate;
 mod cold_flood;
