--- a/crates/mustardshed-wire/src/forward/job.rs
+++ b/crates/mustardshed-wire/src/forward/job.rs
@@ -32,6 +32,8 @@
     pub age_ms: u64,
     #[serde(rename = "w")]
     pub is_decoding: bool,
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<ids::ClientAccountId>,
 }
 
 impl Job {
@@ -53,6 +55,7 @@
             timeout_ms: to_f32(job.timeout_ms),
             age_ms: u64::try_from(age).unwrap_or(u64::MAX),
             is_decoding: job.is_decoding,
+            account: job.account.clone(),
         }
     }
 
@@ -76,6 +79,7 @@
             timeout_ms: non_negative(self.timeout_ms),
             arrived_at: now.saturating_sub(time::Duration::from_millis(self.age_ms)),
             is_decoding: self.is_decoding,
+            account: self.account,
         }
     }
 }
