--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -53,10 +53,19 @@
     pub server_heartbeat: Option<time::Duration>,
     /// Lowest severity that is logged.
     pub log_level: settings::LogLevel,
+    /// How client accounts share the servers.
+    pub accounts: Accounts,
     /// Limits that the platform's operators set for this system.
     pub bounds: Bounds,
 }
 
+/// How client accounts share the servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Accounts {
+    /// Whether accounts are limited to a fair share of a service that is short of capacity.
+    pub fair_shares: bool,
+}
+
 /// Limits that the platform's operators set for this system.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -130,6 +139,9 @@
         let log_level = root.optional("log_level", settings::LogLevel::Info, |field| {
             settings::LogLevel::read(field)
         });
+        let accounts = root.optional("accounts", Accounts::default(), |field| {
+            Accounts::read(&field.table()?)
+        });
         let bounds = root.required("bounds", |field| Bounds::read(&field.table()?));
         Some(Self {
             vm: vm?,
@@ -145,11 +157,22 @@
             metrics: metrics?,
             server_heartbeat: server_heartbeat?,
             log_level: log_level?,
+            accounts: accounts?,
             bounds: bounds?,
         })
     }
 }
 
+impl Accounts {
+    fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+        let fair_shares = section.optional("fair_shares", false, read::boolean);
+        section.report_unknown();
+        Some(Self {
+            fair_shares: fair_shares?,
+        })
+    }
+}
+
 impl Bounds {
     fn read(section: &section::Section<'_, '_>) -> Option<Self> {
         let millis = |key| section.required(key, read::number_within(MAX_MS));
--- a/crates/mustardshed-config/tests/forwarding.rs
+++ b/crates/mustardshed-config/tests/forwarding.rs
@@ -53,3 +53,22 @@
     }
     Ok(())
 }
+
+#[gtest]
+fn fair_shares_are_off_unless_set() -> Result<()> {
+    let with = |lines: &str| {
+        let source = format!("{}\n[accounts]\n{lines}", settings(""));
+        forwarding::parse(&source).map(|settings| settings.accounts.fair_shares)
+    };
+    let without = forwarding::parse(&settings("")).expect("valid settings");
+
+    expect_that!(without.accounts.fair_shares, is_false());
+    expect_that!(with(""), ok(is_false()));
+    expect_that!(with("fair_shares = true"), ok(is_true()));
+    for invalid in ["fair_shares = 1", "fair_share = true"] {
+        let problems = with(invalid).expect_err("a problem");
+        let text: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        expect_that!(text, elements_are![contains_substring("fair_share")]);
+    }
+    Ok(())
+}
--- a/crates/mustardshed-core/src/forward/account_shares.rs
+++ b/crates/mustardshed-core/src/forward/account_shares.rs
@@ -8,12 +8,9 @@
 
 use std::time;
 
-use crate::{
-    forward::{
-        engine,
-        placement::{self, NotPlaced},
-    },
-    ids,
+use crate::forward::{
+    engine,
+    placement::{self, NotPlaced},
 };
 
 mod episodes;
@@ -214,20 +211,31 @@
     }
 }
 
-/// Returns the account that holds most slots of a service, the slots that it holds, and how many
-/// each account may hold of `slots`; none if no named account has work in flight.
+/// The account that holds most slots of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Largest<'a> {
+    /// Name of the account.
+    pub account: &'a str,
+    /// Its work in flight.
+    pub usage: Usage,
+    /// Slots that each account may hold now; all of them while they are not scarce.
+    pub share: f64,
+}
+
+/// Returns the account that holds most of the `slots` of a service; none if no named account has
+/// work in flight there.
 #[must_use]
-pub fn largest<'a>(
-    tracker: &'a UsageTracker,
-    service: &str,
-    slots: usize,
-) -> Option<(&'a ids::ClientAccountId, usize, f64)> {
+pub fn largest<'a>(tracker: &'a UsageTracker, service: &str, slots: usize) -> Option<Largest<'a>> {
     let by_account = tracker.of_service(service)?;
     let (account, usage) = by_account.largest()?;
     let slots = count_f64(slots);
     let usages = by_account.usages().map(|usage| count_f64(usage.slots));
     let share = max_min_share(usages.collect(), slots * DIVIDED_SHARE);
-    Some((account, usage.slots, share.min(slots)))
+    Some(Largest {
+        account,
+        usage: *usage,
+        share: share.min(slots),
+    })
 }
 
 fn slots(candidate: &placement::Candidate<'_>, profile: Option<&engine::Profile>) -> f64 {
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,7 +11,7 @@
     core::{
         boundary::clock,
         forward::{
-            advertised_limits, live_entries, load_tracker, negative_cache, notices,
+            account_shares, advertised_limits, live_entries, load_tracker, negative_cache, notices,
             paths as core_paths, placement, quarantine, rate_shares, relays, rendezvous,
             repeated_crashes, retry_budget, routes, server,
         },
@@ -24,6 +24,7 @@
 
 use crate::forward::{job, memory, metrics, peers, view};
 
+mod accounts;
 pub mod crashes;
 mod drain;
 mod paths;
@@ -62,6 +63,8 @@
     pub advertised_limits: advertised_limits::AdvertisedLimits,
     /// Shares of this entry in what servers accept from all entries.
     pub rate_shares: rate_shares::RateShares,
+    /// Accounts that were lately over their share.
+    pub over_share: account_shares::Episodes,
     /// Which entries are alive.
     pub live_entries: live_entries::LiveEntries,
     /// Which entries may act as relays.
@@ -156,6 +159,8 @@
     pub need: placement::Need,
     /// Servers already tried, which are left out.
     pub tried: &'a [ids::BackendServerId],
+    /// Account of the request, if it has one.
+    pub account: Option<&'a str>,
 }
 
 impl Cx {
@@ -173,6 +178,7 @@
             allowance: settings.bounds.retry_allowance,
             window: settings.bounds.retry_window,
         };
+        let loads = accounts::load_tracker(&settings);
         Self {
             peers: peers::Outbox::new(&settings.vm),
             started_at: clock.now(),
@@ -189,7 +195,7 @@
             quarantined: tokio_sync::Notify::new(),
             state: sync::Mutex::new(State {
                 view: view::View::default(),
-                loads: load_tracker::LoadTracker::default(),
+                loads,
                 notices: notices::Notices::default(),
                 paths: core_paths::Paths::default(),
                 reach_checks: collections::HashSet::new(),
@@ -198,6 +204,7 @@
                 repeated_crashes: repeated_crashes::RepeatedCrashes::default(),
                 advertised_limits: advertised_limits::AdvertisedLimits::default(),
                 rate_shares: rate_shares::RateShares::default(),
+                over_share: account_shares::Episodes::default(),
                 live_entries: live_entries::LiveEntries::default(),
                 relays: relays::Relays::default(),
                 retry_budget: retry_budget::RetryBudget::new(limits),
@@ -374,15 +381,17 @@
         {
             return Err(placement::NotPlaced::BackedOff { retry_after });
         }
+        let standing = accounts::standing(&state.loads, wanted, &candidates);
+        let need = standing.limit(&wanted.need)?;
         let placed = match &wanted.service.engine {
-            Some(profile) => {
-                placement::place(&state.loads, &candidates, profile, &wanted.need, now)?
-            }
+            Some(profile) => placement::place(&state.loads, &candidates, profile, &need, now)
+                .map_err(|e| standing.explain(e, &wanted.need))?,
             None => {
                 placement::Placed::plain(placement::least_loaded(&state.loads, &candidates, now)?)
             }
         };
-        let in_flight = placed.job(&wanted.need);
+        let mut in_flight = placed.job(&wanted.need);
+        in_flight.account = accounts::counted(&state.loads, wanted);
         let number = self.next_job.fetch_add(1, atomic::Ordering::Relaxed);
         let key = forward::job_key(&self.settings.vm, number);
         let started = forward::Message::Started {
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -345,6 +345,7 @@
             service: &self.service,
             need,
             tried: &self.tried,
+            account: self.account(),
         };
         let mut placed = self.req.cx.place(&request);
         let is_without_server = matches!(
@@ -389,6 +390,9 @@
             placement::NotPlaced::TooCostly { retry_after, .. } => {
                 refusal::Refusal::TooDear(self.retry_around(retry_after))
             }
+            placement::NotPlaced::OverShare { retry_after, .. } => {
+                refusal::Refusal::OverShare(self.retry_no_earlier(retry_after))
+            }
             placement::NotPlaced::TooLate { retry_after, .. } => {
                 refusal::Refusal::TooLate(self.retry_around(retry_after))
             }
--- a/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic;
 
-use mustardshed::core::forward::placement;
+use mustardshed::core::forward::{account_shares, placement};
 
 use crate::{
     forward::exchange::{dispatch::Dispatch, streaming},
@@ -84,6 +84,9 @@
     }
 
     pub(super) fn log_not_placed(&self, e: &placement::NotPlaced) {
+        if let placement::NotPlaced::OverShare { usage, ratio, .. } = e {
+            return self.log_over_share(usage, *ratio);
+        }
         let (price, weight, estimate_ms) = match e {
             placement::NotPlaced::TooCostly {
                 cost: price,
@@ -93,7 +96,8 @@
             placement::NotPlaced::TooLate { estimate_ms, .. } => (0.0, 0.0, *estimate_ms),
             placement::NotPlaced::NoServer
             | placement::NotPlaced::Full { .. }
-            | placement::NotPlaced::BackedOff { .. } => (0.0, 0.0, 0.0),
+            | placement::NotPlaced::BackedOff { .. }
+            | placement::NotPlaced::OverShare { .. } => (0.0, 0.0, 0.0),
         };
         log::emit(&event::Event::ForwardNotPlaced {
             request: self.req.id(),
@@ -107,6 +111,27 @@
         });
     }
 
+    /// Returns the name of the request's account, if it has one.
+    pub(super) fn account(&self) -> Option<&str> {
+        let account = self.req.account.as_ref();
+        account.map(|account| account.name.as_str())
+    }
+
+    fn log_over_share(&self, usage: &account_shares::Usage, ratio: f64) {
+        let account = self.account().unwrap_or_default();
+        let cx = &self.req.cx;
+        cx.report_over_share(&self.service.name, account, usage, ratio);
+        log::emit(&event::Event::ForwardOverShare {
+            request: self.req.id(),
+            route: &self.req.route.name,
+            account,
+            service: &self.service.name,
+            slots: usage.slots,
+            prefill_ms: usage.prefill_ms.round(),
+            share_ratio: (ratio * 100.0).round() / 100.0,
+        });
+    }
+
     /// Counts and logs the end of the request.
     pub(in crate::forward::exchange) fn record_end(
         &self,
--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -108,6 +108,9 @@
     // The peer sent this less than a link's silence timeout ago.
     let as_of = link::before(now, state.age_ms).saturating_sub(link::SILENCE_TIMEOUT);
     let effects = cx.state().view.apply_listing(topic, listing, as_of, now);
+    if topic == topic::Topic::Servers {
+        cx.state().assign_servers();
+    }
     for (server, left) in effects.cold {
         cx.report_cold(&server, left);
     }
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -14,6 +14,8 @@
     log,
 };
 
+mod accounts;
+
 /// Path on which the metrics are served.
 pub const PATH: &str = "/metrics";
 
@@ -48,6 +50,7 @@
     buffers: prometheus::IntGauge,
     age: prometheus::GaugeVec,
     lost_log_lines: prometheus::IntGaugeVec,
+    accounts: accounts::Accounts,
 }
 
 impl Metrics {
@@ -154,6 +157,7 @@
                 "Log lines that were not written since the start",
                 &["reason"],
             )?,
+            accounts: accounts::Accounts::new(&registry)?,
             registry,
         })
     }
@@ -252,6 +256,7 @@
                 gauge.set(age.as_secs_f64());
             }
         }
+        self.accounts.update(&state);
         self.servers.reset();
         self.memory.reset();
         for server in state.view.servers() {
--- a/crates/mustardshedd/src/forward/peers.rs
+++ b/crates/mustardshedd/src/forward/peers.rs
@@ -160,6 +160,7 @@
     loop {
         ticks.tick().await;
         remove_dead(&cx);
+        cx.report_within_share();
         opened.reconcile(&cx);
     }
 }
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -296,6 +296,7 @@
             state.paths.retain_servers(|id| view.is_listed(id));
             let now = self.cx.now();
             state.notices.expire(|id| view.is_listed(id), now);
+            state.assign_servers();
         }
         if self.topic == topic::Topic::Configuration {
             self.cx.refreshed.notify_waiters();
--- a/crates/mustardshedd/src/forward/refusal.rs
+++ b/crates/mustardshedd/src/forward/refusal.rs
@@ -35,6 +35,8 @@
     Full(time::Duration),
     /// others that weigh more would be late
     TooDear(time::Duration),
+    /// the account uses more than its share of a service that is short of capacity
+    OverShare(time::Duration),
     /// the answer would begin too late
     TooLate(time::Duration),
     /// the backend servers turned the request away
@@ -52,7 +54,7 @@
 
 impl Refusal {
     /// Every kind, with a placeholder for its wait.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::NoIdentifier,
         Self::BrokenBody,
         Self::TooLarge,
@@ -67,6 +69,7 @@
         Self::BackedOff(ANY_WAIT),
         Self::Full(ANY_WAIT),
         Self::TooDear(ANY_WAIT),
+        Self::OverShare(ANY_WAIT),
         Self::TooLate(ANY_WAIT),
         Self::TurnedAway(ANY_WAIT),
         Self::Quarantined(ANY_WAIT),
@@ -93,6 +96,7 @@
             | Self::BackedOff(_)
             | Self::Full(_)
             | Self::TooDear(_)
+            | Self::OverShare(_)
             | Self::TooLate(_)
             | Self::TurnedAway(_)
             | Self::Quarantined(_) => http::StatusCode::SERVICE_UNAVAILABLE,
@@ -119,6 +123,7 @@
             Self::BackedOff(_) => "backed_off",
             Self::Full(_) => "full",
             Self::TooDear(_) => "too_dear",
+            Self::OverShare(_) => "over_share",
             Self::TooLate(_) => "too_late",
             Self::TurnedAway(_) => "turned_away",
             Self::Quarantined(_) => "quarantined",
@@ -148,6 +153,7 @@
             | Self::BackedOff(wait)
             | Self::Full(wait)
             | Self::TooDear(wait)
+            | Self::OverShare(wait)
             | Self::TooLate(wait)
             | Self::TurnedAway(wait)
             | Self::Quarantined(wait) => Some(wait),
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -234,6 +234,31 @@
         server: &'a str,
         after_ms: u128,
     }
+    /// Requests of an account are refused: it uses more than its share of a service.
+    1220 Warn "account_over_share" AccountOverShare {
+        account: &'a str,
+        service: &'a str,
+        slots: usize,
+        prefill_ms: f64,
+        share_ratio: f64,
+    }
+    /// No request of an account has been refused because of its share for ten seconds.
+    1221 Info "account_within_share" AccountWithinShare {
+        account: &'a str,
+        service: &'a str,
+        refused: u64,
+        lasted_ms: u128,
+    }
+    /// A request was not placed because its account uses more than its share of the service.
+    1222 Warn "forward_over_share" ForwardOverShare {
+        request: &'a str,
+        route: &'a str,
+        account: &'a str,
+        service: &'a str,
+        slots: usize,
+        prefill_ms: f64,
+        share_ratio: f64,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -297,6 +297,7 @@
             metrics: Some(address(8005)),
             server_heartbeat,
             log_level: settings::LogLevel::Critical,
+            accounts: forwarding::Accounts::default(),
             bounds,
         };
         let platform = objects::Objects::open(&settings.platform.to_string(), TIMEOUT / 30);
--- a/crates/mustardshedd/tests/forward/placement.rs
+++ b/crates/mustardshedd/tests/forward/placement.rs
@@ -162,6 +162,7 @@
         service,
         need,
         tried: &[],
+        account: None,
     };
     let placed = (0..10).map(|_| entry.cx.place(&req));
     placed.take_while(std::result::Result::is_ok).count()
