--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -144,6 +144,12 @@
 
     /// Writes a configuration with the routes `/once/`, `/again/`, `/stream/` and `/open/`.
     pub(crate) async fn configure(&self, version: u64, keys: &[&str]) {
+        let account = json!({ "name": "chapel", "api_keys": keys });
+        self.configure_accounts(version, json!([account])).await;
+    }
+
+    /// Writes the same with these accounts.
+    pub(crate) async fn configure_accounts(&self, version: u64, accounts: serde_json::Value) {
         let route = |name: &str, kind: &str, attempts: u32| {
             json!({
                 "name": name, "host": HOST, "path_prefix": format!("/{name}/"),
@@ -166,7 +172,7 @@
                 "max_header_bytes": 16_384, "max_body_bytes": 1_000,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
             },
-            "tenants": [{ "name": "chapel", "api_keys": keys }],
+            "tenants": accounts,
         });
         self.write("config", "main", config).await;
     }
@@ -249,12 +255,17 @@
 
     /// Starts an entry with the usual bounds.
     pub(crate) async fn entry(&self, vm: &str) -> Entry {
-        self.entry_with(vm, bounds(), None).await
+        self.entry_with(vm, bounds(), None, false).await
+    }
+
+    /// Starts an entry that limits accounts to fair shares.
+    pub(crate) async fn entry_with_fair_shares(&self, vm: &str) -> Entry {
+        self.entry_with(vm, bounds(), None, true).await
     }
 
     /// Starts an entry that knows how often servers renew their registrations.
     pub(crate) async fn entry_with_heartbeat(&self, vm: &str, heartbeat: time::Duration) -> Entry {
-        self.entry_with(vm, bounds(), Some(heartbeat)).await
+        self.entry_with(vm, bounds(), Some(heartbeat), false).await
     }
 
     /// Starts an entry whose configuration counts as stale after `revocation`.
@@ -267,7 +278,7 @@
             revocation,
             ..bounds()
         };
-        self.entry_with(vm, bounds, None).await
+        self.entry_with(vm, bounds, None, false).await
     }
 
     async fn entry_with(
@@ -275,6 +286,7 @@
         vm: &str,
         bounds: forwarding::Bounds,
         server_heartbeat: Option<time::Duration>,
+        fair_shares: bool,
     ) -> Entry {
         let ip = unique_ip();
         let address = |port: u16| net::SocketAddr::from((ip, port));
@@ -297,7 +309,7 @@
             metrics: Some(address(8005)),
             server_heartbeat,
             log_level: settings::LogLevel::Critical,
-            accounts: forwarding::Accounts::default(),
+            accounts: forwarding::Accounts { fair_shares },
             bounds,
         };
         let platform = objects::Objects::open(&settings.platform.to_string(), TIMEOUT / 30);
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -6,6 +6,7 @@
     reason = "a fake or fixture that fails ends its test"
 )]
 
+mod account_shares;
 mod bad_input;
 mod broken;
 mod calls;
