--- a/crates/mustardshed-core/src/forward/account_shares.rs
+++ b/crates/mustardshed-core/src/forward/account_shares.rs
@@ -198,6 +198,7 @@
         NotPlaced::OverShare {
             usage: self.usage,
             ratio: self.ratio(),
+            is_out_of_slots: !self.has_slots,
             retry_after: self.retry_after(need),
         }
     }
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -208,6 +208,8 @@
         usage: account_shares::Usage,
         /// Ratio of its share to that.
         ratio: f64,
+        /// Whether it would have taken a reserved slot.
+        is_out_of_slots: bool,
         /// Time after which that is expected to have fallen to the share.
         retry_after: time::Duration,
     },
@@ -224,7 +226,16 @@
     /// Returns whether the reason may pass within a short wait.
     #[must_use]
     pub const fn is_transient(&self) -> bool {
-        !matches!(self, Self::NoServer | Self::BackedOff { .. })
+        !matches!(
+            self,
+            // Kinds with longer objectives wait longer and would get most of an account's slots.
+            Self::NoServer
+                | Self::BackedOff { .. }
+                | Self::OverShare {
+                    is_out_of_slots: true,
+                    ..
+                }
+        )
     }
 }
 
--- a/crates/mustardshed-core/tests/forward/account_shares.rs
+++ b/crates/mustardshed-core/tests/forward/account_shares.rs
@@ -152,6 +152,7 @@
         refused,
         err(matches_pattern!(placement::NotPlaced::OverShare {
             ratio: near(0.75, 1e-9),
+            is_out_of_slots: eq(true),
             retry_after: eq(time::Duration::from_micros(346_875)),
             ..
         }))
