--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -10,8 +10,8 @@
 //! servers ask for in their responses ([`notices`], [`advertised_limits`]), which requests crash
 //! servers ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by itself
 //! ([`paths`]), when a signal was sent ([`pauses`]), which servers had left before the platform's
-//! store was restored ([`departures`]), and how entries divide what a server accepts from all of
-//! them ([`rate_shares`]).
+//! store was restored ([`departures`]), how entries divide what a server accepts from all of them
+//! ([`rate_shares`]), and how far a stream is read ahead of its client ([`read_ahead`]).
 
 pub mod advertised_limits;
 pub mod attempts;
@@ -32,6 +32,7 @@
 pub mod planned_stop;
 pub mod quarantine;
 pub mod rate_shares;
+pub mod read_ahead;
 pub mod relays;
 pub mod rendezvous;
 pub mod repeated_crashes;
--- a/crates/mustardshed-core/src/forward/memory_budget.rs
+++ b/crates/mustardshed-core/src/forward/memory_budget.rs
@@ -46,11 +46,29 @@
     /// Adds `more` bytes to a holder that has `own`; returns whether they are granted.
     #[must_use]
     pub fn try_add(&self, own: usize, more: usize) -> bool {
+        self.try_add_if(own, more, |held, own, sum| self.allows(held, own, sum))
+    }
+
+    /// Adds `more` bytes, which their holder can do without, to the `own` that it has; returns
+    /// whether they are granted. They count as a large buffer whatever their number.
+    #[must_use]
+    pub fn try_add_spare(&self, own: usize, more: usize) -> bool {
+        self.try_add_if(own, more, |held, own, sum| {
+            self.allows_large(held, own, sum)
+        })
+    }
+
+    /// Adds bytes if `allows` holds for the bytes held before, the holder's and all bytes after.
+    fn try_add_if(
+        &self,
+        own: usize,
+        more: usize,
+        allows: impl Fn(usize, usize, usize) -> bool,
+    ) -> bool {
         let (set, read) = (atomic::Ordering::Relaxed, atomic::Ordering::Relaxed);
         let added = |held: usize| {
             let sum = held.checked_add(more)?;
-            self.allows(held, own.checked_add(more)?, sum)
-                .then_some(sum)
+            allows(held, own.checked_add(more)?, sum).then_some(sum)
         };
         self.held.try_update(set, read, added).is_ok()
     }
@@ -60,6 +78,10 @@
         if own <= SMALL_BYTES {
             return sum <= self.limit;
         }
+        self.allows_large(held, own, sum)
+    }
+
+    const fn allows_large(&self, held: usize, own: usize, sum: usize) -> bool {
         let (part, whole) = LARGE_SHARE;
         let large_limit = self.limit / whole * part;
         sum <= large_limit && own <= large_limit.saturating_sub(held)
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -23,6 +23,7 @@
 mod planned_stop;
 mod quarantine;
 mod rate_shares;
+mod read_ahead;
 mod relays;
 mod repeated_crashes;
 mod repeated_requests;
