--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -21,6 +21,9 @@
 const MAX_MEMORY_MB: u64 = 1 << 20;
 const BYTES_PER_MB: u64 = 1_000_000;
 
+/// Most bytes of a stream that may be read ahead of its client.
+const MAX_READ_AHEAD_BYTES: u32 = 1 << 20;
+
 /// CPU capacity of the VM if the settings give none, in cores.
 const DEFAULT_PROCESSOR: f64 = 1.0;
 
@@ -35,6 +38,8 @@
     pub processor: f64,
     /// Memory of the VM in bytes; that which the machine reports if the settings give none.
     pub memory: Option<u64>,
+    /// Most bytes of a stream that are read ahead of a slow client; none are if it is zero.
+    pub read_ahead_bytes: usize,
     /// Address to listen on for callers.
     pub front: net::SocketAddr,
     /// Address to listen on for readiness probes.
@@ -113,6 +118,9 @@
             let mb = read::u64_within(MIN_MEMORY_MB, MAX_MEMORY_MB)(field)?;
             Some(Some(mb * BYTES_PER_MB))
         });
+        let read_ahead_bytes = root.optional("read_ahead_bytes", 0, |field| {
+            read::usize_within(0, MAX_READ_AHEAD_BYTES)(field)
+        });
         let front = root.required("front", read::address);
         let ready = root.required("ready", read::address);
         let directory = root.required("directory", read::address);
@@ -136,6 +144,7 @@
             data_centre: data_centre?,
             processor: processor?,
             memory: memory?,
+            read_ahead_bytes: read_ahead_bytes?,
             front: front?,
             ready: ready?,
             directory: directory?,
--- a/crates/mustardshed-config/tests/forwarding.rs
+++ b/crates/mustardshed-config/tests/forwarding.rs
@@ -53,3 +53,15 @@
     }
     Ok(())
 }
+
+#[gtest]
+fn read_ahead_is_off_by_default_and_limited() -> Result<()> {
+    let read_ahead = |lines: &str| forwarding::parse(&settings(lines));
+
+    expect_that!(read_ahead("").expect("valid").read_ahead_bytes, eq(0));
+    let most = read_ahead("read_ahead_bytes = 1048576").expect("valid");
+    expect_that!(most.read_ahead_bytes, eq(1_048_576));
+    let problems = read_ahead("read_ahead_bytes = 1048577").err();
+    let text: Vec<String> = problems.iter().flatten().map(ToString::to_string).collect();
+    verify_that!(text, elements_are![contains_substring("read_ahead_bytes")])
+}
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -283,6 +283,7 @@
             data_centre: "north".to_owned(),
             processor: 1.0,
             memory: None,
+            read_ahead_bytes: 0,
             front: address(8001),
             ready: address(8002),
             directory: address(8003),
