Read streams ahead of slow readers

With read_ahead_bytes the events of a stream are read into a bounded queue while the client does not take them, so that the server's slot becomes free once its work is done. Without the setting the path is as before.

Metrics tell the streams and bytes held and the slow clients; events 1226 and 1227 are logged once for each stream, in the budget of ordinary lines.

--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -97,7 +97,7 @@
     service: routes::Service,
     tried: Vec<ids::BackendServerId>,
     attempts: attempts::Attempts,
-    /// Identifier of the last event that the client has.
+    /// Identifier of the last event that the client has, or that is held for it.
     pub(super) last_event: Option<u64>,
     /// What its repeats have in common.
     content: sync::Arc<content::Content>,
--- a/crates/mustardshedd/src/forward/exchange/streaming.rs
+++ b/crates/mustardshedd/src/forward/exchange/streaming.rs
@@ -13,6 +13,8 @@
     memory, refusal, upstream,
 };
 
+mod read_ahead;
+
 /// A server's stream whose first event has arrived.
 #[derive(Debug)]
 pub(super) struct Stream {
@@ -125,6 +127,9 @@
         timing: Timing::default(),
         only_waits: false,
     };
+    if forwarder.dispatch.req.cx.settings.read_ahead_bytes > 0 {
+        return response.map(|()| forwarder.read_ahead());
+    }
     let frames = stream::unfold(Some(forwarder), step);
     response.map(|()| BodyExt::boxed_unsync(http_body_util::StreamBody::new(frames)))
 }
@@ -196,7 +201,62 @@
     }
 }
 
+/// Waits for the next event or the end of the stream, which may be read ahead of the client.
+async fn receive(
+    forwarder: Option<Forwarder>,
+) -> Option<(read_ahead::Received, Option<Forwarder>)> {
+    let mut forwarder = forwarder?;
+    let outcome = match forwarder.next().await {
+        Ok(Some(event)) => {
+            forwarder.dispatch.last_event = event.id.or(forwarder.dispatch.last_event);
+            return Some((read_ahead::Received::Event(event.bytes), Some(forwarder)));
+        }
+        Ok(None) => "answered",
+        Err(exchange::BodyError::Unfinished) => "broken_off",
+    };
+    // Drops the response with its guards: the server has done its work.
+    let ended = Ended {
+        server: forwarder.source.guards.server.clone(),
+        dispatch: forwarder.dispatch,
+        outcome,
+    };
+    Some((read_ahead::Received::End(Box::new(ended)), None))
+}
+
+/// The end of a stream that is read ahead of its client.
+#[derive(Debug)]
+struct Ended {
+    dispatch: dispatch::Dispatch,
+    /// Server that sent the last event.
+    server: ids::BackendServerId,
+    outcome: &'static str,
+}
+
+impl read_ahead::End for Ended {
+    fn is_complete(&self) -> bool {
+        self.outcome == "answered"
+    }
+
+    fn record(self: Box<Self>, timing: &Timing) {
+        let status = http::StatusCode::OK.as_u16();
+        self.dispatch
+            .record_end(self.outcome, status, &self.server, timing);
+    }
+}
+
 impl Forwarder {
+    /// Returns the body that reads the stream ahead of a slow client.
+    fn read_ahead(self) -> exchange::Body {
+        let req = &self.dispatch.req;
+        let request = read_ahead::Request {
+            cx: sync::Arc::clone(&req.cx),
+            id: req.id().to_owned(),
+            route: req.route.name.clone(),
+            arrived_at: req.arrived_at,
+        };
+        read_ahead::body(request, Box::pin(stream::unfold(Some(self), receive)))
+    }
+
     /// Waits for the next event until the request's deadline, from another server if this one
     /// breaks off.
     async fn next(&mut self) -> Result<Option<events::Event>, exchange::BodyError> {
@@ -255,7 +315,7 @@
         next.map_err(|_| Stalled(format!("no event within {limit:?}")))
     }
 
-    /// Resumes the stream at another server after the last event that was passed on.
+    /// Resumes the stream at another server after the last event that was passed on or read ahead.
     async fn resume_elsewhere(&mut self) -> Result<(), exchange::BodyError> {
         let budget = sync::Arc::clone(&self.dispatch.req.cx.memory);
         loop {
--- a/crates/mustardshedd/src/forward/memory.rs
+++ b/crates/mustardshedd/src/forward/memory.rs
@@ -80,6 +80,29 @@
         self.add(counted.saturating_sub(self.bytes))
     }
 
+    /// Takes or gives back what makes it `bytes` bytes, which the holder can do without.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the budget has not so much to spare; the holder then keeps what it has.
+    pub fn resize_spare(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        if let Some(more) = bytes.checked_sub(self.bytes).filter(|more| *more > 0) {
+            if !self.budget.try_add_spare(self.bytes, more) {
+                return Err(Exhausted);
+            }
+            self.bytes = bytes;
+        }
+        self.shrink_to(bytes);
+        Ok(())
+    }
+
+    /// Gives back what is held beyond `bytes` bytes.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let freed = self.bytes.saturating_sub(bytes);
+        self.bytes -= freed;
+        self.budget.remove(freed);
+    }
+
     fn add(&mut self, bytes: usize) -> Result<(), Exhausted> {
         if bytes > 0 && !self.budget.try_add(self.bytes, bytes) {
             return Err(Exhausted);
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -14,6 +14,10 @@
     log,
 };
 
+pub mod read_ahead;
+
+/// Prefix of the names of all metrics.
+const NAMESPACE: &str = "mustardshed";
 /// Path on which the metrics are served.
 pub const PATH: &str = "/metrics";
 
@@ -48,6 +52,8 @@
     buffers: prometheus::IntGauge,
     age: prometheus::GaugeVec,
     lost_log_lines: prometheus::IntGaugeVec,
+    /// Metrics of streams that are read ahead of their clients.
+    pub read_ahead: read_ahead::ReadAhead,
 }
 
 impl Metrics {
@@ -59,26 +65,26 @@
     pub fn new() -> prometheus::Result<Self> {
         let registry = prometheus::Registry::new();
         let counters = |name: &str, help: &str, labels: &[&str]| {
-            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            let opts = prometheus::Opts::new(name, help).namespace(NAMESPACE);
             register(&registry, prometheus::IntCounterVec::new(opts, labels)?)
         };
         let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            let opts = prometheus::Opts::new(name, help).namespace(NAMESPACE);
             register(&registry, prometheus::IntGaugeVec::new(opts, labels)?)
         };
         let gauge = |name: &str, help: &str| {
-            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            let opts = prometheus::Opts::new(name, help).namespace(NAMESPACE);
             register(&registry, prometheus::IntGauge::with_opts(opts)?)
         };
         let histograms = |name: &str, help: &str| {
             let opts = prometheus::HistogramOpts::new(name, help)
-                .namespace("mustardshed")
+                .namespace(NAMESPACE)
                 .buckets(SECONDS.to_vec());
             register(&registry, prometheus::HistogramVec::new(opts, &["kind"])?)
         };
         let age =
             prometheus::Opts::new("read_age_seconds", "Age of the data read from the platform")
-                .namespace("mustardshed");
+                .namespace(NAMESPACE);
         let age = register(&registry, prometheus::GaugeVec::new(age, &["kind"])?)?;
         Ok(Self {
             ended: counters(
@@ -154,6 +160,7 @@
                 "Log lines that were not written since the start",
                 &["reason"],
             )?,
+            read_ahead: read_ahead::ReadAhead::new(&registry)?,
             registry,
         })
     }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -234,6 +234,21 @@
         server: &'a str,
         after_ms: u128,
     }
+    /// A client has taken nothing of its stream for a second; the stream is read ahead.
+    1226 Info "client_slow" ClientSlow {
+        request: &'a str,
+        route: &'a str,
+        events: u64,
+        held_bytes: usize,
+        server_done: bool,
+    }
+    /// A stream is read as fast as its client reads: as much is held as may be.
+    1227 Info "read_ahead_stopped" ReadAheadStopped {
+        request: &'a str,
+        route: &'a str,
+        reason: &'a str,
+        held_bytes: usize,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
--- a/crates/mustardshedd/src/log/lines.rs
+++ b/crates/mustardshedd/src/log/lines.rs
@@ -21,7 +21,7 @@
 /// Budget for all other lines, a second.
 const OTHER_PER_S: u64 = 300;
 /// Numbers of the events of requests without refusal or failure.
-const ORDINARY: [u16; 4] = [1201, 1204, 1206, 1208];
+const ORDINARY: [u16; 6] = [1201, 1204, 1206, 1208, 1226, 1227];
 
 /// Numbers of lines that were not written.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
