--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -249,12 +249,12 @@
 
     /// Starts an entry with the usual bounds.
     pub(crate) async fn entry(&self, vm: &str) -> Entry {
-        self.entry_with(vm, bounds(), None).await
+        self.entry_with(vm, bounds(), None, 0).await
     }
 
     /// Starts an entry that knows how often servers renew their registrations.
     pub(crate) async fn entry_with_heartbeat(&self, vm: &str, heartbeat: time::Duration) -> Entry {
-        self.entry_with(vm, bounds(), Some(heartbeat)).await
+        self.entry_with(vm, bounds(), Some(heartbeat), 0).await
     }
 
     /// Starts an entry whose configuration counts as stale after `revocation`.
@@ -267,7 +267,12 @@
             revocation,
             ..bounds()
         };
-        self.entry_with(vm, bounds, None).await
+        self.entry_with(vm, bounds, None, 0).await
+    }
+
+    /// Starts an entry that reads up to `bytes` bytes of a stream ahead of its client.
+    pub(crate) async fn entry_with_read_ahead(&self, vm: &str, bytes: usize) -> Entry {
+        self.entry_with(vm, bounds(), None, bytes).await
     }
 
     async fn entry_with(
@@ -275,6 +280,7 @@
         vm: &str,
         bounds: forwarding::Bounds,
         server_heartbeat: Option<time::Duration>,
+        read_ahead_bytes: usize,
     ) -> Entry {
         let ip = unique_ip();
         let address = |port: u16| net::SocketAddr::from((ip, port));
@@ -283,7 +289,7 @@
             data_centre: "north".to_owned(),
             processor: 1.0,
             memory: None,
-            read_ahead_bytes: 0,
+            read_ahead_bytes,
             front: address(8001),
             ready: address(8002),
             directory: address(8003),
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -24,6 +24,7 @@
 mod relays;
 mod restored_platform;
 mod server;
+mod slow_readers;
 mod streams;
 mod tunnels;
 mod undecoded;
--- a/crates/mustardshedd/tests/forward/metrics.rs
+++ b/crates/mustardshedd/tests/forward/metrics.rs
@@ -9,7 +9,7 @@
 
 /// Sums up the samples of a metric that have `label` as value of some label; of all samples if it
 /// is empty.
-fn sum(text: &str, name: &str, label: &str) -> f64 {
+pub(crate) fn sum(text: &str, name: &str, label: &str) -> f64 {
     let lines = text.lines().map(|line| Ok(line.to_owned()));
     let scrape = prometheus_parse::Scrape::parse(lines).unwrap();
     let samples = scrape.samples.iter().filter(|sample| sample.metric == name);
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -29,6 +29,9 @@
 /// Time that a server takes to begin its answer to a request that crashes it.
 const TIME_TO_CRASH: time::Duration = time::Duration::from_millis(30);
 
+/// Bytes of data in a large event.
+pub(crate) const LARGE_EVENT_BYTES: usize = 40_000;
+
 /// How the server responds to one request.
 #[derive(Clone, Debug)]
 pub(crate) enum Response {
@@ -48,6 +51,9 @@
     Events { ids: Vec<u64>, ends: bool },
     /// An event and the beginning of another one, after which the connection breaks.
     Truncated { id: u64 },
+    /// Large events after the one that the request names, up to `last`; the connection breaks after
+    /// them unless `ends`.
+    LargeEvents { last: u64, ends: bool },
     /// No response; the connection is closed.
     Closed,
     /// No response; the connection stays open.
@@ -61,6 +67,7 @@
     script: sync::Mutex<collections::VecDeque<Response>>,
     got: sync::Mutex<Vec<ReceivedRequest>>,
     abandoned: sync::atomic::AtomicUsize,
+    open_connections: sync::atomic::AtomicUsize,
     /// Prompt parts, and parts of paths, that crash the server.
     deadly_parts: sync::Mutex<Vec<&'static str>>,
     crashed: tokio::sync::Notify,
@@ -128,6 +135,12 @@
     pub(crate) fn abandoned(&self) -> usize {
         self.state.abandoned.load(sync::atomic::Ordering::Relaxed)
     }
+
+    /// Returns the number of connections that neither side has closed, if none has crashed.
+    pub(crate) fn open_connections(&self) -> usize {
+        let open = &self.state.open_connections;
+        open.load(sync::atomic::Ordering::Relaxed)
+    }
 }
 
 async fn accept(mut listener: tokio::net::TcpListener, state: sync::Arc<State>) {
@@ -152,11 +165,16 @@
             }
         };
         let state = sync::Arc::clone(state);
+        let accepted_by = sync::Arc::clone(&state);
+        let open = &state.open_connections;
+        open.fetch_add(1, sync::atomic::Ordering::Relaxed);
         connections.spawn(async move {
             let answering = service::service_fn(move |req| respond(sync::Arc::clone(&state), req));
             let served =
                 http1::Builder::new().serve_connection(rt::TokioIo::new(stream), answering);
             drop(served.await);
+            let open = &accepted_by.open_connections;
+            open.fetch_sub(1, sync::atomic::Ordering::Relaxed);
         });
     }
 }
@@ -184,6 +202,8 @@
     let is_stream = ["/long/", "/stream/"]
         .iter()
         .any(|prefix| parts.uri.path().starts_with(prefix));
+    let last_event = parts.headers.get("last-event-id");
+    let last_event = last_event.and_then(|id| id.to_str().ok()?.parse().ok());
     let is_order = parts.uri.path() == "/api/order";
     let is_deadly = state.is_deadly(parts.uri.path(), &parts.headers);
     state.got.lock().unwrap().push(ReceivedRequest {
@@ -226,8 +246,12 @@
             unanswered.1 = true;
             return Ok(res);
         }
-        Response::Events { ids, ends } => events(&ids, None, ends),
-        Response::Truncated { id } => events(&[id], Some("id: 99\ndata: ha"), false),
+        Response::Events { ids, ends } => events(&ids, "", None, ends),
+        Response::Truncated { id } => events(&[id], "", Some("id: 99\ndata: ha"), false),
+        Response::LargeEvents { last, ends } => {
+            let ids: Vec<u64> = (last_event.unwrap_or(0) + 1..=last).collect();
+            events(&ids, &"x".repeat(LARGE_EVENT_BYTES), None, ends)
+        }
         Response::Closed => return Err(io::Error::from(io::ErrorKind::ConnectionReset)),
         Response::Silent => {
             tokio::time::sleep(time::Duration::from_secs(60)).await;
@@ -267,10 +291,10 @@
     res
 }
 
-fn events(ids: &[u64], torn: Option<&'static str>, ends: bool) -> http::Response<Body> {
+fn events(ids: &[u64], data: &str, torn: Option<&'static str>, ends: bool) -> http::Response<Body> {
     let mut frames: Vec<io::Result<Bytes>> = ids
         .iter()
-        .map(|id| Ok(Bytes::from(format!("id: {id}\ndata: e{id}\n\n"))))
+        .map(|id| Ok(Bytes::from(format!("id: {id}\ndata: e{id}{data}\n\n"))))
         .collect();
     frames.extend(torn.map(|torn| Ok(Bytes::from_static(torn.as_bytes()))));
     if !ends {
