--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -16,6 +16,10 @@
 
 mod accounts;
 
+pub mod read_ahead;
+
+/// Prefix of the names of all metrics.
+const NAMESPACE: &str = "mustardshed";
 /// Path on which the metrics are served.
 pub const PATH: &str = "/metrics";
 
@@ -51,6 +55,8 @@
     age: prometheus::GaugeVec,
     lost_log_lines: prometheus::IntGaugeVec,
     accounts: accounts::Accounts,
+    /// Metrics of streams that are read ahead of their clients.
+    pub read_ahead: read_ahead::ReadAhead,
 }
 
 impl Metrics {
@@ -62,26 +68,26 @@
     pub fn new() -> prometheus::Result<Self> {
         let registry = prometheus::Registry::new();
         let counters = |name: &str, help: &str, labels: &[&str]| {
-            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            let opts = prometheus::Opts::new(name, help).namespace(NAMESPACE);
             register(&registry, prometheus::IntCounterVec::new(opts, labels)?)
         };
         let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            let opts = prometheus::Opts::new(name, help).namespace(NAMESPACE);
             register(&registry, prometheus::IntGaugeVec::new(opts, labels)?)
         };
         let gauge = |name: &str, help: &str| {
-            let opts = prometheus::Opts::new(name, help).namespace("mustardshed");
+            let opts = prometheus::Opts::new(name, help).namespace(NAMESPACE);
             register(&registry, prometheus::IntGauge::with_opts(opts)?)
         };
         let histograms = |name: &str, help: &str| {
             let opts = prometheus::HistogramOpts::new(name, help)
-                .namespace("mustardshed")
+                .namespace(NAMESPACE)
                 .buckets(SECONDS.to_vec());
             register(&registry, prometheus::HistogramVec::new(opts, &["kind"])?)
         };
         let age =
             prometheus::Opts::new("read_age_seconds", "Age of the data read from the platform")
-                .namespace("mustardshed");
+                .namespace(NAMESPACE);
         let age = register(&registry, prometheus::GaugeVec::new(age, &["kind"])?)?;
         Ok(Self {
             ended: counters(
@@ -158,6 +164,7 @@
                 &["reason"],
             )?,
             accounts: accounts::Accounts::new(&registry)?,
+            read_ahead: read_ahead::ReadAhead::new(&registry)?,
             registry,
         })
     }
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -253,19 +253,21 @@
         calls["total"].as_u64().unwrap()
     }
 
-    /// Starts an entry with the usual bounds.
+    /// Starts an entry with the usual settings.
     pub(crate) async fn entry(&self, vm: &str) -> Entry {
-        self.entry_with(vm, bounds(), None, false).await
+        self.entry_with(vm, |_| ()).await
     }
 
     /// Starts an entry that limits accounts to fair shares.
     pub(crate) async fn entry_with_fair_shares(&self, vm: &str) -> Entry {
-        self.entry_with(vm, bounds(), None, true).await
+        self.entry_with(vm, |cfg| cfg.accounts.fair_shares = true)
+            .await
     }
 
     /// Starts an entry that knows how often servers renew their registrations.
     pub(crate) async fn entry_with_heartbeat(&self, vm: &str, heartbeat: time::Duration) -> Entry {
-        self.entry_with(vm, bounds(), Some(heartbeat), false).await
+        self.entry_with(vm, |cfg| cfg.server_heartbeat = Some(heartbeat))
+            .await
     }
 
     /// Starts an entry whose configuration counts as stale after `revocation`.
@@ -274,27 +276,30 @@
         vm: &str,
         revocation: time::Duration,
     ) -> Entry {
-        let bounds = forwarding::Bounds {
-            revocation,
-            ..bounds()
-        };
-        self.entry_with(vm, bounds, None, false).await
+        self.entry_with(vm, |cfg| cfg.bounds.revocation = revocation)
+            .await
+    }
+
+    /// Starts an entry that reads up to `bytes` bytes of a stream ahead of its client.
+    pub(crate) async fn entry_with_read_ahead(&self, vm: &str, bytes: usize) -> Entry {
+        self.entry_with(vm, |cfg| cfg.read_ahead_bytes = bytes)
+            .await
     }
 
-    async fn entry_with(
+    /// Starts an entry with the usual settings and a change of them.
+    pub(crate) async fn entry_with(
         &self,
         vm: &str,
-        bounds: forwarding::Bounds,
-        server_heartbeat: Option<time::Duration>,
-        fair_shares: bool,
+        change: impl FnOnce(&mut forwarding::Forwarding),
     ) -> Entry {
         let ip = unique_ip();
         let address = |port: u16| net::SocketAddr::from((ip, port));
-        let settings = forwarding::Forwarding {
+        let mut settings = forwarding::Forwarding {
             vm: vm.to_owned(),
             data_centre: "north".to_owned(),
             processor: 1.0,
             memory: None,
+            read_ahead_bytes: 0,
             front: address(8001),
             ready: address(8002),
             directory: address(8003),
@@ -307,11 +312,12 @@
                 .parse()
                 .unwrap(),
             metrics: Some(address(8005)),
-            server_heartbeat,
+            server_heartbeat: None,
             log_level: settings::LogLevel::Critical,
-            accounts: forwarding::Accounts { fair_shares },
-            bounds,
+            accounts: forwarding::Accounts::default(),
+            bounds: bounds(),
         };
+        change(&mut settings);
         let platform = objects::Objects::open(&settings.platform.to_string(), TIMEOUT / 30);
         let metrics = metrics::Metrics::new().unwrap();
         let clock = sync::Arc::new(clock::BootClock);
