Compare the time left in a planned stop with the server's speed

Cause: whether a stream fits was computed with the speed of the service's profile, before a server was chosen, although servers report how much slower they are.

Change: the check is repeated once the server is known, with its slowdown, and a stream that does not fit is refused before it is sent. The test of the decision cannot be built without the new argument.

--- a/crates/mustardshed-core/src/forward/planned_stop.rs
+++ b/crates/mustardshed-core/src/forward/planned_stop.rs
@@ -41,17 +41,15 @@
 }
 
 /// Returns the longest time from a stream's request to its end, provided its first event is on time
-/// or never comes.
+/// or never comes, on a server that is slower than its profile by the factor `slowdown`.
 #[must_use]
 pub fn max_duration(
     profile: &engine::Profile,
     need: &placement::Need,
     answer_limit: ids::Tokens,
+    slowdown: f64,
 ) -> time::Duration {
-    let steps = engine::tokens_f64(answer_limit) * profile.step_ms;
-    engine::millis(
-        need.objective_ms
-            .max(profile.prefill_ms(need.prompt_tokens))
-            + steps * BUSY_FACTOR,
-    )
+    let prefill = profile.prefill_ms(need.prompt_tokens) * slowdown;
+    let steps = engine::tokens_f64(answer_limit) * profile.step_ms * slowdown;
+    engine::millis(need.objective_ms.max(prefill) + steps * BUSY_FACTOR)
 }
--- a/crates/mustardshed-core/tests/forward/planned_stop.rs
+++ b/crates/mustardshed-core/tests/forward/planned_stop.rs
@@ -26,7 +26,7 @@
 #[gtest]
 fn short_stream_is_served_to_the_end_where_nobody_else_accepts_it() -> Result<()> {
     let short = fixtures::short_request(fixtures::START);
-    let longest = planned_stop::max_duration(&fixtures::profile(), &short, 1_600);
+    let longest = planned_stop::max_duration(&fixtures::profile(), &short, 1_600, 1.0);
 
     expect_that!(takes(ms(4_000), false, longest), eq(true));
     verify_that!(takes(ms(5_500), false, longest), eq(false))
@@ -35,11 +35,23 @@
 #[gtest]
 fn long_stream_that_might_be_cut_off_is_refused_at_once() -> Result<()> {
     let long = fixtures::long_request(210_000, fixtures::START);
-    let longest = planned_stop::max_duration(&fixtures::profile(), &long, 1_600);
+    let longest = planned_stop::max_duration(&fixtures::profile(), &long, 1_600, 1.0);
 
     verify_that!(takes(ms(3_000), false, longest), eq(false))
 }
 
+// Guards against streams that are accepted for a slow server by the speed of its profile, and cut at
+// the end of the stop (LOST).
+#[gtest]
+fn short_stream_that_a_slow_server_cannot_finish_in_time_is_refused() -> Result<()> {
+    let short = fixtures::short_request(fixtures::START);
+    let of_profile = planned_stop::max_duration(&fixtures::profile(), &short, 2_000, 1.0);
+    let slow = planned_stop::max_duration(&fixtures::profile(), &short, 2_000, 2.2);
+
+    expect_that!(takes(ms(3_100), false, of_profile), eq(true));
+    verify_that!(takes(ms(3_100), false, slow), eq(false))
+}
+
 #[gtest]
 fn stream_whose_client_may_not_know_yet_is_accepted_if_it_ends_in_time() -> Result<()> {
     expect_that!(takes(ms(2_900), true, ms(4_000)), eq(true));
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -124,21 +124,25 @@
         }
     }
 
-    /// Returns the longest duration of a stream; all of its client's time if the sizes are unknown.
-    fn max_duration(&self) -> time::Duration {
+    /// Returns the longest duration of a stream on a server that is slower than its profile by the
+    /// factor `slowdown`; all of its client's time if the sizes are unknown.
+    fn max_duration(&self, slowdown: f64) -> time::Duration {
         let services = self.route.services.first();
         let service = services.and_then(|(name, _)| self.routes.service(name));
         let engine = service.and_then(|service| service.engine);
         match (engine, self.head.max_output_tokens) {
-            (Some(engine), Some(max)) => planned_stop::max_duration(&engine, &self.need(), max),
+            (Some(engine), Some(max)) => {
+                planned_stop::max_duration(&engine, &self.need(), max, slowdown)
+            }
             _ => self.deadline().saturating_sub(self.arrived_at),
         }
     }
 
-    /// Returns whether the response is complete before this entry ends, if that is being stopped.
-    fn fits_planned_stop(&self) -> bool {
+    /// Returns whether the response is complete before this entry ends, if that is being stopped, on
+    /// a server with this slowdown.
+    fn fits_planned_stop(&self, slowdown: f64) -> bool {
         if self.route.kind.is_stream() {
-            return self.cx.takes_stream(self.max_duration());
+            return self.cx.takes_stream(self.max_duration(slowdown));
         }
         let left = self.deadline().saturating_sub(self.cx.now());
         self.cx.takes_call(left)
@@ -262,7 +266,7 @@
         arrived_at,
         _memory: memory,
     };
-    if admitted.fits_planned_stop() {
+    if admitted.fits_planned_stop(1.0) {
         Ok(admitted)
     } else {
         Err(refusal::Refusal::Leaving)
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Returns whether a server ends the response before this entry ends, if that is being stopped.
+    fn fits_planned_stop(&self, server: &str) -> bool {
+        let slowdown = self.req.cx.state().loads.health(server).slowdown();
+        self.req.fits_planned_stop(slowdown)
+    }
+
     /// Returns whether a server may have run the request, or may be running it.
     fn may_have_run(&self) -> bool {
         self.attempts.runs() > 0 || !matches!(self.stage, Stage::Placing)
@@ -271,6 +277,9 @@
         loop {
             self.stage = Stage::Placing;
             let (placed, job) = self.wait_for_place().await?;
+            if !self.may_have_run() && !self.fits_planned_stop(&placed.primary) {
+                return Err(refusal::Refusal::Leaving);
+            }
             self.log_placed(&placed);
             self.tried.push(placed.primary.clone());
             self.stage = Stage::WaitingForHead;
