--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -133,6 +133,8 @@
     pub relay_bypassed: tokio_sync::Notify,
     /// Notified when the configuration was read.
     pub refreshed: tokio_sync::Notify,
+    /// Notified when a read of the configuration gets no answer, as other reads then may not either.
+    pub platform_silent: tokio_sync::Notify,
     /// Notified when the platform answers again after an outage.
     pub platform_recovered: tokio_sync::Notify,
     /// Notified when prompt parts or requests are quarantined.
@@ -191,6 +193,7 @@
             servers_refresh: tokio_sync::Notify::new(),
             relay_bypassed: tokio_sync::Notify::new(),
             refreshed: tokio_sync::Notify::new(),
+            platform_silent: tokio_sync::Notify::new(),
             platform_recovered: tokio_sync::Notify::new(),
             quarantined: tokio_sync::Notify::new(),
             state: sync::Mutex::new(State {
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -139,6 +139,11 @@
                     }
                 }
                 () = cx.servers_refresh.notified(), if self.topic == topic::Topic::Servers => {}
+                // The connection of this watch may be silent as well. Its own timeout would come
+                // later than the time within which a server that leaves must get no more work.
+                () = cx.platform_silent.notified(), if self.topic != topic::Topic::Configuration => {
+                    return self.list().await;
+                }
             }
             let begun_at = cx.now();
             let read = self.list().await?;
@@ -315,6 +320,10 @@
             self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, max_backoff);
         }
         if !std::mem::replace(&mut self.is_lost, true) {
+            let is_silent = matches!(e, objects::Error::Unanswered(_));
+            if is_silent && self.topic == topic::Topic::Configuration {
+                self.cx.platform_silent.notify_waiters();
+            }
             log::emit(&event::Event::PlatformLost {
                 kind: self.topic.kind(),
                 reason: &e.to_string(),
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -224,6 +224,12 @@
         assert_eq!(self.http.send(req).await.unwrap().status, 200);
     }
 
+    /// Returns the address of the platform.
+    pub(crate) fn platform_address(&self) -> net::SocketAddr {
+        let url = self.platform.url();
+        url.trim_start_matches("http://").parse().unwrap()
+    }
+
     /// Sets the faults that the platform simulates.
     pub(crate) async fn faults(&self, faults: serde_json::Value) {
         let url = format!("{}/admin/faults", self.platform.url());
@@ -305,12 +311,7 @@
             directory: address(8003),
             peers: address(8004),
             seeds: Vec::new(),
-            platform: self
-                .platform
-                .url()
-                .trim_start_matches("http://")
-                .parse()
-                .unwrap(),
+            platform: self.platform_address(),
             metrics: Some(address(8005)),
             server_heartbeat: None,
             log_level: settings::LogLevel::Critical,
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -25,6 +25,7 @@
 mod relays;
 mod restored_platform;
 mod server;
+mod silent_platform;
 mod slow_readers;
 mod streams;
 mod tunnels;
