--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -5,14 +5,15 @@
 //! and which others help to prefill its prompt ([`placement`], by the estimates of [`engine`] and
 //! the work in flight in [`load_tracker`]), how much it may delay other requests ([`cost_limit`]),
 //! how much of a service its account may use ([`account_shares`]), whether it may be sent again
-//! ([`attempts`], [`retry_budget`]), how old the knowledge behind a refusal may be
-//! ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which entries clients are
-//! told of ([`live_entries`]), which entries exchange state ([`relays`]), what servers ask for in
-//! their responses ([`notices`], [`advertised_limits`]), which requests crash servers
-//! ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by itself ([`paths`]),
-//! when a signal was sent ([`pauses`]), which servers had left before the platform's store was
-//! restored ([`departures`]), how entries divide what a server accepts from all of them
-//! ([`rate_shares`]), and how far a stream is read ahead of its client ([`read_ahead`]).
+//! ([`attempts`], [`retry_budget`]) or to a second server beside the first ([`hedging`]), how old the
+//! knowledge behind a refusal may be ([`confirmation`](crate::version::confirmation),
+//! [`negative_cache`]), which entries clients are told of ([`live_entries`]), which entries exchange
+//! state ([`relays`]), what servers ask for in their responses ([`notices`],
+//! [`advertised_limits`]), which requests crash servers ([`quarantine`], [`repeated_crashes`]), which
+//! servers this entry reaches by itself ([`paths`]), when a signal was sent ([`pauses`]), which
+//! servers had left before the platform's store was restored ([`departures`]), how entries divide what
+//! a server accepts from all of them ([`rate_shares`]), and how far a stream is read ahead of its
+//! client ([`read_ahead`]).
 
 pub mod account_shares;
 pub mod advertised_limits;
@@ -22,6 +23,7 @@
 pub mod engine;
 pub mod fallback_reads;
 pub mod head;
+pub mod hedging;
 pub mod lateness;
 pub mod live_entries;
 pub mod load_tracker;
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -12,6 +12,7 @@
 mod deadly_requests;
 mod fallback_reads;
 mod fixtures;
+mod hedging;
 mod live_entries;
 mod load_tracker;
 mod long_prompts;
