--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -23,6 +23,12 @@
 
 /// Most bytes of a stream that may be read ahead of its client.
 const MAX_READ_AHEAD_BYTES: u32 = 1 << 20;
+/// Greatest share of a service's requests that may be hedged: that of the fleet's retry budget.
+const MAX_HEDGED_SHARE: f64 = 0.2;
+/// Shortest time after which a second attempt may be sent, if the settings give none.
+const DEFAULT_HEDGING_DELAY: time::Duration = time::Duration::from_millis(50);
+/// Longest such time that is accepted, in milliseconds.
+const MAX_HEDGING_DELAY_MS: u64 = 60_000;
 
 /// CPU capacity of the VM if the settings give none, in cores.
 const DEFAULT_PROCESSOR: f64 = 1.0;
@@ -62,6 +68,17 @@
     pub accounts: Accounts,
     /// Limits that the platform's operators set for this system.
     pub bounds: Bounds,
+    /// When requests are sent to a second server beside the first, if at all.
+    pub hedging: Option<Hedging>,
+}
+
+/// Limits of second attempts that are sent while the first continues.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hedging {
+    /// Second attempts allowed for each request to a service in the retry window.
+    pub max_share: f64,
+    /// Shortest time after which a second attempt may be sent.
+    pub min_delay: time::Duration,
 }
 
 /// How client accounts share the servers.
@@ -151,6 +168,9 @@
             Accounts::read(&field.table()?)
         });
         let bounds = root.required("bounds", |field| Bounds::read(&field.table()?));
+        let hedging = root.optional("hedging", None, |field| {
+            Hedging::read(&field.table()?).map(Some)
+        });
         Some(Self {
             vm: vm?,
             data_centre: data_centre?,
@@ -168,6 +188,23 @@
             log_level: log_level?,
             accounts: accounts?,
             bounds: bounds?,
+            hedging: hedging?,
+        })
+    }
+}
+
+impl Hedging {
+    fn read(section: &section::Section<'_, '_>) -> Option<Self> {
+        let max_share = section.required("max_share", read::number_above_zero(MAX_HEDGED_SHARE));
+        let min_delay = section.optional(
+            "min_delay_ms",
+            DEFAULT_HEDGING_DELAY,
+            read::millis_within(1, MAX_HEDGING_DELAY_MS),
+        );
+        section.report_unknown();
+        Some(Self {
+            max_share: max_share?,
+            min_delay: min_delay?,
         })
     }
 }
--- a/crates/mustardshed-config/src/problem/reason.rs
+++ b/crates/mustardshed-config/src/problem/reason.rs
@@ -36,6 +36,11 @@
         /// Greatest value allowed.
         greatest: String,
     },
+    /// must be a number over 0, at most {greatest}
+    NotAboveZero {
+        /// Greatest value allowed.
+        greatest: String,
+    },
     /// must not be greater than {key}, which is {limit}
     Above {
         /// Key that limits this one.
--- a/crates/mustardshed-config/src/reader/read.rs
+++ b/crates/mustardshed-config/src/reader/read.rs
@@ -70,6 +70,16 @@
     move |field| field.number(greatest)
 }
 
+/// Returns a reader of integers and floats above zero, up to `greatest`.
+pub(crate) fn number_above_zero(greatest: f64) -> impl Fn(&field::Field<'_, '_>) -> Option<f64> {
+    move |field| {
+        let value = field.number(greatest)?;
+        let greatest = greatest.to_string();
+        let reason = problem::Reason::NotAboveZero { greatest };
+        checked(field, (value > 0.0).then_some(value), reason)
+    }
+}
+
 /// Reads `true` or `false`.
 pub(crate) fn boolean(field: &field::Field<'_, '_>) -> Option<bool> {
     field.boolean()
--- a/crates/mustardshed-config/tests/forwarding.rs
+++ b/crates/mustardshed-config/tests/forwarding.rs
@@ -1,5 +1,7 @@
 //! Settings of a forwarding entry.
 
+use std::time;
+
 use googletest::prelude::*;
 use mustardshed_config::forwarding;
 
@@ -84,3 +86,43 @@
     let text: Vec<String> = problems.iter().flatten().map(ToString::to_string).collect();
     verify_that!(text, elements_are![contains_substring("read_ahead_bytes")])
 }
+
+/// Returns settings with these lines in the table of hedged requests.
+fn with_hedging(lines: &str) -> String {
+    format!("{}\n[hedging]\n{lines}\n", settings(""))
+}
+
+#[gtest]
+fn hedging_is_off_without_its_table() -> Result<()> {
+    let without = forwarding::parse(&settings("")).expect("valid settings");
+    let with = forwarding::parse(&with_hedging("max_share = 0.2")).expect("valid settings");
+
+    expect_that!(without.hedging, none());
+    verify_that!(
+        with.hedging,
+        some(eq(forwarding::Hedging {
+            max_share: 0.2,
+            min_delay: time::Duration::from_millis(50),
+        }))
+    )
+}
+
+#[gtest]
+fn invalid_limits_of_hedging_are_errors_that_name_the_key() -> Result<()> {
+    let cases = [
+        ("max_share = 0", "hedging.max_share"),
+        ("max_share = 0.21", "hedging.max_share"),
+        ("max_share = -0.1", "hedging.max_share"),
+        ("min_delay_ms = 20", "hedging.max_share"),
+        ("max_share = 0.1\nmin_delay_ms = 0", "hedging.min_delay_ms"),
+        ("max_share = 0.1\nshare = 1", "hedging.share"),
+    ];
+    for (lines, key) in cases {
+        let problems = forwarding::parse(&with_hedging(lines));
+
+        let problems = problems.err().unwrap_or_default();
+        let text: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        expect_that!(text, elements_are![contains_substring(key)], "{lines}");
+    }
+    Ok(())
+}
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -316,6 +316,7 @@
             log_level: settings::LogLevel::Critical,
             accounts: forwarding::Accounts::default(),
             bounds: bounds(),
+            hedging: None,
         };
         change(&mut settings);
         let platform = objects::Objects::open(&settings.platform.to_string(), TIMEOUT / 30);
