Send a second attempt beside a slow first one

With the table [hedging], an idempotent call or a resumable stream whose first attempt takes longer than is usual on its route is sent to a second server as well. The first good response wins and the other attempt is dropped at once. It counts as a run if it had been sent, but not as a failure of its server. The second attempt takes one retry from the budget and counts against max_attempts; a failure beside it is recorded and checked as before. Without the table requests take the same path as before.

Metrics: hedges_sent_total, hedges_won_total, hedges_denied_total, and the outcome cancelled of attempts_total. Log events: 1223 to 1225.

--- a/crates/mustardshed-core/src/forward/hedging.rs
+++ b/crates/mustardshed-core/src/forward/hedging.rs
@@ -15,7 +15,7 @@
 mod race;
 mod usual;
 
-pub use race::{Attempt, Ended, Next, Race};
+pub use race::{Attempt, Next, Race};
 
 /// Routes whose answer times are kept; the one that answered least recently is dropped for another.
 const MAX_ROUTES: usize = 256;
@@ -82,11 +82,11 @@
     }
 }
 
-/// Returns whether a request may have a second attempt beside its first one, after `runs` attempts
-/// that may have run.
+/// Returns whether the next attempt of a request, after `attempts` others, may have a second one
+/// beside it.
 #[must_use]
-pub fn is_eligible(route: &routes::Route, runs: u32, is_resumed: bool) -> bool {
-    route.kind.is_retryable() && runs == 0 && route.max_attempts >= 2 && !is_resumed
+pub const fn is_eligible(route: &routes::Route, attempts: u32, is_resumed: bool) -> bool {
+    route.kind.is_retryable() && attempts == 0 && route.max_attempts >= 2 && !is_resumed
 }
 
 /// Answer times and second attempts of one entry.
--- a/crates/mustardshed-core/src/forward/hedging/race.rs
+++ b/crates/mustardshed-core/src/forward/hedging/race.rs
@@ -20,20 +20,9 @@
     }
 }
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ended {
-    /// With a response that may be passed on, or the first event of a stream.
-    Answered,
-    /// With an error response, without a response, or with a proof that it has not run.
-    Failed,
-}
-
-/// What follows.
+/// What follows when an attempt has no response that may be passed on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
-    /// Its response is passed on; another attempt that runs is cancelled.
-    PassOn,
     /// The other attempt continues.
     Wait,
     /// No attempt is left: the failure is handled like that of a single attempt.
@@ -71,16 +60,32 @@
         self.first && !self.is_decided
     }
 
-    /// Records the end of an attempt.
-    pub const fn end(&mut self, attempt: Attempt, ended: Ended) -> Next {
+    /// Records that an attempt failed: with an error response, without a response, or with a proof
+    /// that it has not run.
+    pub const fn end(&mut self, attempt: Attempt) -> Next {
+        self.stop(attempt);
+        if self.first || self.second {
+            Next::Wait
+        } else {
+            Next::Fail
+        }
+    }
+
+    /// Records that the response of an attempt is passed on; returns the other attempt if it still
+    /// runs, which is cancelled.
+    pub const fn cancel(&mut self, won: Attempt) -> Option<Attempt> {
+        self.stop(won);
+        match (self.first, self.second) {
+            (true, _) => Some(Attempt::First),
+            (_, true) => Some(Attempt::Second),
+            _ => None,
+        }
+    }
+
+    const fn stop(&mut self, attempt: Attempt) {
         match attempt {
             Attempt::First => self.first = false,
             Attempt::Second => self.second = false,
         }
-        match ended {
-            Ended::Answered => Next::PassOn,
-            Ended::Failed if self.first || self.second => Next::Wait,
-            Ended::Failed => Next::Fail,
-        }
     }
 }
--- a/crates/mustardshed-core/src/forward/quarantine.rs
+++ b/crates/mustardshed-core/src/forward/quarantine.rs
@@ -149,6 +149,13 @@
         found.map(|culprit| culprit.crashed_at).max()
     }
 
+    /// Returns whether a server has crashed under a request with one of these parts, and no request
+    /// with it was answered since.
+    #[must_use]
+    pub fn suspects_any(&self, shared: &[ids::PromptPartId]) -> bool {
+        shared.iter().any(|part| self.is_suspected(part))
+    }
+
     /// Returns the crashes that are kept.
     pub fn crashes(&self) -> impl Iterator<Item = &Crash> {
         self.crashes.iter()
--- a/crates/mustardshed-core/src/forward/retry_budget.rs
+++ b/crates/mustardshed-core/src/forward/retry_budget.rs
@@ -56,6 +56,15 @@
     /// Takes a retry out of the budget, given the number of entries that share the allowance.
     /// Returns false if the budget is spent.
     pub fn try_take(&mut self, service: &str, entries: usize, now: ids::Timestamp) -> bool {
+        let has_room = self.has_room(service, entries, now);
+        if let Some(window) = self.services.get_mut(service).filter(|_| has_room) {
+            window.retries.push_back(now);
+        }
+        has_room
+    }
+
+    /// Returns whether a retry may be taken out of the budget.
+    pub fn has_room(&mut self, service: &str, entries: usize, now: ids::Timestamp) -> bool {
         let window = self.services.entry(service.to_owned()).or_default();
         window.expire(now.saturating_sub(self.limits.window));
         let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
@@ -63,11 +72,7 @@
         let retries = u32::try_from(window.retries.len()).unwrap_or(u32::MAX);
         let allowed =
             f64::from(requests) * self.limits.ratio + self.limits.allowance / f64::from(entries);
-        if f64::from(retries) + 1.0 > allowed * USABLE_SHARE {
-            return false;
-        }
-        window.retries.push_back(now);
-        true
+        f64::from(retries) + 1.0 <= allowed * USABLE_SHARE
     }
 }
 
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,9 +11,9 @@
     core::{
         boundary::clock,
         forward::{
-            account_shares, advertised_limits, live_entries, load_tracker, negative_cache, notices,
-            paths as core_paths, placement, quarantine, rate_shares, relays, rendezvous,
-            repeated_crashes, retry_budget, routes, server,
+            account_shares, advertised_limits, hedging as core_hedging, live_entries, load_tracker,
+            negative_cache, notices, paths as core_paths, placement, quarantine, rate_shares,
+            relays, rendezvous, repeated_crashes, retry_budget, routes, server,
         },
         ids,
     },
@@ -27,6 +27,7 @@
 mod accounts;
 pub mod crashes;
 mod drain;
+mod hedging;
 mod paths;
 pub mod server_reports;
 mod withdrawal;
@@ -71,6 +72,8 @@
     pub relays: relays::Relays,
     /// Retry budget.
     pub retry_budget: retry_budget::RetryBudget,
+    /// Usual answer times and second attempts, if the settings allow these.
+    pub hedging: Option<core_hedging::Hedging>,
     /// Keys and paths recently found to be unknown.
     pub negative_cache: negative_cache::NegativeCache,
     /// Time as of which some request needs the configuration; if it was last confirmed as of an
@@ -179,6 +182,7 @@
             window: settings.bounds.retry_window,
         };
         let loads = accounts::load_tracker(&settings);
+        let hedging = hedging::open(&settings);
         Self {
             peers: peers::Outbox::new(&settings.vm),
             started_at: clock.now(),
@@ -208,6 +212,7 @@
                 live_entries: live_entries::LiveEntries::default(),
                 relays: relays::Relays::default(),
                 retry_budget: retry_budget::RetryBudget::new(limits),
+                hedging,
                 negative_cache: negative_cache::NegativeCache::default(),
                 required_as_of: time::Duration::ZERO,
             }),
@@ -431,17 +436,4 @@
         let polled = polled.map(|server| (server.id.clone(), server.address.clone()));
         polled.collect()
     }
-
-    /// Takes one retry for a service out of the retry budget; returns whether there was one.
-    pub fn take_retry(&self, service: &str) -> bool {
-        let now = self.now();
-        let mut guard = self.state();
-        let state = &mut *guard;
-        let registered = state
-            .view
-            .members()
-            .len()
-            .max(state.live_entries.alive_count(now) + 1);
-        state.retry_budget.try_take(service, registered, now)
-    }
 }
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt at a server, up to the head of its response.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use hyper::body;
 use mustardshed::{
@@ -72,7 +75,8 @@
     }
 }
 
-/// Sends the request to the server where it was placed.
+/// Sends the request to the server where it was placed; `is_sent` is set once a byte of it may have
+/// left this process.
 ///
 /// # Errors
 ///
@@ -83,6 +87,7 @@
     job: job::JobGuard,
     last_event: Option<u64>,
     timeout: time::Duration,
+    is_sent: &atomic::AtomicBool,
 ) -> Result<Response, Failure> {
     let placed_at = req.cx.now();
     let address = address(req, &placed.primary)?;
@@ -109,6 +114,7 @@
         priority: req.priority(),
     };
     let outgoing = outgoing(req, &sent)?;
+    is_sent.store(true, atomic::Ordering::Relaxed);
     let sending = tokio::time::timeout(timeout, connection.send(outgoing));
     let (response, connection_task) = match sending.await {
         Ok(Ok(answered)) => answered,
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -19,6 +19,7 @@
     job, refusal, upstream,
 };
 
+mod hedge;
 mod records;
 
 /// Share of the time left that an attempt may take if another one may follow.
@@ -61,10 +62,7 @@
         return Err(refusal::Refusal::NoServer(NO_SERVER_RETRY_AFTER));
     };
     let now = req.cx.now();
-    req.cx
-        .state()
-        .retry_budget
-        .record_request(&service.name, now);
+    req.cx.state().record_request(&service.name, now);
     let deadline = req.deadline();
     let mut dispatch = Dispatch::new(req, service);
     let left = deadline.saturating_sub(now);
@@ -93,7 +91,7 @@
 /// A request with the state of its attempts.
 #[derive(Debug)]
 pub(super) struct Dispatch {
-    pub(super) req: exchange::Admitted,
+    pub(super) req: sync::Arc<exchange::Admitted>,
     service: routes::Service,
     tried: Vec<ids::BackendServerId>,
     attempts: attempts::Attempts,
@@ -141,7 +139,7 @@
             content: sync::Arc::new(content),
             sent_at: req.arrived_at,
             crashes: 0,
-            req,
+            req: sync::Arc::new(req),
             service,
             tried: Vec::new(),
             attempts: attempts::Attempts::default(),
@@ -192,31 +190,55 @@
     /// Makes attempts until one has a complete response, or the first event of a stream.
     async fn start_response(&mut self) -> Result<ResponseStart, refusal::Refusal> {
         loop {
-            let response = self.attempt().await?;
-            let server = response.guards.server.clone();
-            let status = response.parts.status;
-            let is_stream = self.req.route.kind.is_stream() && status.is_success();
-            let result = if is_stream {
-                let budget = &self.req.cx.memory;
-                streaming::Stream::start(response, self.last_event, budget)
-                    .await
-                    .map(ResponseStart::Stream)
+            let start = if self.may_hedge() {
+                self.start_hedged().await?
             } else {
-                self.read_whole(response).await
+                let response = self.attempt().await?;
+                self.start(response).await?
             };
-            match result {
-                Ok(start) => {
-                    self.has_begun = true;
-                    if self.is_answer(status) {
-                        self.req.cx.record_answer(&self.content);
-                    }
-                    return Ok(start);
-                }
-                Err(reason) => self.broke_off(&server, &reason).await?,
+            if let Some(start) = start {
+                return Ok(start);
             }
         }
     }
 
+    /// Waits until a response is complete, or for the first event of a stream; none if it broke off
+    /// and the request may be repeated.
+    async fn start(
+        &mut self,
+        response: attempt::Response,
+    ) -> Result<Option<ResponseStart>, refusal::Refusal> {
+        let server = response.guards.server.clone();
+        let status = response.parts.status;
+        let is_stream = self.req.route.kind.is_stream() && status.is_success();
+        let result = if is_stream {
+            let budget = &self.req.cx.memory;
+            streaming::Stream::start(response, self.last_event, budget)
+                .await
+                .map(ResponseStart::Stream)
+        } else {
+            self.read_whole(response).await
+        };
+        match result {
+            Ok(start) => {
+                self.record_begun(status);
+                Ok(Some(start))
+            }
+            Err(reason) => {
+                self.broke_off(&server, &reason).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Records that a server has begun to answer with this status.
+    fn record_begun(&mut self, status: http::StatusCode) {
+        self.has_begun = true;
+        if self.is_answer(status) {
+            self.req.cx.record_answer(&self.content);
+        }
+    }
+
     /// Returns whether a response with this status shows that the request crashes no server: an
     /// engine may reject a prompt before it reads it.
     fn is_answer(&self, status: http::StatusCode) -> bool {
@@ -234,10 +256,16 @@
             return Err(format!("answered {status}").into());
         }
         let budget = &self.req.cx.memory;
-        let mut buffered = passing::read(response, MAX_RESPONSE_BYTES, budget).await?;
+        let buffered = passing::read(response, MAX_RESPONSE_BYTES, budget).await?;
+        Ok(self.pass_on(buffered))
+    }
+
+    /// Returns the response as far as it was read.
+    fn pass_on(&self, mut buffered: passing::Buffered) -> ResponseStart {
         if let Some(rest) = buffered.rest.take() {
-            return Ok(ResponseStart::Partial(Box::new((buffered, rest))));
+            return ResponseStart::Partial(Box::new((buffered, rest)));
         }
+        let status = buffered.parts.status;
         let mut passed_on = http::Response::new(exchange::full_body(buffered.bytes));
         *passed_on.status_mut() = status;
         *passed_on.headers_mut() = headers::for_client(&buffered.parts.headers);
@@ -249,7 +277,7 @@
             server,
             &streaming::Timing::default(),
         );
-        Ok(ResponseStart::Whole(passed_on))
+        ResponseStart::Whole(passed_on)
     }
 
     /// Records what a complete response with this status says of its server.
@@ -269,14 +297,11 @@
     /// Makes attempts until one gets the head of a response.
     pub(super) async fn attempt(&mut self) -> Result<attempt::Response, refusal::Refusal> {
         loop {
-            self.stage = Stage::Placing;
-            let (placed, job) = self.wait_for_place().await?;
-            self.log_placed(&placed);
-            self.tried.push(placed.primary.clone());
-            self.stage = Stage::WaitingForHead;
-            let timeout = self.attempt_timeout(&placed);
-            self.sent_at = self.req.cx.now();
-            let result = attempt::run(&self.req, &placed, job, self.last_event, timeout).await;
+            let (placed, job) = self.place_next().await?;
+            let timeout = self.attempt_timeout(&placed, 0);
+            let (last_event, is_sent) = (self.last_event, atomic::AtomicBool::new(false));
+            let sending = attempt::run(&self.req, &placed, job, last_event, timeout, &is_sent);
+            let result = sending.await;
             match result {
                 Ok(response) => {
                     self.req.cx.metrics.attempt("answered");
@@ -296,6 +321,17 @@
         }
     }
 
+    /// Places the next attempt, which is sent from now on.
+    async fn place_next(&mut self) -> Result<(placement::Placed, job::JobGuard), refusal::Refusal> {
+        self.stage = Stage::Placing;
+        let (placed, job) = self.wait_for_place().await?;
+        self.log_placed(&placed, 0);
+        self.tried.push(placed.primary.clone());
+        self.stage = Stage::WaitingForHead;
+        self.sent_at = self.req.cx.now();
+        Ok((placed, job))
+    }
+
     /// Places the request, retrying for a small part of its route's objective; if it cannot be
     /// placed by then, it is refused.
     async fn wait_for_place(
@@ -422,10 +458,10 @@
     }
 
     /// Returns how long an attempt may wait for the head of a response, and a stream for its first
-    /// event.
-    fn attempt_timeout(&self, placed: &placement::Placed) -> time::Duration {
+    /// event, while `running` others continue.
+    fn attempt_timeout(&self, placed: &placement::Placed, running: u32) -> time::Duration {
         let left = self.req.deadline().saturating_sub(self.req.cx.now());
-        let may_retry = self.attempts.runs() + 1 < self.req.route.max_attempts;
+        let may_retry = self.attempts.runs() + running + 1 < self.req.route.max_attempts;
         match self.req.route.kind {
             routes::RouteKind::Idempotent if may_retry => left.mul_f64(ATTEMPT_SHARE),
             // Not even the last attempt may hold reserved memory for a server that does not begin.
--- a/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
@@ -41,7 +41,8 @@
         });
     }
 
-    pub(super) fn log_placed(&self, placed: &placement::Placed) {
+    /// Logs where an attempt was placed while `running` others continue.
+    pub(super) fn log_placed(&self, placed: &placement::Placed, running: u32) {
         let now = self.req.cx.now();
         let (arrivals, cold_left) = {
             let loads = &self.req.cx.state().loads;
@@ -60,7 +61,7 @@
             part_ms: placed.shard_ms.round(),
             estimate_ms: placed.estimate_ms.round(),
             price: (placed.cost * 100.0).round() / 100.0,
-            attempt: self.attempts.count() + 1,
+            attempt: self.attempts.count() + running + 1,
             arrivals,
             cold_ms: cold_left.as_millis(),
         });
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -3,7 +3,10 @@
 use std::time;
 
 use mustardshed::{
-    core::{forward::routes, ids},
+    core::{
+        forward::{hedging, routes},
+        ids,
+    },
     platform::{call_counts, topic},
     wire::forward::tunnel,
 };
@@ -36,6 +39,9 @@
     ended: prometheus::IntCounterVec,
     refused: prometheus::IntCounterVec,
     attempts: prometheus::IntCounterVec,
+    hedges_sent: prometheus::IntCounterVec,
+    hedges_won: prometheus::IntCounterVec,
+    hedges_denied: prometheus::IntCounterVec,
     ejections: prometheus::IntCounterVec,
     first_event: prometheus::HistogramVec,
     duration: prometheus::HistogramVec,
@@ -105,6 +111,21 @@
                 "Attempts to send requests to servers",
                 &["outcome"],
             )?,
+            hedges_sent: counters(
+                "hedges_sent_total",
+                "Second attempts that were sent while the first continued",
+                &["kind"],
+            )?,
+            hedges_won: counters(
+                "hedges_won_total",
+                "Requests with a second attempt, by the attempt whose response was passed on",
+                &["attempt"],
+            )?,
+            hedges_denied: counters(
+                "hedges_denied_total",
+                "Second attempts that were due and not sent, by the limit that forbade them",
+                &["limit"],
+            )?,
             ejections: counters(
                 "ejections_total",
                 "Servers that this entry ejected, by whose failure it was",
@@ -199,6 +220,23 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a second attempt that was sent.
+    pub fn hedged(&self, route_kind: routes::RouteKind) {
+        self.hedges_sent
+            .with_label_values(&[kind(route_kind)])
+            .inc();
+    }
+
+    /// Counts a request with a second attempt, by the attempt whose response was passed on.
+    pub fn hedge_won(&self, won: hedging::Attempt) {
+        self.hedges_won.with_label_values(&[won.code()]).inc();
+    }
+
+    /// Counts a second attempt that was due and not sent.
+    pub fn hedge_denied(&self, denied: hedging::Denied) {
+        self.hedges_denied.with_label_values(&[denied.code()]).inc();
+    }
+
     /// Counts a server that was ejected after a failure of this entry's own or of a peer.
     pub fn ejected(&self, source: &str) {
         self.ejections.with_label_values(&[source]).inc();
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -259,6 +259,30 @@
         prefill_ms: f64,
         share_ratio: f64,
     }
+    /// A request was sent to a second server while the first attempt continued.
+    1223 Info "hedge_sent" HedgeSent {
+        request: &'a str,
+        route: &'a str,
+        server: &'a str,
+        first: &'a str,
+        after_ms: u128,
+    }
+    /// One of two attempts has a response to pass on; the other is cancelled if it still runs.
+    1224 Info "hedge_ended" HedgeEnded {
+        request: &'a str,
+        route: &'a str,
+        won: &'a str,
+        server: &'a str,
+        cancelled: &'a str,
+        elapsed_ms: u128,
+    }
+    /// A second attempt was due, but a limit forbade it.
+    1225 Info "hedge_denied" HedgeDenied {
+        request: &'a str,
+        route: &'a str,
+        reason: &'a str,
+        after_ms: u128,
+    }
     /// A client has taken nothing of its stream for a second; the stream is read ahead.
     1226 Info "client_slow" ClientSlow {
         request: &'a str,
