Test hedged requests with servers that are slow, fail or reject

The tests cover who answers, which connections are closed, what counts as a failure, when a request is refused as not run, and that calls which run once, resumed or suspected streams and entries without the settings send one attempt at a time.

--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -177,20 +177,24 @@
         self.write("config", "main", config).await;
     }
 
-    /// Writes a configuration whose service has engines.
+    /// Writes a configuration with the routes `/long/` and `/long/resumable/` to engines.
     pub(crate) async fn configure_engine(&self, version: u64) {
         let engine = json!({
             "slots": 16, "kv_capacity_tokens": 450_000, "stride": 46, "step_ms": 0.925,
             "per_seq_ms": 0.005, "context_per_k": 0.002, "read_per_s": 256_000.0,
             "pairs_per_m": 0.09, "chunk": 2_048,
         });
+        let route = |name: &str, prefix: &str, attempts: u32| {
+            json!({
+                "name": name, "host": HOST, "path_prefix": prefix, "route_type": "streaming",
+                "timeout_ms": 60_000, "target_latency_ms": 20_000, "gap_aim_ms": 1_000,
+                "service": "runners", "max_attempts": attempts, "public": true,
+                "resumable": attempts > 1,
+            })
+        };
         let config = json!({
             "version": version,
-            "routes": [{
-                "name": "long", "host": HOST, "path_prefix": "/long/", "route_type": "streaming",
-                "timeout_ms": 60_000, "target_latency_ms": 20_000, "gap_aim_ms": 1_000,
-                "service": "runners", "max_attempts": 1, "public": true,
-            }],
+            "routes": [route("long", "/long/", 1), route("resumable", "/long/resumable/", 2)],
             "services": [{ "name": "runners", "max_connections": 100, "engine": engine }],
         });
         self.write("config", "main", config).await;
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod entries;
 mod fixture;
 mod gangs;
+mod hedging;
 mod keys;
 mod log;
 mod metrics;
--- a/crates/mustardshedd/tests/forward/server.rs
+++ b/crates/mustardshedd/tests/forward/server.rs
@@ -58,6 +58,8 @@
     Closed,
     /// No response; the connection stays open.
     Silent,
+    /// Another response after this many milliseconds.
+    Late(u64, Box<Response>),
 }
 
 type Body = combinators::UnsyncBoxBody<Bytes, io::Error>;
@@ -219,7 +221,7 @@
         std::future::pending::<()>().await;
     }
     // The script does not apply to orders.
-    let scripted = if is_order {
+    let mut scripted = if is_order {
         None
     } else {
         state.script.lock().unwrap().pop_front()
@@ -233,6 +235,10 @@
         Response::Whole(200, "done")
     };
     let mut unanswered = Unanswered(sync::Arc::clone(&state), false);
+    if let Some(Response::Late(ms, response)) = scripted {
+        tokio::time::sleep(time::Duration::from_millis(ms)).await;
+        scripted = Some(*response);
+    }
     let mut res = match scripted.unwrap_or(default) {
         Response::Whole(status, text) => whole(status, text),
         Response::NotRun => not_run(),
@@ -257,6 +263,7 @@
             tokio::time::sleep(time::Duration::from_secs(60)).await;
             whole(200, "late")
         }
+        Response::Late(..) => panic!("a late response that is late again"),
     };
     unanswered.1 = true;
     if let Some(id) = id {
