Test invalid answers that servers break off

Answers without a length that are reset during and after a long upload, chunked answers without their last chunk, answers shorter than their length, and interim responses without end: for idempotent calls, calls that run once and streams that are resumed. A reset is also tried through a peer's tunnel, after the upload.

--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -150,6 +150,16 @@
 
     /// Writes the same with these accounts.
     pub(crate) async fn configure_accounts(&self, version: u64, accounts: serde_json::Value) {
+        self.configure_with_limit(version, accounts, 1_000).await;
+    }
+
+    /// Writes the same with a limit on request bodies.
+    pub(crate) async fn configure_with_limit(
+        &self,
+        version: u64,
+        accounts: serde_json::Value,
+        max_body_bytes: usize,
+    ) {
         let route = |name: &str, kind: &str, attempts: u32| {
             json!({
                 "name": name, "host": HOST, "path_prefix": format!("/{name}/"),
@@ -169,7 +179,7 @@
             ],
             "services": [{ "name": "runners", "max_connections": 100 }],
             "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 1_000,
+                "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
             },
             "tenants": accounts,
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -16,6 +16,8 @@
 mod entries;
 mod fixture;
 mod gangs;
+mod invalid;
+mod invalid_server;
 mod keys;
 mod log;
 mod metrics;
