Report a reset as one through a peer's tunnel while a request is written

The peer dropped the error of a write to the server. The kernel reports a reset once, so that the read which followed saw an orderly end, and an answer without a length arrived as complete.

--- a/crates/mustardshedd/src/forward/tunnel/server.rs
+++ b/crates/mustardshedd/src/forward/tunnel/server.rs
@@ -1,6 +1,9 @@
 //! The end of a tunnel that is connected to the server.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt, stream};
@@ -74,10 +77,17 @@
 async fn pass_on(socket: Socket, stream: net::TcpStream, server: &str) {
     let (mut tx, rx) = socket.split();
     let (from_server, to_server) = stream.into_split();
+    let is_broken = atomic::AtomicBool::new(false);
     let end = tokio::select! {
         end = pass_responses(from_server, &mut tx) => end,
         // The peer no longer wants the response; dropping the connection tells the server.
-        () = pass_requests(rx, to_server) => return,
+        () = pass_requests(rx, to_server, &is_broken) => return,
+    };
+    // A reset is reported once: after a write has got it, reading ends as if the server had closed
+    // the connection.
+    let end = match end {
+        Ok(()) if is_broken.into_inner() => Err("the server reads no more".to_owned()),
+        end => end,
     };
     let code = match &end {
         Ok(()) => protocol::frame::coding::CloseCode::Normal,
@@ -115,14 +125,14 @@
     }
 }
 
-/// Passes bytes on to the server until the peer leaves.
-async fn pass_requests(mut rx: Rx, mut tx: tcp::OwnedWriteHalf) {
-    let mut takes_bytes = true;
+/// Passes bytes on to the server until the peer leaves; sets `is_broken` if a write fails.
+async fn pass_requests(mut rx: Rx, mut tx: tcp::OwnedWriteHalf, is_broken: &atomic::AtomicBool) {
     while let Some(Ok(message)) = rx.next().await {
         match message {
             // A server that reads no more may have answered before.
-            tungstenite::Message::Binary(buf) if takes_bytes => {
-                takes_bytes = tx.write_all(&buf).await.is_ok();
+            tungstenite::Message::Binary(buf) if !is_broken.load(atomic::Ordering::Relaxed) => {
+                let written = tx.write_all(&buf).await;
+                is_broken.store(written.is_err(), atomic::Ordering::Relaxed);
             }
             tungstenite::Message::Close(_) => return,
             _ => {}
--- a/crates/mustardshedd/tests/forward/invalid.rs
+++ b/crates/mustardshedd/tests/forward/invalid.rs
@@ -156,6 +156,20 @@
     read.await.unwrap()
 }
 
+// Guards against a reset that the peer notices while it writes the upload, and then reports as the
+// server's end of its response.
+#[gtest]
+#[tokio::test]
+async fn response_through_a_peer_that_is_reset_is_a_failure() -> Result<()> {
+    for _ in 0..5 {
+        let during = send_through_peer(&early("200 OK", "half", End::Reset)).await;
+        expect_that!(during, err(anything()), "during the upload");
+    }
+    let after = send_through_peer(&answer("200 OK", "half", End::Reset)).await;
+
+    verify_that!(after, err(anything()))
+}
+
 #[gtest]
 #[tokio::test]
 async fn response_through_a_peer_that_ends_with_its_connection_is_complete() -> Result<()> {
