Treat a status outside 100 to 599 as a failure of the server

The HTTP client takes statuses from 100 to 999, and 600 and 999 were passed on to clients: before the change the test got them for calls and streams alike, without a second attempt or a failure counted. The head of each response of a server is now checked where it arrives, also of reports and orders. 000 and 099 failed before as well.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -8,7 +8,8 @@
 //! ([`attempts`], [`retry_budget`]), how old the knowledge behind a refusal may be
 //! ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which entries clients are
 //! told of ([`live_entries`]), which entries exchange state ([`relays`]), what servers ask for in
-//! their responses ([`notices`], [`advertised_limits`]), which requests crash servers
+//! their responses ([`notices`], [`advertised_limits`]), which responses are failures of their
+//! servers ([`response_check`]), which requests crash servers
 //! ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by itself ([`paths`]),
 //! when a signal was sent ([`pauses`]), which servers had left before the platform's store was
 //! restored ([`departures`]), how entries divide what a server accepts from all of them
@@ -38,6 +39,7 @@
 pub mod relays;
 pub mod rendezvous;
 pub mod repeated_crashes;
+pub mod response_check;
 pub mod retry_budget;
 pub mod routes;
 pub mod server;
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -28,6 +28,7 @@
 mod relays;
 mod repeated_crashes;
 mod repeated_requests;
+mod response_check;
 mod retry_budget;
 mod routes;
 mod servers;
--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -9,6 +9,7 @@
 pub mod cx;
 pub mod dial;
 pub mod exchange;
+pub mod invalid_response;
 pub mod job;
 pub mod link;
 pub mod listeners;
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -117,7 +117,10 @@
                 .check_reachable(&placed.primary, now, Symptom::Broken);
             return Err(Failure::Unknown(reason));
         }
-        Ok(Err(e)) => return Err(Failure::not_run(e)),
+        Ok(Err(upstream::SendError::Invalid(invalid))) => {
+            return Err(Failure::Unknown(invalid.into()));
+        }
+        Ok(Err(e @ upstream::SendError::NotSent(_))) => return Err(Failure::not_run(e)),
         Err(_) => {
             if timeout >= MIN_UNREACHABLE_SILENCE {
                 req.cx
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -485,6 +485,7 @@
         broken: &upstream::Broken,
     ) -> Result<(), refusal::Refusal> {
         attempt::record_failure(&self.req, server);
+        self.record_invalid(server, broken);
         let check = self.check_for_crash(server, broken.is_closed);
         let will_retry = self.may_try_again() && self.req.cx.take_retry(&self.service.name);
         self.log_failed(server, "unknown", &broken.reason, will_retry);
--- a/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
@@ -5,7 +5,10 @@
 use mustardshed::core::forward::{account_shares, placement};
 
 use crate::{
-    forward::exchange::{dispatch::Dispatch, streaming},
+    forward::{
+        exchange::{dispatch::Dispatch, streaming},
+        upstream,
+    },
     log::{self, event},
 };
 
@@ -83,6 +86,23 @@
         });
     }
 
+    /// Counts and logs an attempt that broke off, if that is because its response is invalid.
+    pub(in crate::forward::exchange) fn record_invalid(
+        &self,
+        server: &str,
+        broken: &upstream::Broken,
+    ) {
+        let Some(invalid) = broken.invalid else {
+            return;
+        };
+        self.req.cx.metrics.invalid_response("request", invalid);
+        log::emit(&event::Event::ResponseInvalid {
+            request: self.req.id(),
+            server,
+            problem: &invalid.to_string(),
+        });
+    }
+
     pub(super) fn log_not_placed(&self, e: &placement::NotPlaced) {
         if let placement::NotPlaced::OverShare { usage, ratio, .. } = e {
             return self.log_over_share(usage, *ratio);
--- a/crates/mustardshedd/src/forward/exchange/passing.rs
+++ b/crates/mustardshedd/src/forward/exchange/passing.rs
@@ -152,6 +152,7 @@
     fn record_broken(&self, broken: &upstream::Broken) {
         let server = &self.guards.server;
         attempt::record_failure(&self.dispatch.req, server);
+        self.dispatch.record_invalid(server, broken);
         self.dispatch
             .log_failed(server, "unknown", &broken.reason, false);
         self.record_end("broken_off");
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -3,7 +3,10 @@
 use std::time;
 
 use mustardshed::{
-    core::{forward::routes, ids},
+    core::{
+        forward::{response_check, routes},
+        ids,
+    },
     platform::{call_counts, topic},
     wire::forward::tunnel,
 };
@@ -36,6 +39,7 @@
     ended: prometheus::IntCounterVec,
     refused: prometheus::IntCounterVec,
     attempts: prometheus::IntCounterVec,
+    invalid_responses: prometheus::IntCounterVec,
     ejections: prometheus::IntCounterVec,
     first_event: prometheus::HistogramVec,
     duration: prometheus::HistogramVec,
@@ -105,6 +109,11 @@
                 "Attempts to send requests to servers",
                 &["outcome"],
             )?,
+            invalid_responses: counters(
+                "invalid_responses_total",
+                "Invalid responses of servers, by what asked for them",
+                &["source", "problem"],
+            )?,
             ejections: counters(
                 "ejections_total",
                 "Servers that this entry ejected, by whose failure it was",
@@ -199,6 +208,12 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an invalid response of a server to a request, or to this entry itself.
+    pub fn invalid_response(&self, source: &str, invalid: response_check::Invalid) {
+        let labels = [source, invalid.code()];
+        self.invalid_responses.with_label_values(&labels).inc();
+    }
+
     /// Counts a server that was ejected after a failure of this entry's own or of a peer.
     pub fn ejected(&self, source: &str) {
         self.ejections.with_label_values(&[source]).inc();
--- a/crates/mustardshedd/src/forward/reports.rs
+++ b/crates/mustardshedd/src/forward/reports.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    forward::{cx, dial, upstream},
+    forward::{cx, dial, invalid_response, upstream},
     log::{self, event},
 };
 
@@ -100,6 +100,7 @@
         .map_err(|e| e.to_string())?;
     let connection = dial::connect(cx, id, address).await;
     let sent = connection.map_err(|e| e.to_string())?.send(req).await;
+    let sent = sent.inspect_err(|e| invalid_response::record(cx, id, "report", e));
     let (response, connection_task) = sent.map_err(|e| e.to_string())?;
     let head = headers::response(response.status(), response.headers());
     cx.observe_response(id, &head);
--- a/crates/mustardshedd/src/forward/reservation.rs
+++ b/crates/mustardshedd/src/forward/reservation.rs
@@ -10,7 +10,7 @@
 use tokio::task;
 
 use crate::{
-    forward::{cx, dial, upstream},
+    forward::{cx, dial, invalid_response, upstream},
     log::{self, event},
 };
 
@@ -136,6 +136,8 @@
         let exchange = async {
             let connection = dial::connect(&self.cx, &self.server, &self.address).await;
             let sent = connection.map_err(|e| e.to_string())?.send(req).await;
+            let sent =
+                sent.inspect_err(|e| invalid_response::record(&self.cx, &self.server, "order", e));
             let (response, _task) = sent.map_err(|e| e.to_string())?;
             let (parts, body) = response.into_parts();
             upstream::discard(body, MAX_ANSWER_BYTES).await?;
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
-use mustardshed::core::error;
+use mustardshed::core::{error, forward::response_check};
 use tokio::{io, net, task};
 
 use crate::forward::memory;
@@ -55,6 +55,8 @@
     NotSent(String),
     /// no response: {0}
     NoResponse(Broken),
+    /// invalid response: {0}
+    Invalid(response_check::Invalid),
 }
 
 /// A connection that is closed when dropped.
@@ -112,14 +114,20 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::NotSent`] if no byte of the request has left this process, and
-    /// [`SendError::NoResponse`] if it may have run.
+    /// Returns [`SendError::NotSent`] if no byte of the request has left this process; after any
+    /// other error it may have run.
     pub async fn send(
         mut self,
         req: http::Request<RequestBody>,
     ) -> Result<(http::Response<body::Incoming>, ConnectionTask), SendError> {
         match self.tx.try_send_request(req).await {
-            Ok(response) => Ok((response, self.connection_task)),
+            Ok(response) => {
+                let head = response_check::Head {
+                    status: response.status().as_u16(),
+                };
+                head.validate().map_err(SendError::Invalid)?;
+                Ok((response, self.connection_task))
+            }
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => SendError::NotSent(error::with_causes(e.error())),
                 None => SendError::NoResponse(Broken::new(e.error())),
--- a/crates/mustardshedd/src/forward/upstream/broken.rs
+++ b/crates/mustardshedd/src/forward/upstream/broken.rs
@@ -3,7 +3,7 @@
 use std::{error, io, iter};
 
 use displaydoc::Display;
-use mustardshed::core::error as core_error;
+use mustardshed::core::{error as core_error, forward::response_check};
 
 /// {reason}
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -12,6 +12,8 @@
     pub reason: String,
     /// Whether the server closed the connection.
     pub is_closed: bool,
+    /// What is wrong with the response, if it is invalid.
+    pub invalid: Option<response_check::Invalid>,
 }
 
 impl Broken {
@@ -22,6 +24,7 @@
         Self {
             reason: core_error::with_causes(e),
             is_closed: causes.any(is_closed),
+            invalid: None,
         }
     }
 }
@@ -31,6 +34,17 @@
         Self {
             reason,
             is_closed: false,
+            invalid: None,
+        }
+    }
+}
+
+impl From<response_check::Invalid> for Broken {
+    fn from(invalid: response_check::Invalid) -> Self {
+        Self {
+            reason: invalid.to_string(),
+            is_closed: false,
+            invalid: Some(invalid),
         }
     }
 }
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -274,6 +274,18 @@
         reason: &'a str,
         held_bytes: usize,
     }
+    /// A backend server sent an invalid response to a request; it was not passed on.
+    1228 Warn "response_invalid" ResponseInvalid {
+        request: &'a str,
+        server: &'a str,
+        problem: &'a str,
+    }
+    /// A backend server sent an invalid response to this entry's own request.
+    1229 Warn "own_response_invalid" OwnResponseInvalid {
+        server: &'a str,
+        source: &'a str,
+        problem: &'a str,
+    }
     /// A forwarding entry runs.
     1301 Info "forwarding_started" ForwardingStarted {
         vm: &'a str,
--- a/crates/mustardshedd/tests/forward/invalid.rs
+++ b/crates/mustardshedd/tests/forward/invalid.rs
@@ -120,6 +120,17 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test]
+async fn status_outside_100_to_599_is_a_failure() -> Result<()> {
+    for status in ["000", "099", "600", "999"] {
+        let head = format!("{status} Trouble\r\nContent-Length: 4");
+        let invalid = answer(&head, "boom", End::Close);
+        expect_failure(&invalid, REPEATED, 10).await;
+    }
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test]
 async fn interim_responses_without_end_are_a_failure() -> Result<()> {
