--- a/crates/mustardshed-core/src/forward/response_check.rs
+++ b/crates/mustardshed-core/src/forward/response_check.rs
@@ -7,12 +7,16 @@
 
 /// Statuses that a response may have.
 const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+/// Status of a response after which the connection carries another protocol; no entry asks for it.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// What is wrong with a response.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Invalid {
     /// the response has the status {0}
     Status(u16),
+    /// the response switches to another protocol
+    Switched,
 }
 
 impl Invalid {
@@ -21,6 +25,7 @@
     pub const fn code(self) -> &'static str {
         match self {
             Self::Status(_) => "status",
+            Self::Switched => "switched",
         }
     }
 }
@@ -42,6 +47,9 @@
         if !STATUSES.contains(&self.status) {
             return Err(Invalid::Status(self.status));
         }
+        if self.status == SWITCHING_PROTOCOLS {
+            return Err(Invalid::Switched);
+        }
         Ok(())
     }
 }
--- a/crates/mustardshed-core/tests/forward/response_check.rs
+++ b/crates/mustardshed-core/tests/forward/response_check.rs
@@ -23,3 +23,10 @@
     }
     Ok(())
 }
+
+#[gtest]
+fn switch_to_another_protocol_is_invalid() -> Result<()> {
+    let switched = response_check::Invalid::Switched;
+
+    verify_that!(head(101).validate(), eq(Err(switched)))
+}
