Take no end of a connection for that of a response before the upload

An answer without a length whose connection ends while the request is still being written counted as complete. Before the change the test got part of the answer with status 200 for calls and streams alike, and through a peer's tunnel. A length beside chunks and an invalid report are tested as well; both hold.

--- a/crates/mustardshed-core/src/forward/response_check.rs
+++ b/crates/mustardshed-core/src/forward/response_check.rs
@@ -17,6 +17,8 @@
     Status(u16),
     /// the response switches to another protocol
     Switched,
+    /// a response without a length ended before the request was written
+    Unfinished,
 }
 
 impl Invalid {
@@ -26,6 +28,7 @@
         match self {
             Self::Status(_) => "status",
             Self::Switched => "switched",
+            Self::Unfinished => "unfinished",
         }
     }
 }
@@ -35,21 +38,56 @@
 pub struct Head {
     /// Status code.
     pub status: u16,
+    /// Whether it states the length of the body.
+    pub has_length: bool,
+    /// Whether it states a transfer encoding.
+    pub has_transfer_encoding: bool,
+    /// Whether a body follows.
+    pub has_body: bool,
+}
+
+/// How the end of a response's body is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// By its length, its last chunk, or because there is no body.
+    Delimited,
+    /// By the end of the connection.
+    UntilClose,
 }
 
 impl Head {
-    /// Checks a head.
+    /// Checks a head and returns how the end of the body is known.
     ///
     /// # Errors
     ///
     /// Returns what is wrong if no server that works sends such a head.
-    pub fn validate(&self) -> Result<(), Invalid> {
+    pub fn validate(&self) -> Result<Framing, Invalid> {
         if !STATUSES.contains(&self.status) {
             return Err(Invalid::Status(self.status));
         }
         if self.status == SWITCHING_PROTOCOLS {
             return Err(Invalid::Switched);
         }
+        let is_delimited = self.has_length || self.has_transfer_encoding || !self.has_body;
+        Ok(if is_delimited {
+            Framing::Delimited
+        } else {
+            Framing::UntilClose
+        })
+    }
+}
+
+impl Framing {
+    /// Checks the end of a body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the end of the connection does not show that the body is complete: a
+    /// server that ends a connection without reading the request may have failed.
+    pub fn validate_end(self, is_request_written: bool) -> Result<(), Invalid> {
+        if self == Self::UntilClose && !is_request_written {
+            return Err(Invalid::Unfinished);
+        }
         Ok(())
     }
 }
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::{sync, time};
 
-use hyper::body;
 use mustardshed::{
     core::{
         forward::{head, placement},
@@ -46,7 +45,7 @@
 #[derive(Debug)]
 pub(super) struct Response {
     pub(super) parts: http::response::Parts,
-    pub(super) body: body::Incoming,
+    pub(super) body: upstream::ResponseBody,
     /// Guards that must live until the body has been read.
     pub(super) guards: Guards,
     /// Longest wait for the first event, if the response is a stream.
@@ -239,7 +238,7 @@
     placed: &placement::Placed,
     parts: http::response::Parts,
     head: head::ResponseHead,
-    body: body::Incoming,
+    body: upstream::ResponseBody,
     guards: Guards,
     first_event_timeout: time::Duration,
 ) -> Result<Response, Failure> {
--- a/crates/mustardshedd/src/forward/exchange/passing.rs
+++ b/crates/mustardshedd/src/forward/exchange/passing.rs
@@ -31,7 +31,7 @@
 pub(super) struct Rest {
     /// Piece that was received last.
     piece: Bytes,
-    body: body::Incoming,
+    body: upstream::ResponseBody,
     /// Bytes that may still arrive.
     left: usize,
 }
@@ -54,7 +54,7 @@
     } = response;
     guards.connection_task.limit_body(limit);
     let mut buf = memory::Buffer::new(budget);
-    while let Some(data) = upstream::next_piece(&mut body).await? {
+    while let Some(data) = body.next_piece().await? {
         let left = limit.checked_sub(buf.len() + data.len());
         let left = left.ok_or_else(|| upstream::too_large(limit))?;
         if let Err(memory::Exhausted) = buf.extend(&data) {
@@ -108,7 +108,7 @@
     guards: attempt::Guards,
     /// Pieces received and not yet passed on.
     pending: collections::VecDeque<Bytes>,
-    body: body::Incoming,
+    body: upstream::ResponseBody,
     /// Bytes that may still arrive.
     left: usize,
 }
@@ -136,8 +136,7 @@
         }
         let req = &self.dispatch.req;
         let left = req.deadline().saturating_sub(req.cx.now());
-        let next = upstream::next_piece(&mut self.body);
-        let next = tokio::time::timeout(left, next).await;
+        let next = tokio::time::timeout(left, self.body.next_piece()).await;
         let Some(data) = next.map_err(|_| "no end in time".to_owned())?? else {
             return Ok(None);
         };
--- a/crates/mustardshedd/src/forward/exchange/streaming.rs
+++ b/crates/mustardshedd/src/forward/exchange/streaming.rs
@@ -28,7 +28,7 @@
 /// Source of a stream's events: one response of a server.
 #[derive(Debug)]
 struct EventSource {
-    body: body::Incoming,
+    body: upstream::ResponseBody,
     events: events::EventSplitter,
     /// Memory of the event that has not arrived completely.
     memory: memory::Held,
@@ -86,16 +86,13 @@
             if self.events.is_overlong() {
                 return Err("an event exceeds the size limit".to_owned().into());
             }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        let capacity = (self.events.buffered() + data.len()).next_power_of_two();
-                        let covered = self.memory.cover(capacity);
-                        covered.map_err(|e| e.to_string())?;
-                        self.events.push(&data);
-                    }
+            match self.body.next_piece().await? {
+                Some(data) => {
+                    let capacity = (self.events.buffered() + data.len()).next_power_of_two();
+                    let covered = self.memory.cover(capacity);
+                    covered.map_err(|e| e.to_string())?;
+                    self.events.push(&data);
                 }
-                Some(Err(e)) => return Err(upstream::Broken::new(&e)),
                 None if self.events.is_partial() => {
                     return Err("partial last event".to_owned().into());
                 }
--- a/crates/mustardshedd/src/forward/upstream.rs
+++ b/crates/mustardshedd/src/forward/upstream.rs
@@ -8,8 +8,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use http_body_util::BodyExt;
-use hyper::{body, client::conn::http1};
+use hyper::{body::Body, client::conn::http1};
 use hyper_util::rt;
 use mustardshed::core::{error, forward::response_check};
 use tokio::{io, net, task};
@@ -19,9 +18,11 @@
 mod broken;
 mod read_limit;
 mod request_body;
+mod response_body;
 
 pub use broken::Broken;
 pub use request_body::RequestBody;
+pub use response_body::ResponseBody;
 
 /// Idle time after which TCP keepalive probes are sent; the kernel counts whole seconds.
 const KEEPALIVE_IDLE: time::Duration = time::Duration::from_secs(1);
@@ -119,14 +120,13 @@
     pub async fn send(
         mut self,
         req: http::Request<RequestBody>,
-    ) -> Result<(http::Response<body::Incoming>, ConnectionTask), SendError> {
+    ) -> Result<(http::Response<ResponseBody>, ConnectionTask), SendError> {
+        let progress = req.body().progress();
         match self.tx.try_send_request(req).await {
             Ok(response) => {
-                let head = response_check::Head {
-                    status: response.status().as_u16(),
-                };
-                head.validate().map_err(SendError::Invalid)?;
-                Ok((response, self.connection_task))
+                let framing = head_of(&response).validate().map_err(SendError::Invalid)?;
+                let checked = |body| ResponseBody::new(body, framing, progress);
+                Ok((response.map(checked), self.connection_task))
             }
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => SendError::NotSent(error::with_causes(e.error())),
@@ -136,6 +136,17 @@
     }
 }
 
+/// Returns what the head of a response says of its form.
+fn head_of(response: &http::Response<hyper::body::Incoming>) -> response_check::Head {
+    let headers = response.headers();
+    response_check::Head {
+        status: response.status().as_u16(),
+        has_length: headers.contains_key(http::header::CONTENT_LENGTH),
+        has_transfer_encoding: headers.contains_key(http::header::TRANSFER_ENCODING),
+        has_body: !response.body().is_end_stream(),
+    }
+}
+
 /// Sets socket options that make the connection fail if its other side vanishes without closing it.
 ///
 /// # Errors
@@ -153,32 +164,18 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
-/// Waits for the next piece of a response body; none at its end.
-///
-/// # Errors
-///
-/// Returns an error if the body breaks off.
-pub async fn next_piece(body: &mut body::Incoming) -> Result<Option<Bytes>, Broken> {
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.map_err(|e| Broken::new(&e))?.into_data() {
-            return Ok(Some(data));
-        }
-    }
-    Ok(None)
-}
-
 /// Reads the rest of a response body, up to `limit` bytes.
 ///
 /// # Errors
 ///
 /// Returns an error if the body breaks off or exceeds `limit`, or if there is no memory for it.
 pub async fn read_whole(
-    mut body: body::Incoming,
+    mut body: ResponseBody,
     limit: usize,
     budget: &memory::Budget,
 ) -> Result<Bytes, Broken> {
     let mut whole = memory::Buffer::new(budget);
-    while let Some(data) = next_piece(&mut body).await? {
+    while let Some(data) = body.next_piece().await? {
         if whole.len() + data.len() > limit {
             return Err(too_large(limit));
         }
@@ -192,9 +189,9 @@
 /// # Errors
 ///
 /// Returns an error if the body breaks off or exceeds `limit`.
-pub async fn discard(mut body: body::Incoming, limit: usize) -> Result<(), Broken> {
+pub async fn discard(mut body: ResponseBody, limit: usize) -> Result<(), Broken> {
     let mut read = 0;
-    while let Some(data) = next_piece(&mut body).await? {
+    while let Some(data) = body.next_piece().await? {
         read += data.len();
         if read > limit {
             return Err(too_large(limit));
--- a/crates/mustardshedd/tests/forward/invalid.rs
+++ b/crates/mustardshedd/tests/forward/invalid.rs
@@ -90,6 +90,16 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test]
+async fn response_without_length_that_ends_during_the_upload_is_a_failure() -> Result<()> {
+    let whole_events = "id: 1\ndata: e1\n\n";
+    let closed = early("200 OK", whole_events, End::CloseThenReset);
+
+    expect_failure(&closed, RESUMED, UPLOAD_BYTES).await;
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test]
 async fn response_without_length_that_is_reset_after_the_upload_is_a_failure() -> Result<()> {
@@ -156,6 +166,21 @@
     Ok(())
 }
 
+// Guards against a length that is passed on although chunks override it.
+#[gtest]
+#[tokio::test]
+async fn response_with_a_length_and_chunks_is_read_by_its_chunks() -> Result<()> {
+    let head = "200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked";
+    let both = answer(head, "10\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n", End::Close);
+    let whole = "id: 1\ndata: e1\n\n".to_owned();
+
+    for path in ["/once/a", "/again/a", "/stream/a"] {
+        let seen = send(path, &both, 10).await;
+        expect_that!(seen, eq(&(200, whole.clone(), true, 1)), "{path}");
+    }
+    Ok(())
+}
+
 /// Sends an upload through a peer's tunnel to a server with this answer; returns what arrives of
 /// the response's body.
 async fn send_through_peer(bad: &Answer) -> std::result::Result<Bytes, upstream::Broken> {
@@ -193,6 +218,14 @@
     verify_that!(after, err(anything()))
 }
 
+#[gtest]
+#[tokio::test]
+async fn response_through_a_peer_that_ends_during_the_upload_is_a_failure() -> Result<()> {
+    let seen = send_through_peer(&early("200 OK", "half", End::CloseThenReset)).await;
+
+    verify_that!(seen, err(anything()))
+}
+
 #[gtest]
 #[tokio::test]
 async fn response_through_a_peer_that_ends_with_its_connection_is_complete() -> Result<()> {
@@ -200,3 +233,22 @@
 
     verify_that!(seen, ok(eq(b"whole".as_slice())))
 }
+
+#[gtest]
+#[tokio::test]
+async fn invalid_report_of_an_engine_is_a_failure() -> Result<()> {
+    let invalid = answer("600 Trouble\r\nContent-Length: 0", "", End::Close);
+    let server = Server::bind("i-1", invalid).await;
+    let f = fixture::Fixture::empty().await;
+    f.configure_engine(1).await;
+    f.list(&server.listed, "ready", "north").await;
+
+    let entry = f.entry("entry-1").await.ready().await;
+
+    fixture::wait_until("a failure of the server", || {
+        let now = entry.cx.now();
+        entry.cx.state().loads.health("i-1").failure_score(now) > 0.0
+    })
+    .await;
+    Ok(())
+}
