Add a check of the configuration of forwarding entries

mustardshedctl check-forwarding lists what is wrong with a configuration before it is sent, without any network: parts that cannot be decoded, names and keys that are used twice, routes and services that have no effect, and limits that contradict each other. Keys are never printed.

--- a/crates/mustardshed-core/src/forward/routes.rs
+++ b/crates/mustardshed-core/src/forward/routes.rs
@@ -4,8 +4,12 @@
 
 use crate::{forward::engine, ids};
 
+pub mod diff;
+pub mod lint;
+mod parts;
 mod undecoded;
 
+pub use parts::{Ineffective, Parts};
 pub use undecoded::Undecoded;
 
 /// Why no route or no account is found.
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -31,6 +31,7 @@
 mod response_check;
 mod retry_budget;
 mod routes;
+mod routes_lint;
 mod servers;
 mod short_prompts;
 mod thundering_herd;
--- a/crates/mustardshedctl/src/commands.rs
+++ b/crates/mustardshedctl/src/commands.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod check_forwarding;
 pub mod context;
 pub mod data_centre;
 pub mod diff;
--- a/crates/mustardshedctl/src/flags.rs
+++ b/crates/mustardshedctl/src/flags.rs
@@ -20,7 +20,7 @@
     ///     4  unknown whether it was written: the response was lost and reading back did not settle it
     ///     5  accepted, but not confirmed by all live entries before the wait timed out
     cmd mustardshedctl {
-        /// Base URL of the platform's object API, such as http://10.0.0.2:7000. Required except by check.
+        /// Base URL of the platform's object API, such as http://10.0.0.2:7000. Required except by check and check-forwarding.
         optional --platform url: String
         /// File that holds the operators' key. Required by apply, data-centre out and in, status, request and explain.
         optional --operator-key-file file: PathBuf
@@ -37,6 +37,14 @@
             required file: PathBuf
         }
 
+        /// Checks the configuration of forwarding entries, in JSON as the platform holds it; changes nothing.
+        cmd check-forwarding {
+            /// The configuration: the spec of the platform's object config/main.
+            required file: PathBuf
+            /// The version in force: shows what differs from it.
+            optional --against file: PathBuf
+        }
+
         /// Shows what a configuration text would change.
         cmd diff {
             /// The configuration text, in TOML.
@@ -129,6 +137,7 @@
 #[derive(Debug)]
 pub enum MustardshedctlCmd {
     Check(Check),
+    CheckForwarding(CheckForwarding),
     Diff(Diff),
     Apply(Apply),
     Get(Get),
@@ -144,6 +153,13 @@
     pub file: PathBuf,
 }
 
+#[derive(Debug)]
+pub struct CheckForwarding {
+    pub file: PathBuf,
+
+    pub against: Option<PathBuf>,
+}
+
 #[derive(Debug)]
 pub struct Diff {
     pub file: PathBuf,
--- a/crates/mustardshedctl/src/run.rs
+++ b/crates/mustardshedctl/src/run.rs
@@ -19,8 +19,12 @@
 
 /// Runs the subcommand and returns its output.
 pub fn run(flags: flags::Mustardshedctl) -> commands::Result {
-    if let flags::MustardshedctlCmd::Check(check) = &flags.subcommand {
-        return commands::check::run(&read_file(&check.file)?);
+    match &flags.subcommand {
+        flags::MustardshedctlCmd::Check(check) => {
+            return commands::check::run(&read_file(&check.file)?);
+        }
+        flags::MustardshedctlCmd::CheckForwarding(check) => return check_forwarding(check),
+        _ => {}
     }
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|err| failure::Failure::Internal(err.to_string()))?;
@@ -31,6 +35,7 @@
     let cx = context(&flags)?;
     match flags.subcommand {
         flags::MustardshedctlCmd::Check(check) => commands::check::run(&read_file(&check.file)?),
+        flags::MustardshedctlCmd::CheckForwarding(check) => check_forwarding(&check),
         flags::MustardshedctlCmd::Diff(diff) => {
             commands::diff::run(&cx, &read_file(&diff.file)?).await
         }
@@ -58,6 +63,11 @@
     }
 }
 
+fn check_forwarding(check: &flags::CheckForwarding) -> commands::Result {
+    let against = check.against.as_deref().map(read_file).transpose()?;
+    commands::check_forwarding::run(&read_file(&check.file)?, against.as_deref())
+}
+
 async fn change_data_centre(
     cx: &commands::context::Context,
     command: flags::DataCentreCmd,
--- a/crates/mustardshedctl/tests/program.rs
+++ b/crates/mustardshedctl/tests/program.rs
@@ -132,3 +132,72 @@
     );
     Ok(())
 }
+
+const FORWARDING: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../examples/forwarding.json"
+);
+
+#[googletest::test]
+fn check_forwarding_accepts_the_example_and_shows_what_differs() -> Result<()> {
+    let text = fs::read_to_string(FORWARDING).or_fail()?;
+    let newer = text.replace("\"version\": 7", "\"version\": 8");
+    let newer = newer.replace("example-key-of-mill", "another-key");
+    let newer = file("newer.json", &newer);
+
+    let alone = run(&["check-forwarding", FORWARDING]);
+    let changed = run(&["check-forwarding", &newer, "--against", FORWARDING]);
+    let older = run(&[
+        "--json",
+        "check-forwarding",
+        FORWARDING,
+        "--against",
+        &newer,
+    ]);
+
+    expect_that!((alone.0, alone.1.as_str()), eq((0, "no problems\n")));
+    expect_that!((changed.0, older.0), eq((0, 2)));
+    expect_that!(
+        changed.1,
+        contains_substring("changed  account mill  keys: 1 added, 1 removed")
+    );
+    expect_that!(changed.1, not(contains_substring("key-of")));
+    verify_that!(
+        older.1,
+        contains_substring("the version is not higher than 8, which is in force")
+    )
+}
+
+// Guards against parts that cannot be decoded, which entries leave out, and against keys in what is
+// printed of them.
+#[googletest::test]
+fn check_forwarding_reports_what_cannot_be_decoded_and_what_has_no_effect() -> Result<()> {
+    let text = fs::read_to_string(FORWARDING).or_fail()?;
+    let text = text.replacen("\"max_attempts\": 2", "\"max_attempts\": 0", 1);
+    let text = text.replace("\"cold_per_s\": 2", "\"cold_per_s\": 0");
+    let text = text.replace("\"name\": \"mill\"", "\"name\": 5");
+    let undecoded = file("undecoded.json", &text);
+    let broken = file(
+        "broken.json",
+        "{\"version\": 1, \"tenants\": \"example-key-of-mill\"}",
+    );
+
+    let (code, out, _) = run(&["check-forwarding", &undecoded]);
+    let whole = run(&["check-forwarding", &broken]);
+
+    expect_that!((code, whole.0), eq((2, 2)));
+    expect_that!(out, contains_substring("account 1"));
+    expect_that!(
+        out,
+        contains_substring("route chat      the maximum number of attempts is 0")
+    );
+    expect_that!(
+        out,
+        contains_substring("service drafts  its servers have a cold start time")
+    );
+    expect_that!(
+        whole.1,
+        contains_substring("not the expected JSON at line 1")
+    );
+    verify_that!(out + &whole.1, not(contains_substring("key-of")))
+}
