Take an end of a server during a write through a tunnel for a reset

A server that ends its connection in order while a peer's write waits for it has not read the request.

--- a/crates/mustardshedd/src/forward/tunnel/server.rs
+++ b/crates/mustardshedd/src/forward/tunnel/server.rs
@@ -77,16 +77,16 @@
 async fn pass_on(socket: Socket, stream: net::TcpStream, server: &str) {
     let (mut tx, rx) = socket.split();
     let (from_server, to_server) = stream.into_split();
-    let is_broken = atomic::AtomicBool::new(false);
+    let is_unwritten = atomic::AtomicBool::new(false);
     let end = tokio::select! {
         end = pass_responses(from_server, &mut tx) => end,
         // The peer no longer wants the response; dropping the connection tells the server.
-        () = pass_requests(rx, to_server, &is_broken) => return,
+        () = pass_requests(rx, to_server, &is_unwritten) => return,
     };
     // A reset is reported once: after a write has got it, reading ends as if the server had closed
-    // the connection.
+    // the connection. A server that ends while a write waits for it has not read the request.
     let end = match end {
-        Ok(()) if is_broken.into_inner() => Err("the server reads no more".to_owned()),
+        Ok(()) if is_unwritten.into_inner() => Err("the server reads no more".to_owned()),
         end => end,
     };
     let code = match &end {
@@ -125,14 +125,17 @@
     }
 }
 
-/// Passes bytes on to the server until the peer leaves; sets `is_broken` if a write fails.
-async fn pass_requests(mut rx: Rx, mut tx: tcp::OwnedWriteHalf, is_broken: &atomic::AtomicBool) {
+/// Passes bytes on to the server until the peer leaves; `is_unwritten` is true while a write has not
+/// succeeded.
+async fn pass_requests(mut rx: Rx, mut tx: tcp::OwnedWriteHalf, is_unwritten: &atomic::AtomicBool) {
+    let mut takes_bytes = true;
     while let Some(Ok(message)) = rx.next().await {
         match message {
             // A server that reads no more may have answered before.
-            tungstenite::Message::Binary(buf) if !is_broken.load(atomic::Ordering::Relaxed) => {
-                let written = tx.write_all(&buf).await;
-                is_broken.store(written.is_err(), atomic::Ordering::Relaxed);
+            tungstenite::Message::Binary(buf) if takes_bytes => {
+                is_unwritten.store(true, atomic::Ordering::Relaxed);
+                takes_bytes = tx.write_all(&buf).await.is_ok();
+                is_unwritten.store(!takes_bytes, atomic::Ordering::Relaxed);
             }
             tungstenite::Message::Close(_) => return,
             _ => {}
--- a/crates/mustardshedd/tests/forward/invalid.rs
+++ b/crates/mustardshedd/tests/forward/invalid.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use serde_json::json;
 use mustardshedd::forward::{dial, tunnel, upstream};
+use serde_json::json;
 
 use crate::{
     fixture,
