--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -5,7 +5,6 @@
     time,
 };
 
-use hyper::body;
 use mustardshed::{
     core::{
         forward::{head, placement},
@@ -49,7 +48,7 @@
 #[derive(Debug)]
 pub(super) struct Response {
     pub(super) parts: http::response::Parts,
-    pub(super) body: body::Incoming,
+    pub(super) body: upstream::ResponseBody,
     /// Guards that must live until the body has been read.
     pub(super) guards: Guards,
     /// Longest wait for the first event, if the response is a stream.
@@ -123,7 +122,10 @@
                 .check_reachable(&placed.primary, now, Symptom::Broken);
             return Err(Failure::Unknown(reason));
         }
-        Ok(Err(e)) => return Err(Failure::not_run(e)),
+        Ok(Err(upstream::SendError::Invalid(invalid))) => {
+            return Err(Failure::Unknown(invalid.into()));
+        }
+        Ok(Err(e @ upstream::SendError::NotSent(_))) => return Err(Failure::not_run(e)),
         Err(_) => {
             if timeout >= MIN_UNREACHABLE_SILENCE {
                 req.cx
@@ -242,7 +244,7 @@
     placed: &placement::Placed,
     parts: http::response::Parts,
     head: head::ResponseHead,
-    body: body::Incoming,
+    body: upstream::ResponseBody,
     guards: Guards,
     first_event_timeout: time::Duration,
 ) -> Result<Response, Failure> {
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{hedging, routes},
+        forward::{hedging, response_check, routes},
         ids,
     },
     platform::{call_counts, topic},
@@ -42,6 +42,7 @@
     hedges_sent: prometheus::IntCounterVec,
     hedges_won: prometheus::IntCounterVec,
     hedges_denied: prometheus::IntCounterVec,
+    invalid_responses: prometheus::IntCounterVec,
     ejections: prometheus::IntCounterVec,
     first_event: prometheus::HistogramVec,
     duration: prometheus::HistogramVec,
@@ -126,6 +127,11 @@
                 "Second attempts that were due and not sent, by the limit that forbade them",
                 &["limit"],
             )?,
+            invalid_responses: counters(
+                "invalid_responses_total",
+                "Invalid responses of servers, by what asked for them",
+                &["source", "problem"],
+            )?,
             ejections: counters(
                 "ejections_total",
                 "Servers that this entry ejected, by whose failure it was",
@@ -237,6 +243,12 @@
         self.hedges_denied.with_label_values(&[denied.code()]).inc();
     }
 
+    /// Counts an invalid response of a server to a request, or to this entry itself.
+    pub fn invalid_response(&self, source: &str, invalid: response_check::Invalid) {
+        let labels = [source, invalid.code()];
+        self.invalid_responses.with_label_values(&labels).inc();
+    }
+
     /// Counts a server that was ejected after a failure of this entry's own or of a peer.
     pub fn ejected(&self, source: &str) {
         self.ejections.with_label_values(&[source]).inc();
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -17,6 +17,8 @@
 mod fixture;
 mod gangs;
 mod hedging;
+mod invalid;
+mod invalid_server;
 mod keys;
 mod log;
 mod metrics;
