Weigh requests by the urgency of their routes

Placement weighed requests by length alone, so that one prompt of 220,000 tokens could delay fifteen short requests that the configuration ranks before it. The weight now grows by half for each rank that a route is more urgent than the least urgent one of its service, by 2.25 at most; where the routes of a service have one priority nothing changes.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -3,17 +3,18 @@
 //! A forwarded request states its sizes in its head; its body and its response are opaque. The
 //! modules decide: which route and account it belongs to ([`routes`]), which backend server runs it
 //! and which others help to prefill its prompt ([`placement`], by the estimates of [`engine`] and
-//! the work in flight in [`load_tracker`]), how much it may delay other requests ([`cost_limit`]),
-//! how much of a service its account may use ([`account_shares`]), whether it may be sent again
-//! ([`attempts`], [`retry_budget`]) or to a second server beside the first ([`hedging`]), how old the
-//! knowledge behind a refusal may be ([`confirmation`](crate::version::confirmation),
-//! [`negative_cache`]), which entries clients are told of ([`live_entries`]), which entries exchange
-//! state ([`relays`]), what servers ask for in their responses ([`notices`],
-//! [`advertised_limits`]), which responses are failures of their servers ([`response_check`]), which
-//! requests crash servers ([`quarantine`], [`repeated_crashes`]), which servers this entry reaches by
-//! itself ([`paths`]), when a signal was sent ([`pauses`]), which servers had left before the platform's store was restored ([`departures`]), how entries divide what
-//! a server accepts from all of them ([`rate_shares`]), and how far a stream is read ahead of its
-//! client ([`read_ahead`]).
+//! the work in flight in [`load_tracker`]), how much it counts against others ([`urgency`]) and may
+//! delay them ([`cost_limit`]), how much of a service its account may use ([`account_shares`]),
+//! whether it may be sent again ([`attempts`], [`retry_budget`]) or to a second server beside the
+//! first ([`hedging`]), how old the knowledge behind a refusal may be
+//! ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which entries clients are
+//! told of ([`live_entries`]), which entries exchange state ([`relays`]), what servers ask for in
+//! their responses ([`notices`], [`advertised_limits`]), which responses are failures of their
+//! servers ([`response_check`]), which requests crash servers ([`quarantine`],
+//! [`repeated_crashes`]), which servers this entry reaches by itself ([`paths`]), when a signal was
+//! sent ([`pauses`]), which servers had left before the platform's store was restored
+//! ([`departures`]), how entries divide what a server accepts from all of them ([`rate_shares`]),
+//! and how far a stream is read ahead of its client ([`read_ahead`]).
 
 pub mod account_shares;
 pub mod advertised_limits;
@@ -44,3 +45,4 @@
 pub mod retry_budget;
 pub mod routes;
 pub mod server;
+pub mod urgency;
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -81,6 +81,8 @@
     pub is_retry: bool,
     /// Share of its weight that it may cost others.
     pub max_cost_share: f64,
+    /// Factor by which it counts more than less urgent requests of its service.
+    pub urgency: f64,
 }
 
 impl Need {
@@ -89,7 +91,7 @@
     pub fn weight(&self) -> f64 {
         /// Prompt length that adds as much weight as the request itself.
         const TOKENS_PER_UNIT: f64 = 10_000.0;
-        1.0 + engine::tokens_f64(self.prompt_tokens) / TOKENS_PER_UNIT
+        (1.0 + engine::tokens_f64(self.prompt_tokens) / TOKENS_PER_UNIT) * self.urgency
     }
 }
 
--- a/crates/mustardshed-core/src/forward/routes.rs
+++ b/crates/mustardshed-core/src/forward/routes.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, time};
 
-use crate::{forward::engine, ids};
+use crate::{
+    forward::{engine, urgency},
+    ids,
+};
 
 pub mod diff;
 pub mod lint;
@@ -139,6 +142,8 @@
     services: collections::HashMap<ids::ServiceId, Service>,
     by_host: collections::HashMap<String, Vec<Route>>,
     accounts: collections::HashMap<String, Account>,
+    /// Greatest priority among the routes of each service.
+    least_urgent: collections::HashMap<ids::ServiceId, u8>,
     needs_keys: bool,
     undecoded: Undecoded,
 }
@@ -154,7 +159,13 @@
         accounts: Option<Vec<(Account, Vec<String>)>>,
     ) -> Self {
         let mut by_host: collections::HashMap<String, Vec<Route>> = collections::HashMap::new();
+        let mut least_urgent: collections::HashMap<ids::ServiceId, u8> =
+            collections::HashMap::new();
         for route in routes {
+            for (service, _) in &route.services {
+                let least = least_urgent.entry(service.clone()).or_default();
+                *least = route.priority.max(*least);
+            }
             by_host.entry(route.host.clone()).or_default().push(route);
         }
         for routes in by_host.values_mut() {
@@ -171,6 +182,7 @@
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             by_host,
             accounts,
+            least_urgent,
             needs_keys,
             undecoded: Undecoded::default(),
         }
@@ -215,6 +227,14 @@
         self.services.get(name)
     }
 
+    /// Returns how much more a request on a route counts than the least urgent ones of a service, by
+    /// the priorities of the routes.
+    #[must_use]
+    pub fn urgency(&self, route: &Route, service: &str) -> f64 {
+        let least_urgent = self.least_urgent.get(service).copied();
+        urgency::factor(route.priority, least_urgent.unwrap_or(route.priority))
+    }
+
     /// Returns the account that holds an API key.
     ///
     /// # Errors
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -74,6 +74,7 @@
         gap_objective_ms,
         is_retry: false,
         max_cost_share: 1.0,
+        urgency: 1.0,
     }
 }
 
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -36,3 +36,4 @@
 mod servers;
 mod short_prompts;
 mod thundering_herd;
+mod urgency;
--- a/crates/mustardshed-core/tests/forward/routes.rs
+++ b/crates/mustardshed-core/tests/forward/routes.rs
@@ -154,3 +154,21 @@
     expect_that!(reason(&any, "key-1"), none());
     verify_that!(reason(&any, "key-9"), some(eq(routes::NotFound::Undecoded)))
 }
+
+// Guards against priorities of one service that change how requests to another one count.
+#[gtest]
+fn urgency_compares_the_routes_of_one_service() -> Result<()> {
+    let ranked = |prefix: &str, service: &str, priority: u8| routes::Route {
+        priority,
+        ..route("a.example", prefix, one(service), true)
+    };
+    let first = ranked("/first/", "drafts", 0);
+    let last = ranked("/last/", "drafts", 2);
+    let other = ranked("/other/", "books", 0);
+    let all = vec![first.clone(), last.clone(), other.clone()];
+    let table = routes::Routes::new(1, all, Vec::new(), None, None);
+
+    expect_that!(table.urgency(&first, "drafts"), gt(1.0));
+    expect_that!(table.urgency(&last, "drafts"), eq(1.0));
+    verify_that!(table.urgency(&other, "books"), eq(1.0))
+}
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -121,6 +121,7 @@
             gap_objective_ms: millis(self.route.gap_objective),
             is_retry: false,
             max_cost_share: 1.0,
+            urgency: service.map_or(1.0, |s| self.routes.urgency(&self.route, &s.name)),
         }
     }
 
--- a/crates/mustardshedd/tests/forward/placement.rs
+++ b/crates/mustardshedd/tests/forward/placement.rs
@@ -157,6 +157,7 @@
         gap_objective_ms: 1_000.0,
         is_retry: false,
         max_cost_share: 1.0,
+        urgency: 1.0,
     };
     let req = cx::PlacementRequest {
         service,
