Bound the memory of reading ahead of slow readers

In a trial, 300 clients that read nothing of streams of 900 KB events took the process to 187 MB of 160 MB. An event was copied also where the budget refused the memory for the copy, while the reader's buffer stayed. Such an event is now held as it is. Read-ahead is granted up to half of the budget instead of three quarters, since large buffers fail without memory.

--- a/crates/mustardshed-core/src/forward/memory_budget.rs
+++ b/crates/mustardshed-core/src/forward/memory_budget.rs
@@ -13,6 +13,9 @@
 const SMALL_BYTES: usize = 64 * 1024;
 /// Share of the budget that large buffers may take, as parts and their number.
 const LARGE_SHARE: (usize, usize) = (3, 4);
+/// Share of the budget up to which memory is granted that its holder can do without. It is less than
+/// that of large buffers, which are refused or break off without memory.
+const SPARE_SHARE: (usize, usize) = (1, 2);
 
 /// Counts the memory held for what others send.
 #[derive(Debug)]
@@ -50,11 +53,11 @@
     }
 
     /// Adds `more` bytes, which their holder can do without, to the `own` that it has; returns
-    /// whether they are granted. They count as a large buffer whatever their number.
+    /// whether they are granted. Holders divide their share like large buffers do theirs.
     #[must_use]
     pub fn try_add_spare(&self, own: usize, more: usize) -> bool {
         self.try_add_if(own, more, |held, own, sum| {
-            self.allows_large(held, own, sum)
+            self.allows_share(SPARE_SHARE, held, own, sum)
         })
     }
 
@@ -78,13 +81,20 @@
         if own <= SMALL_BYTES {
             return sum <= self.limit;
         }
-        self.allows_large(held, own, sum)
+        self.allows_share(LARGE_SHARE, held, own, sum)
     }
 
-    const fn allows_large(&self, held: usize, own: usize, sum: usize) -> bool {
-        let (part, whole) = LARGE_SHARE;
-        let large_limit = self.limit / whole * part;
-        sum <= large_limit && own <= large_limit.saturating_sub(held)
+    /// Returns the same for holders that have a share of the budget, and each of them no more than is
+    /// left of it.
+    const fn allows_share(
+        &self,
+        (part, whole): (usize, usize),
+        held: usize,
+        own: usize,
+        sum: usize,
+    ) -> bool {
+        let share = self.limit / whole * part;
+        sum <= share && own <= share.saturating_sub(held)
     }
 
     /// Gives bytes back.
--- a/crates/mustardshedd/src/forward/exchange/streaming/read_ahead.rs
+++ b/crates/mustardshedd/src/forward/exchange/streaming/read_ahead.rs
@@ -223,17 +223,22 @@
                 }
             }
             match self.poll_event(cx) {
-                Poll::Ready(Some(event)) => self.hold(&event),
+                Poll::Ready(Some(event)) => self.hold(event),
                 Poll::Ready(None) => {}
                 Poll::Pending => return None,
             }
         }
     }
 
-    /// Holds a copy of an event, which would keep the whole read buffer that it is a part of.
-    fn hold(&mut self, event: &Bytes) {
-        self.held.push_back(Bytes::copy_from_slice(event));
+    /// Holds an event: a copy, since the event would keep the whole read buffer that it is a part of.
+    /// Without memory for a copy, the event itself is held, whose buffer the response's reader counts.
+    fn hold(&mut self, event: Bytes) {
         self.state.record_held(event.len());
+        let held = match self.memory.resize_spare(self.state.held()) {
+            Ok(()) => Bytes::copy_from_slice(&event),
+            Err(memory::Exhausted) => event,
+        };
+        self.held.push_back(held);
         self.counts.set_bytes(self.state.held());
     }
 
@@ -242,7 +247,7 @@
         let held = self.state.held();
         let is_reading = matches!(self.state.decide(), read_ahead::Decision::Read { .. });
         if !is_reading {
-            // If memory is refused, the last event read is counted by the reader of the response.
+            // If memory is refused, the last event held is counted by the reader of the response.
             let (Ok(()) | Err(memory::Exhausted)) = self.memory.resize_spare(held);
         }
         self.counts.set_bytes(held);
