--- a/crates/mustardshedd/tests/memory/answers.rs
+++ b/crates/mustardshedd/tests/memory/answers.rs
@@ -104,3 +104,20 @@
     expect_that!(seen.responses, each(eq(&whole)));
     check(&seen)
 }
+
+// Guards against events that are held for clients which read nothing, and are not counted.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_that_are_not_read_do_not_exhaust_memory() -> Result<()> {
+    let f = Fixture::open(SERVERS, server::Answer::Events(LARGE_EVENT_BYTES)).await;
+    let front = crate::entry::front(f.entry.ip);
+
+    let mut unread = Vec::new();
+    for number in 0..3 * REQUESTS {
+        unread.push(client::begin(front, "/events/a", &format!("r-{number}")).await);
+    }
+    let sound = client::send_sound(front, SOUND_REQUESTS).await;
+
+    expect_that!(sound, eq(&vec![Some(200); SOUND_REQUESTS]));
+    verify_that!(f.entry.peak_memory(), le(fixture::MEMORY_BYTES))
+}
--- a/crates/mustardshedd/tests/memory/client.rs
+++ b/crates/mustardshedd/tests/memory/client.rs
@@ -99,6 +99,15 @@
         && bytes.all(|(position, byte)| *byte == server::byte_at(position))
 }
 
+/// Sends a request on a connection of its own, and reads nothing of the response.
+pub(crate) async fn begin(front: net::SocketAddr, path: &str, id: &str) -> tokio_net::TcpStream {
+    let mut stream = tokio_net::TcpStream::connect(front).await.unwrap();
+    let host = fixture::HOST;
+    let head = format!("POST {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
 /// Sends sound requests one after the other with a pause in between; returns their statuses.
 pub(crate) async fn send_sound(front: net::SocketAddr, count: usize) -> Vec<Option<u16>> {
     const INTERVAL: time::Duration = time::Duration::from_millis(50);
--- a/crates/mustardshedd/tests/memory/fixture.rs
+++ b/crates/mustardshedd/tests/memory/fixture.rs
@@ -46,6 +46,7 @@
             platform: platform.url().trim_start_matches("http://"),
             grace: DEADLINE,
             memory_mb: Some(MEMORY_MB),
+            read_ahead_bytes: 1024 * 1024,
         });
         Self {
             entry: entry.ready().await,
--- a/crates/mustardshedd/tests/memory/server.rs
+++ b/crates/mustardshedd/tests/memory/server.rs
@@ -27,6 +27,8 @@
     TrickledEvent(usize),
     /// A chunked body of chunks of one byte each, sent one at a time.
     Bytes,
+    /// A stream of events of this size that does not end.
+    Events(usize),
 }
 
 /// A running server.
@@ -75,7 +77,9 @@
     let (framing, size) = match answer {
         Answer::Whole(size) => (format!("Content-Length: {size}"), size),
         Answer::Trickle(size) => ("Transfer-Encoding: chunked".to_owned(), size),
-        Answer::TrickledEvent(size) => ("Content-Type: text/event-stream".to_owned(), size),
+        Answer::TrickledEvent(size) | Answer::Events(size) => {
+            ("Content-Type: text/event-stream".to_owned(), size)
+        }
         Answer::Bytes => ("Transfer-Encoding: chunked".to_owned(), 0),
     };
     let head = format!(
@@ -95,6 +99,12 @@
             stream.write_all(&vec![b'x'; size]).await?;
             trickle(&mut stream, b"x", TRICKLE_INTERVAL).await
         }
+        Answer::Events(_) => {
+            let event = format!("data: {}\n\n", "x".repeat(size));
+            loop {
+                stream.write_all(event.as_bytes()).await?;
+            }
+        }
         Answer::Bytes => {
             let interval = time::Duration::from_millis(1);
             trickle(&mut stream, b"1\r\nx\r\n", interval).await
--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -117,6 +117,8 @@
     pub(crate) grace: time::Duration,
     /// Memory of the VM, in megabytes, if the entry is told.
     pub(crate) memory_mb: Option<u64>,
+    /// Bytes of a stream to be read ahead; another build may not know the setting if it is zero.
+    pub(crate) read_ahead_bytes: usize,
 }
 
 fn settings_file(settings: &Settings<'_>) -> String {
@@ -127,10 +129,15 @@
         platform,
         grace,
         memory_mb,
+        read_ahead_bytes,
     } = settings;
     let grace_s = grace.as_secs_f64();
     let memory = memory_mb.map(|mb| format!("memory_mb = {mb}\n"));
     let memory = memory.unwrap_or_default();
+    let read_ahead = match read_ahead_bytes {
+        0 => String::new(),
+        bytes => format!("read_ahead_bytes = {bytes}\n"),
+    };
     format!(
         r#"vm = "entry-{index}"
 data_centre = "{data_centre}"
@@ -140,7 +147,7 @@
 peers = "{ip}:8004"
 platform = "{platform}"
 server_heartbeat_ms = 500
-{memory}
+{memory}{read_ahead}
 [bounds]
 fail_closed = true
 application_ms = 2000
