--- a/crates/mustardshedd/tests/partition/fixture.rs
+++ b/crates/mustardshedd/tests/partition/fixture.rs
@@ -116,6 +116,7 @@
             grace: GRACE,
             memory_mb: None,
             read_ahead_bytes: 0,
+            descriptors: None,
         })
     }
 
