--- a/crates/mustardshed-wire/tests/forward_job.rs
+++ b/crates/mustardshed-wire/tests/forward_job.rs
@@ -30,6 +30,7 @@
         gap_objective_ms: 200.0,
         is_retry: false,
         max_cost_share: 1.0,
+        urgency: 1.0,
     };
     let mut job = placement::Placed::plain(&"i-1".to_owned()).job(&need);
     job.account = account.map(str::to_owned);
