Test an entry beside clients that nobody controls

A real process with memory_mb = 64 and 512 descriptors, one sort of clients at a time and all together. Checked are only that the process runs, that resident memory is at most 64 MB, that at most 448 descriptors are open, and that the readiness check and one ordinary request are answered 200 while the crowd stays.

--- a/crates/mustardshedd/tests/memory/fixture.rs
+++ b/crates/mustardshedd/tests/memory/fixture.rs
@@ -29,6 +29,17 @@
 impl Fixture {
     /// Starts an entry, one sound server and `count` others that answer with `answer`.
     pub(crate) async fn open(count: usize, answer: server::Answer) -> Self {
+        Self::open_limited(count, answer, MEMORY_MB, None).await
+    }
+
+    /// Does the same with an entry on a VM with `memory_mb` megabytes, whose descriptors may be
+    /// limited.
+    pub(crate) async fn open_limited(
+        count: usize,
+        answer: server::Answer,
+        memory_mb: u64,
+        descriptors: Option<u64>,
+    ) -> Self {
         let platform = standin::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
         configure(&platform).await;
         let sound = server::Server::bind("sound", server::Answer::Whole(800)).await;
@@ -45,7 +56,8 @@
             data_centre: "north",
             platform: platform.url().trim_start_matches("http://"),
             grace: DEADLINE,
-            memory_mb: Some(MEMORY_MB),
+            memory_mb: Some(memory_mb),
+            descriptors,
         });
         Self {
             entry: entry.ready().await,
--- a/crates/mustardshedd/tests/partition/fixture.rs
+++ b/crates/mustardshedd/tests/partition/fixture.rs
@@ -115,6 +115,7 @@
             platform: &self.views[index].address.to_string(),
             grace: GRACE,
             memory_mb: None,
+            descriptors: None,
         })
     }
 
--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -117,6 +117,8 @@
     pub(crate) grace: time::Duration,
     /// Memory of the VM, in megabytes, if the entry is told.
     pub(crate) memory_mb: Option<u64>,
+    /// Most descriptors that the process may have open, if that is lowered.
+    pub(crate) descriptors: Option<u64>,
 }
 
 fn settings_file(settings: &Settings<'_>) -> String {
@@ -127,6 +129,7 @@
         platform,
         grace,
         memory_mb,
+        descriptors: _,
     } = settings;
     let grace_s = grace.as_secs_f64();
     let memory = memory_mb.map(|mb| format!("memory_mb = {mb}\n"));
@@ -155,6 +158,17 @@
     )
 }
 
+/// Returns the command that runs a program, with a lowered limit of descriptors if one is given.
+fn command(program: &path::Path, descriptors: Option<u64>) -> process::Command {
+    let Some(limit) = descriptors else {
+        return process::Command::new(program);
+    };
+    let script = format!(r#"ulimit -n {limit} && exec "$0" "$@""#);
+    let mut command = process::Command::new("sh");
+    command.arg("-c").arg(script).arg(program);
+    command
+}
+
 impl Entry {
     /// Starts an entry.
     pub(crate) fn spawn(settings: &Settings<'_>) -> Self {
@@ -167,7 +181,7 @@
         let file = dir.join("settings.toml");
         fs::write(&file, settings_file(settings)).unwrap();
         let log = fs::File::create(dir.join("log")).unwrap();
-        let child = process::Command::new(program(index, ip))
+        let child = command(&program(index, ip), settings.descriptors)
             .arg("--forwarding")
             .arg("--settings")
             .arg(&file)
@@ -261,6 +275,17 @@
         kib * 1024
     }
 
+    /// Returns the number of descriptors that the process has open; none if it has exited.
+    pub(crate) fn open_descriptors(&self) -> Option<usize> {
+        let open = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.ok().map(Iterator::count)
+    }
+
+    /// Returns whether the process still runs.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits until the process has bound its first listener.
     pub(crate) async fn listening(&self) {
         let began_at = time::Instant::now();
--- a/crates/mustardshedd/tests/planned_stop/fixture.rs
+++ b/crates/mustardshedd/tests/planned_stop/fixture.rs
@@ -93,6 +93,7 @@
             platform: platform.trim_start_matches("http://"),
             grace: GRACE,
             memory_mb: None,
+            descriptors: None,
         })
     }
 
