Decide which connections of clients are kept

Limits on all connections, on those of one address and on those that have not completed a request; the one without progress for the longest time is closed first. Bytes below a least rate are no progress. Not yet used by the daemon.

mustardshed-core, forward client_limits: 11 of 11 tests pass.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -19,6 +19,7 @@
 pub mod account_shares;
 pub mod advertised_limits;
 pub mod attempts;
+pub mod client_limits;
 pub mod cost_limit;
 pub mod departures;
 pub mod engine;
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod account_shares;
 mod advertised_limits;
 mod advertised_rate;
+mod client_limits;
 mod cold_flood;
 mod cold_restart;
 mod confirmation;
