--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -8,6 +8,10 @@
     settings,
 };
 
+mod clients;
+
+pub use clients::Clients;
+
 /// Longest duration accepted for a key in milliseconds: an hour.
 const MAX_MS: f64 = 3_600_000.0;
 /// Longest duration accepted for a key in seconds: an hour.
@@ -66,6 +70,8 @@
     pub log_level: settings::LogLevel,
     /// How client accounts share the servers.
     pub accounts: Accounts,
+    /// Limits on connections of clients.
+    pub clients: Clients,
     /// Limits that the platform's operators set for this system.
     pub bounds: Bounds,
     /// When requests are sent to a second server beside the first, if at all.
@@ -167,6 +173,7 @@
         let accounts = root.optional("accounts", Accounts::default(), |field| {
             Accounts::read(&field.table()?)
         });
+        let clients = root.optional("clients", Clients::default(), Clients::read);
         let bounds = root.required("bounds", |field| Bounds::read(&field.table()?));
         let hedging = root.optional("hedging", None, |field| {
             Hedging::read(&field.table()?).map(Some)
@@ -187,6 +194,7 @@
             server_heartbeat: server_heartbeat?,
             log_level: log_level?,
             accounts: accounts?,
+            clients: clients?,
             bounds: bounds?,
             hedging: hedging?,
         })
--- a/crates/mustardshed-config/tests/forwarding.rs
+++ b/crates/mustardshed-config/tests/forwarding.rs
@@ -126,3 +126,49 @@
     }
     Ok(())
 }
+
+/// Returns settings with a table `[clients]` of these lines.
+fn with_clients(lines: &str) -> String {
+    format!("{}\n[clients]\n{lines}\n", settings(""))
+}
+
+#[gtest]
+fn limits_on_clients_are_optional() -> Result<()> {
+    let without = forwarding::parse(&settings("")).expect("valid settings");
+    let empty = forwarding::parse(&with_clients("")).expect("valid settings");
+    let lines = "max_connections = 100\nmax_incomplete = 100\nhead_timeout_ms = 2500";
+    let with = forwarding::parse(&with_clients(lines)).expect("valid settings");
+
+    expect_that!(without.clients, eq(forwarding::Clients::default()));
+    expect_that!(empty.clients, eq(forwarding::Clients::default()));
+    let expected = forwarding::Clients {
+        max_connections: Some(100),
+        max_incomplete: Some(100),
+        head_timeout: Some(time::Duration::from_millis(2_500)),
+        ..forwarding::Clients::default()
+    };
+    verify_that!(with.clients, eq(expected))
+}
+
+// Guards against settings whose limits contradict each other, or that close every connection.
+#[gtest]
+fn wrong_limits_on_clients_are_errors_that_name_the_key() -> Result<()> {
+    for (lines, key) in [
+        ("max_connections = 0", "max_connections"),
+        ("max_connections = 9\nmax_incomplete = 10", "max_incomplete"),
+        (
+            "max_connections = 9\nmax_per_address = 10",
+            "max_per_address",
+        ),
+        ("min_bytes_per_s = 0", "min_bytes_per_s"),
+        ("body_timeout_ms = 3600001", "body_timeout_ms"),
+        ("connections = 1", "connections"),
+    ] {
+        let problems = forwarding::parse(&with_clients(lines));
+
+        let problems = problems.err().unwrap_or_default();
+        let text: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        expect_that!(text, elements_are![contains_substring(key)], "{lines}");
+    }
+    Ok(())
+}
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -332,6 +332,7 @@
             accounts: forwarding::Accounts::default(),
             bounds: bounds(),
             hedging: None,
+            clients: forwarding::Clients::default(),
         };
         change(&mut settings);
         let platform = objects::Objects::open(&settings.platform.to_string(), TIMEOUT / 30);
