Close connections of clients that exceed their limits

Cause: nothing limited the number of connections, and a byte now and then kept one open with its memory. Each listener now keeps its connections within the limits decided by forward::client_limits: three eighths of the descriptors for clients by default, half of those without a completed request. The connection without progress for the longest time is closed for a new one, and for the memory of a request that finds none. Closed and refused connections are counted by limit (1311, 1312, once a second at most) and in the metrics.

Reading of request bodies moves to exchange/request_body.rs.

--- a/crates/mustardshedd/src/forward.rs
+++ b/crates/mustardshedd/src/forward.rs
@@ -6,6 +6,7 @@
 //! process. The control thread watches the platform and the peers; the traffic thread carries
 //! requests. Both share [`cx::Cx`], whose lock is held for microseconds only.
 
+pub mod clients;
 pub mod cx;
 pub mod dial;
 pub mod exchange;
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -14,8 +14,7 @@
 };
 
 use crate::{
-    forward::{cx, memory, refusal},
-    http::body as client_body,
+    forward::{clients, cx, memory, refusal},
     log::{self, event},
 };
 
@@ -24,6 +23,7 @@
 mod dispatch;
 mod events;
 mod passing;
+mod request_body;
 mod streaming;
 
 /// Response body; an error closes the connection early, so that no client takes the body for
@@ -161,13 +161,17 @@
 }
 
 /// Serves one request.
-pub async fn serve(cx: sync::Arc<cx::Cx>, req: http::Request<body::Incoming>) -> Response {
+pub async fn serve(
+    cx: sync::Arc<cx::Cx>,
+    req: http::Request<body::Incoming>,
+    request: &clients::Request,
+) -> Response {
     let arrived_at = cx.now();
     let head = headers::request(req.headers());
     let id = head.request_id.clone();
     let admitted = tokio::select! {
         biased;
-        admitted = admit(&cx, req, head, arrived_at) => admitted,
+        admitted = admit(&cx, req, request, head, arrived_at) => admitted,
         () = cx.wait_for_drain_timeout() => Err(refusal::Refusal::Leaving),
     };
     let result = match admitted {
@@ -233,6 +237,7 @@
 async fn admit(
     cx: &sync::Arc<cx::Cx>,
     req: http::Request<body::Incoming>,
+    request: &clients::Request,
     head: head::RequestHead,
     arrived_at: ids::Timestamp,
 ) -> Result<Admitted, refusal::Refusal> {
@@ -241,21 +246,23 @@
     let (routes, route, account) = match found {
         Ok(found) => found,
         Err(refusal) => {
-            discard_body(http_body_util::BodyDataStream::new(body));
+            request_body::discard(body, request);
             return Err(refusal);
         }
     };
-    let memory = match memory::Held::take(&cx.memory, memory::REQUEST_BYTES) {
+    let handle = request.handle();
+    let memory = match handle.take_memory(&cx.memory, memory::REQUEST_BYTES).await {
         Ok(memory) => memory,
         Err(memory::Exhausted) => {
-            discard_body(http_body_util::BodyDataStream::new(body));
+            request_body::discard(body, request);
             return Err(refusal::Refusal::NoMemory);
         }
     };
     let limits = routes.limits;
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
     let timeout = limits.map_or(DEFAULT_BODY_TIMEOUT, |limits| limits.idle_timeout);
-    let body = read_body(cx, body, max_bytes, timeout).await?;
+    let body = request_body::read(cx, body, request, max_bytes, timeout).await?;
+    request.record_arrived();
     let admitted = Admitted {
         cx: sync::Arc::clone(cx),
         routes,
@@ -302,12 +309,6 @@
     found
 }
 
-/// Reads the rest of a refused request's body while the refusal is sent: a connection that is closed
-/// with unread bytes is reset, and its client may not see the refusal.
-fn discard_body(mut body: http_body_util::BodyDataStream<body::Incoming>) {
-    tokio::spawn(async move { client_body::discard(&mut body, DEFAULT_MAX_BODY_BYTES).await });
-}
-
 type Resolved = (
     sync::Arc<routes::Routes>,
     routes::Route,
@@ -410,49 +411,3 @@
         .await
         .is_ok()
 }
-
-async fn read_body(
-    cx: &cx::Cx,
-    incoming: body::Incoming,
-    max_bytes: usize,
-    timeout: time::Duration,
-) -> Result<Bytes, refusal::Refusal> {
-    let announced = body::Body::size_hint(&incoming).lower();
-    let mut parts = http_body_util::BodyDataStream::new(incoming);
-    let mut whole = memory::Buffer::new(&cx.memory);
-    let reading = client_body::read_whole(&mut parts, &mut whole, announced, max_bytes, timeout);
-    match reading.await {
-        Ok(()) => Ok(whole.freeze()),
-        Err(e) => Err(refuse_body(e, parts)),
-    }
-}
-
-fn refuse_body(
-    e: client_body::ReadError,
-    rest: http_body_util::BodyDataStream<body::Incoming>,
-) -> refusal::Refusal {
-    match e {
-        client_body::ReadError::TooLong => {
-            discard_body(rest);
-            refusal::Refusal::TooLarge
-        }
-        client_body::ReadError::NoMemory => {
-            discard_body(rest);
-            refusal::Refusal::NoMemory
-        }
-        client_body::ReadError::Truncated | client_body::ReadError::TimedOut => {
-            refusal::Refusal::BrokenBody
-        }
-    }
-}
-
-impl client_body::Collect for memory::Buffer {
-    fn collected(&self) -> usize {
-        self.len()
-    }
-
-    fn collect(&mut self, chunk: &[u8]) -> Result<(), client_body::ReadError> {
-        let extended = self.extend(chunk);
-        extended.map_err(|memory::Exhausted| client_body::ReadError::NoMemory)
-    }
-}
--- a/crates/mustardshedd/src/forward/listeners.rs
+++ b/crates/mustardshedd/src/forward/listeners.rs
@@ -4,6 +4,7 @@
 use std::{convert, io, net, sync, time};
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
 use mustardshed::platform::discovery;
@@ -11,7 +12,7 @@
 use tokio_util::task as task_util;
 
 use crate::{
-    forward::{cx, exchange, memory, metrics},
+    forward::{clients, cx, exchange, memory, metrics},
     http::bounded_io,
     log::{self, event},
 };
@@ -68,10 +69,12 @@
     log::emit(&event::Event::Listening {
         address: &address.to_string(),
     });
+    let clients = clients::Clients::open(sync::Arc::clone(&cx), purpose);
     let (closing, closed) = tokio_sync::watch::channel(false);
     let connections = task_util::TaskTracker::new();
     let server = Server {
         cx,
+        clients,
         purpose,
         closed,
         connections: connections.clone(),
@@ -112,15 +115,20 @@
 /// What serves the connections of a listener.
 struct Server {
     cx: sync::Arc<cx::Cx>,
+    clients: sync::Arc<clients::Clients>,
     purpose: Purpose,
     closed: tokio_sync::watch::Receiver<bool>,
     connections: task_util::TaskTracker,
 }
 
 impl Server {
-    fn spawn(&self, stream: tokio_net::TcpStream) {
+    /// Serves a connection, unless there are too many.
+    fn spawn(&self, stream: tokio_net::TcpStream, address: net::IpAddr) {
+        let Some(client) = clients::Clients::accept(&self.clients, address) else {
+            return;
+        };
         let cx = sync::Arc::clone(&self.cx);
-        let serving = serve_connection(cx, stream, self.purpose, self.closed.clone());
+        let serving = serve_connection(cx, stream, client, self.purpose, self.closed.clone());
         self.connections.spawn(serving);
     }
 }
@@ -135,7 +143,7 @@
             _ = closed.wait_for(|closed| *closed) => break,
         };
         match accepted {
-            Ok((stream, _)) => server.spawn(stream),
+            Ok((stream, address)) => server.spawn(stream, address.ip()),
             Err(e) => {
                 log_failure(&e);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -152,12 +160,12 @@
 /// Accepts the connections that wait in the queue of a non-blocking socket.
 fn accept_pending(listener: &net::TcpListener, server: &Server) {
     loop {
-        let accepted = listener.accept().and_then(|(stream, _)| {
+        let accepted = listener.accept().and_then(|(stream, address)| {
             stream.set_nonblocking(true)?;
-            tokio_net::TcpStream::from_std(stream)
+            Ok((tokio_net::TcpStream::from_std(stream)?, address.ip()))
         });
         match accepted {
-            Ok(stream) => server.spawn(stream),
+            Ok((stream, address)) => server.spawn(stream, address),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
             // The others in the queue are not affected.
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => log_failure(&e),
@@ -175,13 +183,18 @@
 async fn serve_connection(
     cx: sync::Arc<cx::Cx>,
     stream: tokio_net::TcpStream,
+    client: clients::Connection,
     purpose: Purpose,
     mut closed: tokio_sync::watch::Receiver<bool>,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let _memory = match memory::Held::take(&cx.memory, memory::CONNECTION_BYTES) {
+    let handle = client.handle().clone();
+    let _memory = match handle
+        .take_memory(&cx.memory, memory::CONNECTION_BYTES)
+        .await
+    {
         Ok(memory) => memory,
         Err(e) => return log_failure(&e),
     };
@@ -191,9 +204,11 @@
         limits.idle_timeout.max(limits.header_timeout)
     });
     let io = bounded_io::BoundedIo::new(stream, WRITE_TIMEOUT);
+    let io = clients::Io::new(io, handle.clone());
     let answering = service::service_fn(move |req| {
         let cx = sync::Arc::clone(&cx);
-        async move { Ok::<_, convert::Infallible>(answer(cx, req, purpose).await) }
+        let request = handle.begin_request();
+        async move { Ok::<_, convert::Infallible>(answer(cx, req, request, purpose).await) }
     });
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
@@ -206,10 +221,14 @@
     tokio::select! {
         biased;
         _ = connection.as_mut() => return,
+        () = client.evicted() => return,
         () = wait_until_closed(&mut closed) => {}
     }
     connection.as_mut().graceful_shutdown();
-    drop(connection.await);
+    tokio::select! {
+        _ = connection => {}
+        () = client.evicted() => {}
+    }
 }
 
 async fn wait_until_closed(closed: &mut tokio_sync::watch::Receiver<bool>) {
@@ -221,17 +240,23 @@
 async fn answer(
     cx: sync::Arc<cx::Cx>,
     req: http::Request<body::Incoming>,
+    request: clients::Request,
     purpose: Purpose,
 ) -> exchange::Response {
-    match purpose {
-        Purpose::Traffic => exchange::serve(cx, req).await,
+    if purpose != Purpose::Traffic {
+        // Bodies are not read here.
+        request.record_arrived();
+    }
+    let response = match purpose {
+        Purpose::Traffic => exchange::serve(cx, req, &request).await,
         Purpose::Discovery => answer_discovery(&cx, &req),
         Purpose::Metrics if req.uri().path() == metrics::PATH => match cx.metrics.encode(&cx) {
             Ok(text) => plain(http::StatusCode::OK, Bytes::from(text)),
             Err(_) => plain(http::StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
         },
         Purpose::Metrics => plain(http::StatusCode::NOT_FOUND, Bytes::new()),
-    }
+    };
+    response.map(|body| clients::Body::new(body, request).boxed_unsync())
 }
 
 fn answer_discovery(cx: &cx::Cx, req: &http::Request<body::Incoming>) -> exchange::Response {
--- a/crates/mustardshedd/src/forward/metrics.rs
+++ b/crates/mustardshedd/src/forward/metrics.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{hedging, response_check, routes},
+        forward::{client_limits, hedging, response_check, routes},
         ids,
     },
     platform::{call_counts, topic},
@@ -59,6 +59,9 @@
     undecoded_parts: prometheus::IntGauge,
     buffer_limit: prometheus::IntGauge,
     buffers: prometheus::IntGauge,
+    clients: prometheus::IntGaugeVec,
+    clients_closed: prometheus::IntCounterVec,
+    clients_refused: prometheus::IntCounterVec,
     age: prometheus::GaugeVec,
     lost_log_lines: prometheus::IntGaugeVec,
     accounts: accounts::Accounts,
@@ -184,6 +187,21 @@
                 "Most memory that may be held for what others send",
             )?,
             buffers: gauge("buffer_bytes", "Memory held for what others send")?,
+            clients: gauges(
+                "client_connections",
+                "Connections of clients, of all, without a completed request, and at most",
+                &["state"],
+            )?,
+            clients_closed: counters(
+                "client_connections_closed_total",
+                "Connections of clients closed for a limit",
+                &["limit"],
+            )?,
+            clients_refused: counters(
+                "client_connections_refused_total",
+                "Connections of clients not accepted for a limit",
+                &["limit"],
+            )?,
             age,
             lost_log_lines: gauges(
                 "log_lines_lost",
@@ -271,6 +289,25 @@
         self.tunnels.with_label_values(&[result]).inc();
     }
 
+    /// Counts a connection of a client that is closed, or not accepted, for a limit.
+    pub fn client_limited(&self, limit: client_limits::Limit, is_refused: bool) {
+        let counters = if is_refused {
+            &self.clients_refused
+        } else {
+            &self.clients_closed
+        };
+        counters.with_label_values(&[limit.as_str()]).inc();
+    }
+
+    /// Sets the numbers of connections of clients: all, those without a completed request, and the
+    /// most there may be.
+    pub fn client_connections(&self, open: usize, incomplete: usize, max: usize) {
+        for (state, count) in [("open", open), ("incomplete", incomplete), ("max", max)] {
+            let gauge = self.clients.with_label_values(&[state]);
+            gauge.set(signed(count as u64));
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -333,6 +333,27 @@
         thinned: u64,
         dropped: u64,
     }
+    /// A forwarding entry limits the connections of its clients.
+    1310 Info "client_limits" ClientLimits {
+        descriptors: usize,
+        max_connections: usize,
+        max_per_address: usize,
+        max_incomplete: usize,
+    }
+    /// Connections of clients were closed for a limit since the last such line.
+    1311 Warn "client_connections_closed" ClientConnectionsClosed {
+        limit: &'a str,
+        count: u64,
+        open: usize,
+        incomplete: usize,
+    }
+    /// Connections of clients were not accepted for a limit since the last such line.
+    1312 Warn "client_connections_refused" ClientConnectionsRefused {
+        limit: &'a str,
+        count: u64,
+        open: usize,
+        incomplete: usize,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
--- a/crates/mustardshedd/tests/client_limits/main.rs
+++ b/crates/mustardshedd/tests/client_limits/main.rs
@@ -15,6 +15,7 @@
 #[path = "../memory/fixture.rs"]
 #[expect(dead_code, reason = "shared with the tests of memory")]
 mod fixture;
+mod ordinary;
 mod run;
 #[path = "../memory/server.rs"]
 #[expect(dead_code, reason = "shared with the tests of memory")]
--- a/crates/mustardshedd/tests/client_limits/run.rs
+++ b/crates/mustardshedd/tests/client_limits/run.rs
@@ -24,7 +24,7 @@
 const ANSWER_BYTES: usize = 7_900_000;
 
 /// Longest wait until a crowd has sent; a crowd that still sends then is checked as it is.
-const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+pub(crate) const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Attempts of the ordinary caller.
 const ATTEMPTS: usize = 40;
 /// Pause between them.
@@ -37,7 +37,7 @@
 const COUNT_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
 /// Keeps tests apart: several crowds at once would measure each other.
-static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+pub(crate) static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
 /// What a run has shown.
 #[derive(Debug)]
@@ -68,9 +68,14 @@
     verify_that!(seen.ordinary, some(eq(200)))
 }
 
-async fn run(crowds: &[(Sort, usize)]) -> Seen {
+/// Starts an entry with little memory and few descriptors.
+pub(crate) async fn open() -> Fixture {
     let answer = server::Answer::Whole(ANSWER_BYTES);
-    let mut f = Fixture::open_limited(2, answer, MEMORY_MB, Some(DESCRIPTORS)).await;
+    Fixture::open_limited(2, answer, MEMORY_MB, Some(DESCRIPTORS)).await
+}
+
+async fn run(crowds: &[(Sort, usize)]) -> Seen {
+    let mut f = open().await;
     let front = entry::front(f.entry.ip);
     let mut peak = 0;
     let calling = async {
