Return the pages of large buffers to the system

Cause: glibc raises the size from which it maps buffers one by one with each large buffer that is freed, and the gaps in its heap stay resident.

--- a/crates/mustardshedd/src/forward/memory.rs
+++ b/crates/mustardshedd/src/forward/memory.rs
@@ -5,6 +5,7 @@
 use displaydoc::Display;
 use mustardshed::core::forward::memory_budget;
 
+pub mod allocator;
 mod buffer;
 
 pub use buffer::Buffer;
--- a/crates/mustardshedd/src/forward/service.rs
+++ b/crates/mustardshedd/src/forward/service.rs
@@ -71,6 +71,8 @@
 ///
 /// Returns an error if the entry cannot start.
 pub fn run(settings: forwarding::Forwarding) -> Result<(), ServiceError> {
+    // Before any thread starts.
+    memory::allocator::return_large_buffers();
     let traffic = runtime()?;
     // Before anything listens, so that no signal ends a process that has accepted requests.
     let signals = traffic.block_on(async { signals::Signals::open() });
