--- a/crates/mustardshedd/src/forward/exchange/dispatch/hedge.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch/hedge.rs
@@ -26,7 +26,7 @@
 
 /// An attempt that was placed.
 #[derive(Clone, Debug)]
-struct Leg {
+struct Sent {
     attempt: hedging::Attempt,
     server: ids::BackendServerId,
     /// Time that its answer was expected to take.
@@ -37,7 +37,7 @@
 
 /// A response that may be passed on.
 #[derive(Debug)]
-enum Begun {
+enum Started {
     /// A stream with its first event.
     Stream(Box<streaming::Stream>),
     /// A response as far as it was read.
@@ -46,7 +46,7 @@
 
 /// Why an attempt has no response that wins.
 #[derive(Debug)]
-enum Lost {
+enum Failed {
     /// There is no response.
     NoResponse(attempt::Failure),
     /// The head of an error response, which is passed on only if no other attempt follows.
@@ -55,20 +55,20 @@
 
 /// An attempt that has ended.
 #[derive(Debug)]
-struct Landed {
-    leg: Leg,
-    result: Result<Begun, Lost>,
+struct Finished {
+    sent: Sent,
+    result: Result<Started, Failed>,
 }
 
 /// The attempts that run at the same time; dropping them closes their connections.
 #[derive(Default)]
-struct Legs {
+struct Pair {
     race: hedging::Race,
-    placed: Vec<Leg>,
-    running: stream::FuturesUnordered<future::BoxFuture<'static, Landed>>,
+    placed: Vec<Sent>,
+    running: stream::FuturesUnordered<future::BoxFuture<'static, Finished>>,
 }
 
-impl Leg {
+impl Sent {
     fn new(
         attempt: hedging::Attempt,
         req: &exchange::Admitted,
@@ -90,20 +90,20 @@
     }
 
     /// Makes the attempt, up to a complete response or the first event of a stream.
-    async fn land(
+    async fn run(
         self,
         req: sync::Arc<exchange::Admitted>,
         placed: placement::Placed,
         job: job::JobGuard,
         timeout: time::Duration,
-    ) -> Landed {
+    ) -> Finished {
         let last_event = req.head.last_event_id;
         let sending = attempt::run(&req, &placed, job, last_event, timeout, &self.is_sent);
         let result = match sending.await {
-            Ok(response) => begin(&req, response).await,
-            Err(failure) => Err(Lost::NoResponse(failure)),
+            Ok(response) => start_response(&req, response).await,
+            Err(failure) => Err(Failed::NoResponse(failure)),
         };
-        Landed { leg: self, result }
+        Finished { sent: self, result }
     }
 
     /// Returns whether a server may have run the request in this attempt.
@@ -120,20 +120,23 @@
 }
 
 /// Waits until a response is complete, or for the first event of a stream.
-async fn begin(req: &exchange::Admitted, response: attempt::Response) -> Result<Begun, Lost> {
+async fn start_response(
+    req: &exchange::Admitted,
+    response: attempt::Response,
+) -> Result<Started, Failed> {
     let status = response.parts.status;
     if status.is_server_error() {
-        return Err(Lost::ErrorResponse(Box::new(response)));
+        return Err(Failed::ErrorResponse(Box::new(response)));
     }
     let budget = &req.cx.memory;
-    let begun = if req.route.kind.is_stream() && status.is_success() {
+    let started = if req.route.kind.is_stream() && status.is_success() {
         let started = streaming::Stream::start(response, req.head.last_event_id, budget);
-        started.await.map(Begun::Stream)
+        started.await.map(Started::Stream)
     } else {
         let read = passing::read(response, MAX_RESPONSE_BYTES, budget).await;
-        read.map(|buffered| Begun::Whole(Box::new(buffered)))
+        read.map(|buffered| Started::Whole(Box::new(buffered)))
     };
-    begun.map_err(|broken| Lost::NoResponse(attempt::Failure::Unknown(broken)))
+    started.map_err(|broken| Failed::NoResponse(attempt::Failure::Unknown(broken)))
 }
 
 impl Dispatch {
@@ -148,38 +151,38 @@
     /// a response to pass on; none if both failed and the request may be repeated.
     pub(super) async fn start_hedged(&mut self) -> Result<Option<ResponseStart>, refusal::Refusal> {
         let (placed, job) = self.place_next().await?;
-        let mut legs = Legs::default();
-        self.send(&mut legs, hedging::Attempt::First, placed, job);
-        let first = legs.placed[0].clone();
+        let mut pair = Pair::default();
+        self.send(&mut pair, hedging::Attempt::First, placed, job);
+        let first = pair.placed[0].clone();
         let due_after = self
             .req
             .cx
             .hedge_due_after(&self.req.route.name, first.expected);
         if due_after.is_none() {
-            legs.race.decide(false);
+            pair.race.decide(false);
         }
         let due = tokio::time::sleep(due_after.unwrap_or_default());
         tokio::pin!(due);
         loop {
-            let Landed { leg, result } = tokio::select! {
+            let Finished { sent, result } = tokio::select! {
                 biased;
-                Some(landed) = legs.running.next() => landed,
-                () = &mut due, if legs.race.is_open() => {
+                Some(finished) = pair.running.next() => finished,
+                () = &mut due, if pair.race.is_open() => {
                     let second = self.hedge(&first);
-                    legs.race.decide(second.is_some());
+                    pair.race.decide(second.is_some());
                     if let Some((placed, job)) = second {
-                        self.send(&mut legs, hedging::Attempt::Second, placed, job);
+                        self.send(&mut pair, hedging::Attempt::Second, placed, job);
                     }
                     continue;
                 }
             };
-            let lost = match result {
-                Ok(begun) => return Ok(Some(self.won(legs, &leg, begun))),
-                Err(lost) => lost,
+            let failed = match result {
+                Ok(started) => return Ok(Some(self.finish(pair, &sent, started))),
+                Err(failed) => failed,
             };
-            match legs.race.end(leg.attempt) {
-                hedging::Next::Wait => self.lost_beside(&leg, lost),
-                hedging::Next::Fail => return self.lost(&leg, lost).await,
+            match pair.race.end(sent.attempt) {
+                hedging::Next::Wait => self.record_failure_beside(&sent, failed),
+                hedging::Next::Fail => return self.fail(&sent, failed).await,
             }
         }
     }
@@ -187,22 +190,22 @@
     /// Sends the request to the server where it was placed.
     fn send(
         &self,
-        legs: &mut Legs,
+        pair: &mut Pair,
         attempt: hedging::Attempt,
         placed: placement::Placed,
         job: job::JobGuard,
     ) {
-        let leg = Leg::new(attempt, &self.req, &placed);
+        let sent = Sent::new(attempt, &self.req, &placed);
         let running = u32::from(attempt == hedging::Attempt::Second);
         let timeout = self.attempt_timeout(&placed, running);
         let req = sync::Arc::clone(&self.req);
-        legs.running
-            .push(leg.clone().land(req, placed, job, timeout).boxed());
-        legs.placed.push(leg);
+        pair.running
+            .push(sent.clone().run(req, placed, job, timeout).boxed());
+        pair.placed.push(sent);
     }
 
     /// Places a second attempt, unless a limit forbids it.
-    fn hedge(&mut self, first: &Leg) -> Option<(placement::Placed, job::JobGuard)> {
+    fn hedge(&mut self, first: &Sent) -> Option<(placement::Placed, job::JobGuard)> {
         let cx = &self.req.cx;
         let (request, route) = (self.req.id(), self.req.route.name.as_str());
         let after_ms = cx.now().saturating_sub(first.placed_at).as_millis();
@@ -240,7 +243,7 @@
         let now = cx.now();
         let waited = now.saturating_sub(need.arrived_at);
         let need = placement::Need {
-            // What the first attempt has lost is no cost of the second.
+            // The time that the first attempt took is no cost of the second.
             arrived_at: now,
             timeout_ms: (need.timeout_ms - exchange::millis(waited)).max(0.0),
             max_cost_share: hedging::MAX_COST_SHARE,
@@ -261,22 +264,25 @@
     }
 
     /// Cancels the attempt that still runs and records the one that won; returns its response.
-    fn won(&mut self, mut legs: Legs, won: &Leg, begun: Begun) -> ResponseStart {
+    fn finish(&mut self, mut pair: Pair, won: &Sent, started: Started) -> ResponseStart {
         // Dropping the other attempt closes its connection and ends its job.
-        drop(legs.running);
-        let running = legs.race.cancel(won.attempt);
-        let cancelled = legs.placed.iter().find(|leg| Some(leg.attempt) == running);
+        drop(pair.running);
+        let running = pair.race.cancel(won.attempt);
+        let cancelled = pair
+            .placed
+            .iter()
+            .find(|sent| Some(sent.attempt) == running);
         if let Some(cancelled) = cancelled {
             self.record_cancelled(cancelled);
         }
-        if legs.placed.len() > 1 {
+        if pair.placed.len() > 1 {
             self.log_hedge_ended(won, cancelled);
         }
         self.req.cx.metrics.attempt("answered");
         self.attempts.record_run();
-        let (start, status) = match begun {
-            Begun::Stream(stream) => (ResponseStart::Stream(stream), http::StatusCode::OK),
-            Begun::Whole(buffered) => {
+        let (start, status) = match started {
+            Started::Stream(stream) => (ResponseStart::Stream(stream), http::StatusCode::OK),
+            Started::Whole(buffered) => {
                 let status = buffered.parts.status;
                 (self.pass_on(*buffered), status)
             }
@@ -290,17 +296,17 @@
 
     /// Records an attempt that was cancelled. A first one has taken at least this long: without it,
     /// slow answers would be missing from what is usual.
-    fn record_cancelled(&mut self, leg: &Leg) {
-        if leg.attempt == hedging::Attempt::First {
-            leg.record_time(&self.req);
+    fn record_cancelled(&mut self, sent: &Sent) {
+        if sent.attempt == hedging::Attempt::First {
+            sent.record_time(&self.req);
         }
-        if leg.may_have_run() {
+        if sent.may_have_run() {
             self.req.cx.metrics.attempt("cancelled");
             self.attempts.record_run();
         }
     }
 
-    fn log_hedge_ended(&self, won: &Leg, cancelled: Option<&Leg>) {
+    fn log_hedge_ended(&self, won: &Sent, cancelled: Option<&Sent>) {
         let now = self.req.cx.now();
         self.req.cx.metrics.hedge_won(won.attempt);
         log::emit(&event::Event::HedgeEnded {
@@ -308,17 +314,17 @@
             route: &self.req.route.name,
             won: won.attempt.code(),
             server: &won.server,
-            cancelled: cancelled.map_or("", |leg| &leg.server),
+            cancelled: cancelled.map_or("", |sent| &sent.server),
             elapsed_ms: now.saturating_sub(won.placed_at).as_millis(),
         });
     }
 
     /// Records an attempt that failed while the other one continues, which takes the place of the
     /// retry.
-    fn lost_beside(&mut self, leg: &Leg, lost: Lost) {
-        let server = &leg.server;
-        let broken = match lost {
-            Lost::NoResponse(attempt::Failure::NotRun {
+    fn record_failure_beside(&mut self, sent: &Sent, failed: Failed) {
+        let server = &sent.server;
+        let broken = match failed {
+            Failed::NoResponse(attempt::Failure::NotRun {
                 reason,
                 has_arrived,
             }) => {
@@ -326,15 +332,15 @@
                 self.log_failed(server, "not_run", &reason, true);
                 return;
             }
-            Lost::NoResponse(attempt::Failure::Unknown(broken)) => broken,
-            Lost::ErrorResponse(response) => {
+            Failed::NoResponse(attempt::Failure::Unknown(broken)) => broken,
+            Failed::ErrorResponse(response) => {
                 self.req.cx.metrics.attempt("answered");
                 format!("answered {}", response.parts.status).into()
             }
         };
         self.attempts.record_run();
         attempt::record_failure(&self.req, server);
-        self.sent_at = leg.placed_at;
+        self.sent_at = sent.placed_at;
         // The check goes on by itself; a retry would not have waited for it either.
         if self.check_for_crash(server, broken.is_closed).is_some() {
             self.crashes += 1;
@@ -344,22 +350,22 @@
 
     /// Handles the failure of the last attempt that ran, like that of an attempt without another
     /// one beside it.
-    async fn lost(
+    async fn fail(
         &mut self,
-        leg: &Leg,
-        lost: Lost,
+        sent: &Sent,
+        failed: Failed,
     ) -> Result<Option<ResponseStart>, refusal::Refusal> {
-        self.sent_at = leg.placed_at;
-        match lost {
-            Lost::NoResponse(attempt::Failure::NotRun {
+        self.sent_at = sent.placed_at;
+        match failed {
+            Failed::NoResponse(attempt::Failure::NotRun {
                 reason,
                 has_arrived,
-            }) => self.not_run(&leg.server, &reason, has_arrived)?,
-            Lost::NoResponse(attempt::Failure::Unknown(broken)) => {
+            }) => self.not_run(&sent.server, &reason, has_arrived)?,
+            Failed::NoResponse(attempt::Failure::Unknown(broken)) => {
                 self.attempts.record_run();
-                self.broke_off(&leg.server, &broken).await?;
+                self.broke_off(&sent.server, &broken).await?;
             }
-            Lost::ErrorResponse(response) => {
+            Failed::ErrorResponse(response) => {
                 self.req.cx.metrics.attempt("answered");
                 self.attempts.record_run();
                 return self.start(*response).await;
