--- a/crates/mustardshed-standins/tests/platform.rs
+++ b/crates/mustardshed-standins/tests/platform.rs
@@ -166,6 +166,37 @@
     );
 }
 
+// Guards against a stand-in that refuses names which the platform takes.
+#[tokio::test]
+async fn object_may_have_any_name() {
+    let f = fixture().await;
+    let names = [
+        "&a", "#a", "+a", "%21!", "a b", "a\"b", "a\tb", "?a", "a/b", "é",
+    ];
+    for name in names {
+        let body = json!({ "metadata": { "name": name }, "spec": 1 });
+        let encoded =
+            percent_encoding::utf8_percent_encode(name, percent_encoding::NON_ALPHANUMERIC);
+        let kind_url = f.url("api/objects/servers");
+        let url = format!("{kind_url}/{encoded}");
+
+        let created = f.http.post(&kind_url, &body).await.unwrap();
+        let replaced = f.http.put(&url, &body).await.unwrap();
+        let read = f.http.get(&url).await.unwrap();
+        let listed = f.http.get(&kind_url).await.unwrap();
+        let rest_url = format!("{kind_url}?after={encoded}");
+        let rest = f.http.get(&rest_url).await.unwrap();
+        let delete = ::http::Request::delete(&url).body(json_client::Body::default());
+        let deleted = f.http.send(delete).await.unwrap();
+
+        let statuses = [created, replaced, read.clone(), deleted].map(|answer| answer.status);
+        assert_that!(statuses, eq([200; 4]), "{name}");
+        assert_that!(read.body["metadata"]["name"], eq(name));
+        assert_that!(listed.body["items"][0]["metadata"]["name"], eq(name));
+        assert_that!(rest.body["items"], eq(&json!([])), "{name}");
+    }
+}
+
 #[tokio::test]
 async fn values_beyond_a_megabyte_are_refused_by_client_and_platform() {
     let f = fixture().await;
