Percent-encode the names of objects in calls of the platform

While an entry of another writer whose name holds a character such as & # + % or a blank stood in the list of servers, entries that started served almost nothing: none of them was ever ready.

Cause: the name after which the next page begins went into the query as it stands. What follows & or # was lost, + and %xx were read as other characters, and a blank, a quote or a tab makes no URL. The store was asked for a page that had been read before, again and again, or for none, so that a list of more than one page never ended. A name in a path had the same fault.

entry_that_starts_beside_an_odd_name_serves starts an entry beside each of twelve names at the end of a page.

--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -76,12 +76,20 @@
 }
 
 /// Waits until `holds` returns true; panics with `what` if that takes too long.
-pub(crate) async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+pub(crate) async fn wait_until(what: &str, holds: impl FnMut() -> bool) {
+    assert!(holds_in_time(holds).await, "waited too long for {what}");
+}
+
+/// Waits until `holds` returns true; returns false if that takes too long.
+pub(crate) async fn holds_in_time(mut holds: impl FnMut() -> bool) -> bool {
     let started_at = time::Instant::now();
     while !holds() {
-        assert!(started_at.elapsed() < TIMEOUT, "waited too long for {what}");
+        if started_at.elapsed() >= TIMEOUT {
+            return false;
+        }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
+    true
 }
 
 /// Waits until each entry knows that the others are registered and alive.
@@ -107,6 +115,12 @@
     net::Ipv4Addr::new(127, high.max(1), low, host)
 }
 
+/// Returns the URL of an object, whose name may hold any characters.
+fn object_url(kind_url: &str, name: &str) -> String {
+    let name = percent_encoding::utf8_percent_encode(name, percent_encoding::NON_ALPHANUMERIC);
+    format!("{kind_url}/{name}")
+}
+
 fn bounds() -> forwarding::Bounds {
     forwarding::Bounds {
         fail_closed: true,
@@ -210,6 +224,21 @@
         self.write("config", "main", config).await;
     }
 
+    /// Lists leaving servers that fill a page of the list but for `left` objects, before most other
+    /// names.
+    pub(crate) async fn fill_page(&self, left: usize) {
+        /// Objects in a page of the stand-in.
+        const PAGE_ITEMS: usize = 500;
+        let leaving = json!({
+            "service": "runners", "address": "127.0.0.1:9", "zone": "north", "version": "v1",
+            "slots": 16, "state": "draining", "cold_left_ms": 0, "seq": 1,
+        });
+        for i in 0..PAGE_ITEMS - left {
+            self.write("servers", &format!("!{i:03}"), leaving.clone())
+                .await;
+        }
+    }
+
     /// Lists a server in a state and a data centre.
     pub(crate) async fn list(&self, server: &server::Server, state: &str, data_centre: &str) {
         let entry = json!({
@@ -226,14 +255,15 @@
         let kind_url = format!("{}/api/objects/{kind}", self.platform.url());
         let created = self.http.post(&kind_url, &body).await.unwrap();
         if created.status == 409 {
-            let url = format!("{kind_url}/{name}");
+            let url = object_url(&kind_url, name);
             assert_eq!(self.http.put(&url, &body).await.unwrap().status, 200);
         }
     }
 
     /// Removes an object.
     pub(crate) async fn remove(&self, kind: &str, name: &str) {
-        let url = format!("{}/api/objects/{kind}/{name}", self.platform.url());
+        let kind_url = format!("{}/api/objects/{kind}", self.platform.url());
+        let url = object_url(&kind_url, name);
         let req = http::Request::delete(url).body(Bytes::new().into());
         assert_eq!(self.http.send(req).await.unwrap().status, 200);
     }
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -23,6 +23,7 @@
 mod log;
 mod metrics;
 mod notices;
+mod odd_names;
 mod placement;
 mod refusals;
 mod relays;
--- /dev/null
+++ b/crates/mustardshedd/tests/forward/odd_names.rs
@@ -0,0 +1,43 @@
+//! Entries of another writer whose names hold characters that a URL or a header reserves.
+
+use futures_util::future;
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::{fixture, server};
+
+/// Names that a URL cuts, decodes or does not hold unless they are percent-encoded, and others.
+const NAMES: [&str; 12] = [
+    "&a", "#a", "+a", "%21!", "a b", "a\"b", "a\tb", "a&b", "a#b", "?a", "a/b", "aé",
+];
+
+/// Returns the status of a request to an entry that starts while an odd object is the last one of a
+/// page of the list of servers, and a usable one is on the next; none if the entry does not get ready.
+async fn status_beside(odd: &str) -> Option<u16> {
+    let server = server::Server::bind("z-1").await;
+    let f = fixture::Fixture::with(&[]).await;
+    f.fill_page(1).await;
+    f.write("servers", odd, json!({ "state": 7 })).await;
+    f.list(&server, "ready", "north").await;
+    let entry = f.entry("entry-1").await;
+
+    let is_ready = fixture::holds_in_time(|| entry.cx.takes_work()).await;
+
+    match is_ready {
+        true => Some(f.send(&entry, "GET", "/again/a", "").await.status),
+        false => None,
+    }
+}
+
+// Guards against entries that are never ready because a name of another writer ends a page of the
+// list of servers.
+#[gtest]
+#[tokio::test]
+async fn entry_that_starts_beside_an_odd_name_serves() -> Result<()> {
+    let statuses = future::join_all(NAMES.map(status_beside)).await;
+
+    for (name, status) in NAMES.iter().zip(statuses) {
+        expect_that!(status, some(eq(200)), "{name:?}");
+    }
+    Ok(())
+}
