Serve with the part of a list that can be read

Entries that started served nothing while a page of the list of servers could not be read to its end, though the sound servers of the pages before it were known.

Cause: a list is all or nothing. The kind stayed unread, and an entry is ready only when it knows the servers.

Change: a list that does not get on has a gap, which is logged (event 2130), and what could be read is used. Known objects behind it stay as they are, changes are followed by a watch, and the kind is listed again after each watch. A partial list is not confirmed, nor offered to peers, which would take it for whole; a whole list of a peer completes it. Of the configuration only its one object matters: a list that holds it counts as whole. The product's own mode takes no partial lists, as before.

entry_serves_with_the_servers_that_can_be_read failed before (not ready in 30 s). peer_completes_a_partial_list passed before as well: an entry without a list takes that of a peer, and must still do so when it has a part. The other tests of partial_lists are about the new state.

Nothing in the messages between entries has changed.

--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -103,6 +103,7 @@
         objects,
         position: view::position(&state),
         unnamed,
+        gap: None,
     };
     let now = cx.now();
     // The peer sent this less than a link's silence timeout ago.
--- a/crates/mustardshedd/src/forward/reflector.rs
+++ b/crates/mustardshedd/src/forward/reflector.rs
@@ -100,7 +100,10 @@
             .platform
             .list(self.topic.purpose(), self.topic.kind())
             .await
-            .inspect(|listing| self.log_unnamed(listing.unnamed))
+            .inspect(|listing| {
+                self.log_unnamed(listing.unnamed);
+                self.log_gap(listing);
+            })
             .map(Read::All)
     }
 
@@ -113,10 +116,21 @@
         }
     }
 
+    fn log_gap(&self, listing: &objects::Listing) {
+        if let Some(gap) = listing.gap {
+            log::emit(&event::Event::ListIncomplete {
+                kind: self.topic.kind(),
+                reason: &gap.to_string(),
+                objects: listing.objects.len(),
+            });
+        }
+    }
+
     /// Watches for changes. If more recent data are needed meanwhile, they are listed beside the
     /// watch, which goes on.
     async fn watch(&mut self, from: objects::Position) -> Result<Read, objects::Error> {
         let wait = self.next_watch_timeout();
+        let watch_begun_at = self.cx.now();
         let cx = sync::Arc::clone(&self.cx);
         let (purpose, kind) = (self.topic.purpose(), self.topic.kind());
         let watching = cx.platform.watch(purpose, kind, from, wait);
@@ -125,12 +139,20 @@
             tokio::select! {
                 changes = &mut watching => {
                     let changes = changes?;
-                    let has_unnamed = cx.state().view.has_unnamed(self.topic);
-                    if changes.unnamed == 0 && !has_unnamed {
+                    let (has_unnamed, is_partial) = {
+                        let state = cx.state();
+                        let view = &state.view;
+                        (view.has_unnamed(self.topic), view.is_partial(self.topic))
+                    };
+                    if changes.unnamed == 0 && !has_unnamed && !is_partial {
                         return Ok(Read::Changes(changes));
                     }
                     // Which object has changed, or has its name back, is told by a list only.
                     self.log_unnamed(changes.unnamed);
+                    if is_partial {
+                        // The list may leave out what has changed.
+                        self.apply(Read::Changes(changes), watch_begun_at).await;
+                    }
                     return self.list().await;
                 }
                 () = cx.refresh.notified(), if self.topic == topic::Topic::Configuration => {
@@ -164,7 +186,11 @@
     async fn wait_while_relay_serves(&mut self) -> bool {
         let mut registered_at = self.cx.now();
         loop {
-            let is_known = self.cx.state().view.position(self.topic).is_some();
+            let is_known = {
+                let state = self.cx.state();
+                let view = &state.view;
+                view.position(self.topic).is_some() && !view.is_partial(self.topic)
+            };
             if !is_known {
                 return false;
             }
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 struct TopicCache {
     listing: Option<objects::Listing>,
+    /// Whether the list leaves out objects that matter, of which the former state is kept.
+    is_partial: bool,
     /// Position of the last change.
     position: objects::Position,
     confirmation: confirmation::Confirmation,
@@ -92,6 +94,12 @@
         listing.is_some_and(|listing| listing.unnamed > 0)
     }
 
+    /// Returns whether a kind could be listed only in part.
+    #[must_use]
+    pub fn is_partial(&self, topic: topic::Topic) -> bool {
+        self.topics[topic.index()].is_partial
+    }
+
     /// Returns whether the configuration in force was known to be the latest within the last
     /// `limit`.
     #[must_use]
@@ -222,24 +230,38 @@
         self.topics[topic.index()].failing_since.get_or_insert(now);
     }
 
-    /// Applies a list of all objects of a kind, read from the platform or sent by a peer and valid
-    /// as of `as_of`. A list older than the known one is ignored.
+    /// Applies a list of the objects of a kind, read from the platform or sent by a peer and valid
+    /// as of `as_of`. A list older than the known one is ignored, unless it completes that. Objects
+    /// that a list with a gap leaves out stay as they are known.
     pub fn apply_listing(
         &mut self,
         topic: topic::Topic,
-        listing: objects::Listing,
+        mut listing: objects::Listing,
         as_of: ids::Timestamp,
         now: ids::Timestamp,
     ) -> Effects {
         let cache = &mut self.topics[topic.index()];
+        let is_partial = listing.gap.is_some() && !has_all_that_matters(topic, &listing);
+        let completes = cache.is_partial && !is_partial;
         let known = cache.listing.as_ref();
-        if let Some(known) = known.filter(|known| listing.position < known.position) {
+        let is_older = |known: &&objects::Listing| {
+            let is_same_era = listing.position.era == known.position.era;
+            listing.position < known.position && !(completes && is_same_era)
+        };
+        if let Some(known) = known.filter(is_older) {
             log_ignored(topic, listing.position, known.position);
             return Effects {
                 is_ignored: true,
                 ..Effects::default()
             };
         }
+        if let Some(known) = known {
+            if is_partial {
+                keep_unread(&mut listing, known);
+            } else if completes {
+                keep_newer(&mut listing, known);
+            }
+        }
         let known_era = known.map_or(0, |known| known.position.era);
         let is_restored = known_era > 0 && listing.position.era > known_era;
         let is_same = known.is_some_and(|known| {
@@ -248,6 +270,7 @@
         if !is_same {
             cache.position = listing.position;
         }
+        cache.is_partial = is_partial;
         cache.confirm(as_of, now);
         if is_restored {
             log_restored(topic, listing.position);
@@ -278,7 +301,8 @@
             return Effects::default();
         };
         let is_other_era = changes.position.era != listing.position.era;
-        if is_other_era || changes.position < listing.position {
+        let leaves_gap = changes.from > listing.position;
+        if is_other_era || leaves_gap || changes.position < listing.position {
             return Effects::default();
         }
         let is_same = changes.changes.is_empty();
@@ -306,7 +330,7 @@
         effects
     }
 
-    /// Returns how far a kind was read, for a peer; none if it was never read.
+    /// Returns how far a kind was read, for a peer; none if it was never read as a whole.
     #[must_use]
     pub fn topic_state(
         &self,
@@ -314,7 +338,8 @@
         now: ids::Timestamp,
     ) -> Option<forward::TopicState> {
         let cache = &self.topics[topic.index()];
-        cache.listing.as_ref()?;
+        // Peers take what they are sent as a whole list.
+        cache.listing.as_ref().filter(|_| !cache.is_partial)?;
         let age = cache.confirmation.age(now)?;
         Some(forward::TopicState {
             revision: cache.position.revision,
@@ -339,7 +364,8 @@
     }
 
     /// Confirms the data of a kind by how far a peer had read it when it was asked at `asked_at`;
-    /// returns whether the peer knows a later change, so that its objects should be fetched.
+    /// returns whether the peer knows a later change or more objects, so that its objects should be
+    /// fetched.
     pub fn observe_peer(
         &mut self,
         topic: topic::Topic,
@@ -357,7 +383,8 @@
             cache.record_recovery(asked_at);
         }
         let known = cache.listing.as_ref().map(|listing| listing.position);
-        if known.is_some_and(|known| known >= position(&state)) {
+        let is_whole = !cache.is_partial;
+        if is_whole && known.is_some_and(|known| known >= position(&state)) {
             cache.confirmation.confirm(as_of);
             self.confirm_in_force();
             return false;
@@ -513,8 +540,11 @@
 }
 
 impl TopicCache {
+    /// Records that the platform was read; what was read only in part is not confirmed.
     fn confirm(&mut self, as_of: ids::Timestamp, now: ids::Timestamp) {
-        self.confirmation.confirm(as_of);
+        if !self.is_partial {
+            self.confirmation.confirm(as_of);
+        }
         self.record_recovery(now);
     }
 
@@ -536,6 +566,32 @@
     }
 }
 
+/// Returns whether a list with a gap has all objects of its kind that are ever used.
+fn has_all_that_matters(topic: topic::Topic, listing: &objects::Listing) -> bool {
+    let name = decode::configuration::NAME;
+    topic == topic::Topic::Configuration && listing.objects.contains_key(name)
+}
+
+/// Adds the known objects to a partial list that stand behind what was read.
+fn keep_unread(listing: &mut objects::Listing, known: &objects::Listing) {
+    let last_read = listing.objects.last_key_value().map(|(name, _)| name);
+    let unread = known.objects.iter();
+    let unread = unread.filter(|(name, _)| Some(*name) > last_read);
+    let unread: Vec<(String, objects::Object)> = unread
+        .map(|(name, object)| (name.clone(), object.clone()))
+        .collect();
+    listing.objects.extend(unread);
+}
+
+/// Replaces objects of a list by known ones that were read later.
+fn keep_newer(listing: &mut objects::Listing, known: &objects::Listing) {
+    for (name, object) in &known.objects {
+        if object.position > listing.position {
+            listing.objects.insert(name.clone(), object.clone());
+        }
+    }
+}
+
 fn log_ignored(topic: topic::Topic, read: objects::Position, known: objects::Position) {
     log::emit(&event::Event::ListingIgnored {
         kind: topic.kind(),
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -569,4 +569,10 @@
         kind: &'a str,
         count: usize,
     }
+    /// A list of the platform's objects could be read only in part; what it leaves out stays as known.
+    2130 Error "list_incomplete" ListIncomplete {
+        kind: &'a str,
+        reason: &'a str,
+        objects: usize,
+    }
 }
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -24,6 +24,7 @@
 mod metrics;
 mod notices;
 mod odd_names;
+mod partial_lists;
 mod placement;
 mod refusals;
 mod relays;
--- a/crates/mustardshedd/tests/forward/undecoded.rs
+++ b/crates/mustardshedd/tests/forward/undecoded.rs
@@ -206,6 +206,7 @@
         objects: [(object.name.clone(), object)].into(),
         position,
         unnamed: 0,
+        gap: None,
     }
 }
 
--- a/crates/mustardshedd/tests/forward/view.rs
+++ b/crates/mustardshedd/tests/forward/view.rs
@@ -105,6 +105,7 @@
         objects: objects.collect(),
         position: at,
         unnamed: 0,
+        gap: None,
     }
 }
 
@@ -248,6 +249,7 @@
                 .collect(),
             position: position(1, 3),
             unnamed: 0,
+            gap: None,
         };
         receiver.apply_listing(Topic::Servers, listing, ms(1_000), ms(1_003));
         let found = receiver.servers_of("runners", ms(1_003));
