--- a/crates/mustardshedd/tests/forward/odd_names.rs
+++ b/crates/mustardshedd/tests/forward/odd_names.rs
@@ -11,6 +11,34 @@
     "&a", "#a", "+a", "%21!", "a b", "a\"b", "a\tb", "a&b", "a#b", "?a", "a/b", "aé",
 ];
 
+// Guards against requests that are passed on without the server that they are meant for, so that
+// another one at its address runs them.
+#[gtest]
+#[tokio::test]
+async fn server_whose_name_no_header_holds_gets_no_request() -> Result<()> {
+    let mut odd = Vec::new();
+    for name in ["a\nb", "a\u{7f}", " a", "a "] {
+        odd.push(server::Server::bind(name).await);
+    }
+    let f = fixture::Fixture::with(&odd.iter().collect::<Vec<_>>()).await;
+    let entry = f.entry("entry-1").await.ready().await;
+
+    let beside_odd = f.send(&entry, "GET", "/again/a", "").await;
+    let sound = server::Server::bind("i 1,a/é").await;
+    f.list(&sound, "ready", "north").await;
+    let is_usable = || entry.cx.state().usable(&sound.id, entry.cx.now()).is_some();
+    fixture::wait_until("the sound server", is_usable).await;
+    let beside_sound = f.send(&entry, "GET", "/again/a", "").await;
+
+    expect_that!([beside_odd.status, beside_sound.status], eq([503, 200]));
+    let odd_got = odd.iter().map(|server| server.got().len()).sum::<usize>();
+    expect_that!(odd_got, eq(0));
+    let meant_for = sound.got()[0].headers["expect-instance"]
+        .as_bytes()
+        .to_vec();
+    verify_that!(meant_for, eq(sound.id.as_bytes()))
+}
+
 /// Returns the status of a request to an entry that starts while an odd object is the last one of a
 /// page of the list of servers, and a usable one is on the next; none if the entry does not get ready.
 async fn status_beside(odd: &str) -> Option<u16> {
