Test odd names of each kind of objects, and as changes

objects_of_each_kind_are_read_behind_an_odd_name fails on this commit without the encoding of names (not ready in 30 s), and passes with it. changes_are_followed_beside_odd_names passes either way: a watch names no object in its URL.

--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -224,9 +224,9 @@
         self.write("config", "main", config).await;
     }
 
-    /// Lists leaving servers that fill a page of the list but for `left` objects, before most other
-    /// names.
-    pub(crate) async fn fill_page(&self, left: usize) {
+    /// Writes objects that fill a page of a list but for `left` ones, before most other names: leaving
+    /// servers, if that is their kind.
+    pub(crate) async fn fill_page(&self, kind: &str, left: usize) {
         /// Objects in a page of the stand-in.
         const PAGE_ITEMS: usize = 500;
         let leaving = json!({
@@ -234,8 +234,7 @@
             "slots": 16, "state": "draining", "cold_left_ms": 0, "seq": 1,
         });
         for i in 0..PAGE_ITEMS - left {
-            self.write("servers", &format!("!{i:03}"), leaving.clone())
-                .await;
+            self.write(kind, &format!("!{i:03}"), leaving.clone()).await;
         }
     }
 
--- a/crates/mustardshedd/tests/forward/odd_names.rs
+++ b/crates/mustardshedd/tests/forward/odd_names.rs
@@ -44,7 +44,7 @@
 async fn status_beside(odd: &str) -> Option<u16> {
     let server = server::Server::bind("z-1").await;
     let f = fixture::Fixture::with(&[]).await;
-    f.fill_page(1).await;
+    f.fill_page("servers", 1).await;
     f.write("servers", odd, json!({ "state": 7 })).await;
     f.list(&server, "ready", "north").await;
     let entry = f.entry("entry-1").await;
@@ -69,3 +69,50 @@
     }
     Ok(())
 }
+
+// Guards against an odd name of any other kind of objects that the entry reads.
+#[gtest]
+#[tokio::test]
+async fn objects_of_each_kind_are_read_behind_an_odd_name() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    for kind in ["config", "evacuations", "mustardshed-entries"] {
+        f.fill_page(kind, 1).await;
+        f.write(kind, "&a", json!({ "version": "seven" })).await;
+    }
+    f.write("evacuations", "north", json!({})).await;
+
+    let entries = [f.entry("entry-1").await, f.entry("entry-2").await];
+    let [first, second] = entries.map(fixture::Entry::ready);
+    let [first, second] = [first.await, second.await];
+    fixture::wait_until_acquainted(&[&first, &second]).await;
+    let is_usable = || first.cx.state().usable("i-1", first.cx.now()).is_some();
+    fixture::wait_until("the data centre to be out", || !is_usable()).await;
+    f.remove("evacuations", "north").await;
+    fixture::wait_until("the data centre to be back", is_usable).await;
+
+    verify_that!(f.send(&first, "GET", "/again/a", "").await.status, eq(200))
+}
+
+// Guards against changes that are not followed since an odd name comes or goes.
+#[gtest]
+#[tokio::test]
+async fn changes_are_followed_beside_odd_names() -> Result<()> {
+    let f = fixture::Fixture::with(&[]).await;
+    let entry = f.entry("entry-1").await.ready().await;
+    let is_usable = |id: &str| entry.cx.state().usable(id, entry.cx.now()).is_some();
+
+    for name in NAMES {
+        f.write("servers", name, json!({ "state": 7 })).await;
+    }
+    let first = server::Server::bind("i-1").await;
+    f.list(&first, "ready", "north").await;
+    fixture::wait_until("the first server", || is_usable("i-1")).await;
+    for name in NAMES {
+        f.remove("servers", name).await;
+    }
+    f.list(&first, "draining", "north").await;
+    fixture::wait_until("the first server to leave", || !is_usable("i-1")).await;
+
+    verify_that!(NAMES.iter().any(|name| is_usable(name)), eq(false))
+}
--- a/crates/mustardshedd/tests/forward/partial_lists.rs
+++ b/crates/mustardshedd/tests/forward/partial_lists.rs
@@ -27,7 +27,7 @@
         let first = server::Server::bind("!").await;
         let last = server::Server::bind("z-1").await;
         let fixture = fixture::Fixture::with(&[&first, &last]).await;
-        fixture.fill_page(0).await;
+        fixture.fill_page("servers", 0).await;
         Self {
             fixture,
             first,
