--- a/crates/mustardshed-standins/tests/platform.rs
+++ b/crates/mustardshed-standins/tests/platform.rs
@@ -197,6 +197,23 @@
     }
 }
 
+// Guards against a list that cannot be read since another writer's object looks like an encoded value.
+#[tokio::test]
+async fn objects_are_listed_beside_one_with_invalid_digits() {
+    let f = fixture().await;
+    f.create("a", "one").await.unwrap();
+    let odd = json!({ "metadata": { "name": "b" }, "spec": { "bytes_hex": "zz" } });
+    let url = f.url("api/objects/claim");
+    assert_that!(f.http.post(&url, &odd).await.unwrap().status, eq(200));
+
+    let listed = f.client.list(PURPOSE, KIND, "").await;
+
+    let listed = listed.unwrap().into_iter().map(|object| object.name);
+    let read = f.get("b").await.unwrap().map(|object| object.value);
+    assert_that!(listed.collect::<Vec<_>>(), elements_are![eq("a"), eq("b")]);
+    assert_that!(read, some(eq(br#"{"bytes_hex":"zz"}"#)));
+}
+
 #[tokio::test]
 async fn values_beyond_a_megabyte_are_refused_by_client_and_platform() {
     let f = fixture().await;
