Test a restart of all entries beside an odd name, with processes

entries_that_all_start_again_beside_an_odd_name_serve kills two entries and starts them again while the name &a ends a page of the list of servers.

--- a/crates/mustardshedd/tests/planned_stop/fixture.rs
+++ b/crates/mustardshedd/tests/planned_stop/fixture.rs
@@ -73,6 +73,19 @@
         self.write("config", "main", config).await;
     }
 
+    /// Lists an entry of another writer that is not understood, under this name, as the last one of a
+    /// page that the two servers follow.
+    pub(crate) async fn list_odd(&self, name: &str) {
+        /// Objects in a page of the stand-in.
+        const PAGE_ITEMS: usize = 500;
+        let odd = json!({ "state": 7 });
+        for i in 1..PAGE_ITEMS {
+            self.write("servers", &format!("!{i:03}"), odd.clone())
+                .await;
+        }
+        self.write("servers", name, odd).await;
+    }
+
     async fn write(&self, kind: &str, name: &str, spec: serde_json::Value) {
         let body = json!({ "metadata": { "name": name }, "spec": spec });
         let kind_url = format!("{}/api/objects/{kind}", self.platform.url());
--- a/crates/mustardshedd/tests/planned_stop/starts.rs
+++ b/crates/mustardshedd/tests/planned_stop/starts.rs
@@ -117,3 +117,30 @@
 
     assert_that!(faults, is_empty(), "{}", faults.join("\n"));
 }
+
+// Guards against entries that serve nothing once all of them were killed and started again, while the
+// name of another writer's entry ends a page of the list of servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_all_start_again_beside_an_odd_name_serve() {
+    let f = fixture::Fixture::open(time::Duration::ZERO).await;
+    let ips = [entry::unique_ip(), entry::unique_ip()];
+    let start_all = || future::join_all([0, 1].map(|i| f.spawn(i, ips[i]).ready()));
+    let entries = start_all().await;
+
+    f.list_odd("&a").await;
+    drop(entries);
+    let entries = start_all().await;
+    let mut client = client::Client::open(&ips);
+    let mut outcomes = Vec::new();
+    for request in 0..8 {
+        let entry = usize::try_from(request % 2).unwrap();
+        let plan = client::Plan {
+            entry,
+            ..plan(0, request / 2)
+        };
+        outcomes.push(client.send(plan).await.unwrap().outcome);
+    }
+
+    assert_that!(outcomes, each(eq(&client::Outcome::Answered(200))));
+    drop(entries);
+}
