--- a/crates/mustardshed-standins/tests/platform.rs
+++ b/crates/mustardshed-standins/tests/platform.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use mustardshed::{
     core::boundary::platform::{self, Platform},
-    platform::client,
+    platform::{client, objects},
 };
 use mustardshed_standins::{
     http, json_client,
@@ -166,14 +166,16 @@
     );
 }
 
+/// Names with characters that a URL reserves or does not hold.
+const ODD_NAMES: [&str; 10] = [
+    "&a", "#a", "+a", "%21!", "a b", "a\"b", "a\tb", "?a", "a/b", "é",
+];
+
 // Guards against a stand-in that refuses names which the platform takes.
 #[tokio::test]
 async fn object_may_have_any_name() {
     let f = fixture().await;
-    let names = [
-        "&a", "#a", "+a", "%21!", "a b", "a\"b", "a\tb", "?a", "a/b", "é",
-    ];
-    for name in names {
+    for name in ODD_NAMES {
         let body = json!({ "metadata": { "name": name }, "spec": 1 });
         let encoded =
             percent_encoding::utf8_percent_encode(name, percent_encoding::NON_ALPHANUMERIC);
@@ -197,6 +199,29 @@
     }
 }
 
+// Guards against calls that reach another object, or none, since a URL cuts or decodes the name.
+#[tokio::test]
+async fn client_reaches_objects_of_any_name() {
+    let f = fixture().await;
+    let client = objects::Objects::open(&f.server.address().to_string(), TIMEOUT);
+    for name in ODD_NAMES {
+        let created = client.create(PURPOSE, "claim", name, "1").await.unwrap();
+        let expected = Some(created.revision);
+
+        let replaced = client.replace(PURPOSE, "claim", name, expected, "2").await;
+        let read = client.get(PURPOSE, "claim", name).await.unwrap();
+        let removed = client.remove(PURPOSE, "claim", name, created.revision + 1);
+        let removed = removed.await;
+        let gone = client.get(PURPOSE, "claim", name).await.unwrap();
+
+        assert_that!(replaced, ok(anything()), "{name}");
+        let content = read.map(|read| (read.name, read.content));
+        assert_that!(content, some(eq(&(name.to_owned(), "2".to_owned()))));
+        assert_that!(removed, ok(anything()), "{name}");
+        assert_that!(gone, none(), "{name}");
+    }
+}
+
 // Guards against a list that cannot be read since another writer's object looks like an encoded value.
 #[tokio::test]
 async fn objects_are_listed_beside_one_with_invalid_digits() {
