Cut long text in log lines

A log line was as large as the name or value of an entry that is not understood, which may be a megabyte, and was written again with each change of its kind. Up to 8,192 lines wait in memory when the output is slow.

Change: text of a field is cut after 8,000 characters.

--- a/crates/mustardshedd/src/log/value.rs
+++ b/crates/mustardshedd/src/log/value.rs
@@ -1,6 +1,9 @@
 //! Values of an event's fields, as text and as JSON.
 
-use std::fmt;
+use std::{borrow, fmt};
+
+/// Longest text of a field, in characters; longer ones are cut.
+const MAX_TEXT_CHARS: usize = 8_000;
 
 /// Value of a field of an event.
 pub trait Value: fmt::Display {
@@ -10,7 +13,7 @@
 
 impl Value for &str {
     fn json(&self) -> serde_json::Value {
-        (*self).into()
+        cut(self).into()
     }
 }
 
@@ -30,4 +33,11 @@
     };
 }
 
+fn cut(text: &str) -> borrow::Cow<'_, str> {
+    match text.char_indices().nth(MAX_TEXT_CHARS) {
+        Some((end, _)) => format!("{}…", &text[..end]).into(),
+        None => text.into(),
+    }
+}
+
 plain!(bool, f64, u16, u32, u64, usize);
--- a/crates/mustardshedd/tests/forward/log.rs
+++ b/crates/mustardshedd/tests/forward/log.rs
@@ -73,6 +73,19 @@
     )
 }
 
+// Guards against lines as large as an object of another writer whose name or value they tell.
+#[gtest]
+fn long_text_is_cut() -> Result<()> {
+    let long = "é".repeat(1_000_000);
+
+    let line = lines::line(&refused(&long));
+    let short = lines::line(&refused(&long[..2_000]));
+
+    expect_that!(line.len(), lt(20_000));
+    expect_that!(line, contains_substring("é…\""));
+    verify_that!(short, contains_substring(&long[..2_000]))
+}
+
 #[gtest]
 fn blocked_output_does_not_block_emitting_and_lost_lines_are_counted() -> Result<()> {
     let pipe = Pipe::blocked();
