--- a/crates/mustardshed-standins/src/platform/object_routes.rs
+++ b/crates/mustardshed-standins/src/platform/object_routes.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// Takes the path of an object and returns its kind and name.
+/// Matches the path of an object and extracts its kind and name.
 fn of_object() -> filters::BoxedFilter<(String, String)> {
     warp::path("api")
         .and(warp::path("objects"))
--- a/crates/mustardshedd/src/forward/view.rs
+++ b/crates/mustardshedd/src/forward/view.rs
@@ -16,6 +16,7 @@
 
 mod in_force;
 mod listed_for;
+mod partial;
 
 pub use listed_for::ListedFor;
 
@@ -28,7 +29,7 @@
 #[derive(Debug, Default)]
 struct TopicCache {
     listing: Option<objects::Listing>,
-    /// Whether the list leaves out objects that matter, of which the former state is kept.
+    /// Whether the list leaves out objects that may be used; their former state is kept.
     is_partial: bool,
     /// Position of the last change.
     position: objects::Position,
@@ -231,8 +232,8 @@
     }
 
     /// Applies a list of the objects of a kind, read from the platform or sent by a peer and valid
-    /// as of `as_of`. A list older than the known one is ignored, unless it completes that. Objects
-    /// that a list with a gap leaves out stay as they are known.
+    /// as of `as_of`. A list older than the known one is ignored, unless the known one is partial and
+    /// this one is whole. Objects that a partial list leaves out stay as they are known.
     pub fn apply_listing(
         &mut self,
         topic: topic::Topic,
@@ -241,7 +242,7 @@
         now: ids::Timestamp,
     ) -> Effects {
         let cache = &mut self.topics[topic.index()];
-        let is_partial = listing.gap.is_some() && !has_all_that_matters(topic, &listing);
+        let is_partial = partial::is_partial(topic, &listing);
         let completes = cache.is_partial && !is_partial;
         let known = cache.listing.as_ref();
         let is_older = |known: &&objects::Listing| {
@@ -257,9 +258,9 @@
         }
         if let Some(known) = known {
             if is_partial {
-                keep_unread(&mut listing, known);
+                partial::keep_unread(&mut listing, known);
             } else if completes {
-                keep_newer(&mut listing, known);
+                partial::keep_newer(&mut listing, known);
             }
         }
         let known_era = known.map_or(0, |known| known.position.era);
@@ -566,32 +567,6 @@
     }
 }
 
-/// Returns whether a list with a gap has all objects of its kind that are ever used.
-fn has_all_that_matters(topic: topic::Topic, listing: &objects::Listing) -> bool {
-    let name = decode::configuration::NAME;
-    topic == topic::Topic::Configuration && listing.objects.contains_key(name)
-}
-
-/// Adds the known objects to a partial list that stand behind what was read.
-fn keep_unread(listing: &mut objects::Listing, known: &objects::Listing) {
-    let last_read = listing.objects.last_key_value().map(|(name, _)| name);
-    let unread = known.objects.iter();
-    let unread = unread.filter(|(name, _)| Some(*name) > last_read);
-    let unread: Vec<(String, objects::Object)> = unread
-        .map(|(name, object)| (name.clone(), object.clone()))
-        .collect();
-    listing.objects.extend(unread);
-}
-
-/// Replaces objects of a list by known ones that were read later.
-fn keep_newer(listing: &mut objects::Listing, known: &objects::Listing) {
-    for (name, object) in &known.objects {
-        if object.position > listing.position {
-            listing.objects.insert(name.clone(), object.clone());
-        }
-    }
-}
-
 fn log_ignored(topic: topic::Topic, read: objects::Position, known: objects::Position) {
     log::emit(&event::Event::ListingIgnored {
         kind: topic.kind(),
--- a/crates/mustardshedd/src/log/value.rs
+++ b/crates/mustardshedd/src/log/value.rs
@@ -33,11 +33,11 @@
     };
 }
 
+plain!(bool, f64, u16, u32, u64, usize);
+
 fn cut(text: &str) -> borrow::Cow<'_, str> {
     match text.char_indices().nth(MAX_TEXT_CHARS) {
         Some((end, _)) => format!("{}…", &text[..end]).into(),
         None => text.into(),
     }
 }
-
-plain!(bool, f64, u16, u32, u64, usize);
--- a/crates/mustardshedd/tests/forward/odd_names.rs
+++ b/crates/mustardshedd/tests/forward/odd_names.rs
@@ -49,12 +49,10 @@
     f.list(&server, "ready", "north").await;
     let entry = f.entry("entry-1").await;
 
-    let is_ready = fixture::holds_in_time(|| entry.cx.takes_work()).await;
-
-    match is_ready {
-        true => Some(f.send(&entry, "GET", "/again/a", "").await.status),
-        false => None,
+    if !fixture::holds_in_time(|| entry.cx.takes_work()).await {
+        return None;
     }
+    Some(f.send(&entry, "GET", "/again/a", "").await.status)
 }
 
 // Guards against entries that are never ready because a name of another writer ends a page of the
