Test crowds of clients against an entry that is started as deployed

Clients ended a process in a trial: it ran out of memory. The tests of memory and of client limits do not show it, for two reasons. They tell the entry the memory of its VM in settings of their own, which the deployment's template does not do; and they count resident memory only, while bytes that were received and not yet read count as memory too.

Entries can now be started with the settings that deploy/settings.toml.in makes; the stand-in of the platform fills it in. All crowds are checked against the sum of resident and unread bytes, sampled each 20 ms, and their ordinary request is sent once the entry has read what the crowd has sent. A new sort of client sends a mebibyte in chunks of seven bytes.

--- a/crates/mustardshed-standins/src/platform.rs
+++ b/crates/mustardshed-standins/src/platform.rs
@@ -26,6 +26,7 @@
 pub mod routes;
 pub mod state;
 pub mod store;
+pub mod template;
 pub mod vm;
 pub mod vm_list;
 pub mod watch;
--- a/crates/mustardshedd/tests/client_limits/crowd.rs
+++ b/crates/mustardshedd/tests/client_limits/crowd.rs
@@ -18,6 +18,12 @@
 const PIECE_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Chunks of one byte that are sent at once.
 const SMALL_CHUNKS: usize = 20_000;
+/// Size of a long body in small chunks, in bytes.
+const CHUNKED_BYTES: usize = 1024 * 1024;
+/// Size of each of its chunks, in bytes.
+const SMALL_CHUNK: &[u8] = b"7\r\nxxxxxxx\r\n";
+/// Bytes of a body in it.
+const SMALL_CHUNK_BYTES: usize = 7;
 /// Bytes of a head that are sent at once; below `max_header_bytes`.
 const HEAD_BYTES: usize = 12_000;
 /// Time between two bytes of a head or body that goes on and does not end.
@@ -39,6 +45,8 @@
     LargeChunks,
     /// Send a body in chunks of one byte, many at once and then one at a time.
     SmallChunks,
+    /// Send a long body in chunks of a few bytes, most without its end.
+    LongSmallChunks,
     /// Announce a body far over the limit and send it.
     OversizeAnnounced,
     /// Send a body far over the limit in chunks.
@@ -52,11 +60,22 @@
 }
 
 impl Sort {
-    pub(crate) const ALL: [Self; 9] = [
+    /// Sorts whose bodies are large, long or far over the limit.
+    pub(crate) const BODIES: [Self; 6] = [
+        Self::LargeAtOnce,
+        Self::LargeByPieces,
+        Self::LargeChunks,
+        Self::LongSmallChunks,
+        Self::OversizeAnnounced,
+        Self::OversizeChunked,
+    ];
+
+    pub(crate) const ALL: [Self; 10] = [
         Self::LargeAtOnce,
         Self::LargeByPieces,
         Self::LargeChunks,
         Self::SmallChunks,
+        Self::LongSmallChunks,
         Self::OversizeAnnounced,
         Self::OversizeChunked,
         Self::EndlessHead,
@@ -140,6 +159,13 @@
             stream.write_all(&chunked(sort, number)).await?;
             stream.write_all(&b"1\r\nx\r\n".repeat(SMALL_CHUNKS)).await
         }
+        Sort::LongSmallChunks => {
+            stream.write_all(&chunked(sort, number)).await?;
+            let chunks = SMALL_CHUNK.repeat(CHUNKED_BYTES / SMALL_CHUNK_BYTES);
+            stream.write_all(&chunks).await?;
+            let end: &[u8] = if is_whole { b"0\r\n\r\n" } else { b"" };
+            stream.write_all(end).await
+        }
         Sort::OversizeAnnounced => {
             stream
                 .write_all(&announced(sort, number, OVERSIZE_BYTES))
--- a/crates/mustardshedd/tests/client_limits/main.rs
+++ b/crates/mustardshedd/tests/client_limits/main.rs
@@ -9,6 +9,7 @@
 #[expect(dead_code, reason = "shared with the tests of memory")]
 mod client;
 mod crowd;
+mod deployed;
 #[path = "../planned_stop/entry.rs"]
 #[expect(dead_code, reason = "shared with the tests of planned stops")]
 mod entry;
--- a/crates/mustardshedd/tests/client_limits/run.rs
+++ b/crates/mustardshedd/tests/client_limits/run.rs
@@ -3,18 +3,19 @@
 use std::{net, time};
 
 use googletest::prelude::*;
+use serde_json::json;
 
 use crate::{
     client,
     crowd::{Crowd, Sort},
-    entry,
+    entry::{self, memory},
     fixture::Fixture,
     server,
 };
 
 /// Memory of the VM, in megabytes: the smallest that the settings accept.
 const MEMORY_MB: u64 = 64;
-/// Most resident memory, in bytes: all that the VM has.
+/// Most memory, in bytes: all that the VM has.
 const MEMORY_BYTES: u64 = MEMORY_MB * 1_000_000;
 /// Descriptors of the process.
 const DESCRIPTORS: u64 = 512;
@@ -25,6 +26,8 @@
 
 /// Longest wait until a crowd has sent; a crowd that still sends then is checked as it is.
 pub(crate) const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+/// Longest wait until the entry has read what a crowd has sent; it may leave some of it unread.
+const READ_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Attempts of the ordinary caller.
 const ATTEMPTS: usize = 40;
 /// Pause between them.
@@ -33,7 +36,7 @@
 const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Attempts without any response after which the ordinary caller gives up.
 const SILENT_ATTEMPTS: usize = 3;
-/// Interval between two counts of the descriptors.
+/// Interval between two counts of memory and descriptors.
 const COUNT_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
 /// Keeps tests apart: several crowds at once would measure each other.
@@ -44,8 +47,10 @@
 struct Seen {
     /// Whether the process runs at the end.
     is_running: bool,
-    /// Most resident memory, in bytes.
-    peak_memory: u64,
+    /// Most memory, resident and received but not yet read.
+    peak: memory::Memory,
+    /// Most resident memory, in bytes, also between two counts.
+    peak_resident: u64,
     /// Most open descriptors.
     peak_descriptors: usize,
     /// Status of the ordinary request; none if it got no response.
@@ -58,11 +63,30 @@
 /// the process.
 pub(crate) async fn check(crowds: &[(Sort, usize)]) -> Result<()> {
     let _alone = ONE_AT_A_TIME.lock().await;
-    let seen = run(crowds).await;
-    println!("{crowds:?}: {seen:?}");
+    let f = open().await;
+    let front = entry::front(f.entry.ip);
+    verify(run(f, front, crowds).await, DESCRIPTORS)
+}
+
+/// Does the same with crowds at `port` of an entry that the platform has started on a machine with so
+/// many descriptors.
+pub(crate) async fn check_deployed(
+    descriptors: u64,
+    port: u16,
+    crowds: &[(Sort, usize)],
+) -> Result<()> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let f = open_deployed(descriptors).await;
+    let target = net::SocketAddr::from((f.entry.ip, port));
+    verify(run(f, target, crowds).await, descriptors)
+}
+
+fn verify(seen: Seen, descriptors: u64) -> Result<()> {
+    println!("{seen:?}");
     expect_that!(seen.is_running, eq(true));
-    expect_that!(seen.peak_memory, le(MEMORY_BYTES));
-    let limit = usize::try_from(DESCRIPTORS).unwrap() - RESERVED_DESCRIPTORS;
+    expect_that!(seen.peak.total(), le(MEMORY_BYTES));
+    expect_that!(seen.peak_resident, le(MEMORY_BYTES));
+    let limit = usize::try_from(descriptors).unwrap() - RESERVED_DESCRIPTORS;
     expect_that!(seen.peak_descriptors, le(limit));
     expect_that!(seen.ready, some(eq(200)));
     verify_that!(seen.ordinary, some(eq(200)))
@@ -74,18 +98,33 @@
     Fixture::open_limited(2, answer, MEMORY_MB, Some(DESCRIPTORS)).await
 }
 
-async fn run(crowds: &[(Sort, usize)]) -> Seen {
-    let mut f = open().await;
+/// Starts an entry as the platform does on a machine with little memory and so many descriptors.
+pub(crate) async fn open_deployed(descriptors: u64) -> Fixture {
+    let answer = server::Answer::Whole(ANSWER_BYTES);
+    let limits = json!({
+        "cpu_share": 0.25, "cores": 1, "memory_mb": MEMORY_MB, "max_fds": descriptors,
+        "link_mbps": 1_000.0, "disk_mb": 0,
+    });
+    Fixture::open_with(2, answer, |settings| {
+        entry::Entry::spawn_deployed(settings, &limits)
+    })
+    .await
+}
+
+/// Starts the crowds at an address of the entry.
+async fn run(mut f: Fixture, target: net::SocketAddr, crowds: &[(Sort, usize)]) -> Seen {
     let front = entry::front(f.entry.ip);
-    let mut peak = 0;
+    let (mut peak, mut peak_descriptors) = (memory::Memory::default(), 0);
     let calling = async {
         let started = crowds
             .iter()
-            .map(|&(sort, count)| Crowd::start(front, sort, count));
+            .map(|&(sort, count)| Crowd::start(target, sort, count));
         let mut started: Vec<Crowd> = started.collect();
         for crowd in &mut started {
             crowd.sent(SEND_TIMEOUT).await;
         }
+        // An entry that leaves bytes unread is checked as it is.
+        drop(tokio::time::timeout(READ_TIMEOUT, all_read(&f.entry)).await);
         let ordinary = send_ordinary(front).await;
         let ready = ready(net::SocketAddr::from((f.entry.ip, 8002))).await;
         // The crowds stay until here.
@@ -94,7 +133,12 @@
     };
     let counting = async {
         loop {
-            peak = peak.max(f.entry.open_descriptors().unwrap_or_default());
+            let open = f.entry.open_descriptors();
+            peak_descriptors = peak_descriptors.max(open.unwrap_or_default());
+            let now = f.entry.memory();
+            if now.total() > peak.total() {
+                peak = now;
+            }
             tokio::time::sleep(COUNT_INTERVAL).await;
         }
     };
@@ -104,14 +148,22 @@
     };
     Seen {
         is_running: f.entry.is_running(),
-        peak_memory: peak_memory(&f.entry),
-        peak_descriptors: peak,
+        peak,
+        peak_resident: peak_resident(&f.entry),
+        peak_descriptors,
         ordinary,
         ready,
     }
 }
 
-fn peak_memory(entry: &entry::Entry) -> u64 {
+/// Waits until the entry has read all that it has received.
+async fn all_read(entry: &entry::Entry) {
+    while entry.memory().unread > 0 {
+        tokio::time::sleep(COUNT_INTERVAL).await;
+    }
+}
+
+fn peak_resident(entry: &entry::Entry) -> u64 {
     if entry.open_descriptors().is_none() {
         return 0;
     }
--- a/crates/mustardshedd/tests/memory/fixture.rs
+++ b/crates/mustardshedd/tests/memory/fixture.rs
@@ -39,6 +39,22 @@
         answer: server::Answer,
         memory_mb: u64,
         descriptors: Option<u64>,
+    ) -> Self {
+        Self::open_with(count, answer, |settings| {
+            entry::Entry::spawn(&entry::Settings {
+                memory_mb: Some(memory_mb),
+                descriptors,
+                ..*settings
+            })
+        })
+        .await
+    }
+
+    /// Does the same with an entry that `spawn` starts.
+    pub(crate) async fn open_with(
+        count: usize,
+        answer: server::Answer,
+        spawn: impl FnOnce(&entry::Settings<'_>) -> entry::Entry,
     ) -> Self {
         let platform = standin::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
         configure(&platform).await;
@@ -50,15 +66,15 @@
             list(&platform, &other, "other").await;
             others.push(other);
         }
-        let entry = entry::Entry::spawn(&entry::Settings {
+        let entry = spawn(&entry::Settings {
             index: 0,
             ip: entry::unique_ip(),
             data_centre: "north",
             platform: platform.url().trim_start_matches("http://"),
             grace: DEADLINE,
             read_ahead_bytes: 1024 * 1024,
-            memory_mb: Some(memory_mb),
-            descriptors,
+            memory_mb: None,
+            descriptors: None,
         });
         Self {
             entry: entry.ready().await,
--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -9,9 +9,14 @@
 };
 
 use mustardshed::platform::discovery;
+use mustardshed_standins::platform::template;
 use rustix::process as posix;
+use serde_json::json;
 use tokio::task;
 
+#[path = "entry/memory.rs"]
+pub(crate) mod memory;
+
 /// Interval between checks of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 /// Longest wait for an entry to be ready; far longer than a loaded machine needs.
@@ -165,6 +170,34 @@
     )
 }
 
+/// Returns the settings that the deployment's template makes on a machine with these limits, which are
+/// named as the platform names them.
+fn deployed_settings_file(settings: &Settings<'_>, limits: &serde_json::Value) -> String {
+    const TEMPLATE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/settings.toml.in");
+    let text = fs::read_to_string(TEMPLATE).unwrap();
+    let Settings { index, ip, .. } = settings;
+    let machine = json!({
+        "node_name": format!("entry-{index}"),
+        "zone": settings.data_centre,
+        "ip": ip.to_string(),
+        "listen": {
+            "front": format!("{ip}:8001"), "ready": format!("{ip}:8002"),
+            "directory": format!("{ip}:8003"), "control": format!("{ip}:8004"),
+        },
+        "seeds": [],
+        "limits": limits,
+        "heartbeat_ms": 500,
+        "bounds": {
+            "grace_s": settings.grace.as_secs_f64(), "config_apply_ms": 2_000, "revoke_ms": 5_000,
+            "fail_closed": true, "retry_budget_ratio": 0.2, "budget_window_s": 10,
+            "budget_slack": 100, "free_ms": 4_000, "idle_max_ms": 9_000,
+        },
+        "provider": { "address": settings.platform },
+        "read_ahead_bytes": settings.read_ahead_bytes,
+    });
+    template::fill(&text, &machine).unwrap()
+}
+
 /// Returns the command that runs a program, with a lowered limit of descriptors if one is given.
 fn command(program: &path::Path, descriptors: Option<u64>) -> process::Command {
     let Some(limit) = descriptors else {
@@ -179,6 +212,16 @@
 impl Entry {
     /// Starts an entry.
     pub(crate) fn spawn(settings: &Settings<'_>) -> Self {
+        Self::spawn_with(settings, &settings_file(settings))
+    }
+
+    /// Starts an entry as the platform does on a machine with these limits. Nothing but its settings
+    /// tells it of them.
+    pub(crate) fn spawn_deployed(settings: &Settings<'_>, limits: &serde_json::Value) -> Self {
+        Self::spawn_with(settings, &deployed_settings_file(settings, limits))
+    }
+
+    fn spawn_with(settings: &Settings<'_>, text: &str) -> Self {
         let Settings {
             index, ip, grace, ..
         } = *settings;
@@ -186,7 +229,7 @@
         let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         fs::create_dir_all(&dir).unwrap();
         let file = dir.join("settings.toml");
-        fs::write(&file, settings_file(settings)).unwrap();
+        fs::write(&file, text).unwrap();
         let log = fs::File::create(dir.join("log")).unwrap();
         let child = command(&program(index, ip), settings.descriptors)
             .arg("--forwarding")
@@ -282,6 +325,12 @@
         kib * 1024
     }
 
+    /// Returns the memory that the process has now, in bytes: resident, and received but not yet
+    /// read.
+    pub(crate) fn memory(&self) -> memory::Memory {
+        memory::Memory::of(self.child.id(), self.ip)
+    }
+
     /// Returns the number of descriptors that the process has open; none if it has exited.
     pub(crate) fn open_descriptors(&self) -> Option<usize> {
         let open = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
