--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -24,6 +24,10 @@
 /// Most memory of a VM that is accepted, in megabytes.
 const MAX_MEMORY_MB: u64 = 1 << 20;
 const BYTES_PER_MB: u64 = 1_000_000;
+/// Least number of descriptors of a process that is accepted.
+const MIN_DESCRIPTORS: u64 = 64;
+/// Most descriptors of a process that are accepted, which is the kernel's own limit.
+const MAX_DESCRIPTORS: u64 = 1 << 30;
 
 /// Most bytes of a stream that may be read ahead of its client.
 const MAX_READ_AHEAD_BYTES: u32 = 1 << 20;
@@ -48,6 +52,9 @@
     pub processor: f64,
     /// Memory of the VM in bytes; that which the machine reports if the settings give none.
     pub memory: Option<u64>,
+    /// Most descriptors that the process may have open on the VM; its resource limit alone bounds
+    /// them if the settings give none.
+    pub max_descriptors: Option<usize>,
     /// Most bytes of a stream that are read ahead of a slow client; none are if it is zero.
     pub read_ahead_bytes: usize,
     /// Address to listen on for callers.
@@ -150,6 +157,10 @@
             let mb = read::u64_within(MIN_MEMORY_MB, MAX_MEMORY_MB)(field)?;
             Some(Some(mb * BYTES_PER_MB))
         });
+        let max_descriptors = root.optional("max_descriptors", None, |field| {
+            let count = read::u64_within(MIN_DESCRIPTORS, MAX_DESCRIPTORS)(field)?;
+            Some(Some(usize::try_from(count).unwrap_or(usize::MAX)))
+        });
         let read_ahead_bytes = root.optional("read_ahead_bytes", 0, |field| {
             read::usize_within(0, MAX_READ_AHEAD_BYTES)(field)
         });
@@ -183,6 +194,7 @@
             data_centre: data_centre?,
             processor: processor?,
             memory: memory?,
+            max_descriptors: max_descriptors?,
             read_ahead_bytes: read_ahead_bytes?,
             front: front?,
             ready: ready?,
--- a/crates/mustardshed-config/tests/forwarding.rs
+++ b/crates/mustardshed-config/tests/forwarding.rs
@@ -56,6 +56,29 @@
     Ok(())
 }
 
+#[gtest]
+fn descriptors_are_optional_and_limited() -> Result<()> {
+    let descriptors = |lines: &str| {
+        let parsed = forwarding::parse(&settings(lines));
+        parsed.map(|settings| settings.max_descriptors)
+    };
+
+    expect_that!(descriptors(""), ok(none()));
+    expect_that!(descriptors("max_descriptors = 4100"), ok(some(eq(&4_100))));
+    for value in ["0", "63", "-1", "\"4100\"", "1073741825"] {
+        let problems = descriptors(&format!("max_descriptors = {value}"));
+
+        let problems = problems.err().unwrap_or_default();
+        let text: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        expect_that!(
+            text,
+            elements_are![contains_substring("max_descriptors")],
+            "{value}"
+        );
+    }
+    Ok(())
+}
+
 #[gtest]
 fn fair_shares_are_off_unless_set() -> Result<()> {
     let with = |lines: &str| {
--- a/crates/mustardshedd/src/forward/clients.rs
+++ b/crates/mustardshedd/src/forward/clients.rs
@@ -58,7 +58,7 @@
     /// Opens a listener's state, and checks its connections for as long as it is in use.
     #[must_use]
     pub fn open(cx: sync::Arc<cx::Cx>, purpose: listeners::Purpose) -> sync::Arc<Self> {
-        let descriptors = descriptors();
+        let descriptors = descriptors(cx.settings.max_descriptors);
         let limits = limits(&cx.settings.clients, descriptors, purpose);
         if purpose == listeners::Purpose::Traffic {
             log::emit(&event::Event::ClientLimits {
@@ -197,12 +197,13 @@
     }
 }
 
-/// Returns the most descriptors that this process may open.
-fn descriptors() -> usize {
+/// Returns the most descriptors that this process may open, where the VM allows it `max` of them.
+fn descriptors(max: Option<usize>) -> usize {
     let limit = process::getrlimit(process::Resource::Nofile).current;
-    limit.map_or(usize::MAX, |limit| {
+    let limit = limit.map_or(usize::MAX, |limit| {
         usize::try_from(limit).unwrap_or(usize::MAX)
-    })
+    });
+    limit.min(max.unwrap_or(usize::MAX))
 }
 
 fn limits(
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -348,6 +348,7 @@
             data_centre: "north".to_owned(),
             processor: 1.0,
             memory: None,
+            max_descriptors: None,
             read_ahead_bytes: 0,
             front: address(8001),
             ready: address(8002),
