Count the bytes that the kernel holds for a client as memory

An entry that knew its memory still went over it: 600 clients with bodies took 66 to 79 MB on a VM of 64 MB, of which 24 to 41 MB were received and not yet read. On the users' platform such bytes count, and the process is ended.

Cause: nothing sized the kernel's receive buffers, which hold 128 KiB at first and grow, and nothing counted them. A process that gets less processor time than its clients send leaves them full, also while it drops the rest of a body that it has refused.

Listeners now ask for a buffer of 24 KiB, which connections inherit (key receive_buffer_bytes), or 8 KiB where requests have no bodies. Linux may hold twice as much, so a connection of a caller counts 64 KiB of the memory budget. No more connections are kept than fit into half of the budget, and no more wait to be accepted than fit into a quarter. A single body of 4 MiB is served as before; a connection beyond the limit is closed by the existing rules.

--- a/crates/mustardshed-config/src/forwarding/clients.rs
+++ b/crates/mustardshed-config/src/forwarding/clients.rs
@@ -12,6 +12,10 @@
 const MAX_RATE: u32 = 1_000_000;
 /// Rate below which a head or body makes no progress if the settings give none, in bytes per second.
 const DEFAULT_MIN_BYTES_PER_S: u32 = 128;
+/// Kernel's buffer for unread bytes of a connection if the settings give none, in bytes.
+const DEFAULT_RECEIVE_BUFFER_BYTES: u32 = 24 * 1024;
+/// Least and most bytes accepted for it.
+const RECEIVE_BUFFER_BYTES: (u64, u64) = (4 * 1024, 4 * 1024 * 1024);
 
 /// Limits on connections of clients; those left out follow from the descriptors of the process and
 /// from the configuration in force.
@@ -31,6 +35,8 @@
     pub body_timeout: Option<time::Duration>,
     /// Rate below which a head or body makes no progress, in bytes per second.
     pub min_bytes_per_s: u32,
+    /// Size of the kernel's buffer for bytes of a connection that are not read yet.
+    pub receive_buffer_bytes: u32,
 }
 
 impl Default for Clients {
@@ -43,6 +49,7 @@
             head_timeout: None,
             body_timeout: None,
             min_bytes_per_s: DEFAULT_MIN_BYTES_PER_S,
+            receive_buffer_bytes: DEFAULT_RECEIVE_BUFFER_BYTES,
         }
     }
 }
@@ -67,6 +74,12 @@
         let body_timeout = timeout("body_timeout_ms");
         let rate = read::u32_within(1, MAX_RATE);
         let min_bytes_per_s = section.optional("min_bytes_per_s", DEFAULT_MIN_BYTES_PER_S, rate);
+        let (least, most) = RECEIVE_BUFFER_BYTES;
+        let receive_buffer_bytes = section.optional(
+            "receive_buffer_bytes",
+            DEFAULT_RECEIVE_BUFFER_BYTES,
+            |field| u32::try_from(read::u64_within(least, most)(field)?).ok(),
+        );
         section.report_unknown();
         for (key, value) in [
             ("max_per_address", max_per_address),
@@ -83,6 +96,7 @@
             head_timeout: head_timeout?,
             body_timeout: body_timeout?,
             min_bytes_per_s: min_bytes_per_s?,
+            receive_buffer_bytes: receive_buffer_bytes?,
         })
     }
 }
--- a/crates/mustardshed-config/tests/forwarding.rs
+++ b/crates/mustardshed-config/tests/forwarding.rs
@@ -79,6 +79,30 @@
     Ok(())
 }
 
+#[gtest]
+fn receive_buffer_has_a_default_and_limits() -> Result<()> {
+    let receive_buffer = |lines: &str| {
+        let source = format!("{}\n[clients]\n{lines}", settings(""));
+        forwarding::parse(&source).map(|settings| settings.clients.receive_buffer_bytes)
+    };
+
+    expect_that!(receive_buffer(""), ok(eq(&24_576)));
+    expect_that!(
+        receive_buffer("receive_buffer_bytes = 65536"),
+        ok(eq(&65_536))
+    );
+    for value in ["4095", "4194305", "-1", "\"1\""] {
+        let problems = receive_buffer(&format!("receive_buffer_bytes = {value}"));
+        let problems = problems.expect_err("a problem");
+        let text: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        expect_that!(
+            text,
+            elements_are![contains_substring("receive_buffer_bytes")]
+        );
+    }
+    Ok(())
+}
+
 #[gtest]
 fn fair_shares_are_off_unless_set() -> Result<()> {
     let with = |lines: &str| {
--- a/crates/mustardshedd/src/forward/clients.rs
+++ b/crates/mustardshedd/src/forward/clients.rs
@@ -2,9 +2,8 @@
 
 use std::{collections, net, sync, time};
 
-use mustardshed::{
-    config::forwarding,
-    core::forward::client_limits::{self, ClientLimits, ConnectionId, Limit, Limits, Timeouts},
+use mustardshed::core::forward::client_limits::{
+    self, ClientLimits, ConnectionId, Limit, Limits, Timeouts,
 };
 use rustix::process;
 use tokio::{sync as tokio_sync, task};
@@ -15,10 +14,12 @@
 };
 
 mod body;
+mod buffers;
 mod connection;
 mod io;
 
 pub use body::Body;
+pub use buffers::Buffers;
 pub use connection::{Connection, Handle, Request};
 pub use io::Io;
 
@@ -59,13 +60,14 @@
     #[must_use]
     pub fn open(cx: sync::Arc<cx::Cx>, purpose: listeners::Purpose) -> sync::Arc<Self> {
         let descriptors = descriptors(cx.settings.max_descriptors);
-        let limits = limits(&cx.settings.clients, descriptors, purpose);
+        let limits = limits(&cx, descriptors, purpose);
         if purpose == listeners::Purpose::Traffic {
             log::emit(&event::Event::ClientLimits {
                 descriptors,
                 max_connections: limits.max_connections,
                 max_per_address: limits.max_per_address,
                 max_incomplete: limits.max_incomplete,
+                receive_buffer_bytes: cx.settings.clients.receive_buffer_bytes,
             });
         }
         let clients = sync::Arc::new(Self {
@@ -206,11 +208,8 @@
     limit.min(max.unwrap_or(usize::MAX))
 }
 
-fn limits(
-    settings: &forwarding::Clients,
-    descriptors: usize,
-    purpose: listeners::Purpose,
-) -> Limits {
+fn limits(cx: &cx::Cx, descriptors: usize, purpose: listeners::Purpose) -> Limits {
+    let settings = &cx.settings.clients;
     let min_bytes_per_s = settings.min_bytes_per_s;
     if purpose != listeners::Purpose::Traffic {
         let max = (descriptors / OTHERS_DIVISOR).max(MIN_OTHERS);
@@ -222,6 +221,8 @@
         };
     }
     let possible = client_limits::max_connections(descriptors, settings.reserved_descriptors);
+    let in_memory = Buffers::new(settings, purpose).max_connections(cx.memory.limit());
+    let possible = possible.min(in_memory).max(1);
     let max = settings.max_connections.unwrap_or(possible).min(possible);
     let incomplete = (max / INCOMPLETE_DIVISOR).max(1);
     Limits {
--- a/crates/mustardshedd/src/forward/listeners.rs
+++ b/crates/mustardshedd/src/forward/listeners.rs
@@ -12,7 +12,7 @@
 use tokio_util::task as task_util;
 
 use crate::{
-    forward::{clients, cx, exchange, memory, metrics},
+    forward::{clients, cx, exchange, metrics},
     http::bounded_io,
     log::{self, event},
 };
@@ -65,7 +65,8 @@
     address: net::SocketAddr,
     purpose: Purpose,
 ) -> io::Result<Listener> {
-    let listener = tokio_net::TcpListener::bind(address).await?;
+    let buffers = clients::Buffers::new(&cx.settings.clients, purpose);
+    let listener = buffers.listen(address, cx.memory.limit())?;
     log::emit(&event::Event::Listening {
         address: &address.to_string(),
     });
@@ -191,10 +192,8 @@
         return;
     }
     let handle = client.handle().clone();
-    let _memory = match handle
-        .take_memory(&cx.memory, memory::CONNECTION_BYTES)
-        .await
-    {
+    let bytes = clients::Buffers::new(&cx.settings.clients, purpose).connection_bytes();
+    let _memory = match handle.take_memory(&cx.memory, bytes).await {
         Ok(memory) => memory,
         Err(e) => return log_failure(&e),
     };
--- a/crates/mustardshedd/src/forward/memory.rs
+++ b/crates/mustardshedd/src/forward/memory.rs
@@ -10,8 +10,6 @@
 
 pub use buffer::Buffer;
 
-/// Memory of a client's connection, in bytes: its buffers and its task.
-pub const CONNECTION_BYTES: usize = 16 * 1024;
 /// Memory of a request or a tunnel, in bytes: the connection to the server, and short bodies.
 pub const REQUEST_BYTES: usize = 64 * 1024;
 /// Part of [`REQUEST_BYTES`] for each buffer, in bytes; what a buffer has beyond it is counted.
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -339,6 +339,7 @@
         max_connections: usize,
         max_per_address: usize,
         max_incomplete: usize,
+        receive_buffer_bytes: u32,
     }
     /// Connections of clients were closed for a limit since the last such line.
     1311 Warn "client_connections_closed" ClientConnectionsClosed {
