Count connections that are closed for want of memory

A new connection for which there is no memory was closed with a line of the log for each (accept_failed), and counted nowhere. Callers see what they saw before. Read in the code; it has no test of its own.

--- a/crates/mustardshedd/src/forward/clients/connection.rs
+++ b/crates/mustardshedd/src/forward/clients/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync};
 
-use mustardshed::core::forward::client_limits::ConnectionId;
+use mustardshed::core::forward::client_limits::{ConnectionId, Limit};
 use tokio::{sync as tokio_sync, task};
 
 use crate::forward::{clients::Clients, memory};
@@ -86,6 +86,12 @@
         }))
     }
 
+    /// Records that the connection is closed because there is no memory for it.
+    pub fn record_no_memory(&self) {
+        let mut state = self.clients.state();
+        self.clients.count(&mut state, Limit::Memory, true);
+    }
+
     /// Takes memory; if none is left, closes connections without progress for it.
     ///
     /// # Errors
--- a/crates/mustardshedd/src/forward/listeners.rs
+++ b/crates/mustardshedd/src/forward/listeners.rs
@@ -193,9 +193,8 @@
     }
     let handle = client.handle().clone();
     let bytes = clients::Buffers::new(&cx.settings.clients, purpose).connection_bytes();
-    let _memory = match handle.take_memory(&cx.memory, bytes).await {
-        Ok(memory) => memory,
-        Err(e) => return log_failure(&e),
+    let Ok(_memory) = handle.take_memory(&cx.memory, bytes).await else {
+        return handle.record_no_memory();
     };
     let limits = cx.routes().and_then(|routes| routes.limits);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.max_header_bytes);
