Hold no more than control groups and resource limits allow

Without memory_mb, or with more of it than the process is allowed, an entry held what others send up to half of the machine's memory. Under a lower limit of a control group it would be ended, and under one of its address space an allocation would fail, with all its callers' requests.

Cause: only the settings and the machine were asked. The least of the settings, the machine, the control groups around the process (both versions) and RLIMIT_AS and RLIMIT_DATA counts now; event 1313 tells which one that is.

The tests memory::allowed::* read control groups from files; they are new with the code, which did not read any before. Nothing on the users' platform was seen to set such a limit.

--- a/crates/mustardshedd/src/forward/memory.rs
+++ b/crates/mustardshedd/src/forward/memory.rs
@@ -5,7 +5,10 @@
 use displaydoc::Display;
 use mustardshed::core::forward::memory_budget;
 
+use crate::log::{self, event};
+
 pub mod allocator;
+pub mod allowed;
 mod buffer;
 
 pub use buffer::Buffer;
@@ -24,21 +27,20 @@
 
 impl std::error::Error for Exhausted {}
 
-/// Opens the budget of a process on a VM with so much memory, in bytes; with that which the machine
-/// reports, if none is given.
+/// Opens the budget of a process on a VM with so much memory, in bytes, if it is known; less if the
+/// machine, a control group or a resource limit of the process allows less.
 ///
 /// # Errors
 ///
-/// Returns an error if none is given and the machine reports none.
+/// Returns an error if none of them sets a limit.
 pub fn open(vm_bytes: Option<u64>) -> io::Result<Budget> {
-    let reported = || {
-        let info = rustix::system::sysinfo();
-        let bytes = info.totalram.checked_mul(info.mem_unit.into())?;
-        (bytes > 0).then_some(bytes)
-    };
-    let bytes = vm_bytes.or_else(reported);
-    let bytes = bytes.ok_or_else(|| io::Error::other("the machine reports no size"))?;
-    Ok(sync::Arc::new(memory_budget::MemoryBudget::new(bytes)))
+    let allowed = allowed::allowed(vm_bytes)?;
+    log::emit(&event::Event::MemoryLimit {
+        source: allowed.source.as_str(),
+        memory_bytes: allowed.bytes,
+    });
+    let budget = memory_budget::MemoryBudget::new(allowed.bytes);
+    Ok(sync::Arc::new(budget))
 }
 
 /// Memory of one holder, which is given back when dropped.
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -355,6 +355,11 @@
         open: usize,
         incomplete: usize,
     }
+    /// What limits the memory of a forwarding entry, half of which it may hold for what others send.
+    1313 Info "memory_limit" MemoryLimit {
+        source: &'a str,
+        memory_bytes: u64,
+    }
     /// A generation of the configuration is in force.
     2001 Info "configuration_in_force" ConfigurationInForce {
         generation: ids::Generation,
--- a/crates/mustardshedd/tests/memory/main.rs
+++ b/crates/mustardshedd/tests/memory/main.rs
@@ -5,6 +5,7 @@
     reason = "a fake or fixture that fails ends its test"
 )]
 
+mod allowed;
 mod answers;
 mod bodies;
 mod client;
