--- a/crates/mustardshed-config/src/forwarding.rs
+++ b/crates/mustardshed-config/src/forwarding.rs
@@ -50,10 +50,10 @@
     pub data_centre: String,
     /// CPU capacity of the VM, in cores.
     pub processor: f64,
-    /// Memory of the VM in bytes; that which the machine reports if the settings give none.
+    /// Memory of the VM in bytes, if the settings give it; the process may be allowed less.
     pub memory: Option<u64>,
-    /// Most descriptors that the process may have open on the VM; its resource limit alone bounds
-    /// them if the settings give none.
+    /// Most descriptors that the VM allows the process, if the settings give them; its resource limit
+    /// may be lower.
     pub max_descriptors: Option<usize>,
     /// Most bytes of a stream that are read ahead of a slow client; none are if it is zero.
     pub read_ahead_bytes: usize,
--- a/crates/mustardshed-config/src/forwarding/clients.rs
+++ b/crates/mustardshed-config/src/forwarding/clients.rs
@@ -14,11 +14,13 @@
 const DEFAULT_MIN_BYTES_PER_S: u32 = 128;
 /// Kernel's buffer for unread bytes of a connection if the settings give none, in bytes.
 const DEFAULT_RECEIVE_BUFFER_BYTES: u32 = 24 * 1024;
-/// Least and most bytes accepted for it.
-const RECEIVE_BUFFER_BYTES: (u64, u64) = (4 * 1024, 4 * 1024 * 1024);
+/// Least size of that buffer that is accepted, in bytes.
+const MIN_RECEIVE_BUFFER_BYTES: u64 = 4 * 1024;
+/// Greatest size of that buffer that is accepted, in bytes.
+const MAX_RECEIVE_BUFFER_BYTES: u64 = 4 * 1024 * 1024;
 
-/// Limits on connections of clients; those left out follow from the descriptors of the process and
-/// from the configuration in force.
+/// Limits on connections of clients; those left out follow from the descriptors and the memory of the
+/// process and from the configuration in force.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Clients {
     /// Descriptors kept for peers, the store, readiness, discovery, metrics and files.
@@ -74,11 +76,11 @@
         let body_timeout = timeout("body_timeout_ms");
         let rate = read::u32_within(1, MAX_RATE);
         let min_bytes_per_s = section.optional("min_bytes_per_s", DEFAULT_MIN_BYTES_PER_S, rate);
-        let (least, most) = RECEIVE_BUFFER_BYTES;
+        let buffer = read::u64_within(MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
         let receive_buffer_bytes = section.optional(
             "receive_buffer_bytes",
             DEFAULT_RECEIVE_BUFFER_BYTES,
-            |field| u32::try_from(read::u64_within(least, most)(field)?).ok(),
+            |field| u32::try_from(buffer(field)?).ok(),
         );
         section.report_unknown();
         for (key, value) in [
--- a/crates/mustardshed-standins/src/platform/template.rs
+++ b/crates/mustardshed-standins/src/platform/template.rs
@@ -1,5 +1,7 @@
 //! Fills in the templates of process settings.
 //!
+//! The whole language of the platform's templates:
+//!
 //! `{{a.b}}` is a value as text and `{{a|json}}` the same as JSON; `{{#a}} .. {{/a}}` repeats for each
 //! item of a list or table, or stands once for any other value but `false`; `{{^a}} .. {{/a}}` stands if
 //! there is no value or it is `false`. Inside a section, `{{.}}` is the item, `{{@}}` its key or index
--- a/crates/mustardshedd/src/forward/clients/buffers.rs
+++ b/crates/mustardshedd/src/forward/clients/buffers.rs
@@ -16,11 +16,15 @@
 const KERNEL_FACTOR: usize = 2;
 /// Divisor of the memory budget that gives the memory of all connections.
 const CONNECTIONS_DIVISOR: usize = 2;
-/// Divisors of the memory budget that give the memory of connections that are not accepted yet.
+/// Divisor of the memory budget that gives the kernel's memory of callers' connections that are not
+/// accepted yet.
 const TRAFFIC_QUEUE_DIVISOR: usize = 4;
+/// The same for discovery, readiness and metrics, each.
 const OTHERS_QUEUE_DIVISOR: usize = 32;
-/// Least and most connections that wait until they are accepted.
-const QUEUE_LENGTHS: (usize, usize) = (16, 1024);
+/// Least number of connections that may wait until they are accepted.
+const MIN_QUEUE_LENGTH: usize = 16;
+/// Most connections that may wait until they are accepted.
+const MAX_QUEUE_LENGTH: usize = 1024;
 
 /// The buffers of one connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -51,7 +55,7 @@
         PROCESS_BYTES + self.kernel_bytes()
     }
 
-    /// Returns how many connections a budget of so many bytes allows.
+    /// Returns how many connections of callers a budget of so many bytes allows.
     #[must_use]
     pub const fn max_connections(self, budget_bytes: usize) -> usize {
         budget_bytes / CONNECTIONS_DIVISOR / self.connection_bytes()
@@ -79,9 +83,9 @@
     }
 
     fn queue_length(self, budget_bytes: usize) -> u32 {
-        let (least, most) = QUEUE_LENGTHS;
         let length = budget_bytes / self.queue_divisor / self.kernel_bytes();
-        u32::try_from(length.clamp(least, most)).unwrap_or(u32::MAX)
+        let length = length.clamp(MIN_QUEUE_LENGTH, MAX_QUEUE_LENGTH);
+        u32::try_from(length).unwrap_or(u32::MAX)
     }
 
     const fn kernel_bytes(self) -> usize {
--- a/crates/mustardshedd/tests/client_limits/crowd.rs
+++ b/crates/mustardshedd/tests/client_limits/crowd.rs
@@ -20,9 +20,9 @@
 const SMALL_CHUNKS: usize = 20_000;
 /// Size of a long body in small chunks, in bytes.
 const CHUNKED_BYTES: usize = 1024 * 1024;
-/// Size of each of its chunks, in bytes.
+/// One of its chunks, as it is sent.
 const SMALL_CHUNK: &[u8] = b"7\r\nxxxxxxx\r\n";
-/// Bytes of a body in it.
+/// Size of such a chunk, in bytes.
 const SMALL_CHUNK_BYTES: usize = 7;
 /// Bytes of a head that are sent at once; below `max_header_bytes`.
 const HEAD_BYTES: usize = 12_000;
