Start the entries of all process tests with the deployment's template

The tests of memory, client limits, planned stops and lost paths wrote settings of their own, which is why none of them saw what the template left out. They now fill in the template, with the memory that a test names as the platform's.

--- a/crates/mustardshedd/tests/planned_stop/entry.rs
+++ b/crates/mustardshedd/tests/planned_stop/entry.rs
@@ -128,51 +128,9 @@
     pub(crate) descriptors: Option<u64>,
 }
 
-fn settings_file(settings: &Settings<'_>) -> String {
-    let Settings {
-        index,
-        ip,
-        data_centre,
-        platform,
-        grace,
-        memory_mb,
-        read_ahead_bytes,
-        descriptors: _,
-    } = settings;
-    let grace_s = grace.as_secs_f64();
-    let memory = memory_mb.map(|mb| format!("memory_mb = {mb}\n"));
-    let memory = memory.unwrap_or_default();
-    let read_ahead = match read_ahead_bytes {
-        0 => String::new(),
-        bytes => format!("read_ahead_bytes = {bytes}\n"),
-    };
-    format!(
-        r#"vm = "entry-{index}"
-data_centre = "{data_centre}"
-front = "{ip}:8001"
-ready = "{ip}:8002"
-directory = "{ip}:8003"
-peers = "{ip}:8004"
-platform = "{platform}"
-server_heartbeat_ms = 500
-{memory}{read_ahead}
-[bounds]
-fail_closed = true
-application_ms = 2000
-revocation_ms = 5000
-retry_ratio = 0.2
-retry_allowance = 100.0
-retry_window_s = 10.0
-grace_s = {grace_s:?}
-memory_release_ms = 4000
-memory_idle_ms = 9000
-"#
-    )
-}
-
 /// Returns the settings that the deployment's template makes on a machine with these limits, which are
 /// named as the platform names them.
-fn deployed_settings_file(settings: &Settings<'_>, limits: &serde_json::Value) -> String {
+fn settings_file(settings: &Settings<'_>, limits: &serde_json::Value) -> String {
     const TEMPLATE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/settings.toml.in");
     let text = fs::read_to_string(TEMPLATE).unwrap();
     let Settings { index, ip, .. } = settings;
@@ -212,16 +170,13 @@
 impl Entry {
     /// Starts an entry.
     pub(crate) fn spawn(settings: &Settings<'_>) -> Self {
-        Self::spawn_with(settings, &settings_file(settings))
+        let limits = json!({ "cpu_share": 1.0, "memory_mb": settings.memory_mb });
+        Self::spawn_deployed(settings, &limits)
     }
 
     /// Starts an entry as the platform does on a machine with these limits. Nothing but its settings
     /// tells it of them.
     pub(crate) fn spawn_deployed(settings: &Settings<'_>, limits: &serde_json::Value) -> Self {
-        Self::spawn_with(settings, &deployed_settings_file(settings, limits))
-    }
-
-    fn spawn_with(settings: &Settings<'_>, text: &str) -> Self {
         let Settings {
             index, ip, grace, ..
         } = *settings;
@@ -229,7 +184,7 @@
         let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         fs::create_dir_all(&dir).unwrap();
         let file = dir.join("settings.toml");
-        fs::write(&file, text).unwrap();
+        fs::write(&file, settings_file(settings, limits)).unwrap();
         let log = fs::File::create(dir.join("log")).unwrap();
         let child = command(&program(index, ip), settings.descriptors)
             .arg("--forwarding")
