--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -4,6 +4,7 @@
 
 mod booking;
 mod pairs;
+mod streams;
 mod zones;
 
 /// Plays a case; returns whether the rule was broken, and none if the case could not run.
@@ -11,6 +12,7 @@
     match name {
         "pairs" => pairs::play(record, has_trouble),
         "zones" => zones::play(record, has_trouble),
+        "streams" => streams::play(record, has_trouble),
         "booking" => booking::play(record, has_trouble),
         _ => None,
     }
@@ -29,6 +31,7 @@
     };
     let routes = [
         route("draft", "streaming", 15_000, 3_000, "model", 2, ",\"resumable\":true,\"sticky\":true,\"gap_aim_ms\":800"),
+        route("note", "streaming", 10_000, 300, "model", 2, ",\"resumable\":true,\"sticky\":true,\"gap_aim_ms\":200"),
         route("book", "non_idempotent", 1_000, 100, "desk", 1, ""),
         route("look", "idempotent", 1_000, 100, "desk", 2, ""),
         route("open", "idempotent", 1_000, 100, open_service, 2, ""),
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -160,6 +160,11 @@
         self.process = Some(Process::new(child));
     }
 
+    /// Sends a signal, which is given by its name.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([format!("-{name}"), self.pid().to_string()]).status();
+    }
+
     pub fn pid(&self) -> u32 {
         self.process.as_ref().map_or(0, |process| process.id())
     }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -83,6 +83,11 @@
         Self { stream, rest: Vec::new() }
     }
 
+    /// Sends text.
+    pub fn send(&mut self, text: &str) -> io::Result<()> {
+        self.stream.write_all(text.as_bytes())
+    }
+
     /// Reads a message; none if the connection ends before its first byte.
     pub fn read(&mut self) -> io::Result<Option<Message>> {
         let end = loop {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -7,6 +7,7 @@
 use std::{env, panic, path::Path, process, sync::mpsc, thread, time::Duration};
 
 mod cases;
+mod engine;
 mod fleet;
 mod http;
 mod runner;
--- a/review/stand-ins-2/runner.rs
+++ b/review/stand-ins-2/runner.rs
@@ -5,13 +5,16 @@
     net::TcpStream,
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
-        Arc,
+        mpsc, Arc,
     },
     thread,
     time::Duration,
 };
 
-use crate::http::{self, Message};
+use crate::{
+    engine::Engine,
+    http::{self, Message},
+};
 
 /// Time until a model runner has read a long prompt.
 const READING: Duration = Duration::from_secs(6);
@@ -25,7 +28,7 @@
 pub fn run(kind: &str) {
     let (listener, address) = http::listen();
     println!("{address}");
-    let (kind, calls) = (kind.to_owned(), AtomicU64::new(0));
+    let (kind, calls, engine) = (kind.to_owned(), AtomicU64::new(0), Engine::start());
     let is_grey = Arc::new(AtomicBool::new(false));
     let told = Arc::clone(&is_grey);
     http::serve(
@@ -33,7 +36,7 @@
         Arc::new(move |req: &Message, stream: &mut TcpStream| {
             let number = calls.fetch_add(1, Ordering::Relaxed);
             let fails = is_grey.load(Ordering::Relaxed) && number % 10 < FAILED_IN_TEN;
-            answer(&kind, fails, req, stream).is_ok()
+            answer(&kind, fails, &engine, req, stream).is_ok()
         }),
     );
     if std::io::stdin().read_line(&mut String::new()).is_ok_and(|n| n > 0) {
@@ -44,29 +47,41 @@
     }
 }
 
-fn answer(kind: &str, fails: bool, req: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
+fn answer(kind: &str, fails: bool, engine: &Engine, req: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
     if req.path() == "/api/report" {
-        let report = "{\"stage\":\"unified\",\"models\":[],\"busy\":false,\"seq\":0,\"queued\":0,\"running\":0,\
-                      \"kv_used\":0,\"kv_total\":450000,\"handles\":0,\"pace\":1.0}";
+        let (running, used) = engine.load();
+        let report = format!(
+            "{{\"stage\":\"unified\",\"models\":[],\"busy\":false,\"seq\":0,\"queued\":0,\"running\":{running},\
+             \"kv_used\":{used},\"kv_total\":450000,\"handles\":0,\"pace\":1.0}}"
+        );
         return http::respond(stream, "200 OK", &[("Content-Type", "application/json")], report.as_bytes());
     }
     let Some(id) = req.header("request-id") else {
         return http::respond(stream, "400 Bad Request", &[("Not-Executed", "1")], b"");
     };
     let headers = [("Request-Id", id), ("Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")];
-    if kind == "model" {
+    if kind == "model" || kind == "engine" {
         println!("{id} {}", req.header("prompt-prefix").unwrap_or("-"));
-        thread::sleep(READING);
+        let writing = if kind == "engine" {
+            let usage = req.header("token-usage").and_then(|usage| usage.split_once(','));
+            let tokens = usage.and_then(|(prompt, answer)| Some((prompt.parse().ok()?, answer.parse().ok()?)));
+            let (prompt, answer) = tokens.unwrap_or((1_000, 100));
+            engine.begin(prompt, answer)
+        } else {
+            thread::sleep(READING);
+            five_events()
+        };
         let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
         for (name, value) in headers {
             head += &format!("{name}: {value}\r\n");
         }
-        stream.write_all(format!("{head}\r\n").as_bytes())?;
-        for event in 1..=5 {
-            let event = format!("id: {event}\ndata: {id}\n\n");
-            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-            thread::sleep(Duration::from_millis(50));
+        for (i, _) in writing.iter().enumerate() {
+            let event = format!("id: {}\ndata: {id}\n\n", i + 1);
+            let event = format!("{:x}\r\n{event}\r\n", event.len());
+            let head = if i == 0 { format!("{head}\r\n") } else { String::new() };
+            stream.write_all(format!("{head}{event}").as_bytes())?;
         }
+        println!("{id} is done");
         return stream.write_all(b"0\r\n\r\n");
     }
     // The work is done here, whatever is answered afterwards.
@@ -77,3 +92,17 @@
     }
     http::respond(stream, "200 OK", &headers, format!("done {id}\n").as_bytes())
 }
+
+/// Returns what tells of five events of a stream, 50 ms apart.
+fn five_events() -> mpsc::Receiver<u64> {
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        for event in 1..=5 {
+            if tx.send(event).is_err() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    rx
+}
