--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Plays the case from the root of the repository; see review/stand-ins-2/cases/booking.rs.
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-2/stand-ins ] || exit 2
 exec target/review-2/stand-ins booking review/7/record.txt
