--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -38,7 +38,7 @@
     ];
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"model\",\"health_path\":\"/healthz\",\
-         \"max_connections\":344,\"engine\":{{\"slots\":16,\"kv_capacity_tokens\":450000,\"stride\":8,\"step_ms\":0.925,\
+         \"max_connections\":344,\"engine\":{{\"slots\":16,\"kv_capacity_tokens\":450000,\"stride\":46,\"step_ms\":0.925,\
          \"per_seq_ms\":0.00483,\"context_per_k\":0.00254,\"read_per_s\":256000,\"pairs_per_m\":0.0917,\"chunk\":2048,\
          \"usual\":{{\"prompt\":18000,\"answer\":1500}}}}}},{{\"name\":\"desk\",\"health_path\":\"/healthz\",\
          \"max_connections\":49}},{{\"name\":\"annex\",\"health_path\":\"/healthz\",\"max_connections\":49}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
--- a/review/stand-ins-2/cases/pairs.rs
+++ b/review/stand-ins-2/cases/pairs.rs
@@ -18,6 +18,13 @@
 const RUNNERS: usize = 20;
 /// Runners that are lost.
 const LOST: usize = 3;
+/// Sessions that ask at the same time.
+const SESSIONS: usize = 6;
+/// Documents of a session, and their length.
+const DOCUMENTS: [&str; 2] = ["91bd3f06", "2f77a0c1"];
+const DOCUMENT_TOKENS: u32 = 60_000;
+/// Time from one loss to the next one.
+const BETWEEN: Duration = Duration::from_millis(220);
 /// Time after which the store drops the entry of a runner that is silent: three heartbeats.
 const EXPIRY: Duration = Duration::from_millis(3_600);
 /// `timeout_ms` of the route of the lookups.
@@ -64,33 +71,41 @@
     }
     thread::sleep(Duration::from_secs(2));
 
-    for session in 0..LOST {
-        // One session sends the same question about two documents at the same time.
-        for document in ["91bd3f06", "2f77a0c1"] {
+    // Each session sends the same question about two documents at the same time.
+    for session in 0..SESSIONS {
+        for document in DOCUMENTS {
             let (front, record) = (entries[0].front, record.clone());
             let id = format!("draft-{session}-{document}");
-            let prefix = format!("5c1e07a2:40,{document}:4000,e4402b{session:02x}:600");
+            let prefix = format!("5c1e07a2:40,{document}:{DOCUMENT_TOKENS},e4402b{session:02x}:600");
             thread::spawn(move || draft(front, &id, &prefix, &record));
         }
-        let mut at = Vec::new();
-        while at.len() < 2 {
-            let arrival = arrivals.recv_timeout(Duration::from_secs(3)).ok()?;
-            record.line(format!("runner {} reads {} with {}", arrival.runner, arrival.request, arrival.what));
-            if arrival.request.starts_with(&format!("draft-{session}-")) {
-                at.push(arrival.runner);
-            }
-        }
-        thread::sleep(Duration::from_millis(200));
+        thread::sleep(Duration::from_millis(10));
+    }
+    let mut at: Vec<Vec<String>> = vec![Vec::new(); SESSIONS];
+    for _ in 0..SESSIONS * DOCUMENTS.len() {
+        let arrival = arrivals.recv_timeout(Duration::from_secs(3)).ok()?;
+        record.line(format!("runner {} reads {} with {}", arrival.runner, arrival.request, arrival.what));
+        let session = (0..SESSIONS).find(|session| arrival.request.starts_with(&format!("draft-{session}-")))?;
+        at[session].push(arrival.runner);
+    }
+    // Runners at which both prompts of a session are.
+    let mut lost: Vec<String> = at.into_iter().filter(|at| at.windows(2).all(|at| at[0] == at[1])).map(|mut at| at.remove(0)).collect();
+    lost.dedup();
+    if lost.len() < LOST {
+        record.say(format!("both prompts of a session are at {} runners only", lost.len()));
+        return None;
+    }
+    for runner in lost.into_iter().take(LOST) {
         if has_trouble {
-            record.line(format!("runner {} is lost", at[0]));
-            runners.get_mut(&at[0])?.kill();
-            let (store, runner) = (store.clone(), at[0].clone());
+            record.line(format!("runner {runner} is lost"));
+            runners.get_mut(&runner)?.kill();
+            let store = store.clone();
             thread::spawn(move || {
                 thread::sleep(EXPIRY);
                 store.remove("servers", &runner);
             });
         }
-        thread::sleep(Duration::from_millis(700));
+        thread::sleep(BETWEEN);
     }
     let calm_at = Instant::now();
     thread::sleep(WATCHED + TIMEOUT + SLACK);
@@ -127,7 +142,7 @@
 
 fn draft(front: std::net::SocketAddr, id: &str, prefix: &str, record: &Record) {
     record.line(format!("{id} is sent with {prefix}"));
-    let more = format!("Model: m\r\nToken-Usage: 4640,400\r\nPrompt-Prefix: {prefix}\r\n");
+    let more = format!("Model: m\r\nToken-Usage: {},400\r\nPrompt-Prefix: {prefix}\r\n", DOCUMENT_TOKENS + 640);
     let answer = http::call(front, &head("POST", "/draft/2f", id, 15_000, &more), b"compare", Duration::from_secs(15));
     match answer {
         Ok(answer) => record.line(format!("{id}: {}, {} bytes", answer.status(), answer.body.len())),
--- a/review/stand-ins-2/cases/streams.rs
+++ b/review/stand-ins-2/cases/streams.rs
@@ -9,7 +9,6 @@
 
 use super::{configuration, head};
 use crate::{
-    engine,
     fleet::{self, Record},
     http::Connection,
     store::Store,
@@ -18,21 +17,22 @@
 const ZONES: [&str; 3] = ["erie-side", "huron-side", "michigan-side"];
 /// Time from the stop of one machine to that of the next one.
 const GAP: Duration = Duration::from_secs(1);
-/// Time from the first stop to the streams, and to the long prompts.
+/// Time from the first stop to the streams, and to the first long prompt.
 const STREAMS_AFTER: Duration = Duration::from_millis(3_100);
 const PROMPTS_AFTER: Duration = Duration::from_millis(3_200);
+/// Time from one long prompt to the next one.
+const PROMPTS_GAP: Duration = Duration::from_millis(200);
 /// `grace_s` of the deployments.
 const GRACE: Duration = Duration::from_secs(8);
 const STREAMS: usize = 3;
-const PROMPTS: usize = 4;
+const PROMPTS: usize = 6;
 
 pub fn play(record: &Record, has_trouble: bool) -> Option<bool> {
     let folder = fleet::Folder::create();
     let store = Store::open();
-    let config = configuration(7, "desk").replace("\"stride\":8", &format!("\"stride\":{}", engine::STRIDE));
-    store.put("config", "main", &config);
+    store.put("config", "main", &configuration(7, "desk"));
     let (tx, arrivals) = mpsc::channel();
-    let model = |zone: &&str| fleet::start_runner(&store, &format!("i-m-{zone}"), "model", zone, "engine", &tx);
+    let model = |zone: &&str| fleet::start_runner(&store, &format!("i-m-{zone}"), "model", zone, "model", &tx);
     let desk = |zone: &&str| fleet::start_runner(&store, &format!("i-d-{zone}"), "desk", zone, "sound", &tx);
     let _models: Vec<fleet::Runner> = ZONES.iter().map(model).collect();
     let _desks: Vec<fleet::Runner> = ZONES.iter().map(desk).collect();
@@ -53,8 +53,8 @@
         asking.push(client.ask_at(stopped_at + STREAMS_AFTER, "note", 10_000, &more, record));
     }
     for (n, client) in prompts?.into_iter().enumerate() {
-        let more = format!("Model: m\r\nToken-Usage: 140000,92\r\nPrompt-Prefix: 5c1e07a2:40,b2{n:02x}:139960\r\n");
-        asking.push(client.ask_at(stopped_at + PROMPTS_AFTER, "draft", 15_000, &more, record));
+        let more = format!("Model: m\r\nToken-Usage: 120000,92\r\nPrompt-Prefix: 5c1e07a2:40,b2{n:02x}:119960\r\n");
+        asking.push(client.ask_at(stopped_at + PROMPTS_AFTER + PROMPTS_GAP * n as u32, "draft", 15_000, &more, record));
     }
     if has_trouble {
         for entry in &entries {
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -222,7 +222,7 @@
 /// Starts a runner and registers it; it tells `tx` of what it runs.
 pub fn start_runner(store: &Store, id: &str, service: &str, zone: &str, kind: &str, tx: &mpsc::Sender<Arrival>) -> Runner {
     let program = std::env::current_exe().expect("this program");
-    let child = Command::new(program).args(["runner", kind]).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
+    let child = Command::new(program).args(["runner", kind, id]).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
     let mut child = child.expect("the runner starts");
     let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
     let address = lines.next().and_then(Result::ok).expect("its address");
@@ -233,7 +233,7 @@
         id,
         &format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"unified\",\"models\":[],\"seq\":0,\"born\":{born}}}"
+             \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"seq\":0,\"born\":{born}}}"
         ),
     );
     let (tx, runner) = (tx.clone(), id.to_owned());
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,7 +2,7 @@
 //!
 //! `stand-ins CASE RECORD` plays a case from the root of the repository and exits with 1 if the rule
 //! was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left
-//! out. `stand-ins runner KIND` is one runner.
+//! out. `stand-ins runner KIND ID` is one runner.
 
 use std::{env, panic, path::Path, process, sync::mpsc, thread, time::Duration};
 
@@ -20,7 +20,7 @@
     let args: Vec<String> = env::args().skip(1).collect();
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     match args.iter().map(String::as_str).collect::<Vec<&str>>()[..] {
-        ["runner", kind] => runner::run(kind),
+        ["runner", kind, id] => runner::run(kind, id),
         [case, record] => {
             let case = case.to_owned();
             let record = fleet::Record::create(Path::new(record));
@@ -34,7 +34,7 @@
             process::exit(code.map_or(2, |is_broken| if is_broken { 1 } else { 0 }));
         }
         _ => {
-            eprintln!("usage: stand-ins CASE RECORD | stand-ins runner KIND");
+            eprintln!("usage: stand-ins CASE RECORD | stand-ins runner KIND ID");
             process::exit(2);
         }
     }
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -175,7 +175,7 @@
 }
 
 /// Returns the text of a field's value, wherever the field stands.
-fn raw_field(json: &str, name: &str) -> Option<String> {
+pub fn raw_field(json: &str, name: &str) -> Option<String> {
     let at = json.find(&format!("\"{name}\":"))? + name.len() + 3;
     let rest = json[at..].trim_start();
     let (mut depth, mut in_string, mut escaped) = (0_i32, false, false);
@@ -200,6 +200,7 @@
     Some(rest.trim().to_owned())
 }
 
-fn string_field(json: &str, name: &str) -> Option<String> {
+/// Returns the value of a field that is a text without escapes.
+pub fn string_field(json: &str, name: &str) -> Option<String> {
     raw_field(json, name).map(|raw| raw.trim_matches('"').to_owned())
 }
