End the search for prompt parts that crash servers

All entries stood still for good after three servers had been lost, each with two prompts of one session: no request, readiness check or signal was answered, and memory grew until the processes were killed.

Cause: requests of a crashed server were told apart by their own part, which the requests of a session share. Two parts of two such requests seemed to occur together and were returned as one set. No request has both, so that the set explained no crash, none was removed from the search, and the same set was found again without end, with the state of the entry locked.

Requests are now told apart by all of their parts, so that a set occurs in one request and explains its crashes. The search also ends if a set explains none. The other loops whose end rests on removing something were read and do.

--- a/crates/mustardshed-core/src/forward/quarantine/evidence.rs
+++ b/crates/mustardshed-core/src/forward/quarantine/evidence.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, time};
 
-use crate::{forward::quarantine::Crash, ids};
+use crate::{
+    forward::quarantine::{Crash, Suspect},
+    ids,
+};
 
 /// Crashes under different requests after which the part that they have in common is to blame.
 const MIN_CRASHES: usize = 3;
@@ -10,8 +13,9 @@
 /// and in between, requests with a harmless part that is common are answered.
 const MIN_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
-/// The suspects that have a part: the index of the crash, and the request's own part.
-type Occurrences<'a> = collections::BTreeSet<(usize, &'a str)>;
+/// The suspects that have a part, each with the index of its crash. Requests of one session have the
+/// same own part, so that only all parts tell them apart.
+type Occurrences<'a> = collections::BTreeSet<(usize, &'a Suspect)>;
 
 /// Returns sets of parts, each of which explains crashes that no other set explains better. A set
 /// has more than one part if no suspect has only some of them.
@@ -20,7 +24,11 @@
     unexplained.sort_by_key(|crash| crash.at);
     let mut found = Vec::new();
     while let Some(parts) = best_explanation(&unexplained) {
+        let before = unexplained.len();
         unexplained.retain(|crash| !crash.is_explained_by(&parts));
+        if unexplained.len() == before {
+            break;
+        }
         found.push(parts);
     }
     found
@@ -77,7 +85,7 @@
         for suspect in &crash.suspects {
             for part in &suspect.shared {
                 let occurrences = found.entry(part).or_default();
-                occurrences.insert((i, &suspect.own));
+                occurrences.insert((i, suspect));
             }
         }
     }
@@ -90,12 +98,12 @@
 fn count(found: &Occurrences<'_>, crashes: &[&Crash]) -> usize {
     let mut requests = collections::BTreeSet::new();
     let mut last_at = None;
-    for (i, own) in found {
+    for (i, suspect) in found {
         let Some(crash) = crashes.get(*i) else {
             continue;
         };
         let is_apart = last_at.is_none_or(|last| crash.at.saturating_sub(last) >= MIN_INTERVAL);
-        if is_apart && requests.insert(*own) {
+        if is_apart && requests.insert(&suspect.own) {
             last_at = Some(crash.at);
         }
     }
--- a/crates/mustardshed-core/src/forward/quarantine/suspect.rs
+++ b/crates/mustardshed-core/src/forward/quarantine/suspect.rs
@@ -3,7 +3,7 @@
 use crate::ids;
 
 /// A request that a server had not begun to answer when it crashed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Suspect {
     /// The part of its prompt that no other request has, except repeats.
     pub own: ids::PromptPartId,
--- a/crates/mustardshed-core/tests/forward/quarantine.rs
+++ b/crates/mustardshed-core/tests/forward/quarantine.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use mustardshed_core::{forward::quarantine, ids};
+use proptest::{collection, sample, strategy::Strategy};
 
 fn millis(ms: u64) -> ids::Timestamp {
     time::Duration::from_millis(ms)
@@ -243,3 +244,76 @@
     expect_that!(rejects(&quarantine, "sound"), eq(false));
     verify_that!(rejects(&quarantine, "dead"), eq(true))
 }
+
+// Guards against entries that loop without end over crashes under requests of one session that share
+// their own part and differ before it (CONFIG).
+#[gtest]
+fn parts_that_never_occur_in_one_request_are_not_blamed_together() -> Result<()> {
+    let mut quarantine = quarantine::Quarantine::default();
+
+    record(
+        &mut quarantine,
+        1_000,
+        &[
+            &["class one s1", "class two s1"],
+            &["class one s2", "class two s2"],
+            &["class one s3", "class two s3"],
+        ],
+    );
+    let is_rejected_early = ["class one", "class two"].map(|it| rejects(&quarantine, it));
+    quarantine.record_answer(&parts("class two"), millis(2_500));
+    record(&mut quarantine, 3_000, &[&["class one s4"]]);
+
+    expect_that!(is_rejected_early, eq([false, false]));
+    verify_that!(
+        ["class one", "class two"].map(|it| rejects(&quarantine, it)),
+        eq([true, false])
+    )
+}
+
+/// Crashes with the time since the one before in milliseconds and the parts of their suspects, of
+/// which those of one session share their own part.
+fn any_crashes() -> impl Strategy<Value = Vec<(u64, Vec<String>)>> {
+    let shared = sample::subsequence(vec!["one", "two", "three"], 1..=2);
+    let own = sample::select(vec!["a", "b", "c", "d", "e", "f"]);
+    let session = (own, collection::vec(shared, 1..=3)).prop_map(|(own, requests)| {
+        let requests = requests.iter();
+        let requests = requests.map(|shared| format!("{} {own}", shared.join(" ")));
+        requests.collect::<Vec<String>>()
+    });
+    let suspects = collection::vec(session, 1..=2).prop_map(|sessions| sessions.concat());
+    collection::vec((150..600_u64, suspects), 3..8)
+}
+
+proptest::proptest! {
+    // Guards against culprits that explain no crash, with which an entry does not stop to look for
+    // more (CONFIG).
+    #[test]
+    fn each_culprit_is_part_of_one_request_that_crashed_a_server(
+        crashes in any_crashes(),
+        answered in sample::select(vec!["one", "two", "five"]),
+    ) {
+        let mut quarantine = quarantine::Quarantine::default();
+        let mut suspects = Vec::new();
+        let mut at_ms = 1_000;
+        for (i, (after_ms, names)) in crashes.iter().enumerate() {
+            at_ms += after_ms;
+            let names: Vec<&str> = names.iter().map(String::as_str).collect();
+            let crash = crash(&format!("i-{i}"), at_ms, &names);
+            suspects.extend(crash.suspects.clone());
+
+            quarantine.record_crash(crash, millis(at_ms));
+            if i == 3 {
+                quarantine.record_answer(&parts(answered), millis(at_ms));
+            }
+        }
+        quarantine.withdraw(|crash| crash.server == "i-1", millis(at_ms));
+
+        for culprit in quarantine.culprits() {
+            let has_all = |suspect: &quarantine::Suspect| {
+                culprit.parts.iter().all(|part| suspect.shared.contains(part))
+            };
+            proptest::prop_assert!(suspects.iter().any(has_all), "{culprit:?}");
+        }
+    }
+}
