Pass a status that promises "not run" on only with a proof

A server that had stored a booking failed and answered 503 without stating that it had not run. Clients take 408, 421, 429 and 503 as a promise that a request has not run, and repeat it: the booking was stored twice.

Cause: whether an attempt has run was decided at the head of its response, and what was passed on by the status alone. Nothing asked whether the status promises more than the response shows. With 408 and 429 such a response even counted as a success of its server.

Where the head of a response is classified, one function now refuses these statuses unless the response states that the request has not run. All ways by which a response leaves the entry come after it: whole and partial bodies, two attempts at a time, streams, tunnels of peers. The request counts as one that may have run: 502, or another attempt if it may be repeated. All other statuses are passed on as before.

--- a/crates/mustardshed-core/src/forward/response_check.rs
+++ b/crates/mustardshed-core/src/forward/response_check.rs
@@ -1,7 +1,9 @@
 //! Which responses of a server are invalid, and thus failures of the server.
 //!
 //! A server in trouble may send a head that no response has, or end a response early in a way that
-//! its framing does not show. Such a response is not passed on; the request may have run.
+//! its framing does not show. Its response may also have a status by which clients know that a
+//! request has not run, though nothing shows that. Such a response is not passed on; the request may
+//! have run.
 
 use displaydoc::Display;
 
@@ -9,6 +11,9 @@
 const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 /// Status of a response after which the connection carries another protocol; no entry asks for it.
 const SWITCHING_PROTOCOLS: u16 = 101;
+/// Statuses by which clients know that their request has not run and never will: they repeat it,
+/// even if it may run only once.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// What is wrong with a response.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -19,6 +24,8 @@
     Switched,
     /// a response without a length ended before the request was written
     Unfinished,
+    /// the response has the status {0}, but does not state that the request has not run
+    Unproven(u16),
 }
 
 impl Invalid {
@@ -29,10 +36,23 @@
             Self::Status(_) => "status",
             Self::Switched => "switched",
             Self::Unfinished => "unfinished",
+            Self::Unproven(_) => "unproven",
         }
     }
 }
 
+/// Checks the status of a response that does not state that the request has not run.
+///
+/// # Errors
+///
+/// Returns an error if clients would conclude that from the status.
+pub fn validate_run(status: u16) -> Result<(), Invalid> {
+    if NOT_RUN_STATUSES.contains(&status) {
+        return Err(Invalid::Unproven(status));
+    }
+    Ok(())
+}
+
 /// What the head of a response says of its form.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Head {
--- a/crates/mustardshed-core/tests/forward/response_check.rs
+++ b/crates/mustardshed-core/tests/forward/response_check.rs
@@ -61,3 +61,18 @@
 
     verify_that!(empty.validate(), eq(Ok(Framing::Delimited)))
 }
+
+#[gtest]
+fn only_statuses_of_requests_that_have_not_run_need_a_proof() -> Result<()> {
+    for status in 100..=599 {
+        let valid = response_check::validate_run(status);
+        let is_promise = [408, 421, 429, 503].contains(&status);
+        let expected = if is_promise {
+            Err(Invalid::Unproven(status))
+        } else {
+            Ok(())
+        };
+        expect_that!(valid, eq(expected), "{status}");
+    }
+    Ok(())
+}
--- a/crates/mustardshedd/src/forward/exchange/attempt.rs
+++ b/crates/mustardshedd/src/forward/exchange/attempt.rs
@@ -7,7 +7,7 @@
 
 use mustardshed::{
     core::{
-        forward::{head, placement},
+        forward::{head, placement, response_check},
         ids,
     },
     platform::headers,
@@ -238,7 +238,7 @@
 /// # Errors
 ///
 /// Returns [`Failure::NotRun`] for a rejection, and [`Failure::Unknown`] for a response that belongs
-/// to another request or lacks the server's stamp.
+/// to another request, lacks the server's stamp, or has the status of a rejection without being one.
 fn classify(
     req: &exchange::Admitted,
     placed: &placement::Placed,
@@ -267,6 +267,8 @@
             "the response belongs to another request".to_owned().into(),
         ));
     }
+    response_check::validate_run(parts.status.as_u16())
+        .map_err(|invalid| Failure::Unknown(invalid.into()))?;
     if parts.status.is_success() && (!head.is_signed || head.is_encoded) {
         record_failure(req, server);
         return Err(Failure::Unknown(
--- a/crates/mustardshedd/tests/forward/invalid.rs
+++ b/crates/mustardshedd/tests/forward/invalid.rs
@@ -141,6 +141,39 @@
     Ok(())
 }
 
+// Guards against a second run of a call that may run only once: its client repeats it after a status
+// which promises that it has not run (REFUSED).
+#[gtest]
+#[tokio::test]
+async fn status_of_a_rejection_without_a_proof_is_a_failure() -> Result<()> {
+    for status in ["408 Slow", "429 Busy", "503 Failed"] {
+        let failed = answer(
+            &format!("{status}\r\nContent-Length: 6"),
+            "failed",
+            End::Close,
+        );
+        expect_failure(&failed, REPEATED, 10).await;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn status_that_promises_nothing_is_passed_on() -> Result<()> {
+    for status in [400, 404, 500, 502, 504] {
+        let failed = answer(
+            &format!("{status} Failed\r\nContent-Length: 6"),
+            "failed",
+            End::Close,
+        );
+
+        let seen = send("/once/a", &failed, 10).await;
+
+        expect_that!((seen.0, seen.1.as_str(), seen.3), eq((status, "failed", 1)));
+    }
+    Ok(())
+}
+
 // Guards against a response that ends a client's connection as if the client had asked for another
 // protocol.
 #[gtest]
