--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -6,6 +6,16 @@
     forward::{engine, load_tracker, placement, relays, server},
     ids,
 };
+use proptest::test_runner;
+
+/// Returns the configuration of property tests, which play the same cases on every run.
+pub(crate) fn property_config() -> test_runner::Config {
+    test_runner::Config {
+        rng_seed: test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
 
 /// A time at which nothing has happened yet.
 pub(crate) const START: ids::Timestamp = time::Duration::from_secs(100);
--- a/crates/mustardshed-core/tests/forward/quarantine.rs
+++ b/crates/mustardshed-core/tests/forward/quarantine.rs
@@ -6,6 +6,8 @@
 use mustardshed_core::{forward::quarantine, ids};
 use proptest::{collection, sample, strategy::Strategy};
 
+use crate::fixtures;
+
 fn millis(ms: u64) -> ids::Timestamp {
     time::Duration::from_millis(ms)
 }
@@ -286,6 +288,8 @@
 }
 
 proptest::proptest! {
+    #![proptest_config(fixtures::property_config())]
+
     // Guards against culprits that explain no crash, with which an entry does not stop to look for
     // more (CONFIG).
     #[test]
