Choose no more relays than there are entries

A thirteenth VM in seven data centres ended the control thread of every entry by a panic. Keys got 503 for good, and public requests went to the service of the version before.

Cause: fleets of more than twelve entries have two relays for each data centre at least. With fewer than two entries for each, that is more relays than entries, and the ranked list was split behind its end.

The number of relays is limited to that of the entries, so that such a fleet is a mesh. The property plays fleets of 1 to 60 entries in 1 to 14 data centres, some of them silent.

Before: both new tests panicked ("mid > len"). What a process should do whose control thread has ended is open.

--- a/crates/mustardshed-core/src/forward/relays.rs
+++ b/crates/mustardshed-core/src/forward/relays.rs
@@ -186,12 +186,14 @@
 
 type Ranked<'a> = (&'a str, &'a Member);
 
-/// Returns the number of relays: about as many as each has leaves, the same in all data centres.
+/// Returns the number of relays: about as many as each has leaves, the same in all data centres that
+/// have enough entries.
 fn relay_count(members: &[Ranked<'_>]) -> usize {
     let data_centres: collections::BTreeSet<&ids::DataCentreId> = members
         .iter()
         .map(|(_, member)| &member.data_centre)
         .collect();
     let of_each = members.len().isqrt() / data_centres.len().max(1);
-    of_each.max(MIN_RELAYS_PER_DATA_CENTRE) * data_centres.len()
+    let wanted = of_each.max(MIN_RELAYS_PER_DATA_CENTRE) * data_centres.len();
+    wanted.min(members.len())
 }
--- a/crates/mustardshed-core/tests/forward/relays.rs
+++ b/crates/mustardshed-core/tests/forward/relays.rs
@@ -8,6 +8,8 @@
     ids,
 };
 
+use proptest::{collection, prelude::any};
+
 use crate::fixtures;
 
 /// Returns a fleet whose data centres are equal in size and have two strong entries each.
@@ -227,3 +229,50 @@
     expect_that!(takes("entry-1-05", "entry-2-07", true), eq(false));
     verify_that!(takes("entry-0-00", "entry-2-07", false), eq(true))
 }
+
+// Guards against entries whose control thread panics, and that then follow no configuration (CONFIG).
+#[gtest]
+fn fleet_with_fewer_than_two_entries_for_each_data_centre_is_a_mesh() -> Result<()> {
+    let mut members = fleet(7, 2);
+    members.remove("entry-6-01");
+
+    let mesh = mesh(&members);
+
+    expect_that!(members.len(), gt(relays::MAX_MESH_ENTRIES));
+    verify_that!(mesh.len(), eq(members.len()))
+}
+
+proptest::proptest! {
+    #![proptest_config(fixtures::property_config())]
+
+    // Guards against fleets of any shape in which an entry has no link, or a leaf no relay (CONFIG).
+    #[test]
+    fn entries_of_any_fleet_have_links(
+        data_centres in collection::vec(0..14_usize, 1..60),
+        is_silent in collection::vec(any::<bool>(), 60),
+    ) {
+        let names = data_centres.iter().enumerate();
+        let members: relays::Members = names
+            .map(|(i, data_centre)| {
+                let member = relays::Member {
+                    peer_address: format!("10.0.0.{i}:80"),
+                    data_centre: format!("dc-{data_centre}"),
+                    cpu_cores: 0.12,
+                };
+                (format!("entry-{i:02}"), member)
+            })
+            .collect();
+        let silent = members.keys().zip(&is_silent).filter(|(_, is_silent)| **is_silent);
+        let silent: Vec<ids::VmId> = silent.map(|(vm, _)| vm.clone()).collect();
+        let now = fixtures::START + time::Duration::from_secs(60);
+        let relays = after_silence_of(&members, &silent, now);
+
+        for own in members.keys() {
+            let order = match relays.links(own, &members, now) {
+                relays::Links::Mesh(others) | relays::Links::Leaf(others) => others,
+            };
+            proptest::prop_assert!(!order.contains(own));
+            proptest::prop_assert!(!order.is_empty() || members.len() == 1 || !silent.is_empty());
+        }
+    }
+}
