Keep long prompts from cutting streams accepted during a planned stop

Two entries were stopped a second apart. The first accepted streams that would have ended in time, the second placed long prompts on the same servers, and the streams were cut at the end of the stop.

Cause: a stream was accepted by its length on an idle server, whatever its server was known to do, and nothing protected it afterwards: placement lets a long prompt delay a short stream, and no entry knew that a delay is a loss.

With the placement of such a stream, its entry computes the engine time that the server may still spend on later requests, from what is known of the server, and tells it to all entries with the request. Each adds up what the server is sent since; what exceeds that time is placed on other servers, or refused with the time by which the streams of a server have ended. Where nothing is left from the start, another server is taken, or the stream refused at once. Builds without the protection ignore the new field.

--- a/crates/mustardshed-core/src/forward/load_tracker.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker.rs
@@ -4,7 +4,7 @@
 //! first event came, and when a request ended. All entries then know the work ahead of a new
 //! request.
 
-use std::collections;
+use std::{collections, time};
 
 use crate::{
     forward::{account_shares, lateness},
@@ -14,10 +14,12 @@
 mod health;
 mod load;
 mod server_queue;
+mod work;
 
 pub use health::Health;
-pub use load::{Load, PendingPrefill};
+pub use load::{Load, PendingPrefill, ProtectedStream};
 pub use server_queue::ARRIVAL_WINDOW;
+pub use work::Work;
 
 /// Identifies a job by the entry that sent it and that entry's number for it.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -37,6 +39,15 @@
     pub held_tokens: ids::Tokens,
 }
 
+/// Protection of a stream that was accepted during a planned stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Protection {
+    /// Time by which the stream must be complete.
+    pub ends_at: ids::Timestamp,
+    /// Engine time that its server could spend on later requests when it was sent.
+    pub spare: time::Duration,
+}
+
 /// A request in flight on a backend server and its helpers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
@@ -64,6 +75,8 @@
     pub is_decoding: bool,
     /// Account that it counts for, if that is known.
     pub account: Option<ids::ClientAccountId>,
+    /// Protection against later requests, if its entry is being stopped.
+    pub protection: Option<Protection>,
 }
 
 impl Job {
@@ -79,6 +92,27 @@
         self.helpers.iter().map(|helper| helper.held_tokens).sum()
     }
 
+    /// Returns the work that it brings to a server.
+    fn work(&self, server: &str, slowdown: f64) -> Work {
+        let held = if self.primary == server {
+            self.prompt_tokens.saturating_sub(self.held_tokens())
+        } else {
+            let mut helpers = self.helpers.iter();
+            let helper = helpers.find(|helper| helper.server == server);
+            helper.map_or(0, |helper| helper.held_tokens)
+        };
+        let prefill = Work::prefill(self.shard_ms * slowdown);
+        if held == 0 {
+            return prefill;
+        }
+        prefill + Work::decoding(self.output_tokens, held)
+    }
+
+    /// Returns whether work at a server delays the rest of its response.
+    fn depends_on(&self, server: &str) -> bool {
+        !self.is_decoding || self.primary == server
+    }
+
     /// Returns the expected loss if its first event comes `after_ms` from now.
     #[must_use]
     pub fn expected_loss(&self, after_ms: f64, now: ids::Timestamp) -> f64 {
@@ -124,7 +158,7 @@
         }
         for server in job.prefill_servers() {
             let queue = self.servers.entry(server.clone()).or_default();
-            queue.start(&key, &job, now);
+            queue.start(server, &key, &job, now);
         }
         let queue = self.servers.entry(job.primary.clone()).or_default();
         queue.record_arrival(now);
@@ -221,6 +255,14 @@
                 load.prefills.push(PendingPrefill { job, key, done_ms });
             }
         }
+        for (key, later) in queue.protected() {
+            if let Some(job) = self.jobs.get(key)
+                && let Some(protection) = job.protection
+                && job.depends_on(server)
+            {
+                load.protected.push(ProtectedStream { protection, later });
+            }
+        }
         load
     }
 
--- a/crates/mustardshed-core/src/forward/load_tracker/load.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/load.rs
@@ -13,6 +13,15 @@
     pub done_ms: f64,
 }
 
+/// A stream that was accepted during a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProtectedStream {
+    /// Its protection when it was sent.
+    pub protection: load_tracker::Protection,
+    /// Work that the server was sent after it.
+    pub later: load_tracker::Work,
+}
+
 /// Known load of a server.
 #[derive(Clone, Debug, Default)]
 pub struct Load<'a> {
@@ -26,6 +35,8 @@
     pub decoding: Vec<&'a load_tracker::Job>,
     /// Pending prefills, in the order in which the server runs them.
     pub prefills: Vec<PendingPrefill<'a>>,
+    /// Streams that must end before their entries do.
+    pub protected: Vec<ProtectedStream>,
     /// KV memory in tokens, including what its requests are yet to decode.
     pub memory_tokens: ids::Tokens,
     /// Context of its decoding requests, in tokens.
--- a/crates/mustardshed-core/src/forward/load_tracker/server_queue.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/server_queue.rs
@@ -26,6 +26,10 @@
     /// Time up to which elapsed time was subtracted from the prefills.
     advanced_to: ids::Timestamp,
     arrivals: collections::VecDeque<ids::Timestamp>,
+    /// Sum of the work that it was ever sent.
+    work: load_tracker::Work,
+    /// Requests with a protection, with that sum when they were sent.
+    protected: Vec<(load_tracker::JobKey, load_tracker::Work)>,
 }
 
 /// A pending prefill of a prompt or of a shard.
@@ -39,11 +43,16 @@
     /// Adds a request that involves this server.
     pub(super) fn start(
         &mut self,
+        server: &str,
         key: &load_tracker::JobKey,
         job: &load_tracker::Job,
         now: ids::Timestamp,
     ) {
         self.jobs.push(key.clone());
+        self.work = self.work + job.work(server, self.health.slowdown());
+        if job.protection.is_some() {
+            self.protected.push((key.clone(), self.work));
+        }
         if job.is_decoding {
             return;
         }
@@ -69,6 +78,15 @@
     pub(super) fn end(&mut self, key: &load_tracker::JobKey, now: ids::Timestamp) {
         self.finish_prefill(key, now);
         self.jobs.retain(|other| other != key);
+        self.protected.retain(|(other, _)| other != key);
+    }
+
+    /// Returns the requests with a protection, each with the work that was sent after it.
+    pub(super) fn protected(
+        &self,
+    ) -> impl Iterator<Item = (&load_tracker::JobKey, load_tracker::Work)> {
+        let protected = self.protected.iter();
+        protected.map(|(key, before)| (key, self.work - *before))
     }
 
     /// Counts a request that is sent to this server.
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -9,6 +9,8 @@
 //!   that others stay free of decoding and can prefill.
 //! - More long prompts than the engines can prefill: a request that would not begin before its
 //!   client gives up is refused at once, with the time until the work ahead of it is done.
+//! - Long prompts beside streams that must end before their entry is stopped: an engine takes on no
+//!   more work than lets these streams end in time.
 //!
 //! Each possible placement costs the weight of the requests that it makes late, including the
 //! request itself; the cheapest one is taken.
@@ -18,7 +20,7 @@
 use displaydoc::Display;
 
 use crate::{
-    forward::{account_shares, engine, load_tracker, server},
+    forward::{account_shares, engine, load_tracker, planned_stop, server},
     ids,
 };
 
@@ -52,6 +54,9 @@
 const COLD_COST: f64 = 0.2;
 /// Cost of a recent failure of the server, per unit of the request's weight.
 const FAILURE_COST: f64 = 0.25;
+/// Cost of a stream that would be cut at the end of its entry's planned stop: no request weighs as
+/// much.
+const CUT_COST: f64 = 1e6;
 /// Share of a server's KV memory that requests are placed into; the rest is for longer responses.
 const USABLE_MEMORY_SHARE: f64 = 0.94;
 /// Share of a server's slots up to which similar requests are packed.
@@ -83,6 +88,8 @@
     pub max_cost_share: f64,
     /// Factor by which it counts more than less urgent requests of its service.
     pub urgency: f64,
+    /// Limit that the planned stop of this entry sets to it, if it is a stream.
+    pub stop: Option<planned_stop::Limit>,
 }
 
 impl Need {
@@ -135,6 +142,8 @@
     pub cost: f64,
     /// Share of the cost that other requests are expected to lose.
     pub interference: f64,
+    /// Protection against later requests, if this entry is being stopped.
+    pub protection: Option<load_tracker::Protection>,
 }
 
 impl Placed {
@@ -148,6 +157,22 @@
             estimate_ms: 0.0,
             cost: 0.0,
             interference: 0.0,
+            protection: None,
+        }
+    }
+
+    /// Returns whether the response would not be complete before this entry ends.
+    #[must_use]
+    pub fn outlasts_stop(&self) -> bool {
+        self.protection.is_some_and(|it| it.spare.is_zero())
+    }
+
+    /// Returns whether it is to be preferred to another placement.
+    fn is_better_than(&self, other: &Self) -> bool {
+        if self.outlasts_stop() == other.outlasts_stop() {
+            self.cost < other.cost
+        } else {
+            other.outlasts_stop()
         }
     }
 
@@ -174,6 +199,7 @@
             arrived_at: need.arrived_at,
             is_decoding: false,
             account: None,
+            protection: self.protection.filter(|it| !it.spare.is_zero()),
         }
     }
 }
@@ -204,6 +230,11 @@
         /// Mean time until a server has finished its pending prefills.
         retry_after: time::Duration,
     },
+    /// streams of entries that are being stopped would not end in time
+    WouldCut {
+        /// Time until the streams of a server have ended.
+        retry_after: time::Duration,
+    },
     /// its account uses more than its share of the service
     OverShare {
         /// Work in flight of the account.
@@ -271,7 +302,7 @@
             break;
         }
         for placed in cost::placements(&snapshot, need, shard_ms, count) {
-            if best.as_ref().is_none_or(|best| placed.cost < best.cost) {
+            if best.as_ref().is_none_or(|best| placed.is_better_than(best)) {
                 best = Some(placed);
             }
         }
@@ -288,6 +319,11 @@
                     .max(MIN_RETRY_AFTER),
             })
         }
+        Some(placed) if placed.interference >= CUT_COST && !need.is_retry => {
+            Err(NotPlaced::WouldCut {
+                retry_after: snapshot.protected_for(),
+            })
+        }
         Some(placed) if placed.is_too_costly(need) => Err(NotPlaced::TooCostly {
             cost: placed.cost,
             interference: placed.interference,
--- a/crates/mustardshed-core/src/forward/placement/cost.rs
+++ b/crates/mustardshed-core/src/forward/placement/cost.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     forward::{
-        lateness, load_tracker,
+        engine, lateness, load_tracker,
         placement::{self, Need, Placed, snapshot},
     },
     ids,
@@ -76,7 +76,8 @@
     let options = servers.map(|(index, server)| {
         let shard_ms = shard_ms * server.slowdown;
         let done_ms = server.prefill_done_ms(shard_ms);
-        let interference = snapshot.interference(server, shard_ms);
+        let interference =
+            snapshot.interference(server, shard_ms) + server.cut_cost(snapshot.profile, shard_ms);
         let cost = interference
             + risk_cost(server, need.weight())
             + done_ms / 1_000.0 * placement::WAITING_COST_PER_S
@@ -151,7 +152,10 @@
     let helpers_cost: f64 = helpers.iter().map(|helper| helper.cost).sum();
     let helpers_interference: f64 = helpers.iter().map(|helper| helper.interference).sum();
     let reservations = held_tokens.iter().filter(|tokens| **tokens > 0).count();
-    let own_interference = snapshot.interference(primary, own_shard_ms);
+    let decoding = load_tracker::Work::decoding(need.output_tokens, need.prompt_tokens);
+    let decoding_ms = decoding.ms(snapshot.profile) * primary.slowdown;
+    let own_interference = snapshot.interference(primary, own_shard_ms)
+        + primary.cut_cost(snapshot.profile, own_shard_ms + decoding_ms);
     let cost = own_interference
         + helpers_cost
         + weight * loss
@@ -175,9 +179,34 @@
         estimate_ms,
         cost,
         interference: own_interference + helpers_interference,
+        protection: protection(snapshot, primary, need, estimate_ms, is_alone),
     }
 }
 
+/// Returns the protection of the request, if it must be complete before this entry is stopped.
+fn protection(
+    snapshot: &snapshot::Snapshot<'_>,
+    primary: &snapshot::ServerSnapshot<'_>,
+    need: &Need,
+    estimate_ms: f64,
+    is_alone: bool,
+) -> Option<load_tracker::Protection> {
+    let limit = need.stop?;
+    // Of a shared prompt, the shards go first; what was pending delays the decoding.
+    let pending_ms = if is_alone { 0.0 } else { primary.backlog_ms };
+    Some(load_tracker::Protection {
+        ends_at: limit.ends_at,
+        spare: limit.spare(
+            snapshot.profile,
+            need,
+            &primary.load,
+            primary.slowdown,
+            engine::millis(estimate_ms + pending_ms),
+            snapshot.now,
+        ),
+    })
+}
+
 /// Returns the cost of decoding on a server.
 fn primary_cost(
     primary: &snapshot::ServerSnapshot<'_>,
--- a/crates/mustardshed-core/src/forward/placement/snapshot.rs
+++ b/crates/mustardshed-core/src/forward/placement/snapshot.rs
@@ -82,6 +82,17 @@
         engine::millis(mean).max(placement::MIN_RETRY_AFTER)
     }
 
+    /// Returns the time until a server has no more streams that must end before their entries do.
+    pub(super) fn protected_for(&self) -> time::Duration {
+        let ends = self.servers.iter().map(|server| {
+            let protected = server.load.protected.iter();
+            let ends = protected.map(|stream| stream.protection.ends_at);
+            ends.max().unwrap_or_default().saturating_sub(self.now)
+        });
+        let first = ends.min().unwrap_or_default();
+        first.max(placement::MIN_RETRY_AFTER)
+    }
+
     /// Returns the cost to a server's other requests if it first prefills another shard.
     pub(super) fn interference(&self, server: &ServerSnapshot<'_>, shard_ms: f64) -> f64 {
         let before = server.decode_gap_ms();
@@ -164,6 +175,17 @@
         }
     }
 
+    /// Returns the cost of the streams that would be cut at the end of their entries' planned stops
+    /// if the server took on work of this engine time, in milliseconds.
+    pub(super) fn cut_cost(&self, profile: &engine::Profile, work_ms: f64) -> f64 {
+        let protected = self.load.protected.iter();
+        let cut = protected.filter(|stream| {
+            let later_ms = stream.later.ms(profile) + work_ms;
+            engine::millis(later_ms) > stream.protection.spare
+        });
+        placement::count_f64(cut.count()) * placement::CUT_COST
+    }
+
     /// Returns the longest gap between events of its decoding requests, in milliseconds.
     pub(super) fn decode_gap_ms(&self) -> f64 {
         self.pass_ms + self.backlog_ms.min(MAX_PREFILL_PER_PASS_MS)
--- a/crates/mustardshed-core/src/forward/planned_stop.rs
+++ b/crates/mustardshed-core/src/forward/planned_stop.rs
@@ -7,11 +7,14 @@
 //! Streams may take longer than their clients wait for the first event, so that their length is
 //! estimated. All entries of a small fleet may be stopped within seconds of one another, and clients
 //! have nowhere else to go; a short stream is then accepted for as long as it fits.
+//!
+//! Long prompts that come later delay the streams of their server. All entries therefore know how
+//! much more work the server of an accepted stream may take on, and place what exceeds it elsewhere.
 
 use std::time;
 
 use crate::{
-    forward::{engine, placement},
+    forward::{engine, load_tracker, placement},
     ids,
 };
 
@@ -21,6 +24,44 @@
 /// Multiple of a request's decoding time on an idle server that it takes at most beside others.
 const BUSY_FACTOR: f64 = 1.6;
 
+/// Limit that the planned stop of an entry sets to a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limit {
+    /// Time by which the stream must be complete.
+    pub ends_at: ids::Timestamp,
+    /// Limit on the length of the response.
+    pub max_output_tokens: ids::Tokens,
+}
+
+impl Limit {
+    /// Returns how much engine time a server has left for later requests if the stream begins there
+    /// after `estimate`; zero if the stream would not be complete in time. `load` is the work that the
+    /// server already has.
+    #[must_use]
+    pub fn spare(
+        &self,
+        profile: &engine::Profile,
+        need: &placement::Need,
+        load: &load_tracker::Load<'_>,
+        slowdown: f64,
+        estimate: time::Duration,
+        now: ids::Timestamp,
+    ) -> time::Duration {
+        let tokens = self.max_output_tokens;
+        let own = engine::tokens_f64(tokens) * profile.step_ms
+            + load_tracker::Work::decoding(tokens, need.prompt_tokens + tokens).ms(profile);
+        let others = load.primary_jobs.iter().map(|job| {
+            let context = job.prompt_tokens.saturating_sub(job.held_tokens());
+            let context = context + job.output_tokens;
+            load_tracker::Work::decoding(job.output_tokens.min(tokens), context).ms(profile)
+        });
+        let decoding = engine::millis((own + others.sum::<f64>()) * slowdown);
+        self.ends_at
+            .saturating_sub(now)
+            .saturating_sub(estimate + decoding)
+    }
+}
+
 /// Returns whether an entry accepts a request that is not a stream and is given up after `longest`,
 /// given the time `left` until the end of its stop.
 #[must_use]
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -85,6 +85,7 @@
         is_retry: false,
         max_cost_share: 1.0,
         urgency: 1.0,
+        stop: None,
     }
 }
 
--- a/crates/mustardshed-wire/src/forward/job.rs
+++ b/crates/mustardshed-wire/src/forward/job.rs
@@ -34,6 +34,35 @@
     pub is_decoding: bool,
     #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
     pub account: Option<ids::ClientAccountId>,
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub protection: Option<Protection>,
+}
+
+/// Fields of a [`load_tracker::Protection`].
+#[derive(Clone, Copy, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct Protection {
+    /// Time until the stream must be complete, in milliseconds.
+    #[serde(rename = "e")]
+    pub ends_in_ms: u64,
+    /// Engine time that its server may spend on later requests, in milliseconds.
+    #[serde(rename = "s")]
+    pub spare_ms: u64,
+}
+
+impl Protection {
+    fn new(protection: &load_tracker::Protection, now: ids::Timestamp) -> Self {
+        Self {
+            ends_in_ms: to_millis(protection.ends_at.saturating_sub(now)),
+            spare_ms: to_millis(protection.spare),
+        }
+    }
+
+    fn into_protection(self, now: ids::Timestamp) -> load_tracker::Protection {
+        load_tracker::Protection {
+            ends_at: now.saturating_add(time::Duration::from_millis(self.ends_in_ms)),
+            spare: time::Duration::from_millis(self.spare_ms),
+        }
+    }
 }
 
 impl Job {
@@ -42,7 +71,7 @@
     pub fn new(job: &load_tracker::Job, now: ids::Timestamp) -> Self {
         let helpers = job.helpers.iter();
         let helpers = helpers.map(|helper| (helper.server.clone(), helper.held_tokens));
-        let age = now.saturating_sub(job.arrived_at).as_millis();
+        let protection = job.protection.as_ref();
         Self {
             primary: job.primary.clone(),
             helpers: helpers.collect(),
@@ -53,9 +82,10 @@
             weight: to_f32(job.weight),
             objective_ms: to_f32(job.objective_ms),
             timeout_ms: to_f32(job.timeout_ms),
-            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            age_ms: to_millis(now.saturating_sub(job.arrived_at)),
             is_decoding: job.is_decoding,
             account: job.account.clone(),
+            protection: protection.map(|protection| Protection::new(protection, now)),
         }
     }
 
@@ -80,10 +110,15 @@
             arrived_at: now.saturating_sub(time::Duration::from_millis(self.age_ms)),
             is_decoding: self.is_decoding,
             account: self.account,
+            protection: self.protection.map(|it| it.into_protection(now)),
         }
     }
 }
 
+fn to_millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     reason = "estimates need no more digits than an f32 has"
--- a/crates/mustardshed-wire/tests/forward_job.rs
+++ b/crates/mustardshed-wire/tests/forward_job.rs
@@ -31,6 +31,7 @@
         is_retry: false,
         max_cost_share: 1.0,
         urgency: 1.0,
+        stop: None,
     };
     let mut job = placement::Placed::plain(&"i-1".to_owned()).job(&need);
     job.account = account.map(str::to_owned);
@@ -56,6 +57,26 @@
     verify_that!(received.is_decoding, is_false())
 }
 
+#[gtest]
+fn protection_is_read_and_ignored_by_builds_without_it() -> Result<()> {
+    let mut sent = job(None);
+    let before = to_fields(&sent);
+    let protection = load_tracker::Protection {
+        ends_at: NOW + time::Duration::from_millis(4_100),
+        spare: time::Duration::from_millis(1_500),
+    };
+    sent.protection = Some(protection);
+
+    let fields = to_fields(&sent);
+    let value = ciborium::Value::serialized(&fields).expect("a map");
+    let received: forward::Job = value.deserialized().expect("a job");
+    let earlier: EarlierJob = value.deserialized().expect("a job");
+
+    expect_that!(before.contains_key("s"), is_false());
+    expect_that!(received.into_job(NOW).protection, some(eq(protection)));
+    verify_that!(earlier.primary, eq("i-1"))
+}
+
 #[gtest]
 fn job_without_an_account_is_sent_as_before_and_read() -> Result<()> {
     let fields = to_fields(&job(None));
--- a/crates/mustardshedd/src/forward/cx/drain.rs
+++ b/crates/mustardshedd/src/forward/cx/drain.rs
@@ -77,6 +77,13 @@
         self.settings.bounds.grace.saturating_sub(EXIT_MARGIN)
     }
 
+    /// Returns the time by which all responses must be complete, if the planned stop has begun.
+    #[must_use]
+    pub fn stops_at(&self) -> Option<ids::Timestamp> {
+        let began = *self.drain_began.borrow();
+        began.map(|began| began + self.drain_timeout())
+    }
+
     /// Waits until a planned stop has begun and the time to answer requests is over.
     pub async fn wait_for_drain_timeout(&self) {
         let mut began = self.drain_began.subscribe();
--- a/crates/mustardshedd/src/forward/exchange.rs
+++ b/crates/mustardshedd/src/forward/exchange.rs
@@ -122,9 +122,22 @@
             is_retry: false,
             max_cost_share: 1.0,
             urgency: service.map_or(1.0, |s| self.routes.urgency(&self.route, &s.name)),
+            stop: self.stop_limit(),
         }
     }
 
+    /// Returns the limit that the planned stop of this entry sets to the request; none if its time is
+    /// over before, or its length is not known.
+    fn stop_limit(&self) -> Option<planned_stop::Limit> {
+        let ends_at = self.cx.stops_at()?;
+        let is_cut = self.route.kind.is_stream() && self.deadline() > ends_at;
+        let max_output_tokens = self.head.max_output_tokens.filter(|_| is_cut)?;
+        Some(planned_stop::Limit {
+            ends_at,
+            max_output_tokens,
+        })
+    }
+
     /// Returns the longest duration of a stream on a server that is slower than its profile by the
     /// factor `slowdown`; all of its client's time if the sizes are unknown.
     fn max_duration(&self, slowdown: f64) -> time::Duration {
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -182,10 +182,11 @@
         }
     }
 
-    /// Returns whether a server ends the response before this entry ends, if that is being stopped.
-    fn fits_planned_stop(&self, server: &str) -> bool {
+    /// Returns whether the response is complete before this entry ends, if that is being stopped.
+    fn fits_planned_stop(&self, placed: &placement::Placed) -> bool {
+        let server = &placed.primary;
         let slowdown = self.req.cx.state().loads.health(server).slowdown();
-        self.req.fits_planned_stop(slowdown)
+        !placed.outlasts_stop() && self.req.fits_planned_stop(slowdown)
     }
 
     /// Returns whether a server may have run the request, or may be running it.
@@ -331,7 +332,7 @@
     async fn place_next(&mut self) -> Result<(placement::Placed, job::JobGuard), refusal::Refusal> {
         self.stage = Stage::Placing;
         let (placed, job) = self.wait_for_place().await?;
-        if !self.may_have_run() && !self.fits_planned_stop(&placed.primary) {
+        if !self.may_have_run() && !self.fits_planned_stop(&placed) {
             return Err(refusal::Refusal::Leaving);
         }
         self.log_placed(&placed, 0);
@@ -435,6 +436,9 @@
             placement::NotPlaced::TooCostly { retry_after, .. } => {
                 refusal::Refusal::TooDear(self.retry_around(retry_after))
             }
+            placement::NotPlaced::WouldCut { retry_after } => {
+                refusal::Refusal::TooDear(self.retry_no_earlier(retry_after))
+            }
             placement::NotPlaced::OverShare { retry_after, .. } => {
                 refusal::Refusal::OverShare(self.retry_no_earlier(retry_after))
             }
--- a/crates/mustardshedd/src/forward/exchange/dispatch/hedge.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch/hedge.rs
@@ -256,7 +256,7 @@
             tried: &self.tried,
         });
         let (placed, job) = placed.map_err(|_| hedging::Denied::NotPlaced)?;
-        if !self.fits_planned_stop(&placed.primary) {
+        if !self.fits_planned_stop(&placed) {
             return Err(hedging::Denied::NotPlaced);
         }
         cx.take_hedge(&service.name)?;
--- a/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch/records.rs
@@ -118,6 +118,7 @@
             placement::NotPlaced::NoServer
             | placement::NotPlaced::Full { .. }
             | placement::NotPlaced::BackedOff { .. }
+            | placement::NotPlaced::WouldCut { .. }
             | placement::NotPlaced::OverShare { .. } => (0.0, 0.0, 0.0),
         };
         log::emit(&event::Event::ForwardNotPlaced {
--- a/crates/mustardshedd/tests/forward/entries.rs
+++ b/crates/mustardshedd/tests/forward/entries.rs
@@ -3,7 +3,7 @@
 use std::{
     collections,
     io::{Read, Write},
-    net,
+    net, time,
 };
 
 use googletest::prelude::*;
@@ -119,6 +119,47 @@
     verify_that!(server.got().len(), eq(1))
 }
 
+// Guards against a stream that is accepted during a planned stop and cut at its end, because another
+// entry sends its server a long prompt meanwhile (LOST).
+#[gtest]
+#[tokio::test]
+async fn stream_of_a_draining_entry_is_protected_at_all_entries() -> Result<()> {
+    let server = server::Server::bind("i-1").await;
+    let f = fixture::Fixture::with(&[&server]).await;
+    f.configure_engine(2).await;
+    let draining = f.entry("entry-1").await.ready().await;
+    let other = f.entry("entry-2").await.ready().await;
+    let entries = [&draining, &other];
+    fixture::wait_until_acquainted(&entries).await;
+    let is_configured = |entry: &&fixture::Entry| {
+        let version = entry.cx.routes().map(|routes| routes.version);
+        version == Some(2)
+    };
+    fixture::wait_until("the engine", || entries.iter().all(is_configured)).await;
+    server.respond_with(Response::Silent);
+    let now = draining.cx.now();
+    draining
+        .cx
+        .begin_drain_at(now.saturating_sub(time::Duration::from_secs(2)));
+
+    let short = [("token-usage", "2000,2500")];
+    let stream = f.send_with(&draining, "POST", "/short/a", "", &short);
+    let long = [("token-usage", "230000,100")];
+    let beside_it = async {
+        let is_known = || other.cx.state().loads.in_flight("i-1") == 1;
+        fixture::wait_until("the stream", is_known).await;
+        f.send_with(&other, "POST", "/long/a", "", &long).await
+    };
+    tokio::select! {
+        _ = stream => {}
+        _ = beside_it => {}
+    }
+
+    let got = server.got().into_iter().map(|got| got.path);
+    let got: Vec<String> = got.filter(|path| !path.starts_with("/api/")).collect();
+    verify_that!(got, elements_are![eq("/short/a")])
+}
+
 // Guards against calls that are passed on late in a planned stop and cut at its end (LOST).
 #[gtest]
 #[tokio::test]
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -201,24 +201,28 @@
         self.write("config", "main", config).await;
     }
 
-    /// Writes a configuration with the routes `/long/` and `/long/resumable/` to engines.
+    /// Writes a configuration with the routes `/long/`, `/long/resumable/` and `/short/` to engines.
     pub(crate) async fn configure_engine(&self, version: u64) {
         let engine = json!({
             "slots": 16, "kv_capacity_tokens": 450_000, "stride": 46, "step_ms": 0.925,
             "per_seq_ms": 0.005, "context_per_k": 0.002, "read_per_s": 256_000.0,
             "pairs_per_m": 0.09, "chunk": 2_048,
         });
-        let route = |name: &str, prefix: &str, attempts: u32| {
+        let route = |name: &str, prefix: &str, attempts: u32, target_ms: u64| {
             json!({
                 "name": name, "host": HOST, "path_prefix": prefix, "route_type": "streaming",
-                "timeout_ms": 60_000, "target_latency_ms": 20_000, "gap_aim_ms": 1_000,
+                "timeout_ms": 60_000, "target_latency_ms": target_ms, "gap_aim_ms": 1_000,
                 "service": "runners", "max_attempts": attempts, "public": true,
                 "resumable": attempts > 1,
             })
         };
         let config = json!({
             "version": version,
-            "routes": [route("long", "/long/", 1), route("resumable", "/long/resumable/", 2)],
+            "routes": [
+                route("long", "/long/", 1, 20_000),
+                route("resumable", "/long/resumable/", 2, 20_000),
+                route("short", "/short/", 1, 300),
+            ],
             "services": [{ "name": "runners", "max_connections": 100, "engine": engine }],
         });
         self.write("config", "main", config).await;
--- a/crates/mustardshedd/tests/forward/placement.rs
+++ b/crates/mustardshedd/tests/forward/placement.rs
@@ -158,6 +158,7 @@
         is_retry: false,
         max_cost_share: 1.0,
         urgency: 1.0,
+        stop: None,
     };
     let req = cx::PlacementRequest {
         service,
