--- a/crates/mustardshed-core/src/forward/quarantine/evidence.rs
+++ b/crates/mustardshed-core/src/forward/quarantine/evidence.rs
@@ -27,6 +27,7 @@
         let before = unexplained.len();
         unexplained.retain(|crash| !crash.is_explained_by(&parts));
         if unexplained.len() == before {
+            // The same set would be found again.
             break;
         }
         found.push(parts);
