Review case 13: a machine started again cuts streams of a stopping one

Cause: an entry that links anew is told of a protected stream with the spare time of its beginning, without what the server was sent since.

The case stops two machines a second apart. The one that is started again has long prompts read at the server of streams that the other accepted 3.1 s after its SIGTERM; these are cut 7.7 s after it.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 rustc --edition 2021 -O -o target/review-3/rig review/stand-ins-3/main.rs
+rustc --edition 2021 -O -o target/review-3/stops review/stand-ins-3/stops/main.rs
