Count the age of a peer's configuration from this entry's last question

Cause: a peer sends a configuration with the time since it was known to be the latest one. The entry counted that time from 1.5 s before the receipt, on the assumption that a link is never silent for longer. A message that lay unread in its socket during a suspension counted as sent 1.5 s ago, however long ago the peer had sent it. The end of a suspended link is noticed by another branch of the same loop, often after the message was handled.

Change: the age is counted from the time at which the last heartbeat was sent to which the peer has replied on this link. A link keeps its order and a peer answers in order, so the peer sent the configuration after it had received that heartbeat. The bound depends on no time-out, so that it also holds where a VM stands still for several short times. It takes nothing from what was accepted before: the peer's next reply confirms the configuration again.

--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -117,13 +117,14 @@
     is_leaf: bool,
     rx: mpsc::Receiver<forward::Message>,
 ) -> LinkError {
+    let opened_at = cx.now();
     let socket = match tokio::time::timeout(OPEN_TIMEOUT, open(address)).await {
         Ok(Ok(socket)) => socket,
         Ok(Err(e)) => return e,
         Err(_) => return LinkError::Silent,
     };
     let side = if is_leaf { Side::Leaf } else { Side::Sender };
-    let session = session::Session::new(sync::Arc::clone(cx), socket, side, Some(rx));
+    let session = session::Session::new(sync::Arc::clone(cx), socket, side, Some(rx), opened_at);
     match session.run().await {
         Ok(()) => LinkError::Ended,
         Err(e) => e,
@@ -163,6 +164,7 @@
 
 async fn serve(cx: sync::Arc<cx::Cx>, stream: net::TcpStream) {
     let answering = async {
+        let opened_at = cx.now();
         stream.set_nodelay(true).map_err(LinkError::Connect)?;
         match accept_socket(stream, max_message_bytes(&cx)).await? {
             (socket, Some(server)) => {
@@ -170,7 +172,8 @@
                 Ok(())
             }
             (socket, None) => {
-                let session = session::Session::new(cx, socket, Side::Receiver, None);
+                let side = Side::Receiver;
+                let session = session::Session::new(cx, socket, side, None, opened_at);
                 session.run().await.and(Err(LinkError::Ended))
             }
         }
--- a/crates/mustardshedd/src/forward/link/catch_up.rs
+++ b/crates/mustardshedd/src/forward/link/catch_up.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    forward::{cx, link, view},
+    forward::{cx, view},
     log::{self, event},
 };
 
@@ -68,12 +68,13 @@
     }
 }
 
-/// Applies the objects of a kind that a peer has sent.
+/// Applies the objects of a kind that a peer has sent, which are the latest as of `as_of`.
 pub(super) fn apply_topic(
     cx: &cx::Cx,
     topic: usize,
-    state: forward::TopicState,
+    state: &forward::TopicState,
     objects: Vec<forward::Object>,
+    as_of: ids::Timestamp,
 ) {
     let Some(topic) = topic::Topic::from_index(topic) else {
         return;
@@ -101,13 +102,11 @@
     }
     let listing = objects::Listing {
         objects,
-        position: view::position(&state),
+        position: view::position(state),
         unnamed,
         gap: None,
     };
     let now = cx.now();
-    // The peer sent this less than a link's silence timeout ago.
-    let as_of = link::before(now, state.age_ms).saturating_sub(link::SILENCE_TIMEOUT);
     let effects = cx.state().view.apply_listing(topic, listing, as_of, now);
     if topic == topic::Topic::Servers {
         cx.state().assign_servers();
--- a/crates/mustardshedd/src/forward/link/session.rs
+++ b/crates/mustardshedd/src/forward/link/session.rs
@@ -27,17 +27,22 @@
     /// The entry at the other side, known from its hello.
     peer: Option<ids::VmId>,
     last_echo_at: ids::Timestamp,
+    /// Time before which the other side cannot have sent what arrives now: it had received what this
+    /// entry sent at that time.
+    sent_after: ids::Timestamp,
     last_heartbeat_at: ids::Timestamp,
     next_frame_at: Instant,
     catch_up: catch_up::CatchUp,
 }
 
 impl Session {
+    /// Creates a side of a link whose opening began at `opened_at`.
     pub(super) fn new(
         cx: sync::Arc<cx::Cx>,
         socket: link::Socket,
         side: Side,
         rx: Option<mpsc::Receiver<forward::Message>>,
+        opened_at: ids::Timestamp,
     ) -> Self {
         let now = cx.now();
         Self {
@@ -47,6 +52,7 @@
             rx,
             peer: None,
             last_echo_at: now,
+            sent_after: opened_at,
             last_heartbeat_at: now,
             next_frame_at: Instant::now(),
             catch_up: catch_up::CatchUp::default(),
@@ -163,7 +169,10 @@
                 topic,
                 state,
                 objects,
-            } => catch_up::apply_topic(&self.cx, topic, state, objects),
+            } => {
+                let as_of = link::before(self.sent_after, state.age_ms);
+                catch_up::apply_topic(&self.cx, topic, &state, objects, as_of);
+            }
             forward::Message::Reset => {
                 let own = &self.cx.settings.vm;
                 self.cx.state().loads.retain_entry(own, now);
@@ -223,6 +232,7 @@
         now: ids::Timestamp,
     ) -> Vec<forward::Message> {
         self.last_echo_at = now;
+        self.sent_after = self.sent_after.max(asked_at);
         if self.side == Side::Leaf {
             self.cx.peers.relay_answered();
         }
--- a/crates/mustardshedd/tests/forward/fixture.rs
+++ b/crates/mustardshedd/tests/forward/fixture.rs
@@ -9,7 +9,11 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper_util::{client::legacy, rt};
-use mustardshed::{config::forwarding, config::settings, platform::objects};
+use mustardshed::{
+    config::{forwarding, settings},
+    core::{boundary::clock as core_clock, ids},
+    platform::objects,
+};
 use mustardshed_standins::{http as standin_http, json_client, platform as standin};
 use mustardshedd::{
     forward::{cx, listeners, memory, metrics, service},
@@ -44,6 +48,26 @@
     }
 }
 
+/// Clock of an entry whose VM can be suspended.
+#[derive(Debug, Default)]
+pub(crate) struct SuspendableClock {
+    suspended_ms: atomic::AtomicU64,
+}
+
+impl SuspendableClock {
+    /// Lets the time of a suspension pass at once.
+    pub(crate) fn suspend(&self, ms: u64) {
+        self.suspended_ms.fetch_add(ms, atomic::Ordering::SeqCst);
+    }
+}
+
+impl core_clock::Clock for SuspendableClock {
+    fn now(&self) -> ids::Timestamp {
+        let suspended = self.suspended_ms.load(atomic::Ordering::SeqCst);
+        clock::BootClock.now() + time::Duration::from_millis(suspended)
+    }
+}
+
 /// A platform with servers and entries.
 pub(crate) struct Fixture {
     platform: standin_http::Server,
@@ -107,7 +131,7 @@
 
 /// Returns a loopback address that no other test uses: on a shared address, another test might take
 /// a port that was just free.
-fn unique_ip() -> net::Ipv4Addr {
+pub(crate) fn unique_ip() -> net::Ipv4Addr {
     static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
     let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
     let [.., host] = (number + 1).to_be_bytes();
@@ -344,6 +368,26 @@
         &self,
         vm: &str,
         change: impl FnOnce(&mut forwarding::Forwarding),
+    ) -> Entry {
+        self.entry_on(vm, sync::Arc::new(clock::BootClock), change)
+            .await
+    }
+
+    /// Starts an entry that is suspended whenever `clock` is moved on.
+    pub(crate) async fn entry_with_clock(
+        &self,
+        vm: &str,
+        clock: &sync::Arc<SuspendableClock>,
+    ) -> Entry {
+        self.entry_on(vm, sync::Arc::clone(clock) as _, |_| ())
+            .await
+    }
+
+    async fn entry_on(
+        &self,
+        vm: &str,
+        clock: sync::Arc<dyn core_clock::Clock>,
+        change: impl FnOnce(&mut forwarding::Forwarding),
     ) -> Entry {
         let ip = unique_ip();
         let address = |port: u16| net::SocketAddr::from((ip, port));
@@ -371,7 +415,6 @@
         change(&mut settings);
         let platform = objects::Objects::open(&settings.platform.to_string(), TIMEOUT / 30);
         let metrics = metrics::Metrics::new().unwrap();
-        let clock = sync::Arc::new(clock::BootClock);
         let memory = memory::open(settings.memory).unwrap();
         let cx = cx::Cx::new(settings, clock, platform, memory, metrics);
         let cx = sync::Arc::new(cx);
