Count ages in messages of peers from the time at which they were sent

Callers saw, or could have: after a VM had stood still, its entry named entries to clients that had died meanwhile, counted them as alive, held a rate limit of a server for newer than one heard since, and dated crashes and answers by when it read of them. A relay that had stood still passed all this on as new.

Cause: such an age was counted from the receipt, whenever that was. Messages lie in sockets while a VM is suspended, also several times for less than any time-out, in the queues of a suspended sender, and at relays.

Change: each link estimates when its messages were sent (forward::send_times). Once the other side has replied to something that was sent within the last 0.5 s, what arrives was sent since then, and counts as just sent. If no reply is that recent, messages are dated by the sender's heartbeats between which they arrive, whose clock was compared while replies came. Ages grow by the time for which a queue or a relay holds a message. The time for which a server is cold still counts from the receipt and is not reduced: too long is harmless, too short is not.

--- a/crates/mustardshed-core/src/forward.rs
+++ b/crates/mustardshed-core/src/forward.rs
@@ -8,8 +8,8 @@
 //! whether it may be sent again ([`attempts`], [`retry_budget`]) or to a second server beside the
 //! first ([`hedging`]), how old the knowledge behind a refusal may be
 //! ([`confirmation`](crate::version::confirmation), [`negative_cache`]), which entries clients are
-//! told of ([`live_entries`]), which entries exchange state ([`relays`]), what servers ask for in
-//! their responses ([`notices`], [`advertised_limits`]), which responses are failures of their
+//! told of ([`live_entries`]), which entries exchange state ([`relays`]), when their messages were sent
+//! ([`send_times`]), what servers ask for in their responses ([`notices`], [`advertised_limits`]), which responses are failures of their
 //! servers ([`response_check`]), which requests crash servers ([`quarantine`],
 //! [`repeated_crashes`]), which servers this entry reaches by itself ([`paths`]), when a signal was
 //! sent ([`pauses`]), which servers had left before the platform's store was restored
@@ -45,5 +45,6 @@
 pub mod response_check;
 pub mod retry_budget;
 pub mod routes;
+pub mod send_times;
 pub mod server;
 pub mod urgency;
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -34,6 +34,7 @@
 mod retry_budget;
 mod routes;
 mod routes_lint;
+mod send_times;
 mod servers;
 mod short_prompts;
 mod thundering_herd;
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -13,6 +13,7 @@
 
 use crate::peer;
 
+mod delay;
 mod job;
 mod suspect;
 pub mod tunnel;
--- a/crates/mustardshed-wire/src/forward/job.rs
+++ b/crates/mustardshed-wire/src/forward/job.rs
@@ -57,9 +57,9 @@
         }
     }
 
-    fn into_protection(self, now: ids::Timestamp) -> load_tracker::Protection {
+    fn into_protection(self, sent_at: ids::Timestamp) -> load_tracker::Protection {
         load_tracker::Protection {
-            ends_at: now.saturating_add(time::Duration::from_millis(self.ends_in_ms)),
+            ends_at: sent_at.saturating_add(time::Duration::from_millis(self.ends_in_ms)),
             spare: time::Duration::from_millis(self.spare_ms),
         }
     }
@@ -89,9 +89,9 @@
         }
     }
 
-    /// Converts into the core's job; `now` is the time of receipt.
+    /// Converts into the core's job; `sent_at` is the time at which it was sent.
     #[must_use]
-    pub fn into_job(self, now: ids::Timestamp) -> load_tracker::Job {
+    pub fn into_job(self, sent_at: ids::Timestamp) -> load_tracker::Job {
         let helpers = self.helpers.into_iter();
         let helpers = helpers.map(|(server, held_tokens)| load_tracker::Helper {
             server,
@@ -107,10 +107,10 @@
             weight: non_negative(self.weight),
             objective_ms: non_negative(self.objective_ms),
             timeout_ms: non_negative(self.timeout_ms),
-            arrived_at: now.saturating_sub(time::Duration::from_millis(self.age_ms)),
+            arrived_at: sent_at.saturating_sub(time::Duration::from_millis(self.age_ms)),
             is_decoding: self.is_decoding,
             account: self.account,
-            protection: self.protection.map(|it| it.into_protection(now)),
+            protection: self.protection.map(|it| it.into_protection(sent_at)),
         }
     }
 }
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -186,7 +186,7 @@
         let loads = accounts::load_tracker(&settings);
         let hedging = hedging::open(&settings);
         Self {
-            peers: peers::Outbox::new(&settings.vm),
+            peers: peers::Outbox::new(&settings.vm, sync::Arc::clone(&clock)),
             started_at: clock.now(),
             settings,
             clock,
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    forward::{cx, exchange, tunnel},
+    forward::{cx, exchange, peers, tunnel},
     log::{self, event},
 };
 
@@ -115,7 +115,7 @@
     cx: &sync::Arc<cx::Cx>,
     address: &str,
     is_leaf: bool,
-    rx: mpsc::Receiver<forward::Message>,
+    rx: mpsc::Receiver<peers::Queued>,
 ) -> LinkError {
     let opened_at = cx.now();
     let socket = match tokio::time::timeout(OPEN_TIMEOUT, open(address)).await {
@@ -235,11 +235,36 @@
     Ok(())
 }
 
-async fn receive(socket: &mut Socket) -> Result<Vec<forward::Message>, LinkError> {
+/// Asks the other side for a reply that states `now`: every WebSocket endpoint replies to a ping with
+/// the same payload.
+async fn ping(socket: &mut Socket, now: ids::Timestamp) -> Result<(), LinkError> {
+    let payload = forward::micros(now).to_be_bytes().to_vec();
+    Ok(socket
+        .feed(tungstenite::Message::Ping(payload.into()))
+        .await?)
+}
+
+/// What arrives on a link.
+enum Received {
+    Messages(Vec<forward::Message>),
+    /// Reply to a ping that was sent at this time.
+    Reply(ids::Timestamp),
+    Nothing,
+}
+
+async fn receive(socket: &mut Socket) -> Result<Received, LinkError> {
     match socket.next().await {
         None | Some(Ok(tungstenite::Message::Close(_))) => Err(LinkError::Closed),
-        Some(Ok(tungstenite::Message::Binary(buf))) => Ok(forward::decode(&buf)?),
-        Some(Ok(_)) => Ok(Vec::new()),
+        Some(Ok(tungstenite::Message::Binary(buf))) => {
+            Ok(Received::Messages(forward::decode(&buf)?))
+        }
+        Some(Ok(tungstenite::Message::Pong(payload))) => {
+            let asked_at_us = <[u8; 8]>::try_from(payload.as_ref()).map(u64::from_be_bytes);
+            Ok(asked_at_us.map_or(Received::Nothing, |us| {
+                Received::Reply(forward::timestamp(us))
+            }))
+        }
+        Some(Ok(_)) => Ok(Received::Nothing),
         Some(Err(e)) => Err(e.into()),
     }
 }
--- a/crates/mustardshedd/src/forward/link/session.rs
+++ b/crates/mustardshedd/src/forward/link/session.rs
@@ -2,7 +2,11 @@
 
 use std::sync;
 
-use mustardshed::{core::ids, platform::topic, wire::forward};
+use mustardshed::{
+    core::{forward::send_times, ids},
+    platform::topic,
+    wire::forward,
+};
 use tokio::{
     sync::mpsc,
     time::{self as tokio_time, Instant},
@@ -23,13 +27,11 @@
     socket: link::Socket,
     side: Side,
     /// Messages to send; none on a side that only receives.
-    rx: Option<mpsc::Receiver<forward::Message>>,
+    rx: Option<mpsc::Receiver<peers::Queued>>,
     /// The entry at the other side, known from its hello.
     peer: Option<ids::VmId>,
     last_echo_at: ids::Timestamp,
-    /// Time before which the other side cannot have sent what arrives now: it had received what this
-    /// entry sent at that time.
-    sent_after: ids::Timestamp,
+    send_times: send_times::SendTimes,
     last_heartbeat_at: ids::Timestamp,
     next_frame_at: Instant,
     catch_up: catch_up::CatchUp,
@@ -41,7 +43,7 @@
         cx: sync::Arc<cx::Cx>,
         socket: link::Socket,
         side: Side,
-        rx: Option<mpsc::Receiver<forward::Message>>,
+        rx: Option<mpsc::Receiver<peers::Queued>>,
         opened_at: ids::Timestamp,
     ) -> Self {
         let now = cx.now();
@@ -52,7 +54,7 @@
             rx,
             peer: None,
             last_echo_at: now,
-            sent_after: opened_at,
+            send_times: send_times::SendTimes::new(opened_at),
             last_heartbeat_at: now,
             next_frame_at: Instant::now(),
             catch_up: catch_up::CatchUp::default(),
@@ -80,10 +82,9 @@
                     if count == 0 {
                         return Ok(());
                     }
-                    self.send_batch(&batch).await?;
-                    batch.clear();
+                    self.send_batch(batch.drain(..)).await?;
                 }
-                messages = link::receive(&mut self.socket) => self.handle_frame(messages?).await?,
+                received = link::receive(&mut self.socket) => self.handle(received?).await?,
                 _ = ticks.tick(), if self.side != Side::Receiver => self.send_heartbeat().await?,
                 () = tokio_time::sleep(link::SILENCE_TIMEOUT * 2), if self.side == Side::Receiver => {
                     return Err(LinkError::Silent);
@@ -92,8 +93,13 @@
         }
     }
 
-    async fn send_batch(&mut self, batch: &[forward::Message]) -> Result<(), LinkError> {
-        link::send(&mut self.socket, batch).await?;
+    async fn send_batch(
+        &mut self,
+        batch: impl Iterator<Item = peers::Queued>,
+    ) -> Result<(), LinkError> {
+        let now = self.cx.now();
+        let batch: Vec<forward::Message> = batch.map(|queued| queued.at(now)).collect();
+        link::send(&mut self.socket, &batch).await?;
         let has_leaves = self.side == Side::Sender && !self.cx.peers.leaves().is_empty();
         self.next_frame_at = Instant::now() + self.side.frame_interval(has_leaves);
         Ok(())
@@ -125,6 +131,17 @@
         link::send(&mut self.socket, &messages).await
     }
 
+    async fn handle(&mut self, received: link::Received) -> Result<(), LinkError> {
+        match received {
+            link::Received::Messages(messages) => self.handle_frame(messages).await,
+            link::Received::Reply(asked_at) => {
+                self.send_times.record_reply(asked_at.min(self.cx.now()));
+                Ok(())
+            }
+            link::Received::Nothing => Ok(()),
+        }
+    }
+
     async fn handle_frame(&mut self, messages: Vec<forward::Message>) -> Result<(), LinkError> {
         let mut answers = Vec::new();
         for message in messages {
@@ -133,6 +150,10 @@
         if answers.is_empty() {
             return Ok(());
         }
+        // This side sends no heartbeats, so it asks for replies when it answers those of the other.
+        if self.side == Side::Receiver {
+            link::ping(&mut self.socket, self.cx.now()).await?;
+        }
         link::send(&mut self.socket, &answers).await
     }
 
@@ -143,6 +164,7 @@
         answers: &mut Vec<forward::Message>,
     ) -> Result<(), LinkError> {
         let now = self.cx.now();
+        let sent_at = self.send_times.sent_at(now);
         match message {
             forward::Message::Hello { entry, is_leaf } => {
                 let vm = entry.vm.clone();
@@ -150,9 +172,13 @@
                 if is_leaf {
                     self.accept_leaf(&vm, answers)?;
                 }
-                self.apply_update(vm, forward::Message::Hello { entry, is_leaf }, now);
+                self.apply_update(vm, forward::Message::Hello { entry, is_leaf }, sent_at);
+            }
+            forward::Message::Heartbeat(heartbeat) => {
+                let sender_time = forward::timestamp(heartbeat.sent_at_us);
+                self.send_times.record_heartbeat(sender_time, now);
+                answers.push(self.echo(heartbeat, now));
             }
-            forward::Message::Heartbeat(heartbeat) => answers.push(self.echo(heartbeat, now)),
             forward::Message::Echo {
                 sent_at_us,
                 entry,
@@ -161,7 +187,7 @@
                 let asked_at = forward::timestamp(sent_at_us).min(now);
                 answers.extend(self.handle_echo(asked_at, entry, topics, now));
             }
-            forward::Message::LiveEntries(heard) => updates::apply_alive(&self.cx, heard, now),
+            forward::Message::LiveEntries(heard) => updates::apply_alive(&self.cx, heard, sent_at),
             forward::Message::WantTopic { topic } => {
                 answers.extend(catch_up::topic_message(&self.cx, topic, now));
             }
@@ -170,38 +196,38 @@
                 state,
                 objects,
             } => {
-                let as_of = link::before(self.sent_after, state.age_ms);
+                let as_of = link::before(self.send_times.sent_after(), state.age_ms);
                 catch_up::apply_topic(&self.cx, topic, &state, objects, as_of);
             }
             forward::Message::Reset => {
                 let own = &self.cx.settings.vm;
                 self.cx.state().loads.retain_entry(own, now);
             }
-            forward::Message::Relayed { vm, message } => self.apply_update(vm, *message, now),
+            forward::Message::Relayed { vm, message } => self.apply_update(vm, *message, sent_at),
             fact => {
                 if let Some(vm) = self.peer.clone() {
-                    self.apply_update(vm, fact, now);
+                    self.apply_update(vm, fact, sent_at);
                 }
             }
         }
         Ok(())
     }
 
-    /// Applies an update of an entry, and passes it on to the entries that receive it through this
-    /// one.
-    fn apply_update(&self, vm: ids::VmId, message: forward::Message, now: ids::Timestamp) {
+    /// Applies an update that an entry sent at `sent_at`, and passes it on to the entries that receive
+    /// it through this one.
+    fn apply_update(&self, vm: ids::VmId, message: forward::Message, sent_at: ids::Timestamp) {
         // This entry's own state is authoritative.
         if vm == self.cx.settings.vm {
             return;
         }
-        updates::apply(&self.cx, &vm, &message, now);
+        updates::apply(&self.cx, &vm, &message, sent_at);
         let source = match self.side {
             Side::Relay => peers::Source::Leaf(&vm),
             Side::Sender | Side::Receiver | Side::Leaf => peers::Source::Relay,
         };
         self.cx
             .peers
-            .pass_on(source, &updates::on_behalf_of(&vm, message));
+            .pass_on(source, &updates::on_behalf_of(&vm, message), sent_at);
     }
 
     fn accept_leaf(
@@ -232,7 +258,7 @@
         now: ids::Timestamp,
     ) -> Vec<forward::Message> {
         self.last_echo_at = now;
-        self.sent_after = self.sent_after.max(asked_at);
+        self.send_times.record_reply(asked_at);
         if self.side == Side::Leaf {
             self.cx.peers.relay_answered();
         }
@@ -264,8 +290,8 @@
 /// Receives a batch of messages to send, no earlier than `not_before`; returns their number, zero
 /// if the queue is closed. Never completes without a queue.
 async fn next_batch(
-    rx: Option<&mut mpsc::Receiver<forward::Message>>,
-    batch: &mut Vec<forward::Message>,
+    rx: Option<&mut mpsc::Receiver<peers::Queued>>,
+    batch: &mut Vec<peers::Queued>,
     not_before: Instant,
 ) -> usize {
     let Some(rx) = rx else {
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -12,22 +12,23 @@
 
 use crate::forward::{cx, link};
 
-/// Applies an update of `vm` about one of its requests or about a server.
+/// Applies an update that `vm` sent at `sent_at`, about one of its requests or about a server.
 pub(super) fn apply(
     cx: &sync::Arc<cx::Cx>,
     vm: &str,
     message: &forward::Message,
-    now: ids::Timestamp,
+    sent_at: ids::Timestamp,
 ) {
-    if apply_crash(cx, message, now) {
+    if apply_crash(cx, message, sent_at) {
         return;
     }
+    let now = cx.now();
     let mut state = cx.state();
     match message {
         forward::Message::Hello { .. } => state.loads.remove_entry(vm, now),
         forward::Message::Started { number, job } => {
             let key = forward::job_key(vm, *number);
-            state.loads.start(key, job.clone().into_job(now), now);
+            state.loads.start(key, job.clone().into_job(sent_at), now);
         }
         forward::Message::FirstEvent { number } => {
             let key = forward::job_key(vm, *number);
@@ -46,6 +47,7 @@
             }
         }
         forward::Message::Cold { server, left_ms } => {
+            // Counted from the receipt: a server that seems warm too early gets too much work.
             let until = now + time::Duration::from_millis(*left_ms);
             state.loads.health_mut(server).set_cold(until);
         }
@@ -63,7 +65,7 @@
             per_s,
             age_ms,
         } => {
-            let as_of = link::before(now, *age_ms);
+            let as_of = link::before(sent_at, *age_ms);
             let limits = &mut state.advertised_limits;
             limits.record_from_peer(server, *per_s, as_of);
         }
@@ -71,8 +73,12 @@
     }
 }
 
-/// Applies an update about crashes of servers; returns whether it is one.
-fn apply_crash(cx: &sync::Arc<cx::Cx>, message: &forward::Message, now: ids::Timestamp) -> bool {
+/// Applies an update about crashes of servers that was sent at `sent_at`; returns whether it is one.
+fn apply_crash(
+    cx: &sync::Arc<cx::Cx>,
+    message: &forward::Message,
+    sent_at: ids::Timestamp,
+) -> bool {
     match message {
         forward::Message::Crashed {
             server,
@@ -81,7 +87,7 @@
             requests,
             started_unix_ms,
         } => {
-            let at = link::before(now, *age_ms);
+            let at = link::before(sent_at, *age_ms);
             let suspects = suspects.iter().map(Vec::as_slice);
             let attempts = requests.iter().copied();
             cx.record_repeated_crash(repeated_crashes::Crash {
@@ -102,7 +108,7 @@
             requests,
             age_ms,
         } => {
-            let at = link::before(now, *age_ms);
+            let at = link::before(sent_at, *age_ms);
             let mut state = cx.state();
             state.quarantine.record_peer_answer(parts, at);
             for request in requests {
@@ -112,7 +118,7 @@
         forward::Message::Quarantined { parts, age_ms } => {
             cx.adopt_quarantine(quarantine::Culprit {
                 parts: parts.clone(),
-                crashed_at: link::before(now, *age_ms),
+                crashed_at: link::before(sent_at, *age_ms),
             });
         }
         _ => return false,
@@ -120,13 +126,13 @@
     true
 }
 
-/// Records which entries a peer knows to be alive.
-pub(super) fn apply_alive(cx: &cx::Cx, heard: Vec<forward::LiveEntry>, now: ids::Timestamp) {
+/// Records which entries a peer knew to be alive when it sent this at `sent_at`.
+pub(super) fn apply_alive(cx: &cx::Cx, heard: Vec<forward::LiveEntry>, sent_at: ids::Timestamp) {
     let mut state = cx.state();
     for heard in heard {
         let vm = heard.entry.vm.clone();
         if vm != cx.settings.vm {
-            let as_of = link::before(now, heard.age_ms);
+            let as_of = link::before(sent_at, heard.age_ms);
             state.live_entries.update(&vm, heard.entry.into(), as_of);
         }
     }
--- a/crates/mustardshedd/src/forward/peers.rs
+++ b/crates/mustardshedd/src/forward/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync, time};
 
 use mustardshed::{
-    core::{forward::relays, ids},
+    core::{boundary::clock, forward::relays, ids},
     wire::forward,
 };
 use tokio::{
@@ -23,7 +23,16 @@
 const RECONCILE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Queue of messages to one link.
-pub type Queue = mpsc::Sender<forward::Message>;
+pub type Queue = mpsc::Sender<Queued>;
+
+/// A message that waits to be sent.
+#[derive(Clone, Debug)]
+pub struct Queued {
+    /// The message.
+    pub message: forward::Message,
+    /// Time at which it was composed, or sent by its first sender.
+    pub as_of: ids::Timestamp,
+}
 
 /// Where a message to be passed on came from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,6 +47,7 @@
 #[derive(Debug)]
 pub struct Outbox {
     vm: ids::VmId,
+    clock: sync::Arc<dyn clock::Clock>,
     queues: sync::Mutex<Queues>,
     /// Notified when the link to this entry's relay is lost.
     pub lost_relay: tokio_sync::Notify,
@@ -56,9 +66,10 @@
 impl Outbox {
     /// Creates the queues of an entry that has no links.
     #[must_use]
-    pub fn new(vm: &str) -> Self {
+    pub fn new(vm: &str, clock: sync::Arc<dyn clock::Clock>) -> Self {
         Self {
             vm: vm.to_owned(),
+            clock,
             queues: sync::Mutex::default(),
             lost_relay: tokio_sync::Notify::new(),
         }
@@ -66,32 +77,34 @@
 
     /// Sends a message to all peers; a link whose queue is full is reopened.
     pub fn send(&self, message: &forward::Message) {
+        let as_of = self.clock.now();
         let mut queues = self.lock();
-        queues.send_to_opened(message);
+        queues.send_to_opened(message, as_of);
         if !queues.leaves.is_empty() {
             let message = forward::Message::Relayed {
                 vm: self.vm.clone(),
                 message: Box::new(message.clone()),
             };
-            queues.send_to_leaves(&message, None);
+            queues.send_to_leaves(&message, as_of, None);
         }
     }
 
-    /// Passes a message on to all peers that do not receive it from its source.
-    pub fn pass_on(&self, source: Source<'_>, message: &forward::Message) {
+    /// Passes a message on that was sent at `sent_at`, to all peers that do not receive it from its
+    /// source.
+    pub fn pass_on(&self, source: Source<'_>, message: &forward::Message, sent_at: ids::Timestamp) {
         let mut queues = self.lock();
         match source {
             Source::Leaf(vm) => {
-                queues.send_to_opened(message);
-                queues.send_to_leaves(message, Some(vm));
+                queues.send_to_opened(message, sent_at);
+                queues.send_to_leaves(message, sent_at, Some(vm));
             }
-            Source::Relay => queues.send_to_leaves(message, None),
+            Source::Relay => queues.send_to_leaves(message, sent_at, None),
         }
     }
 
     /// Adds a leaf, replacing an earlier link with it; returns the messages to send to it.
     #[must_use]
-    pub fn add_leaf(&self, vm: &str) -> mpsc::Receiver<forward::Message> {
+    pub fn add_leaf(&self, vm: &str) -> mpsc::Receiver<Queued> {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         self.lock().leaves.insert(vm.to_owned(), tx);
         rx
@@ -140,15 +153,33 @@
     }
 }
 
+impl Queued {
+    /// Returns the message as it is to be sent at `now`.
+    #[must_use]
+    pub fn at(self, now: ids::Timestamp) -> forward::Message {
+        self.message.delayed(now.saturating_sub(self.as_of))
+    }
+
+    fn try_send(tx: &Queue, message: &forward::Message, as_of: ids::Timestamp) -> bool {
+        let message = message.clone();
+        tx.try_send(Self { message, as_of }).is_ok()
+    }
+}
+
 impl Queues {
-    fn send_to_opened(&mut self, message: &forward::Message) {
+    fn send_to_opened(&mut self, message: &forward::Message, as_of: ids::Timestamp) {
         self.opened
-            .retain(|_, (tx, _)| tx.try_send(message.clone()).is_ok());
+            .retain(|_, (tx, _)| Queued::try_send(tx, message, as_of));
     }
 
-    fn send_to_leaves(&mut self, message: &forward::Message, except: Option<&str>) {
+    fn send_to_leaves(
+        &mut self,
+        message: &forward::Message,
+        as_of: ids::Timestamp,
+        except: Option<&str>,
+    ) {
         self.leaves
-            .retain(|vm, tx| Some(vm.as_str()) == except || tx.try_send(message.clone()).is_ok());
+            .retain(|vm, tx| Some(vm.as_str()) == except || Queued::try_send(tx, message, as_of));
     }
 }
 
--- a/crates/mustardshedd/tests/forward/late_messages.rs
+++ b/crates/mustardshedd/tests/forward/late_messages.rs
@@ -1,6 +1,6 @@
 //! Messages of peers that were sent long before they are read.
 
-use std::sync;
+use std::{sync, time};
 
 use googletest::prelude::*;
 use mustardshed::{platform::topic, wire::forward};
@@ -12,6 +12,9 @@
 /// that was taken away at its beginning.
 const SUSPENSION_MS: u64 = 4_900;
 
+/// Interval between the heartbeats of peers.
+const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
 const CONFIGURATION: topic::Topic = topic::Topic::Configuration;
 
 /// Returns the state and the objects of the next version of the configuration, as a peer sends them.
@@ -75,3 +78,46 @@
     expect_that!(late.status, eq(503));
     verify_that!(in_touch.await.status, eq(200))
 }
+
+/// Returns a report that `vm` was alive just now.
+fn alive(vm: &str) -> forward::Message {
+    forward::Message::LiveEntries(vec![forward::LiveEntry {
+        entry: peer::entry(vm),
+        age_ms: 0,
+    }])
+}
+
+// Guards against clients that are told of an entry which died while this one was suspended, by a report
+// that a peer had sent before.
+#[gtest]
+#[tokio::test]
+async fn entry_that_was_alive_before_a_suspension_is_not_advertised() -> Result<()> {
+    let f = fixture::Fixture::with(&[]).await;
+    let clock = sync::Arc::new(fixture::SuspendableClock::default());
+    let entry = f.entry_with_clock("entry-1", &clock).await.ready().await;
+    let advertises = |vm: &str| entry.cx.fronts().contains(&peer::entry(vm).front);
+    let mut link = peer::Link::open(&entry, "entry-2").await;
+    for i in 0..4 {
+        link.exchange(HEARTBEAT_INTERVAL * i, &[alive("entry-3")])
+            .await;
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+    }
+    let before = advertises("entry-3");
+
+    clock.suspend(SUSPENSION_MS);
+    link.exchange(
+        HEARTBEAT_INTERVAL * 4,
+        &[alive("entry-3"), alive("entry-4")],
+    )
+    .await;
+    let after = ["entry-3", "entry-4"].map(advertises);
+    // The peer has replied to what this entry sent after the suspension.
+    link.exchange(HEARTBEAT_INTERVAL * 20, &[]).await;
+    link.exchange(HEARTBEAT_INTERVAL * 21, &[alive("entry-4")])
+        .await;
+    let in_touch = advertises("entry-4");
+
+    expect_that!(before, is_true());
+    expect_that!(after, eq([false, false]));
+    verify_that!(in_touch, is_true())
+}
--- a/crates/mustardshedd/tests/forward/peer.rs
+++ b/crates/mustardshedd/tests/forward/peer.rs
@@ -1,6 +1,6 @@
 //! A peer of an entry that sends what a test tells it to.
 
-use std::net;
+use std::{net, time};
 
 use futures_util::{SinkExt, StreamExt};
 use mustardshed::{platform::topic, wire::forward};
@@ -41,6 +41,32 @@
 }
 
 impl Link {
+    /// Opens a link to an entry as the peer `vm`.
+    pub(crate) async fn open(to: &fixture::Entry, vm: &str) -> Self {
+        let address = to.cx.settings.peers;
+        let stream = tokio_net::TcpStream::connect(address).await.unwrap();
+        let opening = tokio_tungstenite::client_async(format!("ws://{address}/"), stream);
+        let (socket, _) = opening.await.unwrap();
+        let mut link = Self { socket };
+        let hello = forward::Message::Hello {
+            entry: entry(vm),
+            is_leaf: false,
+        };
+        link.send(&[hello]).await;
+        link
+    }
+
+    /// Sends a heartbeat that states this time, and messages behind it; waits for the echo.
+    pub(crate) async fn exchange(&mut self, sent_at: time::Duration, behind: &[forward::Message]) {
+        let heartbeat = forward::Heartbeat {
+            sent_at_us: forward::micros(sent_at),
+        };
+        let mut messages = vec![forward::Message::Heartbeat(heartbeat)];
+        messages.extend_from_slice(behind);
+        self.send(&messages).await;
+        self.receive().await.unwrap();
+    }
+
     /// Sends messages in one frame.
     pub(crate) async fn send(&mut self, messages: &[forward::Message]) {
         let buf = forward::encode(messages).unwrap();
