Let entries agree on what came after a stream of a planned stop

Cause: with such a stream goes the engine time that its server can spare for requests that come later. Each entry subtracted what it heard of after the stream. An entry that linked anew was told the spare time of the beginning, and of requests in flight in the order of a hash map, so that it subtracted neither what had ended nor what it heard of first, and spent that time again. After a link that broke for a moment the same held.

Change: which requests came later is a fact that entries tell each other. The entry of the stream says which requests it knew of when it computed the spare time; all others count as later ones, in whichever order an entry hears of them. A new link is also told the later requests that have ended, by the entry itself or by its relay. Work is counted at the speed of the profile and multiplied by the server's slowdown when it is used. Requests get numbers that an earlier run of their entry has not used.

Builds before this one read the time that is left in place of the whole. A stream of such a build has at most the time to spare that is left after its age, and requests that arrived after it count as later ones.

--- a/crates/mustardshed-core/src/forward/load_tracker.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker.rs
@@ -7,12 +7,13 @@
 use std::{collections, time};
 
 use crate::{
-    forward::{account_shares, lateness},
+    forward::{account_shares, engine, lateness},
     ids,
 };
 
 mod health;
 mod load;
+mod sent_work;
 mod server_queue;
 mod work;
 
@@ -40,12 +41,26 @@
 }
 
 /// Protection of a stream that was accepted during a planned stop.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Protection {
     /// Time by which the stream must be complete.
     pub ends_at: ids::Timestamp,
     /// Engine time that its server could spend on later requests when it was sent.
     pub spare: time::Duration,
+    /// Requests of which its entry knew then: all others count as later ones. Unknown if an entry of
+    /// an earlier build has sent the stream; those that arrived after it count as later ones then.
+    pub known: Option<collections::BTreeSet<JobKey>>,
+}
+
+/// Work that a server was sent after a protected stream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LaterWork {
+    /// Name of the server.
+    pub server: ids::BackendServerId,
+    /// Request that brought the work.
+    pub key: JobKey,
+    /// The work.
+    pub work: Work,
 }
 
 /// A request in flight on a backend server and its helpers.
@@ -93,7 +108,7 @@
     }
 
     /// Returns the work that it brings to a server.
-    fn work(&self, server: &str, slowdown: f64) -> Work {
+    fn work(&self, server: &str) -> Work {
         let held = if self.primary == server {
             self.prompt_tokens.saturating_sub(self.held_tokens())
         } else {
@@ -101,7 +116,7 @@
             let helper = helpers.find(|helper| helper.server == server);
             helper.map_or(0, |helper| helper.held_tokens)
         };
-        let prefill = Work::prefill(self.shard_ms * slowdown);
+        let prefill = Work::prefill(self.shard_ms);
         if held == 0 {
             return prefill;
         }
@@ -151,6 +166,18 @@
         self.accounts.as_mut()
     }
 
+    /// Records a job that this entry sends; returns it with what is known at its servers.
+    pub fn send(&mut self, key: &JobKey, mut job: Job, now: ids::Timestamp) -> Job {
+        let queues = job.prefill_servers().filter_map(|id| self.servers.get(id));
+        let known = queues.flat_map(|queue| queue.sent_work.keys());
+        let known = job.protection.is_some().then(|| known.cloned().collect());
+        if let Some(protection) = &mut job.protection {
+            protection.known = known;
+        }
+        self.start(key.clone(), job.clone(), now);
+        job
+    }
+
     /// Records a job that this entry or a peer has sent.
     pub fn start(&mut self, key: JobKey, job: Job, now: ids::Timestamp) {
         if self.jobs.contains_key(&key) {
@@ -168,6 +195,64 @@
         self.jobs.insert(key, job);
     }
 
+    /// Records work of which a peer has heard, and that counts though its request may have ended.
+    pub fn adopt(&mut self, later: &LaterWork, now: ids::Timestamp) {
+        let queue = self.servers.entry(later.server.clone()).or_default();
+        queue.sent_work.adopt(&later.key, later.work, now);
+    }
+
+    /// Returns the work that the servers of a protected stream were sent after it.
+    #[must_use]
+    pub fn later_work(&self, stream: &JobKey) -> Vec<LaterWork> {
+        let Some(job) = self.jobs.get(stream) else {
+            return Vec::new();
+        };
+        let later = job.prefill_servers().flat_map(|server| {
+            let later = self.later_at(server, stream, job);
+            later.map(|(key, work)| LaterWork {
+                server: server.clone(),
+                key: key.clone(),
+                work,
+            })
+        });
+        later.collect()
+    }
+
+    /// Returns how much of its spare engine time is left to the server of a protected stream, on
+    /// engines of this profile.
+    #[must_use]
+    pub fn spare_left(&self, stream: &JobKey, profile: &engine::Profile) -> time::Duration {
+        let job = self.jobs.get(stream);
+        let Some((job, protection)) = job.and_then(|job| Some((job, job.protection.as_ref()?)))
+        else {
+            return time::Duration::ZERO;
+        };
+        let left = job.prefill_servers().map(|server| {
+            let later: Work = self.later_at(server, stream, job).map(|(_, it)| it).sum();
+            let slowdown = self.health(server).slowdown();
+            protection
+                .spare
+                .saturating_sub(engine::millis(later.ms(profile) * slowdown))
+        });
+        left.min().unwrap_or_default()
+    }
+
+    /// Returns the work that a server was sent after a stream.
+    fn later_at<'a>(
+        &'a self,
+        server: &str,
+        stream: &'a JobKey,
+        job: &'a Job,
+    ) -> impl Iterator<Item = (&'a JobKey, Work)> {
+        let protection = job.protection.as_ref();
+        let found = self.servers.get(server).zip(protection);
+        let later = found.map(|(queue, protection)| {
+            let sent_work = &queue.sent_work;
+            sent_work.later_than(stream, protection, job.arrived_at)
+        });
+        later.into_iter().flatten()
+    }
+
     /// Records the first event of a job, whose prompt is then prefilled.
     pub fn record_first_event(&mut self, key: &JobKey, now: ids::Timestamp) {
         let Some(job) = self.jobs.get_mut(key) else {
@@ -255,12 +340,17 @@
                 load.prefills.push(PendingPrefill { job, key, done_ms });
             }
         }
-        for (key, later) in queue.protected() {
+        for key in &queue.protected {
             if let Some(job) = self.jobs.get(key)
-                && let Some(protection) = job.protection
+                && let Some(protection) = &job.protection
                 && job.depends_on(server)
             {
-                load.protected.push(ProtectedStream { protection, later });
+                let later = self.later_at(server, key, job).map(|(_, work)| work);
+                load.protected.push(ProtectedStream {
+                    ends_at: protection.ends_at,
+                    spare: protection.spare,
+                    later: later.sum(),
+                });
             }
         }
         load
--- a/crates/mustardshed-core/src/forward/load_tracker/load.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/load.rs
@@ -1,5 +1,7 @@
 //! Load of one server.
 
+use std::time;
+
 use crate::{forward::load_tracker, ids};
 
 /// A pending prefill of a prompt or of a shard.
@@ -16,8 +18,10 @@
 /// A stream that was accepted during a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ProtectedStream {
-    /// Its protection when it was sent.
-    pub protection: load_tracker::Protection,
+    /// Time by which it must be complete.
+    pub ends_at: ids::Timestamp,
+    /// Engine time that the server could spend on later requests when it was sent.
+    pub spare: time::Duration,
     /// Work that the server was sent after it.
     pub later: load_tracker::Work,
 }
--- a/crates/mustardshed-core/src/forward/load_tracker/server_queue.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/server_queue.rs
@@ -6,7 +6,7 @@
 use std::{collections, time};
 
 use crate::{
-    forward::load_tracker::{self, Health},
+    forward::load_tracker::{self, Health, sent_work},
     ids,
 };
 
@@ -26,10 +26,10 @@
     /// Time up to which elapsed time was subtracted from the prefills.
     advanced_to: ids::Timestamp,
     arrivals: collections::VecDeque<ids::Timestamp>,
-    /// Sum of the work that it was ever sent.
-    work: load_tracker::Work,
-    /// Requests with a protection, with that sum when they were sent.
-    protected: Vec<(load_tracker::JobKey, load_tracker::Work)>,
+    /// Work that it was sent.
+    pub(super) sent_work: sent_work::SentWork,
+    /// Requests with a protection.
+    pub(super) protected: Vec<load_tracker::JobKey>,
 }
 
 /// A pending prefill of a prompt or of a shard.
@@ -49,9 +49,10 @@
         now: ids::Timestamp,
     ) {
         self.jobs.push(key.clone());
-        self.work = self.work + job.work(server, self.health.slowdown());
-        if job.protection.is_some() {
-            self.protected.push((key.clone(), self.work));
+        self.sent_work.start(key, job.work(server), job.arrived_at);
+        if let Some(protection) = &job.protection {
+            self.sent_work.protect(protection);
+            self.protected.push(key.clone());
         }
         if job.is_decoding {
             return;
@@ -78,15 +79,8 @@
     pub(super) fn end(&mut self, key: &load_tracker::JobKey, now: ids::Timestamp) {
         self.finish_prefill(key, now);
         self.jobs.retain(|other| other != key);
-        self.protected.retain(|(other, _)| other != key);
-    }
-
-    /// Returns the requests with a protection, each with the work that was sent after it.
-    pub(super) fn protected(
-        &self,
-    ) -> impl Iterator<Item = (&load_tracker::JobKey, load_tracker::Work)> {
-        let protected = self.protected.iter();
-        protected.map(|(key, before)| (key, self.work - *before))
+        self.protected.retain(|other| other != key);
+        self.sent_work.end(key, now);
     }
 
     /// Counts a request that is sent to this server.
--- a/crates/mustardshed-core/src/forward/load_tracker/work.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/work.rs
@@ -1,18 +1,18 @@
 //! Work that requests bring to a server.
 
-use std::ops;
+use std::{iter, ops};
 
 use crate::{forward::engine, ids};
 
 /// Work that delays the other requests of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
-    /// Engine time of prefills, in milliseconds.
-    prefill_ms: f64,
+    /// Engine time of prefills at the speed of the server's profile, in milliseconds.
+    pub prefill_ms: f64,
     /// Number of steps of decoding requests.
-    steps: f64,
+    pub steps: f64,
     /// Sum of the contexts of these steps, in tokens.
-    context_tokens: f64,
+    pub context_tokens: f64,
 }
 
 impl Work {
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Returns the engine time that it takes, in milliseconds.
+    /// Returns the engine time that it takes at the speed of the profile, in milliseconds.
     #[must_use]
     pub fn ms(&self, profile: &engine::Profile) -> f64 {
         self.prefill_ms
@@ -58,14 +58,8 @@
     }
 }
 
-impl ops::Sub for Work {
-    type Output = Self;
-
-    fn sub(self, other: Self) -> Self {
-        Self {
-            prefill_ms: self.prefill_ms - other.prefill_ms,
-            steps: self.steps - other.steps,
-            context_tokens: self.context_tokens - other.context_tokens,
-        }
+impl iter::Sum for Work {
+    fn sum<I: Iterator<Item = Self>>(all: I) -> Self {
+        all.fold(Self::default(), ops::Add::add)
     }
 }
--- a/crates/mustardshed-core/src/forward/placement.rs
+++ b/crates/mustardshed-core/src/forward/placement.rs
@@ -164,7 +164,8 @@
     /// Returns whether the response would not be complete before this entry ends.
     #[must_use]
     pub fn outlasts_stop(&self) -> bool {
-        self.protection.is_some_and(|it| it.spare.is_zero())
+        let protection = self.protection.as_ref();
+        protection.is_some_and(|it| it.spare.is_zero())
     }
 
     /// Returns whether it is to be preferred to another placement.
@@ -199,7 +200,7 @@
             arrived_at: need.arrived_at,
             is_decoding: false,
             account: None,
-            protection: self.protection.filter(|it| !it.spare.is_zero()),
+            protection: self.protection.clone().filter(|it| !it.spare.is_zero()),
         }
     }
 }
--- a/crates/mustardshed-core/src/forward/placement/cost.rs
+++ b/crates/mustardshed-core/src/forward/placement/cost.rs
@@ -204,6 +204,7 @@
             engine::millis(estimate_ms + pending_ms),
             snapshot.now,
         ),
+        known: None,
     })
 }
 
--- a/crates/mustardshed-core/src/forward/placement/snapshot.rs
+++ b/crates/mustardshed-core/src/forward/placement/snapshot.rs
@@ -86,7 +86,7 @@
     pub(super) fn protected_for(&self) -> time::Duration {
         let ends = self.servers.iter().map(|server| {
             let protected = server.load.protected.iter();
-            let ends = protected.map(|stream| stream.protection.ends_at);
+            let ends = protected.map(|stream| stream.ends_at);
             ends.max().unwrap_or_default().saturating_sub(self.now)
         });
         let first = ends.min().unwrap_or_default();
@@ -180,8 +180,8 @@
     pub(super) fn cut_cost(&self, profile: &engine::Profile, work_ms: f64) -> f64 {
         let protected = self.load.protected.iter();
         let cut = protected.filter(|stream| {
-            let later_ms = stream.later.ms(profile) + work_ms;
-            engine::millis(later_ms) > stream.protection.spare
+            let later_ms = stream.later.ms(profile) * self.slowdown + work_ms;
+            engine::millis(later_ms) > stream.spare
         });
         placement::count_f64(cut.count()) * placement::CUT_COST
     }
--- a/crates/mustardshed-core/tests/forward/fixtures.rs
+++ b/crates/mustardshed-core/tests/forward/fixtures.rs
@@ -164,7 +164,7 @@
             vm: "entry-1".to_owned(),
             number: self.next,
         };
-        self.load_tracker.start(key.clone(), job, now);
+        self.load_tracker.send(&key, job, now);
         key
     }
 
--- a/crates/mustardshed-core/tests/forward/main.rs
+++ b/crates/mustardshed-core/tests/forward/main.rs
@@ -24,6 +24,7 @@
 mod paths;
 mod pauses;
 mod planned_stop;
+mod protected_streams;
 mod quarantine;
 mod rate_shares;
 mod read_ahead;
--- a/crates/mustardshed-wire/src/forward.rs
+++ b/crates/mustardshed-wire/src/forward.rs
@@ -15,10 +15,12 @@
 
 mod delay;
 mod job;
+mod protection;
 mod suspect;
 pub mod tunnel;
 
 pub use job::Job;
+pub use protection::{LaterWork, Protection};
 pub use suspect::Suspect;
 
 /// Number of kinds of objects whose state entries send to each other.
--- a/crates/mustardshed-wire/src/forward/job.rs
+++ b/crates/mustardshed-wire/src/forward/job.rs
@@ -4,6 +4,8 @@
 
 use mustardshed_core::{forward::load_tracker, ids};
 
+use crate::forward::Protection;
+
 /// Fields of a [`load_tracker::Job`].
 #[derive(Clone, Debug, serde::Deserialize, PartialEq, serde::Serialize)]
 #[expect(missing_docs, reason = "the core documents the fields")]
@@ -38,33 +40,6 @@
     pub protection: Option<Protection>,
 }
 
-/// Fields of a [`load_tracker::Protection`].
-#[derive(Clone, Copy, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
-pub struct Protection {
-    /// Time until the stream must be complete, in milliseconds.
-    #[serde(rename = "e")]
-    pub ends_in_ms: u64,
-    /// Engine time that its server may spend on later requests, in milliseconds.
-    #[serde(rename = "s")]
-    pub spare_ms: u64,
-}
-
-impl Protection {
-    fn new(protection: &load_tracker::Protection, now: ids::Timestamp) -> Self {
-        Self {
-            ends_in_ms: to_millis(protection.ends_at.saturating_sub(now)),
-            spare_ms: to_millis(protection.spare),
-        }
-    }
-
-    fn into_protection(self, sent_at: ids::Timestamp) -> load_tracker::Protection {
-        load_tracker::Protection {
-            ends_at: sent_at.saturating_add(time::Duration::from_millis(self.ends_in_ms)),
-            spare: time::Duration::from_millis(self.spare_ms),
-        }
-    }
-}
-
 impl Job {
     /// Converts a job that is sent at `now`.
     #[must_use]
@@ -89,9 +64,30 @@
         }
     }
 
+    /// Adds what the servers of a protected stream were sent after it; `spare_left` is what they may
+    /// still be sent.
+    #[must_use]
+    pub fn with_later_work(
+        mut self,
+        later: Vec<load_tracker::LaterWork>,
+        spare_left: time::Duration,
+    ) -> Self {
+        if let Some(protection) = &mut self.protection {
+            protection.add_later_work(later, spare_left);
+        }
+        self
+    }
+
+    /// Returns what the servers of a protected stream were sent after it.
+    pub fn later_work(&self) -> impl Iterator<Item = load_tracker::LaterWork> {
+        let protection = self.protection.iter();
+        protection.flat_map(Protection::later_work)
+    }
+
     /// Converts into the core's job; `sent_at` is the time at which it was sent.
     #[must_use]
     pub fn into_job(self, sent_at: ids::Timestamp) -> load_tracker::Job {
+        let age = time::Duration::from_millis(self.age_ms);
         let helpers = self.helpers.into_iter();
         let helpers = helpers.map(|(server, held_tokens)| load_tracker::Helper {
             server,
@@ -107,15 +103,15 @@
             weight: non_negative(self.weight),
             objective_ms: non_negative(self.objective_ms),
             timeout_ms: non_negative(self.timeout_ms),
-            arrived_at: sent_at.saturating_sub(time::Duration::from_millis(self.age_ms)),
+            arrived_at: sent_at.saturating_sub(age),
             is_decoding: self.is_decoding,
             account: self.account,
-            protection: self.protection.map(|it| it.into_protection(sent_at)),
+            protection: self.protection.map(|it| it.into_protection(age, sent_at)),
         }
     }
 }
 
-fn to_millis(duration: time::Duration) -> u64 {
+pub(super) fn to_millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -123,12 +119,12 @@
     clippy::cast_possible_truncation,
     reason = "estimates need no more digits than an f32 has"
 )]
-const fn to_f32(value: f64) -> f32 {
+pub(super) const fn to_f32(value: f64) -> f32 {
     value as f32
 }
 
 /// Returns a peer's value, or zero if it is negative or not finite.
-fn non_negative(value: f32) -> f64 {
+pub(super) fn non_negative(value: f32) -> f64 {
     if value.is_finite() && value >= 0.0 {
         f64::from(value)
     } else {
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,9 +11,9 @@
     core::{
         boundary::clock,
         forward::{
-            account_shares, advertised_limits, hedging as core_hedging, live_entries, load_tracker,
-            negative_cache, notices, paths as core_paths, placement, quarantine, rate_shares,
-            relays, rendezvous, repeated_crashes, retry_budget, routes, server,
+            account_shares, advertised_limits, engine, hedging as core_hedging, live_entries,
+            load_tracker, negative_cache, notices, paths as core_paths, placement, quarantine,
+            rate_shares, relays, rendezvous, repeated_crashes, retry_budget, routes, server,
         },
         ids,
     },
@@ -89,6 +89,14 @@
         self.notices.allows(server, now).then_some(server)
     }
 
+    /// Returns the speed of a server's engines; none for a server that is not listed or has none.
+    #[must_use]
+    pub fn engine_of(&self, server: &str) -> Option<&engine::Profile> {
+        let server = self.view.listed_server(server)?;
+        let service = self.view.routes()?.service(&server.service)?;
+        service.engine.as_ref()
+    }
+
     /// Returns the shortest remaining back-off among the servers of a service, without those that
     /// are shutting down; none if no server has asked for one.
     fn remaining_back_off(&self, service: &str, now: ids::Timestamp) -> Option<time::Duration> {
@@ -219,7 +227,8 @@
                 negative_cache: negative_cache::NegativeCache::default(),
                 required_as_of: time::Duration::ZERO,
             }),
-            next_job: atomic::AtomicU64::new(1),
+            // Peers may still know requests of an earlier run of this entry, which had other numbers.
+            next_job: atomic::AtomicU64::new(rand::random::<u32>().into()),
             drain_began: tokio_sync::watch::Sender::new(None),
             in_flight: atomic::AtomicUsize::new(0),
             tunnels: atomic::AtomicUsize::new(0),
@@ -402,12 +411,12 @@
         in_flight.account = accounts::counted(&state.loads, wanted);
         let number = self.next_job.fetch_add(1, atomic::Ordering::Relaxed);
         let key = forward::job_key(&self.settings.vm, number);
+        state.rate_shares.record_sent(&in_flight.primary, now);
+        let in_flight = state.loads.send(&key, in_flight, now);
         let started = forward::Message::Started {
             number,
             job: forward::Job::new(&in_flight, now),
         };
-        state.rate_shares.record_sent(&in_flight.primary, now);
-        state.loads.start(key.clone(), in_flight, now);
         drop(guard);
         self.peers.send(&started);
         Ok((placed, job::JobGuard::new(sync::Arc::clone(self), key)))
--- a/crates/mustardshedd/src/forward/link/updates.rs
+++ b/crates/mustardshedd/src/forward/link/updates.rs
@@ -4,7 +4,7 @@
 
 use mustardshed::{
     core::{
-        forward::{quarantine, repeated_crashes},
+        forward::{load_tracker, quarantine, repeated_crashes},
         ids,
     },
     wire::forward,
@@ -29,6 +29,9 @@
         forward::Message::Started { number, job } => {
             let key = forward::job_key(vm, *number);
             state.loads.start(key, job.clone().into_job(sent_at), now);
+            for later in job.later_work() {
+                state.loads.adopt(&later, now);
+            }
         }
         forward::Message::FirstEvent { number } => {
             let key = forward::job_key(vm, *number);
@@ -154,7 +157,7 @@
         };
         messages.push(on_behalf_of(&vm, hello));
         let jobs = state.loads.jobs_of(&vm);
-        messages.extend(jobs.map(|(key, job)| on_behalf_of(&vm, started(key.number, job, now))));
+        messages.extend(jobs.map(|(key, job)| on_behalf_of(&vm, started(&state, key, job, now))));
     }
     messages
 }
@@ -168,7 +171,7 @@
     messages.extend(rate_limits(&state, now));
     messages.extend(crashes(&state, now));
     let jobs = state.loads.jobs_of(&cx.settings.vm);
-    messages.extend(jobs.map(|(key, job)| started(key.number, job, now)));
+    messages.extend(jobs.map(|(key, job)| started(&state, key, job, now)));
     messages
 }
 
@@ -181,7 +184,7 @@
     let about_servers = rate_limits(&state, now).chain(crashes(&state, now));
     messages.extend(about_servers.map(|message| on_behalf_of(own, message)));
     let jobs = state.loads.jobs().filter(|(key, _)| key.vm != leaf);
-    messages.extend(jobs.map(|(key, job)| on_behalf_of(&key.vm, started(key.number, job, now))));
+    messages.extend(jobs.map(|(key, job)| on_behalf_of(&key.vm, started(&state, key, job, now))));
     messages
 }
 
@@ -251,13 +254,22 @@
     }))
 }
 
+/// Returns a request in flight with what a new link must be told of it.
 fn started(
-    number: u64,
-    job: &mustardshed::core::forward::load_tracker::Job,
+    state: &cx::State,
+    key: &load_tracker::JobKey,
+    job: &load_tracker::Job,
     now: ids::Timestamp,
 ) -> forward::Message {
+    let mut sent = forward::Job::new(job, now);
+    if let Some(protection) = &job.protection {
+        let profile = state.engine_of(&job.primary);
+        let spare_left = profile.map(|profile| state.loads.spare_left(key, profile));
+        let later = state.loads.later_work(key);
+        sent = sent.with_later_work(later, spare_left.unwrap_or(protection.spare));
+    }
     forward::Message::Started {
-        number,
-        job: forward::Job::new(job, now),
+        number: key.number,
+        job: sent,
     }
 }
--- a/crates/mustardshedd/tests/forward/main.rs
+++ b/crates/mustardshedd/tests/forward/main.rs
@@ -28,6 +28,7 @@
 mod partial_lists;
 mod peer;
 mod placement;
+mod protected_streams;
 mod refusals;
 mod relays;
 mod restored_platform;
