--- a/crates/mustardshed-core/src/forward/acquaintance.rs
+++ b/crates/mustardshed-core/src/forward/acquaintance.rs
@@ -59,6 +59,13 @@
         self.is_complete
     }
 
+    /// Returns the number of peers that have told their requests, and the time since the start.
+    #[must_use]
+    pub fn heard(&self, now: ids::Timestamp) -> (usize, time::Duration) {
+        let heard = self.heard.len() + usize::from(self.has_heard_relay);
+        (heard, now.saturating_sub(self.started_at))
+    }
+
     /// Completes the record if every peer that this entry has links to has told its requests, or could
     /// not be reached, or the wait for that is over. `links` is none while the entries are not listed.
     pub fn update(&mut self, links: Option<&relays::Links>, now: ids::Timestamp) {
--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -23,7 +23,10 @@
 };
 use tokio::sync as tokio_sync;
 
-use crate::forward::{job, memory, metrics, peers, view};
+use crate::{
+    forward::{job, memory, metrics, peers, view},
+    log::{self, event},
+};
 
 mod accounts;
 pub mod crashes;
@@ -298,7 +301,18 @@
         let is_listed = !members.is_empty();
         let links = is_listed.then(|| state.relays.links(&self.settings.vm, members, now));
         state.acquaintance.update(links.as_ref(), now);
-        state.acquaintance.is_complete()
+        if !state.acquaintance.is_complete() {
+            return false;
+        }
+        let (heard, elapsed) = state.acquaintance.heard(now);
+        let members = members.len();
+        drop(guard);
+        log::emit(&event::Event::PeersHeard {
+            heard,
+            members,
+            elapsed_ms: elapsed.as_millis(),
+        });
+        true
     }
 
     /// Returns this entry as it describes itself to peers.
--- a/crates/mustardshedd/src/log/event.rs
+++ b/crates/mustardshedd/src/log/event.rs
@@ -581,4 +581,10 @@
         reason: &'a str,
         objects: usize,
     }
+    /// The peers have told of their requests since the start, or are waited for no longer.
+    2131 Info "peers_heard" PeersHeard {
+        heard: usize,
+        members: usize,
+        elapsed_ms: u128,
+    }
 }
