Pause before links that peers ask for are reopened, and bound pings

Found on reading: two links that both end right after their greeting would have reopened each other without a pause, and a ping to a peer that does not read had no time limit. Reopening waits 20 ms at least now, and pings as long as other frames.

--- a/crates/mustardshed-core/src/forward/load_tracker.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker.rs
@@ -166,7 +166,8 @@
         self.accounts.as_mut()
     }
 
-    /// Records a job that this entry sends; returns it with what is known at its servers.
+    /// Records a job that this entry sends. Returns the job; the protection of a stream then names the
+    /// requests that are known at its servers.
     pub fn send(&mut self, key: &JobKey, mut job: Job, now: ids::Timestamp) -> Job {
         let queues = job.prefill_servers().filter_map(|id| self.servers.get(id));
         let known = queues.flat_map(|queue| queue.sent_work.keys());
@@ -195,7 +196,8 @@
         self.jobs.insert(key, job);
     }
 
-    /// Records work of which a peer has heard, and that counts though its request may have ended.
+    /// Records work of which a peer tells, unless its request is known: it may have ended before this
+    /// entry was linked to its sender.
     pub fn adopt(&mut self, later: &LaterWork, now: ids::Timestamp) {
         let queue = self.servers.entry(later.server.clone()).or_default();
         queue.sent_work.adopt(&later.key, later.work, now);
--- a/crates/mustardshedd/src/forward/link.rs
+++ b/crates/mustardshedd/src/forward/link.rs
@@ -239,9 +239,9 @@
 /// the same payload.
 async fn ping(socket: &mut Socket, now: ids::Timestamp) -> Result<(), LinkError> {
     let payload = forward::micros(now).to_be_bytes().to_vec();
-    Ok(socket
-        .feed(tungstenite::Message::Ping(payload.into()))
-        .await?)
+    let feeding = socket.feed(tungstenite::Message::Ping(payload.into()));
+    let fed = tokio::time::timeout(SEND_TIMEOUT, feeding).await;
+    Ok(fed.map_err(|_| LinkError::Silent)??)
 }
 
 /// What arrives on a link.
--- a/crates/mustardshedd/src/forward/peers.rs
+++ b/crates/mustardshedd/src/forward/peers.rs
@@ -21,7 +21,8 @@
 const QUEUE_LEN: usize = 8_192;
 /// Interval at which the open links are compared with the desired ones.
 const RECONCILE_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// The same right after the start, while prompts wait for the peers.
+/// The same right after the start, while prompts wait for the peers; also the shortest time after which
+/// a lost link is reopened.
 const FIRST_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
 /// Queue of messages to one link.
@@ -294,13 +295,18 @@
         if is_leaf {
             return record_relay_failure(&cx, &address);
         }
-        tokio::select! {
-            () = tokio::time::sleep(link::REOPEN_INTERVAL) => {}
-            () = cx.peers.reopen.notified() => {}
-        }
+        wait_to_reopen(&cx).await;
     }
 }
 
+/// Waits until a lost link is to be reopened: sooner if a peer links to this entry.
+async fn wait_to_reopen(cx: &cx::Cx) {
+    let reopen = cx.peers.reopen.notified();
+    // Links that are lost again and again do not reopen each other without a pause.
+    tokio::time::sleep(FIRST_INTERVAL).await;
+    drop(tokio::time::timeout(link::REOPEN_INTERVAL - FIRST_INTERVAL, reopen).await);
+}
+
 fn record_unreached(cx: &cx::Cx, address: &str) {
     let mut guard = cx.state();
     let state = &mut *guard;
