Send the late configuration again if the entry ends its link first

Found on reading: the test of a configuration sent before a suspension needed the entry to read the message before its next heartbeat, within 250 ms of the one before, and would have waited for ever otherwise. It is now sent again on the next link. The checks are the same.

--- a/crates/mustardshedd/tests/forward/late_messages.rs
+++ b/crates/mustardshedd/tests/forward/late_messages.rs
@@ -50,21 +50,29 @@
     let mut link = peer.accept().await;
     f.faults(json!({ "outage": true })).await;
     let (state, objects) = next_version(&entry);
-    let index = CONFIGURATION.index();
-    let is_request = |m: &forward::Message| *m == forward::Message::WantTopic { topic: index };
-    link.echo_until(state, is_request).await;
-
-    clock.suspend(SUSPENSION_MS);
-    let sent = forward::Message::Topic {
-        topic: index,
+    let topic = CONFIGURATION.index();
+    let sent = [forward::Message::Topic {
+        topic,
         state,
         objects,
-    };
-    link.send(&[sent]).await;
-    fixture::wait_until("the version that the peer sent", || {
-        entry.cx.routes().is_some_and(|routes| routes.version == 2)
-    })
-    .await;
+    }];
+    let is_request = |m: &forward::Message| *m == forward::Message::WantTopic { topic };
+    let is_read = || entry.cx.routes().is_some_and(|routes| routes.version == 2);
+
+    // The entry may notice the suspension before it reads the message, and ends the link then.
+    loop {
+        link.echo_until(state, is_request).await;
+        clock.suspend(SUSPENSION_MS);
+        link.send(&sent).await;
+        tokio::select! {
+            () = fixture::wait_until("the version that the peer sent", is_read) => {}
+            () = link.wait_until_ended() => {}
+        }
+        if is_read() {
+            break;
+        }
+        link = peer.accept().await;
+    }
     let late = f.send(&entry, "GET", "/again/a", "").await;
     drop(link);
     let mut link = peer.accept().await;
--- a/crates/mustardshedd/tests/forward/peer.rs
+++ b/crates/mustardshedd/tests/forward/peer.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Waits until the entry ends the link; does not reply to its messages.
+    pub(crate) async fn wait_until_ended(&mut self) {
+        while self.receive().await.is_some() {}
+    }
+
     /// Replies to heartbeats as a peer that has read the configuration up to `configuration` just now,
     /// until `is_last` returns true for a message or the link ends.
     pub(crate) async fn echo_until(
