Keep the work that a server was sent in one list

The work of requests was kept in a map, and the ends of requests in a queue beside it that could name a request twice. A server is sent some tens of requests in the 3 s for which their work is kept, so a list with the times of the ends does, and each key is kept once. The delay of a message is rounded up by the standard library.

--- a/crates/mustardshed-core/src/forward/load_tracker/sent_work.rs
+++ b/crates/mustardshed-core/src/forward/load_tracker/sent_work.rs
@@ -3,7 +3,7 @@
 //! Which of it came after a stream does not depend on the order in which an entry hears of the stream
 //! and of the requests: it is told which requests the stream's entry knew of.
 
-use std::{collections, time};
+use std::time;
 
 use crate::{
     forward::load_tracker::{JobKey, Protection, Work},
@@ -20,16 +20,15 @@
 /// Work that one server was sent.
 #[derive(Debug, Default)]
 pub(super) struct SentWork {
-    sent: collections::HashMap<JobKey, Sent>,
-    /// Ended requests with the times of their ends, in this order.
-    ended: collections::VecDeque<(ids::Timestamp, JobKey)>,
+    sent: Vec<Sent>,
     /// End of the protection of the last protected stream; everything is kept until then.
     kept_until: ids::Timestamp,
 }
 
 /// Work of a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct Sent {
+    key: JobKey,
     work: Work,
     /// Time at which the request arrived at its entry.
     arrived_at: ids::Timestamp,
@@ -39,29 +38,31 @@
 impl SentWork {
     /// Records the work of a request in flight.
     pub(super) fn start(&mut self, key: &JobKey, work: Work, arrived_at: ids::Timestamp) {
-        if work == Work::default() {
-            return;
+        self.sent.retain(|sent| sent.key != *key);
+        if work != Work::default() {
+            self.sent.push(Sent {
+                key: key.clone(),
+                work,
+                arrived_at,
+                ended_at: None,
+            });
         }
-        let sent = Sent {
-            work,
-            arrived_at,
-            ended_at: None,
-        };
-        self.sent.insert(key.clone(), sent);
     }
 
-    /// Records the end of a request.
+    /// Records the end of a request, and forgets what ended long ago.
     pub(super) fn end(&mut self, key: &JobKey, now: ids::Timestamp) {
-        if let Some(sent) = self.sent.get_mut(key) {
+        if let Some(sent) = self.sent.iter_mut().find(|sent| sent.key == *key) {
             sent.ended_at = Some(now);
-            self.ended.push_back((now, key.clone()));
         }
-        self.expire(now);
+        if now >= self.kept_until {
+            let is_old = |at: ids::Timestamp| now.saturating_sub(at) >= RETENTION;
+            self.sent.retain(|sent| !sent.ended_at.is_some_and(is_old));
+        }
     }
 
     /// Records the work of a request of which a peer has heard, unless this entry has too.
     pub(super) fn adopt(&mut self, key: &JobKey, work: Work, now: ids::Timestamp) {
-        if !self.sent.contains_key(key) {
+        if self.keys().all(|known| known != key) {
             self.start(key, work, now);
             self.end(key, now);
         }
@@ -74,7 +75,7 @@
 
     /// Returns the requests whose work is known.
     pub(super) fn keys(&self) -> impl Iterator<Item = &JobKey> {
-        self.sent.keys()
+        self.sent.iter().map(|sent| &sent.key)
     }
 
     /// Returns the requests that the server was sent after a stream that arrived at `arrived_at`, and
@@ -85,34 +86,14 @@
         protection: &Protection,
         arrived_at: ids::Timestamp,
     ) -> impl Iterator<Item = (&JobKey, Work)> {
-        let later = self.sent.iter().filter(move |(key, sent)| {
+        let later = self.sent.iter().filter(move |sent| {
             let had_ended = sent.ended_at.is_some_and(|at| at + MAX_DELAY < arrived_at);
             let was_known = match &protection.known {
-                Some(known) => known.contains(key),
+                Some(known) => known.contains(&sent.key),
                 None => sent.arrived_at <= arrived_at,
             };
-            *key != stream && !had_ended && !was_known
+            sent.key != *stream && !had_ended && !was_known
         });
-        later.map(|(key, sent)| (key, sent.work))
-    }
-
-    fn expire(&mut self, now: ids::Timestamp) {
-        if now < self.kept_until {
-            return;
-        }
-        while let Some((at, key)) = self.ended.front() {
-            if now.saturating_sub(*at) < RETENTION {
-                return;
-            }
-            // A request that was told again has not ended, or ended later.
-            if self
-                .sent
-                .get(key)
-                .is_some_and(|sent| sent.ended_at == Some(*at))
-            {
-                self.sent.remove(key);
-            }
-            self.ended.pop_front();
-        }
+        later.map(|sent| (&sent.key, sent.work))
     }
 }
--- a/crates/mustardshed-wire/src/forward/delay.rs
+++ b/crates/mustardshed-wire/src/forward/delay.rs
@@ -60,7 +60,5 @@
 
 /// Returns a delay in milliseconds, rounded up so that nothing appears younger than it is.
 fn millis(delay: time::Duration) -> u64 {
-    let nanos_of_last = delay.subsec_nanos() % 1_000_000;
-    let whole = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
-    whole.saturating_add(u64::from(nanos_of_last > 0))
+    u64::try_from(delay.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
 }
