Give prompts that wait for peers their whole time to be placed

Callers could have seen: a prompt with a short objective that came right after a start waited for the peers and had no time left to wait for a place, so that it was refused where it would have been placed before.

Cause: both waits counted from the arrival of the request. Now the wait for a place begins when the peers have been heard. The wait for peers has a file of its own beside the others of cx.

--- a/crates/mustardshedd/src/forward/cx.rs
+++ b/crates/mustardshedd/src/forward/cx.rs
@@ -11,10 +11,10 @@
     core::{
         boundary::clock,
         forward::{
-            account_shares, acquaintance, advertised_limits, engine, hedging as core_hedging,
-            live_entries, load_tracker, negative_cache, notices, paths as core_paths, placement,
-            quarantine, rate_shares, relays, rendezvous, repeated_crashes, retry_budget, routes,
-            server,
+            account_shares, acquaintance as core_acquaintance, advertised_limits, engine,
+            hedging as core_hedging, live_entries, load_tracker, negative_cache, notices,
+            paths as core_paths, placement, quarantine, rate_shares, relays, rendezvous,
+            repeated_crashes, retry_budget, routes, server,
         },
         ids,
     },
@@ -23,12 +23,10 @@
 };
 use tokio::sync as tokio_sync;
 
-use crate::{
-    forward::{job, memory, metrics, peers, view},
-    log::{self, event},
-};
+use crate::forward::{job, memory, metrics, peers, view};
 
 mod accounts;
+mod acquaintance;
 pub mod crashes;
 mod drain;
 mod hedging;
@@ -73,7 +71,7 @@
     /// Which entries are alive.
     pub live_entries: live_entries::LiveEntries,
     /// Which peers have told this entry of their requests since its start.
-    pub acquaintance: acquaintance::Acquaintance,
+    pub acquaintance: core_acquaintance::Acquaintance,
     /// Which entries may act as relays.
     pub relays: relays::Relays,
     /// Retry budget.
@@ -228,7 +226,7 @@
                 rate_shares: rate_shares::RateShares::default(),
                 over_share: account_shares::Episodes::default(),
                 live_entries: live_entries::LiveEntries::default(),
-                acquaintance: acquaintance::Acquaintance::new(started_at),
+                acquaintance: core_acquaintance::Acquaintance::new(started_at),
                 relays: relays::Relays::default(),
                 retry_budget: retry_budget::RetryBudget::new(limits),
                 hedging,
@@ -287,34 +285,6 @@
             && state.view.is_configuration_fresh(limit, now)
     }
 
-    /// Returns whether this entry knows the requests of its peers, as far as they can be reached; it
-    /// does not right after its start.
-    #[must_use]
-    pub fn is_acquainted(&self) -> bool {
-        let now = self.now();
-        let mut guard = self.state();
-        let state = &mut *guard;
-        if state.acquaintance.is_complete() {
-            return true;
-        }
-        let members = state.view.members();
-        let is_listed = !members.is_empty();
-        let links = is_listed.then(|| state.relays.links(&self.settings.vm, members, now));
-        state.acquaintance.update(links.as_ref(), now);
-        if !state.acquaintance.is_complete() {
-            return false;
-        }
-        let (heard, elapsed) = state.acquaintance.heard(now);
-        let members = members.len();
-        drop(guard);
-        log::emit(&event::Event::PeersHeard {
-            heard,
-            members,
-            elapsed_ms: elapsed.as_millis(),
-        });
-        true
-    }
-
     /// Returns this entry as it describes itself to peers.
     #[must_use]
     pub fn entry(&self) -> forward::Entry {
--- a/crates/mustardshedd/src/forward/exchange/dispatch.rs
+++ b/crates/mustardshedd/src/forward/exchange/dispatch.rs
@@ -33,8 +33,6 @@
 const MEMORY_IDLE_SHARE: f64 = 0.8;
 /// Shortest limit on the wait for another server after one has failed or rejected the request.
 const MIN_REPLACEMENT_WAIT: time::Duration = time::Duration::from_millis(900);
-/// Interval at which a prompt that came right after the start checks whether it may be placed.
-const ACQUAINTANCE_INTERVAL: time::Duration = time::Duration::from_millis(5);
 /// Interval between attempts to place a waiting request.
 const PLACEMENT_INTERVAL: time::Duration = time::Duration::from_millis(40);
 /// Largest response body that is not a stream, in bytes.
@@ -349,13 +347,16 @@
     async fn wait_for_place(
         &mut self,
     ) -> Result<(placement::Placed, job::JobGuard), refusal::Refusal> {
-        let since = if self.tried.is_empty() {
+        let mut since = if self.tried.is_empty() {
             self.req.arrived_at
         } else {
             self.req.cx.now()
         };
+        if self.service.engine.is_some() {
+            // Right after a start; the request keeps its time to be placed.
+            since += self.req.cx.wait_until_acquainted().await;
+        }
         let until = since + self.longest_wait();
-        self.wait_until_acquainted().await;
         loop {
             let waited = self.req.cx.now().saturating_sub(since);
             match self.place(cost_limit::share(waited, self.req.route.objective)) {
@@ -371,14 +372,6 @@
         }
     }
 
-    /// Waits, right after the start of this entry, until it knows what its peers have sent to the
-    /// engines.
-    async fn wait_until_acquainted(&self) {
-        while self.service.engine.is_some() && !self.req.cx.is_acquainted() {
-            tokio::time::sleep(ACQUAINTANCE_INTERVAL).await;
-        }
-    }
-
     /// Returns how long the request may wait to be placed.
     fn longest_wait(&self) -> time::Duration {
         let wait = cost_limit::max_wait(self.req.route.objective);
